--- /dev/null
+++ b/hillthread/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads, comparisons and cost measurements."""
--- /dev/null
+++ b/hillthread/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""How decisions are made and how hosts act together."""
--- /dev/null
+++ b/hillthread/coordination/attempt_checks.py
@@ -0,0 +1,117 @@
+"""Checks of the head of a target's answer, before anything is relayed."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import httpx
+
+from hillthread.coordination import fleet as fleet_lib
+from hillthread.coordination import metrics as metrics_lib
+from hillthread.protocol import engine
+from hillthread.state import objects
+from hillthread.state import records
+from hillthread.state import warmth
+from hillthread.transport import target_client
+
+__all__ = ["HeadChecker"]
+
+_REFUSALS = (409, 429, 503)
+
+
+class Expectation(NamedTuple):
+    """What the answer of one attempt must say.
+
+    Attributes:
+        target: Who is asked.
+        attempt: The attempt.
+        epoch: The target's epoch when the attempt was sent, or None.
+        must_echo: Whether the target echoes attempt ids; engines do.
+        strict_incarnation: Whether another incarnation is an error.
+    """
+
+    target: objects.Target
+    attempt: records.AttemptRecord
+    epoch: warmth.Epoch | None
+    must_echo: bool
+    strict_incarnation: bool = False
+
+
+class HeadChecker:
+    """Compares the head of an answer with what was asked."""
+
+    def __init__(
+        self, fleet: fleet_lib.Fleet, metrics: metrics_lib.RouterMetrics
+    ):
+        self.fleet = fleet
+        self.metrics = metrics
+
+    def check(self, response: httpx.Response, expected: Expectation) -> None:
+        """Learns from the head and accepts it.
+
+        Raises:
+            AttemptError: It is another attempt's answer, a refusal, or ran
+                on other weights than expected.
+        """
+        self._check_identity(response, expected)
+        epoch = self._learn_epoch(response, expected)
+        self._check_status(response, expected)
+        expected.attempt.state = records.AttemptState.ACCEPTED
+        self._check_epoch(epoch, expected)
+
+    def _check_identity(
+        self, response: httpx.Response, expected: Expectation
+    ) -> None:
+        echoed = response.headers.get(engine.REQUEST_ID)
+        if echoed == expected.attempt.attempt_id:
+            return
+        if echoed is None and not expected.must_echo:
+            return
+        self._refuse("attempt_id", "answer to another attempt")
+
+    def _learn_epoch(
+        self, response: httpx.Response, expected: Expectation
+    ) -> warmth.Epoch | None:
+        name = expected.target.name
+        if engine.INCARNATION not in response.headers:
+            return None
+        epoch = engine.epoch_of(response.headers)
+        expected.attempt.incarnation = epoch.incarnation
+        expected.attempt.weights_version = epoch.weights_version
+        self.fleet.observe_epoch(name, epoch)
+        if engine.LEAVING in response.headers:
+            self.fleet.mark_leaving(name, epoch.incarnation)
+        return epoch
+
+    def _check_status(
+        self, response: httpx.Response, expected: Expectation
+    ) -> None:
+        status = response.status_code
+        if status in _REFUSALS and expected.target.truthful_refusals:
+            raise target_client.AttemptError(
+                records.AttemptState.REFUSED,
+                f"refused with status {status}",
+                targets_fault=False,
+            )
+        if status >= 500 or status in _REFUSALS:
+            raise target_client.AttemptError(
+                records.AttemptState.SENT, f"status {status}"
+            )
+
+    def _check_epoch(
+        self, epoch: warmth.Epoch | None, expected: Expectation
+    ) -> None:
+        if epoch is None or expected.epoch is None:
+            return
+        if epoch.weights_version != expected.epoch.weights_version:
+            self._refuse("weights_version", "ran with other weights")
+        if not expected.strict_incarnation:
+            return
+        if epoch.incarnation != expected.epoch.incarnation:
+            self._refuse("incarnation", "another incarnation answered")
+
+    def _refuse(self, check: str, reason: str) -> None:
+        self.metrics.mismatches.labels(check).inc()
+        raise target_client.AttemptError(
+            records.AttemptState.ACCEPTED, reason, resumable=False
+        )
--- /dev/null
+++ b/hillthread/coordination/claims.py
@@ -0,0 +1,48 @@
+"""Claims: a request that must not be repeated runs at most once."""
+
+from __future__ import annotations
+
+import abc
+import enum
+
+import cachetools
+
+__all__ = ["ClaimStore", "ClaimVerdict", "LocalClaims"]
+
+_MAX_CLAIMS = 100_000
+_CLAIM_S = 3_600.0
+
+
+class ClaimVerdict(enum.StrEnum):
+    """The answer to a claim."""
+
+    GRANTED = "granted"
+    TAKEN = "taken"
+    UNAVAILABLE = "unavailable"
+
+
+class ClaimStore(abc.ABC):
+    """Where an idempotency key is claimed before a request is sent."""
+
+    @abc.abstractmethod
+    async def claim(self, tenant: str, key: str, holder: str) -> ClaimVerdict:
+        """Claims a tenant's key for `holder`, an id of the request.
+
+        Returns:
+            `GRANTED` to exactly one holder of a key; `UNAVAILABLE` when it
+            cannot be known, and then the request must not be sent.
+        """
+
+
+class LocalClaims(ClaimStore):
+    """Claims in this process only: for a single router without a log."""
+
+    def __init__(self):
+        self.holders: cachetools.TTLCache = cachetools.TTLCache(
+            _MAX_CLAIMS, ttl=_CLAIM_S
+        )
+
+    async def claim(self, tenant: str, key: str, holder: str) -> ClaimVerdict:
+        """See the base class."""
+        found = self.holders.setdefault((tenant, key), holder)
+        return ClaimVerdict.GRANTED if found == holder else ClaimVerdict.TAKEN
--- /dev/null
+++ b/hillthread/coordination/exchange.py
@@ -0,0 +1,118 @@
+"""One caller's request on its way through the router."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+
+from hillthread import errors
+from hillthread.protocol import openai
+from hillthread.state import decision as decision_lib
+from hillthread.state import objects
+from hillthread.state import records
+from hillthread.state import routing_table
+from hillthread.transport import http_server
+
+__all__ = ["Exchange"]
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """A request with everything that applies to it.
+
+    Attributes:
+        request: As it came in.
+        send: Where the answer goes.
+        body: The request's whole body.
+        completion: The checked completion request; None for plain services.
+        tenant: Who asks.
+        resolved: Route, policy, pool and targets.
+        query: What is asked of the decision.
+        record: What will be explained.
+        arrived: Monotonic seconds.
+        deadline: Monotonic seconds.
+        started: Whether the head of the answer was sent to the caller.
+        closing: Whether the caller's connection is to be closed after it.
+    """
+
+    request: http_server.Request
+    send: http_server.Send
+    body: bytes
+    completion: openai.CompletionRequest | None
+    tenant: objects.Tenant
+    resolved: routing_table.Resolved
+    query: decision_lib.Query
+    record: records.RequestRecord
+    arrived: float
+    deadline: float
+    started: bool = False
+    closing: bool = False
+
+    @property
+    def request_id(self) -> str:
+        """The request's identifier."""
+        return self.record.request_id
+
+    @property
+    def streamed(self) -> bool:
+        """Whether the caller gets server-sent events."""
+        return self.completion is not None and self.completion.stream
+
+    def elapsed(self) -> float:
+        """Returns seconds since the request came in."""
+        return time.monotonic() - self.arrived
+
+    def add_attempt(
+        self, decision: decision_lib.Decision
+    ) -> records.AttemptRecord:
+        """Returns the record of a new attempt."""
+        number = len(self.record.attempts) + 1
+        attempt = records.AttemptRecord(
+            f"{self.request_id}-{number}",
+            records.trim_decision(decision),
+            self.elapsed(),
+        )
+        if decision.scores:
+            best = decision.scores[0]
+            attempt.predicted_cached = int(
+                best.warm_tokens * best.warm_probability
+            )
+        self.record.attempts.append(attempt)
+        return attempt
+
+    def run_state(self) -> errors.RunState:
+        """Returns whether a target ran the request, from all attempts."""
+        states = {attempt.state for attempt in self.record.attempts}
+        if records.AttemptState.ANSWERED in states:
+            return errors.RunState.RAN
+        if records.AttemptState.ACCEPTED in states:
+            return errors.RunState.RAN
+        if records.AttemptState.SENT in states:
+            return errors.RunState.UNKNOWN
+        return errors.RunState.NOT_RUN
+
+    async def begin_answer(
+        self, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Sends the head of the answer to the caller."""
+        self.started = True
+        fixed = [(b"x-request-id", self.request_id.encode())]
+        if self.closing:
+            fixed.append((b"connection", b"close"))
+        await self.send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": fixed + headers,
+            }
+        )
+
+    async def send_part(self, data: bytes) -> None:
+        """Sends a part of the answer; waits while the caller is slow."""
+        await self.send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def end_answer(self, data: bytes = b"") -> None:
+        """Ends the answer cleanly; only for whole answers."""
+        await self.send({"type": "http.response.body", "body": data})
--- /dev/null
+++ b/hillthread/coordination/fleet.py
@@ -0,0 +1,265 @@
+"""What one router knows of all targets, and its decisions on them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import dataclasses
+from typing import NamedTuple
+
+from hillthread.state import decision as decision_lib
+from hillthread.state import health
+from hillthread.state import load
+from hillthread.state import objects
+from hillthread.state import prompt
+from hillthread.state import warmth
+
+__all__ = ["Fleet", "Placement", "affinity_key", "make_query"]
+
+
+class Placement(NamedTuple):
+    """Which targets one attempt may go to.
+
+    Attributes:
+        targets: All targets of the route.
+        pool: Whose bounds apply.
+        model: The model asked for, or empty for plain services.
+        tried: Targets that earlier attempts of the request failed on.
+        weights_version: Weights an answer must continue with, or empty.
+    """
+
+    targets: Sequence[objects.Target]
+    pool: objects.Pool
+    model: str = ""
+    tried: frozenset[str] = frozenset()
+    weights_version: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class _Work:
+    """An attempt that has not ended."""
+
+    target: str
+    levels: tuple[prompt.PrefixLevel, ...]
+    expected_prefill: float
+    pending: bool = True
+
+
+def affinity_key(
+    levels: Sequence[prompt.PrefixLevel], fallback: bytes
+) -> bytes:
+    """Returns the key by which all routers rank the targets of a prompt.
+
+    It is the deepest level that other prompts are likely to share: all but
+    the last message.
+    """
+    if not levels:
+        return fallback
+    return levels[-2].digest if len(levels) > 1 else levels[-1].digest
+
+
+def make_query(
+    levels: tuple[prompt.PrefixLevel, ...],
+    recompute_weight: float,
+    fallback: bytes,
+) -> decision_lib.Query:
+    """Returns the query for a prompt with these levels."""
+    return decision_lib.Query(
+        levels,
+        levels[-1].tokens if levels else 0,
+        recompute_weight,
+        affinity_key(levels, fallback),
+    )
+
+
+class Fleet:
+    """Loads, beliefs, breakers and departures of all targets.
+
+    Attributes:
+        data_centre: Only targets of it are eligible.
+        decide: The policy; baselines for comparison have their own.
+        leaving: Targets that leave, with the incarnation that does.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        decide: decision_lib.DecideFunction = decision_lib.decide,
+    ):
+        self.data_centre = data_centre
+        self.decide = decide
+        self.warmth = warmth.WarmthTable()
+        self.loads: dict[str, load.TargetLoad] = {}
+        self.breakers: dict[str, health.Breaker] = {}
+        self.budgets: dict[str, health.RetryBudget] = {}
+        self.leaving: dict[str, str] = {}
+        self.work: dict[str, _Work] = {}
+
+    def choose(
+        self, query: decision_lib.Query, placement: Placement, now: float
+    ) -> decision_lib.Decision:
+        """Returns the decision for one attempt."""
+        candidates = [
+            self._candidate(target, placement, now)
+            for target in placement.targets
+        ]
+        return self.decide(query, candidates, now)
+
+    def start(
+        self,
+        attempt_id: str,
+        query: decision_lib.Query,
+        decision: decision_lib.Decision,
+        now: float,
+    ) -> None:
+        """Notes that an attempt is about to be sent to its target."""
+        name = decision.target
+        if name is None:
+            return
+        self.breakers[name].admit(now)
+        self.loads[name].start(
+            attempt_id,
+            load.OwnWork(
+                now, decision.queued_tokens, decision.expected_prefill
+            ),
+        )
+        self.warmth.targets[name].expect(query.levels, now)
+        self.work[attempt_id] = _Work(
+            name, query.levels, decision.expected_prefill
+        )
+
+    def observe_epoch(self, name: str, epoch: warmth.Epoch) -> bool:
+        """Notes the epoch a target named; returns whether it is another.
+
+        All beliefs of the former epoch are dropped.
+        """
+        changed = self.warmth.enter_epoch(name, epoch)
+        if changed and name in self.loads:
+            self.loads[name].report = None
+        return changed
+
+    def first_token(self, attempt_id: str, now: float) -> None:
+        """Notes the first token of an attempt: its prompt is cached now."""
+        work = self.work.get(attempt_id)
+        if work is None or not work.pending:
+            return
+        work.pending = False
+        self.loads[work.target].first_token(attempt_id, now)
+        beliefs = self.warmth.targets[work.target]
+        beliefs.settle(work.levels)
+        beliefs.advance(work.expected_prefill)
+        beliefs.confirm(work.levels, None, now)
+
+    def learn_cached(
+        self,
+        attempt_id: str,
+        cached_tokens: int,
+        completion_tokens: int,
+        now: float,
+    ) -> None:
+        """Learns from the usage told at the end of an answer."""
+        work = self.work.get(attempt_id)
+        if work is None:
+            return
+        beliefs = self.warmth.targets[work.target]
+        beliefs.advance(completion_tokens)
+        beliefs.confirm(work.levels, cached_tokens, now)
+
+    def finish(self, attempt_id: str) -> None:
+        """Notes that an attempt has ended in any way; idempotent."""
+        work = self.work.pop(attempt_id, None)
+        if work is None:
+            return
+        self.loads[work.target].finish(attempt_id)
+        if work.pending:
+            self.warmth.targets[work.target].settle(work.levels)
+
+    def report(self, name: str, report: load.LoadReport) -> None:
+        """Takes in a load report of a target."""
+        if name not in self.loads:
+            return
+        self.loads[name].update(report)
+        beliefs = self.warmth.targets[name]
+        if report.cache_tokens and beliefs.clock == 0.0:
+            beliefs.horizon = float(report.cache_tokens)
+        beliefs.clock = max(beliefs.clock, report.inserted_tokens)
+
+    def mark_leaving(self, name: str, incarnation: str) -> None:
+        """Notes that a target leaves; sticky until another incarnation."""
+        self.leaving.setdefault(name, incarnation)
+
+    def mark_live(self, name: str, incarnation: str) -> None:
+        """Notes that an incarnation is listed live.
+
+        It ends a departure only if it is another incarnation than the one
+        that leaves: lists lag and go backwards.
+        """
+        if self.leaving.get(name, incarnation) != incarnation:
+            del self.leaving[name]
+
+    def retry_budget(self, pool: objects.Pool) -> health.RetryBudget:
+        """Returns the retry budget of a pool."""
+        budget = self.budgets.get(pool.name)
+        if budget is None or budget.ratio != pool.retry_ratio:
+            budget = health.RetryBudget(pool.retry_ratio)
+            self.budgets[pool.name] = budget
+        return budget
+
+    def retain(self, targets: Sequence[objects.Target]) -> None:
+        """Forgets all that is not in the configuration any more."""
+        names = frozenset(target.name for target in targets)
+        busy = {work.target for work in self.work.values()}
+        for gone in self.loads.keys() - names - busy:
+            del self.loads[gone]
+            del self.breakers[gone]
+            self.leaving.pop(gone, None)
+        self.warmth.retain(names | busy)
+
+    def track(self, target: objects.Target, pool: objects.Pool) -> None:
+        """Makes sure that there is state for a target."""
+        if target.name in self.loads:
+            return
+        self.loads[target.name] = load.TargetLoad(target.prefill_tokens_per_s)
+        self.breakers[target.name] = health.Breaker(
+            pool.eject_after, pool.eject_s
+        )
+        self.warmth.target(target.name, target.cache_tokens)
+
+    def _candidate(
+        self, target: objects.Target, placement: Placement, now: float
+    ) -> decision_lib.Candidate:
+        self.track(target, placement.pool)
+        return decision_lib.Candidate(
+            target.name,
+            target.max_running,
+            self.loads[target.name],
+            self.warmth.target(target.name, target.cache_tokens),
+            self._exclusion(target, placement, now),
+        )
+
+    def _exclusion(
+        self, target: objects.Target, placement: Placement, now: float
+    ) -> decision_lib.Exclusion | None:
+        name = target.name
+        if target.data_centre != self.data_centre:
+            return decision_lib.Exclusion.OTHER_DATA_CENTRE
+        if placement.model and placement.model not in target.models:
+            return decision_lib.Exclusion.MODEL_NOT_SERVED
+        if name in self.leaving:
+            return decision_lib.Exclusion.LEAVING
+        if target.cordoned:
+            return decision_lib.Exclusion.CORDONED
+        if name in placement.tried:
+            return decision_lib.Exclusion.ALREADY_TRIED
+        if self.breakers[name].state(now) is health.BreakerState.OPEN:
+            return decision_lib.Exclusion.EJECTED
+        if self.loads[name].inflight >= placement.pool.max_inflight:
+            return decision_lib.Exclusion.SATURATED
+        if placement.weights_version and not self._has_weights(name, placement):
+            return decision_lib.Exclusion.EPOCH_CHANGED
+        return None
+
+    def _has_weights(self, name: str, placement: Placement) -> bool:
+        epoch = self.warmth.targets[name].epoch
+        return epoch is None or (
+            epoch.weights_version == placement.weights_version
+        )
--- /dev/null
+++ b/hillthread/coordination/forwarder.py
@@ -0,0 +1,350 @@
+"""Serves one request: attempts, retries and the final answer."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import anyio
+import anyio.abc
+
+from hillthread import errors
+from hillthread import settings as settings_lib
+from hillthread.coordination import attempt_checks
+from hillthread.coordination import exchange as exchange_lib
+from hillthread.coordination import fleet as fleet_lib
+from hillthread.coordination import gate as gate_lib
+from hillthread.coordination import metrics as metrics_lib
+from hillthread.coordination import stream_relay
+from hillthread.coordination import whole_relay
+from hillthread.protocol import engine
+from hillthread.protocol import headers as headers_lib
+from hillthread.protocol import openai
+from hillthread.state import decision as decision_lib
+from hillthread.state import objects
+from hillthread.state import records
+from hillthread.transport import target_client
+
+__all__ = ["Forwarder"]
+
+_BACKOFF_S = 0.02
+_CANCEL_S = 1.0
+
+
+class Forwarder:
+    """Carries requests to targets and answers back.
+
+    Attributes:
+        fleet: What is known of the targets.
+        gate: Hands out places on targets.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.RouterSettings,
+        fleet: fleet_lib.Fleet,
+        metrics: metrics_lib.RouterMetrics,
+        tasks: anyio.abc.TaskGroup,
+    ):
+        self.settings = settings
+        self.fleet = fleet
+        self.metrics = metrics
+        self.tasks = tasks
+        self.gate = gate_lib.Gate(fleet)
+        self.checker = attempt_checks.HeadChecker(fleet, metrics)
+        self.random = random.Random()
+        self.client = target_client.TargetClient(
+            settings.connect_timeout_s,
+            settings.first_byte_timeout_s,
+            settings.idle_timeout_s,
+        )
+
+    async def serve(self, exchange: exchange_lib.Exchange) -> None:
+        """Answers the request whole.
+
+        Raises:
+            RefusalError: It cannot be; its run state is true.
+        """
+        job = _Job(self, exchange)
+        budget = self.fleet.retry_budget(exchange.resolved.pool)
+        budget.deposit()
+        failure = None
+        for number in range(exchange.resolved.policy.max_attempts):
+            if number and not self._may_retry(exchange, job, failure):
+                break
+            if number:
+                await self._back_off(number)
+                self.metrics.retries.inc()
+            failure = await job.attempt()
+            if failure is None:
+                return
+        raise _refusal(exchange, failure)
+
+    def cancel(self, target: objects.Target, attempt_id: str) -> None:
+        """Has an engine stop computing an answer nobody waits for."""
+        if target.service == "engine":
+            self.tasks.start_soon(self._cancel, target.address, attempt_id)
+
+    async def _cancel(self, address: str, attempt_id: str) -> None:
+        path = engine.STREAMS_PATH + attempt_id
+        with anyio.move_on_after(_CANCEL_S):
+            try:
+                async with self.client.open(
+                    address, "DELETE", path, {}, None
+                ) as response:
+                    await self.client.read_all(response, 4096)
+            except target_client.AttemptError:
+                return
+
+    def _may_retry(
+        self,
+        exchange: exchange_lib.Exchange,
+        job: _Job,
+        failure: target_client.AttemptError | None,
+    ) -> bool:
+        if failure is None or time.monotonic() > exchange.deadline:
+            return False
+        if not exchange.record.repeatable and not _surely_not_run(exchange):
+            return False
+        if exchange.started and not job.may_continue():
+            return False
+        budget = self.fleet.retry_budget(exchange.resolved.pool)
+        return budget.withdraw(time.monotonic())
+
+    async def _back_off(self, number: int) -> None:
+        """Waits a random time that doubles with each attempt."""
+        await anyio.sleep(self.random.uniform(0, _BACKOFF_S * 2**number))
+
+
+class _Job:
+    """All attempts at one request."""
+
+    def __init__(self, forwarder: Forwarder, exchange: exchange_lib.Exchange):
+        self.forwarder = forwarder
+        self.exchange = exchange
+        self.fleet = forwarder.fleet
+        self.tried: set[str] = set()
+        self.weights_version = ""
+        self.stream = self._stream_relay() if exchange.streamed else None
+        self.whole = whole_relay.WholeRelay(
+            exchange,
+            forwarder.client,
+            forwarder.checker,
+            forwarder.settings.limits.max_body_bytes,
+        )
+
+    def may_continue(self) -> bool:
+        """Returns whether another target may continue the answer."""
+        completion = self.exchange.completion
+        if self.stream is None or completion is None:
+            return False
+        if "messages" not in completion.body or not self.weights_version:
+            return False
+        limit = completion.max_tokens
+        relayed = self.stream.progress.next_index
+        if limit is not None and relayed >= limit:
+            return False
+        return self.stream.progress.kept_text() is not None
+
+    async def attempt(self) -> target_client.AttemptError | None:
+        """Makes one attempt; returns why it failed, or None."""
+        attempt = await self.forwarder.gate.reserve(
+            self.exchange, self._placement()
+        )
+        target = self._target(attempt)
+        self._count_decision(attempt)
+        beliefs = self.fleet.warmth.targets[target.name]
+        expected = attempt_checks.Expectation(
+            target, attempt, beliefs.epoch, target.service == "engine"
+        )
+        breaker = self.fleet.breakers[target.name]
+        try:
+            await self._run(expected)
+            breaker.succeed()
+            return None
+        except target_client.AttemptError as error:
+            self._note_failure(expected, error)
+            return error
+        finally:
+            self._end(expected)
+
+    def _placement(self) -> fleet_lib.Placement:
+        resolved = self.exchange.resolved
+        return fleet_lib.Placement(
+            resolved.targets,
+            resolved.pool,
+            self.exchange.record.model,
+            frozenset(self.tried),
+            self.weights_version if self.exchange.started else "",
+        )
+
+    def _target(self, attempt: records.AttemptRecord) -> objects.Target:
+        name = attempt.decision.target
+        return next(
+            each for each in self.exchange.resolved.targets if each.name == name
+        )
+
+    async def _run(self, expected: attempt_checks.Expectation) -> None:
+        left = self.exchange.deadline - time.monotonic()
+        attempt = expected.attempt
+        with anyio.move_on_after(max(0.0, left)) as scope:
+            if self.stream is not None:
+                await self.stream.run(
+                    expected,
+                    self._headers(expected),
+                    self._stream_body(self.stream),
+                )
+            else:
+                await self.whole.run(
+                    expected, self._headers(expected), self._whole_body()
+                )
+        if scope.cancelled_caught:
+            state = records.AttemptState.SENT
+            if attempt.incarnation:
+                state = records.AttemptState.ACCEPTED
+            raise target_client.AttemptError(
+                state, "deadline", targets_fault=False
+            )
+
+    def _headers(self, expected: attempt_checks.Expectation) -> dict[str, str]:
+        result = headers_lib.forwarded(self.exchange.request.headers)
+        result[engine.REQUEST_ID] = expected.attempt.attempt_id
+        if expected.epoch is not None and expected.must_echo:
+            result[engine.EXPECT_WEIGHTS] = expected.epoch.weights_version
+        if self.stream is not None and self.stream.progress.next_index:
+            last = self.stream.progress.next_index - 1
+            result[engine.LAST_EVENT_ID] = str(last)
+        return result
+
+    def _salt(self) -> str:
+        return engine.cache_salt(
+            self.exchange.tenant.organisation, self.forwarder.settings.secret
+        )
+
+    def _stream_body(self, stream: stream_relay.StreamRelay) -> bytes:
+        completion = self.exchange.completion
+        assert completion is not None
+        priority = self.exchange.resolved.policy.priority
+        progress = stream.progress
+        if progress.next_index == 0:
+            return openai.upstream_body(completion, self._salt(), priority)
+        progress.continued_tokens = progress.next_index
+        self.forwarder.metrics.resumes.labels("continue").inc()
+        return openai.continuation_body(
+            completion,
+            self._salt(),
+            priority,
+            progress.kept_text() or "",
+            progress.next_index,
+        )
+
+    def _whole_body(self) -> bytes | None:
+        completion = self.exchange.completion
+        if completion is None:
+            return self.exchange.body or None
+        priority = self.exchange.resolved.policy.priority
+        return openai.upstream_body(completion, self._salt(), priority)
+
+    def _stream_relay(self) -> stream_relay.StreamRelay:
+        return stream_relay.StreamRelay(
+            self.exchange,
+            self.forwarder.client,
+            self.forwarder.checker,
+            self.fleet,
+            self.forwarder.metrics,
+            self.forwarder.settings.max_event_bytes,
+        )
+
+    def _count_decision(self, attempt: records.AttemptRecord) -> None:
+        reason = attempt.decision.reason or decision_lib.Reason.LEAST_COST
+        self.forwarder.metrics.decisions.labels(reason.value).inc()
+
+    def _note_failure(
+        self,
+        expected: attempt_checks.Expectation,
+        error: target_client.AttemptError,
+    ) -> None:
+        attempt = expected.attempt
+        attempt.failure = error.reason
+        if attempt.state is not records.AttemptState.ACCEPTED:
+            attempt.state = error.state
+        self.weights_version = attempt.weights_version or self.weights_version
+        name = expected.target.name
+        if error.targets_fault:
+            self.fleet.breakers[name].fail(time.monotonic())
+        epoch = self.fleet.warmth.targets[name].epoch
+        if error.state is records.AttemptState.REFUSED and (
+            epoch != expected.epoch
+        ):
+            return
+        self.tried.add(name)
+
+    def _end(self, expected: attempt_checks.Expectation) -> None:
+        """Runs also when the caller has left and the task is cancelled."""
+        attempt = expected.attempt
+        attempt.ended_s = self.exchange.elapsed()
+        self._learn(attempt)
+        self.fleet.breakers[expected.target.name].release()
+        self.forwarder.gate.release(attempt.attempt_id)
+        self.forwarder.metrics.attempts.labels(
+            expected.target.name, attempt.state.value
+        ).inc()
+        if attempt.state is records.AttemptState.ANSWERED:
+            return
+        if attempt.state is records.AttemptState.UNSENT and not attempt.failure:
+            attempt.state = records.AttemptState.SENT
+        if attempt.state is not records.AttemptState.UNSENT:
+            self.forwarder.cancel(expected.target, attempt.attempt_id)
+
+    def _learn(self, attempt: records.AttemptRecord) -> None:
+        usage = self.whole.usage
+        if self.stream is not None:
+            usage = self.stream.progress.usage
+        if usage is None:
+            return
+        attempt.prompt_tokens = usage.prompt_tokens
+        attempt.completion_tokens = usage.completion_tokens
+        metrics = self.forwarder.metrics
+        metrics.prompt_tokens.inc(usage.prompt_tokens)
+        if usage.cached_tokens is None:
+            return
+        attempt.cached_tokens = usage.cached_tokens
+        metrics.cached_tokens.inc(usage.cached_tokens)
+        self.fleet.first_token(attempt.attempt_id, time.monotonic())
+        self.fleet.learn_cached(
+            attempt.attempt_id,
+            usage.cached_tokens,
+            usage.completion_tokens,
+            time.monotonic(),
+        )
+
+
+def _surely_not_run(exchange: exchange_lib.Exchange) -> bool:
+    return exchange.run_state() is errors.RunState.NOT_RUN
+
+
+def _refusal(
+    exchange: exchange_lib.Exchange,
+    failure: target_client.AttemptError | None,
+) -> errors.RefusalError:
+    run = exchange.run_state()
+    reason = failure.reason if failure else "no attempt"
+    if reason == "deadline":
+        return errors.RefusalError(
+            "deadline",
+            504,
+            "The request's deadline passed.",
+            "Raise the route's timeout_s, or ask for a shorter answer.",
+            run,
+        )
+    remedy = "Send the request again."
+    if run is not errors.RunState.NOT_RUN and not exchange.record.repeatable:
+        remedy = "It may have run: find out before sending it again."
+    return errors.RefusalError(
+        "target_failed",
+        502,
+        f"No target completed the request; the last failure: {reason}.",
+        remedy,
+        run,
+        1.0 if run is errors.RunState.NOT_RUN else None,
+    )
--- /dev/null
+++ b/hillthread/coordination/gate.py
@@ -0,0 +1,196 @@
+"""Admission: a request gets a target at once, waits its turn, or is refused."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+
+import anyio
+
+from hillthread import errors
+from hillthread.coordination import exchange as exchange_lib
+from hillthread.coordination import fleet as fleet_lib
+from hillthread.state import admission
+from hillthread.state import decision as decision_lib
+from hillthread.state import records
+
+__all__ = ["Gate"]
+
+_NO_TARGET_RETRY_S = 2.0
+_OVERLOAD_RETRY_S = 1.0
+_CHECK_S = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiter:
+    """A request that waits for a target."""
+
+    exchange: exchange_lib.Exchange
+    placement: fleet_lib.Placement
+    event: anyio.Event
+    attempt: records.AttemptRecord | None = None
+    shed: bool = False
+
+
+class Gate:
+    """Hands out places on targets, the most urgent class first.
+
+    Attributes:
+        fleet: What is known of the targets.
+        queues: The waiting requests of each pool.
+    """
+
+    def __init__(self, fleet: fleet_lib.Fleet):
+        self.fleet = fleet
+        self.queues: dict[str, admission.AdmissionQueue] = {}
+        self._waiters: dict[admission.Ticket, _Waiter] = {}
+
+    async def reserve(
+        self,
+        exchange: exchange_lib.Exchange,
+        placement: fleet_lib.Placement,
+    ) -> records.AttemptRecord:
+        """Returns a started attempt, its place taken.
+
+        Raises:
+            RefusalError: There is no target, or no place before the deadline.
+        """
+        queue = self._queue(placement)
+        if len(queue) == 0:
+            attempt = self._try(exchange, placement)
+            if attempt is not None:
+                return attempt
+        return await self._wait(exchange, placement, queue)
+
+    def release(self, attempt_id: str) -> None:
+        """Gives back the place of an ended attempt and serves waiters."""
+        self.fleet.finish(attempt_id)
+        for queue in self.queues.values():
+            self._serve_waiters(queue)
+
+    def _queue(
+        self, placement: fleet_lib.Placement
+    ) -> admission.AdmissionQueue:
+        pool = placement.pool
+        queue = self.queues.get(pool.name)
+        if queue is None:
+            queue = self.queues[pool.name] = admission.AdmissionQueue(
+                pool.queue_size
+            )
+        queue.size = pool.queue_size
+        return queue
+
+    def _try(
+        self,
+        exchange: exchange_lib.Exchange,
+        placement: fleet_lib.Placement,
+    ) -> records.AttemptRecord | None:
+        """Returns a started attempt, or None when all places are taken."""
+        now = time.monotonic()
+        decision = self.fleet.choose(exchange.query, placement, now)
+        if decision.target is None:
+            if _some_saturated(decision):
+                return None
+            exchange.add_attempt(decision).failure = "no_target"
+            raise _no_target(exchange)
+        attempt = exchange.add_attempt(decision)
+        self.fleet.start(attempt.attempt_id, exchange.query, decision, now)
+        return attempt
+
+    async def _wait(
+        self,
+        exchange: exchange_lib.Exchange,
+        placement: fleet_lib.Placement,
+        queue: admission.AdmissionQueue,
+    ) -> records.AttemptRecord:
+        started = time.monotonic()
+        offer = queue.offer(
+            exchange.resolved.policy.priority, exchange.deadline, started
+        )
+        if offer.shed is not None:
+            self._shed(offer.shed)
+        if offer.ticket is None:
+            raise _overloaded(exchange)
+        waiter = _Waiter(exchange, placement, anyio.Event())
+        self._waiters[offer.ticket] = waiter
+        try:
+            await self._wait_turn(queue, offer.ticket, waiter)
+        finally:
+            queue.withdraw(offer.ticket)
+            self._waiters.pop(offer.ticket, None)
+            exchange.record.queued_s += time.monotonic() - started
+        if waiter.attempt is None:
+            raise _overloaded(exchange)
+        return waiter.attempt
+
+    async def _wait_turn(
+        self,
+        queue: admission.AdmissionQueue,
+        ticket: admission.Ticket,
+        waiter: _Waiter,
+    ) -> None:
+        """Returns when served, shed or past the deadline.
+
+        A place may also come free without a release, when a target joins or
+        is probed again, so the first in line looks from time to time.
+        """
+        try:
+            while not waiter.event.is_set():
+                left = ticket.deadline - time.monotonic()
+                if left <= 0:
+                    return
+                with anyio.move_on_after(min(_CHECK_S, left)):
+                    await waiter.event.wait()
+                if queue.first() is ticket:
+                    self._serve_waiters(queue)
+        except anyio.get_cancelled_exc_class():
+            self._undo(waiter)
+            raise
+
+    def _undo(self, waiter: _Waiter) -> None:
+        if waiter.attempt is not None:
+            self.release(waiter.attempt.attempt_id)
+
+    def _serve_waiters(self, queue: admission.AdmissionQueue) -> None:
+        while (ticket := queue.first()) is not None:
+            waiter = self._waiters[ticket]
+            try:
+                waiter.attempt = self._try(waiter.exchange, waiter.placement)
+            except errors.RefusalError:
+                waiter.shed = True
+            if waiter.attempt is None and not waiter.shed:
+                return
+            queue.serve(ticket, time.monotonic())
+            waiter.event.set()
+
+    def _shed(self, ticket: admission.Ticket) -> None:
+        waiter = self._waiters[ticket]
+        waiter.shed = True
+        waiter.event.set()
+
+
+def _some_saturated(decision: decision_lib.Decision) -> bool:
+    saturated = decision_lib.Exclusion.SATURATED
+    return any(score.exclusion is saturated for score in decision.scores)
+
+
+def _no_target(exchange: exchange_lib.Exchange) -> errors.RefusalError:
+    return errors.RefusalError(
+        "no_target",
+        503,
+        "No target can serve the request now.",
+        "Try again later; `hillthread-ctl explain` tells what excluded each.",
+        exchange.run_state(),
+        _NO_TARGET_RETRY_S,
+    )
+
+
+def _overloaded(exchange: exchange_lib.Exchange) -> errors.RefusalError:
+    return errors.RefusalError(
+        "overloaded",
+        503,
+        "All targets are busy beyond the request's deadline or class.",
+        "Try again after the time in Retry-After.",
+        exchange.run_state(),
+        _OVERLOAD_RETRY_S,
+    )
--- /dev/null
+++ b/hillthread/coordination/record_pages.py
@@ -0,0 +1,63 @@
+"""Answers questions on decision records, scoped to who asks."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import itertools
+from typing import NamedTuple
+
+from hillthread.state import records
+
+__all__ = ["RecordFilter", "select_records"]
+
+_MAX_LISTED = 200
+
+
+class RecordFilter(NamedTuple):
+    """Which records are asked for; empty fields match all.
+
+    Attributes:
+        request_id: One request.
+        tenant: Who made the request.
+        target: A target that an attempt went to.
+        reason: Why an attempt's target was chosen, or a refusal's code.
+        limit: Records at most, the newest first.
+    """
+
+    request_id: str = ""
+    tenant: str = ""
+    target: str = ""
+    reason: str = ""
+    limit: int = 20
+
+
+def select_records(
+    store: records.RecordStore, wanted: RecordFilter
+) -> list[records.RequestRecord]:
+    """Returns the matching records, the newest first."""
+    if wanted.request_id:
+        found = store.get(wanted.request_id)
+        if found is None or not _matches(found, wanted):
+            return []
+        return [found]
+    limit = min(max(1, wanted.limit), _MAX_LISTED)
+    return list(itertools.islice(_matching(store, wanted), limit))
+
+
+def _matching(
+    store: records.RecordStore, wanted: RecordFilter
+) -> Iterator[records.RequestRecord]:
+    return (each for each in store.newest() if _matches(each, wanted))
+
+
+def _matches(record: records.RequestRecord, wanted: RecordFilter) -> bool:
+    if wanted.tenant and record.tenant != wanted.tenant:
+        return False
+    attempts = record.attempts
+    if wanted.target and not any(
+        attempt.decision.target == wanted.target for attempt in attempts
+    ):
+        return False
+    if not wanted.reason or record.code == wanted.reason:
+        return True
+    return any(attempt.decision.reason == wanted.reason for attempt in attempts)
--- /dev/null
+++ b/hillthread/coordination/stream_progress.py
@@ -0,0 +1,142 @@
+"""How far a streamed answer got: order, identity and completeness."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import msgspec
+
+from hillthread.protocol import engine
+from hillthread.protocol import event_stream
+
+__all__ = ["StreamFault", "StreamProgress"]
+
+_MAX_KEPT_BYTES = 2_097_152
+_EMPTY_CHOICES = (b'"choices":[]', b'"choices": []')
+
+
+class StreamFault(enum.StrEnum):
+    """What a check of a streamed answer found wrong."""
+
+    CROSSED = "crossed_answer"
+    GAP = "gap_in_stream"
+    ERROR_EVENT = "error_event"
+    TRUNCATED = "no_terminal_marker"
+    EMPTY = "empty_answer"
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta | None = None
+    text: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice] = []
+
+
+_chunk_decoder = msgspec.json.Decoder(_Chunk)
+
+
+class StreamProgress:
+    """Checks the events of one answer, over all attempts at it.
+
+    Attributes:
+        first_id: Attempt id of the first attempt, which the caller sees.
+        next_index: Index of the next event to relay.
+        done: Whether the terminal marker came.
+        usage: The usage told, or None.
+        overlap: Events dropped because they came twice.
+        fault: What was found wrong in the current attempt, or None.
+    """
+
+    def __init__(self, wants_usage: bool):
+        self.wants_usage = wants_usage
+        self.first_id = b""
+        self.attempt_id = b""
+        self.next_index = 0
+        self.done = False
+        self.usage: engine.AnswerUsage | None = None
+        self.overlap = 0
+        self.fault: StreamFault | None = None
+        self.continued_tokens = 0
+        self._kept: list[bytes] = []
+        self._kept_bytes = 0
+
+    def begin_attempt(self, attempt_id: str) -> None:
+        """Expects the events of an attempt from `next_index` on."""
+        self.attempt_id = attempt_id.encode()
+        self.fault = None
+        if not self.first_id:
+            self.first_id = self.attempt_id
+
+    def accept(self, event: event_stream.Event) -> bytes:
+        """Returns the bytes to relay for an event; empty when none.
+
+        Sets `done` at the terminal marker and `fault` when a check fails.
+        """
+        if self.done or self.fault is not None:
+            return b""
+        if event.data == engine.DONE:
+            self.done = True
+            return event.raw
+        if not event.data:
+            return b""
+        if event.data.startswith(b'{"error"'):
+            self.fault = StreamFault.ERROR_EVENT
+            return b""
+        if self.attempt_id not in event.data:
+            self.fault = StreamFault.CROSSED
+            return b""
+        if event.index is not None and event.index != self.next_index:
+            return self._out_of_order(event.index)
+        self.next_index += 1
+        return self._relayed(event)
+
+    def kept_text(self) -> str | None:
+        """Returns the text relayed so far, or None when too long to keep."""
+        if self._kept_bytes > _MAX_KEPT_BYTES:
+            return None
+        texts = []
+        for data in self._kept:
+            for choice in _chunk_decoder.decode(data).choices:
+                texts.append(choice.text or "")
+                if choice.delta is not None:
+                    texts.append(choice.delta.content or "")
+        return "".join(texts)
+
+    def _out_of_order(self, index: int) -> bytes:
+        if index < self.next_index:
+            self.overlap += 1
+        else:
+            self.fault = StreamFault.GAP
+        return b""
+
+    def _relayed(self, event: event_stream.Event) -> bytes:
+        if any(mark in event.data for mark in _EMPTY_CHOICES):
+            return self._usage_chunk(event)
+        self._kept_bytes += len(event.data)
+        if self._kept_bytes <= _MAX_KEPT_BYTES:
+            self._kept.append(event.data)
+        return self._as_first_attempt(event.raw)
+
+    def _usage_chunk(self, event: event_stream.Event) -> bytes:
+        self.usage = engine.decode_usage(event.data)
+        if not self.wants_usage:
+            return b""
+        if self.continued_tokens == 0 or self.usage is None:
+            return self._as_first_attempt(event.raw)
+        chunk: dict[str, Any] = msgspec.json.decode(event.data)
+        chunk["usage"]["prompt_tokens"] -= self.continued_tokens
+        chunk["usage"]["completion_tokens"] += self.continued_tokens
+        raw = event_stream.encode_event(event.index, msgspec.json.encode(chunk))
+        return self._as_first_attempt(raw)
+
+    def _as_first_attempt(self, raw: bytes) -> bytes:
+        if self.attempt_id == self.first_id:
+            return raw
+        return raw.replace(self.attempt_id, self.first_id)
--- /dev/null
+++ b/hillthread/coordination/whole_relay.py
@@ -0,0 +1,107 @@
+"""Relays answers that are not streams of events.
+
+A completion's answer is checked whole before any of it is passed on. A plain
+service's answer is passed on as it comes and ends cleanly only when it did.
+"""
+
+from __future__ import annotations
+
+import httpx
+import msgspec
+
+from hillthread.coordination import attempt_checks
+from hillthread.coordination import exchange as exchange_lib
+from hillthread.protocol import engine
+from hillthread.protocol import headers as headers_lib
+from hillthread.state import records
+from hillthread.transport import target_client
+
+__all__ = ["WholeRelay"]
+
+
+class _Answer(msgspec.Struct):
+    id: str
+    choices: list[msgspec.Raw]
+
+
+_answer_decoder = msgspec.json.Decoder(_Answer)
+
+
+class WholeRelay:
+    """Relays one answer.
+
+    Attributes:
+        usage: What the engine told, or None.
+    """
+
+    def __init__(
+        self,
+        exchange: exchange_lib.Exchange,
+        client: target_client.TargetClient,
+        checker: attempt_checks.HeadChecker,
+        max_bytes: int,
+    ):
+        self.exchange = exchange
+        self.client = client
+        self.checker = checker
+        self.max_bytes = max_bytes
+        self.usage: engine.AnswerUsage | None = None
+
+    async def run(
+        self,
+        expected: attempt_checks.Expectation,
+        headers: dict[str, str],
+        body: bytes | None,
+    ) -> None:
+        """Runs one attempt.
+
+        Raises:
+            AttemptError: It gave no whole answer.
+        """
+        request = self.exchange.request
+        path = request.path
+        if request.query:
+            path += "?" + request.query.decode("latin-1")
+        async with self.client.open(
+            expected.target.address, request.method, path, headers, body
+        ) as response:
+            self.checker.check(response, expected)
+            if self.exchange.completion is None:
+                await self._relay_plain(response)
+            else:
+                await self._relay_completion(response, expected)
+            expected.attempt.state = records.AttemptState.ANSWERED
+
+    async def _relay_plain(self, response: httpx.Response) -> None:
+        passed = headers_lib.answered(response.headers.multi_items())
+        await self.exchange.begin_answer(response.status_code, passed)
+        async for chunk in self.client.read(response):
+            await self.exchange.send_part(chunk)
+        await self.exchange.end_answer()
+
+    async def _relay_completion(
+        self, response: httpx.Response, expected: attempt_checks.Expectation
+    ) -> None:
+        data = await self.client.read_all(response, self.max_bytes)
+        if response.status_code == 200:
+            self._check_whole(data, expected.attempt)
+            self.usage = engine.decode_usage(data)
+        passed = headers_lib.answered(response.headers.multi_items())
+        await self.exchange.begin_answer(response.status_code, passed)
+        await self.exchange.end_answer(data)
+
+    def _check_whole(self, data: bytes, attempt: records.AttemptRecord) -> None:
+        try:
+            answer = _answer_decoder.decode(data)
+        except msgspec.DecodeError as error:
+            raise target_client.AttemptError(
+                records.AttemptState.ACCEPTED, "answer is not whole JSON"
+            ) from error
+        if not answer.choices:
+            raise target_client.AttemptError(
+                records.AttemptState.ACCEPTED, "answer has no choices"
+            )
+        if attempt.attempt_id not in answer.id:
+            raise target_client.AttemptError(
+                records.AttemptState.ACCEPTED, "answer to another attempt"
+            )
--- /dev/null
+++ b/hillthread/errors.py
@@ -0,0 +1,111 @@
+"""Typed errors: each has a stable code and a message that names the remedy."""
+
+from __future__ import annotations
+
+import enum
+
+__all__ = [
+    "ConfigurationError",
+    "ConflictError",
+    "HillthreadError",
+    "LogError",
+    "PeerError",
+    "RefusalError",
+    "RunState",
+    "SelectorError",
+    "SettingsError",
+    "UnknownOutcomeError",
+]
+
+
+class RunState(enum.StrEnum):
+    """Whether a target has run a request, as far as the router can prove."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class HillthreadError(Exception):
+    """The base of all errors raised by hillthread.
+
+    Attributes:
+        code: A stable identifier in snake case, safe to match on.
+        message: What is wrong, in one sentence.
+        remedy: What the reader can do about it.
+    """
+
+    code = "internal_error"
+
+    def __init__(self, message: str, remedy: str):
+        super().__init__(f"{message} Remedy: {remedy}")
+        self.message = message
+        self.remedy = remedy
+
+
+class SettingsError(HillthreadError):
+    """A settings file is missing, unreadable or invalid."""
+
+    code = "invalid_settings"
+
+
+class SelectorError(HillthreadError):
+    """A label selector does not parse."""
+
+    code = "invalid_selector"
+
+
+class ConfigurationError(HillthreadError):
+    """A configuration object or record is invalid."""
+
+    code = "invalid_configuration"
+
+
+class ConflictError(HillthreadError):
+    """An object changed since the version the caller expected."""
+
+    code = "version_conflict"
+
+
+class LogError(HillthreadError):
+    """The platform's log cannot be reached, or answered with an error."""
+
+    code = "log_unavailable"
+
+
+class UnknownOutcomeError(HillthreadError):
+    """An append may or may not have taken effect."""
+
+    code = "outcome_unknown"
+
+
+class PeerError(HillthreadError):
+    """A peer broke the protocol between hosts, or failed authentication."""
+
+    code = "peer_protocol"
+
+
+class RefusalError(HillthreadError):
+    """A caller's request that is answered with an error.
+
+    Attributes:
+        code: The refusal's code, part of the callers' interface.
+        status: The HTTP status of the answer.
+        run: Whether a target ran the request.
+        retry_after_s: Seconds after which a retry may help, or None.
+    """
+
+    def __init__(
+        self,
+        code: str,
+        status: int,
+        message: str,
+        remedy: str,
+        run: RunState = RunState.NOT_RUN,
+        retry_after_s: float | None = None,
+    ):
+        super().__init__(message, remedy)
+        self.code = code
+        self.status = status
+        self.run = run
+        self.retry_after_s = retry_after_s
--- /dev/null
+++ b/hillthread/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines: one module for each installed program."""
--- /dev/null
+++ b/hillthread/programs/bench.py
@@ -0,0 +1,62 @@
+"""`hillthread-bench`: comparisons, costs and the demonstration."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hillthread.bench import compare as compare_lib
+from hillthread.bench import demo as demo_lib
+from hillthread.transport import service
+
+__all__ = ["main"]
+
+
+def _print_json(value: object) -> None:
+    print(msgspec.json.encode(value).decode())
+
+
+def compare(
+    workload: str,
+    seed: int = 1,
+    json: bool = True,
+    routers: int = 1,
+    crashes: int = 0,
+    duration_s: float = 120.0,
+) -> None:
+    """Compares the policies on one trace and prints one JSON object.
+
+    Args:
+        workload: `prairie` or `wetterwerk`.
+        seed: Of the trace.
+        json: Print JSON; otherwise a table.
+        routers: Routers that do not talk to each other.
+        crashes: Engines that crash during the trace.
+        duration_s: Length of the trace.
+    """
+    setup = compare_lib.Setup(
+        workload,
+        seed,
+        routers=routers,
+        crashes=crashes,
+        duration_s=duration_s,
+    )
+    result = compare_lib.compare(setup)
+    if json:
+        _print_json(result["policies"])
+        return
+    for name, values in result["policies"].items():
+        print(name, values)
+
+
+def demo() -> None:
+    """Shows the whole path with real processes on loopback."""
+    demo_lib.run_demo()
+
+
+def main() -> None:
+    """The console script."""
+    service.run_command({"compare": compare, "demo": demo})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hillthread/programs/router.py
@@ -0,0 +1,113 @@
+"""`hillthread-router`: the callers' data plane, one loop."""
+
+from __future__ import annotations
+
+import logging
+
+import anyio
+
+from hillthread import settings as settings_lib
+from hillthread.coordination import configuration_file
+from hillthread.coordination import metrics as metrics_lib
+from hillthread.coordination import record_pages
+from hillthread.coordination import router as router_lib
+from hillthread.protocol import documents
+from hillthread.transport import http_server
+from hillthread.transport import service
+
+__all__ = ["main", "run"]
+
+_logger = logging.getLogger(__name__)
+
+
+class RouterProgram:
+    """The router with its sockets and its status pages."""
+
+    def __init__(self, settings: settings_lib.RouterSettings, tasks):
+        self.settings = settings
+        self.metrics = metrics_lib.RouterMetrics()
+        self.router = router_lib.Router(settings, self.metrics, tasks)
+        self.pages = service.StatusPages(
+            self.metrics.registry, self.router.not_ready_reason
+        )
+        self.server = http_server.Server(
+            settings.listen,
+            self.router.application,
+            settings.limits,
+            settings.tls,
+        )
+        self.status = http_server.Server(settings.status_listen, self.answer)
+        self.stop = anyio.Event()
+
+    async def answer(self, scope, receive, send) -> None:
+        """Serves the status pages and the records kept here."""
+        if scope["type"] == "lifespan":
+            await http_server.accept_lifespan(receive, send)
+            return
+        request = http_server.Request(scope, receive)
+        if await self.pages.answer(request, send):
+            return
+        if request.path != "/v1/records":
+            await http_server.send_json(send, 404, {"code": "not_found"})
+            return
+        wanted = record_pages.RecordFilter(
+            request.parameter("request_id"),
+            request.parameter("tenant"),
+            request.parameter("target"),
+            request.parameter("reason"),
+            int(request.parameter("limit", "20")),
+        )
+        found = record_pages.select_records(self.router.records, wanted)
+        await http_server.send_json(send, 200, documents.as_document(found))
+
+    async def drain(self) -> None:
+        """Stops as planned: not ready, serve on, wait for open requests."""
+        self.router.draining = True
+        _logger.info("stopping: notice", extra={"code": "stop_notice"})
+        await anyio.sleep(self.settings.notice_s)
+        with anyio.move_on_after(self.settings.drain_s):
+            await self.router.wait_idle()
+        _logger.info(
+            "stopping: drained",
+            extra={"code": "stop_drained", "open": self.router.inflight},
+        )
+
+
+async def serve(settings: settings_lib.RouterSettings) -> None:
+    """Runs until asked to stop and drained."""
+    async with anyio.create_task_group() as tasks:
+        program = RouterProgram(settings, tasks)
+        if settings.configuration_file is not None:
+            table = configuration_file.load_table(settings.configuration_file)
+            program.router.adopt(table)
+        async with anyio.create_task_group() as servers:
+            servers.start_soon(program.server.serve, program.stop)
+            servers.start_soon(program.status.serve, program.stop)
+            service.announce(
+                callers=program.server.address, status=program.status.address
+            )
+            await service.wait_for_signal()
+            await program.drain()
+            program.stop.set()
+        await program.router.forwarder.client.close()
+        tasks.cancel_scope.cancel()
+
+
+def run(settings: str) -> None:
+    """Routes callers' requests to targets.
+
+    Args:
+        settings: Path of the JSON settings file; see examples/router.json.
+    """
+    loaded = settings_lib.load_settings(settings, settings_lib.RouterSettings)
+    service.configure_logging()
+    anyio.run(serve, loaded)
+
+
+def main() -> None:
+    """The console script."""
+    service.run_command(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hillthread/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Message shapes, header names and codecs shared by the programs."""
--- /dev/null
+++ b/hillthread/state/configuration.py
@@ -0,0 +1,339 @@
+"""Replay of the configuration log: every reader decides the same way.
+
+Records are applied in log order. A put or delete takes effect only if the
+object still has the version its author expected; the version is the offset of
+the record that last changed the object. A chain of digests over all records
+shows whether two histories are the same.
+"""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+from typing import Any
+from typing import NamedTuple
+from typing import TypeAlias
+
+import msgspec
+
+from hillthread import errors
+from hillthread.state import objects
+
+__all__ = [
+    "Applied",
+    "Change",
+    "Configuration",
+    "Delete",
+    "Outcome",
+    "Put",
+    "Rejection",
+    "Snapshot",
+    "StoredObject",
+    "decode_change",
+    "encode_change",
+]
+
+EMPTY_CHAIN = "0" * 32
+START = -1
+_MAX_OUTCOMES = 1024
+_MAX_HISTORY = 1024
+
+
+class Put(msgspec.Struct, frozen=True, kw_only=True, tag_field="op", tag="put"):
+    """Creates or replaces one object.
+
+    Attributes:
+        record_id: Chosen by the author; resolves unknown outcomes.
+        actor: The operator who asked for it.
+        made_at: Seconds since 1970.
+        object: The object as JSON; checked when it is applied.
+        expected_version: Version it replaces; 0 when it must not exist.
+    """
+
+    record_id: str
+    actor: str
+    made_at: float
+    object: dict[str, Any]
+    expected_version: int
+
+
+class Delete(
+    msgspec.Struct, frozen=True, kw_only=True, tag_field="op", tag="delete"
+):
+    """Removes one object; fields as in `Put`."""
+
+    record_id: str
+    actor: str
+    made_at: float
+    key: objects.ObjectKey
+    expected_version: int
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """An object in force.
+
+    Attributes:
+        object: The object as JSON.
+        version: Offset of the record that set it, plus one.
+    """
+
+    object: dict[str, Any]
+    version: int
+
+
+class Snapshot(
+    msgspec.Struct, frozen=True, kw_only=True, tag_field="op", tag="snapshot"
+):
+    """The whole configuration at one position; idempotent.
+
+    Attributes:
+        position: Offset of the last record it includes.
+        chain: Digest over all records up to it.
+        objects: All objects in force.
+    """
+
+    position: int
+    chain: str
+    objects: list[StoredObject]
+
+
+Change: TypeAlias = Put | Delete | Snapshot
+
+
+class Rejection(NamedTuple):
+    """Why a record had no effect.
+
+    Attributes:
+        code: `version_conflict`, `invalid_configuration` or `duplicate`.
+        message: In words, with the remedy.
+    """
+
+    code: str
+    message: str
+
+
+class Outcome(NamedTuple):
+    """What became of one record.
+
+    Attributes:
+        offset: Its place in the log.
+        rejection: Why it had no effect, or None when it is in force.
+    """
+
+    offset: int
+    rejection: Rejection | None
+
+
+class Applied(NamedTuple):
+    """One line of the audit history.
+
+    Attributes:
+        offset: Place in the log.
+        actor: Who made the change.
+        made_at: Seconds since 1970.
+        operation: `put` or `delete`.
+        key: The object.
+        previous: The object before, as JSON, or None.
+        rejection: Why it had no effect, or None.
+    """
+
+    offset: int
+    actor: str
+    made_at: float
+    operation: str
+    key: objects.ObjectKey | None
+    previous: dict[str, Any] | None
+    rejection: Rejection | None
+
+
+_encoder = msgspec.json.Encoder(order="deterministic")
+_decoder = msgspec.json.Decoder(Change)
+
+
+def encode_change(change: Change) -> bytes:
+    """Returns the record's bytes on the log."""
+    return _encoder.encode(change)
+
+
+def decode_change(payload: bytes) -> Change:
+    """Returns the change in a record of the log.
+
+    Raises:
+        ConfigurationError: The bytes are no record this release knows.
+    """
+    try:
+        return _decoder.decode(payload)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise errors.ConfigurationError(
+            f"The configuration record is unreadable: {error}.",
+            "Check for a record of a newer release and upgrade this host.",
+        ) from error
+
+
+class Configuration:
+    """The configuration as replayed up to a position.
+
+    Attributes:
+        position: Offset of the last record taken in; -1 before the first.
+        chain: Digest over all records up to `position`.
+        stored: All objects in force.
+        decoded: The same objects, decoded.
+        outcomes: What became of the latest records, by record id.
+        history: The latest changes, the oldest first.
+        unreadable: Records that could not be decoded, counted.
+    """
+
+    def __init__(self):
+        self.position = START
+        self.chain = EMPTY_CHAIN
+        self.stored: dict[objects.ObjectKey, StoredObject] = {}
+        self.decoded: dict[objects.ObjectKey, objects.ConfigurationObject] = {}
+        self.outcomes: collections.OrderedDict[str, Outcome] = (
+            collections.OrderedDict()
+        )
+        self.history: collections.deque[Applied] = collections.deque(
+            maxlen=_MAX_HISTORY
+        )
+        self.unreadable = 0
+
+    def apply(self, offset: int, payload: bytes) -> bool:
+        """Takes in the next record.
+
+        Args:
+            offset: Must be `position + 1`.
+            payload: The record's bytes.
+
+        Returns:
+            Whether an object changed.
+
+        Raises:
+            ConfigurationError: The offset is not the next one.
+        """
+        if offset != self.position + 1:
+            raise errors.ConfigurationError(
+                f"Record {offset} does not follow position {self.position}.",
+                "Read the log from the position after the last one applied.",
+            )
+        self.position = offset
+        self.chain = _next_chain(self.chain, payload)
+        try:
+            change = decode_change(payload)
+        except errors.ConfigurationError:
+            self.unreadable += 1
+            return False
+        match change:
+            case Snapshot():
+                return False
+            case Put():
+                return self._put(offset, change)
+            case Delete():
+                return self._delete(offset, change)
+
+    def snapshot(self) -> Snapshot:
+        """Returns the whole configuration as one record."""
+        ordered = [self.stored[key] for key in sorted(self.stored)]
+        return Snapshot(
+            position=self.position, chain=self.chain, objects=ordered
+        )
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Replaces everything by `snapshot`.
+
+        Raises:
+            ConfigurationError: It is older than what is in force, or holds
+                an invalid object; nothing is changed then.
+        """
+        if snapshot.position < self.position:
+            raise errors.ConfigurationError(
+                f"A snapshot at {snapshot.position} is older than position "
+                f"{self.position} in force.",
+                "Take a snapshot from a host that is further on.",
+            )
+        decoded = {}
+        stored = {}
+        for each in snapshot.objects:
+            value = objects.decode_object(each.object)
+            decoded[objects.object_key(value)] = value
+            stored[objects.object_key(value)] = each
+        self.decoded = decoded
+        self.stored = stored
+        self.position = snapshot.position
+        self.chain = snapshot.chain
+
+    def version(self, key: objects.ObjectKey) -> int:
+        """Returns the version in force of an object; 0 when absent."""
+        found = self.stored.get(key)
+        return found.version if found else 0
+
+    def _put(self, offset: int, change: Put) -> bool:
+        try:
+            value = objects.decode_object(change.object)
+        except errors.HillthreadError as error:
+            self._conclude(
+                offset, change, None, Rejection(error.code, str(error))
+            )
+            return False
+        key = objects.object_key(value)
+        rejection = self._check(key, change)
+        self._conclude(offset, change, key, rejection)
+        if rejection is not None:
+            return False
+        self.stored[key] = StoredObject(change.object, offset + 1)
+        self.decoded[key] = value
+        return True
+
+    def _delete(self, offset: int, change: Delete) -> bool:
+        rejection = self._check(change.key, change)
+        self._conclude(offset, change, change.key, rejection)
+        if rejection is not None:
+            return False
+        self.stored.pop(change.key, None)
+        self.decoded.pop(change.key, None)
+        return True
+
+    def _check(
+        self, key: objects.ObjectKey, change: Put | Delete
+    ) -> Rejection | None:
+        if change.record_id in self.outcomes:
+            return Rejection(
+                "duplicate", "The same record was appended before."
+            )
+        current = self.version(key)
+        if current == change.expected_version:
+            return None
+        return Rejection(
+            errors.ConflictError.code,
+            f"{key.kind}/{key.name} has version {current}, not "
+            f"{change.expected_version}. Remedy: read it again, then apply.",
+        )
+
+    def _conclude(
+        self,
+        offset: int,
+        change: Put | Delete,
+        key: objects.ObjectKey | None,
+        rejection: Rejection | None,
+    ) -> None:
+        previous = self.stored.get(key) if key else None
+        operation = "put" if isinstance(change, Put) else "delete"
+        self.history.append(
+            Applied(
+                offset,
+                change.actor,
+                change.made_at,
+                operation,
+                key,
+                previous.object if previous else None,
+                rejection,
+            )
+        )
+        if change.record_id in self.outcomes:
+            return
+        self.outcomes[change.record_id] = Outcome(offset, rejection)
+        if len(self.outcomes) > _MAX_OUTCOMES:
+            self.outcomes.popitem(last=False)
+
+
+def _next_chain(chain: str, payload: bytes) -> str:
+    digest = hashlib.blake2b(payload, digest_size=16, key=bytes.fromhex(chain))
+    return digest.hexdigest()
--- /dev/null
+++ b/hillthread/state/objects.py
@@ -0,0 +1,215 @@
+"""The labelled objects operators create, and how their JSON is checked.
+
+Objects are `msgspec` structures and not named tuples, because they are read
+from JSON objects with every unknown field refused.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+from typing import Literal
+from typing import TypeAlias
+
+import msgspec
+
+from hillthread import errors
+from hillthread.state import labels as labels_lib
+
+__all__ = [
+    "ConfigurationObject",
+    "Limits",
+    "ObjectKey",
+    "Policy",
+    "Pool",
+    "Route",
+    "Target",
+    "Tenant",
+    "decode_object",
+    "object_key",
+]
+
+Name: TypeAlias = Annotated[
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*$", max_length=63)
+]
+Positive: TypeAlias = Annotated[float, msgspec.Meta(gt=0)]
+Count: TypeAlias = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class ObjectKey(msgspec.Struct, frozen=True, order=True):
+    """Identifies an object: its kind and its name."""
+
+    kind: str
+    name: str
+
+
+class _Object(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag_field="kind",
+    tag=str.lower,
+    forbid_unknown_fields=True,
+):
+    """What all objects have.
+
+    Attributes:
+        name: Unique among the objects of one kind.
+        labels: What selectors match on.
+    """
+
+    name: Name
+    labels: dict[str, str] = {}
+
+
+class Target(_Object, frozen=True, kw_only=True):
+    """An engine or a plain service that requests are routed to.
+
+    Attributes:
+        address: `IP:port`; names are not resolved.
+        data_centre: Where it runs; hosts route to their own data centre.
+        service: Whether it speaks the engine protocol or plain HTTP.
+        models: The models it serves; engines only.
+        prefill_tokens_per_s: A first guess, corrected by measurement.
+        cache_tokens: Prefix cache size; the engine's own figure replaces it.
+        max_running: Requests it runs at once.
+        truthful_refusals: Whether a refusal (409, 429, 503) proves that it
+            did not run the request.
+        checks_orders: Whether it authenticates who gives it an order.
+        honours_fencing: Whether it refuses an old fencing number.
+        cordoned: An operator wants no new requests on it.
+    """
+
+    address: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]+$")]
+    data_centre: Name
+    service: Literal["engine", "plain"] = "engine"
+    models: list[str] = []
+    prefill_tokens_per_s: Positive = 8000.0
+    cache_tokens: Count = 100_000
+    max_running: Count = 64
+    truthful_refusals: bool = False
+    checks_orders: bool = False
+    honours_fencing: bool = False
+    cordoned: bool = False
+
+
+class Pool(_Object, frozen=True, kw_only=True):
+    """Targets that serve the same requests.
+
+    Attributes:
+        target_selector: Picks the targets by their labels.
+        max_inflight: Requests one router keeps on one target.
+        queue_size: Requests one router keeps waiting for a free target.
+        retry_ratio: Retries allowed for each first attempt.
+        eject_after: Consecutive failures that eject a target.
+        eject_s: Seconds until an ejected target is probed again.
+    """
+
+    target_selector: str
+    max_inflight: Count = 64
+    queue_size: Count = 256
+    retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
+    eject_after: Count = 3
+    eject_s: Positive = 2.0
+
+
+class Route(_Object, frozen=True, kw_only=True):
+    """Which requests go to which pool.
+
+    Attributes:
+        path_prefix: The start of the request's path.
+        models: Model names it applies to; empty for all.
+        tenant_selector: Picks the tenants it applies to.
+        pool_selector: Picks the pools; all their targets are candidates.
+        order: Routes are tried in this order, then by name.
+        repeatable: Whether a request may run more than once; when unset,
+            completions may and calls of plain services may not.
+        timeout_s: Deadline of a whole request.
+    """
+
+    path_prefix: str
+    models: list[str] = []
+    tenant_selector: str = ""
+    pool_selector: str
+    order: int = 100
+    repeatable: bool | None = None
+    timeout_s: Positive = 120.0
+
+
+class Limits(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What a tenant may use in one data centre; 0 means no limit."""
+
+    concurrency: Annotated[int, msgspec.Meta(ge=0)] = 0
+    requests_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    tokens_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
+class Tenant(_Object, frozen=True, kw_only=True):
+    """A caller: its organisation, keys and limits.
+
+    Attributes:
+        organisation: Cached prefixes are shared within it and never beyond.
+        key_digests: SHA-256 of each bearer key, in hexadecimal.
+        limits: What it may use.
+    """
+
+    organisation: Name
+    key_digests: list[
+        Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+    ] = []
+    limits: Limits = Limits()
+
+
+class Policy(_Object, frozen=True, kw_only=True):
+    """How requests of the selected tenants are decided.
+
+    Attributes:
+        tenant_selector: Picks the tenants it applies to.
+        order: The first policy in this order, then by name, applies.
+        recompute_weight: Seconds of first-token time that one second of
+            recomputation is worth.
+        priority: Class of the requests; smaller is served first.
+        max_attempts: Attempts at most, the first included.
+        hold_s: How long a request may wait for the same prefix being
+            computed by an earlier request.
+    """
+
+    tenant_selector: str = ""
+    order: int = 100
+    recompute_weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    priority: int = 0
+    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=9)] = 3
+    hold_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
+ConfigurationObject: TypeAlias = Target | Pool | Route | Tenant | Policy
+
+_SELECTOR_FIELDS = ("target_selector", "pool_selector", "tenant_selector")
+
+
+def object_key(value: ConfigurationObject) -> ObjectKey:
+    """Returns the key under which `value` is stored."""
+    return ObjectKey(type(value).__name__.lower(), value.name)
+
+
+def decode_object(value: object) -> ConfigurationObject:
+    """Returns the object described by decoded JSON.
+
+    Args:
+        value: A mapping as decoded from JSON, with a `kind` field.
+
+    Raises:
+        ConfigurationError: It is no valid object; the message has the path.
+    """
+    try:
+        decoded = msgspec.convert(value, ConfigurationObject)
+    except msgspec.ValidationError as error:
+        raise errors.ConfigurationError(
+            f"The object is invalid: {error}.",
+            "Correct the field at the path named, then apply it again.",
+        ) from error
+    for field in _SELECTOR_FIELDS:
+        if hasattr(decoded, field):
+            labels_lib.parse_selector(getattr(decoded, field))
+    return decoded
--- /dev/null
+++ b/hillthread/state/routing_table.py
@@ -0,0 +1,150 @@
+"""The configuration as the data plane reads it: tenants, routes, targets."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import hashlib
+import hmac
+from typing import NamedTuple
+
+import cachetools
+
+from hillthread.state import labels
+from hillthread.state import objects
+
+__all__ = ["Resolved", "RoutingTable"]
+
+_MAX_RESOLVED = 4096
+_DEFAULT_POLICY = objects.Policy(name="default")
+
+
+class Resolved(NamedTuple):
+    """What applies to one request.
+
+    Attributes:
+        route: The route that matched.
+        policy: The policy of the tenant.
+        pool: The first pool of the route; its bounds apply.
+        targets: All targets of all its pools.
+    """
+
+    route: objects.Route
+    policy: objects.Policy
+    pool: objects.Pool
+    targets: tuple[objects.Target, ...]
+
+
+class RoutingTable:
+    """An immutable view of one configuration.
+
+    Attributes:
+        position: Position in the log of the configuration.
+        tenants: By name.
+        targets: By name.
+    """
+
+    def __init__(
+        self,
+        position: int,
+        decoded: Mapping[objects.ObjectKey, objects.ConfigurationObject],
+    ):
+        self.position = position
+        self.tenants: dict[str, objects.Tenant] = {}
+        self.targets: dict[str, objects.Target] = {}
+        self.models: set[str] = set()
+        self._pools: list[objects.Pool] = []
+        self._routes: list[objects.Route] = []
+        self._policies: list[objects.Policy] = []
+        self._tenant_by_digest: dict[str, objects.Tenant] = {}
+        self._resolved: cachetools.LRUCache = cachetools.LRUCache(_MAX_RESOLVED)
+        for value in decoded.values():
+            self._add(value)
+        self._pools.sort(key=lambda pool: pool.name)
+        self._routes.sort(key=lambda route: (route.order, route.name))
+        self._policies.sort(key=lambda policy: (policy.order, policy.name))
+
+    def tenant_of_key(self, key: str) -> objects.Tenant | None:
+        """Returns the tenant whose bearer key this is, or None."""
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        found = self._tenant_by_digest.get(digest)
+        if found is None:
+            return None
+        matching = [
+            hmac.compare_digest(digest, each) for each in found.key_digests
+        ]
+        return found if any(matching) else None
+
+    def resolve(
+        self, tenant: objects.Tenant, path: str, model: str
+    ) -> Resolved | None:
+        """Returns what applies to a request, or None without a route.
+
+        Args:
+            tenant: Who asks.
+            path: The request's path.
+            model: The model asked for; empty for plain services.
+        """
+        route = self._route(tenant, path, model)
+        if route is None:
+            return None
+        cache_key = (tenant.name, route.name)
+        if cache_key not in self._resolved:
+            self._resolved[cache_key] = self._resolve(tenant, route)
+        return self._resolved[cache_key]
+
+    def _add(self, value: objects.ConfigurationObject) -> None:
+        match value:
+            case objects.Tenant():
+                self.tenants[value.name] = value
+                for digest in value.key_digests:
+                    self._tenant_by_digest[digest] = value
+            case objects.Target():
+                self.targets[value.name] = value
+                self.models.update(value.models)
+            case objects.Pool():
+                self._pools.append(value)
+            case objects.Route():
+                self._routes.append(value)
+            case objects.Policy():
+                self._policies.append(value)
+
+    def _route(
+        self, tenant: objects.Tenant, path: str, model: str
+    ) -> objects.Route | None:
+        for route in self._routes:
+            if not path.startswith(route.path_prefix):
+                continue
+            if route.models and model not in route.models:
+                continue
+            if _selects(route.tenant_selector, tenant):
+                return route
+        return None
+
+    def _resolve(
+        self, tenant: objects.Tenant, route: objects.Route
+    ) -> Resolved | None:
+        pools = [
+            pool for pool in self._pools if _selects(route.pool_selector, pool)
+        ]
+        if not pools:
+            return None
+        targets = {
+            target.name: target
+            for pool in pools
+            for target in self.targets.values()
+            if _selects(pool.target_selector, target)
+        }
+        policy = next(
+            (
+                each
+                for each in self._policies
+                if _selects(each.tenant_selector, tenant)
+            ),
+            _DEFAULT_POLICY,
+        )
+        ordered = tuple(targets[name] for name in sorted(targets))
+        return Resolved(route, policy, pools[0], ordered)
+
+
+def _selects(selector: str, value: objects.ConfigurationObject) -> bool:
+    return labels.parse_selector(selector).matches(value.labels)
--- /dev/null
+++ b/hillthread/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP and websockets, all through libraries."""
--- /dev/null
+++ b/hillthread/transport/http_server.py
@@ -0,0 +1,200 @@
+"""Serving HTTP with hypercorn: sockets, requests and answers."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+import socket
+from typing import Any
+from urllib import parse
+
+import anyio
+import hypercorn.asyncio
+import hypercorn.config
+import msgspec
+
+from hillthread import errors
+from hillthread import settings as settings_lib
+from hillthread.protocol import openai
+
+__all__ = ["Application", "Request", "Server", "send_json", "send_refusal"]
+
+Receive = Callable[[], Awaitable[Any]]
+Send = Callable[[Any], Awaitable[None]]
+Application = Callable[[Any, Receive, Send], Awaitable[None]]
+
+_BACKLOG = 512
+
+
+class Request:
+    """One HTTP request.
+
+    Attributes:
+        method: In capitals.
+        path: Without the query.
+        query: The raw query string.
+        headers: Names in lower case; the last of a repeated one.
+    """
+
+    def __init__(self, scope: Mapping[str, Any], receive: Receive):
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self.query: bytes = scope.get("query_string", b"")
+        self.headers: dict[str, str] = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        self.receive = receive
+
+    def parameter(self, name: str, default: str = "") -> str:
+        """Returns one parameter of the query."""
+        values = parse.parse_qs(self.query.decode("latin-1"))
+        return values.get(name, [default])[-1]
+
+    async def body(self, limit: int) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            RefusalError: It is larger than `limit`, or the caller left.
+        """
+        if int(self.headers.get("content-length", "0")) > limit:
+            raise _too_large(limit)
+        chunks = []
+        size = 0
+        while True:
+            message = await self.receive()
+            if message["type"] == "http.disconnect":
+                raise errors.RefusalError(
+                    "caller_left", 499, "The caller left.", "Send it again."
+                )
+            chunks.append(message.get("body", b""))
+            size += len(chunks[-1])
+            if size > limit:
+                raise _too_large(limit)
+            if not message.get("more_body", False):
+                return b"".join(chunks)
+
+    async def wait_disconnect(self) -> None:
+        """Returns when the caller has left."""
+        while True:
+            message = await self.receive()
+            if message["type"] == "http.disconnect":
+                return
+
+
+class Server:
+    """One listening socket and the application behind it.
+
+    Attributes:
+        address: `IP:port` it listens on, with the port the system chose.
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        application: Application,
+        limits: settings_lib.CallerLimits | None = None,
+        tls: settings_lib.TlsSettings | None = None,
+    ):
+        self.application = application
+        self.limits = limits or settings_lib.CallerLimits()
+        self.tls = tls
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind(settings_lib.split_address(listen))
+        ip, port = self.socket.getsockname()
+        self.address = f"{ip}:{port}"
+
+    async def serve(self, stop: anyio.Event) -> None:
+        """Serves until `stop` is set and open requests have ended."""
+        self.socket.listen(_BACKLOG)
+        self.socket.setblocking(False)
+        config = self._config()
+        await hypercorn.asyncio.serve(
+            self.application,  # type: ignore[arg-type]
+            config,
+            shutdown_trigger=stop.wait,
+            mode="asgi",
+        )
+
+    def _config(self) -> hypercorn.config.Config:
+        config = hypercorn.config.Config()
+        config.bind = [f"fd://{self.socket.fileno()}"]
+        config.include_server_header = False
+        config.include_date_header = False
+        config.accesslog = None
+        config.errorlog = None
+        config.h11_max_incomplete_size = self.limits.max_header_bytes
+        config.read_timeout = None  # it would cut streams of silent callers
+        config.keep_alive_timeout = self.limits.keep_alive_s
+        config.graceful_timeout = 1.0
+        config.alpn_protocols = ["http/1.1"]
+        if self.tls is not None:
+            config.certfile = self.tls.certificate
+            config.keyfile = self.tls.key
+        return config
+
+
+async def send_body(
+    send: Send,
+    status: int,
+    body: bytes,
+    content_type: bytes = b"application/json",
+    headers: tuple[tuple[bytes, bytes], ...] = (),
+) -> None:
+    """Sends a whole answer."""
+    fixed = (
+        (b"content-type", content_type),
+        (b"content-length", str(len(body)).encode()),
+    )
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [*fixed, *headers],
+        }
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+async def send_json(send: Send, status: int, value: Any) -> None:
+    """Sends a value as JSON."""
+    await send_body(send, status, msgspec.json.encode(value))
+
+
+async def send_refusal(
+    send: Send,
+    refusal: errors.RefusalError,
+    request_id: str,
+    headers: tuple[tuple[bytes, bytes], ...] = (),
+) -> None:
+    """Sends a typed error in the callers' usual shape."""
+    extra = [(b"x-request-id", request_id.encode()), *headers]
+    retry_after = openai.retry_after_header(refusal)
+    if retry_after is not None:
+        extra.append((b"retry-after", retry_after))
+    await send_body(
+        send,
+        refusal.status,
+        openai.error_body(refusal, request_id),
+        headers=tuple(extra),
+    )
+
+
+async def accept_lifespan(receive: Receive, send: Send) -> None:
+    """Answers the server's start and stop messages."""
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+def _too_large(limit: int) -> errors.RefusalError:
+    return errors.RefusalError(
+        "body_too_large",
+        413,
+        f"The body is larger than {limit} bytes.",
+        "Send a shorter prompt.",
+    )
--- /dev/null
+++ b/hillthread/transport/service.py
@@ -0,0 +1,108 @@
+"""What every program does: logs, signals, status pages."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import logging
+import signal
+import sys
+
+import anyio
+import fire
+import prometheus_client
+from pythonjsonlogger import json as jsonlogger
+
+from hillthread import errors
+from hillthread.transport import http_server
+
+__all__ = [
+    "EXIT_FAILED",
+    "EXIT_SETTINGS",
+    "StatusPages",
+    "announce",
+    "configure_logging",
+    "run_command",
+    "wait_for_signal",
+]
+
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+_logger = logging.getLogger(__name__)
+
+
+class StatusPages:
+    """Answers `/healthz`, `/readyz` and `/metrics`.
+
+    Attributes:
+        registry: The metrics served.
+        ready: Returns an empty string, or why the program is not ready.
+    """
+
+    def __init__(
+        self,
+        registry: prometheus_client.CollectorRegistry,
+        ready: Callable[[], str],
+    ):
+        self.registry = registry
+        self.ready = ready
+
+    async def answer(
+        self, request: http_server.Request, send: http_server.Send
+    ) -> bool:
+        """Answers a status page; returns whether the path was one."""
+        match request.path:
+            case "/healthz":
+                await http_server.send_json(send, 200, {"healthy": True})
+            case "/readyz":
+                reason = self.ready()
+                status = 503 if reason else 200
+                await http_server.send_json(
+                    send, status, {"ready": not reason, "reason": reason}
+                )
+            case "/metrics":
+                page = prometheus_client.generate_latest(self.registry)
+                await http_server.send_body(
+                    send, 200, page, b"text/plain; version=0.0.4"
+                )
+            case _:
+                return False
+        return True
+
+
+def configure_logging() -> None:
+    """Sends logs as JSON lines to the standard error stream."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        jsonlogger.JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s"
+        )
+    )
+    logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
+    logging.getLogger("httpx").setLevel(logging.WARNING)
+    logging.getLogger("hypercorn").setLevel(logging.CRITICAL)
+
+
+def announce(**addresses: str) -> None:
+    """Prints where the program listens, one line that scripts can read."""
+    words = " ".join(f"{name}={value}" for name, value in addresses.items())
+    print(f"listening {words}", flush=True)
+
+
+async def wait_for_signal() -> None:
+    """Returns when the program is asked to stop."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+def run_command(command: object) -> None:
+    """Runs a command line and turns typed errors into exit codes."""
+    try:
+        fire.Fire(command)
+    except errors.SettingsError as error:
+        print(f"{error.code}: {error}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    except errors.HillthreadError as error:
+        print(f"{error.code}: {error}", file=sys.stderr)
+        sys.exit(EXIT_FAILED)
--- /dev/null
+++ b/tests/protocol/test_event_stream.py
@@ -0,0 +1,46 @@
+"""Tests of event framing."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from hillthread import errors
+from hillthread.protocol import event_stream
+
+
+class EventSplitterTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.binary(max_size=20).filter(lambda b: b"\n" not in b),
+            max_size=8,
+        ),
+        strategies.integers(1, 13),
+    )
+    def test_same_events_however_cut(self, datas, width):
+        raw = b"".join(
+            event_stream.encode_event(number, data)
+            for number, data in enumerate(datas)
+        )
+        splitter = event_stream.EventSplitter(1000)
+        found = []
+        for start in range(0, len(raw), width):
+            found += splitter.feed(raw[start : start + width])
+        self.assertEqual([each.data for each in found], datas)
+        self.assertEqual(
+            [each.index for each in found], list(range(len(datas)))
+        )
+        self.assertEqual(b"".join(each.raw for each in found), raw)
+        self.assertFalse(splitter.unfinished())
+
+    def test_unfinished_event_is_held_back(self):
+        splitter = event_stream.EventSplitter(100)
+        self.assertEqual(splitter.feed(b"data: x"), [])
+        self.assertTrue(splitter.unfinished())
+
+    def test_refuses_bad_index_and_endless_event(self):
+        with self.assertRaises(errors.HillthreadError):
+            event_stream.EventSplitter(100).feed(b"id: x\ndata: y\n\n")
+        with self.assertRaises(errors.HillthreadError):
+            event_stream.EventSplitter(100).feed(b"d" * 101)
--- /dev/null
+++ b/tests/state/test_warmth.py
@@ -0,0 +1,67 @@
+"""Tests of what is believed to be cached."""
+
+import unittest
+
+from hillthread.state import prompt
+from hillthread.state import warmth
+
+LEVELS = (
+    prompt.PrefixLevel(b"a" * 16, 1000),
+    prompt.PrefixLevel(b"b" * 16, 3000),
+    prompt.PrefixLevel(b"c" * 16, 3100),
+)
+OTHER = (*LEVELS[:2], prompt.PrefixLevel(b"d" * 16, 3200))
+EPOCH = warmth.Epoch("i1", "w1")
+
+
+class WarmthTest(unittest.TestCase):
+    def setUp(self):
+        self.table = warmth.WarmthTable()
+        self.beliefs = self.table.target("t", 10_000)
+        self.table.enter_epoch("t", EPOCH)
+        self.beliefs.confirm(LEVELS, 0, 1.0)
+
+    def test_longest_shared_level_is_found(self):
+        found = self.beliefs.lookup(OTHER, 3.0)
+        self.assertEqual(found.tokens, 3000)
+        self.assertEqual(found.probability, 1.0)
+        self.assertEqual(found.age_s, 2.0)
+
+    def test_new_incarnation_drops_all(self):
+        for epoch in (warmth.Epoch("i2", "w1"), warmth.Epoch("i2", "w2")):
+            self.beliefs.confirm(LEVELS, 0, 1.0)
+            self.assertTrue(self.table.enter_epoch("t", epoch))
+            self.assertEqual(self.beliefs.lookup(LEVELS, 2.0).tokens, 0)
+
+    def test_same_epoch_keeps_all(self):
+        self.assertFalse(self.table.enter_epoch("t", EPOCH))
+        self.assertEqual(self.beliefs.lookup(OTHER, 3.0).tokens, 3000)
+
+    def test_inserted_tokens_make_entries_cold(self):
+        self.beliefs.advance(9_900)
+        doubtful = self.beliefs.lookup(OTHER, 3.0).probability
+        self.assertTrue(0 < doubtful < 1)
+        self.beliefs.advance(9_900)
+        self.assertEqual(self.beliefs.lookup(OTHER, 3.0).probability, 0)
+
+    def test_gap_halves_confidence_until_confirmed(self):
+        self.beliefs.doubt()
+        self.assertLess(self.beliefs.lookup(OTHER, 3.0).probability, 1.0)
+        self.beliefs.confirm(OTHER, 3000, 4.0)
+        self.assertEqual(self.beliefs.lookup(OTHER, 4.0).probability, 1.0)
+
+    def test_pending_is_warm_and_failure_takes_it_back(self):
+        cold = self.table.target("u", 10_000)
+        cold.expect(LEVELS, 1.0)
+        self.assertTrue(cold.lookup(OTHER, 1.0).pending)
+        cold.settle(LEVELS)
+        self.assertEqual(cold.lookup(OTHER, 1.0).tokens, 0)
+
+    def test_misses_shorten_the_horizon_and_hits_lengthen_it(self):
+        self.beliefs.advance(5_000)
+        self.beliefs.confirm(LEVELS, 0, 2.0)
+        shortened = self.beliefs.horizon
+        self.assertLess(shortened, 10_000)
+        self.beliefs.advance(shortened)
+        self.beliefs.confirm(LEVELS, 3100, 3.0)
+        self.assertGreater(self.beliefs.horizon, shortened)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Checks that CI runs."""
