Learn cache lifetime from tested predictions; let routers share placements

Cause: the learned cache horizon collapsed, because the prompt's own last level (never cached before) counted as a miss; the prefill rate was learned from requests with a guessed queue. Among routers that do not talk, knowing a prefix of old kept a router from where the others had placed it.

--- a/hillthread/bench/compare.py
+++ b/hillthread/bench/compare.py
@@ -49,6 +49,8 @@
         routers: Routers that do not talk to each other.
         duration_s: Length of the trace.
         crashes: Engines that crash and return empty, spread over the trace.
+        talk_s: Time between two messages of a router to the others; 0 for
+            routers that do not talk.
     """
 
     workload: str
@@ -57,6 +59,7 @@
     routers: int = 1
     duration_s: float = 120.0
     crashes: int = 0
+    talk_s: float = 0.0
 
 
 class PolicyResult(NamedTuple):
@@ -153,6 +156,11 @@
             fleet_lib.Fleet("dc", self._decide(policy))
             for _ in range(setup.routers)
         ]
+        for fleet in self.fleets:
+            if setup.talk_s > 0:
+                fleet.heard_routers = setup.routers - 1
+            else:
+                fleet.silent_routers = setup.routers - 1
         self.requests: dict[str, _Request] = {}
         self.recomputed = 0
         self.stepping: set[str] = set()
@@ -170,6 +178,8 @@
             self.requests[str(number)] = request
             self._at(arrival.at_s, lambda each=request: self._arrive(each))
         self._at(0.0, self._report)
+        if self.setup.talk_s > 0:
+            self._at(0.0, self._talk)
         for number in range(self.setup.crashes):
             share = (number + 1) / (self.setup.crashes + 1)
             at_s = share * self.setup.duration_s
@@ -257,9 +267,10 @@
 
     def _finished(self, job: engine_model.Job) -> None:
         fleet = self.fleets[self.requests[job.job_id].router]
-        fleet.learn_cached(
-            job.job_id, job.cached_tokens, job.generated, self.now
+        usage = fleet_lib.Usage(
+            job.prompt_tokens, job.cached_tokens, job.generated
         )
+        fleet.learn_usage(job.job_id, usage, self.now)
         fleet.finish(job.job_id)
 
     def _report(self) -> None:
@@ -281,6 +292,18 @@
         if self.now < self.setup.duration_s + _TAIL_S / 2:
             self._at(self.now + _REPORT_EVERY_S, self._report)
 
+    def _talk(self) -> None:
+        """Each router tells the others what it has placed since."""
+        for fleet in self.fleets:
+            shares = fleet.take_outbox()
+            for other in self.fleets:
+                if other is fleet:
+                    continue
+                for share in shares:
+                    other.adopt_share(share, self.now)
+        if self.now < self.setup.duration_s + _TAIL_S / 2:
+            self._at(self.now + self.setup.talk_s, self._talk)
+
     def _deliver(self, name: str, report: load.LoadReport) -> None:
         for fleet in self.fleets:
             fleet.report(name, report)
--- a/hillthread/bench/policies.py
+++ b/hillthread/bench/policies.py
@@ -79,5 +79,5 @@
         decision_lib.Reason.LEAST_COST,
         (score,),
         float(query.prompt_tokens),
-        chosen.load.queued_tokens(),
+        0.0,
     )
--- a/hillthread/coordination/fleet.py
+++ b/hillthread/coordination/fleet.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Sequence
 import dataclasses
 from typing import NamedTuple
 
+import cachetools
+
 from hillthread.state import decision as decision_lib
 from hillthread.state import health
 from hillthread.state import load
@@ -13,7 +16,7 @@
 from hillthread.state import prompt
 from hillthread.state import warmth
 
-__all__ = ["Fleet", "Placement", "affinity_key", "make_query"]
+__all__ = ["Fleet", "Placement", "Usage", "affinity_key", "make_query"]
 
 
 class Placement(NamedTuple):
@@ -34,6 +37,41 @@
     weights_version: str = ""
 
 
+_PRIOR = 0.7
+_HEARD_PRIOR = 0.1
+
+
+_SHARE_AGAIN_S = 2.0
+_MAX_OUTBOX = 1024
+_MAX_SHARED = 8192
+
+
+class Share(NamedTuple):
+    """What one router tells others of a request it has placed.
+
+    Attributes:
+        target: Where it was sent.
+        incarnation: The target's incarnation it holds for.
+        weights_version: The target's weights version it holds for.
+        prefill_tokens: Expected uncached tokens.
+        levels: Its shared levels that were not told a moment ago.
+    """
+
+    target: str
+    incarnation: str
+    weights_version: str
+    prefill_tokens: int
+    levels: tuple[prompt.PrefixLevel, ...]
+
+
+class Usage(NamedTuple):
+    """Tokens of one answer, as the engine told them."""
+
+    prompt_tokens: int
+    cached_tokens: int
+    completion_tokens: int
+
+
 @dataclasses.dataclass(slots=True)
 class _Work:
     """An attempt that has not ended."""
@@ -41,7 +79,10 @@
     target: str
     levels: tuple[prompt.PrefixLevel, ...]
     expected_prefill: float
-    pending: bool = True
+    predicted: warmth.WarmPrefix
+    sent_at: float
+    alone: bool
+    first_token_at: float | None = None
 
 
 def affinity_key(
@@ -78,6 +119,9 @@
         data_centre: Only targets of it are eligible.
         decide: The policy; baselines for comparison have their own.
         leaving: Targets that leave, with the incarnation that does.
+        heard_routers: Other routers of the data centre whose shares come in.
+        silent_routers: Other routers of the data centre that are not heard.
+            With any, a prefix unknown here is expected where they place it.
     """
 
     def __init__(
@@ -93,11 +137,18 @@
         self.budgets: dict[str, health.RetryBudget] = {}
         self.leaving: dict[str, str] = {}
         self.work: dict[str, _Work] = {}
+        self.heard_routers = 0
+        self.silent_routers = 0
+        self.outbox: collections.deque[Share] = collections.deque(
+            maxlen=_MAX_OUTBOX
+        )
+        self.shared_at: cachetools.LRUCache = cachetools.LRUCache(_MAX_SHARED)
 
     def choose(
         self, query: decision_lib.Query, placement: Placement, now: float
     ) -> decision_lib.Decision:
         """Returns the decision for one attempt."""
+        query = query._replace(prior=self._prior())
         candidates = [
             self._candidate(target, placement, now)
             for target in placement.targets
@@ -116,17 +167,48 @@
         if name is None:
             return
         self.breakers[name].admit(now)
+        beliefs = self.warmth.targets[name]
+        predicted = beliefs.lookup(query.levels, now)
+        alone = self.loads[name].occupied() == 0
         self.loads[name].start(
             attempt_id,
-            load.OwnWork(
-                now, decision.queued_tokens, decision.expected_prefill
-            ),
+            load.OwnWork(now, decision.expected_prefill),
         )
-        self.warmth.targets[name].expect(query.levels, now)
+        self._offer_share(name, query, decision, now)
+        beliefs.expect(query.levels, now)
         self.work[attempt_id] = _Work(
-            name, query.levels, decision.expected_prefill
+            name,
+            query.levels,
+            decision.expected_prefill,
+            predicted,
+            now,
+            alone,
         )
 
+    def take_outbox(self) -> list[Share]:
+        """Returns what is to be told to other routers, once."""
+        shares = list(self.outbox)
+        self.outbox.clear()
+        return shares
+
+    def adopt_share(self, share: Share, now: float) -> None:
+        """Takes in what another router told.
+
+        A target unknown here, or told of under another epoch than the one
+        known here, is passed over.
+        """
+        beliefs = self.warmth.targets.get(share.target)
+        if beliefs is None:
+            return
+        epoch = warmth.Epoch(share.incarnation, share.weights_version)
+        if beliefs.epoch is None:
+            beliefs.epoch = epoch
+        if beliefs.epoch != epoch:
+            return
+        self.loads[share.target].add_peer_work(share.prefill_tokens, now)
+        for level in share.levels:
+            beliefs.adopt(level, now)
+
     def observe_epoch(self, name: str, epoch: warmth.Epoch) -> bool:
         """Notes the epoch a target named; returns whether it is another.
 
@@ -140,29 +222,32 @@
     def first_token(self, attempt_id: str, now: float) -> None:
         """Notes the first token of an attempt: its prompt is cached now."""
         work = self.work.get(attempt_id)
-        if work is None or not work.pending:
+        if work is None or work.first_token_at is not None:
             return
-        work.pending = False
-        self.loads[work.target].first_token(attempt_id, now)
+        work.first_token_at = now
+        self.loads[work.target].first_token(attempt_id)
         beliefs = self.warmth.targets[work.target]
         beliefs.settle(work.levels)
         beliefs.advance(work.expected_prefill)
-        beliefs.confirm(work.levels, None, now)
+        beliefs.confirm(work.levels, now)
 
-    def learn_cached(
-        self,
-        attempt_id: str,
-        cached_tokens: int,
-        completion_tokens: int,
-        now: float,
-    ) -> None:
+    def learn_usage(self, attempt_id: str, usage: Usage, now: float) -> None:
         """Learns from the usage told at the end of an answer."""
         work = self.work.get(attempt_id)
         if work is None:
             return
+        computed = usage.prompt_tokens - usage.cached_tokens
+        self.loads[work.target].learn_prefill(computed)
+        if work.alone and work.first_token_at is not None:
+            self.loads[work.target].learn_rate(
+                computed, work.first_token_at - work.sent_at
+            )
         beliefs = self.warmth.targets[work.target]
-        beliefs.advance(completion_tokens)
-        beliefs.confirm(work.levels, cached_tokens, now)
+        beliefs.advance(
+            usage.completion_tokens + computed - work.expected_prefill
+        )
+        beliefs.learn(work.predicted, usage.cached_tokens)
+        beliefs.confirm(work.levels, now)
 
     def finish(self, attempt_id: str) -> None:
         """Notes that an attempt has ended in any way; idempotent."""
@@ -170,7 +255,7 @@
         if work is None:
             return
         self.loads[work.target].finish(attempt_id)
-        if work.pending:
+        if work.first_token_at is None:
             self.warmth.targets[work.target].settle(work.levels)
 
     def report(self, name: str, report: load.LoadReport) -> None:
@@ -224,6 +309,32 @@
         )
         self.warmth.target(target.name, target.cache_tokens)
 
+    def _prior(self) -> float:
+        """Returns how far rank alone is trusted to tell of warmth."""
+        if self.silent_routers:
+            return _PRIOR
+        return _HEARD_PRIOR if self.heard_routers else 0.0
+
+    def _offer_share(
+        self,
+        name: str,
+        query: decision_lib.Query,
+        decision: decision_lib.Decision,
+        now: float,
+    ) -> None:
+        epoch = self.warmth.targets[name].epoch
+        if self.heard_routers == 0 or epoch is None or not query.levels:
+            return
+        fresh = []
+        for level in query.levels[:-1]:
+            key = (name, level.digest)
+            if now - self.shared_at.get(key, -_SHARE_AGAIN_S) >= _SHARE_AGAIN_S:
+                self.shared_at[key] = now
+                fresh.append(level)
+        self.outbox.append(
+            Share(name, *epoch, int(decision.expected_prefill), tuple(fresh))
+        )
+
     def _candidate(
         self, target: objects.Target, placement: Placement, now: float
     ) -> decision_lib.Candidate:
--- a/hillthread/coordination/forwarder.py
+++ b/hillthread/coordination/forwarder.py
@@ -311,10 +311,13 @@
         attempt.cached_tokens = usage.cached_tokens
         metrics.cached_tokens.inc(usage.cached_tokens)
         self.fleet.first_token(attempt.attempt_id, time.monotonic())
-        self.fleet.learn_cached(
+        self.fleet.learn_usage(
             attempt.attempt_id,
-            usage.cached_tokens,
-            usage.completion_tokens,
+            fleet_lib.Usage(
+                usage.prompt_tokens,
+                usage.cached_tokens,
+                usage.completion_tokens,
+            ),
             time.monotonic(),
         )
 
--- a/hillthread/state/decision.py
+++ b/hillthread/state/decision.py
@@ -28,7 +28,7 @@
     "decide",
 ]
 
-_PRIOR_WARMTH = (0.6, 0.15)
+_SECOND_RANK_SHARE = 0.5
 _RANK_COST_S = 0.002
 _CROWDED_COST_S = 1.0
 _SHARE_CALLED_WARM = 0.5
@@ -68,12 +68,15 @@
         prompt_tokens: Estimated length of the whole prompt.
         recompute_weight: From the policy.
         affinity: Key that all routers share for this prefix.
+        prior: Probability that the first target by rendezvous holds a prefix
+            this router knows nothing of, learned from answers.
     """
 
     levels: tuple[prompt.PrefixLevel, ...]
     prompt_tokens: int
     recompute_weight: float
     affinity: bytes
+    prior: float = 0.0
 
 
 class Candidate(NamedTuple):
@@ -113,6 +116,7 @@
         inflight: The router's own unfinished attempts there.
         incarnation: The engine incarnation the belief holds for, or empty.
         weights_version: The weights version it holds for, or empty.
+        prior_tokens: Tokens expected only because of the rank.
     """
 
     target: str
@@ -130,6 +134,7 @@
     inflight: int = 0
     incarnation: str = ""
     weights_version: str = ""
+    prior_tokens: int = 0
 
 
 class Decision(NamedTuple):
@@ -191,9 +196,10 @@
 def _score(query: Query, candidate: Candidate, rank: int, now: float) -> Score:
     state = candidate.load
     warm = candidate.warmth.lookup(query.levels, now)
-    cached = max(warm.expected_tokens, _prior_tokens(query, candidate, rank))
+    prior_tokens = _prior_tokens(query, candidate, rank)
+    cached = max(warm.expected_tokens, prior_tokens)
     missing = max(0.0, query.prompt_tokens - cached)
-    queue_s = state.queued_tokens() / state.prefill_rate
+    queue_s = state.queued_tokens(now) / state.prefill_rate
     queue_s += _crowding_s(candidate)
     prefill_s = missing / state.prefill_rate
     recompute_s = query.recompute_weight * prefill_s
@@ -215,19 +221,19 @@
         state.inflight,
         epoch.incarnation if epoch else "",
         epoch.weights_version if epoch else "",
+        int(prior_tokens),
     )
 
 
 def _prior_tokens(query: Query, candidate: Candidate, rank: int) -> float:
     """Returns tokens assumed warm because other routers place them here."""
-    if rank >= len(_PRIOR_WARMTH) or len(query.levels) < 2:
+    if rank > 1 or len(query.levels) < 2:
         return 0.0
     shared = query.levels[-2]
     if shared.tokens < _MIN_SHARED_TOKENS:
         return 0.0
-    if shared.digest in candidate.warmth.levels:
-        return 0.0
-    return shared.tokens * _PRIOR_WARMTH[rank]
+    share = 1.0 if rank == 0 else _SECOND_RANK_SHARE
+    return shared.tokens * query.prior * share
 
 
 def _crowding_s(candidate: Candidate) -> float:
--- a/hillthread/state/load.py
+++ b/hillthread/state/load.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import collections
 from typing import NamedTuple
 
 __all__ = ["LoadReport", "OwnWork", "TargetLoad"]
 
 _RATE_STEP = 0.1
+_MEAN_STEP = 0.05
 _RATE_RANGE = 4.0
 _MIN_WORK_TOKENS = 256
 
@@ -34,15 +36,25 @@
 
     Attributes:
         sent_at: Seconds.
-        ahead_tokens: Prefill queued before it, as estimated when it was sent.
         prefill_tokens: Its own expected uncached tokens.
     """
 
     sent_at: float
-    ahead_tokens: float
     prefill_tokens: float
 
 
+class PeerWork(NamedTuple):
+    """Prefill that another router has sent.
+
+    Attributes:
+        done_at: Seconds, when it is expected to be done.
+        tokens: Expected uncached tokens.
+    """
+
+    done_at: float
+    tokens: float
+
+
 class TargetLoad:
     """The load of one target as one router sees it.
 
@@ -59,6 +71,7 @@
         self.streaming: set[str] = set()
         self.own_at_report = 0
         self.mean_prefill = 0.0
+        self.peers: collections.deque[PeerWork] = collections.deque()
 
     @property
     def inflight(self) -> int:
@@ -68,25 +81,32 @@
     def start(self, attempt_id: str, work: OwnWork) -> None:
         """Notes an attempt that is about to be sent."""
         self.waiting_first[attempt_id] = work
-        if self.mean_prefill == 0.0:
-            self.mean_prefill = work.prefill_tokens
-        self.mean_prefill += 0.05 * (work.prefill_tokens - self.mean_prefill)
-
-    def first_token(self, attempt_id: str, now: float) -> None:
-        """Notes that an attempt's prefill is done and learns the rate."""
-        work = self.waiting_first.pop(attempt_id, None)
-        if work is None:
-            return
-        self.streaming.add(attempt_id)
-        tokens = work.ahead_tokens + work.prefill_tokens
-        if tokens < _MIN_WORK_TOKENS or now <= work.sent_at:
+
+    def first_token(self, attempt_id: str) -> None:
+        """Notes that an attempt's prefill is done."""
+        if self.waiting_first.pop(attempt_id, None) is not None:
+            self.streaming.add(attempt_id)
+
+    def learn_rate(self, computed_tokens: int, seconds: float) -> None:
+        """Learns the prefill rate from a request that had no queue ahead.
+
+        Args:
+            computed_tokens: Prompt tokens that were not cached.
+            seconds: From sending it to its first token.
+        """
+        if computed_tokens < _MIN_WORK_TOKENS or seconds <= 0:
             return
-        measured = tokens / (now - work.sent_at)
+        measured = computed_tokens / seconds
         low = self.first_guess / _RATE_RANGE
         high = self.first_guess * _RATE_RANGE
         measured = min(high, max(low, measured))
         self.prefill_rate += _RATE_STEP * (measured - self.prefill_rate)
 
+    def learn_prefill(self, computed_tokens: int) -> None:
+        """Learns how much prefill a request of the others may be."""
+        step = _MEAN_STEP * (computed_tokens - self.mean_prefill)
+        self.mean_prefill += step
+
     def finish(self, attempt_id: str) -> None:
         """Notes that an attempt has ended in any way."""
         self.waiting_first.pop(attempt_id, None)
@@ -97,10 +117,30 @@
         self.report = report
         self.own_at_report = self.inflight
 
-    def queued_tokens(self) -> float:
-        """Returns prefill tokens ahead of a request sent now."""
-        own = sum(work.prefill_tokens for work in self.waiting_first.values())
-        return own + self._others_waiting() * self.mean_prefill
+    def add_peer_work(self, tokens: float, now: float) -> None:
+        """Notes prefill that another router has sent to the target."""
+        self._expire_peers(now)
+        ahead = self.own_tokens() + self.peer_tokens()
+        done_at = now + (ahead + tokens) / self.prefill_rate
+        self.peers.append(PeerWork(done_at, tokens))
+
+    def own_tokens(self) -> float:
+        """Returns our own prefill that has not given a first token."""
+        return sum(work.prefill_tokens for work in self.waiting_first.values())
+
+    def peer_tokens(self) -> float:
+        """Returns the prefill of other routers, as far as they told."""
+        return sum(work.tokens for work in self.peers)
+
+    def queued_tokens(self, now: float) -> float:
+        """Returns prefill tokens ahead of a request sent now.
+
+        What other routers tell comes sooner than the target's report, which
+        lags; the larger of the two is taken.
+        """
+        self._expire_peers(now)
+        reported = self._others_waiting() * self.mean_prefill
+        return self.own_tokens() + max(self.peer_tokens(), reported)
 
     def occupied(self) -> int:
         """Returns requests on the target, ours and others'."""
@@ -109,6 +149,10 @@
         reported = self.report.running + self.report.waiting
         return self.inflight + max(0, reported - self.own_at_report)
 
+    def _expire_peers(self, now: float) -> None:
+        while self.peers and self.peers[0].done_at <= now:
+            self.peers.popleft()
+
     def _others_waiting(self) -> int:
         if self.report is None:
             return 0
--- a/hillthread/state/warmth.py
+++ b/hillthread/state/warmth.py
@@ -20,6 +20,7 @@
 _SURE_SHARE = 0.8
 _GONE_SHARE = 1.2
 _HORIZON_STEP = 0.15
+_HIT_SHARE = 0.9
 _UNCONFIRMED_FACTOR = 0.5
 _PENDING_PROBABILITY = 0.95
 
@@ -44,12 +45,14 @@
         probability: That it is still cached, from 0 to 1.
         age_s: Seconds since it was last seen or put there.
         pending: It is being computed by a request not yet answered.
+        distance: Tokens the target has inserted since.
     """
 
     tokens: int
     probability: float
     age_s: float
     pending: bool
+    distance: float = 0.0
 
     @property
     def expected_tokens(self) -> float:
@@ -106,6 +109,7 @@
                 self._probability(entry),
                 now - entry.seen_at,
                 entry.pending > 0,
+                max(0.0, self.clock - entry.clock),
             )
             if found.expected_tokens > best.expected_tokens:
                 best = found
@@ -127,28 +131,38 @@
             if entry.pending == 0 and entry.clock < 0:
                 del self.levels[level.digest]
 
-    def confirm(
-        self,
-        levels: Sequence[prompt.PrefixLevel],
-        cached_tokens: int | None,
-        now: float,
-    ) -> None:
-        """Learns from an answer: its whole prompt is cached now.
-
-        Args:
-            levels: The levels of the answered prompt.
-            cached_tokens: What the engine found cached, or None if untold.
-            now: Seconds.
-        """
-        if cached_tokens is not None:
-            self._learn_horizon(levels, cached_tokens)
+    def confirm(self, levels: Sequence[prompt.PrefixLevel], now: float) -> None:
+        """Notes that a whole prompt is cached now, for it was answered."""
         for level in levels:
             entry = self._entry(level, now)
             entry.clock = self.clock
             entry.seen_at = now
             entry.confirmed = True
-        while len(self.levels) > _MAX_LEVELS_PER_TARGET:
-            self.levels.popitem(last=False)
+        self._bound()
+
+    def adopt(self, level: prompt.PrefixLevel, now: float) -> None:
+        """Notes a level that another router has put into the cache."""
+        entry = self._entry(level, now)
+        entry.clock = self.clock
+        entry.seen_at = now
+        entry.confirmed = True
+        self._bound()
+
+    def learn(self, predicted: WarmPrefix, cached_tokens: int) -> None:
+        """Learns how long entries live, from a prediction that was tested.
+
+        Args:
+            predicted: What `lookup` returned before the request was sent.
+            cached_tokens: What the engine found cached.
+        """
+        if predicted.tokens == 0 or predicted.pending:
+            return
+        distance = predicted.distance
+        if cached_tokens >= predicted.tokens * _HIT_SHARE:
+            if distance > self.horizon * _SURE_SHARE:
+                self.horizon += _HORIZON_STEP * distance
+        elif distance < self.horizon:
+            self.horizon += _HORIZON_STEP * (distance - self.horizon)
 
     def advance(self, inserted_tokens: float) -> None:
         """Moves the clock on by tokens newly put into the cache."""
@@ -163,6 +177,10 @@
         """Forgets all levels, after the target lost or dropped its cache."""
         self.levels.clear()
 
+    def _bound(self) -> None:
+        while len(self.levels) > _MAX_LEVELS_PER_TARGET:
+            self.levels.popitem(last=False)
+
     def _entry(self, level: prompt.PrefixLevel, now: float) -> _Level:
         entry = self.levels.get(level.digest)
         if entry is None:
@@ -183,21 +201,6 @@
             return max(alive, _PENDING_PROBABILITY)
         return alive
 
-    def _learn_horizon(
-        self, levels: Sequence[prompt.PrefixLevel], cached_tokens: int
-    ) -> None:
-        for level in reversed(levels):
-            entry = self.levels.get(level.digest)
-            if entry is None or entry.clock < 0 or entry.pending > 1:
-                continue
-            distance = self.clock - entry.clock
-            was_cached = cached_tokens >= level.tokens * 0.9
-            if was_cached and distance > self.horizon * _SURE_SHARE:
-                self.horizon += _HORIZON_STEP * distance
-            elif not was_cached and distance < self.horizon:
-                self.horizon += _HORIZON_STEP * (distance - self.horizon)
-            return
-
 
 class WarmthTable:
     """The believed cache content of all targets."""
--- /dev/null
+++ b/tests/coordination/test_fleet.py
@@ -0,0 +1,141 @@
+"""Tests of what a router knows of its targets."""
+
+import unittest
+
+from hillthread.coordination import fleet as fleet_lib
+from hillthread.state import decision
+from hillthread.state import objects
+from hillthread.state import prompt
+from hillthread.state import warmth
+
+POOL = objects.Pool(name="p", target_selector="", max_inflight=2, eject_after=1)
+EPOCH = warmth.Epoch("i1", "w1")
+
+
+def make_target(name, **fields):
+    fields = {"data_centre": "dc1", "models": ["m"], **fields}
+    return objects.Target(name=name, address="127.0.0.1:1", **fields)
+
+
+def levels(*texts):
+    return prompt.prefix_levels("o", "m", texts, 1.0)
+
+
+QUERY = fleet_lib.make_query(levels("x" * 2000, "y" * 10), 1.0, b"k")
+
+
+class FleetTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = fleet_lib.Fleet("dc1")
+        self.targets = [make_target("t0"), make_target("t1")]
+
+    def choose(self, targets=None, **fields):
+        placement = fleet_lib.Placement(
+            targets or self.targets, POOL, "m", **fields
+        )
+        return self.fleet.choose(QUERY, placement, 0.0)
+
+    def exclusion(self, target, **fields):
+        found = self.choose([target], **fields)
+        return found.scores[0].exclusion
+
+    def start(self, attempt_id):
+        found = self.choose()
+        self.fleet.start(attempt_id, QUERY, found, 0.0)
+        return found.target
+
+    def test_why_a_target_is_not_eligible(self):
+        exclusions = decision.Exclusion
+        plain = make_target("t0")
+        cases = [
+            (make_target("a", data_centre="dc2"), exclusions.OTHER_DATA_CENTRE),
+            (make_target("b", models=[]), exclusions.MODEL_NOT_SERVED),
+            (make_target("c", cordoned=True), exclusions.CORDONED),
+            (plain, None),
+        ]
+        for target, expected in cases:
+            self.assertEqual(self.exclusion(target), expected)
+        tried = frozenset(["t0"])
+        self.assertEqual(
+            self.exclusion(plain, tried=tried), exclusions.ALREADY_TRIED
+        )
+        self.fleet.breakers["t0"].fail(0.0)
+        self.assertEqual(self.exclusion(plain), exclusions.EJECTED)
+
+    def test_leaving_is_sticky_until_another_incarnation_is_live(self):
+        self.exclusion(self.targets[0])
+        self.fleet.mark_leaving("t0", "i1")
+        self.fleet.mark_live("t0", "i1")
+        self.fleet.mark_leaving("t0", "i2")
+        self.assertEqual(
+            self.exclusion(self.targets[0]), decision.Exclusion.LEAVING
+        )
+        self.fleet.mark_live("t0", "i2")
+        self.assertIsNone(self.exclusion(self.targets[0]))
+
+    def test_places_are_taken_at_once_and_given_back_once(self):
+        names = [self.start(str(number)) for number in range(4)]
+        self.assertEqual(sorted(names), ["t0", "t0", "t1", "t1"])
+        self.assertIsNone(self.choose().target)
+        self.fleet.finish("0")
+        self.fleet.finish("0")
+        self.assertEqual(self.choose().target, names[0])
+
+    def test_continuing_needs_the_same_weights(self):
+        self.choose()
+        self.fleet.observe_epoch("t0", warmth.Epoch("i", "w2"))
+        found = self.choose(weights_version="w1")
+        self.assertEqual(found.target, "t1")
+
+    def test_new_weights_drop_warmth(self):
+        name = self.start("a")
+        self.fleet.observe_epoch(name, EPOCH)
+        self.fleet.first_token("a", 0.1)
+        self.assertEqual(self.choose().scores[0].warm_tokens, 2010)
+        self.fleet.observe_epoch(name, EPOCH._replace(weights_version="w2"))
+        for score in self.choose().scores:
+            self.assertEqual(score.warm_tokens, 0)
+
+
+class ShareTest(unittest.TestCase):
+    def setUp(self):
+        self.fleets = [fleet_lib.Fleet("dc1") for _ in range(2)]
+        self.placement = fleet_lib.Placement(
+            [make_target("t0"), make_target("t1")], POOL, "m"
+        )
+        for fleet in self.fleets:
+            fleet.heard_routers = 1
+            fleet.choose(QUERY, self.placement, 0.0)
+            for name in ("t0", "t1"):
+                fleet.observe_epoch(name, EPOCH)
+
+    def place(self):
+        fleet = self.fleets[0]
+        found = fleet.choose(QUERY, self.placement, 0.0)
+        fleet.start("a", QUERY, found, 0.0)
+        return found.target, fleet.take_outbox()
+
+    def test_others_learn_warmth_and_load(self):
+        name, shares = self.place()
+        for share in shares:
+            self.fleets[1].adopt_share(share, 0.0)
+        score = next(
+            each
+            for each in self.fleets[1].choose(QUERY, self.placement, 0.0).scores
+            if each.target == name
+        )
+        self.assertEqual(score.warm_tokens, 2000)
+        self.assertGreater(score.queue_s, 0)
+
+    def test_share_of_another_epoch_is_passed_over(self):
+        name, shares = self.place()
+        self.fleets[1].observe_epoch(name, EPOCH._replace(incarnation="i2"))
+        self.fleets[1].adopt_share(shares[0], 0.0)
+        self.assertEqual(self.fleets[1].warmth.targets[name].levels, {})
+
+    def test_same_level_is_not_told_again_at_once(self):
+        _, first = self.place()
+        self.fleets[0].finish("a")
+        _, second = self.place()
+        self.assertEqual(len(first[0].levels), 1)
+        self.assertEqual(second[0].levels, ())
--- a/tests/state/test_decision.py
+++ b/tests/state/test_decision.py
@@ -40,19 +40,28 @@
         self.assertEqual(first.target, other.target)
         self.assertEqual(first.reason, decision.Reason.RENDEZVOUS)
 
+    def test_prior_outweighs_a_short_queue_where_routers_are_silent(self):
+        first = decision.decide(query(), self.candidates, 0.0).target
+        self.by_name(first).load.start("a", load.OwnWork(0.0, 900.0))
+        alone = decision.decide(query(), self.candidates, 0.0)
+        silent = query()._replace(prior=0.7)
+        among = decision.decide(silent, self.candidates, 0.0)
+        self.assertNotEqual(alone.target, first)
+        self.assertEqual(among.target, first)
+
     def test_warm_target_wins(self):
         cold = decision.decide(query(), self.candidates, 0.0).target
         warm = next(each for each in self.candidates if each.name != cold)
-        warm.warmth.confirm(LEVELS[:1], None, 0.0)
+        warm.warmth.confirm(LEVELS[:1], 0.0)
         found = decision.decide(query(), self.candidates, 0.0)
         self.assertEqual(found.target, warm.name)
         self.assertEqual(found.reason, decision.Reason.WARM)
 
     def test_queue_on_warm_target_spreads_by_weight(self):
         warm = self.candidates[0]
-        warm.warmth.confirm(LEVELS[:1], None, 0.0)
+        warm.warmth.confirm(LEVELS[:1], 0.0)
         for number in range(2):
-            warm.load.start(str(number), load.OwnWork(0.0, 0.0, 2500.0))
+            warm.load.start(str(number), load.OwnWork(0.0, 2500.0))
         spread = decision.decide(query(0.0), self.candidates, 0.0)
         kept = decision.decide(query(5.0), self.candidates, 0.0)
         self.assertNotEqual(spread.target, warm.name)
--- a/tests/state/test_warmth.py
+++ b/tests/state/test_warmth.py
@@ -19,7 +19,7 @@
         self.table = warmth.WarmthTable()
         self.beliefs = self.table.target("t", 10_000)
         self.table.enter_epoch("t", EPOCH)
-        self.beliefs.confirm(LEVELS, 0, 1.0)
+        self.beliefs.confirm(LEVELS, 1.0)
 
     def test_longest_shared_level_is_found(self):
         found = self.beliefs.lookup(OTHER, 3.0)
@@ -29,7 +29,7 @@
 
     def test_new_incarnation_drops_all(self):
         for epoch in (warmth.Epoch("i2", "w1"), warmth.Epoch("i2", "w2")):
-            self.beliefs.confirm(LEVELS, 0, 1.0)
+            self.beliefs.confirm(LEVELS, 1.0)
             self.assertTrue(self.table.enter_epoch("t", epoch))
             self.assertEqual(self.beliefs.lookup(LEVELS, 2.0).tokens, 0)
 
@@ -47,7 +47,7 @@
     def test_gap_halves_confidence_until_confirmed(self):
         self.beliefs.doubt()
         self.assertLess(self.beliefs.lookup(OTHER, 3.0).probability, 1.0)
-        self.beliefs.confirm(OTHER, 3000, 4.0)
+        self.beliefs.confirm(OTHER, 4.0)
         self.assertEqual(self.beliefs.lookup(OTHER, 4.0).probability, 1.0)
 
     def test_pending_is_warm_and_failure_takes_it_back(self):
@@ -59,9 +59,19 @@
 
     def test_misses_shorten_the_horizon_and_hits_lengthen_it(self):
         self.beliefs.advance(5_000)
-        self.beliefs.confirm(LEVELS, 0, 2.0)
+        predicted = self.beliefs.lookup(OTHER, 2.0)
+        self.beliefs.learn(predicted, 0)
         shortened = self.beliefs.horizon
         self.assertLess(shortened, 10_000)
-        self.beliefs.advance(shortened)
-        self.beliefs.confirm(LEVELS, 3100, 3.0)
+        self.beliefs.advance(shortened - 5_000)
+        predicted = self.beliefs.lookup(OTHER, 3.0)
+        self.beliefs.learn(predicted, 3_000)
         self.assertGreater(self.beliefs.horizon, shortened)
+
+    def test_the_requests_own_end_teaches_nothing(self):
+        """A prompt's last level is never cached before its first request."""
+        for _ in range(50):
+            predicted = self.beliefs.lookup(OTHER, 2.0)
+            self.beliefs.confirm(OTHER, 2.0)
+            self.beliefs.learn(predicted, 3_000)
+        self.assertGreaterEqual(self.beliefs.horizon, 10_000)
