Add the control process: configuration from the log, passed between hosts

Cause: a router had its objects from a file only. Each host now has a control process that follows the platform's log, replays it the same way as every other reader, passes records to its router and to linked hosts, watches its share of the targets, batches claims of idempotency keys on the log, finds decision records on any host and serves the admin API; `hillthread-ctl` speaks to it.

Left out: orders and leases, decision records on the log, limits shared by demand, cache events.

--- /dev/null
+++ b/hillthread/bench/site.py
@@ -0,0 +1,284 @@
+"""A whole site of real processes: log, hosts in data centres, engines."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import hashlib
+import socket
+import time
+from typing import Any
+
+import anyio
+import httpx
+
+from hillthread.bench import deployment
+from hillthread.bench import processes
+
+__all__ = ["OPERATOR_KEY", "Host", "Site", "free_addresses", "wait_until"]
+
+OPERATOR_KEY = "operator-key-for-tests"
+_WAIT_S = 20.0
+_CHECK_S = 0.02
+
+
+def free_addresses(count: int) -> list[str]:
+    """Returns loopback addresses with ports that the system chose."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+async def wait_until(
+    holds: Callable[[], Awaitable[bool]], timeout_s: float = _WAIT_S
+) -> None:
+    """Returns when a condition holds.
+
+    Raises:
+        TimeoutError: It did not in time.
+    """
+    deadline = time.monotonic() + timeout_s
+    while not await holds():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"not within {timeout_s} s")
+        await anyio.sleep(_CHECK_S)
+
+
+class Host:
+    """One entry host: a control process and a router.
+
+    Attributes:
+        name: The host's name.
+        data_centre: Where it runs.
+        link: Where its control accepts links.
+        control_settings: Of its control process.
+        router_settings: Of its router.
+        control: The running control process, or None.
+        router: The running router, or None.
+    """
+
+    def __init__(self, name: str, data_centre: str, link: str):
+        self.name = name
+        self.data_centre = data_centre
+        self.link = link
+        self.control_settings: dict[str, Any] = {}
+        self.router_settings: dict[str, Any] = {}
+        self.control: processes.Process | None = None
+        self.router: processes.Process | None = None
+
+    @property
+    def admin(self) -> str:
+        """Address of the admin API."""
+        assert self.control is not None
+        return self.control.addresses["admin"]
+
+    @property
+    def callers(self) -> str:
+        """Address for callers."""
+        assert self.router is not None
+        return self.router.addresses["callers"]
+
+    @property
+    def router_status(self) -> str:
+        """Address of the router's status pages."""
+        assert self.router is not None
+        return self.router.addresses["status"]
+
+
+class Site:
+    """All processes of a small deployment.
+
+    Attributes:
+        group: The processes.
+        hosts: The entry hosts.
+        engines: The engines by target name.
+        log: The log's process.
+    """
+
+    def __init__(
+        self,
+        group: processes.ProcessGroup,
+        data_centres: int = 1,
+        hosts_each: int = 2,
+        engines_each: int = 2,
+        **control_fields: Any,
+    ):
+        self.group = group
+        self.control_fields = control_fields
+        self.data_centres = [f"dc{n}" for n in range(1, data_centres + 1)]
+        self.engines_each = engines_each
+        self.engines: dict[str, processes.Process] = {}
+        links = free_addresses(data_centres * hosts_each)
+        names = [
+            (f"{centre}-host{number}", centre)
+            for centre in self.data_centres
+            for number in range(hosts_each)
+        ]
+        self.hosts = [
+            Host(name, centre, link)
+            for (name, centre), link in zip(names, links, strict=True)
+        ]
+        self.log = group.start("standin", {}, "log")
+        self.client = httpx.AsyncClient(trust_env=False, timeout=15.0)
+
+    async def start(self, routers: bool = True) -> None:
+        """Starts engines and hosts."""
+        for centre in self.data_centres:
+            for number in range(self.engines_each):
+                process = self.group.start_later("standin", {}, "engine")
+                self.engines[f"{centre}-runner{number}"] = process
+        for process in self.engines.values():
+            process.wait_listening()
+        for host in self.hosts:
+            self.prepare(host)
+            self.start_control_later(host)
+        for host in self.hosts:
+            assert host.control is not None
+            host.control.wait_listening()
+        if routers:
+            for host in self.hosts:
+                self.start_router(host)
+
+    def prepare(self, host: Host) -> None:
+        """Writes a host's settings."""
+        peers = [
+            {
+                "host": other.name,
+                "data_centre": other.data_centre,
+                "address": other.link,
+            }
+            for other in self.hosts
+            if other is not host
+        ]
+        digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+        host.control_settings = {
+            "host": host.name,
+            "data_centre": host.data_centre,
+            "listen": host.link,
+            "admin_listen": "127.0.0.1:0",
+            "log": self.log.addresses["standin"],
+            "peers": peers,
+            "operators": [
+                {"name": "ops", "key_digest": digest, "role": "editor"}
+            ],
+            "secret": deployment.SECRET,
+            **self.control_fields,
+        }
+        host.router_settings = {
+            "host": host.name,
+            "data_centre": host.data_centre,
+            "listen": "127.0.0.1:0",
+            "status_listen": "127.0.0.1:0",
+            "control": host.link,
+            "secret": deployment.SECRET,
+            "notice_s": 0.2,
+        }
+
+    def start_control_later(self, host: Host) -> None:
+        """Starts a host's control process without waiting for it."""
+        host.control = self.group.start_later("control", host.control_settings)
+
+    def start_control(self, host: Host) -> None:
+        """Starts a host's control process."""
+        self.start_control_later(host)
+        assert host.control is not None
+        host.control.wait_listening()
+
+    def start_router(self, host: Host) -> None:
+        """Starts a host's router."""
+        host.router = self.group.start("router", host.router_settings)
+
+    def objects(self, organisations: list[str]) -> list[dict[str, Any]]:
+        """Returns the objects of the deployment."""
+        values = deployment.make_objects([], organisations)
+        for name, process in self.engines.items():
+            values.append(
+                {
+                    "kind": "target",
+                    "name": name,
+                    "labels": {"role": "engine"},
+                    "address": process.addresses["standin"],
+                    "data_centre": name.partition("-")[0],
+                    "models": ["m1"],
+                    "prefill_tokens_per_s": 15000,
+                    "truthful_refusals": True,
+                }
+            )
+        return values
+
+    async def publish(
+        self, values: list[dict[str, Any]], host: Host | None = None
+    ) -> list[dict[str, Any]]:
+        """Applies objects through a host's admin API; returns the answers."""
+        admin = (host or self.hosts[0]).admin
+        return [
+            await self.call(admin, "PUT", "/v1/objects", {"object": value})
+            for value in values
+        ]
+
+    async def call(
+        self,
+        admin: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        key: str = OPERATOR_KEY,
+    ) -> Any:
+        """Calls an admin API and returns the decoded answer."""
+        response = await self.client.request(
+            method,
+            f"http://{admin}{path}",
+            json=body,
+            headers={"authorization": f"Bearer {key}"},
+        )
+        return response.json()
+
+    async def control_standin(
+        self, process: processes.Process, fields: Any
+    ) -> Any:
+        """Sets the faults of a stand-in."""
+        address = process.addresses["standin"]
+        response = await self.client.post(
+            f"http://{address}/control", json=fields
+        )
+        return response.json()
+
+    async def position(self, host: Host) -> int:
+        """Returns the position in force on a host's router; -2 if not ready.
+
+        It is read from the router's own metrics.
+        """
+        try:
+            page = await self.client.get(f"http://{host.router_status}/metrics")
+            ready = await self.client.get(f"http://{host.router_status}/readyz")
+        except httpx.HTTPError:
+            return -2
+        if ready.status_code != 200:
+            return -2
+        for line in page.text.splitlines():
+            if line.startswith("hillthread_configuration_position "):
+                return int(float(line.split()[1]))
+        return -2
+
+    async def wait_position(
+        self, position: int, hosts: list[Host] | None = None
+    ) -> None:
+        """Returns when routers have a position in force.
+
+        Raises:
+            TimeoutError: They did not within 20 s.
+        """
+        for host in hosts or self.hosts:
+            await wait_until(lambda host=host: self._reached(host, position))
+
+    async def _reached(self, host: Host, position: int) -> bool:
+        return await self.position(host) >= position
+
+    async def close(self) -> None:
+        """Closes the client; the group ends the processes."""
+        await self.client.aclose()
--- a/hillthread/coordination/attempt_checks.py
+++ b/hillthread/coordination/attempt_checks.py
@@ -80,7 +80,7 @@
         expected.attempt.weights_version = epoch.weights_version
         self.fleet.observe_epoch(name, epoch)
         if engine.LEAVING in response.headers:
-            self.fleet.mark_leaving(name, epoch.incarnation)
+            self.fleet.departures.mark_leaving(name, epoch.incarnation)
         return epoch
 
     def _check_status(
--- /dev/null
+++ b/hillthread/coordination/claim_keeper.py
@@ -0,0 +1,143 @@
+"""Claims on the platform's log: batched appends, decided by log order.
+
+A claim is granted when the log's first record of its key names the asking
+request. Claims asked within a short time share one append. A host grants
+nothing before it has read the whole window of the stream, and nothing while
+the log cannot be read: the request is then refused, truthfully not run.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import time
+from typing import NamedTuple
+
+import anyio
+
+from hillthread import errors
+from hillthread.state import claim_index
+from hillthread.transport import log_client
+
+__all__ = ["ClaimKeeper"]
+
+STREAM = "claims"
+_BATCH_S = 0.01
+_MAX_BATCH = 500
+_WINDOW_S = 3600.0
+_DECIDE_S = 2.0
+_RETRY_S = 0.5
+_LONG_POLL_S = 2.0
+
+Reply = Callable[[str], None]
+
+
+class _Pending(NamedTuple):
+    """A claim that waits for its verdict."""
+
+    claim: claim_index.Claim
+    reply: Reply
+    asked_at: float
+
+
+class ClaimKeeper:
+    """Asks the log for claims on behalf of this host's router.
+
+    Attributes:
+        index: All claims of the window.
+        current: Whether the index is read up to the log's end.
+        appends: Batches appended.
+    """
+
+    def __init__(self, client: log_client.LogClient):
+        self.client = client
+        self.index = claim_index.ClaimIndex(_WINDOW_S)
+        self.current = False
+        self.appends = 0
+        self._new: list[_Pending] = []
+        self._appended: list[_Pending] = []
+        self._wake = anyio.Event()
+
+    def ask(self, digest: str, holder: str, reply: Reply) -> None:
+        """Asks for a key; `reply` gets the verdict, exactly once."""
+        if not self.current:
+            reply("unavailable")
+            return
+        known = self.index.holder(digest)
+        if known is not None:
+            reply("granted" if known == holder else "taken")
+            return
+        claim = claim_index.Claim(digest, holder)
+        self._new.append(_Pending(claim, reply, time.monotonic()))
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Reads and appends until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follow)
+            group.start_soon(self._append_batches)
+            group.start_soon(self._expire)
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                page = await self.client.read(
+                    STREAM, self.index.position + 1, wait_s=_LONG_POLL_S
+                )
+            except log_client.TruncatedError as error:
+                self.index.position = error.first_offset - 1
+                continue
+            except errors.LogError:
+                self.current = False
+                await anyio.sleep(_RETRY_S)
+                continue
+            if page.next_offset <= self.index.position:
+                self.current = False
+                await anyio.sleep(_RETRY_S)
+                continue
+            for record in page.records:
+                self.index.apply(record.offset, record.payload)
+            self.current = self.index.position + 1 >= page.next_offset
+            self._decide()
+
+    async def _append_batches(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            await anyio.sleep(_BATCH_S)
+            while self._new:
+                batch = self._new[:_MAX_BATCH]
+                del self._new[:_MAX_BATCH]
+                await self._append(batch)
+
+    async def _append(self, batch: list[_Pending]) -> None:
+        """Appends once; whether it took effect, reading will tell."""
+        record = claim_index.ClaimBatch(
+            time.time(), [pending.claim for pending in batch]
+        )
+        self._appended += batch
+        self.appends += 1
+        try:
+            await self.client.append(STREAM, [claim_index.encode_batch(record)])
+        except errors.HillthreadError:
+            self.current = False
+
+    def _decide(self) -> None:
+        waiting = []
+        for pending in self._appended:
+            holder = self.index.holder(pending.claim.digest)
+            if holder is None:
+                waiting.append(pending)
+            else:
+                own = holder == pending.claim.holder
+                pending.reply("granted" if own else "taken")
+        self._appended = waiting
+
+    async def _expire(self) -> None:
+        """Gives up on claims whose record does not come back."""
+        while True:
+            await anyio.sleep(_RETRY_S)
+            due = time.monotonic() - _DECIDE_S
+            expired = [p for p in self._appended if p.asked_at < due]
+            self._appended = [p for p in self._appended if p.asked_at >= due]
+            for pending in expired:
+                pending.reply("unavailable")
--- /dev/null
+++ b/hillthread/coordination/control_client.py
@@ -0,0 +1,236 @@
+"""The router's link to its host's control process."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+import logging
+import time
+
+import anyio
+
+from hillthread import errors
+from hillthread.coordination import claims
+from hillthread.coordination import configuration_keeper
+from hillthread.coordination import fleet as fleet_lib
+from hillthread.coordination import record_pages
+from hillthread.coordination import router as router_lib
+from hillthread.protocol import documents
+from hillthread.protocol import messages
+from hillthread.state import load
+from hillthread.state import prompt
+from hillthread.state import routing_table
+from hillthread.state import warmth
+from hillthread.transport import link as link_lib
+
+__all__ = ["ControlClient"]
+
+_SHARE_EVERY_S = 0.05
+_RECONNECT_S = 0.2
+_CLAIM_S = 4.0
+
+_logger = logging.getLogger(__name__)
+
+
+class ControlClient(claims.ClaimStore):
+    """Takes configuration and news in, tells placements, asks for claims.
+
+    The router serves on with what it has while the link is down.
+
+    Attributes:
+        keeper: The configuration as the control process passed it on.
+        link: The open link, or None.
+    """
+
+    def __init__(
+        self,
+        router: router_lib.Router,
+        address: str,
+        identity: link_lib.Identity,
+        secret: str,
+    ):
+        self.router = router
+        self.address = address
+        self.identity = identity
+        self.secret = secret
+        self.keeper = configuration_keeper.ConfigurationKeeper()
+        self.link: link_lib.Link | None = None
+        self._claim_ids = itertools.count()
+        self._claims: dict[int, _PendingClaim] = {}
+
+    async def run(self) -> None:
+        """Keeps the link open until cancelled."""
+        while True:
+            try:
+                link = await link_lib.connect(
+                    self.address, self.identity, self.secret
+                )
+            except errors.PeerError:
+                self.router.metrics.links.labels("failed").inc()
+                await anyio.sleep(_RECONNECT_S)
+                continue
+            self.router.metrics.links.labels("opened").inc()
+            await self._serve(link)
+            self.router.metrics.links.labels("closed").inc()
+
+    async def claim(
+        self, tenant: str, key: str, holder: str
+    ) -> claims.ClaimVerdict:
+        """See the base class."""
+        if self.link is None:
+            return claims.ClaimVerdict.UNAVAILABLE
+        claim_id = next(self._claim_ids)
+        digest = hashlib.blake2b(
+            f"{tenant}\0{key}".encode(), digest_size=16
+        ).digest()
+        pending = _PendingClaim()
+        self._claims[claim_id] = pending
+        try:
+            await self.link.send(
+                messages.ClaimRequest(claim_id, digest, holder)
+            )
+            with anyio.move_on_after(_CLAIM_S):
+                await pending.answered.wait()
+        except errors.PeerError:
+            return claims.ClaimVerdict.UNAVAILABLE
+        finally:
+            del self._claims[claim_id]
+        return pending.verdict
+
+    async def _serve(self, link: link_lib.Link) -> None:
+        self.link = link
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._share, link)
+                async for message in link.receive():
+                    await self._handle(link, message)
+                group.cancel_scope.cancel()
+        except errors.PeerError as error:
+            _logger.warning("%s", error, extra={"code": error.code})
+        finally:
+            self.link = None
+            self.router.fleet.silent_routers += self.router.fleet.heard_routers
+            self.router.fleet.heard_routers = 0
+
+    async def _share(self, link: link_lib.Link) -> None:
+        """Tells placements at fixed intervals while there are any."""
+        while True:
+            await anyio.sleep(_SHARE_EVERY_S)
+            shares = self.router.fleet.take_outbox()
+            if not shares:
+                continue
+            placements = [_as_placement(share) for share in shares]
+            try:
+                await link.send(messages.Shares(placements))
+            except errors.PeerError:
+                return
+
+    async def _handle(
+        self, link: link_lib.Link, message: messages.Message
+    ) -> None:
+        fleet = self.router.fleet
+        match message:
+            case messages.SnapshotMessage():
+                self._take_snapshot(message)
+            case messages.Records():
+                self.keeper.take(
+                    message.first_offset, message.payloads, message.chain
+                )
+                self._adopt()
+            case messages.TargetState(target, incarnation, True):
+                fleet.departures.mark_leaving(target, incarnation)
+            case messages.TargetState(target, incarnation, False):
+                fleet.departures.mark_live(target, incarnation)
+            case messages.LoadMessage():
+                self._take_load(message)
+            case messages.Shares():
+                now = time.monotonic()
+                for each in message.placements:
+                    fleet.adopt_share(_as_share(each), now)
+            case messages.Members():
+                fleet.heard_routers = message.heard
+                fleet.silent_routers = message.silent
+                self.router.share = 1.0 / (1 + message.heard)
+            case messages.RecordQuery():
+                await self._answer(link, message)
+            case messages.ClaimReply():
+                self._settle_claim(message)
+
+    def _take_snapshot(self, message: messages.SnapshotMessage) -> None:
+        try:
+            self.keeper.take_snapshot(message.payload)
+        except errors.ConfigurationError as error:
+            _logger.warning("%s", error, extra={"code": error.code})
+            return
+        self._adopt()
+
+    def _adopt(self) -> None:
+        state = self.keeper.configuration
+        table = routing_table.RoutingTable(state.position, state.decoded)
+        self.router.adopt(table)
+
+    def _take_load(self, message: messages.LoadMessage) -> None:
+        fleet = self.router.fleet
+        if message.incarnation:
+            epoch = warmth.Epoch(message.incarnation, message.weights_version)
+            fleet.observe_epoch(message.target, epoch)
+        fleet.report(
+            message.target,
+            load.LoadReport(
+                time.monotonic(),
+                message.running,
+                message.waiting,
+                float(message.inserted_tokens),
+                message.cache_tokens,
+            ),
+        )
+
+    async def _answer(
+        self, link: link_lib.Link, query: messages.RecordQuery
+    ) -> None:
+        wanted = record_pages.RecordFilter(
+            query.request_id,
+            query.tenant,
+            query.target,
+            query.reason,
+            query.limit,
+        )
+        found = record_pages.select_records(self.router.records, wanted)
+        data = documents.encode_document(found)
+        await link.send(messages.RecordReply(query.query_id, data))
+
+    def _settle_claim(self, reply: messages.ClaimReply) -> None:
+        pending = self._claims.get(reply.claim_id)
+        if pending is not None:
+            pending.verdict = claims.ClaimVerdict(reply.verdict)
+            pending.answered.set()
+
+
+class _PendingClaim:
+    """A claim that waits for its verdict."""
+
+    def __init__(self):
+        self.answered = anyio.Event()
+        self.verdict = claims.ClaimVerdict.UNAVAILABLE
+
+
+def _as_placement(share: fleet_lib.Share) -> messages.SharedPlacement:
+    return messages.SharedPlacement(
+        share.target,
+        share.incarnation,
+        share.weights_version,
+        share.prefill_tokens,
+        [level.digest for level in share.levels],
+        [level.tokens for level in share.levels],
+    )
+
+
+def _as_share(placement: messages.SharedPlacement) -> fleet_lib.Share:
+    pairs = zip(placement.digests, placement.tokens, strict=False)
+    return fleet_lib.Share(
+        placement.target,
+        placement.incarnation,
+        placement.weights_version,
+        placement.prefill_tokens,
+        tuple(prompt.PrefixLevel(*pair) for pair in pairs),
+    )
--- /dev/null
+++ b/hillthread/coordination/control_node.py
@@ -0,0 +1,310 @@
+"""One host's control process: what it tells its router and other hosts."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import prometheus_client
+
+from hillthread import errors
+from hillthread import settings as settings_lib
+from hillthread.coordination import claim_keeper as claim_keeper_lib
+from hillthread.coordination import configuration_keeper
+from hillthread.coordination import hub as hub_lib
+from hillthread.coordination import record_finder
+from hillthread.protocol import messages
+from hillthread.state import departures
+from hillthread.state import membership as membership_lib
+from hillthread.state import placement
+
+__all__ = ["ControlNode"]
+
+_FULL_POSITIONS_EVERY = 20
+
+
+class ControlNode:
+    """Passes configuration, departures, loads, shares and questions.
+
+    Attributes:
+        keeper: The configuration.
+        members: The other hosts.
+        departures: Targets that leave.
+        hub: All links.
+        positions: Configuration positions of all hosts, as far as known.
+        records: Finds decision records.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.ControlSettings,
+        incarnation: str,
+        registry: prometheus_client.CollectorRegistry,
+    ):
+        self.settings = settings
+        self.incarnation = incarnation
+        self.keeper = configuration_keeper.ConfigurationKeeper()
+        self.keeper.listeners.append(self._pass_on)
+        self.members = membership_lib.Membership(settings.suspect_s)
+        self.departures = departures.Departures()
+        self.hub = hub_lib.Hub(registry)
+        self.hub.handle = self.handle
+        self.hub.opened = self._greet
+        self.claims: claim_keeper_lib.ClaimKeeper | None = None
+        self.positions: dict[str, int] = {}
+        self.incarnations: dict[str, str] = {}
+        self.beats = 0
+        self.records = record_finder.RecordFinder(self.hub)
+        for peer in settings.peers:
+            self.members.know(peer.host, peer.data_centre)
+        self.position_metric = prometheus_client.Gauge(
+            "hillthread_configuration_position",
+            "Log position of the configuration in force.",
+            registry=registry,
+        )
+        self.alive_metric = prometheus_client.Gauge(
+            "hillthread_hosts_alive",
+            "Other hosts this one has a live link to.",
+            registry=registry,
+        )
+
+    def not_ready_reason(self) -> str:
+        """Returns why this host has no configuration in force, or nothing."""
+        return "" if self.keeper.in_force() else "no configuration in force"
+
+    def data_centre_hosts(self) -> list[str]:
+        """Returns the live hosts of the data centre, this one included."""
+        alive = self.members.alive(self.settings.data_centre)
+        return sorted([*alive, self.settings.host])
+
+    def rank_for(self, key: str, hosts: list[str]) -> int:
+        """Returns this host's rank for a duty among `hosts`."""
+        order = placement.rank_by_rendezvous(key.encode(), hosts)
+        return order.index(self.settings.host)
+
+    def snapshot_rank(self) -> int:
+        """Returns this host's turn to write a snapshot."""
+        hosts = [*self.members.alive(), self.settings.host]
+        return self.rank_for("snapshot", hosts)
+
+    def is_watcher(self, target: str) -> bool:
+        """Returns whether this host watches a target."""
+        return self.rank_for(target, self.data_centre_hosts()) == 0
+
+    async def run_heartbeats(self) -> None:
+        """Sends heartbeats and judges who is alive, until cancelled."""
+        while True:
+            await anyio.sleep(self.settings.heartbeat_s)
+            self._note_own_position()
+            for link in self.hub.peers():
+                self.hub.send(link, self._heartbeat(link))
+            self.beats += 1
+            if self.members.tick(time.monotonic()):
+                self.alive_metric.set(len(self.members.alive()))
+            self._tell_members()
+
+    async def handle(
+        self, link: hub_lib.OpenLink, message: messages.Message
+    ) -> None:
+        """Acts on one message."""
+        match message:
+            case messages.Heartbeat():
+                self._hear(link, message)
+            case messages.Records():
+                self._take_records(link, message)
+            case messages.WantRecords():
+                self._send_records(link, message.after)
+            case messages.SnapshotMessage():
+                self._take_snapshot(message)
+            case messages.TargetState():
+                self.tell_target_state(message, link)
+            case messages.LoadMessage():
+                self.hub.broadcast(self.hub.routers(), message)
+            case messages.Shares():
+                self._pass_shares(link, message)
+            case messages.RecordQuery():
+                await self.records.answer(link, message)
+            case messages.RecordReply():
+                self.records.take(message)
+            case messages.ClaimRequest():
+                await self._claim(link, message)
+
+    def tell_target_state(
+        self,
+        state: messages.TargetState,
+        source: hub_lib.OpenLink | None = None,
+    ) -> None:
+        """Passes on that a target leaves or is live, if that is news."""
+        if state.leaving:
+            news = self.departures.mark_leaving(state.target, state.incarnation)
+        else:
+            news = self.departures.mark_live(state.target, state.incarnation)
+        if news:
+            everyone = list(self.hub.links.values())
+            self.hub.broadcast(everyone, state, source)
+
+    def tell_load(self, message: messages.LoadMessage) -> None:
+        """Tells a load read here to the data centre's routers."""
+        self.hub.broadcast(self.hub.routers(), message)
+        peers = self.hub.peers(self.settings.data_centre)
+        self.hub.broadcast(peers, message)
+
+    def _greet(self, link: hub_lib.OpenLink) -> None:
+        if link.peer.role == "router":
+            self._serve_router(link)
+            self._tell_departures(link)
+            return
+        self.members.hear(
+            link.peer.host,
+            link.peer.data_centre,
+            link.peer.incarnation,
+            self.positions.get(link.peer.host, -1),
+            time.monotonic(),
+        )
+        self.hub.send(link, self._heartbeat(link, everything=True))
+        self._tell_departures(link)
+
+    def _tell_departures(self, link: hub_lib.OpenLink) -> None:
+        for target, incarnation in self.departures.leaving.items():
+            state = messages.TargetState(target, incarnation, leaving=True)
+            self.hub.send(link, state)
+
+    def _serve_router(self, link: hub_lib.OpenLink) -> None:
+        """Gives a router the whole configuration once it is in force."""
+        if not self.keeper.in_force() or link.served:
+            return
+        link.served = True
+        payload = self.keeper.snapshot_payload()
+        self.hub.send(link, messages.SnapshotMessage(payload))
+
+    def _pass_on(self, first_offset: int, payloads: list[bytes]) -> None:
+        """Passes newly applied records to the router and to other hosts."""
+        self._note_own_position()
+        if payloads:
+            message: messages.Message = messages.Records(
+                first_offset, payloads, self.keeper.configuration.chain
+            )
+        else:
+            message = messages.SnapshotMessage(self.keeper.snapshot_payload())
+        for link in self.hub.peers():
+            if link.told.get(link.peer.host, -1) < self.keeper.position:
+                self.hub.send(link, message)
+        if not self.keeper.in_force():
+            return
+        for link in self.hub.routers():
+            if link.served:
+                self.hub.send(link, message)
+            else:
+                self._serve_router(link)
+
+    def _note_own_position(self) -> None:
+        self.positions[self.settings.host] = self.keeper.position
+        self.position_metric.set(self.keeper.position)
+        if self.keeper.in_force():
+            for link in self.hub.routers():
+                self._serve_router(link)
+
+    def _heartbeat(
+        self, link: hub_lib.OpenLink, everything: bool = False
+    ) -> messages.Heartbeat:
+        """Returns a heartbeat with the positions not yet told over a link."""
+        if everything or self.beats % _FULL_POSITIONS_EVERY == 0:
+            link.told = {link.peer.host: link.told.get(link.peer.host, -1)}
+        news = {
+            host: position
+            for host, position in self.positions.items()
+            if link.told.get(host) != position and host != link.peer.host
+        }
+        link.told.update(news)
+        heard = self.members.members.get(link.peer.host)
+        silent_s = time.monotonic() - heard.heard_at if heard else -1.0
+        return messages.Heartbeat(
+            self.keeper.position,
+            self.keeper.configuration.chain,
+            silent_s,
+            news,
+        )
+
+    def _hear(
+        self, link: hub_lib.OpenLink, message: messages.Heartbeat
+    ) -> None:
+        peer = link.peer
+        self.members.hear(
+            peer.host,
+            peer.data_centre,
+            peer.incarnation,
+            message.position,
+            time.monotonic(),
+        )
+        for host, position in message.positions.items():
+            if host != self.settings.host:
+                known = self.positions.get(host, -1)
+                self.positions[host] = max(position, known)
+        if self.incarnations.get(peer.host) != peer.incarnation:
+            self.incarnations[peer.host] = peer.incarnation
+        self.positions[peer.host] = message.position
+        link.told[peer.host] = message.position
+        self.keeper.note_told(message.position)
+        self._note_own_position()
+        if message.position > self.keeper.position:
+            self.hub.send(link, messages.WantRecords(self.keeper.position))
+
+    def _take_records(
+        self, link: hub_lib.OpenLink, message: messages.Records
+    ) -> None:
+        last = message.first_offset + len(message.payloads) - 1
+        link.told[link.peer.host] = max(last, link.told.get(link.peer.host, -1))
+        if message.first_offset > self.keeper.position + 1:
+            self.hub.send(link, messages.WantRecords(self.keeper.position))
+            return
+        self.keeper.take(message.first_offset, message.payloads, message.chain)
+
+    def _take_snapshot(self, message: messages.SnapshotMessage) -> None:
+        try:
+            self.keeper.take_snapshot(message.payload)
+        except errors.ConfigurationError:
+            self.keeper.refused += 1
+
+    def _send_records(self, link: hub_lib.OpenLink, after: int) -> None:
+        payloads = self.keeper.records_after(after)
+        if payloads is None:
+            payload = self.keeper.snapshot_payload()
+            self.hub.send(link, messages.SnapshotMessage(payload))
+        elif payloads:
+            chain = self.keeper.configuration.chain
+            message = messages.Records(after + 1, payloads, chain)
+            self.hub.send(link, message)
+
+    def _pass_shares(
+        self, link: hub_lib.OpenLink, message: messages.Shares
+    ) -> None:
+        """Own routers' shares go to peers, peers' to the own routers."""
+        if link.peer.role == "router":
+            peers = self.hub.peers(self.settings.data_centre)
+            self.hub.broadcast(peers, message)
+        self.hub.broadcast(self.hub.routers(), message, but=link)
+
+    def _tell_members(self) -> None:
+        """Tells routers how many others are heard and how many are not."""
+        own = self.settings.data_centre
+        others = [
+            peer for peer in self.settings.peers if peer.data_centre == own
+        ]
+        heard = len(self.members.alive(own))
+        message = messages.Members(heard, max(0, len(others) - heard))
+        self.hub.broadcast(self.hub.routers(), message)
+
+    async def _claim(
+        self, link: hub_lib.OpenLink, request: messages.ClaimRequest
+    ) -> None:
+        if self.claims is None:
+            reply = messages.ClaimReply(request.claim_id, "unavailable")
+            self.hub.send(link, reply)
+            return
+        self.claims.ask(
+            request.digest.hex(),
+            request.holder,
+            lambda verdict: self.hub.send(
+                link, messages.ClaimReply(request.claim_id, verdict)
+            ),
+        )
--- a/hillthread/coordination/fleet.py
+++ b/hillthread/coordination/fleet.py
@@ -10,6 +10,7 @@
 import cachetools
 
 from hillthread.state import decision as decision_lib
+from hillthread.state import departures
 from hillthread.state import health
 from hillthread.state import load
 from hillthread.state import objects
@@ -118,7 +119,7 @@
     Attributes:
         data_centre: Only targets of it are eligible.
         decide: The policy; baselines for comparison have their own.
-        leaving: Targets that leave, with the incarnation that does.
+        departures: Targets that leave.
         heard_routers: Other routers of the data centre whose shares come in.
         silent_routers: Other routers of the data centre that are not heard.
             With any, a prefix unknown here is expected where they place it.
@@ -135,7 +136,7 @@
         self.loads: dict[str, load.TargetLoad] = {}
         self.breakers: dict[str, health.Breaker] = {}
         self.budgets: dict[str, health.RetryBudget] = {}
-        self.leaving: dict[str, str] = {}
+        self.departures = departures.Departures()
         self.work: dict[str, _Work] = {}
         self.heard_routers = 0
         self.silent_routers = 0
@@ -268,19 +269,6 @@
             beliefs.horizon = float(report.cache_tokens)
         beliefs.clock = max(beliefs.clock, report.inserted_tokens)
 
-    def mark_leaving(self, name: str, incarnation: str) -> None:
-        """Notes that a target leaves; sticky until another incarnation."""
-        self.leaving.setdefault(name, incarnation)
-
-    def mark_live(self, name: str, incarnation: str) -> None:
-        """Notes that an incarnation is listed live.
-
-        It ends a departure only if it is another incarnation than the one
-        that leaves: lists lag and go backwards.
-        """
-        if self.leaving.get(name, incarnation) != incarnation:
-            del self.leaving[name]
-
     def retry_budget(self, pool: objects.Pool) -> health.RetryBudget:
         """Returns the retry budget of a pool."""
         budget = self.budgets.get(pool.name)
@@ -295,18 +283,15 @@
         busy = {work.target for work in self.work.values()}
         for gone in self.loads.keys() - names - busy:
             del self.loads[gone]
-            del self.breakers[gone]
-            self.leaving.pop(gone, None)
+            self.breakers.pop(gone, None)
+            self.departures.forget(gone)
         self.warmth.retain(names | busy)
 
-    def track(self, target: objects.Target, pool: objects.Pool) -> None:
+    def track(self, target: objects.Target) -> None:
         """Makes sure that there is state for a target."""
         if target.name in self.loads:
             return
         self.loads[target.name] = load.TargetLoad(target.prefill_tokens_per_s)
-        self.breakers[target.name] = health.Breaker(
-            pool.eject_after, pool.eject_s
-        )
         self.warmth.target(target.name, target.cache_tokens)
 
     def _prior(self) -> float:
@@ -338,7 +323,11 @@
     def _candidate(
         self, target: objects.Target, placement: Placement, now: float
     ) -> decision_lib.Candidate:
-        self.track(target, placement.pool)
+        self.track(target)
+        if target.name not in self.breakers:
+            self.breakers[target.name] = health.Breaker(
+                placement.pool.eject_after, placement.pool.eject_s
+            )
         return decision_lib.Candidate(
             target.name,
             target.max_running,
@@ -355,7 +344,7 @@
             return decision_lib.Exclusion.OTHER_DATA_CENTRE
         if placement.model and placement.model not in target.models:
             return decision_lib.Exclusion.MODEL_NOT_SERVED
-        if name in self.leaving:
+        if name in self.departures.leaving:
             return decision_lib.Exclusion.LEAVING
         if target.cordoned:
             return decision_lib.Exclusion.CORDONED
--- /dev/null
+++ b/hillthread/coordination/hub.py
@@ -0,0 +1,167 @@
+"""All links of one control process: to its router and to other hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import itertools
+import logging
+
+import anyio
+import anyio.abc
+import prometheus_client
+
+from hillthread import errors
+from hillthread.protocol import messages
+from hillthread.transport import link as link_lib
+
+__all__ = ["Hub", "OpenLink"]
+
+_QUEUE = 256
+
+_logger = logging.getLogger(__name__)
+
+MessageHandler = Callable[["OpenLink", messages.Message], Awaitable[None]]
+
+
+class OpenLink:
+    """A link with a bounded queue, so that a slow end holds up nobody.
+
+    Attributes:
+        link: The link.
+        told: Positions of hosts already told over it.
+        served: Whether a router at its end was given the configuration.
+    """
+
+    def __init__(self, link: link_lib.Link):
+        self.link = link
+        self.told: dict[str, int] = {}
+        self.served = False
+        self._send, self._receive = anyio.create_memory_object_stream[
+            messages.Message
+        ](_QUEUE)
+
+    @property
+    def peer(self) -> link_lib.Identity:
+        """Who is at the other end."""
+        return self.link.peer
+
+    def send(self, message: messages.Message) -> bool:
+        """Queues a message; returns False when the queue is full."""
+        try:
+            self._send.send_nowait(message)
+        except anyio.WouldBlock:
+            return False
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return True
+        return True
+
+    async def write(self) -> None:
+        """Sends queued messages until the link is closed."""
+        try:
+            async for message in self._receive:
+                await self.link.send(message)
+        except errors.PeerError:
+            self._send.close()
+
+
+class Hub:
+    """Keeps open links and passes messages.
+
+    Attributes:
+        links: All open links.
+        handle: Called with each message received.
+        opened: Called with each new link.
+    """
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry):
+        self.links: dict[int, OpenLink] = {}
+        self.handle: MessageHandler | None = None
+        self.opened: Callable[[OpenLink], None] | None = None
+        self._numbers = itertools.count()
+        self.events = prometheus_client.Counter(
+            "hillthread_link_events",
+            "Links opened, closed, overflowed or malformed.",
+            ["event", "role"],
+            registry=registry,
+        )
+        self.bytes = prometheus_client.Counter(
+            "hillthread_link_bytes",
+            "Bytes of messages by direction.",
+            ["direction"],
+            registry=registry,
+        )
+
+    async def run_link(self, link: link_lib.Link) -> None:
+        """Serves a link until it closes."""
+        number = next(self._numbers)
+        open_link = OpenLink(link)
+        self.links[number] = open_link
+        self.events.labels("opened", link.peer.role).inc()
+        if self.opened is not None:
+            self.opened(open_link)
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(open_link.write)
+                await self._read(open_link)
+                group.cancel_scope.cancel()
+        finally:
+            del self.links[number]
+            self.events.labels("closed", link.peer.role).inc()
+            self.bytes.labels("sent").inc(link.sent_bytes)
+            self.bytes.labels("received").inc(link.received_bytes)
+            with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
+                await link.close()
+
+    def peers(self, data_centre: str | None = None) -> list[OpenLink]:
+        """Returns the links to other hosts, of one data centre or of all."""
+        return [
+            each
+            for each in self.links.values()
+            if each.peer.role == "control"
+            and data_centre in (None, each.peer.data_centre)
+        ]
+
+    def routers(self) -> list[OpenLink]:
+        """Returns the links to routers of this host."""
+        return [
+            each for each in self.links.values() if each.peer.role == "router"
+        ]
+
+    def connected_hosts(self) -> set[str]:
+        """Returns the hosts to which there is a link."""
+        return {each.peer.host for each in self.peers()}
+
+    def send(self, target: OpenLink, message: messages.Message) -> None:
+        """Queues a message; a link whose queue is full is closed.
+
+        It opens again and catches up, which needs no more than keeping on.
+        """
+        if target.send(message):
+            return
+        self.events.labels("overflowed", target.peer.role).inc()
+        _logger.warning(
+            "link to %s overflowed", target.peer.host,
+            extra={"code": "link_overflow"},
+        )  # fmt: skip
+        target.link.connection.transport.abort()
+
+    def broadcast(
+        self,
+        targets: list[OpenLink],
+        message: messages.Message,
+        but: OpenLink | None = None,
+    ) -> None:
+        """Queues a message for many links, except the one it came from."""
+        for target in targets:
+            if target is not but:
+                self.send(target, message)
+
+    async def _read(self, open_link: OpenLink) -> None:
+        assert self.handle is not None
+        try:
+            async for message in open_link.link.receive():
+                await self.handle(open_link, message)
+        except errors.PeerError as error:
+            self.events.labels("malformed", open_link.peer.role).inc()
+            _logger.warning("%s", error, extra={"code": error.code})
--- a/hillthread/coordination/router.py
+++ b/hillthread/coordination/router.py
@@ -79,6 +79,9 @@
             return
         self.table = table
         self.fleet.retain(list(table.targets.values()))
+        for target in table.targets.values():
+            if target.data_centre == self.settings.data_centre:
+                self.fleet.track(target)
         for gone in self.usage.keys() - table.tenants.keys():
             if self.usage[gone].running == 0:
                 del self.usage[gone]
--- a/hillthread/programs/router.py
+++ b/hillthread/programs/router.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import logging
+import secrets
 
 import anyio
 
 from hillthread import settings as settings_lib
 from hillthread.coordination import configuration_file
+from hillthread.coordination import control_client
 from hillthread.coordination import metrics as metrics_lib
 from hillthread.coordination import record_pages
 from hillthread.coordination import router as router_lib
 from hillthread.protocol import documents
 from hillthread.transport import http_server
+from hillthread.transport import link
 from hillthread.transport import service
 
 __all__ = ["main", "run"]
@@ -38,6 +41,18 @@
         )
         self.status = http_server.Server(settings.status_listen, self.answer)
         self.stop = anyio.Event()
+        self.control: control_client.ControlClient | None = None
+        if settings.control is not None:
+            identity = link.Identity(
+                "router",
+                settings.host,
+                settings.data_centre,
+                secrets.token_hex(4),
+            )
+            self.control = control_client.ControlClient(
+                self.router, settings.control, identity, settings.secret
+            )
+            self.router.claims = self.control
 
     async def answer(self, scope, receive, send) -> None:
         """Serves the status pages and the records kept here."""
@@ -80,6 +95,8 @@
         if settings.configuration_file is not None:
             table = configuration_file.load_table(settings.configuration_file)
             program.router.adopt(table)
+        if program.control is not None:
+            tasks.start_soon(program.control.run)
         async with anyio.create_task_group() as servers:
             servers.start_soon(program.server.serve, program.stop)
             servers.start_soon(program.status.serve, program.stop)
--- a/hillthread/settings.py
+++ b/hillthread/settings.py
@@ -132,7 +132,8 @@
         peers: All other hosts known at the start.
         operators: Who may use the admin API.
         secret: Shared by all processes of the system.
-        poll_s: Between two reads of the log without news.
+        poll_s: First pause after a failed read of the log.
+        snapshot_every: Records after which a snapshot is appended.
         heartbeat_s: Between two heartbeats to a peer.
         suspect_s: Silence after which a peer counts as lost.
         load_poll_s: Between two load reports of one target.
@@ -149,6 +150,7 @@
     operators: list[OperatorSettings] = []
     secret: Secret
     poll_s: Seconds = 0.5
+    snapshot_every: Count = 200
     heartbeat_s: Seconds = 0.5
     suspect_s: Seconds = 3.0
     load_poll_s: Seconds = 0.5
--- /dev/null
+++ b/hillthread/state/claim_index.py
@@ -0,0 +1,102 @@
+"""Claims in log order: the first holder of a key has it, for every reader."""
+
+from __future__ import annotations
+
+import collections
+
+import msgspec
+
+from hillthread import errors
+
+__all__ = ["Claim", "ClaimBatch", "ClaimIndex", "decode_batch", "encode_batch"]
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True):
+    """One claim.
+
+    Attributes:
+        digest: Of tenant and key, in hexadecimal.
+        holder: The request that wants to run.
+    """
+
+    digest: str
+    holder: str
+
+
+class ClaimBatch(msgspec.Struct, frozen=True):
+    """One record of the claims stream.
+
+    Attributes:
+        made_at: Seconds since 1970, by the appending host's clock.
+        claims: In the order of asking.
+    """
+
+    made_at: float
+    claims: list[Claim]
+
+
+_decoder = msgspec.json.Decoder(ClaimBatch)
+
+
+def encode_batch(batch: ClaimBatch) -> bytes:
+    """Returns the record's bytes."""
+    return msgspec.json.encode(batch)
+
+
+def decode_batch(payload: bytes) -> ClaimBatch:
+    """Returns the batch in a record.
+
+    Raises:
+        ConfigurationError: The record is unreadable.
+    """
+    try:
+        return _decoder.decode(payload)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise errors.ConfigurationError(
+            f"A claims record is unreadable: {error}.",
+            "Check for a record of a newer release and upgrade this host.",
+        ) from error
+
+
+class ClaimIndex:
+    """All claims of the retained window.
+
+    Attributes:
+        position: Offset of the last record taken in; -1 before the first.
+        window_s: Claims older than this are forgotten.
+    """
+
+    def __init__(self, window_s: float):
+        self.window_s = window_s
+        self.position = -1
+        self.unreadable = 0
+        self._holders: dict[str, str] = {}
+        self._order: collections.deque[tuple[float, str]] = collections.deque()
+
+    def __len__(self) -> int:
+        return len(self._holders)
+
+    def apply(self, offset: int, payload: bytes) -> None:
+        """Takes in a record; records of an offset taken in are passed over."""
+        if offset <= self.position:
+            return
+        self.position = offset
+        try:
+            batch = decode_batch(payload)
+        except errors.ConfigurationError:
+            self.unreadable += 1
+            return
+        for claim in batch.claims:
+            if claim.digest not in self._holders:
+                self._holders[claim.digest] = claim.holder
+                self._order.append((batch.made_at, claim.digest))
+        self._forget(batch.made_at - self.window_s)
+
+    def holder(self, digest: str) -> str | None:
+        """Returns who has a key, or None."""
+        return self._holders.get(digest)
+
+    def _forget(self, before: float) -> None:
+        while self._order and self._order[0][0] < before:
+            _, digest = self._order.popleft()
+            del self._holders[digest]
--- a/hillthread/state/configuration.py
+++ b/hillthread/state/configuration.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Sequence
 import hashlib
 from typing import Any
 from typing import NamedTuple
@@ -29,6 +30,7 @@
     "Rejection",
     "Snapshot",
     "StoredObject",
+    "chain_after",
     "decode_change",
     "encode_change",
 ]
@@ -181,6 +183,7 @@
         outcomes: What became of the latest records, by record id.
         history: The latest changes, the oldest first.
         unreadable: Records that could not be decoded, counted.
+        snapshot_position: Position of the last snapshot seen on the log.
     """
 
     def __init__(self):
@@ -195,6 +198,7 @@
             maxlen=_MAX_HISTORY
         )
         self.unreadable = 0
+        self.snapshot_position = START
 
     def apply(self, offset: int, payload: bytes) -> bool:
         """Takes in the next record.
@@ -215,7 +219,7 @@
                 "Read the log from the position after the last one applied.",
             )
         self.position = offset
-        self.chain = _next_chain(self.chain, payload)
+        self.chain = chain_after(self.chain, [payload])
         try:
             change = decode_change(payload)
         except errors.ConfigurationError:
@@ -223,6 +227,7 @@
             return False
         match change:
             case Snapshot():
+                self.snapshot_position = change.position
                 return False
             case Put():
                 return self._put(offset, change)
@@ -258,6 +263,7 @@
         self.decoded = decoded
         self.stored = stored
         self.position = snapshot.position
+        self.snapshot_position = snapshot.position
         self.chain = snapshot.chain
 
     def version(self, key: objects.ObjectKey) -> int:
@@ -334,6 +340,9 @@
             self.outcomes.popitem(last=False)
 
 
-def _next_chain(chain: str, payload: bytes) -> str:
-    digest = hashlib.blake2b(payload, digest_size=16, key=bytes.fromhex(chain))
-    return digest.hexdigest()
+def chain_after(chain: str, payloads: Sequence[bytes]) -> str:
+    """Returns the chain after more records."""
+    for payload in payloads:
+        key = bytes.fromhex(chain)
+        chain = hashlib.blake2b(payload, digest_size=16, key=key).hexdigest()
+    return chain
--- a/hillthread/transport/service.py
+++ b/hillthread/transport/service.py
@@ -81,6 +81,7 @@
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
     logging.getLogger("httpx").setLevel(logging.WARNING)
     logging.getLogger("hypercorn").setLevel(logging.CRITICAL)
+    logging.getLogger("websockets").setLevel(logging.WARNING)
 
 
 def announce(**addresses: str) -> None:
--- /dev/null
+++ b/tests/coordination/test_dialer.py
@@ -0,0 +1,70 @@
+"""Tests of which hosts open links to which."""
+
+import unittest
+
+from hillthread import settings
+from hillthread.coordination import dialer
+
+
+def all_settings(data_centres, hosts_each):
+    peers = [
+        settings.PeerSettings(
+            host=f"dc{d}-h{h}", data_centre=f"dc{d}", address="127.0.0.1:1"
+        )
+        for d in range(data_centres)
+        for h in range(hosts_each)
+    ]
+    return [
+        settings.ControlSettings(
+            host=own.host,
+            data_centre=own.data_centre,
+            listen="127.0.0.1:0",
+            admin_listen="127.0.0.1:0",
+            secret="x" * 16,
+            peers=[peer for peer in peers if peer is not own],
+        )
+        for own in peers
+    ]
+
+
+def links(everyone):
+    return [
+        frozenset([own.host, peer.host])
+        for own in everyone
+        for peer in dialer.wanted_peers(own)
+    ]
+
+
+class WantedPeersTest(unittest.TestCase):
+    def test_no_link_is_opened_from_both_ends(self):
+        found = links(all_settings(4, 3))
+        self.assertEqual(len(found), len(set(found)))
+
+    def test_every_pair_in_a_data_centre_and_few_between(self):
+        found = set(links(all_settings(5, 6)))
+        inside = [
+            pair
+            for pair in found
+            if len({host.partition("-")[0] for host in pair}) == 1
+        ]
+        self.assertEqual(len(inside), 5 * 15)
+        self.assertEqual(len(found) - len(inside), 10 * 4)
+
+    def test_lost_gateways_are_replaced(self):
+        everyone = all_settings(2, 4)
+        between = [
+            (own.host, peer.host)
+            for own in everyone
+            for peer in dialer.wanted_peers(own)
+            if own.data_centre != peer.data_centre
+        ]
+        lost = frozenset(between[0])
+        again = [
+            (own.host, peer.host)
+            for own in everyone
+            if own.host not in lost
+            for peer in dialer.wanted_peers(own, lost)
+            if own.data_centre != peer.data_centre
+        ]
+        self.assertEqual(len(again), 4)
+        self.assertFalse(lost & {host for pair in again for host in pair})
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -64,13 +64,17 @@
 
     def test_leaving_is_sticky_until_another_incarnation_is_live(self):
         self.exclusion(self.targets[0])
-        self.fleet.mark_leaving("t0", "i1")
-        self.fleet.mark_live("t0", "i1")
-        self.fleet.mark_leaving("t0", "i2")
+        self.fleet.departures.mark_leaving("t0", "i1")
+        self.fleet.departures.mark_live("t0", "i1")
+        self.fleet.departures.mark_leaving("t0", "i2")
         self.assertEqual(
             self.exclusion(self.targets[0]), decision.Exclusion.LEAVING
         )
-        self.fleet.mark_live("t0", "i2")
+        self.fleet.departures.mark_live("t0", "i2")
+        self.assertEqual(
+            self.exclusion(self.targets[0]), decision.Exclusion.LEAVING
+        )
+        self.fleet.departures.mark_live("t0", "i3")
         self.assertIsNone(self.exclusion(self.targets[0]))
 
     def test_places_are_taken_at_once_and_given_back_once(self):
--- /dev/null
+++ b/tests/state/test_claim_index.py
@@ -0,0 +1,59 @@
+"""Tests of claims: one holder for each key, whatever the order of reading."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from hillthread.state import claim_index
+
+BATCHES = strategies.lists(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from("abc"), strategies.sampled_from("xyz")
+        ),
+        max_size=4,
+    ),
+    max_size=8,
+)
+
+
+def encode(batch, made_at=0.0):
+    return claim_index.encode_batch(
+        claim_index.ClaimBatch(
+            made_at, [claim_index.Claim(*pair) for pair in batch]
+        )
+    )
+
+
+class ClaimIndexTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+    @hypothesis.given(BATCHES, strategies.randoms(use_true_random=False))
+    def test_all_readers_name_the_first_holder(self, batches, chooser):
+        """Records may be read again: offsets taken in are passed over."""
+        expected = {}
+        for batch in batches:
+            for digest, holder in batch:
+                expected.setdefault(digest, holder)
+        index = claim_index.ClaimIndex(100.0)
+        for offset, batch in enumerate(batches):
+            for again in range(chooser.randint(0, offset + 1)):
+                index.apply(again, encode(batches[again]))
+            index.apply(offset, encode(batch))
+        found = {key: index.holder(key) for key in expected}
+        self.assertEqual(found, expected)
+
+    def test_old_claims_are_forgotten_by_log_time(self):
+        index = claim_index.ClaimIndex(10.0)
+        index.apply(0, encode([("a", "x")], made_at=0.0))
+        index.apply(1, encode([("b", "x")], made_at=9.0))
+        self.assertEqual(index.holder("a"), "x")
+        index.apply(2, encode([], made_at=11.0))
+        self.assertIsNone(index.holder("a"))
+        self.assertEqual(len(index), 1)
+
+    def test_unreadable_records_are_counted(self):
+        index = claim_index.ClaimIndex(10.0)
+        index.apply(0, b"\xff")
+        index.apply(1, b'{"made_at":0}')
+        self.assertEqual(index.unreadable, 2)
