--- /dev/null
+++ b/hillthread/bench/faults/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: every fault at every step, judged from outside."""
--- a/hillthread/bench/processes.py
+++ b/hillthread/bench/processes.py
@@ -114,7 +114,11 @@
         self._temporary.cleanup()
 
     def start(
-        self, program: str, settings: dict[str, Any], *words: str
+        self,
+        program: str,
+        settings: dict[str, Any],
+        *words: str,
+        module: str = "",
     ) -> Process:
         """Starts a program and waits until it listens.
 
@@ -122,13 +126,18 @@
             program: The module's name below `hillthread.programs`.
             settings: Written to a file that the program is given.
             *words: The command's words before the settings.
+            module: A module to run in the place of the program's.
         """
-        process = self.start_later(program, settings, *words)
+        process = self.start_later(program, settings, *words, module=module)
         process.wait_listening()
         return process
 
     def start_later(
-        self, program: str, settings: dict[str, Any], *words: str
+        self,
+        program: str,
+        settings: dict[str, Any],
+        *words: str,
+        module: str = "",
     ) -> Process:
         """Starts a program without waiting for it to listen."""
         name = f"{len(self.processes)}-{'-'.join((program, *words))}"
@@ -137,7 +146,7 @@
         arguments = [
             sys.executable,
             "-m",
-            f"hillthread.programs.{program}",
+            module or f"hillthread.programs.{program}",
             *words,
             f"--settings={path}",
         ]
--- a/hillthread/bench/site.py
+++ b/hillthread/bench/site.py
@@ -177,6 +177,8 @@
             "control": host.link,
             "secret": deployment.SECRET,
             "notice_s": 0.2,
+            "idle_timeout_s": 1.0,
+            "first_byte_timeout_s": 2.0,
         }
 
     def start_control_later(self, host: Host) -> None:
--- a/hillthread/coordination/gate.py
+++ b/hillthread/coordination/gate.py
@@ -19,6 +19,8 @@
 _NO_TARGET_RETRY_S = 2.0
 _OVERLOAD_RETRY_S = 1.0
 _CHECK_S = 0.25
+_TRIED = decision_lib.Exclusion.ALREADY_TRIED
+_SATURATED = decision_lib.Exclusion.SATURATED
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,8 +90,12 @@
         """Returns a started attempt, or None when all places are taken."""
         now = time.monotonic()
         decision = self.fleet.choose(exchange.query, placement, now)
+        if decision.target is None and _some_excluded(decision, _TRIED):
+            # All have failed once; one that failed may still be better.
+            again = placement._replace(tried=frozenset())
+            decision = self.fleet.choose(exchange.query, again, now)
         if decision.target is None:
-            if _some_saturated(decision):
+            if _some_excluded(decision, _SATURATED):
                 return None
             exchange.add_attempt(decision).failure = "no_target"
             raise _no_target(exchange)
@@ -169,9 +175,10 @@
         waiter.event.set()
 
 
-def _some_saturated(decision: decision_lib.Decision) -> bool:
-    saturated = decision_lib.Exclusion.SATURATED
-    return any(score.exclusion is saturated for score in decision.scores)
+def _some_excluded(
+    decision: decision_lib.Decision, why: decision_lib.Exclusion
+) -> bool:
+    return any(score.exclusion is why for score in decision.scores)
 
 
 def _no_target(exchange: exchange_lib.Exchange) -> errors.RefusalError:
--- a/hillthread/coordination/whole_relay.py
+++ b/hillthread/coordination/whole_relay.py
@@ -1,7 +1,8 @@
 """Relays answers that are not streams of events.
 
-A completion's answer is checked whole before any of it is passed on. A plain
-service's answer is passed on as it comes and ends cleanly only when it did.
+A completion's answer is checked whole before any of it is passed on, and so is
+a plain service's short answer, so that a break can still be told. A long one is
+passed on as it comes and ends cleanly only when it did.
 """
 
 from __future__ import annotations
@@ -19,6 +20,9 @@
 __all__ = ["WholeRelay"]
 
 
+_SHORT_BYTES = 65_536
+
+
 class _Answer(msgspec.Struct):
     id: str
     choices: list[msgspec.Raw]
@@ -74,7 +78,14 @@
 
     async def _relay_plain(self, response: httpx.Response) -> None:
         passed = headers_lib.answered(response.headers.multi_items())
-        await self.exchange.begin_answer(response.status_code, passed)
+        status = response.status_code
+        length = response.headers.get("content-length", "")
+        if length.isdigit() and int(length) <= _SHORT_BYTES:
+            data = await self.client.read_all(response, _SHORT_BYTES)
+            await self.exchange.begin_answer(status, passed)
+            await self.exchange.end_answer(data)
+            return
+        await self.exchange.begin_answer(status, passed)
         async for chunk in self.client.read(response):
             await self.exchange.send_part(chunk)
         await self.exchange.end_answer()
--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
+from hillthread import errors
 from hillthread.bench import compare as compare_lib
 from hillthread.bench import demo as demo_lib
+from hillthread.bench.faults import runner
 from hillthread.transport import service
 
 __all__ = ["main"]
@@ -53,9 +55,28 @@
     demo_lib.run_demo()
 
 
+def faults(
+    seed: int = 1, sample: int = 0, page: str = "docs/FAULTS.md"
+) -> None:
+    """Runs the fault matrix with real processes.
+
+    Args:
+        seed: Of the sample.
+        sample: Cells of each part; 0 for all, which writes the page.
+        page: Where the page is written.
+    """
+    report = runner.run_matrix(seed, sample, "" if sample else page)
+    print(report.totals())
+    if report.violations:
+        raise errors.HillthreadError(
+            f"{report.violations} cells broke their promise.",
+            "Run one again with --seed and read the processes' logs.",
+        )
+
+
 def main() -> None:
     """The console script."""
-    service.run_command({"compare": compare, "demo": demo})
+    service.run_command({"compare": compare, "demo": demo, "faults": faults})
 
 
 if __name__ == "__main__":
--- a/hillthread/standin/fault_proxy.py
+++ b/hillthread/standin/fault_proxy.py
@@ -107,6 +107,7 @@
         self.injected: dict[str, int] = {}
         self.server = http_server.Server(settings.listen, self.application)
         self.last_answer: _Answer | None = None
+        self.clients: set[anyio.abc.SocketStream] = set()
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.bind(settings_lib.split_address(settings.traffic_listen))
         ip, port = self.listener.getsockname()
@@ -130,6 +131,8 @@
         if request.method == "POST":
             body = await request.body(_READ_BYTES)
             self.plan = msgspec.json.decode(body, type=list[Fault])
+            if any(each.fault == "reset_on_accept" for each in self.plan):
+                await self._close_clients()
         await http_server.send_json(
             send, 200, {"traffic": self.address, "injected": self.injected}
         )
@@ -138,7 +141,19 @@
         listener = await anyio.abc.SocketListener.from_socket(self.listener)
         await listener.serve(self._connection, tasks)
 
+    async def _close_clients(self) -> None:
+        """Closes kept connections, so that the next request opens one."""
+        for client in list(self.clients):
+            await anyio.aclose_forcefully(client)
+
     async def _connection(self, client: anyio.abc.SocketStream) -> None:
+        self.clients.add(client)
+        try:
+            await self._serve_client(client)
+        finally:
+            self.clients.discard(client)
+
+    async def _serve_client(self, client: anyio.abc.SocketStream) -> None:
         if self._take("", "reset_on_accept"):
             await _reset(client)
             return
