--- a/hillthread/coordination/attempt_checks.py
+++ b/hillthread/coordination/attempt_checks.py
@@ -4,8 +4,6 @@
 
 from typing import NamedTuple
 
-import httpx
-
 from hillthread.coordination import fleet as fleet_lib
 from hillthread.coordination import metrics as metrics_lib
 from hillthread.protocol import engine
@@ -46,7 +44,9 @@
         self.fleet = fleet
         self.metrics = metrics
 
-    def check(self, response: httpx.Response, expected: Expectation) -> None:
+    def check(
+        self, response: target_client.TargetResponse, expected: Expectation
+    ) -> None:
         """Learns from the head and accepts it.
 
         Raises:
@@ -60,7 +60,7 @@
         self._check_epoch(epoch, expected)
 
     def _check_identity(
-        self, response: httpx.Response, expected: Expectation
+        self, response: target_client.TargetResponse, expected: Expectation
     ) -> None:
         echoed = response.headers.get(engine.REQUEST_ID)
         if echoed == expected.attempt.attempt_id:
@@ -70,7 +70,7 @@
         self._refuse("attempt_id", "answer to another attempt")
 
     def _learn_epoch(
-        self, response: httpx.Response, expected: Expectation
+        self, response: target_client.TargetResponse, expected: Expectation
     ) -> warmth.Epoch | None:
         name = expected.target.name
         if engine.INCARNATION not in response.headers:
@@ -84,7 +84,7 @@
         return epoch
 
     def _check_status(
-        self, response: httpx.Response, expected: Expectation
+        self, response: target_client.TargetResponse, expected: Expectation
     ) -> None:
         status = response.status_code
         if status in _REFUSALS and expected.target.truthful_refusals:
--- a/hillthread/coordination/configuration_keeper.py
+++ b/hillthread/coordination/configuration_keeper.py
@@ -26,6 +26,8 @@
         refused: Batches refused because their history is another.
         highest_told: The highest position any peer has told.
         log_read: Whether the log was once read to its end.
+        awaits_peers: Whether peers may still tell a higher position; set at
+            the start, for a short time.
     """
 
     def __init__(self):
@@ -34,6 +36,7 @@
         self.refused = 0
         self.highest_told = configuration.START
         self.log_read = False
+        self.awaits_peers = False
         self._peer_complete = False
         self._recent: collections.deque[bytes] = collections.deque(
             maxlen=_MAX_RECENT
@@ -51,13 +54,14 @@
         or taken over a peer's, and not below the highest position told: an
         older one must not come back in force.
         """
-        if self.position < self.highest_told:
+        if self.awaits_peers or self.position < self.highest_told:
             return False
         return self.log_read or self._peer_complete
 
     def note_told(self, position: int) -> None:
         """Notes the position a peer has in force."""
         self.highest_told = max(self.highest_told, position)
+        self.awaits_peers = False
         if self.position >= position > configuration.START:
             self._peer_complete = True
 
--- a/hillthread/coordination/control_node.py
+++ b/hillthread/coordination/control_node.py
@@ -21,6 +21,7 @@
 __all__ = ["ControlNode"]
 
 _FULL_POSITIONS_EVERY = 20
+_AWAIT_PEERS_S = 1.0
 
 
 class ControlNode:
@@ -57,6 +58,8 @@
         self.records = record_finder.RecordFinder(self.hub)
         for peer in settings.peers:
             self.members.know(peer.host, peer.data_centre)
+        self.keeper.awaits_peers = bool(settings.peers)
+        self._started_at = time.monotonic()
         self.position_metric = prometheus_client.Gauge(
             "hillthread_configuration_position",
             "Log position of the configuration in force.",
@@ -95,6 +98,8 @@
         """Sends heartbeats and judges who is alive, until cancelled."""
         while True:
             await anyio.sleep(self.settings.heartbeat_s)
+            if time.monotonic() - self._started_at > _AWAIT_PEERS_S:
+                self.keeper.awaits_peers = False
             self._note_own_position()
             for link in self.hub.peers():
                 self.hub.send(link, self._heartbeat(link))
@@ -257,7 +262,12 @@
         if message.first_offset > self.keeper.position + 1:
             self.hub.send(link, messages.WantRecords(self.keeper.position))
             return
+        refused = self.keeper.refused
         self.keeper.take(message.first_offset, message.payloads, message.chain)
+        if self.keeper.refused > refused and not self.keeper.in_force():
+            # This host started on a log that came back older and went on
+            # another way; what a peer has in force is further on.
+            self.hub.send(link, messages.WantRecords(messages.EVERYTHING))
 
     def _take_snapshot(self, message: messages.SnapshotMessage) -> None:
         try:
--- a/hillthread/coordination/log_follower.py
+++ b/hillthread/coordination/log_follower.py
@@ -98,14 +98,20 @@
             await anyio.sleep(self.rank() * _SNAPSHOT_STAGGER_S)
             if not self._snapshot_due():
                 continue
-            payload = self.keeper.snapshot_payload()
             try:
-                await self.client.append(self.stream, [payload])
-                self.snapshots += 1
+                await self._append_snapshot()
             except errors.HillthreadError:
                 self.failures += 1
             await anyio.sleep(_SNAPSHOT_STAGGER_S)
 
+    async def _append_snapshot(self) -> None:
+        """Appends one, unless the log has come back older or different."""
+        if not await self._verify():
+            return
+        payload = self.keeper.snapshot_payload()
+        await self.client.append(self.stream, [payload])
+        self.snapshots += 1
+
     async def _step(self) -> None:
         if time.monotonic() - self._verified_at > _VERIFY_EVERY_S:
             if not await self._verify():
--- a/hillthread/coordination/stream_progress.py
+++ b/hillthread/coordination/stream_progress.py
@@ -13,6 +13,7 @@
 __all__ = ["StreamFault", "StreamProgress"]
 
 _MAX_KEPT_BYTES = 2_097_152
+_USAGE = b'"usage"'
 _EMPTY_CHOICES = (b'"choices":[]', b'"choices": []')
 
 
@@ -117,7 +118,7 @@
         return b""
 
     def _relayed(self, event: event_stream.Event) -> bytes:
-        if any(mark in event.data for mark in _EMPTY_CHOICES):
+        if _USAGE in event.data and _has_no_choices(event.data):
             return self._usage_chunk(event)
         self._kept_bytes += len(event.data)
         if self._kept_bytes <= _MAX_KEPT_BYTES:
@@ -140,3 +141,7 @@
         if self.attempt_id == self.first_id:
             return raw
         return raw.replace(self.attempt_id, self.first_id)
+
+
+def _has_no_choices(data: bytes) -> bool:
+    return any(mark in data for mark in _EMPTY_CHOICES)
--- a/hillthread/coordination/stream_relay.py
+++ b/hillthread/coordination/stream_relay.py
@@ -10,7 +10,6 @@
 import time
 
 import anyio
-import httpx
 
 from hillthread import errors
 from hillthread.coordination import attempt_checks
@@ -87,7 +86,9 @@
             await self._resume(expected, error)
 
     async def _relay(
-        self, response: httpx.Response, expected: attempt_checks.Expectation
+        self,
+        response: target_client.TargetResponse,
+        expected: attempt_checks.Expectation,
     ) -> None:
         self.checker.check(response, expected)
         if response.status_code != 200:
@@ -159,7 +160,9 @@
                 return
 
     async def _relay_refusal(
-        self, response: httpx.Response, expected: attempt_checks.Expectation
+        self,
+        response: target_client.TargetResponse,
+        expected: attempt_checks.Expectation,
     ) -> None:
         """Passes on a target's own 4xx answer, which is the answer."""
         data = await self.client.read_all(response, self.max_event_bytes)
--- a/hillthread/coordination/whole_relay.py
+++ b/hillthread/coordination/whole_relay.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import httpx
 import msgspec
 
 from hillthread.coordination import attempt_checks
@@ -76,8 +75,10 @@
                 await self._relay_completion(response, expected)
             expected.attempt.state = records.AttemptState.ANSWERED
 
-    async def _relay_plain(self, response: httpx.Response) -> None:
-        passed = headers_lib.answered(response.headers.multi_items())
+    async def _relay_plain(
+        self, response: target_client.TargetResponse
+    ) -> None:
+        passed = headers_lib.answered(response.header_items)
         status = response.status_code
         length = response.headers.get("content-length", "")
         if length.isdigit() and int(length) <= _SHORT_BYTES:
@@ -91,13 +92,15 @@
         await self.exchange.end_answer()
 
     async def _relay_completion(
-        self, response: httpx.Response, expected: attempt_checks.Expectation
+        self,
+        response: target_client.TargetResponse,
+        expected: attempt_checks.Expectation,
     ) -> None:
         data = await self.client.read_all(response, self.max_bytes)
         if response.status_code == 200:
             self._check_whole(data, expected.attempt)
             self.usage = engine.decode_usage(data)
-        passed = headers_lib.answered(response.headers.multi_items())
+        passed = headers_lib.answered(response.header_items)
         await self.exchange.begin_answer(response.status_code, passed)
         await self.exchange.end_answer(data)
 
--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -7,6 +7,7 @@
 from hillthread import errors
 from hillthread.bench import compare as compare_lib
 from hillthread.bench import demo as demo_lib
+from hillthread.bench import overhead as overhead_lib
 from hillthread.bench.faults import runner
 from hillthread.transport import service
 
@@ -55,6 +56,21 @@
     demo_lib.run_demo()
 
 
+def overhead(json: bool = True) -> None:
+    """Measures what the router adds to each request and token.
+
+    Args:
+        json: Print JSON; otherwise a line for each figure.
+    """
+    costs = overhead_lib.measure_overhead()
+    result = {name: cost._asdict() for name, cost in costs.items()}
+    if json:
+        _print_json(result)
+        return
+    for name, value in result.items():
+        print(f"{name}: {value}")
+
+
 def faults(
     seed: int = 1, sample: int = 0, page: str = "docs/FAULTS.md"
 ) -> None:
@@ -76,7 +92,14 @@
 
 def main() -> None:
     """The console script."""
-    service.run_command({"compare": compare, "demo": demo, "faults": faults})
+    service.run_command(
+        {
+            "compare": compare,
+            "demo": demo,
+            "faults": faults,
+            "overhead": overhead,
+        }
+    )
 
 
 if __name__ == "__main__":
--- a/hillthread/protocol/event_stream.py
+++ b/hillthread/protocol/event_stream.py
@@ -67,16 +67,16 @@
 
 def _parse(piece: bytes) -> Event:
     index = None
-    rest = piece
+    start = piece.find(_DATA)
     if piece.startswith(_ID):
-        line, _, rest = piece.partition(b"\n")
-        digits = line[len(_ID) :].strip()
+        end = piece.find(b"\n")
+        digits = piece[len(_ID) : end if end >= 0 else None].strip()
         if not digits.isdigit():
             raise errors.HillthreadError(
                 f"The event index {digits!r} is not a number.",
                 "Check the engine: docs/PROTOCOLS.md asks for numbers.",
             )
         index = int(digits)
-    start = rest.find(_DATA)
-    data = rest[start + len(_DATA) :] if start >= 0 else b""
+        start = piece.find(_DATA, end) if end >= 0 else -1
+    data = piece[start + len(_DATA) :] if start >= 0 else b""
     return Event(piece + _END, index, data)
--- a/hillthread/protocol/messages.py
+++ b/hillthread/protocol/messages.py
@@ -22,6 +22,7 @@
 
 VERSION = 1
 MAX_MESSAGE_BYTES = 4_194_304
+EVERYTHING = -2
 
 
 class _Message(msgspec.Struct, frozen=True, tag_field="t", omit_defaults=True):
@@ -102,7 +103,7 @@
 
 
 class WantRecords(_Message, frozen=True, tag="want"):
-    """Asks for all records after a position."""
+    """Asks for all records after a position; `EVERYTHING` for a snapshot."""
 
     after: int
 
--- a/hillthread/transport/target_client.py
+++ b/hillthread/transport/target_client.py
@@ -1,23 +1,40 @@
-"""Requests to targets: what was sent is known when one fails."""
+"""Requests to targets: what was sent is known when one fails.
+
+It uses httpcore, the engine of httpx, one connection at a time: httpx's pool
+compares all connections with each other for every request, which at some
+hundred connections costs more than the request.
+"""
 
 from __future__ import annotations
 
+import collections
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
 import contextlib
+from typing import Any
 
-import httpx
+import httpcore
 
+from hillthread import settings as settings_lib
 from hillthread.state import records
 
-__all__ = ["AttemptError", "TargetClient"]
+__all__ = ["AttemptError", "TargetClient", "TargetResponse"]
 
+_MAX_IDLE = 64
+_KEEP_ALIVE_S = 20.0
 _UNSENT_ERRORS = (
-    httpx.ConnectError,
-    httpx.ConnectTimeout,
-    httpx.PoolTimeout,
-    httpx.UnsupportedProtocol,
-    httpx.LocalProtocolError,
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.ConnectionNotAvailable,
+    httpcore.LocalProtocolError,
+    httpcore.UnsupportedProtocol,
+)
+_LIBRARY_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    httpcore.ConnectionNotAvailable,
+    httpcore.UnsupportedProtocol,
 )
 
 
@@ -45,11 +62,35 @@
         self.resumable = resumable
 
 
+class TargetResponse:
+    """The head of an answer, with its body still to be read.
+
+    Attributes:
+        status_code: HTTP status.
+        headers: Names in lower case; the last of a repeated one.
+        header_items: All headers in order.
+    """
+
+    def __init__(self, response: httpcore.Response, timeout: dict[str, float]):
+        self.response = response
+        self.timeout = timeout
+        self.status_code = response.status
+        self.header_items = [
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, value in response.headers
+        ]
+        self.headers = dict(self.header_items)
+
+
 class TargetClient:
     """Keeps connections to targets.
 
     A connection is used again only after its answer was read to the end; one
-    that is left with unread bytes is closed by the library.
+    that is left with unread bytes is closed.
+
+    Attributes:
+        opened: Connections opened.
+        idle: Connections not in use, by address, the last used last.
     """
 
     def __init__(
@@ -58,21 +99,19 @@
         first_byte_timeout_s: float,
         idle_timeout_s: float,
     ):
+        self.connect_timeout_s = connect_timeout_s
+        self.first_byte_timeout_s = first_byte_timeout_s
         self.idle_timeout_s = idle_timeout_s
-        self.timeout = httpx.Timeout(
-            first_byte_timeout_s, connect=connect_timeout_s
-        )
-        self.client = httpx.AsyncClient(
-            trust_env=False,
-            follow_redirects=False,
-            limits=httpx.Limits(
-                max_connections=None, max_keepalive_connections=512
-            ),
-        )
+        self.opened = 0
+        self.idle: dict[
+            str, collections.deque[httpcore.AsyncHTTPConnection]
+        ] = {}
 
     async def close(self) -> None:
-        """Closes all connections."""
-        await self.client.aclose()
+        """Closes all idle connections."""
+        for connections in self.idle.values():
+            while connections:
+                await connections.pop().aclose()
 
     @contextlib.asynccontextmanager
     async def open(
@@ -82,35 +121,38 @@
         path: str,
         headers: Mapping[str, str],
         body: bytes | None,
-    ) -> AsyncIterator[httpx.Response]:
+    ) -> AsyncIterator[TargetResponse]:
         """Sends a request and yields the answer, its body unread.
 
         Raises:
             AttemptError: No answer came; its state tells what was sent.
         """
-        request = self.client.build_request(
-            method,
-            f"http://{address}{path}",
-            headers=dict(headers),
-            content=body,
-            timeout=self.timeout,
-        )
+        timeout = {
+            "connect": self.connect_timeout_s,
+            "write": self.first_byte_timeout_s,
+            "read": self.first_byte_timeout_s,
+        }
+        request = _request(address, method, path, headers, body, timeout)
+        connection = await self._take(address)
         try:
-            response = await self.client.send(request, stream=True)
-        except _UNSENT_ERRORS as error:
-            raise AttemptError(
-                records.AttemptState.UNSENT, describe(error)
-            ) from error
-        except httpx.HTTPError as error:
-            raise AttemptError(
-                records.AttemptState.SENT, describe(error)
-            ) from error
+            response = await connection.handle_async_request(request)
+        except _LIBRARY_ERRORS as error:
+            await connection.aclose()
+            state = records.AttemptState.SENT
+            if isinstance(error, _UNSENT_ERRORS):
+                state = records.AttemptState.UNSENT
+            raise AttemptError(state, describe(error)) from error
+        except BaseException:
+            await connection.aclose()
+            raise
+        timeout["read"] = self.idle_timeout_s
         try:
-            yield response
+            yield TargetResponse(response, timeout)
         finally:
             await response.aclose()
+            await self._give_back(address, connection)
 
-    async def read_all(self, response: httpx.Response, limit: int) -> bytes:
+    async def read_all(self, response: TargetResponse, limit: int) -> bytes:
         """Returns the whole body of an answer.
 
         Raises:
@@ -127,23 +169,79 @@
             chunks.append(chunk)
         return b"".join(chunks)
 
-    async def read(self, response: httpx.Response) -> AsyncIterator[bytes]:
+    async def read(self, response: TargetResponse) -> AsyncIterator[bytes]:
         """Yields the parts of an answer's body as they come.
 
         Raises:
             AttemptError: It broke off or stalled.
         """
+        stream: Any = response.response.stream
         try:
-            async for chunk in response.aiter_raw():
+            async for chunk in stream:
                 yield chunk
-        except httpx.HTTPError as error:
+        except _LIBRARY_ERRORS as error:
             raise AttemptError(
                 records.AttemptState.ACCEPTED, describe(error)
             ) from error
 
+    async def _take(self, address: str) -> httpcore.AsyncHTTPConnection:
+        """Returns an idle connection that still lives, or a new one."""
+        connections = self.idle.get(address)
+        while connections:
+            connection = connections.pop()
+            if not connection.has_expired():
+                return connection
+            await connection.aclose()
+        ip, port = settings_lib.split_address(address)
+        self.opened += 1
+        return httpcore.AsyncHTTPConnection(
+            httpcore.Origin(b"http", ip.encode(), port),
+            keepalive_expiry=_KEEP_ALIVE_S,
+        )
+
+    async def _give_back(
+        self, address: str, connection: httpcore.AsyncHTTPConnection
+    ) -> None:
+        """Keeps a connection whose answer was read whole, else closes it."""
+        connections = self.idle.setdefault(address, collections.deque())
+        if connection.is_idle() and len(connections) < _MAX_IDLE:
+            connections.append(connection)
+        else:
+            await connection.aclose()
+
 
 def describe(error: Exception) -> str:
     """Returns a short description of a library's error."""
     text = str(error)
     name = type(error).__name__
     return f"{name}: {text}" if text else name
+
+
+def _request(
+    address: str,
+    method: str,
+    path: str,
+    headers: Mapping[str, str],
+    body: bytes | None,
+    timeout: dict[str, float],
+) -> httpcore.Request:
+    items = [(b"host", address.encode())]
+    items += [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in headers.items()
+    ]
+    if body is not None:
+        items.append((b"content-length", str(len(body)).encode()))
+    ip, port = settings_lib.split_address(address)
+    return httpcore.Request(
+        method,
+        httpcore.URL(
+            scheme=b"http",
+            host=ip.encode(),
+            port=port,
+            target=path.encode("latin-1"),
+        ),
+        headers=items,
+        content=body,
+        extensions={"timeout": timeout},
+    )
