--- /dev/null
+++ b/hillthread/bench/slopes.py
@@ -0,0 +1,381 @@
+"""What one more of each thing costs: the slopes behind docs/CAPACITY.md."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import gc
+import time
+import tracemalloc
+from typing import Any
+from typing import NamedTuple
+
+import anyio
+
+from hillthread.bench import processes
+from hillthread.bench import site as site_lib
+from hillthread.coordination import fleet as fleet_lib
+from hillthread.coordination import metrics as metrics_lib
+from hillthread.protocol import documents
+from hillthread.protocol import engine
+from hillthread.protocol import messages
+from hillthread.state import claim_index
+from hillthread.state import configuration
+from hillthread.state import membership
+from hillthread.state import objects
+from hillthread.state import prompt
+from hillthread.state import records
+from hillthread.state import routing_table
+from hillthread.state import warmth
+
+__all__ = ["Slope", "measure_control", "measure_slopes"]
+
+_TARGETS = 95
+_REPEATS = 200
+_POOL = objects.Pool(name="p", target_selector="", max_inflight=10_000)
+_MANY_LEVELS = 20_000
+_LINK_BYTES = "hillthread_link_bytes_total"
+
+
+class Slope(NamedTuple):
+    """The cost of one more of something.
+
+    Attributes:
+        processor_us: Processor time for each, microseconds.
+        memory_bytes: Memory held for each.
+        wire_bytes: Bytes sent for each, without framing.
+    """
+
+    processor_us: float = 0.0
+    memory_bytes: float = 0.0
+    wire_bytes: float = 0.0
+
+
+class ControlCost(NamedTuple):
+    """What control costs one host of a running site.
+
+    Attributes:
+        hosts: Hosts of the site.
+        processor_share: Of a core, by the control process.
+        resident_bytes: Memory of the control process.
+        sent_bytes_per_s: Messages sent over its links.
+        received_bytes_per_s: Messages received over its links.
+    """
+
+    hosts: int
+    processor_share: float
+    resident_bytes: float
+    sent_bytes_per_s: float
+    received_bytes_per_s: float
+
+
+def measure_slopes() -> dict[str, Slope]:
+    """Returns the slope of each thing that grows."""
+    return {
+        "configuration_object": _configuration_object(),
+        "table_object": _table_object(),
+        "target_decided": _target_decided(),
+        "prefix_level": _prefix_level(),
+        "decision_record": _decision_record(),
+        "tenant_histogram": _tenant_histogram(),
+        "share_message": _message(_share()),
+        "load_message": _message(_load()),
+        "heartbeat_message": _message(_heartbeat()),
+        "load_page": _load_page(),
+        "claim": _claim(),
+        "member": _member(),
+        "prompt_digest_per_kilobyte": _prompt_digest(),
+    }
+
+
+def measure_control(hosts_each: int, seconds: float) -> ControlCost:
+    """Returns the mean cost of control on a host of an idle site.
+
+    Args:
+        hosts_each: Hosts in each of two data centres.
+        seconds: How long to measure.
+    """
+    with processes.ProcessGroup() as group:
+        return anyio.run(_measure_control, group, hosts_each, seconds)
+
+
+async def _measure_control(
+    group: processes.ProcessGroup, hosts_each: int, seconds: float
+) -> ControlCost:
+    site = site_lib.Site(group, 2, hosts_each, 2)
+    await site.start(routers=False)
+    await site.publish(site.objects(["o1"]))
+    await anyio.sleep(2.0)
+    controls = [host.control for host in site.hosts if host.control]
+    before = sum(each.processor_s() for each in controls)
+    bytes_before = [await _link_bytes(site, host) for host in site.hosts]
+    await anyio.sleep(seconds)
+    used = sum(each.processor_s() for each in controls) - before
+    bytes_after = [await _link_bytes(site, host) for host in site.hosts]
+    await site.close()
+    count = len(controls)
+    moved = [
+        _sum_of(bytes_after, way) - _sum_of(bytes_before, way) for way in (0, 1)
+    ]
+    resident = sum(each.resident_bytes() for each in controls) / count
+    sent, received = (total / count / seconds for total in moved)
+    return ControlCost(count, used / count / seconds, resident, sent, received)
+
+
+def _sum_of(pairs: list[tuple[float, float]], way: int) -> float:
+    return sum(pair[way] for pair in pairs)
+
+
+async def _link_bytes(
+    site: site_lib.Site, host: site_lib.Host
+) -> tuple[float, float]:
+    page = await site.client.get(f"http://{host.admin}/metrics")
+    found = {"sent": 0.0, "received": 0.0}
+    for line in page.text.splitlines():
+        for way in found:
+            if line.startswith(f'{_LINK_BYTES}{{direction="{way}"'):
+                found[way] = float(line.split()[1])
+    return found["sent"], found["received"]
+
+
+def _time_us(action: Callable[[], Any], repeats: int = _REPEATS) -> float:
+    """Returns the mean processor time of an action, microseconds."""
+    action()
+    started = time.process_time()
+    for _ in range(repeats):
+        action()
+    return (time.process_time() - started) / repeats * 1e6
+
+
+def _memory(make: Callable[[], Any]) -> tuple[float, Any]:
+    """Returns the memory held by what `make` returns, and that."""
+    gc.collect()
+    tracemalloc.start()
+    made = make()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return size, made
+
+
+def _tenant(number: int) -> dict[str, Any]:
+    return {
+        "kind": "tenant",
+        "name": f"tenant-{number}",
+        "organisation": f"organisation-{number}",
+        "labels": {"class": "ci", "region": "north"},
+        "key_digests": [f"{number:064x}"],
+    }
+
+
+def _put(number: int) -> bytes:
+    return configuration.encode_change(
+        configuration.Put(
+            record_id=f"record-{number:024d}",
+            actor="operator",
+            made_at=0.0,
+            object=_tenant(number),
+            expected_version=0,
+        )
+    )
+
+
+def _replayed(count: int) -> configuration.Configuration:
+    state = configuration.Configuration()
+    for number in range(count):
+        state.apply(number, _put(number))
+    return state
+
+
+def _configuration_object() -> Slope:
+    count = 2200
+    payloads = [_put(number) for number in range(count)]
+    started = time.process_time()
+    state = configuration.Configuration()
+    for number, payload in enumerate(payloads):
+        state.apply(number, payload)
+    passed = time.process_time() - started
+    small, _ = _memory(lambda: _replayed(2200))
+    large, _ = _memory(lambda: _replayed(4400))
+    snapshot = configuration.encode_change(state.snapshot())
+    return Slope(
+        passed / count * 1e6, (large - small) / count, len(snapshot) / count
+    )
+
+
+def _table_object() -> Slope:
+    state = _replayed(2200)
+    micros = _time_us(
+        lambda: routing_table.RoutingTable(1, state.decoded), repeats=10
+    )
+    size, _ = _memory(lambda: routing_table.RoutingTable(1, state.decoded))
+    return Slope(micros / 2200, size / 2200)
+
+
+def _fleet() -> tuple[fleet_lib.Fleet, fleet_lib.Placement]:
+    targets = [
+        objects.Target(
+            name=f"runner-{number}",
+            address="127.0.0.1:1",
+            data_centre="dc",
+            models=["m"],
+        )
+        for number in range(_TARGETS)
+    ]
+    fleet = fleet_lib.Fleet("dc")
+    return fleet, fleet_lib.Placement(targets, _POOL, "m")
+
+
+def _levels(number: int) -> tuple[prompt.PrefixLevel, ...]:
+    parts = ("a" * 4000, f"context {number}" * 1000, "request")
+    return prompt.prefix_levels("o", "m", parts, 0.25)
+
+
+def _target_decided() -> Slope:
+    fleet, placement = _fleet()
+    query = fleet_lib.make_query(_levels(1), 1.0, b"")
+    micros = _time_us(lambda: fleet.choose(query, placement, 0.0))
+
+    def make() -> fleet_lib.Fleet:
+        made, where = _fleet()
+        made.choose(query, where, 0.0)
+        return made
+
+    size, _ = _memory(make)
+    return Slope(micros / _TARGETS, size / _TARGETS)
+
+
+def _prefix_level() -> Slope:
+    all_levels = [
+        prompt.PrefixLevel(number.to_bytes(16, "big"), 1000)
+        for number in range(_MANY_LEVELS)
+    ]
+
+    def make() -> warmth.WarmthTable:
+        table = warmth.WarmthTable()
+        for number, level in enumerate(all_levels):
+            table.target(str(number // 1000), 1e6).confirm([level], 0.0)
+        return table
+
+    size, table = _memory(make)
+    beliefs = table.target("0", 1e6)
+    micros = _time_us(lambda: beliefs.confirm(all_levels[:100], 0.0)) / 100
+    return Slope(micros, size / _MANY_LEVELS)
+
+
+def _decided_record(
+    fleet: fleet_lib.Fleet, placement: fleet_lib.Placement, number: int
+) -> records.RequestRecord:
+    query = fleet_lib.make_query(_levels(number), 1.0, b"")
+    decision = fleet.choose(query, placement, 0.0)
+    record = records.RequestRecord(f"{number:024x}", 0.0, "host")
+    attempt = records.AttemptRecord(
+        f"{number:024x}-1", records.trim_decision(decision), 0.0
+    )
+    record.attempts.append(attempt)
+    return record
+
+
+def _decision_record() -> Slope:
+    fleet, placement = _fleet()
+
+    def make() -> list[records.RequestRecord]:
+        return [_decided_record(fleet, placement, n) for n in range(500)]
+
+    size, made = _memory(make)
+    wire = len(documents.encode_document(made[0]))
+    micros = _time_us(lambda: documents.encode_document(made[0]))
+    return Slope(micros, size / 500, wire)
+
+
+def _tenant_histogram() -> Slope:
+    def make() -> metrics_lib.RouterMetrics:
+        made = metrics_lib.RouterMetrics()
+        for number in range(200):
+            made.observe_first_token(f"tenant-{number}", 0.1)
+        return made
+
+    empty, _ = _memory(metrics_lib.RouterMetrics)
+    size, made = _memory(make)
+    micros = _time_us(lambda: made.observe_first_token("tenant-1", 0.1))
+    return Slope(micros, (size - empty) / 200)
+
+
+def _message(message: messages.Message) -> Slope:
+    data = messages.encode_message(message)
+    micros = _time_us(
+        lambda: messages.decode_message(messages.encode_message(message))
+    )
+    return Slope(micros, 0.0, len(data))
+
+
+def _share() -> messages.Shares:
+    placement = messages.SharedPlacement(
+        "dc1-runner-17", "0a1b2c3d", "v1", 1234, [b"d" * 16], [4000]
+    )
+    return messages.Shares([placement])
+
+
+def _load() -> messages.LoadMessage:
+    return messages.LoadMessage(
+        "dc1-runner-17", 30, 2, 123_456_789, 2_700_000, "0a1b2c3d", "v1"
+    )
+
+
+def _heartbeat() -> messages.Heartbeat:
+    return messages.Heartbeat(123_456, "0" * 32, 0.5, {"dc1-host1": 123_456})
+
+
+def _load_page() -> Slope:
+    page = "".join(
+        f"# TYPE {name} gauge\n{name} 12345.0\n"
+        for name in (
+            engine.METRIC_RUNNING,
+            engine.METRIC_WAITING,
+            engine.METRIC_PROMPT_TOKENS,
+            engine.METRIC_CACHED_TOKENS,
+            engine.METRIC_GENERATED_TOKENS,
+        )
+    )
+    micros = _time_us(lambda: engine.parse_metrics(page, 0.0))
+    return Slope(micros, 0.0, len(page))
+
+
+def _claim() -> Slope:
+    def make() -> claim_index.ClaimIndex:
+        index = claim_index.ClaimIndex(3600.0)
+        for offset in range(200):
+            claims = [
+                claim_index.Claim(f"{offset:016x}{n:016x}", f"{n:024x}")
+                for n in range(50)
+            ]
+            batch = claim_index.ClaimBatch(0.0, claims)
+            index.apply(offset, claim_index.encode_batch(batch))
+        return index
+
+    started = time.process_time()
+    make()
+    micros = (time.process_time() - started) / 10_000 * 1e6
+    size, _ = _memory(make)
+    one = claim_index.Claim("0" * 32, "0" * 24)
+    batch = claim_index.ClaimBatch(0.0, [one] * 50)
+    return Slope(
+        micros, size / 10_000, len(claim_index.encode_batch(batch)) / 50
+    )
+
+
+def _member() -> Slope:
+    def make() -> membership.Membership:
+        members = membership.Membership(3.0)
+        for number in range(420):
+            members.hear(f"host-{number}", "dc", "i", 5, 0.0)
+        return members
+
+    size, members = _memory(make)
+    micros = _time_us(lambda: members.tick(1.0))
+    return Slope(micros / 420, size / 420)
+
+
+def _prompt_digest() -> Slope:
+    parts = ("a" * 100_000,)
+    micros = _time_us(lambda: prompt.prefix_levels("o", "m", parts, 0.25))
+    return Slope(micros / 100)
--- a/hillthread/coordination/hub.py
+++ b/hillthread/coordination/hub.py
@@ -91,10 +91,17 @@
             ["direction"],
             registry=registry,
         )
+        self.messages = prometheus_client.Counter(
+            "hillthread_link_messages",
+            "Messages received by type.",
+            ["type"],
+            registry=registry,
+        )
 
     async def run_link(self, link: link_lib.Link) -> None:
         """Serves a link until it closes."""
         number = next(self._numbers)
+        link.count_bytes = self._count_bytes
         open_link = OpenLink(link)
         self.links[number] = open_link
         self.events.labels("opened", link.peer.role).inc()
@@ -108,8 +115,6 @@
         finally:
             del self.links[number]
             self.events.labels("closed", link.peer.role).inc()
-            self.bytes.labels("sent").inc(link.sent_bytes)
-            self.bytes.labels("received").inc(link.received_bytes)
             with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
                 await link.close()
 
@@ -157,10 +162,14 @@
             if target is not but:
                 self.send(target, message)
 
+    def _count_bytes(self, direction: str, count: int) -> None:
+        self.bytes.labels(direction).inc(count)
+
     async def _read(self, open_link: OpenLink) -> None:
         assert self.handle is not None
         try:
             async for message in open_link.link.receive():
+                self.messages.labels(type(message).__name__).inc()
                 await self.handle(open_link, message)
         except errors.PeerError as error:
             self.events.labels("malformed", open_link.peer.role).inc()
--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -8,6 +8,7 @@
 from hillthread.bench import compare as compare_lib
 from hillthread.bench import demo as demo_lib
 from hillthread.bench import overhead as overhead_lib
+from hillthread.bench import slopes as slopes_lib
 from hillthread.bench.faults import runner
 from hillthread.transport import service
 
@@ -71,6 +72,27 @@
         print(f"{name}: {value}")
 
 
+def slopes(json: bool = True, seconds: float = 10.0) -> None:
+    """Measures what one more of each thing costs.
+
+    Args:
+        json: Print JSON; otherwise a line for each slope.
+        seconds: How long control is measured at each size of a site.
+    """
+    result: dict[str, object] = {
+        name: slope._asdict()
+        for name, slope in slopes_lib.measure_slopes().items()
+    }
+    for hosts_each in (1, 4):
+        cost = slopes_lib.measure_control(hosts_each, seconds)
+        result[f"control_of_{cost.hosts}_hosts"] = cost._asdict()
+    if json:
+        _print_json(result)
+        return
+    for name, values in result.items():
+        print(f"{name}: {values}")
+
+
 def faults(
     seed: int = 1, sample: int = 0, page: str = "docs/FAULTS.md"
 ) -> None:
@@ -98,6 +120,7 @@
             "demo": demo,
             "faults": faults,
             "overhead": overhead,
+            "slopes": slopes,
         }
     )
 
--- a/hillthread/transport/link.py
+++ b/hillthread/transport/link.py
@@ -56,15 +56,13 @@
 
     Attributes:
         peer: Who is at the other end.
-        sent_bytes: Bytes of messages sent.
-        received_bytes: Bytes of messages received.
+        count_bytes: Called with `sent` or `received` and a message's size.
     """
 
     def __init__(self, connection: Any, peer: Identity):
         self.connection = connection
         self.peer = peer
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self.count_bytes: Callable[[str, int], None] = _count_nothing
 
     async def send(self, message: messages.Message) -> None:
         """Sends a message; waits while the other end is slow.
@@ -73,7 +71,7 @@
             PeerError: The link is closed.
         """
         data = messages.encode_message(message)
-        self.sent_bytes += len(data)
+        self.count_bytes("sent", len(data))
         try:
             await self.connection.send(data)
         except websockets.ConnectionClosed as error:
@@ -88,7 +86,7 @@
         try:
             async for data in self.connection:
                 raw = data if isinstance(data, bytes) else data.encode()
-                self.received_bytes += len(raw)
+                self.count_bytes("received", len(raw))
                 yield messages.decode_message(raw)
         except websockets.ConnectionClosed:
             return
@@ -233,6 +231,10 @@
         )
 
 
+def _count_nothing(direction: str, count: int) -> None:
+    del direction, count
+
+
 def _closed(where: str) -> errors.PeerError:
     return errors.PeerError(
         f"The link to {where} is closed or cannot be opened.",
