Add orders to engines under a lease on the log

Cause: a wanted weights version had no way to an engine. A target's object now names it; one host of a data centre holds a lease and gives orders until each engine is seen to run it. The lease needs no trusted clocks: a holder acts for three quarters of the time to live from when it began to append, a contender waits all of it from when it read the last record; the acquisition's offset is the fencing number. A new holder first waits an order's deadline.

Each record counts from its own beginning now.

--- a/hillthread/bench/faults/site_path.py
+++ b/hillthread/bench/faults/site_path.py
@@ -151,6 +151,15 @@
                     return process
         raise TimeoutError("no engine runs a stream")
 
+    async def runs_weights(self, names: list[str], version: str) -> bool:
+        """Returns whether all named engines run a weights version."""
+        for name in names:
+            address = self.site.engines[name].addresses["standin"]
+            page = await self.site.client.get(f"http://{address}/health")
+            if page.headers["x-weights-version"] != version:
+                return False
+        return True
+
     async def restart_engine(self, process: processes.Process) -> None:
         """Starts an engine again at the address of a killed one."""
         for name, each in self.site.engines.items():
@@ -463,6 +472,29 @@
     return violations
 
 
+async def _order_answer_lost(path: SitePath) -> list[str]:
+    """An order takes effect, its answer is lost, it is given again."""
+    names = ["dc1-runner0", "dc1-runner1"]
+    engine = path.site.engines[names[0]]
+    await path.site.control_standin(engine, {"lose_orders": 1})
+    violations = []
+    for version in ("w2", "w1"):
+        values = [
+            {**value, "weights_version": version}
+            for value in path.site.objects([])
+            if value["name"] in names
+        ]
+        await path.site.publish(values)
+        try:
+            await site_lib.wait_until(
+                lambda version=version: path.runs_weights(names, version), 30.0
+            )
+        except TimeoutError:
+            violations.append(f"weights {version} were not loaded")
+        violations += await path.check(f"after the order of {version}")
+    return violations
+
+
 async def _planned_stop_stream(path: SitePath) -> list[str]:
     host = path.site.hosts[0]
     router = host.router
@@ -541,6 +573,7 @@
     Scenario("racing_operators", "change", _racing_operators),
     Scenario("sent_to_all_hosts", "claim", _claimed_twice),
     Scenario("host_dies", "claim", _claim_holder_dies),
+    Scenario("answer_lost", "order", _order_answer_lost),
     Scenario("list_goes_backwards", "leaving_target", _listed_leaving),
     Scenario("target_refuses", "leaving_target", _engine_says_leaving),
     Scenario("planned_stop", "stream", _planned_stop_stream),
--- a/hillthread/coordination/control_node.py
+++ b/hillthread/coordination/control_node.py
@@ -17,6 +17,7 @@
 from hillthread.state import departures
 from hillthread.state import membership as membership_lib
 from hillthread.state import placement
+from hillthread.state import warmth
 
 __all__ = ["ControlNode"]
 
@@ -34,6 +35,7 @@
         hub: All links.
         positions: Configuration positions of all hosts, as far as known.
         records: Finds decision records.
+        epochs: What each target of the data centre was last seen to run.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self.claims: claim_keeper_lib.ClaimKeeper | None = None
         self.positions: dict[str, int] = {}
         self.incarnations: dict[str, str] = {}
+        self.epochs: dict[str, warmth.Epoch] = {}
         self.beats = 0
         self.records = record_finder.RecordFinder(self.hub)
         for peer in settings.peers:
@@ -124,6 +127,7 @@
             case messages.TargetState():
                 self.tell_target_state(message, link)
             case messages.LoadMessage():
+                self._note_epoch(message)
                 self.hub.broadcast(self.hub.routers(), message)
             case messages.Shares():
                 self._pass_shares(link, message)
@@ -150,10 +154,16 @@
 
     def tell_load(self, message: messages.LoadMessage) -> None:
         """Tells a load read here to the data centre's routers."""
+        self._note_epoch(message)
         self.hub.broadcast(self.hub.routers(), message)
         peers = self.hub.peers(self.settings.data_centre)
         self.hub.broadcast(peers, message)
 
+    def _note_epoch(self, message: messages.LoadMessage) -> None:
+        self.epochs[message.target] = warmth.Epoch(
+            message.incarnation, message.weights_version
+        )
+
     def _greet(self, link: hub_lib.OpenLink) -> None:
         if link.peer.role == "router":
             self._serve_router(link)
--- /dev/null
+++ b/hillthread/coordination/lease_keeper.py
@@ -0,0 +1,94 @@
+"""Keeps one lease on the platform's log for this host, or waits for it."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+
+from hillthread import errors
+from hillthread.state import lease
+from hillthread.transport import log_client
+
+__all__ = ["LeaseKeeper"]
+
+_CHECK_S = 0.1
+_LONG_POLL_S = 1.0
+
+
+class LeaseKeeper:
+    """Follows a lease's stream, renews it and contends for it.
+
+    Attributes:
+        contender: This host's part.
+        acquired_at: Monotonic seconds of when this host last came to hold
+            it, or None.
+    """
+
+    def __init__(
+        self,
+        client: log_client.LogClient,
+        stream: str,
+        name: str,
+        ttl_s: float,
+    ):
+        self.client = client
+        self.stream = stream
+        self.contender = lease.Contender(name, ttl_s)
+        self.acquired_at: float | None = None
+        self.appends = 0
+        self.failures = 0
+
+    @property
+    def fencing(self) -> int:
+        """The fencing number of the lease now held."""
+        return self.contender.state.fencing
+
+    def may_act(self) -> bool:
+        """Returns whether this host holds the lease at this moment."""
+        return self.contender.may_act(time.monotonic())
+
+    async def run(self) -> None:
+        """Follows and contends until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follow)
+            group.start_soon(self._contend)
+
+    async def _follow(self) -> None:
+        while True:
+            start = self.contender.state.position + 1
+            try:
+                page = await self.client.read(
+                    self.stream, start, wait_s=_LONG_POLL_S
+                )
+            except log_client.TruncatedError as error:
+                self.contender.state.position = error.first_offset - 1
+                continue
+            except errors.LogError:
+                self.failures += 1
+                await anyio.sleep(_LONG_POLL_S)
+                continue
+            held = self.contender.state.holder == self.contender.name
+            now = time.monotonic()
+            for record in page.records:
+                self.contender.read(record.offset, record.payload, now)
+            self.contender.start_waiting(now)
+            if not held and self.contender.state.holder == self.contender.name:
+                self.acquired_at = now
+
+    async def _contend(self) -> None:
+        while True:
+            await anyio.sleep(_CHECK_S)
+            now = time.monotonic()
+            contender = self.contender
+            if not (contender.should_renew(now) or contender.may_contend(now)):
+                continue
+            record = contender.begin_append(now)
+            self.appends += 1
+            try:
+                await self.client.append(
+                    self.stream, [lease.encode_lease(record)]
+                )
+            except errors.HillthreadError:
+                self.failures += 1
+            await anyio.sleep(contender.ttl_s / 8)
--- /dev/null
+++ b/hillthread/coordination/order_keeper.py
@@ -0,0 +1,156 @@
+"""Orders to engines: the configuration is what is wanted, orders follow it.
+
+One host of a data centre holds the lease and gives orders. An order is given
+again until the engine is seen to run what is wanted, which makes a lost answer
+harmless. It carries the lease's fencing number for engines that honour it, and
+a deadline; for engines that do not, a new holder first waits that deadline.
+"""
+
+from __future__ import annotations
+
+import logging
+import secrets
+import time
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+import httpx
+import prometheus_client
+
+from hillthread.coordination import control_node
+from hillthread.coordination import lease_keeper
+from hillthread.protocol import engine
+from hillthread.state import objects
+
+__all__ = ["OrderKeeper"]
+
+_CHECK_S = 0.2
+_MAX_LOADS = 2
+_DEADLINE_S = 3.0
+
+_logger = logging.getLogger(__name__)
+
+
+class Order(NamedTuple):
+    """What an engine is told, as JSON.
+
+    Attributes:
+        order_id: Unique.
+        fencing: Of the lease.
+        weights_version: To be loaded.
+        deadline_s: Seconds after its arrival when it is void.
+    """
+
+    order_id: str
+    fencing: int
+    weights_version: str
+    deadline_s: float
+
+
+class OrderKeeper:
+    """Has the data centre's engines load the weights that are wanted.
+
+    Attributes:
+        loading: Targets with an order under way.
+    """
+
+    def __init__(
+        self,
+        node: control_node.ControlNode,
+        lease: lease_keeper.LeaseKeeper,
+        registry: prometheus_client.CollectorRegistry,
+    ):
+        self.node = node
+        self.lease = lease
+        self.loading: set[str] = set()
+        self.client = httpx.AsyncClient(trust_env=False, timeout=_DEADLINE_S)
+        self.orders = prometheus_client.Counter(
+            "hillthread_orders",
+            "Orders to engines by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+
+    async def run(self) -> None:
+        """Gives orders while this host holds the lease."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await anyio.sleep(_CHECK_S)
+                if self._ready():
+                    self._reconcile(group)
+
+    def _ready(self) -> bool:
+        """Returns whether orders of a former holder can no longer act."""
+        acquired_at = self.lease.acquired_at
+        if acquired_at is None or not self.lease.may_act():
+            return False
+        return time.monotonic() - acquired_at >= _DEADLINE_S
+
+    def _reconcile(self, group: anyio.abc.TaskGroup) -> None:
+        engines = self._engines()
+        for target in self._wanting(engines):
+            if len(self.loading) >= self._most_loads(target, engines):
+                continue
+            self.loading.add(target.name)
+            group.start_soon(self._give, target)
+
+    def _engines(self) -> list[objects.Target]:
+        decoded = self.node.keeper.configuration.decoded.values()
+        return [
+            value
+            for value in decoded
+            if isinstance(value, objects.Target)
+            and value.service == "engine"
+            and value.data_centre == self.node.settings.data_centre
+        ]
+
+    def _wanting(self, engines: list[objects.Target]) -> list[objects.Target]:
+        """Returns the targets that run other weights than wanted."""
+        return [
+            target
+            for target in engines
+            if target.weights_version
+            and target.name not in self.loading
+            and target.name in self.node.epochs
+            and self.node.epochs[target.name].weights_version
+            != target.weights_version
+        ]
+
+    def _most_loads(
+        self, target: objects.Target, engines: list[objects.Target]
+    ) -> int:
+        """Returns loads allowed at once: never all targets of a model."""
+        serving = [
+            each for each in engines if set(each.models) & set(target.models)
+        ]
+        return max(1, min(_MAX_LOADS, len(serving) // 2))
+
+    async def _give(self, target: objects.Target) -> None:
+        order = Order(
+            secrets.token_hex(8),
+            self.lease.fencing,
+            target.weights_version,
+            _DEADLINE_S,
+        )
+        try:
+            outcome = await self._send(target, order)
+            self.orders.labels(outcome).inc()
+        finally:
+            self.loading.discard(target.name)
+
+    async def _send(self, target: objects.Target, order: Order) -> str:
+        if not self.lease.may_act():
+            return "lease_lost"
+        try:
+            response = await self.client.post(
+                f"http://{target.address}{engine.ORDERS_PATH}",
+                json=order._asdict(),
+            )
+        except httpx.HTTPError:
+            return "unknown"
+        if response.status_code != 200:
+            return "refused"
+        epoch = engine.epoch_of(response.headers)
+        self.node.epochs[target.name] = epoch
+        return "done"
--- a/hillthread/programs/control.py
+++ b/hillthread/programs/control.py
@@ -13,7 +13,9 @@
 from hillthread.coordination import claim_keeper
 from hillthread.coordination import control_node
 from hillthread.coordination import dialer
+from hillthread.coordination import lease_keeper
 from hillthread.coordination import log_follower
+from hillthread.coordination import order_keeper
 from hillthread.coordination import target_watch
 from hillthread.transport import http_server
 from hillthread.transport import link
@@ -43,8 +45,9 @@
         self.watch = target_watch.TargetWatch(settings, self.node)
         self.follower: log_follower.LogFollower | None = None
         self.author: change_author.ChangeAuthor | None = None
+        self.orders: order_keeper.OrderKeeper | None = None
         if settings.log is not None:
-            self._use_log(settings.log)
+            self._use_log(settings.log, identity, registry)
         pages = service.StatusPages(registry, self.node.not_ready_reason)
         api = admin.AdminApi(
             settings, self.node, pages, self.author, self.follower
@@ -60,6 +63,9 @@
             tasks.start_soon(self.node.run_heartbeats)
             tasks.start_soon(self.watch.run_loads)
             tasks.start_soon(self.watch.run_host_list)
+            if self.orders is not None:
+                tasks.start_soon(self.orders.lease.run)
+                tasks.start_soon(self.orders.run)
             if self.follower is not None and self.node.claims is not None:
                 tasks.start_soon(self.follower.run)
                 tasks.start_soon(self.follower.run_snapshots)
@@ -73,7 +79,12 @@
                 stop.set()
             tasks.cancel_scope.cancel()
 
-    def _use_log(self, address: str) -> None:
+    def _use_log(
+        self,
+        address: str,
+        identity: link.Identity,
+        registry: prometheus_client.CollectorRegistry,
+    ) -> None:
         client = log_client.LogClient(address)
         self.author = change_author.ChangeAuthor(
             client, self.settings.stream, self.node.keeper
@@ -87,6 +98,13 @@
         self.node.claims = claim_keeper.ClaimKeeper(
             log_client.LogClient(address)
         )
+        lease = lease_keeper.LeaseKeeper(
+            log_client.LogClient(address),
+            f"orders-{identity.data_centre}",
+            f"{identity.host}/{identity.incarnation}",
+            self.settings.lease_ttl_s,
+        )
+        self.orders = order_keeper.OrderKeeper(self.node, lease, registry)
 
 
 def run(settings: str) -> None:
--- a/hillthread/protocol/engine.py
+++ b/hillthread/protocol/engine.py
@@ -35,6 +35,7 @@
 LAST_EVENT_ID = "last-event-id"
 STREAMS_PATH = "/v1/streams/"
 EVENTS_PATH = "/v1/cache/events"
+ORDERS_PATH = "/v1/orders"
 DONE = b"[DONE]"
 
 METRIC_RUNNING = "vllm:num_requests_running"
--- a/hillthread/settings.py
+++ b/hillthread/settings.py
@@ -137,6 +137,7 @@
         heartbeat_s: Between two heartbeats to a peer.
         suspect_s: Silence after which a peer counts as lost.
         load_poll_s: Between two load reports of one target.
+        lease_ttl_s: Time to live of the lease on giving orders.
     """
 
     host: str
@@ -154,6 +155,7 @@
     heartbeat_s: Seconds = 0.5
     suspect_s: Seconds = 3.0
     load_poll_s: Seconds = 0.5
+    lease_ttl_s: Annotated[float, msgspec.Meta(ge=1)] = 6.0
 
 
 _SettingsType = TypeVar("_SettingsType", bound=msgspec.Struct)
--- a/hillthread/standin/engine.py
+++ b/hillthread/standin/engine.py
@@ -43,6 +43,7 @@
         load_lag_s: Age of the load it reports.
         event_lag_s: Age of the cache events it publishes.
         event_loss_every: Every so many cache events one is lost; 0 for none.
+        load_s: How long loading weights takes; it serves no new request then.
         resume_s: How long an answer nobody reads goes on.
         honours_weights: Whether it refuses a request that expects others.
         honours_fencing: Whether it refuses an old fencing number.
@@ -57,6 +58,7 @@
     load_lag_s: float = 0.3
     event_lag_s: float = 0.5
     event_loss_every: int = 0
+    load_s: float = 0.3
     resume_s: float = 2.0
     honours_weights: bool = True
     honours_fencing: bool = True
@@ -110,6 +112,8 @@
         self.orders: list[dict[str, Any]] = []
         self.highest_fencing = 0
         self.leaving = False
+        self.loading = False
+        self.lose_orders = 0
         self.work = anyio.Event()
         self.weights_version = settings.weights_version
         self._restart()
@@ -143,7 +147,9 @@
                 await self._send(send, 200, {"incarnation": self.incarnation})
             case "GET", "/journal":
                 await self._send(send, 200, self.journal)
-            case "POST", "/v1/orders":
+            case "GET", "/orders":
+                await self._send(send, 200, self.orders)
+            case "POST", engine_protocol.ORDERS_PATH:
                 await self._order(request, send)
             case "POST", "/control":
                 await self._control(request, send)
@@ -247,6 +253,8 @@
         expected = request.headers.get(engine_protocol.EXPECT_WEIGHTS)
         if self.leaving:
             return "leaving"
+        if self.loading:
+            return "loading"
         if body.get("model") not in self.settings.models:
             return "model_not_served"
         if not self.settings.honours_weights or expected is None:
@@ -489,12 +497,19 @@
             await self._send(send, 409, {"error": "old fencing number"})
             return
         self.highest_fencing = max(fencing, self.highest_fencing)
-        self.orders.append(order)
-        if order.get("weights_version", self.weights_version) != (
-            self.weights_version
-        ):
-            self.weights_version = order["weights_version"]
+        entry = {**order, "began_at": time.time(), "ended_at": 0.0}
+        self.orders.append(entry)
+        wanted = order.get("weights_version", self.weights_version)
+        if wanted != self.weights_version:
+            self.loading = True
+            await anyio.sleep(self.settings.load_s)
+            self.loading = False
+            self.weights_version = wanted
             self.model.clear_cache()
+        entry["ended_at"] = time.time()
+        if self.lose_orders > 0:
+            self.lose_orders -= 1
+            return
         await self._send(send, 200, {"weights_version": self.weights_version})
 
     async def _control(
@@ -506,6 +521,8 @@
             self._restart()
         if "leaving" in wanted:
             self.leaving = wanted["leaving"]
+        if "lose_orders" in wanted:
+            self.lose_orders = wanted["lose_orders"]
         if "weights_version" in wanted:
             self.weights_version = wanted["weights_version"]
             self.model.clear_cache()
--- /dev/null
+++ b/hillthread/state/lease.py
@@ -0,0 +1,192 @@
+"""Leases as log records: who may give orders, without trusted clocks.
+
+The log decides who holds a lease; an acquisition counts only if it names the
+last lease record that counted. Time is each host's own: a holder acts for less
+than the time to live after it *began* to append, a contender waits the whole
+time to live after it *read* the last record. So a former holder has stopped
+before a new one begins, however late either was. The offset of the acquisition
+is the fencing number.
+"""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import msgspec
+
+from hillthread import errors
+
+__all__ = ["Acquire", "Contender", "LeaseState", "Renew", "decode_lease"]
+
+_ACT_SHARE = 0.75
+_MAX_UNREAD = 64
+NOBODY = ""
+
+
+class Acquire(
+    msgspec.Struct, frozen=True, kw_only=True, tag_field="op", tag="acquire"
+):
+    """Asks for the lease.
+
+    Attributes:
+        holder: Host and incarnation.
+        after: Offset of the last record that counted, as the asker read it;
+            -1 for none.
+        number: The asker's count of its records.
+    """
+
+    holder: str
+    after: int
+    number: int = 0
+
+
+class Renew(
+    msgspec.Struct, frozen=True, kw_only=True, tag_field="op", tag="renew"
+):
+    """Prolongs the lease.
+
+    Attributes:
+        holder: Host and incarnation.
+        fencing: Offset of its acquisition.
+        number: The holder's count of its records.
+    """
+
+    holder: str
+    fencing: int
+    number: int = 0
+
+
+LeaseRecord: TypeAlias = Acquire | Renew
+_decoder = msgspec.json.Decoder(LeaseRecord)
+
+
+def encode_lease(record: LeaseRecord) -> bytes:
+    """Returns the record's bytes."""
+    return msgspec.json.encode(record)
+
+
+def decode_lease(payload: bytes) -> LeaseRecord:
+    """Returns the lease record in a payload.
+
+    Raises:
+        ConfigurationError: It is unreadable.
+    """
+    try:
+        return _decoder.decode(payload)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise errors.ConfigurationError(
+            f"A lease record is unreadable: {error}.",
+            "Check for a record of a newer release and upgrade this host.",
+        ) from error
+
+
+class LeaseState:
+    """The lease as replayed from the log, the same for every reader.
+
+    Attributes:
+        position: Offset of the last record read; -1 before the first.
+        holder: Who holds it, or empty.
+        fencing: Offset of the acquisition; -1 for none.
+        last: Offset of the last record that counted; -1 for none.
+    """
+
+    def __init__(self):
+        self.position = -1
+        self.holder = NOBODY
+        self.fencing = -1
+        self.last = -1
+
+    def apply(self, offset: int, payload: bytes) -> bool:
+        """Takes in a record; returns whether it counted."""
+        if offset <= self.position:
+            return False
+        self.position = offset
+        try:
+            record = decode_lease(payload)
+        except errors.ConfigurationError:
+            return False
+        match record:
+            case Acquire() if record.after == self.last:
+                self.holder = record.holder
+                self.fencing = offset
+            case Renew() if (record.holder, record.fencing) == (
+                self.holder,
+                self.fencing,
+            ):
+                pass
+            case _:
+                return False
+        self.last = offset
+        return True
+
+
+class Contender:
+    """One host's part in a lease: when it may act and when contend.
+
+    Attributes:
+        name: Host and incarnation.
+        ttl_s: Time to live of the lease.
+        state: As read from the log.
+    """
+
+    def __init__(self, name: str, ttl_s: float):
+        self.name = name
+        self.ttl_s = ttl_s
+        self.state = LeaseState()
+        self._read_at: float | None = None
+        self._number = 0
+        self._began_at: dict[int, float] = {}
+        self._acts_until = float("-inf")
+
+    def begin_append(self, now: float) -> LeaseRecord:
+        """Returns the record to append now: a renewal, or an acquisition."""
+        self._number += 1
+        number = self._number
+        self._began_at[number] = now
+        self._began_at.pop(number - _MAX_UNREAD, None)
+        if self.state.holder == self.name:
+            fencing = self.state.fencing
+            return Renew(holder=self.name, fencing=fencing, number=number)
+        return Acquire(holder=self.name, after=self.state.last, number=number)
+
+    def read(self, offset: int, payload: bytes, now: float) -> None:
+        """Takes in a record of the log, read at `now`.
+
+        An own record counts from when *it* was begun; a later one that is
+        still under way must not lengthen it.
+        """
+        if not self.state.apply(offset, payload):
+            return
+        self._read_at = now
+        if self.state.holder != self.name:
+            return
+        began_at = self._began_at.get(decode_lease(payload).number)
+        if began_at is not None:
+            self._acts_until = began_at + self.ttl_s * _ACT_SHARE
+
+    def start_waiting(self, now: float) -> None:
+        """Notes that the log was read to its end, though it was empty."""
+        if self._read_at is None:
+            self._read_at = now
+
+    def may_act(self, now: float) -> bool:
+        """Returns whether this host holds the lease; ask right before acting.
+
+        A paused process finds here that its time has passed.
+        """
+        return self.state.holder == self.name and now < self._acts_until
+
+    def may_contend(self, now: float) -> bool:
+        """Returns whether an acquisition may be appended."""
+        if self.state.holder == self.name:
+            return now >= self._acts_until
+        if self._read_at is None:
+            return False
+        if self.state.holder == NOBODY:
+            return True
+        return now - self._read_at >= self.ttl_s
+
+    def should_renew(self, now: float) -> bool:
+        """Returns whether a renewal is due."""
+        due = self._acts_until - self.ttl_s * _ACT_SHARE / 2
+        return self.may_act(now) and now >= due
--- a/hillthread/state/objects.py
+++ b/hillthread/state/objects.py
@@ -77,6 +77,7 @@
         checks_orders: Whether it authenticates who gives it an order.
         honours_fencing: Whether it refuses an old fencing number.
         cordoned: An operator wants no new requests on it.
+        weights_version: Weights it is to run; empty for whatever it does.
     """
 
     address: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]+$")]
@@ -90,6 +91,7 @@
     checks_orders: bool = False
     honours_fencing: bool = False
     cordoned: bool = False
+    weights_version: str = ""
 
 
 class Pool(_Object, frozen=True, kw_only=True):
--- /dev/null
+++ b/tests/state/test_lease.py
@@ -0,0 +1,100 @@
+"""Tests of leases over random interleavings, pauses and lost answers."""
+
+import random
+import unittest
+
+from hillthread.state import lease
+
+TTL = 3.0
+
+
+class Log:
+    """A log whose appends arrive late, or whose answers are lost."""
+
+    def __init__(self):
+        self.records = []
+
+    def append(self, record):
+        self.records.append(lease.encode_lease(record))
+
+
+class Host:
+    """One contender with its own clock and its own reading."""
+
+    def __init__(self, name, offset_s, chooser):
+        self.contender = lease.Contender(name, TTL)
+        self.offset_s = offset_s
+        self.chooser = chooser
+        self.paused_until = 0.0
+        self.in_flight = []
+
+    def clock(self, now):
+        return now + self.offset_s
+
+    def step(self, log, now):
+        for due, record in list(self.in_flight):
+            if due <= now:
+                self.in_flight.remove((due, record))
+                log.append(record)
+        if now < self.paused_until:
+            return
+        if self.chooser.random() < 0.02:
+            self.paused_until = now + self.chooser.uniform(0, 3 * TTL)
+            return
+        own = self.clock(now)
+        if self.chooser.random() < 0.7:
+            start = self.contender.state.position + 1
+            for offset in range(start, len(log.records)):
+                self.contender.read(offset, log.records[offset], own)
+            self.contender.start_waiting(own)
+        if self.contender.should_renew(own) or self.contender.may_contend(own):
+            record = self.contender.begin_append(own)
+            delay = self.chooser.choice([0, 0, 0.05, 0.5, TTL])
+            self.in_flight.append((now + delay, record))
+
+
+class LeaseTest(unittest.TestCase):
+    def test_never_two_that_may_act(self):
+        for seed in range(60):
+            chooser = random.Random(seed)
+            log = Log()
+            hosts = [
+                Host(f"h{n}", chooser.uniform(-100, 100), chooser)
+                for n in range(3)
+            ]
+            fencing = []
+            for tick in range(1500):
+                now = tick * 0.05
+                for host in hosts:
+                    host.step(log, now)
+                acting = [
+                    host
+                    for host in hosts
+                    if host.contender.may_act(host.clock(now))
+                ]
+                self.assertLessEqual(len(acting), 1, f"seed {seed}")
+                fencing += [h.contender.state.fencing for h in acting]
+            self.assertEqual(fencing, sorted(fencing))
+            self.assertGreater(len(fencing), 100)
+
+    def test_paused_holder_finds_that_its_time_has_passed(self):
+        contender = lease.Contender("a", TTL)
+        contender.start_waiting(0.0)
+        record = contender.begin_append(0.0)
+        contender.read(0, lease.encode_lease(record), 0.1)
+        self.assertTrue(contender.may_act(2.0))
+        self.assertFalse(contender.may_act(60.0))
+
+    def test_late_acquisition_does_not_count(self):
+        state = lease.LeaseState()
+        first = lease.encode_lease(lease.Acquire(holder="a", after=-1))
+        late = lease.encode_lease(lease.Acquire(holder="b", after=-1))
+        self.assertTrue(state.apply(0, first))
+        self.assertFalse(state.apply(1, late))
+        self.assertEqual((state.holder, state.fencing), ("a", 0))
+
+    def test_unreadable_records_count_for_nothing(self):
+        state = lease.LeaseState()
+        for offset, payload in enumerate([b"\xff", b"{}", b'{"op":"new"}']):
+            self.assertFalse(state.apply(offset, payload))
+        self.assertEqual(state.holder, lease.NOBODY)
