Keep decision records worth asking about on the log

Cause: a record died with its router. A question for one request that no host answers is looked up on the log, scoped to the tenant that asks.

Test: the record of a refused request is found through another data centre's host after its router was killed. Not built: filtered questions (by target, reason) over the log; they see live hosts only.

--- a/hillthread/coordination/admin.py
+++ b/hillthread/coordination/admin.py
@@ -282,7 +282,7 @@
             request.parameter("reason"),
             int(limit) if limit.isdigit() else 20,
         )
-        return await self.node.records.find_everywhere(query)
+        return await self.node.find_records(query)
 
 
 def _decode(raw: bytes, kind: type[Any]) -> Any:
--- a/hillthread/coordination/control_client.py
+++ b/hillthread/coordination/control_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import hashlib
 import itertools
 import logging
@@ -19,6 +20,7 @@
 from hillthread.protocol import messages
 from hillthread.state import load
 from hillthread.state import prompt
+from hillthread.state import records
 from hillthread.state import routing_table
 from hillthread.state import warmth
 from hillthread.transport import link as link_lib
@@ -27,6 +29,8 @@
 
 _SHARE_EVERY_S = 0.05
 _DEMAND_EVERY_S = 1.0
+_SAMPLE_EVERY = 100
+_MAX_FINISHED = 500
 _RECONNECT_S = 0.2
 _CLAIM_S = 4.0
 
@@ -58,6 +62,9 @@
         self.link: link_lib.Link | None = None
         self._claim_ids = itertools.count()
         self._claims: dict[int, _PendingClaim] = {}
+        self._sampled = 0
+        self._finished: collections.deque[bytes] = collections.deque()
+        router.finished = self.keep
 
     async def run(self) -> None:
         """Keeps the link open until cancelled."""
@@ -98,12 +105,26 @@
             del self._claims[claim_id]
         return pending.verdict
 
+    def keep(self, record: records.RequestRecord) -> None:
+        """Queues a finished record that is worth keeping on the log.
+
+        All that were not plainly answered are, and a sample of the rest.
+        """
+        plain = record.outcome == "answered" and len(record.attempts) == 1
+        self._sampled = (self._sampled + plain) % _SAMPLE_EVERY
+        if plain and self._sampled:
+            return
+        self._finished.append(documents.encode_document(record))
+        if len(self._finished) > _MAX_FINISHED:
+            self._finished.popleft()
+            self.router.metrics.records_lost.inc()
+
     async def _serve(self, link: link_lib.Link) -> None:
         self.link = link
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._share, link)
-                group.start_soon(self._tell_demand, link)
+                group.start_soon(self._tell_second, link)
                 async for message in link.receive():
                     await self._handle(link, message)
                 group.cancel_scope.cancel()
@@ -131,14 +152,17 @@
                 return
             await anyio.sleep(_SHARE_EVERY_S)
 
-    async def _tell_demand(self, link: link_lib.Link) -> None:
-        """Tells others what limited tenants want, at fixed intervals."""
+    async def _tell_second(self, link: link_lib.Link) -> None:
+        """Tells demand and finished records, at fixed intervals."""
         while True:
             await anyio.sleep(_DEMAND_EVERY_S)
             rates = self.router.demand.turn(time.monotonic())
-            message = messages.Demand(self.identity.host, rates)
             try:
-                await link.send(message)
+                await link.send(messages.Demand(self.identity.host, rates))
+                while self._finished:
+                    document = self._finished[0]
+                    await link.send(messages.FinishedRecord(document))
+                    self._finished.popleft()
             except errors.PeerError:
                 return
 
--- a/hillthread/coordination/control_node.py
+++ b/hillthread/coordination/control_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from typing import Any
 
 import anyio
 import prometheus_client
@@ -12,6 +13,7 @@
 from hillthread.coordination import claim_keeper as claim_keeper_lib
 from hillthread.coordination import configuration_keeper
 from hillthread.coordination import hub as hub_lib
+from hillthread.coordination import record_archive
 from hillthread.coordination import record_finder
 from hillthread.protocol import messages
 from hillthread.state import departures
@@ -54,6 +56,7 @@
         self.hub.handle = self.handle
         self.hub.opened = self._greet
         self.claims: claim_keeper_lib.ClaimKeeper | None = None
+        self.archive: record_archive.RecordArchive | None = None
         self.positions: dict[str, int] = {}
         self.incarnations: dict[str, str] = {}
         self.epochs: dict[str, warmth.Epoch] = {}
@@ -135,6 +138,9 @@
                 await self.records.answer(link, message)
             case messages.RecordReply():
                 self.records.take(message)
+            case messages.FinishedRecord():
+                if self.archive is not None:
+                    self.archive.add(message.document)
             case messages.ClaimRequest():
                 await self._claim(link, message)
 
@@ -316,6 +322,15 @@
         message = messages.Members(heard, max(0, len(others) - heard))
         self.hub.broadcast(self.hub.routers(), message)
 
+    async def find_records(
+        self, query: messages.RecordQuery
+    ) -> list[dict[str, Any]]:
+        """Returns decision records kept by hosts, else on the log."""
+        found = await self.records.find_everywhere(query)
+        if found or not query.request_id or self.archive is None:
+            return found
+        return await self.archive.find(query.request_id, query.tenant)
+
     async def _claim(
         self, link: hub_lib.OpenLink, request: messages.ClaimRequest
     ) -> None:
--- a/hillthread/coordination/router.py
+++ b/hillthread/coordination/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import logging
 import secrets
 import time
@@ -50,6 +51,7 @@
         records: The decision records kept.
         inflight: Requests being served.
         draining: Whether the program is stopping.
+        finished: Called with each record that is complete.
         demand: Which part of the tenants' limits this router may spend.
     """
 
@@ -74,6 +76,7 @@
         self.draining = False
         self.ended = anyio.Event()
         self.demand = shares.DemandShares()
+        self.finished: Callable[[records.RequestRecord], None] = _keep_nothing
 
     def adopt(self, table: routing_table.RoutingTable) -> None:
         """Puts a configuration in force."""
@@ -388,6 +391,13 @@
         if record.outcome == "answered" and record.attempts:
             record.run = errors.RunState.RAN
         self.metrics.requests.labels(record.outcome, record.code).inc()
+        if record.route:
+            self.finished(record)
+
+
+def _keep_nothing(record: records.RequestRecord) -> None:
+    """Stands for nobody who keeps records beyond the host."""
+    del record
 
 
 def _outcome(record: records.RequestRecord) -> str:
--- a/hillthread/programs/control.py
+++ b/hillthread/programs/control.py
@@ -16,6 +16,7 @@
 from hillthread.coordination import lease_keeper
 from hillthread.coordination import log_follower
 from hillthread.coordination import order_keeper
+from hillthread.coordination import record_archive
 from hillthread.coordination import target_watch
 from hillthread.transport import http_server
 from hillthread.transport import link
@@ -63,6 +64,8 @@
             tasks.start_soon(self.node.run_heartbeats)
             tasks.start_soon(self.watch.run_loads)
             tasks.start_soon(self.watch.run_host_list)
+            if self.node.archive is not None:
+                tasks.start_soon(self.node.archive.run)
             if self.orders is not None:
                 tasks.start_soon(self.orders.lease.run)
                 tasks.start_soon(self.orders.run)
@@ -98,6 +101,11 @@
         self.node.claims = claim_keeper.ClaimKeeper(
             log_client.LogClient(address)
         )
+        own = self.settings.data_centre
+        others = {peer.data_centre for peer in self.settings.peers}
+        self.node.archive = record_archive.RecordArchive(
+            log_client.LogClient(address), own, sorted({own, *others}), registry
+        )
         lease = lease_keeper.LeaseKeeper(
             log_client.LogClient(address),
             f"orders-{identity.data_centre}",
--- a/hillthread/protocol/messages.py
+++ b/hillthread/protocol/messages.py
@@ -213,6 +213,12 @@
     documents: bytes
 
 
+class FinishedRecord(_Message, frozen=True, tag="finished"):
+    """A decision record worth keeping beyond the host, as JSON."""
+
+    document: bytes
+
+
 class ClaimRequest(_Message, frozen=True, tag="claim"):
     """Asks to claim an idempotency key.
 
@@ -249,6 +255,7 @@
     | Demand
     | RecordQuery
     | RecordReply
+    | FinishedRecord
     | ClaimRequest
     | ClaimReply
 )
--- a/tests/programs/test_control.py
+++ b/tests/programs/test_control.py
@@ -17,6 +17,11 @@
 CHAT = [{"role": "user", "content": "hello " * 50}]
 
 
+def once(key):
+    """Returns the headers of a request that must run at most once."""
+    return {"x-hillthread-repeatable": "false", "idempotency-key": key}
+
+
 class ControlTest(unittest.IsolatedAsyncioTestCase):
     """Two data centres of two hosts; each test has its own objects."""
 
@@ -178,18 +183,48 @@
         )
         self.assertEqual(scoped, [])
 
+    async def test_refused_request_is_explained_after_its_host_is_gone(self):
+        host = self.site.hosts[2]
+        caller = caller_lib.Caller(host.callers, deployment.tenant_key("o1"))
+
+        async def claimed():
+            answer = await caller.ask(CHAT, 3, headers=once("gone"))
+            return answer.complete
+
+        await site_lib.wait_until(claimed)
+        again = await caller.ask(CHAT, 3, headers=once("gone"))
+        await caller.close()
+        self.assertEqual(again.error["code"], "already_claimed")
+        admin = self.site.hosts[0].admin
+        path = f"/v1/records?request_id={again.request_id}"
+
+        async def archived():
+            address = self.site.log.addresses["standin"]
+            page = await self.site.client.get(
+                f"http://{address}/streams/records-dc2/records"
+            )
+            return again.request_id in page.text
+
+        await site_lib.wait_until(archived)
+        host.router.kill()
+        found = await self.site.call(admin, "GET", path)
+        self.assertEqual(found[0]["code"], "already_claimed")
+        other = await self.site.call(
+            admin, "GET", path, key=deployment.tenant_key("o9")
+        )
+        self.assertEqual(other["error"]["code"], "invalid_key")
+        self.site.start_router(host)
+        position = await self.site.position(self.site.hosts[0])
+        await self.site.wait_position(position, [host])
+
     async def test_claimed_key_runs_once_over_all_hosts(self):
-        headers = {
-            "x-hillthread-repeatable": "false",
-            "idempotency-key": "once",
-        }
         answers = []
 
         async def ask(host):
             caller = caller_lib.Caller(
                 host.callers, deployment.tenant_key("o1")
             )
-            answers.append(await caller.ask(CHAT, 3, headers=headers))
+            answers.append(await caller.ask(CHAT, 3, headers=once("once")))
             await caller.close()
 
         async with anyio.create_task_group() as group:
@@ -206,13 +241,7 @@
         caller = caller_lib.Caller(
             self.site.hosts[0].callers, deployment.tenant_key("o1")
         )
-        answer = await caller.ask(
-            CHAT, 3,
-            headers={
-                "x-hillthread-repeatable": "false",
-                "idempotency-key": "other",
-            },
-        )  # fmt: skip
+        answer = await caller.ask(CHAT, 3, headers=once("other"))
         await caller.close()
         self.assertEqual(answer.error["code"], "claim_unavailable")
         self.assertEqual(answer.run, "not_run")
