--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -11,6 +11,7 @@
 from hillthread.bench import limits as limits_lib
 from hillthread.bench import overhead as overhead_lib
 from hillthread.bench import slopes as slopes_lib
+from hillthread.bench import soak as soak_lib
 from hillthread.bench.faults import runner
 from hillthread.transport import service
 
@@ -96,6 +97,23 @@
         print(f"{name}: {value:.3f}")
 
 
+def soak(seconds: float = 600.0, seed: int = 1) -> None:
+    """Runs both shapes over 8 hosts with random faults, promises checked.
+
+    Args:
+        seconds: How long.
+        seed: Of arrivals and faults.
+    """
+    report = soak_lib.run_soak(seconds, seed)
+    for name, value in report._asdict().items():
+        print(f"{name}: {value}")
+    if report.violations:
+        raise errors.HillthreadError(
+            f"{len(report.violations)} promises were broken.",
+            "Run it again with the same seed and read the logs.",
+        )
+
+
 def slopes(json: bool = True, seconds: float = 10.0) -> None:
     """Measures what one more of each thing costs.
 
@@ -147,6 +165,7 @@
             "limits": limits,
             "overhead": overhead,
             "slopes": slopes,
+            "soak": soak,
         }
     )
 
