Read the code as a newcomer: split large modules, drop what did nothing

Cause: the router took requests in and served them (450 lines), scenarios and their site stood in one file (582), the engine stand-in told its telemetry itself (572), each server parsed scopes, each baseline repeated its frame, three record decoders were alike. Now intake, site_scenarios, engine_telemetry, one handler signature, a Policy base with the oracle beside the other baselines, payloads.

Target.honours_fencing is used now: only engines that ignore the number make a new lease holder wait.

Found while reading: a request whose caller left was recorded as not run though an engine ran it. Before: run not_run; after: ran, asserted in a test.

--- a/hillthread/bench/bare_proxy.py
+++ b/hillthread/bench/bare_proxy.py
@@ -33,14 +33,12 @@
         self.client = target_client.TargetClient(
             _TIMEOUT_S, _TIMEOUT_S, _TIMEOUT_S
         )
-        self.server = http_server.Server(settings.listen, self.application)
+        self.server = http_server.Server(settings.listen, self.handle)
 
-    async def application(self, scope, receive, send) -> None:
+    async def handle(
+        self, request: http_server.Request, send: http_server.Send
+    ) -> None:
         """Serves one request."""
-        if scope["type"] == "lifespan":
-            await http_server.accept_lifespan(receive, send)
-            return
-        request = http_server.Request(scope, receive)
         body = await request.body(_MAX_BODY)
         headers = {"content-type": "application/json"}
         async with self.client.open(
--- a/hillthread/bench/compare.py
+++ b/hillthread/bench/compare.py
@@ -153,7 +153,7 @@
         self.pool = objects.Pool(
             name="pool", target_selector="", max_inflight=100_000
         )
-        self.current: _Request | None = None
+        self.oracle = policies.Oracle(self.engines)
         self.fleets = [
             fleet_lib.Fleet("dc", self._decide(policy))
             for _ in range(setup.routers)
@@ -205,7 +205,7 @@
         query = fleet_lib.make_query(
             levels, self.shape.recompute_weight, b"none"
         )
-        self.current = request
+        self.oracle.blocks = request.blocks
         decision = fleet.choose(
             query, fleet_lib.Placement(self.targets, self.pool, "m"), self.now
         )
@@ -343,48 +343,7 @@
             case "prefix_hash":
                 return policies.PrefixHash()
             case _:
-                return self._oracle
-
-    def _oracle(
-        self,
-        query: decision_lib.Query,
-        candidates: Sequence[decision_lib.Candidate],
-        now: float,
-    ) -> decision_lib.Decision:
-        """Weighs the same cost, with every cache and queue seen exactly."""
-        del now
-        assert self.current is not None
-        blocks = self.current.blocks
-        best = min(
-            policies.eligible_of(candidates),
-            key=lambda each: self._true_cost(
-                self.engines[each.name], blocks, query
-            ),
-        )
-        return policies.make_decision(query, best)
-
-    def _true_cost(
-        self,
-        engine: engine_model.EngineModel,
-        blocks: list[int],
-        query: decision_lib.Query,
-    ) -> float:
-        token_s = self.engine_shape.prefill_token_s
-        token_s += self.engine_shape.step_s / self.engine_shape.batch_tokens
-        queued = sum(
-            max(0, job.prompt_tokens - job.computed) for job in engine.running
-        )
-        coming: set[int] = set()
-        for job in engine.running:
-            coming.update(job.blocks)
-        for job in engine.waiting:
-            queued += _missing(engine, job.blocks, coming) * _BLOCK
-            coming.update(job.blocks)
-        missing = _missing(engine, blocks, coming) * _BLOCK
-        queue_s = queued * token_s
-        if len(engine.running) >= self.engine_shape.max_running:
-            queue_s += 1.0
-        return queue_s + missing * token_s * (1 + query.recompute_weight)
+                return self.oracle
 
     def _result(self) -> PolicyResult:
         times = sorted(
@@ -426,13 +385,3 @@
     if not ordered:
         return float("nan")
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
-def _missing(
-    engine: engine_model.EngineModel, blocks: list[int], coming: set[int]
-) -> int:
-    """Returns leading blocks neither cached nor about to be."""
-    count = engine.cached_prefix(blocks)
-    while count < len(blocks) and blocks[count] in coming:
-        count += 1
-    return len(blocks) - count
--- a/hillthread/bench/faults/runner.py
+++ b/hillthread/bench/faults/runner.py
@@ -14,6 +14,7 @@
 from hillthread.bench.faults import data_path
 from hillthread.bench.faults import matrix
 from hillthread.bench.faults import site_path
+from hillthread.bench.faults import site_scenarios
 
 __all__ = ["CellResult", "Report", "run_data_cells", "run_matrix"]
 
@@ -103,7 +104,7 @@
         page: Where to write the page, or empty.
     """
     cells = _sample(matrix.data_cells(), seed, sample)
-    scenarios = _sample(list(site_path.SCENARIOS), seed, sample)
+    scenarios = _sample(list(site_scenarios.SCENARIOS), seed, sample)
     results = run_data_cells(cells)
     with processes.ProcessGroup() as group:
         results += anyio.run(_run_site, group, scenarios)
@@ -156,7 +157,7 @@
 
 
 async def _run_site(
-    group: processes.ProcessGroup, scenarios: list[site_path.Scenario]
+    group: processes.ProcessGroup, scenarios: list[site_scenarios.Scenario]
 ) -> list[CellResult]:
     if not scenarios:
         return []
--- a/hillthread/coordination/admin.py
+++ b/hillthread/coordination/admin.py
@@ -88,12 +88,10 @@
         self.follower = follower
         self.refusals: dict[str, int] = {}
 
-    async def application(self, scope, receive, send) -> None:
+    async def handle(
+        self, request: http_server.Request, send: http_server.Send
+    ) -> None:
         """Serves one request."""
-        if scope["type"] == "lifespan":
-            await http_server.accept_lifespan(receive, send)
-            return
-        request = http_server.Request(scope, receive)
         if await self.pages.answer(request, send):
             return
         try:
--- a/hillthread/coordination/exchange.py
+++ b/hillthread/coordination/exchange.py
@@ -6,6 +6,7 @@
 import time
 
 from hillthread import errors
+from hillthread.coordination import intake
 from hillthread.protocol import openai
 from hillthread.state import decision as decision_lib
 from hillthread.state import objects
@@ -23,11 +24,8 @@
     Attributes:
         request: As it came in.
         send: Where the answer goes.
-        body: The request's whole body.
-        completion: The checked completion request; None for plain services.
+        intent: What it asks for.
         tenant: Who asks.
-        resolved: Route, policy, pool and targets.
-        query: What is asked of the decision.
         record: What will be explained.
         arrived: Monotonic seconds.
         deadline: Monotonic seconds.
@@ -37,11 +35,8 @@
 
     request: http_server.Request
     send: http_server.Send
-    body: bytes
-    completion: openai.CompletionRequest | None
+    intent: intake.Intent
     tenant: objects.Tenant
-    resolved: routing_table.Resolved
-    query: decision_lib.Query
     record: records.RequestRecord
     arrived: float
     deadline: float
@@ -53,6 +48,16 @@
         """The request's identifier."""
         return self.record.request_id
 
+    @property
+    def completion(self) -> openai.CompletionRequest | None:
+        """The checked completion request; None for plain services."""
+        return self.intent.completion
+
+    @property
+    def resolved(self) -> routing_table.Resolved:
+        """Route, policy, pool and targets."""
+        return self.intent.resolved
+
     @property
     def streamed(self) -> bool:
         """Whether the caller gets server-sent events."""
@@ -82,14 +87,7 @@
 
     def run_state(self) -> errors.RunState:
         """Returns whether a target ran the request, from all attempts."""
-        states = {attempt.state for attempt in self.record.attempts}
-        if records.AttemptState.ANSWERED in states:
-            return errors.RunState.RAN
-        if records.AttemptState.ACCEPTED in states:
-            return errors.RunState.RAN
-        if records.AttemptState.SENT in states:
-            return errors.RunState.UNKNOWN
-        return errors.RunState.NOT_RUN
+        return records.run_state(self.record.attempts)
 
     async def begin_answer(
         self, status: int, headers: list[tuple[bytes, bytes]]
--- a/hillthread/coordination/forwarder.py
+++ b/hillthread/coordination/forwarder.py
@@ -241,7 +241,7 @@
     def _whole_body(self) -> bytes | None:
         completion = self.exchange.completion
         if completion is None:
-            return self.exchange.body or None
+            return self.exchange.intent.body or None
         priority = self.exchange.resolved.policy.priority
         return openai.upstream_body(completion, self._salt(), priority)
 
--- a/hillthread/coordination/gate.py
+++ b/hillthread/coordination/gate.py
@@ -89,18 +89,19 @@
     ) -> records.AttemptRecord | None:
         """Returns a started attempt, or None when all places are taken."""
         now = time.monotonic()
-        decision = self.fleet.choose(exchange.query, placement, now)
+        decision = self.fleet.choose(exchange.intent.query, placement, now)
         if decision.target is None and _some_excluded(decision, _TRIED):
             # All have failed once; one that failed may still be better.
             again = placement._replace(tried=frozenset())
-            decision = self.fleet.choose(exchange.query, again, now)
+            decision = self.fleet.choose(exchange.intent.query, again, now)
         if decision.target is None:
             if _some_excluded(decision, _SATURATED):
                 return None
             exchange.add_attempt(decision).failure = "no_target"
             raise _no_target(exchange)
         attempt = exchange.add_attempt(decision)
-        self.fleet.start(attempt.attempt_id, exchange.query, decision, now)
+        query = exchange.intent.query
+        self.fleet.start(attempt.attempt_id, query, decision, now)
         return attempt
 
     async def _wait(
--- /dev/null
+++ b/hillthread/coordination/intake.py
@@ -0,0 +1,191 @@
+"""Takes in a caller's request: who asks, what for, and by which route."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import anyio
+import cachetools
+
+from hillthread import errors
+from hillthread import settings as settings_lib
+from hillthread.coordination import fleet as fleet_lib
+from hillthread.protocol import openai
+from hillthread.state import decision as decision_lib
+from hillthread.state import objects
+from hillthread.state import prompt
+from hillthread.state import records
+from hillthread.state import routing_table
+from hillthread.transport import http_server
+
+__all__ = ["Intake", "Intent", "authenticate"]
+
+REPEATABLE_HEADER = "x-hillthread-repeatable"
+_SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+_FIRST_RATIO = 0.25
+_RATIO_STEP = 0.05
+_MAX_MODELS = 64
+
+
+class Intent(NamedTuple):
+    """What a request asks for.
+
+    Attributes:
+        body: The request's whole body.
+        completion: The checked completion request; None for plain services.
+        resolved: Route, policy, pool and targets.
+        query: What is asked of the decision.
+    """
+
+    body: bytes
+    completion: openai.CompletionRequest | None
+    resolved: routing_table.Resolved
+    query: decision_lib.Query
+
+
+def authenticate(
+    table: routing_table.RoutingTable, request: http_server.Request
+) -> objects.Tenant:
+    """Returns the tenant whose key a request carries.
+
+    Raises:
+        RefusalError: The key is missing or unknown.
+    """
+    scheme, _, key = request.headers.get("authorization", "").partition(" ")
+    tenant = None
+    if scheme.lower() == "bearer":
+        tenant = table.tenant_of_key(key.strip())
+    if tenant is None:
+        raise errors.RefusalError(
+            "invalid_key",
+            401,
+            "The bearer key is missing or unknown.",
+            "Send `Authorization: Bearer KEY` with a key of your tenant.",
+        )
+    return tenant
+
+
+class Intake:
+    """Reads requests and learns how long the tokens of a model are.
+
+    Attributes:
+        limits: Bounds on callers.
+        ratios: Tokens for each character, by model.
+    """
+
+    def __init__(self, limits: settings_lib.CallerLimits):
+        self.limits = limits
+        self.ratios: cachetools.LRUCache = cachetools.LRUCache(_MAX_MODELS)
+
+    async def read(
+        self,
+        table: routing_table.RoutingTable,
+        tenant: objects.Tenant,
+        request: http_server.Request,
+        record: records.RequestRecord,
+    ) -> Intent:
+        """Returns what a request asks for and notes it in its record.
+
+        Raises:
+            RefusalError: It is invalid, too large, too slow or not routed.
+        """
+        body = await self._read_body(request)
+        completion = _parse(request, body)
+        model = completion.model if completion else ""
+        resolved = table.resolve(tenant, request.path, model)
+        if resolved is None:
+            raise errors.RefusalError(
+                "no_route",
+                404,
+                f"No route leads from {request.path} for model {model!r}.",
+                "Ask for a model of /v1/models or a path that is routed.",
+            )
+        levels = self._levels(tenant, completion)
+        query = fleet_lib.make_query(
+            levels,
+            resolved.policy.recompute_weight,
+            record.request_id.encode(),
+        )
+        record.path = request.path
+        record.model = model
+        record.route = resolved.route.name
+        record.policy = resolved.policy.name
+        record.position = table.position
+        record.prompt_tokens = query.prompt_tokens
+        record.level_tokens = tuple(level.tokens for level in levels)
+        record.repeatable = _is_repeatable(request, resolved.route, completion)
+        return Intent(body, completion, resolved, query)
+
+    def learn_usage(
+        self, intent: Intent, record: records.RequestRecord
+    ) -> float:
+        """Returns tokens used, and learns how long tokens are."""
+        completion = intent.completion
+        if not record.attempts or completion is None:
+            return 0.0
+        last = record.attempts[-1]
+        if not last.prompt_tokens:
+            return float(record.prompt_tokens)
+        characters = sum(len(part) for part in completion.parts)
+        measured = last.prompt_tokens / max(1, characters)
+        ratio = self.ratios.get(completion.model, _FIRST_RATIO)
+        ratio += _RATIO_STEP * (measured - ratio)
+        self.ratios[completion.model] = ratio
+        return float(last.prompt_tokens + last.completion_tokens)
+
+    async def _read_body(self, request: http_server.Request) -> bytes:
+        with anyio.move_on_after(self.limits.read_timeout_s):
+            return await request.body(self.limits.max_body_bytes)
+        raise errors.RefusalError(
+            "body_timeout",
+            408,
+            f"The body took longer than {self.limits.read_timeout_s} s.",
+            "Send the body without pauses.",
+        )
+
+    def _levels(
+        self,
+        tenant: objects.Tenant,
+        completion: openai.CompletionRequest | None,
+    ) -> tuple[prompt.PrefixLevel, ...]:
+        if completion is None:
+            return ()
+        ratio = self.ratios.get(completion.model, _FIRST_RATIO)
+        return prompt.prefix_levels(
+            tenant.organisation, completion.model, completion.parts, ratio
+        )
+
+
+def _parse(
+    request: http_server.Request, body: bytes
+) -> openai.CompletionRequest | None:
+    if request.path not in (openai.CHAT_PATH, openai.COMPLETIONS_PATH):
+        return None
+    if request.method != "POST":
+        raise errors.RefusalError(
+            "method_not_allowed",
+            405,
+            f"{request.method} is not possible on {request.path}.",
+            "Use POST.",
+        )
+    return openai.parse_completion(body, request.path == openai.CHAT_PATH)
+
+
+def _is_repeatable(
+    request: http_server.Request,
+    route: objects.Route,
+    completion: openai.CompletionRequest | None,
+) -> bool:
+    """Returns whether a request may run more than once.
+
+    Calls of plain services may not, but for the safe methods, unless their
+    route says so; completions may, unless route or header say otherwise.
+    """
+    marked = request.headers.get(REPEATABLE_HEADER, "").lower()
+    if marked == "false":
+        return False
+    if completion is None and request.method in _SAFE_METHODS:
+        return True
+    if route.repeatable is None:
+        return completion is not None
+    return route.repeatable
--- a/hillthread/coordination/order_keeper.py
+++ b/hillthread/coordination/order_keeper.py
@@ -77,14 +77,19 @@
         async with anyio.create_task_group() as group:
             while True:
                 await anyio.sleep(_CHECK_S)
-                if self._ready():
+                if self.lease.may_act():
                     self._reconcile(group)
 
-    def _ready(self) -> bool:
-        """Returns whether orders of a former holder can no longer act."""
+    def _may_order(self, target: objects.Target) -> bool:
+        """Returns whether orders of a former holder can no longer act.
+
+        An engine that honours fencing numbers refuses them by itself.
+        """
         acquired_at = self.lease.acquired_at
-        if acquired_at is None or not self.lease.may_act():
+        if acquired_at is None:
             return False
+        if target.honours_fencing:
+            return True
         return time.monotonic() - acquired_at >= _DEADLINE_S
 
     def _reconcile(self, group: anyio.abc.TaskGroup) -> None:
@@ -111,6 +116,7 @@
             target
             for target in engines
             if target.weights_version
+            and self._may_order(target)
             and target.name not in self.loading
             and target.name in self.node.epochs
             and self.node.epochs[target.name].weights_version
--- a/hillthread/coordination/router.py
+++ b/hillthread/coordination/router.py
@@ -9,7 +9,6 @@
 
 import anyio
 import anyio.abc
-import cachetools
 
 from hillthread import errors
 from hillthread import settings as settings_lib
@@ -17,12 +16,12 @@
 from hillthread.coordination import exchange as exchange_lib
 from hillthread.coordination import fleet as fleet_lib
 from hillthread.coordination import forwarder as forwarder_lib
+from hillthread.coordination import intake as intake_lib
 from hillthread.coordination import metrics as metrics_lib
 from hillthread.coordination import stream_relay
 from hillthread.protocol import openai
 from hillthread.state import limits
 from hillthread.state import objects
-from hillthread.state import prompt
 from hillthread.state import records
 from hillthread.state import routing_table
 from hillthread.state import shares
@@ -30,13 +29,8 @@
 
 __all__ = ["Router"]
 
-REPEATABLE_HEADER = "x-hillthread-repeatable"
 IDEMPOTENCY_HEADER = "idempotency-key"
-_SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 _BUSY_RETRY_S = 1.0
-_FIRST_RATIO = 0.25
-_RATIO_STEP = 0.05
-_MAX_MODELS = 64
 _NO_LIMITS = objects.Limits()
 
 _logger = logging.getLogger(__name__)
@@ -71,7 +65,7 @@
         self.table: routing_table.RoutingTable | None = None
         self.records = records.RecordStore(settings.records)
         self.usage: dict[str, limits.TenantUsage] = {}
-        self.ratios: cachetools.LRUCache = cachetools.LRUCache(_MAX_MODELS)
+        self.intake = intake_lib.Intake(settings.limits)
         self.inflight = 0
         self.draining = False
         self.ended = anyio.Event()
@@ -103,22 +97,17 @@
         while self.inflight:
             await self.ended.wait()
 
-    async def application(
-        self, scope, receive: http_server.Receive, send: http_server.Send
+    async def handle(
+        self, request: http_server.Request, send: http_server.Send
     ) -> None:
-        """Serves one connection's request, in the ASGI convention."""
-        if scope["type"] == "lifespan":
-            await http_server.accept_lifespan(receive, send)
-            return
-        if scope["type"] != "http":
-            return
+        """Serves one request."""
         record = records.RequestRecord(
             secrets.token_hex(12), time.time(), self.settings.host
         )
         self.inflight += 1
         self.metrics.inflight.set(self.inflight)
         try:
-            await self._serve(http_server.Request(scope, receive), send, record)
+            await self._serve(request, send, record)
         finally:
             self.inflight -= 1
             self.metrics.inflight.set(self.inflight)
@@ -136,15 +125,23 @@
         started: exchange_lib.Exchange | None = None
         try:
             table = self._check_open()
-            tenant = self._authenticate(table, request)
+            tenant = intake_lib.authenticate(table, request)
             record.tenant = tenant.name
             if request.path == openai.MODELS_PATH and request.method == "GET":
                 await self._list_models(table, send)
                 record.outcome = "answered"
                 return
-            body = await self._read_body(request)
-            started = self._exchange(
-                table, tenant, request, send, body, record, arrived
+            intent = await self.intake.read(table, tenant, request, record)
+            self.records.add(record)
+            started = exchange_lib.Exchange(
+                request,
+                send,
+                intent,
+                tenant,
+                record,
+                arrived,
+                arrived + intent.resolved.route.timeout_s,
+                closing=self.draining,
             )
             await self._serve_within_limits(started)
             record.outcome = _outcome(record)
@@ -161,33 +158,6 @@
             raise _busy("router_busy", "The router serves too many requests.")
         return self.table
 
-    def _authenticate(
-        self, table: routing_table.RoutingTable, request: http_server.Request
-    ) -> objects.Tenant:
-        scheme, _, key = request.headers.get("authorization", "").partition(" ")
-        tenant = None
-        if scheme.lower() == "bearer":
-            tenant = table.tenant_of_key(key.strip())
-        if tenant is None:
-            raise errors.RefusalError(
-                "invalid_key",
-                401,
-                "The bearer key is missing or unknown.",
-                "Send `Authorization: Bearer KEY` with a key of your tenant.",
-            )
-        return tenant
-
-    async def _read_body(self, request: http_server.Request) -> bytes:
-        bounds = self.settings.limits
-        with anyio.move_on_after(bounds.read_timeout_s):
-            return await request.body(bounds.max_body_bytes)
-        raise errors.RefusalError(
-            "body_timeout",
-            408,
-            f"The body took longer than {bounds.read_timeout_s} s.",
-            "Send the body without pauses.",
-        )
-
     async def _list_models(
         self, table: routing_table.RoutingTable, send: http_server.Send
     ) -> None:
@@ -197,81 +167,6 @@
         ]
         await http_server.send_json(send, 200, {"object": "list", "data": data})
 
-    def _exchange(
-        self,
-        table: routing_table.RoutingTable,
-        tenant: objects.Tenant,
-        request: http_server.Request,
-        send: http_server.Send,
-        body: bytes,
-        record: records.RequestRecord,
-        arrived: float,
-    ) -> exchange_lib.Exchange:
-        completion = self._parse(request, body)
-        model = completion.model if completion else ""
-        resolved = table.resolve(tenant, request.path, model)
-        if resolved is None:
-            raise errors.RefusalError(
-                "no_route",
-                404,
-                f"No route leads from {request.path} for model {model!r}.",
-                "Ask for a model of /v1/models or a path that is routed.",
-            )
-        levels = self._levels(tenant, completion)
-        query = fleet_lib.make_query(
-            levels,
-            resolved.policy.recompute_weight,
-            record.request_id.encode(),
-        )
-        record.path = request.path
-        record.model = model
-        record.route = resolved.route.name
-        record.policy = resolved.policy.name
-        record.position = table.position
-        record.prompt_tokens = query.prompt_tokens
-        record.level_tokens = tuple(level.tokens for level in levels)
-        record.repeatable = _is_repeatable(request, resolved.route, completion)
-        self.records.add(record)
-        return exchange_lib.Exchange(
-            request,
-            send,
-            body,
-            completion,
-            tenant,
-            resolved,
-            query,
-            record,
-            arrived,
-            arrived + resolved.route.timeout_s,
-            closing=self.draining,
-        )
-
-    def _parse(
-        self, request: http_server.Request, body: bytes
-    ) -> openai.CompletionRequest | None:
-        if request.path not in (openai.CHAT_PATH, openai.COMPLETIONS_PATH):
-            return None
-        if request.method != "POST":
-            raise errors.RefusalError(
-                "method_not_allowed",
-                405,
-                f"{request.method} is not possible on {request.path}.",
-                "Use POST.",
-            )
-        return openai.parse_completion(body, request.path == openai.CHAT_PATH)
-
-    def _levels(
-        self,
-        tenant: objects.Tenant,
-        completion: openai.CompletionRequest | None,
-    ) -> tuple[prompt.PrefixLevel, ...]:
-        if completion is None:
-            return ()
-        ratio = self.ratios.get(completion.model, _FIRST_RATIO)
-        return prompt.prefix_levels(
-            tenant.organisation, completion.model, completion.parts, ratio
-        )
-
     async def _serve_within_limits(
         self, exchange: exchange_lib.Exchange
     ) -> None:
@@ -290,7 +185,7 @@
             await self._claim(exchange)
             await self._serve_while_connected(exchange)
         finally:
-            usage.end(self._learn_usage(exchange))
+            usage.end(self.intake.learn_usage(exchange.intent, exchange.record))
 
     def _tenant_usage(self, tenant: objects.Tenant) -> limits.TenantUsage:
         now = time.monotonic()
@@ -349,22 +244,6 @@
         if refusal is not None:
             raise refusal
 
-    def _learn_usage(self, exchange: exchange_lib.Exchange) -> float:
-        """Returns tokens used, and learns how long tokens are."""
-        attempts = exchange.record.attempts
-        completion = exchange.completion
-        if not attempts or completion is None:
-            return 0.0
-        last = attempts[-1]
-        if not last.prompt_tokens:
-            return float(exchange.record.prompt_tokens)
-        characters = sum(len(part) for part in completion.parts)
-        measured = last.prompt_tokens / max(1, characters)
-        ratio = self.ratios.get(completion.model, _FIRST_RATIO)
-        ratio += _RATIO_STEP * (measured - ratio)
-        self.ratios[completion.model] = ratio
-        return float(last.prompt_tokens + last.completion_tokens)
-
     async def _refuse(
         self,
         refusal: errors.RefusalError,
@@ -388,8 +267,8 @@
         record.ended_s = time.time() - record.received_at
         if record.outcome == "running":
             record.outcome = "left"
-        if record.outcome == "answered" and record.attempts:
-            record.run = errors.RunState.RAN
+        if record.outcome in ("answered", "left"):
+            record.run = records.run_state(record.attempts)
         self.metrics.requests.labels(record.outcome, record.code).inc()
         if record.route:
             self.finished(record)
@@ -407,26 +286,6 @@
     return "left"
 
 
-def _is_repeatable(
-    request: http_server.Request,
-    route: objects.Route,
-    completion: openai.CompletionRequest | None,
-) -> bool:
-    """Returns whether a request may run more than once.
-
-    Calls of plain services may not, but for the safe methods, unless their
-    route says so; completions may, unless route or header say otherwise.
-    """
-    marked = request.headers.get(REPEATABLE_HEADER, "").lower()
-    if marked == "false":
-        return False
-    if completion is None and request.method in _SAFE_METHODS:
-        return True
-    if route.repeatable is None:
-        return completion is not None
-    return route.repeatable
-
-
 def _internal(
     exchange: exchange_lib.Exchange | None,
 ) -> errors.RefusalError:
--- a/hillthread/programs/control.py
+++ b/hillthread/programs/control.py
@@ -53,7 +53,7 @@
         api = admin.AdminApi(
             settings, self.node, pages, self.author, self.follower
         )
-        self.admin = http_server.Server(settings.admin_listen, api.application)
+        self.admin = http_server.Server(settings.admin_listen, api.handle)
 
     async def run(self) -> None:
         """Runs until asked to stop."""
--- a/hillthread/programs/router.py
+++ b/hillthread/programs/router.py
@@ -35,11 +35,11 @@
         )
         self.server = http_server.Server(
             settings.listen,
-            self.router.application,
+            self.router.handle,
             settings.limits,
             settings.tls,
         )
-        self.status = http_server.Server(settings.status_listen, self.answer)
+        self.status = http_server.Server(settings.status_listen, self.handle)
         self.stop = anyio.Event()
         self.control: control_client.ControlClient | None = None
         if settings.control is not None:
@@ -54,12 +54,10 @@
             )
             self.router.claims = self.control
 
-    async def answer(self, scope, receive, send) -> None:
+    async def handle(
+        self, request: http_server.Request, send: http_server.Send
+    ) -> None:
         """Serves the status pages and the records kept here."""
-        if scope["type"] == "lifespan":
-            await http_server.accept_lifespan(receive, send)
-            return
-        request = http_server.Request(scope, receive)
         if await self.pages.answer(request, send):
             return
         if request.path != "/v1/records":
--- a/hillthread/protocol/event_stream.py
+++ b/hillthread/protocol/event_stream.py
@@ -53,10 +53,6 @@
             )
         return [_parse(piece) for piece in pieces if piece]
 
-    def unfinished(self) -> bool:
-        """Returns whether the stream stopped within an event."""
-        return bool(self._rest)
-
 
 def encode_event(index: int | None, data: bytes) -> bytes:
     """Returns the bytes of one event."""
--- a/hillthread/standin/engine.py
+++ b/hillthread/standin/engine.py
@@ -9,17 +9,16 @@
 import secrets
 import time
 from typing import Any
-from typing import NamedTuple
 
 import anyio
 import msgspec
-import prometheus_client
 
 from hillthread import settings as settings_lib
 from hillthread.protocol import engine as engine_protocol
 from hillthread.protocol import event_stream
 from hillthread.protocol import openai
 from hillthread.standin import engine_model
+from hillthread.standin import engine_telemetry
 from hillthread.standin import language
 from hillthread.transport import http_server
 
@@ -64,17 +63,6 @@
     honours_fencing: bool = True
 
 
-class _Load(NamedTuple):
-    """The load at one time."""
-
-    at: float
-    running: int
-    waiting: int
-    prompt_tokens: int
-    hit_tokens: int
-    generated_tokens: int
-
-
 class _Stream:
     """One answer, kept while it may be resumed."""
 
@@ -107,7 +95,7 @@
 
     def __init__(self, settings: EngineSettings):
         self.settings = settings
-        self.server = http_server.Server(settings.listen, self.application)
+        self.server = http_server.Server(settings.listen, self.handle)
         self.journal: list[dict[str, Any]] = []
         self.orders: list[dict[str, Any]] = []
         self.highest_fencing = 0
@@ -126,12 +114,10 @@
             await self.server.serve(stop)
             tasks.cancel_scope.cancel()
 
-    async def application(self, scope, receive, send) -> None:
+    async def handle(
+        self, request: http_server.Request, send: http_server.Send
+    ) -> None:
         """Serves one request."""
-        if scope["type"] == "lifespan":
-            await http_server.accept_lifespan(receive, send)
-            return
-        request = http_server.Request(scope, receive)
         match request.method, request.path:
             case "POST", openai.CHAT_PATH | openai.COMPLETIONS_PATH:
                 await self._complete(request, send)
@@ -140,9 +126,16 @@
             ):
                 await self._stream_request(request, send)
             case "GET", "/metrics":
-                await self._metrics(send)
+                page = self.telemetry.metrics_page()
+                headers = tuple(self._headers(""))
+                await http_server.send_body(
+                    send, 200, page, b"text/plain", headers
+                )
             case "GET", engine_protocol.EVENTS_PATH:
-                await self._cache_events(request, send)
+                start = int(request.parameter("from", "0"))
+                found = self.telemetry.events_since(start)
+                told = {"incarnation": self.incarnation, "events": found}
+                await self._send(send, 200, told)
             case "GET", "/health":
                 await self._send(send, 200, {"incarnation": self.incarnation})
             case "GET", "/journal":
@@ -172,9 +165,12 @@
         self.streams: collections.OrderedDict[str, _Stream] = (
             collections.OrderedDict()
         )
-        self.loads: collections.deque[_Load] = collections.deque(maxlen=512)
-        self.cache_events: collections.deque = collections.deque(maxlen=65536)
-        self.event_sequence = 0
+        self.telemetry = engine_telemetry.Telemetry(
+            self.model,
+            self.settings.load_lag_s,
+            self.settings.event_lag_s,
+            self.settings.event_loss_every,
+        )
 
     async def _compute(self) -> None:
         while True:
@@ -188,8 +184,8 @@
             result = model.end_step()
             for job in result.emitted:
                 self._emit(self.streams[job.job_id])
-            self._note_load()
-            self._note_events()
+            self.telemetry.note_load()
+            self.telemetry.note_events()
 
     def _emit(self, stream: _Stream) -> None:
         word = next(stream.words)
@@ -298,7 +294,7 @@
         )
         self.model.submit(job)
         self.work.set()
-        self._note_load()
+        self.telemetry.note_load()
         return stream
 
     async def _send_stream(
@@ -407,7 +403,7 @@
         stream.changed.set()
         self.model.cancel(stream.job.job_id)
         self._close_journal(stream, "cancelled")
-        self._note_load()
+        self.telemetry.note_load()
 
     def _close_journal(self, stream: _Stream, end: str) -> None:
         for entry in reversed(self.journal):
@@ -417,77 +413,6 @@
                 entry["cached_tokens"] = stream.job.cached_tokens
                 return
 
-    def _note_load(self) -> None:
-        model = self.model
-        self.loads.append(
-            _Load(
-                time.monotonic(),
-                len(model.running),
-                len(model.waiting),
-                model.prompt_tokens,
-                model.hit_tokens,
-                model.generated_tokens,
-            )
-        )
-
-    def _note_events(self) -> None:
-        now = time.monotonic()
-        for event in self.model.drain_events():
-            self.event_sequence += 1
-            every = self.settings.event_loss_every
-            if every and self.event_sequence % every == 0:
-                continue
-            self.cache_events.append((now, self.event_sequence, event))
-
-    async def _metrics(self, send: http_server.Send) -> None:
-        due = time.monotonic() - self.settings.load_lag_s
-        load = _Load(0.0, 0, 0, 0, 0, 0)
-        for each in self.loads:
-            if each.at > due:
-                break
-            load = each
-        registry = prometheus_client.CollectorRegistry()
-        for name, value in (
-            (engine_protocol.METRIC_RUNNING, load.running),
-            (engine_protocol.METRIC_WAITING, load.waiting),
-        ):
-            prometheus_client.Gauge(name, name, registry=registry).set(value)
-        for name, value in (
-            (engine_protocol.METRIC_PROMPT_TOKENS, load.prompt_tokens),
-            (engine_protocol.METRIC_CACHED_TOKENS, load.hit_tokens),
-            (engine_protocol.METRIC_GENERATED_TOKENS, load.generated_tokens),
-        ):
-            counter = prometheus_client.Counter(name, name, registry=registry)
-            counter.inc(value)
-        info = prometheus_client.Info(
-            engine_protocol.METRIC_CACHE_CONFIG.removesuffix("_info"),
-            "Cache sizes.",
-            registry=registry,
-        )
-        info.info(
-            {
-                "block_size": "16",
-                "num_gpu_blocks": str(self.settings.cache_blocks),
-            }
-        )
-        page = prometheus_client.generate_latest(registry)
-        headers = tuple(self._headers(""))
-        await http_server.send_body(send, 200, page, b"text/plain", headers)
-
-    async def _cache_events(
-        self, request: http_server.Request, send: http_server.Send
-    ) -> None:
-        start = int(request.parameter("from", "0"))
-        due = time.monotonic() - self.settings.event_lag_s
-        found = [
-            {"seq": sequence, "type": event.kind, "block": event.block}
-            for at, sequence, event in self.cache_events
-            if sequence >= start and at <= due
-        ]
-        await self._send(
-            send, 200, {"incarnation": self.incarnation, "events": found}
-        )
-
     async def _order(
         self, request: http_server.Request, send: http_server.Send
     ) -> None:
--- a/hillthread/standin/fault_proxy.py
+++ b/hillthread/standin/fault_proxy.py
@@ -105,7 +105,7 @@
         self.settings = settings
         self.plan: list[Fault] = []
         self.injected: dict[str, int] = {}
-        self.server = http_server.Server(settings.listen, self.application)
+        self.server = http_server.Server(settings.listen, self.handle)
         self.last_answer: _Answer | None = None
         self.clients: set[anyio.abc.SocketStream] = set()
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -122,12 +122,10 @@
             await self.server.serve(stop)
             tasks.cancel_scope.cancel()
 
-    async def application(self, scope, receive, send) -> None:
+    async def handle(
+        self, request: http_server.Request, send: http_server.Send
+    ) -> None:
         """Takes plans of faults and tells what was injected."""
-        if scope["type"] == "lifespan":
-            await http_server.accept_lifespan(receive, send)
-            return
-        request = http_server.Request(scope, receive)
         if request.method == "POST":
             body = await request.body(_READ_BYTES)
             self.plan = msgspec.json.decode(body, type=list[Fault])
--- a/hillthread/standin/services.py
+++ b/hillthread/standin/services.py
@@ -35,19 +35,17 @@
 
     def __init__(self, settings: StandinSettings):
         self.settings = settings
-        self.server = http_server.Server(settings.listen, self.application)
+        self.server = http_server.Server(settings.listen, self.handle)
         self.faults: dict[str, Any] = {}
 
     async def run(self, stop: anyio.Event) -> None:
         """Serves until `stop`."""
         await self.server.serve(stop)
 
-    async def application(self, scope, receive, send) -> None:
+    async def handle(
+        self, request: http_server.Request, send: http_server.Send
+    ) -> None:
         """Serves one request."""
-        if scope["type"] == "lifespan":
-            await http_server.accept_lifespan(receive, send)
-            return
-        request = http_server.Request(scope, receive)
         body = await request.body(_MAX_BODY)
         if request.path == "/control":
             self.faults.update(msgspec.json.decode(body))
--- a/hillthread/state/claim_index.py
+++ b/hillthread/state/claim_index.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hillthread import errors
+from hillthread.state import payloads
 
 __all__ = ["Claim", "ClaimBatch", "ClaimIndex", "decode_batch", "encode_batch"]
 
@@ -49,13 +50,7 @@
     Raises:
         ConfigurationError: The record is unreadable.
     """
-    try:
-        return _decoder.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise errors.ConfigurationError(
-            f"A claims record is unreadable: {error}.",
-            "Check for a record of a newer release and upgrade this host.",
-        ) from error
+    return payloads.decode_payload(_decoder, payload, "claims")
 
 
 class ClaimIndex:
--- a/hillthread/state/configuration.py
+++ b/hillthread/state/configuration.py
@@ -19,6 +19,7 @@
 
 from hillthread import errors
 from hillthread.state import objects
+from hillthread.state import payloads
 
 __all__ = [
     "Applied",
@@ -163,13 +164,7 @@
     Raises:
         ConfigurationError: The bytes are no record this release knows.
     """
-    try:
-        return _decoder.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise errors.ConfigurationError(
-            f"The configuration record is unreadable: {error}.",
-            "Check for a record of a newer release and upgrade this host.",
-        ) from error
+    return payloads.decode_payload(_decoder, payload, "configuration")
 
 
 class Configuration:
--- a/hillthread/state/decision.py
+++ b/hillthread/state/decision.py
@@ -56,7 +56,6 @@
     RENDEZVOUS = "rendezvous"
     LEAST_COST = "least_cost"
     ONLY_CANDIDATE = "only_candidate"
-    RESUME = "resume"
 
 
 class Query(NamedTuple):
--- a/hillthread/state/lease.py
+++ b/hillthread/state/lease.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from hillthread import errors
+from hillthread.state import payloads
 
 __all__ = ["Acquire", "Contender", "LeaseState", "Renew", "decode_lease"]
 
@@ -71,13 +72,7 @@
     Raises:
         ConfigurationError: It is unreadable.
     """
-    try:
-        return _decoder.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise errors.ConfigurationError(
-            f"A lease record is unreadable: {error}.",
-            "Check for a record of a newer release and upgrade this host.",
-        ) from error
+    return payloads.decode_payload(_decoder, payload, "lease")
 
 
 class LeaseState:
--- a/hillthread/state/membership.py
+++ b/hillthread/state/membership.py
@@ -92,12 +92,6 @@
             if data_centre in (None, self.members[host].data_centre)
         )
 
-    def highest_position(self) -> int:
-        """Returns the highest position any host has told."""
-        return max(
-            (member.position for member in self.members.values()), default=-1
-        )
-
     def _forgive(self, pause_s: float) -> None:
         """Counts a pause of our own as time in which nobody could be heard."""
         for host, member in self.members.items():
--- a/hillthread/state/objects.py
+++ b/hillthread/state/objects.py
@@ -74,7 +74,6 @@
         max_running: Requests it runs at once.
         truthful_refusals: Whether a refusal (409, 429, 503) proves that it
             did not run the request.
-        checks_orders: Whether it authenticates who gives it an order.
         honours_fencing: Whether it refuses an old fencing number.
         cordoned: An operator wants no new requests on it.
         weights_version: Weights it is to run; empty for whatever it does.
@@ -88,7 +87,6 @@
     cache_tokens: Count = 100_000
     max_running: Count = 64
     truthful_refusals: bool = False
-    checks_orders: bool = False
     honours_fencing: bool = False
     cordoned: bool = False
     weights_version: str = ""
@@ -173,8 +171,6 @@
             recomputation is worth.
         priority: Class of the requests; smaller is served first.
         max_attempts: Attempts at most, the first included.
-        hold_s: How long a request may wait for the same prefix being
-            computed by an earlier request.
     """
 
     tenant_selector: str = ""
@@ -182,7 +178,6 @@
     recompute_weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
     priority: int = 0
     max_attempts: Annotated[int, msgspec.Meta(ge=1, le=9)] = 3
-    hold_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 ConfigurationObject: TypeAlias = Target | Pool | Route | Tenant | Policy
--- a/hillthread/state/records.py
+++ b/hillthread/state/records.py
@@ -4,13 +4,21 @@
 
 import collections
 from collections.abc import Iterator
+from collections.abc import Sequence
 import dataclasses
 import enum
 
 from hillthread import errors
 from hillthread.state import decision as decision_lib
 
-__all__ = ["AttemptRecord", "AttemptState", "RecordStore", "RequestRecord"]
+__all__ = [
+    "AttemptRecord",
+    "AttemptState",
+    "RecordStore",
+    "RequestRecord",
+    "run_state",
+    "trim_decision",
+]
 
 _MAX_SCORES = 8
 
@@ -139,6 +147,20 @@
         return reversed(self._records.values())
 
 
+def run_state(attempts: Sequence[AttemptRecord]) -> errors.RunState:
+    """Returns whether a target ran a request, from all its attempts.
+
+    It was not run only if every attempt ended unsent or was refused by a
+    target whose refusals are true.
+    """
+    states = {attempt.state for attempt in attempts}
+    if states & {AttemptState.ANSWERED, AttemptState.ACCEPTED}:
+        return errors.RunState.RAN
+    if AttemptState.SENT in states:
+        return errors.RunState.UNKNOWN
+    return errors.RunState.NOT_RUN
+
+
 def trim_decision(
     decision: decision_lib.Decision,
 ) -> decision_lib.Decision:
--- a/hillthread/transport/http_server.py
+++ b/hillthread/transport/http_server.py
@@ -18,11 +18,10 @@
 from hillthread import settings as settings_lib
 from hillthread.protocol import openai
 
-__all__ = ["Application", "Request", "Server", "send_json", "send_refusal"]
+__all__ = ["Handler", "Request", "Server", "send_json", "send_refusal"]
 
 Receive = Callable[[], Awaitable[Any]]
 Send = Callable[[Any], Awaitable[None]]
-Application = Callable[[Any, Receive, Send], Awaitable[None]]
 
 _BACKLOG = 512
 
@@ -83,8 +82,11 @@
                 return
 
 
+Handler = Callable[[Request, Send], Awaitable[None]]
+
+
 class Server:
-    """One listening socket and the application behind it.
+    """One listening socket and the handler of its requests.
 
     Attributes:
         address: `IP:port` it listens on, with the port the system chose.
@@ -93,11 +95,11 @@
     def __init__(
         self,
         listen: str,
-        application: Application,
+        handler: Handler,
         limits: settings_lib.CallerLimits | None = None,
         tls: settings_lib.TlsSettings | None = None,
     ):
-        self.application = application
+        self.handler = handler
         self.limits = limits or settings_lib.CallerLimits()
         self.tls = tls
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -112,12 +114,21 @@
         self.socket.setblocking(False)
         config = self._config()
         await hypercorn.asyncio.serve(
-            self.application,  # type: ignore[arg-type]
+            self._application,  # type: ignore[arg-type]
             config,
             shutdown_trigger=stop.wait,
             mode="asgi",
         )
 
+    async def _application(
+        self, scope: Mapping[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Passes on a request, in the ASGI convention."""
+        if scope["type"] == "lifespan":
+            await _accept_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self.handler(Request(scope, receive), send)
+
     def _config(self) -> hypercorn.config.Config:
         config = hypercorn.config.Config()
         config.bind = [f"fd://{self.socket.fileno()}"]
@@ -182,7 +193,7 @@
     )
 
 
-async def accept_lifespan(receive: Receive, send: Send) -> None:
+async def _accept_lifespan(receive: Receive, send: Send) -> None:
     """Answers the server's start and stop messages."""
     while True:
         message = await receive()
--- a/tests/programs/test_router.py
+++ b/tests/programs/test_router.py
@@ -146,6 +146,7 @@
         self.assertEqual([e["end"] for e in entries], ["cancelled"])
         records = await self.records(request_id=request_id)
         self.assertEqual(records[0]["outcome"], "left")
+        self.assertEqual(records[0]["run"], "ran")
 
     async def test_metrics_and_health(self):
         status = self.router.addresses["status"]
--- a/tests/protocol/test_event_stream.py
+++ b/tests/protocol/test_event_stream.py
@@ -32,12 +32,11 @@
             [each.index for each in found], list(range(len(datas)))
         )
         self.assertEqual(b"".join(each.raw for each in found), raw)
-        self.assertFalse(splitter.unfinished())
 
     def test_unfinished_event_is_held_back(self):
         splitter = event_stream.EventSplitter(100)
         self.assertEqual(splitter.feed(b"data: x"), [])
-        self.assertTrue(splitter.unfinished())
+        self.assertEqual(splitter.feed(b"y\n\n")[0].data, b"xy")
 
     def test_refuses_bad_index_and_endless_event(self):
         with self.assertRaises(errors.HillthreadError):
--- a/tests/state/test_membership.py
+++ b/tests/state/test_membership.py
@@ -28,7 +28,7 @@
         self.run_until(1.0, 2.0, heard=["a", "b"])
         self.assertEqual(self.members.alive(), ["a", "b"])
         self.assertEqual(self.members.alive("dc2"), ["b"])
-        self.assertEqual(self.members.highest_position(), 5)
+        self.assertEqual(self.members.members["a"].position, 5)
 
     def test_silence_loses_a_host(self):
         self.run_until(0.0, 1.0, heard=["a", "b"])
