Give back claims of requests that did not run; follow memory in the soak

Cause: a request with an idempotency key that was refused "not run" could not be sent again with its key: the claim was spent and the answer was already_claimed with run unknown. A router gives the claim back on the log; the next claim of the key waits behind it. Before: second request refused; after: it runs, the third is refused (test with an engine that refuses). Lost releases leave the key taken.

--- a/hillthread/bench/soak.py
+++ b/hillthread/bench/soak.py
@@ -31,6 +31,8 @@
 _DOWN_S = 4.0
 _ORGANISATIONS = 8
 _NOT_REPEATABLE = 0.2
+_MEMORY_EVERY_S = 5.0
+_WARM_UP_S = 30.0
 
 
 class SoakReport(NamedTuple):
@@ -41,8 +43,8 @@
         outcomes: How many ended how.
         faults: How many of each kind.
         violations: Promises broken, in words.
-        router_growth_bytes: Most memory a router that was not restarted has
-            grown by after the first quarter.
+        router_growth_bytes: Most memory a router has grown by since it was
+            half a minute old; None when none lived that long.
         control_growth_bytes: The same of a control process.
     """
 
@@ -50,8 +52,8 @@
     outcomes: dict[str, int]
     faults: dict[str, int]
     violations: list[str]
-    router_growth_bytes: int
-    control_growth_bytes: int
+    router_growth_bytes: int | None
+    control_growth_bytes: int | None
 
 
 def run_soak(seconds: float, seed: int) -> SoakReport:
@@ -77,7 +79,9 @@
         self.violations: list[str] = []
         self.asked: list[tuple[caller_lib.Answer, bool]] = []
         self.stopped: set[str] = set()
-        self.memory: dict[str, int] = {}
+        self.started: dict[str, float] = {}
+        self.baseline: dict[str, int] = {}
+        self.growth: dict[str, int] = {}
 
     async def run(self) -> SoakReport:
         """Returns the report."""
@@ -90,15 +94,14 @@
             group.start_soon(self._break_things)
             group.start_soon(self._note_memory)
         await self._check_runs()
-        growth = self._growth()
         await self.site.close()
         return SoakReport(
             sum(self.outcomes.values()),
             dict(self.outcomes),
             dict(self.faults),
             self.violations,
-            growth["router"],
-            growth["control"],
+            self.growth.get("router"),
+            self.growth.get("control"),
         )
 
     async def _load(self) -> None:
@@ -216,12 +219,22 @@
         await self.site.control_standin(self.site.log, {"down": False})
 
     async def _note_memory(self) -> None:
-        """Notes the memory of all processes after the first quarter."""
-        await anyio.sleep(self.seconds / 4)
-        self.memory = {
-            process.name: process.resident_bytes()
-            for process in self._programs()
-        }
+        """Follows the memory of all processes, restarted ones too."""
+        started = time.monotonic()
+        while time.monotonic() - started < self.seconds:
+            await anyio.sleep(_MEMORY_EVERY_S)
+            now = time.monotonic()
+            for process in self._programs():
+                self._note_process(process, now)
+
+    def _note_process(self, process: processes.Process, now: float) -> None:
+        age_s = now - self.started.setdefault(process.name, now)
+        if age_s < _WARM_UP_S:
+            return
+        resident = process.resident_bytes()
+        grown = resident - self.baseline.setdefault(process.name, resident)
+        kind = process.name.partition("-")[2]
+        self.growth[kind] = max(grown, self.growth.get(kind, 0))
 
     def _programs(self) -> list[processes.Process]:
         return [
@@ -231,15 +244,6 @@
             if process is not None and process.popen.poll() is None
         ]
 
-    def _growth(self) -> dict[str, int]:
-        growth = {"router": 0, "control": 0}
-        for process in self._programs():
-            kind = process.name.partition("-")[2]
-            if process.name in self.memory:
-                grown = process.resident_bytes() - self.memory[process.name]
-                growth[kind] = max(growth[kind], grown)
-        return growth
-
     async def _check_runs(self) -> None:
         """Compares what was said of runs with the engines' journals."""
         runs: collections.Counter[str] = collections.Counter()
--- a/hillthread/coordination/claim_keeper.py
+++ b/hillthread/coordination/claim_keeper.py
@@ -54,6 +54,8 @@
         self.current = False
         self.appends = 0
         self._new: list[_Pending] = []
+        self._released: list[claim_index.Claim] = []
+        self._releasing: set[claim_index.Claim] = set()
         self._appended: list[_Pending] = []
         self._wake = anyio.Event()
 
@@ -62,7 +64,7 @@
         if not self.current:
             reply("unavailable")
             return
-        known = self.index.holder(digest)
+        known = self._holder(digest)
         if known is not None:
             reply("granted" if known == holder else "taken")
             return
@@ -70,6 +72,16 @@
         self._new.append(_Pending(claim, reply, time.monotonic()))
         self._wake.set()
 
+    def release(self, digest: str, holder: str) -> None:
+        """Gives a claim back with the next batch.
+
+        Should that be lost, the key stays taken, which is safe.
+        """
+        claim = claim_index.Claim(digest, holder)
+        self._released.append(claim)
+        self._releasing.add(claim)
+        self._wake.set()
+
     async def run(self) -> None:
         """Reads and appends until cancelled."""
         async with anyio.create_task_group() as group:
@@ -106,7 +118,7 @@
             await self._wake.wait()
             self._wake = anyio.Event()
             await anyio.sleep(_BATCH_S)
-            while self._new:
+            while self._new or self._released:
                 batch = self._new[:_MAX_BATCH]
                 del self._new[:_MAX_BATCH]
                 await self._append(batch)
@@ -114,8 +126,11 @@
     async def _append(self, batch: list[_Pending]) -> None:
         """Appends once; whether it took effect, reading will tell."""
         record = claim_index.ClaimBatch(
-            time.time(), [pending.claim for pending in batch]
+            time.time(),
+            [pending.claim for pending in batch],
+            self._released,
         )
+        self._released = []
         self._appended += batch
         self.appends += 1
         try:
@@ -123,10 +138,23 @@
         except errors.HillthreadError:
             self.current = False
 
+    def _holder(self, digest: str) -> str | None:
+        """Returns who has a key, releases under way left out."""
+        holder = self.index.holder(digest)
+        if holder is None:
+            return None
+        claim = claim_index.Claim(digest, holder)
+        return None if claim in self._releasing else holder
+
     def _decide(self) -> None:
+        self._releasing = {
+            claim
+            for claim in self._releasing
+            if self.index.holder(claim.digest) == claim.holder
+        }
         waiting = []
         for pending in self._appended:
-            holder = self.index.holder(pending.claim.digest)
+            holder = self._holder(pending.claim.digest)
             if holder is None:
                 waiting.append(pending)
             else:
--- a/hillthread/coordination/claims.py
+++ b/hillthread/coordination/claims.py
@@ -33,6 +33,10 @@
             cannot be known, and then the request must not be sent.
         """
 
+    @abc.abstractmethod
+    async def release(self, tenant: str, key: str, holder: str) -> None:
+        """Gives a granted key back: its request surely did not run."""
+
 
 class LocalClaims(ClaimStore):
     """Claims in this process only: for a single router without a log."""
@@ -46,3 +50,8 @@
         """See the base class."""
         found = self.holders.setdefault((tenant, key), holder)
         return ClaimVerdict.GRANTED if found == holder else ClaimVerdict.TAKEN
+
+    async def release(self, tenant: str, key: str, holder: str) -> None:
+        """See the base class."""
+        if self.holders.get((tenant, key)) == holder:
+            del self.holders[(tenant, key)]
--- a/hillthread/coordination/control_client.py
+++ b/hillthread/coordination/control_client.py
@@ -88,9 +88,7 @@
         if self.link is None:
             return claims.ClaimVerdict.UNAVAILABLE
         claim_id = next(self._claim_ids)
-        digest = hashlib.blake2b(
-            f"{tenant}\0{key}".encode(), digest_size=16
-        ).digest()
+        digest = _claim_digest(tenant, key)
         pending = _PendingClaim()
         self._claims[claim_id] = pending
         try:
@@ -105,6 +103,16 @@
             del self._claims[claim_id]
         return pending.verdict
 
+    async def release(self, tenant: str, key: str, holder: str) -> None:
+        """See the base class."""
+        if self.link is None:
+            return
+        digest = _claim_digest(tenant, key)
+        try:
+            await self.link.send(messages.ClaimRelease(digest, holder))
+        except errors.PeerError:
+            return
+
     def keep(self, record: records.RequestRecord) -> None:
         """Queues a finished record that is worth keeping on the log.
 
@@ -260,6 +268,11 @@
         self.verdict = claims.ClaimVerdict.UNAVAILABLE
 
 
+def _claim_digest(tenant: str, key: str) -> bytes:
+    text = f"{tenant}\0{key}".encode()
+    return hashlib.blake2b(text, digest_size=16).digest()
+
+
 def _as_placement(share: fleet_lib.Share) -> messages.SharedPlacement:
     return messages.SharedPlacement(
         share.target,
--- a/hillthread/coordination/control_node.py
+++ b/hillthread/coordination/control_node.py
@@ -169,11 +169,20 @@
                 await self.records.answer(link, message)
             case messages.RecordReply():
                 self.records.take(message)
-            case messages.FinishedRecord():
-                if self.archive is not None:
-                    self.archive.add(message.document)
+            case _:
+                self._handle_of_router(link, message)
+
+    def _handle_of_router(
+        self, link: hub_lib.OpenLink, message: messages.Message
+    ) -> None:
+        """Acts on what only a router sends."""
+        match message:
+            case messages.FinishedRecord() if self.archive is not None:
+                self.archive.add(message.document)
+            case messages.ClaimRelease() if self.claims is not None:
+                self.claims.release(message.digest.hex(), message.holder)
             case messages.ClaimRequest():
-                await self._claim(link, message)
+                self._claim(link, message)
 
     def tell_target_state(
         self,
@@ -363,7 +372,7 @@
             return found
         return await self.archive.find(query.request_id, query.tenant)
 
-    async def _claim(
+    def _claim(
         self, link: hub_lib.OpenLink, request: messages.ClaimRequest
     ) -> None:
         if self.claims is None:
--- a/hillthread/coordination/router.py
+++ b/hillthread/coordination/router.py
@@ -182,8 +182,12 @@
             )
         usage.begin()
         try:
-            await self._claim(exchange)
-            await self._serve_while_connected(exchange)
+            key = await self._claim(exchange)
+            try:
+                await self._serve_while_connected(exchange)
+            except errors.RefusalError as refusal:
+                await self._give_back(exchange, key, refusal)
+                raise
         finally:
             usage.end(self.intake.learn_usage(exchange.intent, exchange.record))
 
@@ -200,10 +204,24 @@
         usage.adopt(tenant.limits, share, now)
         return usage
 
-    async def _claim(self, exchange: exchange_lib.Exchange) -> None:
+    async def _give_back(
+        self,
+        exchange: exchange_lib.Exchange,
+        key: str | None,
+        refusal: errors.RefusalError,
+    ) -> None:
+        """Frees the key of a request that surely did not run."""
+        if key is None or refusal.run is not errors.RunState.NOT_RUN:
+            return
+        await self.claims.release(
+            exchange.tenant.name, key, exchange.request_id
+        )
+
+    async def _claim(self, exchange: exchange_lib.Exchange) -> str | None:
+        """Returns the key that was claimed, or None when none is needed."""
         key = exchange.request.headers.get(IDEMPOTENCY_HEADER)
         if exchange.record.repeatable or key is None:
-            return
+            return None
         verdict = await self.claims.claim(
             exchange.tenant.name, key, exchange.request_id
         )
@@ -224,6 +242,7 @@
                     "Send it again later with the same key.",
                     retry_after_s=_BUSY_RETRY_S,
                 )
+        return key
 
     async def _serve_while_connected(
         self, exchange: exchange_lib.Exchange
--- a/hillthread/protocol/messages.py
+++ b/hillthread/protocol/messages.py
@@ -243,6 +243,13 @@
     holder: str
 
 
+class ClaimRelease(_Message, frozen=True, tag="claim_release"):
+    """Gives a claim back; fields as in `ClaimRequest`."""
+
+    digest: bytes
+    holder: str
+
+
 class ClaimReply(_Message, frozen=True, tag="claim_reply"):
     """`granted`, `taken` or `unavailable`."""
 
@@ -267,6 +274,7 @@
     | RecordReply
     | FinishedRecord
     | ClaimRequest
+    | ClaimRelease
     | ClaimReply
 )
 
--- a/hillthread/standin/engine.py
+++ b/hillthread/standin/engine.py
@@ -101,6 +101,7 @@
         self.highest_fencing = 0
         self.leaving = False
         self.loading = False
+        self.refusing = False
         self.lose_orders = 0
         self.work = anyio.Event()
         self.weights_version = settings.weights_version
@@ -249,7 +250,7 @@
         expected = request.headers.get(engine_protocol.EXPECT_WEIGHTS)
         if self.leaving:
             return "leaving"
-        if self.loading:
+        if self.loading or self.refusing:
             return "loading"
         if body.get("model") not in self.settings.models:
             return "model_not_served"
@@ -446,6 +447,7 @@
             self._restart()
         if "leaving" in wanted:
             self.leaving = wanted["leaving"]
+        self.refusing = wanted.get("refusing", self.refusing)
         if "lose_orders" in wanted:
             self.lose_orders = wanted["lose_orders"]
         if "weights_version" in wanted:
--- a/hillthread/state/claim_index.py
+++ b/hillthread/state/claim_index.py
@@ -30,10 +30,13 @@
     Attributes:
         made_at: Seconds since 1970, by the appending host's clock.
         claims: In the order of asking.
+        releases: Claims given back before, since their requests surely did
+            not run; they count before the new claims.
     """
 
     made_at: float
     claims: list[Claim]
+    releases: list[Claim] = []
 
 
 _decoder = msgspec.json.Decoder(ClaimBatch)
@@ -66,7 +69,9 @@
         self.position = -1
         self.unreadable = 0
         self._holders: dict[str, str] = {}
-        self._order: collections.deque[tuple[float, str]] = collections.deque()
+        self._order: collections.deque[tuple[float, Claim]] = (
+            collections.deque()
+        )
 
     def __len__(self) -> int:
         return len(self._holders)
@@ -81,10 +86,12 @@
         except errors.ConfigurationError:
             self.unreadable += 1
             return
+        for claim in batch.releases:
+            self._drop(claim)
         for claim in batch.claims:
             if claim.digest not in self._holders:
                 self._holders[claim.digest] = claim.holder
-                self._order.append((batch.made_at, claim.digest))
+                self._order.append((batch.made_at, claim))
         self._forget(batch.made_at - self.window_s)
 
     def holder(self, digest: str) -> str | None:
@@ -93,5 +100,9 @@
 
     def _forget(self, before: float) -> None:
         while self._order and self._order[0][0] < before:
-            _, digest = self._order.popleft()
-            del self._holders[digest]
+            _, claim = self._order.popleft()
+            self._drop(claim)
+
+    def _drop(self, claim: Claim) -> None:
+        if self._holders.get(claim.digest) == claim.holder:
+            del self._holders[claim.digest]
--- a/tests/programs/test_control.py
+++ b/tests/programs/test_control.py
@@ -235,6 +235,26 @@
         self.assertEqual(len(complete), 1)
         self.assertEqual(codes, {"already_claimed"})
 
+    async def test_key_of_a_request_that_did_not_run_is_free_again(self):
+        engine = self.site.engines["dc1-runner0"]
+        caller = caller_lib.Caller(
+            self.site.hosts[0].callers, deployment.tenant_key("o1")
+        )
+
+        async def claimed():
+            return (await caller.ask(CHAT, 3, headers=once("w"))).complete
+
+        await site_lib.wait_until(claimed)
+        await self.site.control_standin(engine, {"refusing": True})
+        refused = await caller.ask(CHAT, 3, headers=once("freed"))
+        await self.site.control_standin(engine, {"refusing": False})
+        self.assertEqual(refused.run, "not_run")
+        again = await caller.ask(CHAT, 3, headers=once("freed"))
+        third = await caller.ask(CHAT, 3, headers=once("freed"))
+        await caller.close()
+        self.assertTrue(again.complete)
+        self.assertEqual(third.error["code"], "already_claimed")
+
     async def test_no_claim_no_run_while_the_log_is_down(self):
         await self.log(down=True)
         await anyio.sleep(3.0)
--- /dev/null
+++ b/tests/programs/test_ctl.py
@@ -0,0 +1,104 @@
+"""Tests of the command lines as operators use them."""
+
+import json
+import os
+import subprocess
+import sys
+import unittest
+
+from hillthread.bench import caller as caller_lib
+from hillthread.bench import deployment
+from hillthread.bench import processes
+from hillthread.bench import site as site_lib
+
+CHAT = [{"role": "user", "content": "hello " * 50}]
+PROGRAMS = ("router", "control", "ctl", "standin", "bench")
+
+
+def run(program, *words, key=site_lib.OPERATOR_KEY):
+    return subprocess.run(
+        [sys.executable, "-m", f"hillthread.programs.{program}", *words],
+        env={**os.environ, "HILLTHREAD_KEY": key, "PAGER": "cat"},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+class CtlTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        group = self.enterContext(processes.ProcessGroup())
+        self.group = group
+        self.site = site_lib.Site(group, 1, 1, 1)
+        self.addAsyncCleanup(self.site.close)
+        await self.site.start()
+
+    def ctl(self, *words, **options):
+        admin = self.site.hosts[0].admin
+        return run("ctl", f"--address={admin}", *words, **options)
+
+    async def test_an_operators_day(self):
+        values = self.site.objects(["o1"])
+        file = self.group.write_json("all.json", values)
+        applied = self.ctl("apply", file)
+        self.assertEqual(applied.returncode, 0, applied.stderr)
+        self.assertEqual(applied.stdout.count("accepted"), len(values))
+        await self.site.wait_position(len(values) - 1)
+
+        policy = {"kind": "policy", "name": "standard", "recompute_weight": 7}
+        changed = self.group.write_json("changed.json", policy)
+        diff = self.ctl("diff", changed).stdout
+        self.assertIn('+  "recompute_weight": 7', diff)
+        dry = self.ctl("apply", changed, "--dry_run").stdout
+        self.assertIn("would be", dry)
+        self.ctl("apply", changed)
+        history = self.ctl("history", "--kind=policy").stdout.splitlines()
+        self.assertEqual(len(history), 2)
+        offset = history[0].split()[0]
+        self.assertIn("accepted", self.ctl("rollback", offset).stdout)
+        found = json.loads(self.ctl("get", "policy", "standard").stdout)
+        self.assertEqual(found["object"]["recompute_weight"], 1.0)
+        status = json.loads(self.ctl("status").stdout)
+        self.assertTrue(status["in_force"])
+
+        caller = caller_lib.Caller(
+            self.site.hosts[0].callers, deployment.tenant_key("o1")
+        )
+        answer = await caller.ask(CHAT, 2)
+        await caller.close()
+        told = self.ctl("explain", answer.request_id).stdout
+        self.assertIn("went to dc1-runner0", told)
+        self.assertIn("Outcome: answered, run: ran", told)
+        listed = self.ctl("records", "--tenant=o1").stdout
+        self.assertIn(answer.request_id, listed)
+        self.assertEqual(self.ctl("records", "--tenant=o2").stdout, "")
+
+        deleted = self.ctl("delete", "route", "completions")
+        self.assertIn("removed", deleted.stdout)
+        gone = self.ctl("get", "route", "completions")
+        self.assertEqual(gone.returncode, 1)
+        self.assertIn("Remedy", gone.stderr)
+
+    async def test_wrong_key(self):
+        refused = self.ctl("status", key="wrong")
+        self.assertEqual(refused.returncode, 1)
+        self.assertIn("invalid_key", refused.stderr)
+
+
+class CommandLineTest(unittest.TestCase):
+    def test_help(self):
+        for program in PROGRAMS:
+            with self.subTest(program):
+                shown = run(program, "--help")
+                self.assertEqual(shown.returncode, 0)
+                self.assertIn("SYNOPSIS", shown.stdout + shown.stderr)
+
+    def test_wrong_settings_name_path_and_remedy(self):
+        with processes.ProcessGroup() as group:
+            path = group.write_json("bad.json", {"host": 5})
+            for program in ("router", "control"):
+                ended = run(program, f"--settings={path}")
+                self.assertEqual(ended.returncode, 2)
+                self.assertIn("$.host", ended.stderr)
+                self.assertIn("Remedy", ended.stderr)
--- a/tests/state/test_claim_index.py
+++ b/tests/state/test_claim_index.py
@@ -52,6 +52,24 @@
         self.assertIsNone(index.holder("a"))
         self.assertEqual(len(index), 1)
 
+    def test_released_key_may_be_claimed_again(self):
+        index = claim_index.ClaimIndex(10.0)
+        index.apply(0, encode([("a", "x")], made_at=0.0))
+        release = claim_index.ClaimBatch(
+            1.0, [], [claim_index.Claim("a", "y"), claim_index.Claim("b", "x")]
+        )
+        index.apply(1, claim_index.encode_batch(release))
+        self.assertEqual(index.holder("a"), "x")
+        again = claim_index.ClaimBatch(
+            8.0,
+            [claim_index.Claim("a", "y")],
+            [claim_index.Claim("a", "x")],
+        )
+        index.apply(2, claim_index.encode_batch(again))
+        self.assertEqual(index.holder("a"), "y")
+        index.apply(3, encode([], made_at=11.0))
+        self.assertEqual(index.holder("a"), "y")
+
     def test_unreadable_records_are_counted(self):
         index = claim_index.ClaimIndex(10.0)
         index.apply(0, b"\xff")
