--- a/hillthread/bench/site.py
+++ b/hillthread/bench/site.py
@@ -97,6 +97,7 @@
         group: The processes.
         hosts: The entry hosts.
         engines: The engines by target name.
+        router_fields: Settings of the routers that differ.
         log: The log's process.
     """
 
@@ -112,6 +113,7 @@
         self.control_fields = control_fields
         self.data_centres = [f"dc{n}" for n in range(1, data_centres + 1)]
         self.engines_each = engines_each
+        self.router_fields: dict[str, Any] = {}
         self.engines: dict[str, processes.Process] = {}
         links = free_addresses(data_centres * hosts_each)
         names = [
@@ -179,6 +181,7 @@
             "notice_s": 0.2,
             "idle_timeout_s": 1.0,
             "first_byte_timeout_s": 2.0,
+            **self.router_fields,
         }
 
     def start_control_later(self, host: Host) -> None:
--- a/hillthread/coordination/control_client.py
+++ b/hillthread/coordination/control_client.py
@@ -27,7 +27,6 @@
 
 __all__ = ["ControlClient"]
 
-_SHARE_EVERY_S = 0.05
 _DEMAND_EVERY_S = 1.0
 _SAMPLE_EVERY = 100
 _MAX_FINISHED = 500
@@ -158,7 +157,7 @@
                 await link.send(messages.Shares(placements))
             except errors.PeerError:
                 return
-            await anyio.sleep(_SHARE_EVERY_S)
+            await anyio.sleep(self.router.settings.share_every_s)
 
     async def _tell_second(self, link: link_lib.Link) -> None:
         """Tells demand and finished records, at fixed intervals."""
--- a/hillthread/coordination/hub.py
+++ b/hillthread/coordination/hub.py
@@ -37,19 +37,19 @@
         self.link = link
         self.told: dict[str, int] = {}
         self.served = False
-        self._send, self._receive = anyio.create_memory_object_stream[
-            messages.Message
-        ](_QUEUE)
+        self._send, self._receive = anyio.create_memory_object_stream[bytes](
+            _QUEUE
+        )
 
     @property
     def peer(self) -> link_lib.Identity:
         """Who is at the other end."""
         return self.link.peer
 
-    def send(self, message: messages.Message) -> bool:
-        """Queues a message; returns False when the queue is full."""
+    def send(self, data: bytes) -> bool:
+        """Queues an encoded message; returns False when the queue is full."""
         try:
-            self._send.send_nowait(message)
+            self._send.send_nowait(data)
         except anyio.WouldBlock:
             return False
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
@@ -59,8 +59,8 @@
     async def write(self) -> None:
         """Sends queued messages until the link is closed."""
         try:
-            async for message in self._receive:
-                await self.link.send(message)
+            async for data in self._receive:
+                await self.link.send_encoded(data)
         except errors.PeerError:
             self._send.close()
 
@@ -138,11 +138,15 @@
         return {each.peer.host for each in self.peers()}
 
     def send(self, target: OpenLink, message: messages.Message) -> None:
+        """Queues a message for one link."""
+        self._send_encoded(target, messages.encode_message(message))
+
+    def _send_encoded(self, target: OpenLink, data: bytes) -> None:
         """Queues a message; a link whose queue is full is closed.
 
         It opens again and catches up, which needs no more than keeping on.
         """
-        if target.send(message):
+        if target.send(data):
             return
         self.events.labels("overflowed", target.peer.role).inc()
         _logger.warning(
@@ -157,10 +161,14 @@
         message: messages.Message,
         but: OpenLink | None = None,
     ) -> None:
-        """Queues a message for many links, except the one it came from."""
+        """Queues a message for many links, except the one it came from.
+
+        It is encoded once, however many there are.
+        """
+        data = messages.encode_message(message)
         for target in targets:
             if target is not but:
-                self.send(target, message)
+                self._send_encoded(target, data)
 
     def _count_bytes(self, direction: str, count: int) -> None:
         self.bytes.labels(direction).inc(count)
--- a/hillthread/settings.py
+++ b/hillthread/settings.py
@@ -82,6 +82,8 @@
         notice_s: After SIGTERM, serving goes on for the balancer to notice.
         drain_s: Then open requests have this long to end.
         max_event_bytes: Size of one server-sent event.
+        share_every_s: Least time between two messages that tell other routers
+            what was placed.
     """
 
     host: str
@@ -100,6 +102,7 @@
     notice_s: Seconds = 5.0
     drain_s: Seconds = 120.0
     max_event_bytes: Count = 1_048_576
+    share_every_s: Seconds = 0.05
 
 
 class PeerSettings(SettingsStruct, frozen=True, kw_only=True):
--- a/hillthread/transport/link.py
+++ b/hillthread/transport/link.py
@@ -70,7 +70,14 @@
         Raises:
             PeerError: The link is closed.
         """
-        data = messages.encode_message(message)
+        await self.send_encoded(messages.encode_message(message))
+
+    async def send_encoded(self, data: bytes) -> None:
+        """Sends an encoded message; waits while the other end is slow.
+
+        Raises:
+            PeerError: The link is closed.
+        """
         self.count_bytes("sent", len(data))
         try:
             await self.connection.send(data)
