Close the router's records to strangers; hand records over at a planned stop

Cause: reading the whole change again. The status port told every tenant's decision records to whoever reached it; a planned stop lost the records not yet sent to the control process, and the control's own not yet appended; a limit that is no number ended in an internal error.

Before: 200 without a key; after: 401, asserted. Before: the record of a refused request was awaited on the log before its router ended; now the router is stopped first and the record is found.

--- a/hillthread/bench/demo.py
+++ b/hillthread/bench/demo.py
@@ -199,6 +199,7 @@
     status = router.addresses["status"]
     async with httpx.AsyncClient(trust_env=False) as client:
         response = await client.get(
-            f"http://{status}/v1/records?request_id={answer.request_id}"
+            f"http://{status}/v1/records?request_id={answer.request_id}",
+            headers=deployment.secret_header(),
         )
     return explanation.explain(response.json()[0])
--- a/hillthread/bench/deployment.py
+++ b/hillthread/bench/deployment.py
@@ -7,7 +7,13 @@
 
 from hillthread.bench import processes
 
-__all__ = ["SECRET", "make_objects", "router_settings", "tenant_key"]
+__all__ = [
+    "SECRET",
+    "make_objects",
+    "router_settings",
+    "secret_header",
+    "tenant_key",
+]
 
 SECRET = "only-for-tests-and-demos"
 
@@ -17,6 +23,11 @@
     return f"key-of-{organisation}"
 
 
+def secret_header() -> dict[str, str]:
+    """Returns the header that opens a router's records to its operators."""
+    return {"authorization": f"Bearer {SECRET}"}
+
+
 def make_objects(
     engines: list[str],
     organisations: list[str],
--- a/hillthread/bench/soak.py
+++ b/hillthread/bench/soak.py
@@ -33,6 +33,7 @@
 _NOT_REPEATABLE = 0.2
 _MEMORY_EVERY_S = 5.0
 _WARM_UP_S = 30.0
+_NOTICE_S = 1.5
 
 
 class SoakReport(NamedTuple):
@@ -85,6 +86,7 @@
 
     async def run(self) -> SoakReport:
         """Returns the report."""
+        self.site.router_fields = {"notice_s": _NOTICE_S}
         await self.site.start()
         names = [f"org{number}" for number in range(_ORGANISATIONS)]
         answers = await self.site.publish(self.site.objects(names))
--- a/hillthread/coordination/admin.py
+++ b/hillthread/coordination/admin.py
@@ -254,7 +254,7 @@
             and kind in ("", each.key.kind)
             and name in ("", each.key.name)
         ]
-        return found[::-1][: int(request.parameter("limit", "50"))]
+        return found[::-1][: request.count("limit", 50)]
 
     def _outcome(self, record_id: str) -> Any:
         outcome = self.node.keeper.configuration.outcomes.get(record_id)
@@ -271,14 +271,13 @@
         tenant = request.parameter("tenant")
         if principal.role is Role.TENANT:
             tenant = principal.name
-        limit = request.parameter("limit", "20")
         query = messages.RecordQuery(
             0,
             request.parameter("request_id"),
             tenant,
             request.parameter("target"),
             request.parameter("reason"),
-            int(limit) if limit.isdigit() else 20,
+            request.count("limit", 20),
         )
         return await self.node.find_records(query)
 
--- a/hillthread/coordination/control_client.py
+++ b/hillthread/coordination/control_client.py
@@ -29,6 +29,7 @@
 
 _DEMAND_EVERY_S = 1.0
 _SAMPLE_EVERY = 100
+_FLUSH_S = 2.0
 _MAX_FINISHED = 500
 _RECONNECT_S = 0.2
 _CLAIM_S = 4.0
@@ -126,6 +127,22 @@
             self._finished.popleft()
             self.router.metrics.records_lost.inc()
 
+    async def flush(self) -> None:
+        """Sends what must not be lost with this process."""
+        if self.link is None:
+            return
+        with anyio.move_on_after(_FLUSH_S):
+            try:
+                await self._send_finished(self.link)
+            except errors.PeerError:
+                return
+
+    async def _send_finished(self, link: link_lib.Link) -> None:
+        while self._finished:
+            document = self._finished[0]
+            await link.send(messages.FinishedRecord(document))
+            self._finished.popleft()
+
     async def _serve(self, link: link_lib.Link) -> None:
         self.link = link
         try:
@@ -166,10 +183,7 @@
             rates = self.router.demand.turn(time.monotonic())
             try:
                 await link.send(messages.Demand(self.identity.host, rates))
-                while self._finished:
-                    document = self._finished[0]
-                    await link.send(messages.FinishedRecord(document))
-                    self._finished.popleft()
+                await self._send_finished(link)
             except errors.PeerError:
                 return
 
--- a/hillthread/coordination/record_archive.py
+++ b/hillthread/coordination/record_archive.py
@@ -20,6 +20,7 @@
 __all__ = ["RecordArchive", "stream_of"]
 
 _FLUSH_S = 1.0
+_STOP_S = 2.0
 _MAX_WAITING = 2000
 _MAX_BATCH = 100
 _MAX_SEARCHED = 5000
@@ -66,9 +67,14 @@
         """Appends what waits, in batches, until cancelled."""
         while True:
             await anyio.sleep(_FLUSH_S)
-            while self.waiting:
-                if not await self._flush():
-                    break
+            while self.waiting and await self._flush():
+                pass
+
+    async def flush(self) -> None:
+        """Appends all that waits, as far as the log takes it at once."""
+        with anyio.move_on_after(_STOP_S):
+            while self.waiting and await self._flush():
+                pass
 
     async def find(self, request_id: str, tenant: str) -> list[dict[str, Any]]:
         """Returns the records of a request on the log; none when it is down.
--- a/hillthread/programs/control.py
+++ b/hillthread/programs/control.py
@@ -79,6 +79,8 @@
                     links=self.links.address, admin=self.admin.address
                 )
                 await service.wait_for_signal()
+                if self.node.archive is not None:
+                    await self.node.archive.flush()
                 stop.set()
             tasks.cancel_scope.cancel()
 
--- a/hillthread/programs/router.py
+++ b/hillthread/programs/router.py
@@ -63,12 +63,15 @@
         if request.path != "/v1/records":
             await http_server.send_json(send, 404, {"code": "not_found"})
             return
+        if not request.has_bearer(self.settings.secret):
+            await http_server.send_json(send, 401, {"code": "invalid_key"})
+            return
         wanted = record_pages.RecordFilter(
             request.parameter("request_id"),
             request.parameter("tenant"),
             request.parameter("target"),
             request.parameter("reason"),
-            int(request.parameter("limit", "20")),
+            request.count("limit", 20),
         )
         found = record_pages.select_records(self.router.records, wanted)
         await http_server.send_json(send, 200, documents.as_document(found))
@@ -103,6 +106,8 @@
             )
             await service.wait_for_signal()
             await program.drain()
+            if program.control is not None:
+                await program.control.flush()
             program.stop.set()
         await program.router.forwarder.client.close()
         tasks.cancel_scope.cancel()
--- a/hillthread/transport/http_server.py
+++ b/hillthread/transport/http_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
+import hmac
 import socket
 from typing import Any
 from urllib import parse
@@ -51,6 +52,17 @@
         values = parse.parse_qs(self.query.decode("latin-1"))
         return values.get(name, [default])[-1]
 
+    def count(self, name: str, default: int) -> int:
+        """Returns a parameter that is a whole number, or the default."""
+        text = self.parameter(name)
+        return int(text) if text.isdigit() else default
+
+    def has_bearer(self, key: str) -> bool:
+        """Returns whether the request carries a certain bearer key."""
+        expected = f"Bearer {key}".encode()
+        given = self.headers.get("authorization", "").encode()
+        return hmac.compare_digest(expected, given)
+
     async def body(self, limit: int) -> bytes:
         """Returns the whole body.
 
