--- a/hillthread/coordination/fleet.py
+++ b/hillthread/coordination/fleet.py
@@ -16,6 +16,7 @@
 from hillthread.state import load
 from hillthread.state import objects
 from hillthread.state import prompt
+from hillthread.state import retry_budget
 from hillthread.state import warmth
 
 __all__ = ["Fleet", "Placement", "Usage", "affinity_key", "make_query"]
@@ -142,7 +143,7 @@
         self.warmth = warmth.WarmthTable()
         self.loads: dict[str, load.TargetLoad] = {}
         self.breakers: dict[str, health.Breaker] = {}
-        self.budgets: dict[str, health.RetryBudget] = {}
+        self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.departures = departures.Departures()
         self.work: dict[str, _Work] = {}
         self.heard_routers = 0
@@ -277,11 +278,11 @@
             beliefs.horizon = float(report.cache_tokens)
         beliefs.clock = max(beliefs.clock, report.inserted_tokens)
 
-    def retry_budget(self, pool: objects.Pool) -> health.RetryBudget:
+    def retry_budget(self, pool: objects.Pool) -> retry_budget.RetryBudget:
         """Returns the retry budget of a pool."""
         budget = self.budgets.get(pool.name)
         if budget is None or budget.ratio != pool.retry_ratio:
-            budget = health.RetryBudget(pool.retry_ratio)
+            budget = retry_budget.RetryBudget(pool.retry_ratio)
             self.budgets[pool.name] = budget
         return budget
 
--- a/hillthread/coordination/forwarder.py
+++ b/hillthread/coordination/forwarder.py
@@ -67,7 +67,7 @@
         """
         job = _Job(self, exchange)
         budget = self.fleet.retry_budget(exchange.resolved.pool)
-        budget.deposit()
+        budget.deposit(time.monotonic())
         failure = None
         for number in range(exchange.resolved.policy.max_attempts):
             if number and not self._may_retry(exchange, job, failure):
--- /dev/null
+++ b/hillthread/coordination/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: data plane and duties of a host that only has a store."""
--- /dev/null
+++ b/hillthread/coordination/gateway/attempt.py
@@ -0,0 +1,145 @@
+"""One attempt: a request sent to one target, and its answer checked."""
+
+from __future__ import annotations
+
+import anyio.abc
+
+from hillthread.coordination.gateway import event_relay
+from hillthread.coordination.gateway import intake
+from hillthread.coordination.gateway import outcome as outcome_lib
+from hillthread.platform import attempts
+from hillthread.state import attempt_plan
+from hillthread.transport import http1_client
+from hillthread.transport import http1_server
+
+__all__ = ["Attempt"]
+
+# Answers up to this size are checked whole before any of it is relayed.
+_WHOLE_BYTES = 262_144
+# A request that cannot be repeated must not meet a connection that the target
+# is about to close.
+_FRESH_S = 1.0
+
+
+class Attempt:
+    """Sends a request to a target once.
+
+    Attributes:
+        pool: Connections to targets.
+        tasks: Where long bodies are sent.
+        request: The caller's request.
+        plan: What is asked of the target.
+        relay: Where events go.
+        meaning: What the head of the answer said; None before it came.
+        reused: Whether it went over a kept connection.
+    """
+
+    def __init__(
+        self,
+        pool: http1_client.ConnectionPool,
+        tasks: anyio.abc.TaskGroup,
+        request: intake.GatewayRequest,
+        plan: attempt_plan.AttemptPlan,
+        relay: event_relay.EventRelay,
+    ):
+        self.pool = pool
+        self.tasks = tasks
+        self.request = request
+        self.plan = plan
+        self.relay = relay
+        self.meaning: attempts.AnswerMeaning | None = None
+        self.reused = False
+
+    async def run(self) -> outcome_lib.Outcome:
+        """Returns how it ended."""
+        max_idle_s = float("inf") if self.request.repeatable else _FRESH_S
+        try:
+            connection = await self.pool.take(
+                self.plan.target.address, max_idle_s
+            )
+        except http1_client.CallError as error:
+            return outcome_lib.Unsent(error.reason)
+        self.reused = connection.requests > 0
+        try:
+            return await self._exchange(connection)
+        except http1_client.CallError as error:
+            return self._failed(error)
+        finally:
+            await self.pool.give_back(connection)
+
+    async def _exchange(
+        self, connection: http1_client.ClientConnection
+    ) -> outcome_lib.Outcome:
+        caller = self.request.caller
+        sent = http1_client.ClientRequest(
+            caller.method,
+            caller.target,
+            attempts.encode_attempt(caller.headers, self.plan),
+            caller.body,
+        )
+        await connection.send_request(sent)
+        if not connection.body_sent:
+            self.tasks.start_soon(connection.send_body, sent)
+        head = await connection.read_head()
+        self.meaning = attempts.decode_answer(head)
+        wrong = self._check(head, self.meaning)
+        if wrong:
+            connection.told_close = True
+            return outcome_lib.Lost(wrong)
+        if self.meaning.not_run:
+            await connection.read_body(_WHOLE_BYTES)
+            return outcome_lib.NotRun(head.status, self.meaning)
+        if self.request.route.streaming and head.status == 200:
+            await self.relay.run(connection, head)
+            return outcome_lib.Relayed(head.status)
+        return await self._collect(connection, head)
+
+    async def _collect(
+        self,
+        connection: http1_client.ClientConnection,
+        head: http1_client.AnswerHead,
+    ) -> outcome_lib.Outcome:
+        """Returns a short answer whole; relays a long one as it comes."""
+        parts = []
+        size = 0
+        while part := await connection.read_part():
+            parts.append(part)
+            size += len(part)
+            if size > _WHOLE_BYTES:
+                await self._relay_long(connection, head, b"".join(parts))
+                return outcome_lib.Relayed(head.status)
+        body = b"".join(parts)
+        return outcome_lib.Whole(http1_client.WholeAnswer(head, body))
+
+    async def _relay_long(
+        self,
+        connection: http1_client.ClientConnection,
+        head: http1_client.AnswerHead,
+        data: bytes,
+    ) -> None:
+        answer = self.relay.answer
+        headers = attempts.relayed_headers(head)
+        await answer.begin(head.status, headers, data)
+        while part := await connection.read_part():
+            await answer.send(part)
+        await answer.end()
+
+    def _check(
+        self, head: http1_client.AnswerHead, meaning: attempts.AnswerMeaning
+    ) -> str:
+        """Returns what is wrong with the head of an answer, or nothing."""
+        if meaning.request_id != self.request.request_id.encode("latin-1"):
+            return "crossed_answer"
+        if meaning.encoded:
+            return "encoded_answer"
+        if head.status < 300 and not meaning.has_receipt:
+            return "no_receipt"
+        return ""
+
+    def _failed(self, error: http1_client.CallError) -> outcome_lib.Outcome:
+        if not error.sent:
+            return outcome_lib.Unsent(error.reason)
+        answer: http1_server.CallerAnswer = self.relay.answer
+        if answer.started:
+            return outcome_lib.Broken(error.reason)
+        return outcome_lib.Lost(error.reason)
--- /dev/null
+++ b/hillthread/coordination/gateway/chooser.py
@@ -0,0 +1,225 @@
+"""Turns beliefs into a plan for the next attempt of a request."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import NamedTuple
+
+from hillthread import errors
+from hillthread.coordination.gateway import intake
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.state import attempt_plan
+from hillthread.state import health
+from hillthread.state import objects
+from hillthread.state import target_choice
+from hillthread.state import target_list
+from hillthread.transport import http1_client
+
+__all__ = ["Chooser", "Planned"]
+
+# Tokens an engine reads in a second; the users' engines read 56.9 in a ms.
+_PREFILL_TOKENS_PER_S = 50_000.0
+# First-token time that old weights, and a prefix from elsewhere, are worth.
+_BEHIND_S = 0.1
+_AWAY_S = 0.08
+# Old weights cost nothing for so long after newer ones were named.
+_BEHIND_FREE_S = 1.3
+_NO_TARGET_RETRY_S = 0.3
+
+
+class Planned(NamedTuple):
+    """A plan with what it rests on.
+
+    Attributes:
+        plan: What is asked of the target.
+        pool: The pool it belongs to.
+        rank: Place of the target in the order of the prefix.
+        prefill_tokens: Tokens it is expected to compute before its answer.
+        expected_s: Expected time to the first byte, 0 when not known.
+    """
+
+    plan: attempt_plan.AttemptPlan
+    pool: objects.Pool
+    rank: int
+    prefill_tokens: int
+    expected_s: float
+
+
+class Chooser:
+    """Chooses targets from what the host believes.
+
+    Attributes:
+        site: The host's beliefs.
+        pool: Connections to targets.
+    """
+
+    def __init__(self, site: site_lib.Site, pool: http1_client.ConnectionPool):
+        self.site = site
+        self.pool = pool
+
+    def plan(
+        self,
+        request: intake.GatewayRequest,
+        tried: frozenset[str],
+        last_event_id: int | None,
+    ) -> Planned:
+        """Returns the plan of the next attempt.
+
+        Args:
+            request: The caller's request.
+            tried: Targets that must not be taken again.
+            last_event_id: Of the last event relayed; the stream goes on
+                after it.
+
+        Raises:
+            RefusalError: No target can be taken.
+        """
+        now = time.monotonic()
+        pool = self._pool(request.route)
+        members = self.site.targets.members(pool) if pool else []
+        views = [self._view(entry, request, tried, now) for entry in members]
+        choice = self._choose(request, views)
+        request.story.note(
+            "target_chosen" if choice.name else "no_target",
+            target=choice.name,
+            reason=choice.reason,
+            rank=choice.rank,
+            pool=pool.name if pool else None,
+            configuration=self.site.table.position if self.site.table else -1,
+            store_age_s=round(self.site.freshness.age(now), 3),
+            candidates=[_summary(view) for view in views],
+        )
+        if pool is None or choice.name is None:
+            raise no_target()
+        entry = self.site.targets.entries[choice.name]
+        return self._planned(request, pool, entry, choice, last_event_id)
+
+    def _pool(self, route: objects.Route) -> objects.Pool | None:
+        """Returns one of the route's pools by their weights."""
+        table = self.site.table
+        parts = table.pool_shares(route) if table is not None else ()
+        if not parts:
+            return None
+        if len(parts) == 1:
+            return parts[0].pool
+        return random.choices(
+            [part.pool for part in parts], [part.weight for part in parts]
+        )[0]
+
+    def _view(
+        self,
+        entry: target_list.ListedTarget,
+        request: intake.GatewayRequest,
+        tried: frozenset[str],
+        now: float,
+    ) -> target_choice.TargetView:
+        target = entry.target
+        state = self.site.state(target.name)
+        exclusion = None
+        if target.name in tried:
+            exclusion = target_choice.Exclusion.TRIED
+        elif now < state.refused_until:
+            exclusion = target_choice.Exclusion.REFUSING
+        elif state.breaker.state(now) is health.BreakerState.OPEN:
+            exclusion = target_choice.Exclusion.EJECTED
+        return target_choice.TargetView(
+            target.name,
+            target.data_centre,
+            exclusion,
+            state.running,
+            state.prefill_tokens,
+            self.site.weights.is_behind(target.name, request.prompt.model),
+            self.pool.has_idle(target.address),
+            state.seconds,
+        )
+
+    def _choose(
+        self,
+        request: intake.GatewayRequest,
+        views: list[target_choice.TargetView],
+    ) -> target_choice.Choice:
+        if not request.prompt.parts:
+            return target_choice.choose_plain(
+                request.request_id, views, self.site.settings.data_centre
+            )
+        model = request.prompt.model
+        named_s = self.site.weights.seconds_named(model, time.monotonic())
+        weights = target_choice.EngineWeights(
+            _PREFILL_TOKENS_PER_S,
+            self.site.hosts,
+            _BEHIND_S if named_s > _BEHIND_FREE_S else 0.0,
+            _AWAY_S,
+        )
+        return target_choice.choose_engine(
+            _affinity_key(request), views, weights
+        )
+
+    def _planned(
+        self,
+        request: intake.GatewayRequest,
+        pool: objects.Pool,
+        entry: target_list.ListedTarget,
+        choice: target_choice.Choice,
+        last_event_id: int | None,
+    ) -> Planned:
+        target = entry.target
+        model = request.prompt.model
+        version = self.site.weights.held(target.name, model) if model else None
+        store = self._cache_store() if version is not None else ""
+        plan = attempt_plan.AttemptPlan(
+            target,
+            request.tenant_name,
+            request.seconds_left(),
+            request.priority if model else None,
+            model,
+            version,
+            request.organisation,
+            store,
+            store,
+            last_event_id,
+        )
+        tokens = _prefill_tokens(request, choice.rank)
+        expected_s = self.site.state(target.name).seconds
+        return Planned(plan, pool, choice.rank, tokens, expected_s)
+
+    def _cache_store(self) -> str:
+        """Returns the address of a store of KV cache, or nothing."""
+        stores = self.site.table.cache_stores if self.site.table else []
+        if not stores:
+            return ""
+        own = self.site.settings.data_centre
+        near = [store for store in stores if store.data_centre == own]
+        return (near or stores)[0].address
+
+
+def no_target() -> errors.RefusalError:
+    """Returns the refusal of a request that no target can take now."""
+    return errors.RefusalError(
+        "no_target",
+        503,
+        "No target can take the request now.",
+        "Try again after the time in Retry-After.",
+        retry_after_s=_NO_TARGET_RETRY_S,
+    )
+
+
+def _affinity_key(request: intake.GatewayRequest) -> str:
+    """Returns what requests that share their longest prefix have in common."""
+    parts = request.prompt.parts
+    last_shared = parts[-2] if len(parts) > 1 else parts[-1]
+    return f"{request.organisation}/{last_shared.digest}"
+
+
+def _prefill_tokens(request: intake.GatewayRequest, rank: int) -> int:
+    parts = request.prompt.parts
+    if not parts:
+        return 0
+    if rank == 0:
+        return parts[-1].tokens
+    return sum(part.tokens for part in parts)
+
+
+def _summary(view: target_choice.TargetView) -> str:
+    state = view.exclusion or ("behind" if view.behind else "open")
+    return f"{view.name} {state} running={view.running}"
--- /dev/null
+++ b/hillthread/coordination/gateway/gateway.py
@@ -0,0 +1,170 @@
+"""The callers' application of the gateway."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import anyio
+import anyio.abc
+import msgspec
+
+from hillthread import errors
+from hillthread.coordination.gateway import dispatcher as dispatcher_lib
+from hillthread.coordination.gateway import intake
+from hillthread.coordination.gateway import metrics as metrics_lib
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway import story as story_lib
+from hillthread.platform import names
+from hillthread.transport import http1
+from hillthread.transport import http1_client
+from hillthread.transport import http1_server
+
+__all__ = ["Gateway"]
+
+_JSON = (b"content-type", b"application/json")
+
+_logger = logging.getLogger("hillthread.request")
+
+
+class Gateway:
+    """Serves callers.
+
+    Attributes:
+        site: The host's beliefs.
+        metrics: What is counted.
+        dispatcher: Carries requests to targets.
+        inflight: Requests being served.
+    """
+
+    def __init__(
+        self,
+        site: site_lib.Site,
+        metrics: metrics_lib.GatewayMetrics,
+        pool: http1_client.ConnectionPool,
+        tasks: anyio.abc.TaskGroup,
+    ):
+        self.site = site
+        self.metrics = metrics
+        self.dispatcher = dispatcher_lib.Dispatcher(site, metrics, pool, tasks)
+        self.samples = story_lib.SampleGate(site.settings.log_requests_per_s)
+        self.inflight = 0
+
+    async def handle(
+        self,
+        caller: http1_server.CallerRequest,
+        answer: http1_server.CallerAnswer,
+    ) -> None:
+        """Serves one request.
+
+        Raises:
+            BrokenAnswerError: Its answer has begun and cannot be completed.
+        """
+        request_id = caller.get(names.REQUEST_ID).decode("latin-1")
+        story = story_lib.Story(request_id, self.samples)
+        self.inflight += 1
+        self.metrics.inflight.set(self.inflight)
+        outcome = "left"
+        code = ""
+        try:
+            request = intake.admit(self.site, caller, story)
+            self._note_admitted(request)
+            await self.dispatcher.serve(request, answer)
+            outcome = "answered"
+            self._note_answered(request, caller)
+        except errors.RefusalError as refusal:
+            outcome, code = "refused", refusal.code
+            await self._refuse(refusal, answer, story)
+        except http1_server.BrokenAnswerError:
+            outcome = "broken"
+            story.warn("answer_broken")
+            raise
+        except http1.ConnectionLostError:
+            pass  # told below
+        except Exception:
+            outcome, code = "refused", "internal"
+            _logger.exception("internal error", extra={"request": request_id})
+            await self._refuse(_internal(), answer, story)
+        finally:
+            self.inflight -= 1
+            self.metrics.inflight.set(self.inflight)
+            self.metrics.requests.labels(outcome, code).inc()
+            if outcome == "left":
+                story.warn(
+                    "requester_left",
+                    seconds=round(time.monotonic() - caller.arrived, 4),
+                )
+            story.close()
+
+    def refused_unread(self, status: int, reason: str) -> None:
+        """Notes a request that could not be read."""
+        self.metrics.bad_requests.labels(str(status)).inc()
+        _logger.info(
+            "request could not be read",
+            extra={"event": "bad_request", "status": status, "reason": reason},
+        )
+
+    def _note_admitted(self, request: intake.GatewayRequest) -> None:
+        request.story.note(
+            "admitted",
+            route=request.route.name,
+            tenant=request.tenant_name,
+            repeatable=request.repeatable,
+            priority=request.priority,
+            seconds_left=round(request.seconds_left(), 3),
+        )
+
+    def _note_answered(
+        self,
+        request: intake.GatewayRequest,
+        caller: http1_server.CallerRequest,
+    ) -> None:
+        seconds = time.monotonic() - caller.arrived
+        self.metrics.observe_whole(request.route.name, seconds)
+        request.story.note("answered", seconds=round(seconds, 4))
+
+    async def _refuse(
+        self,
+        refusal: errors.RefusalError,
+        answer: http1_server.CallerAnswer,
+        story: story_lib.Story,
+    ) -> None:
+        story.warn(
+            "refused",
+            code=refusal.code,
+            status=refusal.status,
+            run=str(refusal.run),
+            retry_after_s=refusal.retry_after_s,
+            reason=refusal.message,
+            started=answer.started,
+        )
+        if answer.started:
+            raise http1_server.BrokenAnswerError
+        headers: http1.Headers = [
+            _JSON,
+            (names.REQUEST_ID, story.request_id.encode("latin-1")),
+        ]
+        if refusal.retry_after_s is not None:
+            after = b"%.3f" % refusal.retry_after_s
+            headers.append((names.RETRY_AFTER, after))
+        body = {
+            "error": {
+                "code": refusal.code,
+                "message": refusal.message,
+                "remedy": refusal.remedy,
+                "run": refusal.run,
+            }
+        }
+        await answer.send_whole(
+            refusal.status, headers, msgspec.json.encode(body)
+        )
+
+
+def _internal() -> errors.RefusalError:
+    return errors.RefusalError(
+        "internal",
+        502,
+        "The gateway failed; its log has the cause.",
+        "Report it with the request id.",
+        errors.RunState.UNKNOWN,
+    )
--- /dev/null
+++ b/hillthread/coordination/gateway/intake.py
@@ -0,0 +1,183 @@
+"""Takes in a request: which route, whose key, how long it may take."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+
+from hillthread import errors
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway import story as story_lib
+from hillthread.platform import attempts
+from hillthread.platform import names
+from hillthread.state import objects
+from hillthread.state import routing_table
+from hillthread.transport import http1_server
+
+__all__ = ["GatewayRequest", "admit", "authorise"]
+
+_SOON_S = 0.5
+_BEARER = "bearer"
+
+
+@dataclasses.dataclass(slots=True)
+class GatewayRequest:
+    """A request with everything that applies to it.
+
+    Attributes:
+        caller: As it came in.
+        request_id: As the caller sent it.
+        route: The route that matched.
+        tenant: Whose key it carries; None on public routes.
+        prompt: What it says of its prompt.
+        deadline: Seconds on the steady clock; nobody waits any longer.
+        last_event_id: Of the last event the caller has, or None.
+        story: Its decisions.
+    """
+
+    caller: http1_server.CallerRequest
+    request_id: str
+    route: objects.Route
+    tenant: objects.Tenant | None
+    prompt: attempts.PromptHeaders
+    deadline: float
+    last_event_id: int | None
+    story: story_lib.Story
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return bool(self.route.repeatable)
+
+    @property
+    def tenant_name(self) -> str:
+        """The name of its tenant, or nothing."""
+        return self.tenant.name if self.tenant else ""
+
+    @property
+    def organisation(self) -> str:
+        """Within which cached prefixes may be shared."""
+        return self.tenant.organisation if self.tenant else "public"
+
+    @property
+    def priority(self) -> int:
+        """Its class, 0 first."""
+        if self.tenant is not None and self.tenant.priority is not None:
+            return self.tenant.priority
+        return self.route.priority
+
+    def seconds_left(self) -> float:
+        """Seconds until nobody waits any more."""
+        return self.deadline - time.monotonic()
+
+
+def admit(
+    site: site_lib.Site,
+    caller: http1_server.CallerRequest,
+    story: story_lib.Story,
+) -> GatewayRequest:
+    """Returns the request with what applies to it.
+
+    Raises:
+        RefusalError: It cannot be served; it has not run.
+    """
+    if site.table is None or not site.targets_known:
+        raise not_ready("The host does not know the configuration yet.")
+    route = _route(site, caller)
+    tenant = authorise(site, caller, route)
+    timeout_s = route.timeout_s
+    asked_s = _deadline_s(caller)
+    if asked_s is not None:
+        timeout_s = min(timeout_s, asked_s)
+    return GatewayRequest(
+        caller,
+        story.request_id,
+        route,
+        tenant,
+        attempts.decode_prompt(caller.headers),
+        caller.arrived + timeout_s,
+        _whole(caller.get(names.LAST_EVENT_ID)),
+        story,
+    )
+
+
+def authorise(
+    site: site_lib.Site,
+    caller: http1_server.CallerRequest,
+    route: objects.Route,
+) -> objects.Tenant | None:
+    """Returns the tenant whose key a request carries; None on public routes.
+
+    Asked again right before each attempt: a key may end meanwhile, and a host
+    that was frozen no longer knows which keys hold.
+
+    Raises:
+        RefusalError: The key is unknown, or it is not known which keys hold.
+    """
+    configuration = site.configuration
+    if route.public or configuration is None or not configuration.has_tenants:
+        return None
+    if not site.may_serve_keys(time.monotonic()):
+        raise not_ready("The host has lost the store and cannot check keys.")
+    scheme, _, key = caller.get(b"authorization").partition(b" ")
+    tenant = None
+    if scheme.decode("latin-1").lower() == _BEARER and site.table is not None:
+        tenant = site.table.tenant_of_key(key.strip().decode("latin-1"))
+    if tenant is None:
+        raise errors.RefusalError(
+            "invalid_key",
+            401,
+            "The bearer key is missing or unknown.",
+            "Send `Authorization: Bearer KEY` with a key of your tenant.",
+        )
+    return tenant
+
+
+def not_ready(message: str) -> errors.RefusalError:
+    """Returns the refusal of a host that cannot serve yet or any more."""
+    return errors.RefusalError(
+        "not_ready",
+        503,
+        message,
+        "Try again; the balancer knows hosts that are ready.",
+        retry_after_s=_SOON_S,
+    )
+
+
+def current_route(
+    site: site_lib.Site, caller: http1_server.CallerRequest
+) -> objects.Route | None:
+    """Returns the route of a request in the configuration in force."""
+    table: routing_table.RoutingTable | None = site.table
+    if table is None:
+        return None
+    host = caller.get(b"host").decode("latin-1")
+    return table.index.find(host, caller.path)
+
+
+def _route(
+    site: site_lib.Site, caller: http1_server.CallerRequest
+) -> objects.Route:
+    route = current_route(site, caller)
+    if route is not None:
+        return route
+    if not site.may_serve_keys(time.monotonic()):
+        raise not_ready("The host has lost the store and may miss a route.")
+    raise errors.RefusalError(
+        "no_route",
+        404,
+        f"No route leads from {caller.path}.",
+        "Check host and path against the routes in force.",
+    )
+
+
+def _deadline_s(caller: http1_server.CallerRequest) -> float | None:
+    text = caller.get(names.DEADLINE_MS)
+    try:
+        return max(0.0, float(text) / 1000.0) if text else None
+    except ValueError:
+        return None
+
+
+def _whole(text: bytes) -> int | None:
+    return int(text) if text.isdigit() else None
--- /dev/null
+++ b/hillthread/coordination/gateway/site.py
@@ -0,0 +1,266 @@
+"""What one host believes: configuration, targets, weights, and their age."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import logging
+import time
+
+from hillthread.coordination.gateway import metrics as metrics_lib
+from hillthread.coordination.gateway import settings as settings_lib
+from hillthread.platform import configuration as configuration_lib
+from hillthread.platform import targets as targets_lib
+from hillthread.state import caller_bounds
+from hillthread.state import freshness
+from hillthread.state import health
+from hillthread.state import retry_budget
+from hillthread.state import routing_table
+from hillthread.state import site_configuration
+from hillthread.state import target_list
+from hillthread.state import target_state
+from hillthread.state import weights
+
+__all__ = ["Site"]
+
+# After an outage entries of live targets are back within this time (letter).
+_RETURN_S = 2.0
+# Keyed requests are refused this much before knowledge of keys is too old.
+_REVOKE_MARGIN_S = 0.8
+# Of its full age; the host then asks the balancer to send callers elsewhere.
+_READY_SHARE = 0.6
+# Hosts to share a budget with, until others are heard of.
+DEFAULT_HOSTS = 8
+
+_logger = logging.getLogger("hillthread.site")
+
+
+class Site:
+    """Beliefs of one host.
+
+    Attributes:
+        settings: Of this host; replaced when the file changes.
+        configuration: The configuration in force, or None before the first.
+        table: Its routing table, or None.
+        targets: Which targets there are.
+        states: What own attempts found, by target.
+        weights: Versions of weights.
+        freshness: Age of what is known from the operator.
+        hosts: Hosts that share the budgets, this one included.
+        draining: The process is stopping.
+        target_gone: Called with the address of each target that is gone.
+    """
+
+    def __init__(
+        self,
+        settings: settings_lib.GatewaySettings,
+        metrics: metrics_lib.GatewayMetrics,
+    ):
+        self.settings = settings
+        self.metrics = metrics
+        self.configuration: site_configuration.SiteConfiguration | None = None
+        self.table: routing_table.RoutingTable | None = None
+        self.targets = target_list.TargetList(
+            _RETURN_S, settings.drain_ms / 1000.0 * _READY_SHARE
+        )
+        self.targets_known = False
+        self.states: dict[str, target_state.TargetState] = {}
+        self.weights = weights.WeightsBoard()
+        self.freshness = freshness.Freshness()
+        self.budgets: dict[str, retry_budget.RetryBudget] = {}
+        self.hosts = DEFAULT_HOSTS
+        self.draining = False
+        self.target_gone: Callable[[str], None] = _ignore
+
+    @property
+    def bounds(self) -> caller_bounds.CallerBounds:
+        """Bounds on callers in force."""
+        if self.configuration is None:
+            return caller_bounds.CallerBounds()
+        return self.configuration.bounds
+
+    def adopt_configuration(self, payload: bytes) -> None:
+        """Puts a newer configuration in force; an older one is passed over.
+
+        Raises:
+            ConfigurationError: It is unreadable; the one in force stays.
+        """
+        adopted = configuration_lib.decode_configuration(payload)
+        before = self.configuration
+        if before is not None and adopted.version <= before.version:
+            return
+        self.table = adopted.table()
+        self.configuration = adopted
+        self.metrics.position.set(adopted.version)
+        _logger.info(
+            "configuration in force",
+            extra={
+                "event": "configuration",
+                "version": adopted.version,
+                "before": before.version if before else None,
+                "objects": len(adopted.decoded),
+            },
+        )
+
+    def name_weights(self, payload: bytes) -> None:
+        """Takes in newly named weights.
+
+        Raises:
+            ConfigurationError: The record is unreadable.
+        """
+        named = configuration_lib.decode_weights(payload)
+        now = time.monotonic()
+        if self.weights.name(named.model, named.version, now):
+            _logger.info(
+                "weights named",
+                extra={
+                    "event": "weights_named",
+                    "model": named.model,
+                    "version": named.version,
+                },
+            )
+
+    def put_target(self, incarnation: str, payload: bytes) -> None:
+        """Takes in an entry of the list of targets.
+
+        Raises:
+            ConfigurationError: It is unreadable; the one before it stays.
+        """
+        entry = targets_lib.decode_entry(incarnation, payload)
+        change = self.targets.put(entry)
+        for model, version in entry.weights.items():
+            self.weights.list_target(incarnation, model, version)
+        self._note_target(incarnation, change)
+
+    def remove_target(self, incarnation: str, now: float) -> None:
+        """Notes that an entry is missing from the list."""
+        entry = self.targets.entries.get(incarnation)
+        change = self.targets.remove(incarnation, now)
+        self._note_target(incarnation, change)
+        if change is target_list.TargetChange.GONE and entry is not None:
+            self._forget(incarnation, entry.target.address)
+
+    def expire_targets(self, now: float) -> None:
+        """Drops targets whose entries stayed missing after an outage."""
+        addresses = {
+            name: entry.target.address
+            for name, entry in self.targets.entries.items()
+        }
+        for name in self.targets.expire(now):
+            self._note_target(name, target_list.TargetChange.GONE)
+            self._forget(name, addresses[name])
+
+    def target_leaves(self, incarnation: str, source: str) -> None:
+        """Notes that a target said itself that it leaves."""
+        if self.targets.mark_leaving(incarnation):
+            self._note_target(
+                incarnation, target_list.TargetChange.LEAVING, source
+            )
+
+    def observe_weights(
+        self, incarnation: str, model: str, version: int
+    ) -> None:
+        """Takes in the weights version that a target said it holds."""
+        if self.weights.observe(incarnation, model, version):
+            _logger.info(
+                "target has weights",
+                extra={
+                    "event": "target_weights",
+                    "target": incarnation,
+                    "model": model,
+                    "version": version,
+                },
+            )
+
+    def state(self, target: str) -> target_state.TargetState:
+        """Returns what own attempts found of a target."""
+        found = self.states.get(target)
+        if found is None:
+            found = self.states[target] = target_state.TargetState()
+        return found
+
+    def budget(self, pool: str) -> retry_budget.RetryBudget:
+        """Returns this host's part of a pool's retry budget."""
+        extra = self.settings.retry_extra / self.hosts
+        budget = self.budgets.get(pool)
+        if budget is None:
+            budget = self.budgets[pool] = retry_budget.RetryBudget(
+                self.settings.retry_ratio,
+                extra,
+                self.settings.retry_window_s,
+            )
+        budget.extra = extra
+        return budget
+
+    def store_lost(self, reason: str) -> None:
+        """Notes that the store cannot be read."""
+        self.targets.store_lost()
+        _logger.warning(
+            "store lost", extra={"event": "store_lost", "reason": reason}
+        )
+
+    def store_back(self, now: float, lost_s: float) -> None:
+        """Notes that the store can be read again."""
+        self.targets.store_back(now)
+        _logger.info(
+            "store back",
+            extra={"event": "store_back", "lost_s": round(lost_s, 3)},
+        )
+
+    def may_serve_keys(self, now: float) -> bool:
+        """Returns whether what is known of keys is recent enough."""
+        if not self.settings.fail_closed:
+            return self.table is not None
+        limit = self.settings.revoke_ms / 1000.0 - _REVOKE_MARGIN_S
+        return self.freshness.age(now) <= limit
+
+    def not_ready_reason(self, now: float) -> str:
+        """Returns why callers should be sent elsewhere; empty when ready."""
+        if self.draining:
+            return "stopping"
+        if self.table is None:
+            return "no configuration known"
+        if not self.targets_known:
+            return "targets not known"
+        limit = self.settings.revoke_ms / 1000.0 * _READY_SHARE
+        if self.settings.fail_closed and self.freshness.age(now) > limit:
+            return "store not reached"
+        return ""
+
+    def _note_target(
+        self,
+        name: str,
+        change: target_list.TargetChange,
+        source: str = "list",
+    ) -> None:
+        if change is target_list.TargetChange.NONE:
+            return
+        entry = self.targets.entries.get(name)
+        self.metrics.targets.set(len(self.targets.entries))
+        _logger.info(
+            f"target {change}",
+            extra={
+                "event": f"target_{change}",
+                "target": name,
+                "source": source,
+                "address": entry.target.address if entry else None,
+                "labels": dict(entry.target.labels) if entry else None,
+            },
+        )
+
+    def _forget(self, name: str, address: str) -> None:
+        self.states.pop(name, None)
+        self.weights.forget(name)
+        self.target_gone(address)
+
+    def ejected(self, now: float) -> list[str]:
+        """Returns the targets that get no requests because they failed."""
+        return [
+            name
+            for name, state in self.states.items()
+            if state.breaker.state(now) is health.BreakerState.OPEN
+        ]
+
+
+def _ignore(address: str) -> None:
+    """Stands for nobody who wants to know of targets that are gone."""
+    del address
--- /dev/null
+++ b/hillthread/coordination/gateway/story.py
@@ -0,0 +1,80 @@
+"""The decisions on one request, as log lines.
+
+Each decision is noted when it is made. The lines of a request that goes as
+planned are held and only a sample of them is written; as soon as something
+else happens they are written, with all that follow.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import Any
+
+__all__ = ["SampleGate", "Story"]
+
+_logger = logging.getLogger("hillthread.request")
+
+
+class SampleGate:
+    """Says which ordinary requests are logged: some a second, and no more.
+
+    Attributes:
+        per_s: Requests logged in a second.
+    """
+
+    def __init__(self, per_s: int):
+        self.per_s = per_s
+        self._second = 0
+        self._taken = 0
+
+    def take(self) -> bool:
+        """Returns whether to log the ordinary request that ended now."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._taken = 0
+        self._taken += 1
+        return self._taken <= self.per_s
+
+
+class Story:
+    """What happened to one request.
+
+    Attributes:
+        request_id: As the caller sent it.
+        gate: Samples ordinary requests.
+        unusual: Whether every line is written.
+    """
+
+    def __init__(self, request_id: str, gate: SampleGate):
+        self.request_id = request_id
+        self.gate = gate
+        self.unusual = False
+        self._held: list[dict[str, Any]] = []
+
+    def note(self, event: str, **fields: Any) -> None:
+        """Notes a decision that goes as planned."""
+        fields["at"] = round(time.time(), 4)
+        fields["event"] = event
+        fields["request"] = self.request_id
+        if self.unusual:
+            _logger.info(event, extra=fields)
+            return
+        self._held.append(fields)
+
+    def warn(self, event: str, **fields: Any) -> None:
+        """Notes what was not planned, and writes all lines held."""
+        self.unusual = True
+        self._write_held()
+        self.note(event, **fields)
+
+    def close(self) -> None:
+        """Ends the story: an ordinary one is written if sampled."""
+        if self._held and self.gate.take():
+            self._write_held()
+
+    def _write_held(self) -> None:
+        for fields in self._held:
+            _logger.info(fields["event"], extra=fields)
+        self._held = []
--- /dev/null
+++ b/hillthread/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Speaks the platform of the users: names, formats and calls, no decisions."""
--- /dev/null
+++ b/hillthread/platform/attempts.py
@@ -0,0 +1,215 @@
+"""Encodes attempts for targets and decodes what their answers mean."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from hillthread.platform import names
+from hillthread.state import attempt_plan
+from hillthread.transport import http1
+from hillthread.transport import http1_client
+
+__all__ = [
+    "AnswerMeaning",
+    "PromptHeaders",
+    "PromptPart",
+    "decode_answer",
+    "decode_prompt",
+    "encode_attempt",
+    "relayed_headers",
+]
+
+_HOP_BY_HOP = frozenset(
+    [
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    ]
+)
+_FRAMING = frozenset([b"content-length", b"expect"])
+_LEAST_DEADLINE_MS = 1
+_HIGHEST_PRIORITY = 9
+
+
+class PromptPart(NamedTuple):
+    """One part of a prompt.
+
+    Attributes:
+        digest: Names its text; equal for equal text.
+        tokens: Its length.
+    """
+
+    digest: str
+    tokens: int
+
+
+class PromptHeaders(NamedTuple):
+    """What a request says of its prompt.
+
+    Attributes:
+        model: The model asked for; empty for plain services.
+        parts: In order; the last belongs to the request or its session.
+        prompt_tokens: Length of the prompt.
+        answer_tokens: The longest answer wanted.
+    """
+
+    model: str = ""
+    parts: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+
+
+class AnswerMeaning(NamedTuple):
+    """What the head of an answer says.
+
+    Attributes:
+        request_id: Whose answer it is.
+        not_run: The target did not run the request and never will.
+        has_receipt: Whether it carries a target's receipt.
+        incarnation: Who answered; empty when not told.
+        weights_version: Weights it ran with; None when not told.
+        encoded: The body is not the target's own bytes.
+        retry_after_s: When the target wants to be asked again; 0 if not told.
+    """
+
+    request_id: bytes
+    not_run: bool
+    has_receipt: bool
+    incarnation: str
+    weights_version: int | None
+    encoded: bool
+    retry_after_s: float
+
+
+def decode_prompt(headers: http1.Headers) -> PromptHeaders:
+    """Returns what a caller's headers say of its prompt.
+
+    What is unreadable counts as absent: the target judges it.
+    """
+    first = dict(reversed(headers))
+    prompt, _, answer = first.get(names.TOKEN_COUNTS, b"").partition(b",")
+    return PromptHeaders(
+        first.get(names.MODEL, b"").decode("latin-1"),
+        _parts(first.get(names.PROMPT_PARTS, b"").decode("latin-1")),
+        _whole(prompt) or 0,
+        _whole(answer) or 0,
+    )
+
+
+def encode_attempt(
+    headers: http1.Headers, plan: attempt_plan.AttemptPlan
+) -> http1.Headers:
+    """Returns the headers of an attempt.
+
+    Args:
+        headers: The caller's; what only the system may set is left out.
+        plan: What the attempt asks for.
+    """
+    sent = [pair for pair in headers if _passes(pair[0], headers)]
+    target = plan.target
+    deadline_ms = max(_LEAST_DEADLINE_MS, int(plan.seconds_left * 1000))
+    sent.append((names.DEADLINE_MS, b"%d" % deadline_ms))
+    sent.append((names.EXPECT_INCARNATION, target.name.encode()))
+    if plan.tenant:
+        sent.append((names.TENANT, plan.tenant.encode()))
+    if plan.priority is not None:
+        priority = min(_HIGHEST_PRIORITY, max(0, plan.priority))
+        sent.append((names.PRIORITY, b"%d" % priority))
+    if plan.weights_version is not None:
+        version = b"%d" % plan.weights_version
+        sent.append((names.EXPECT_WEIGHTS, version))
+        sent.append((names.CACHE_SALT, _salt(plan).encode()))
+    if plan.fetch_from:
+        sent.append((names.FETCH_CACHE_FROM, plan.fetch_from.encode()))
+    if plan.save_to:
+        sent.append((names.SAVE_CACHE_TO, plan.save_to.encode()))
+    if plan.last_event_id is not None:
+        event_id = b"%d" % plan.last_event_id
+        sent = [pair for pair in sent if pair[0] != names.LAST_EVENT_ID]
+        sent.append((names.LAST_EVENT_ID, event_id))
+    return sent
+
+
+def decode_answer(head: http1_client.AnswerHead) -> AnswerMeaning:
+    """Returns what the head of an answer says."""
+    return AnswerMeaning(
+        head.get(names.REQUEST_ID),
+        bool(head.get(names.NOT_RUN)) or head.status == 421,
+        bool(head.get(names.RECEIPT)),
+        head.get(names.INCARNATION).decode("latin-1"),
+        _whole(head.get(names.WEIGHTS_VERSION)),
+        bool(head.get(b"content-encoding")),
+        _seconds(head.get(names.RETRY_AFTER)),
+    )
+
+
+def relayed_headers(head: http1_client.AnswerHead) -> http1.Headers:
+    """Returns a target's headers that pass to the caller, without framing."""
+    return [
+        pair
+        for pair in head.headers
+        if pair[0] not in _HOP_BY_HOP and pair[0] != b"content-length"
+    ]
+
+
+def event_weights(raw: bytes) -> int | None:
+    """Returns the weights version an event says it changed to, or None."""
+    if not raw.startswith(names.WEIGHTS_EVENT_FIELD):
+        return None
+    line = raw.partition(b"\n")[0]
+    return _whole(line[len(names.WEIGHTS_EVENT_FIELD) :])
+
+
+def _salt(plan: attempt_plan.AttemptPlan) -> str:
+    """Returns the text under which prefixes are found again.
+
+    It holds the weights version, so that nothing computed with other weights
+    is ever found, on a target or in a store.
+    """
+    return f"{plan.organisation}/{plan.model}/{plan.weights_version}"
+
+
+def _passes(name: bytes, headers: http1.Headers) -> bool:
+    if name in names.UNCHANGED:
+        return True
+    if name in _HOP_BY_HOP or name in _FRAMING or name in names.SET_BY_SYSTEM:
+        return False
+    if name.startswith(names.SET_BY_SYSTEM_PREFIXES):
+        return False
+    return not _named_by_connection(name, headers)
+
+
+def _named_by_connection(name: bytes, headers: http1.Headers) -> bool:
+    return any(
+        name == term.strip().lower()
+        for each, value in headers
+        if each == b"connection"
+        for term in value.split(b",")
+    )
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for term in text.split(","):
+        digest, _, tokens = term.strip().partition(":")
+        if digest and tokens.isdigit():
+            parts.append(PromptPart(digest, int(tokens)))
+    return tuple(parts)
+
+
+def _whole(text: bytes) -> int | None:
+    text = text.strip()
+    return int(text) if text.isdigit() else None
+
+
+def _seconds(text: bytes) -> float:
+    try:
+        return max(0.0, float(text)) if text else 0.0
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/hillthread/platform/configuration.py
@@ -0,0 +1,214 @@
+"""Decodes the operator's configuration and named weights."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import NamedTuple
+
+import msgspec
+
+from hillthread.state import caller_bounds
+from hillthread.state import objects
+from hillthread.state import payloads
+from hillthread.state import site_configuration
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "OPERATOR_TOPIC",
+    "WEIGHTS_KEY_PREFIX",
+    "WeightsName",
+    "decode_configuration",
+    "decode_weights",
+]
+
+OPERATOR_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+WEIGHTS_KEY_PREFIX = "version/"
+SERVICE_LABEL = "service"
+
+# Tenants that are not isolated share cached prefixes: one organisation.
+_SHARED_ORGANISATION = "shared"
+
+
+class WeightsName(NamedTuple):
+    """Newly named weights of a model."""
+
+    model: str
+    version: int
+
+
+class _Wire(msgspec.Struct, rename="camel"):
+    """The base of what the platform writes: unknown fields are passed over."""
+
+
+class _Model(_Wire):
+    name: str
+
+
+class _Engine(_Wire):
+    slots: int = 0
+    kv_capacity_tokens: int = 0
+    models: list[_Model] = []
+
+
+class _Service(_Wire):
+    name: str
+    health_path: str = ""
+    max_connections: int = 0
+    engine: _Engine | None = None
+    # A service with this address is a store of kept KV cache.
+    kv_store_addr: str = ""
+    zone: str = ""
+    kv_capacity_tokens: int = 0
+
+
+class _Split(_Wire):
+    service: str
+    weight: float
+
+
+class _Route(_Wire):
+    name: str
+    host: str
+    path_prefix: str
+    # Whether requests may be repeated, and whether answers are streams.
+    type: str
+    timeout_ms: float
+    # Time to the first byte within which an answer has its full worth.
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+    service: str = ""
+    traffic_split: list[_Split] = []
+
+
+class _Limits(_Wire):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Tenant(_Wire):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class _Configuration(_Wire):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+class _Weights(_Wire):
+    model: str
+    version: int
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_weights_decoder = msgspec.json.Decoder(_Weights)
+
+
+def decode_configuration(
+    payload: bytes,
+) -> site_configuration.SiteConfiguration:
+    """Returns the configuration in a record.
+
+    Raises:
+        ConfigurationError: The record is unreadable.
+    """
+    wire = payloads.decode_payload(
+        _configuration_decoder, payload, "configuration"
+    )
+    values: list[objects.ConfigurationObject] = []
+    values += [_route(each) for each in wire.routes]
+    values += [_pool_or_store(each) for each in wire.services]
+    values += [_tenant(each) for each in wire.tenants or []]
+    return site_configuration.SiteConfiguration(
+        wire.version,
+        {objects.object_key(value): value for value in values},
+        caller_bounds.CallerBounds(
+            wire.limits.max_header_bytes,
+            wire.limits.max_body_bytes,
+            wire.limits.header_timeout_ms / 1000.0,
+            wire.limits.idle_timeout_ms / 1000.0,
+        ),
+        wire.tenants is not None,
+    )
+
+
+def decode_weights(payload: bytes) -> WeightsName:
+    """Returns the weights named in a record.
+
+    Raises:
+        ConfigurationError: The record is unreadable.
+    """
+    wire = payloads.decode_payload(_weights_decoder, payload, "weights")
+    return WeightsName(wire.model, wire.version)
+
+
+def service_selector(service: str) -> str:
+    """Returns the selector of a service's pool and targets."""
+    return f"{SERVICE_LABEL}={service}"
+
+
+def _route(wire: _Route) -> objects.Route:
+    streaming = wire.type == "streaming"
+    return objects.Route(
+        name=wire.name,
+        host=wire.host,
+        path_prefix=wire.path_prefix,
+        pool_selector=service_selector(wire.service),
+        pool_shares=[
+            objects.PoolShare(service_selector(each.service), each.weight)
+            for each in wire.traffic_split
+        ],
+        repeatable=wire.resumable if streaming else wire.type == "idempotent",
+        timeout_s=wire.timeout_ms / 1000.0,
+        streaming=streaming,
+        resumable=wire.resumable,
+        public=wire.public,
+        priority=wire.priority,
+        max_attempts=wire.max_attempts,
+        first_byte_aim_s=wire.target_latency_ms / 1000.0,
+        gap_aim_s=wire.gap_aim_ms / 1000.0,
+    )
+
+
+def _pool_or_store(wire: _Service) -> objects.Pool | objects.CacheStore:
+    if wire.kv_store_addr:
+        return objects.CacheStore(
+            name=wire.name,
+            address=wire.kv_store_addr,
+            data_centre=wire.zone,
+            cache_tokens=wire.kv_capacity_tokens,
+        )
+    engine = wire.engine or _Engine()
+    return objects.Pool(
+        name=wire.name,
+        labels={SERVICE_LABEL: wire.name},
+        target_selector=service_selector(wire.name),
+        models=[model.name for model in engine.models],
+        max_running=engine.slots,
+        cache_tokens=engine.kv_capacity_tokens,
+        max_connections=wire.max_connections,
+        status_path=wire.health_path,
+    )
+
+
+def _tenant(wire: _Tenant) -> objects.Tenant:
+    return objects.Tenant(
+        name=wire.name,
+        organisation=wire.name if wire.isolated else _SHARED_ORGANISATION,
+        key_digests=[
+            hashlib.sha256(key.encode()).hexdigest() for key in wire.api_keys
+        ],
+        priority=wire.priority,
+    )
--- /dev/null
+++ b/hillthread/platform/names.py
@@ -0,0 +1,72 @@
+"""Headers and calls of the platform, by what they mean."""
+
+from __future__ import annotations
+
+__all__ = [
+    "CACHE_SALT",
+    "DEADLINE_MS",
+    "EXPECT_INCARNATION",
+    "EXPECT_WEIGHTS",
+    "FETCH_CACHE_FROM",
+    "INCARNATION",
+    "LAST_EVENT_ID",
+    "MODEL",
+    "NOT_RUN",
+    "PRIORITY",
+    "PROMPT_PARTS",
+    "RECEIPT",
+    "REQUEST_ID",
+    "RETRY_AFTER",
+    "SAVE_CACHE_TO",
+    "SETTINGS_VARIABLE",
+    "SET_BY_SYSTEM",
+    "SET_BY_SYSTEM_PREFIXES",
+    "TENANT",
+    "TOKEN_COUNTS",
+    "UNCHANGED",
+    "WEIGHTS_EVENT_FIELD",
+    "WEIGHTS_VERSION",
+]
+
+SETTINGS_VARIABLE = "HILLTHREAD_NODE_FILE"
+
+REQUEST_ID = b"x-request-id"
+MODEL = b"x-model"
+TOKEN_COUNTS = b"x-token-count"
+PROMPT_PARTS = b"x-prompt-prefix"
+DEADLINE_MS = b"x-deadline-ms"
+LAST_EVENT_ID = b"last-event-id"
+RETRY_AFTER = b"retry-after"
+
+RECEIPT = b"x-response-stamp"
+NOT_RUN = b"x-not-run"
+INCARNATION = b"x-instance-id"
+WEIGHTS_VERSION = b"x-weight-versions"
+# An event at which the version changes begins with this field.
+WEIGHTS_EVENT_FIELD = b"x-weight-versions:"
+
+EXPECT_INCARNATION = b"x-expect-instance"
+EXPECT_WEIGHTS = b"x-expect-version"
+TENANT = b"x-tenant"
+PRIORITY = b"x-request-priority"
+CACHE_SALT = b"x-cache-salt"
+FETCH_CACHE_FROM = b"x-kv-fetch"
+SAVE_CACHE_TO = b"x-kv-save"
+
+# Reach targets exactly as the caller sent them, whatever Connection names.
+UNCHANGED = frozenset([REQUEST_ID, MODEL, TOKEN_COUNTS, PROMPT_PARTS])
+
+# Only the system sets these towards targets; a caller's own are dropped.
+SET_BY_SYSTEM = frozenset(
+    [
+        b"authorization",
+        b"kv-from",
+        b"x-hold",
+        b"x-pin-ms",
+        CACHE_SALT,
+        DEADLINE_MS,
+        PRIORITY,
+        TENANT,
+    ]
+)
+SET_BY_SYSTEM_PREFIXES = (b"x-kv-", b"x-expect-")
--- /dev/null
+++ b/hillthread/platform/orders.py
@@ -0,0 +1,140 @@
+"""Orders to engines and reports of theirs."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+import msgspec
+
+from hillthread.platform import names
+from hillthread.platform import targets
+from hillthread.state import objects
+from hillthread.transport import http1_client
+
+__all__ = ["OrderAnswer", "WeightsOrder", "read_report", "send_order"]
+
+_TIMEOUT_S = 0.8
+_MAX_ANSWER_BYTES = 262_144
+
+
+class OrderAnswer(enum.StrEnum):
+    """What became of an order."""
+
+    TAKEN = "taken"
+    ALREADY_HOLDS = "already_holds"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    REFUSED = "refused"
+    OTHER_INCARNATION = "other_incarnation"
+    UNSENT = "unsent"
+    UNKNOWN = "unknown"
+
+
+class WeightsOrder(NamedTuple):
+    """Has an engine load weights.
+
+    Attributes:
+        model: Whose weights.
+        version: The weights to load.
+        strategy: What becomes of running requests.
+        holder: Who holds the lease on orders.
+        fencing: The lease's fencing number.
+        orders_taken: Orders the engine must have taken so far; another count
+            means that an earlier order arrived after all.
+    """
+
+    model: str
+    version: int
+    strategy: str
+    holder: str
+    fencing: int
+    orders_taken: int
+
+
+class _Order(msgspec.Struct, rename="camel"):
+    op: str
+    model: str
+    version: int
+    strategy: str
+    holder: str
+    fence: int
+    expected_revision: int
+
+
+_ANSWERS = {
+    200: OrderAnswer.ALREADY_HOLDS,
+    202: OrderAnswer.TAKEN,
+    409: OrderAnswer.CONFLICT,
+    412: OrderAnswer.FENCED,
+    421: OrderAnswer.OTHER_INCARNATION,
+}
+
+
+async def send_order(
+    pool: http1_client.ConnectionPool,
+    target: objects.Target,
+    order: WeightsOrder,
+) -> OrderAnswer:
+    """Gives an order and returns what became of it."""
+    body = msgspec.json.encode(
+        _Order(
+            "version",
+            order.model,
+            order.version,
+            order.strategy,
+            order.holder,
+            order.fencing,
+            order.orders_taken,
+        )
+    )
+    request = http1_client.ClientRequest(
+        b"POST",
+        b"/api/order",
+        [
+            (b"host", target.address.encode()),
+            (b"content-type", b"application/json"),
+            (names.EXPECT_INCARNATION, target.name.encode()),
+        ],
+        body,
+    )
+    try:
+        answer = await _call(pool, target, request)
+    except http1_client.CallError as error:
+        return OrderAnswer.UNKNOWN if error.sent else OrderAnswer.UNSENT
+    return _ANSWERS.get(answer.head.status, OrderAnswer.REFUSED)
+
+
+async def read_report(
+    pool: http1_client.ConnectionPool, target: objects.Target
+) -> targets.EngineReport | None:
+    """Returns what an engine reports; None when it does not answer.
+
+    Raises:
+        ConfigurationError: The report is unreadable.
+    """
+    request = http1_client.ClientRequest(
+        b"GET",
+        b"/api/report",
+        [
+            (b"host", target.address.encode()),
+            (names.EXPECT_INCARNATION, target.name.encode()),
+        ],
+    )
+    try:
+        answer = await _call(pool, target, request)
+    except http1_client.CallError:
+        return None
+    if answer.head.status != 200:
+        return None
+    return targets.decode_report(answer.body)
+
+
+async def _call(
+    pool: http1_client.ConnectionPool,
+    target: objects.Target,
+    request: http1_client.ClientRequest,
+) -> http1_client.WholeAnswer:
+    return await http1_client.call(
+        pool, target.address, request, _TIMEOUT_S, _MAX_ANSWER_BYTES
+    )
--- /dev/null
+++ b/hillthread/platform/store.py
@@ -0,0 +1,325 @@
+"""Calls to the platform's store: a log of topics, some of them keyed."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Iterator
+import struct
+from typing import NamedTuple
+from urllib import parse
+
+import msgspec
+
+from hillthread import errors
+from hillthread.transport import http1_client
+
+__all__ = [
+    "ChangedError",
+    "KeyedPage",
+    "KeyedRecord",
+    "LogPage",
+    "LogRecord",
+    "StoreClient",
+    "TruncatedError",
+    "parse_keyed",
+]
+
+_CONNECT_TIMEOUT_S = 0.5
+# The store answers in 4 ms; slow days are 60 times slower.
+_CALL_TIMEOUT_S = 1.0
+_MAX_ANSWER_BYTES = 16_777_216
+_PARTITION = 0
+_POSITIONS = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+
+
+class LogRecord(NamedTuple):
+    """One record of a topic.
+
+    Attributes:
+        offset: Its place in the topic.
+        payload: Its bytes.
+    """
+
+    offset: int
+    payload: bytes
+
+
+class LogPage(NamedTuple):
+    """A part of a topic.
+
+    Attributes:
+        end: One past the newest record.
+        records: In order, without a gap.
+    """
+
+    end: int
+    records: list[LogRecord]
+
+
+class KeyedRecord(NamedTuple):
+    """One record of a keyed topic.
+
+    Attributes:
+        key: What it is about.
+        value: Its bytes; none when the key was removed.
+        offset: Its place in the topic.
+    """
+
+    key: str
+    value: bytes
+    offset: int
+
+
+class KeyedPage(NamedTuple):
+    """The newest record of each key, or of some of them.
+
+    Attributes:
+        records: In the order of their keys.
+        end: One past the newest record when the page was made.
+    """
+
+    records: list[KeyedRecord]
+    end: int
+
+
+class TruncatedError(errors.LogError):
+    """The wanted records are no longer kept."""
+
+    code = "log_truncated"
+
+
+class ChangedError(errors.ConflictError):
+    """The topic does not end where a conditional append expected.
+
+    Attributes:
+        end: Where it ends.
+    """
+
+    def __init__(self, end: int):
+        super().__init__(
+            f"The topic ends at {end}.", "Read up to there and decide anew."
+        )
+        self.end = end
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str = ""
+    offset: int = -1
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    end: int
+    truncated: bool = False
+
+
+class _Appended(msgspec.Struct):
+    offset: int = -1
+    end: int = -1
+
+
+class StoreClient:
+    """Calls the store; every call either is answered or raises.
+
+    Attributes:
+        address: `IP:port`.
+        pool: Connections; one whose answer was lost is never used again.
+        calls: Calls made so far.
+    """
+
+    def __init__(self, address: str):
+        self.address = address
+        self.pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S)
+        self.calls = 0
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.pool.close()
+
+    async def newest(self, topic: str) -> KeyedPage:
+        """Returns the newest record of every key of a keyed topic.
+
+        Pages are not a snapshot: records from the first page's end on are to
+        be read as well.
+
+        Raises:
+            LogError: The store cannot be read.
+        """
+        records: list[KeyedRecord] = []
+        end = None
+        after = None
+        while True:
+            query = {"topic": topic, "part": _PARTITION}
+            if after is not None:
+                query["after"] = after
+            page = _decode(await self._get("log-newest", query, 0.0), _Newest)
+            end = page.end if end is None else end
+            records += [
+                KeyedRecord(item.key, _unpack_value(item.value), item.offset)
+                for item in page.items
+            ]
+            if not page.truncated or not page.items:
+                return KeyedPage(records, end)
+            after = page.items[-1].key
+
+    async def read(self, topic: str, start: int, wait_s: float) -> LogPage:
+        """Returns the records of a topic from `start` on.
+
+        Args:
+            topic: Its name.
+            start: Offset of the first wanted record.
+            wait_s: How long the store holds the call when there is none.
+
+        Raises:
+            TruncatedError: Records from `start` on are no longer kept.
+            LogError: The store cannot be read.
+        """
+        query = {
+            "topic": topic,
+            "part": _PARTITION,
+            "from": start,
+            "waitMs": int(wait_s * 1000),
+        }
+        raw = await self._get("log-read", query, wait_s)
+        return _parse_page(raw, start)
+
+    async def append(
+        self, topic: str, payload: bytes, expected_end: int
+    ) -> int:
+        """Appends a record if the topic ends at `expected_end`.
+
+        Returns:
+            The record's offset.
+
+        Raises:
+            ChangedError: The topic ends elsewhere; nothing was appended.
+            UnknownOutcomeError: It may have been appended, or may be later.
+            LogError: It was not appended.
+        """
+        query = {
+            "topic": topic,
+            "part": _PARTITION,
+            "storeRevision": expected_end,
+        }
+        body = _LENGTH.pack(len(payload)) + payload
+        answer = await self._call(b"POST", "log-append", query, body, 0.0)
+        match answer.head.status:
+            case 200:
+                return _decode(answer.body, _Appended).offset
+            case 412:
+                raise ChangedError(_decode(answer.body, _Appended).end)
+            case status:
+                raise _refused(status)
+
+    async def _get(self, call: str, query: dict, wait_s: float) -> bytes:
+        answer = await self._call(b"GET", call, query, b"", wait_s)
+        match answer.head.status:
+            case 200:
+                return answer.body
+            case 410:
+                raise TruncatedError(
+                    "Wanted records are no longer kept.",
+                    "Read the newest record of each key.",
+                )
+            case status:
+                raise _refused(status)
+
+    async def _call(
+        self, method: bytes, call: str, query: dict, body: bytes, wait_s: float
+    ) -> http1_client.WholeAnswer:
+        self.calls += 1
+        target = f"/api/{call}?{parse.urlencode(query)}"
+        request = http1_client.ClientRequest(
+            method, target.encode(), [(b"host", self.address.encode())], body
+        )
+        try:
+            return await http1_client.call(
+                self.pool,
+                self.address,
+                request,
+                wait_s + _CALL_TIMEOUT_S,
+                _MAX_ANSWER_BYTES,
+            )
+        except http1_client.CallError as error:
+            if error.sent and method == b"POST":
+                raise errors.UnknownOutcomeError(
+                    f"The store's answer was lost: {error.reason}.",
+                    "Read the topic to find out whether it was done.",
+                ) from error
+            raise errors.LogError(
+                f"The store cannot be reached: {error.reason}.",
+                "Check the platform; what is known stays in force.",
+            ) from error
+
+
+def _refused(status: int) -> errors.LogError:
+    return errors.LogError(
+        f"The store answered with status {status}.",
+        "Check the platform; the call is tried again.",
+    )
+
+
+def _decode(raw: bytes, kind: type):
+    try:
+        return msgspec.json.decode(raw, type=kind)
+    except msgspec.DecodeError as error:
+        raise errors.LogError(
+            f"The store's answer is unreadable: {error}.",
+            "Check whether the platform was upgraded.",
+        ) from error
+
+
+def _unpack_value(text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError as error:
+        raise errors.LogError(
+            f"A value of the store is unreadable: {error}.",
+            "Check whether the platform was upgraded.",
+        ) from error
+
+
+def _parse_page(raw: bytes, start: int) -> LogPage:
+    try:
+        end, _ = _POSITIONS.unpack_from(raw, 0)
+        payloads = list(_split(raw, _POSITIONS.size))
+    except struct.error as error:
+        raise errors.LogError(
+            f"The store's answer is cut short: {error}.",
+            "Check whether the platform was upgraded.",
+        ) from error
+    records = [
+        LogRecord(start + number, payload)
+        for number, payload in enumerate(payloads)
+    ]
+    return LogPage(end, records)
+
+
+def _split(raw: bytes, position: int) -> Iterator[bytes]:
+    while position < len(raw):
+        (length,) = _LENGTH.unpack_from(raw, position)
+        position += _LENGTH.size
+        payload = raw[position : position + length]
+        if len(payload) < length:
+            raise struct.error("a record ends early")
+        yield payload
+        position += length
+
+
+def parse_keyed(record: LogRecord) -> KeyedRecord:
+    """Returns the keyed record in a record of a keyed topic.
+
+    Raises:
+        LogError: It is none.
+    """
+    payload = record.payload
+    size = payload[0] if payload else 0
+    if not payload or len(payload) < 1 + size:
+        raise errors.LogError(
+            f"Record {record.offset} of a keyed topic has no key.",
+            "Check what wrote it; it is passed over.",
+        )
+    key = payload[1 : 1 + size].decode("utf-8", "replace")
+    return KeyedRecord(key, payload[1 + size :], record.offset)
--- /dev/null
+++ b/hillthread/programs/gateway.py
@@ -0,0 +1,235 @@
+"""`hillthread-gateway`: data plane and duties of a host with a store only."""
+
+from __future__ import annotations
+
+import logging
+import os
+import signal
+import sys
+import time
+
+import anyio
+
+from hillthread import settings as settings_lib
+from hillthread.coordination.gateway import gateway as gateway_lib
+from hillthread.coordination.gateway import metrics as metrics_lib
+from hillthread.coordination.gateway import settings as gateway_settings
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway import store_follower
+from hillthread.platform import configuration
+from hillthread.platform import names
+from hillthread.platform import store as store_lib
+from hillthread.platform import targets
+from hillthread.state import caller_bounds
+from hillthread.transport import http1_client
+from hillthread.transport import http1_server
+from hillthread.transport import log_writer
+
+__all__ = ["main", "run"]
+
+# The balancer asks once a second and takes a host out after two misses.
+_NOTICE_S = 3.2
+# Before the process is killed, what still runs is broken off.
+_STOP_MARGIN_S = 0.7
+_IDLE_CHECK_S = 0.05
+_CONNECT_TIMEOUT_S = 0.4
+# How long the store holds a read. That of the operator's topic also proves
+# that no key was withdrawn.
+_OPERATOR_WAIT_S = 2.0
+_TARGETS_WAIT_S = 5.0
+_TICK_S = 0.1
+_STORE_LOST_IDLE_S = 60.0
+
+_logger = logging.getLogger("hillthread.program")
+
+
+class GatewayProgram:
+    """The gateway with its sockets, followers and duties."""
+
+    def __init__(self, settings: gateway_settings.GatewaySettings, tasks):
+        self.settings = settings
+        self.tasks = tasks
+        self.metrics = metrics_lib.GatewayMetrics()
+        self.site = site_lib.Site(settings, self.metrics)
+        self.pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S)
+        self.gateway = gateway_lib.Gateway(
+            self.site, self.metrics, self.pool, tasks
+        )
+        self.store = store_lib.StoreClient(settings.store)
+        self.watch = store_follower.StoreWatch(
+            self.site.store_lost, self.site.store_back
+        )
+        self.operator = self._follower(
+            configuration.OPERATOR_TOPIC,
+            _OPERATOR_WAIT_S,
+            self._take_operator,
+            self.site.freshness.prove,
+        )
+        self.targets = self._follower(
+            targets.TARGET_TOPIC,
+            _TARGETS_WAIT_S,
+            self._take_target,
+            self._targets_proven,
+        )
+        self.site.target_gone = self._close_idle
+        self.server = http1_server.Server(
+            settings_lib.split_address(settings.listen),
+            self.gateway.handle,
+            lambda: self.site.bounds,
+            self.gateway.refused_unread,
+        )
+        self.ready_server = self._status_server(settings.ready_listen)
+        ip, _ = settings_lib.split_address(settings.listen)
+        self.metrics_server = self._status_server(
+            f"{ip}:{settings.metrics_port}"
+        )
+
+    async def run(self) -> None:
+        """Starts everything."""
+        for start in (
+            self.operator.run,
+            self.targets.run,
+            self.server.serve,
+            self.ready_server.serve,
+            self.metrics_server.serve,
+            self._tick,
+        ):
+            self.tasks.start_soon(start)
+
+    async def drain(self, asked_at: float) -> None:
+        """Stops as planned: not ready, serve on, then wait for requests."""
+        self.site.draining = True
+        self.server.stopping = True
+        _logger.info("stopping", extra={"event": "stop_notice"})
+        give_up_at = asked_at + self.settings.grace_s - _STOP_MARGIN_S
+        await anyio.sleep(min(_NOTICE_S, self.settings.grace_s / 2))
+        while time.monotonic() < give_up_at and self.server.serving:
+            await anyio.sleep(_IDLE_CHECK_S)
+        _logger.info(
+            "stopped",
+            extra={"event": "stop_drained", "open": self.server.serving},
+        )
+
+    async def answer_status(
+        self,
+        caller: http1_server.CallerRequest,
+        answer: http1_server.CallerAnswer,
+    ) -> None:
+        """Answers the balancer's question and the metrics page."""
+        if caller.path.endswith("/metrics"):
+            kind = [(b"content-type", b"text/plain; version=0.0.4")]
+            await answer.send_whole(200, kind, self.metrics.page())
+            return
+        reason = self.site.not_ready_reason(time.monotonic())
+        status = 503 if reason else 200
+        await answer.send_whole(status, [], reason.encode())
+
+    def _status_server(self, address: str) -> http1_server.Server:
+        return http1_server.Server(
+            settings_lib.split_address(address),
+            self.answer_status,
+            caller_bounds.CallerBounds,
+            self.gateway.refused_unread,
+        )
+
+    def _follower(
+        self, topic: str, wait_s: float, take, proven
+    ) -> store_follower.TopicFollower:
+        return store_follower.TopicFollower(
+            self.store, topic, wait_s, self.watch, self.metrics, take, proven
+        )
+
+    def _take_operator(self, record: store_lib.KeyedRecord) -> None:
+        if not record.value:
+            return
+        if record.key == configuration.CONFIGURATION_KEY:
+            self.site.adopt_configuration(record.value)
+        elif record.key.startswith(configuration.WEIGHTS_KEY_PREFIX):
+            self.site.name_weights(record.value)
+
+    def _take_target(self, record: store_lib.KeyedRecord) -> None:
+        if record.value:
+            self.site.put_target(record.key, record.value)
+        else:
+            self.site.remove_target(record.key, time.monotonic())
+
+    def _targets_proven(self, sent_at: float, held_s: float) -> None:
+        del sent_at, held_s
+        self.site.targets_known = True
+
+    def _close_idle(self, address: str) -> None:
+        self.tasks.start_soon(self.pool.drop, address)
+
+    async def _tick(self) -> None:
+        """Does what is due with time, and notes changes of readiness."""
+        ready = None
+        while True:
+            now = time.monotonic()
+            self.site.expire_targets(now)
+            reason = self.site.not_ready_reason(now)
+            if reason != ready:
+                ready = reason
+                _logger.info(
+                    "not ready" if reason else "ready",
+                    extra={
+                        "event": "readiness",
+                        "reason": reason,
+                        "store_age_s": round(self.site.freshness.age(now), 3),
+                    },
+                )
+            self.metrics.ready.set(not reason)
+            self.metrics.age.set(self.site.freshness.age(now))
+            self.metrics.connections.set(self.pool.opened)
+            await anyio.sleep(_TICK_S)
+
+
+async def serve(settings: gateway_settings.GatewaySettings) -> None:
+    """Runs until asked to stop and drained."""
+    handler = log_writer.BufferedLogHandler(sys.stdout.fileno())
+    logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(handler.run)
+        program = GatewayProgram(settings, tasks)
+        _logger.info(
+            "started",
+            extra={
+                "event": "start",
+                "host": settings.host,
+                "data_centre": settings.data_centre,
+                "listen": settings.listen,
+                "store": settings.store,
+            },
+        )
+        await program.run()
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                break
+        await program.drain(time.monotonic())
+        tasks.cancel_scope.cancel()
+
+
+def run(settings: str = "") -> None:
+    """Routes callers' requests on a platform that gives a store.
+
+    Args:
+        settings: Path of the JSON settings file; when it is left out, the
+            platform's variable names it.
+    """
+    path = settings or os.environ.get(names.SETTINGS_VARIABLE, "")
+    loaded = settings_lib.load_settings(path, gateway_settings.GatewaySettings)
+    anyio.run(serve, loaded)
+
+
+def main() -> None:
+    """The console script."""
+    # service.run_command would import hypercorn, which this program does not
+    # need: memory is short on the hosts.
+    import fire  # noqa: PLC0415
+
+    fire.Fire(run)
+
+
+if __name__ == "__main__":
+    main()
--- a/hillthread/protocol/event_stream.py
+++ b/hillthread/protocol/event_stream.py
@@ -9,8 +9,6 @@
 __all__ = ["Event", "EventSplitter", "encode_event"]
 
 _END = b"\n\n"
-_ID = b"id: "
-_DATA = b"data: "
 
 
 class Event(NamedTuple):
@@ -51,7 +49,12 @@
                 f"An event is larger than {self.limit} bytes.",
                 "Raise max_event_bytes in the router's settings.",
             )
-        return [_parse(piece) for piece in pieces if piece]
+        return [_parse(piece) for piece in pieces]
+
+    @property
+    def rest(self) -> bytes:
+        """The bytes of an unfinished event."""
+        return self._rest
 
 
 def encode_event(index: int | None, data: bytes) -> bytes:
@@ -63,16 +66,21 @@
 
 def _parse(piece: bytes) -> Event:
     index = None
-    start = piece.find(_DATA)
-    if piece.startswith(_ID):
-        end = piece.find(b"\n")
-        digits = piece[len(_ID) : end if end >= 0 else None].strip()
-        if not digits.isdigit():
-            raise errors.HillthreadError(
-                f"The event index {digits!r} is not a number.",
-                "Check the engine: docs/PROTOCOLS.md asks for numbers.",
-            )
-        index = int(digits)
-        start = piece.find(_DATA, end) if end >= 0 else -1
-    data = piece[start + len(_DATA) :] if start >= 0 else b""
-    return Event(piece + _END, index, data)
+    data = []
+    for line in piece.split(b"\n"):
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if name == b"data":
+            data.append(value)
+        elif name == b"id":
+            index = _index(value.strip())
+    return Event(piece + _END, index, b"\n".join(data))
+
+
+def _index(digits: bytes) -> int:
+    if not digits.isdigit():
+        raise errors.HillthreadError(
+            f"The event index {digits!r} is not a number.",
+            "Check the engine: docs/PROTOCOLS.md asks for numbers.",
+        )
+    return int(digits)
--- /dev/null
+++ b/hillthread/state/attempt_plan.py
@@ -0,0 +1,38 @@
+"""What one attempt of the gateway asks of a target."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from hillthread.state import objects
+
+__all__ = ["AttemptPlan"]
+
+
+class AttemptPlan(NamedTuple):
+    """One attempt, decided but not yet sent.
+
+    Attributes:
+        target: Where it goes; its name is the incarnation expected.
+        tenant: Whose key the request carries; empty on public routes.
+        seconds_left: Until nobody waits for the answer any more.
+        priority: Class of the request, 0 first; None for plain services.
+        model: The model asked for; empty for plain services.
+        weights_version: Weights it must run on; None when not known.
+        organisation: Within which cached prefixes may be shared.
+        fetch_from: Address of a store to take cached prefixes from; empty
+            for none.
+        save_to: Address of a store to keep what was computed; empty for none.
+        last_event_id: Of the last event relayed, when a stream goes on.
+    """
+
+    target: objects.Target
+    tenant: str
+    seconds_left: float
+    priority: int | None = None
+    model: str = ""
+    weights_version: int | None = None
+    organisation: str = ""
+    fetch_from: str = ""
+    save_to: str = ""
+    last_event_id: int | None = None
--- a/hillthread/state/health.py
+++ b/hillthread/state/health.py
@@ -1,14 +1,12 @@
-"""Outlier ejection and retry budgets: how a router reacts to failures."""
+"""Outlier ejection: how a router reacts to failures."""
 
 from __future__ import annotations
 
 import enum
 
-__all__ = ["Breaker", "BreakerState", "RetryBudget"]
+__all__ = ["Breaker", "BreakerState"]
 
 _MAX_EJECT_FACTOR = 8
-_BUDGET_WINDOW_S = 10.0
-_BUDGET_FLOOR = 3.0
 
 
 class BreakerState(enum.StrEnum):
@@ -66,37 +64,13 @@
         self.failures += 1
         if not self.probing and self.failures < self.eject_after:
             return
+        self.trip(now)
+
+    def trip(self, now: float) -> None:
+        """Ejects the target at once; one that is ejected stays so."""
+        if now < self.open_until:
+            return
         self.probing = False
         factor = min(2**self.ejections, _MAX_EJECT_FACTOR)
         self.open_until = now + self.eject_s * factor
         self.ejections += 1
-
-
-class RetryBudget:
-    """Bounds retries to a share of first attempts, so that none storm.
-
-    Attributes:
-        ratio: Retries that each first attempt earns.
-    """
-
-    def __init__(self, ratio: float):
-        self.ratio = ratio
-        self.balance = _BUDGET_FLOOR
-        self.updated_at = 0.0
-
-    def deposit(self) -> None:
-        """Notes a first attempt."""
-        limit = max(_BUDGET_FLOOR, 100.0 * self.ratio)
-        self.balance = min(limit, self.balance + self.ratio)
-
-    def withdraw(self, now: float) -> bool:
-        """Returns whether a retry is allowed, and notes it if so."""
-        passed = max(0.0, now - self.updated_at)
-        self.updated_at = now
-        if self.balance < _BUDGET_FLOOR:
-            refill = _BUDGET_FLOOR * passed / _BUDGET_WINDOW_S
-            self.balance = min(_BUDGET_FLOOR, self.balance + refill)
-        if self.balance < 1.0:
-            return False
-        self.balance -= 1.0
-        return True
--- a/hillthread/state/objects.py
+++ b/hillthread/state/objects.py
@@ -16,11 +16,13 @@
 from hillthread.state import labels as labels_lib
 
 __all__ = [
+    "CacheStore",
     "ConfigurationObject",
     "Limits",
     "ObjectKey",
     "Policy",
     "Pool",
+    "PoolShare",
     "Route",
     "Target",
     "Tenant",
@@ -102,9 +104,20 @@
         retry_ratio: Retries allowed for each first attempt.
         eject_after: Consecutive failures that eject a target.
         eject_s: Seconds until an ejected target is probed again.
+        models: The models its targets serve; empty for plain services.
+        max_running: Requests one target runs at once; 0 when not told.
+        cache_tokens: Tokens one target keeps in memory; 0 when not told.
+        max_connections: Connections one target takes from all hosts
+            together; 0 when not told.
+        status_path: Path of the targets' status check.
     """
 
     target_selector: str
+    models: list[str] = []
+    max_running: int = 0
+    cache_tokens: int = 0
+    max_connections: int = 0
+    status_path: str = ""
     max_inflight: Count = 64
     queue_size: Count = 256
     retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
@@ -112,9 +125,37 @@
     eject_s: Positive = 2.0
 
 
+class CacheStore(_Object, frozen=True, kw_only=True):
+    """A store of kept KV cache, which targets save to and fetch from.
+
+    Attributes:
+        address: `IP:port`.
+        data_centre: Where it runs.
+        cache_tokens: Tokens it keeps.
+    """
+
+    address: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]+$")]
+    data_centre: str = ""
+    cache_tokens: int = 0
+
+
+class PoolShare(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The part of a route's requests that goes to some pools.
+
+    Attributes:
+        pool_selector: Picks the pools.
+        weight: Relative to the weights of the route's other parts.
+    """
+
+    pool_selector: str
+    weight: Annotated[float, msgspec.Meta(ge=0)]
+
+
 class Route(_Object, frozen=True, kw_only=True):
     """Which requests go to which pool.
 
+    The fields from `host` on are read by the gateway only.
+
     Attributes:
         path_prefix: The start of the request's path.
         models: Model names it applies to; empty for all.
@@ -124,6 +165,16 @@
         repeatable: Whether a request may run more than once; when unset,
             completions may and calls of plain services may not.
         timeout_s: Deadline of a whole request.
+        host: The `Host` header it applies to; empty for any.
+        pool_shares: Splits the requests over pools; `pool_selector` is not
+            used then.
+        streaming: Whether answers are streams of events.
+        resumable: Whether a broken stream may go on in another run.
+        public: Whether requests need no key.
+        priority: Class of its requests, 0 first; a tenant's goes before it.
+        max_attempts: Targets that one request may run on at most.
+        first_byte_aim_s: Objective of the first byte; 0 when there is none.
+        gap_aim_s: Objective of the pause between events; 0 for none.
     """
 
     path_prefix: str
@@ -133,6 +184,15 @@
     order: int = 100
     repeatable: bool | None = None
     timeout_s: Positive = 120.0
+    host: str = ""
+    pool_shares: list[PoolShare] = []
+    streaming: bool = False
+    resumable: bool = False
+    public: bool = False
+    priority: Annotated[int, msgspec.Meta(ge=0)] = 0
+    max_attempts: Count = 1
+    first_byte_aim_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    gap_aim_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class Limits(
@@ -152,6 +212,7 @@
         organisation: Cached prefixes are shared within it and never beyond.
         key_digests: SHA-256 of each bearer key, in hexadecimal.
         limits: What it may use.
+        priority: Class of its requests, 0 first; None leaves it to the route.
     """
 
     organisation: Name
@@ -159,6 +220,7 @@
         Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
     ] = []
     limits: Limits = Limits()
+    priority: int | None = None
 
 
 class Policy(_Object, frozen=True, kw_only=True):
@@ -180,7 +242,9 @@
     max_attempts: Annotated[int, msgspec.Meta(ge=1, le=9)] = 3
 
 
-ConfigurationObject: TypeAlias = Target | Pool | Route | Tenant | Policy
+ConfigurationObject: TypeAlias = (
+    Target | Pool | Route | Tenant | Policy | CacheStore
+)
 
 _SELECTOR_FIELDS = ("target_selector", "pool_selector", "tenant_selector")
 
--- /dev/null
+++ b/hillthread/state/route_index.py
@@ -0,0 +1,42 @@
+"""Finds the route of a request by host and longest path prefix."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from hillthread.state import objects
+
+__all__ = ["RouteIndex"]
+
+
+class RouteIndex:
+    """Routes by host, then by path prefix.
+
+    Prefixes are cut at slashes: a lookup costs one step for each level of the
+    path, however many routes there are.
+    """
+
+    def __init__(self, routes: Iterable[objects.Route]):
+        self._by_host: dict[str, dict[str, objects.Route]] = {}
+        for route in routes:
+            prefixes = self._by_host.setdefault(route.host.lower(), {})
+            prefixes.setdefault(route.path_prefix, route)
+
+    def find(self, host: str, path: str) -> objects.Route | None:
+        """Returns the route with the longest prefix of `path`, or None.
+
+        Args:
+            host: The `Host` header; a port is passed over.
+            path: The request's path, without its query.
+        """
+        name = host.partition(":")[0].strip().lower()
+        prefixes = self._by_host.get(name)
+        if prefixes is None:
+            return None
+        end = path.rfind("/") + 1
+        while end > 0:
+            route = prefixes.get(path[:end])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end - 1) + 1
+        return None
--- a/hillthread/state/routing_table.py
+++ b/hillthread/state/routing_table.py
@@ -11,8 +11,9 @@
 
 from hillthread.state import labels
 from hillthread.state import objects
+from hillthread.state import route_index
 
-__all__ = ["Resolved", "RoutingTable"]
+__all__ = ["PoolPart", "Resolved", "RoutingTable"]
 
 _MAX_RESOLVED = 4096
 _DEFAULT_POLICY = objects.Policy(name="default")
@@ -34,6 +35,18 @@
     targets: tuple[objects.Target, ...]
 
 
+class PoolPart(NamedTuple):
+    """A pool that takes a part of a route's requests.
+
+    Attributes:
+        pool: The pool.
+        weight: Relative to the route's other pools.
+    """
+
+    pool: objects.Pool
+    weight: float
+
+
 class RoutingTable:
     """An immutable view of one configuration.
 
@@ -41,6 +54,8 @@
         position: Position in the log of the configuration.
         tenants: By name.
         targets: By name.
+        cache_stores: Stores of kept KV cache.
+        index: Finds routes by host and path.
     """
 
     def __init__(
@@ -52,6 +67,7 @@
         self.tenants: dict[str, objects.Tenant] = {}
         self.targets: dict[str, objects.Target] = {}
         self.models: set[str] = set()
+        self.cache_stores: list[objects.CacheStore] = []
         self._pools: list[objects.Pool] = []
         self._routes: list[objects.Route] = []
         self._policies: list[objects.Policy] = []
@@ -62,6 +78,8 @@
         self._pools.sort(key=lambda pool: pool.name)
         self._routes.sort(key=lambda route: (route.order, route.name))
         self._policies.sort(key=lambda policy: (policy.order, policy.name))
+        self.index = route_index.RouteIndex(self._routes)
+        self._shares: cachetools.LRUCache = cachetools.LRUCache(_MAX_RESOLVED)
 
     def tenant_of_key(self, key: str) -> objects.Tenant | None:
         """Returns the tenant whose bearer key this is, or None."""
@@ -92,6 +110,27 @@
             self._resolved[cache_key] = self._resolve(tenant, route)
         return self._resolved[cache_key]
 
+    def pool_shares(self, route: objects.Route) -> tuple[PoolPart, ...]:
+        """Returns the pools of a route with their weights."""
+        if route.name not in self._shares:
+            self._shares[route.name] = self._parts_of(route)
+        return self._shares[route.name]
+
+    def pools_serving(self, model: str) -> list[objects.Pool]:
+        """Returns the pools whose targets serve a model."""
+        return [pool for pool in self._pools if model in pool.models]
+
+    def _parts_of(self, route: objects.Route) -> tuple[PoolPart, ...]:
+        shares = route.pool_shares or [
+            objects.PoolShare(route.pool_selector, 1.0)
+        ]
+        return tuple(
+            PoolPart(pool, share.weight)
+            for share in shares
+            for pool in self._pools
+            if _selects(share.pool_selector, pool)
+        )
+
     def _add(self, value: objects.ConfigurationObject) -> None:
         match value:
             case objects.Tenant():
@@ -107,6 +146,8 @@
                 self._routes.append(value)
             case objects.Policy():
                 self._policies.append(value)
+            case objects.CacheStore():
+                self.cache_stores.append(value)
 
     def _route(
         self, tenant: objects.Tenant, path: str, model: str
--- /dev/null
+++ b/hillthread/state/target_list.py
@@ -0,0 +1,148 @@
+"""The targets the platform lists, and how long a missing entry is trusted.
+
+Entries vanish for two reasons: the target left, or the platform's store was
+away and entries lapsed. After an outage the entries of live targets come back
+within `return_s`; until then a missing one is kept, and its own answers tell
+whether it lives. A target once seen leaving never comes back: each start of a
+target is another incarnation under another name.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import enum
+from typing import NamedTuple
+
+from hillthread.state import labels
+from hillthread.state import objects
+
+__all__ = ["ListedTarget", "TargetChange", "TargetList"]
+
+_FOREVER = float("inf")
+
+
+class TargetChange(enum.StrEnum):
+    """What a new entry changed."""
+
+    NONE = "none"
+    COME = "come"
+    CHANGED = "changed"
+    LEAVING = "leaving"
+    MISSING = "missing"
+    GONE = "gone"
+
+
+class ListedTarget(NamedTuple):
+    """One entry of the platform's list.
+
+    Attributes:
+        target: Its name is its incarnation: new with each start.
+        leaving: It ends soon and must get no new work.
+        weights: Version of the weights it holds, by model.
+    """
+
+    target: objects.Target
+    leaving: bool = False
+    weights: Mapping[str, int] = {}
+
+
+class TargetList:
+    """Which targets there are.
+
+    Attributes:
+        return_s: Seconds after an outage in which lapsed entries come back.
+        hold_s: Seconds a missing entry is kept at most, also in an outage.
+        entries: All targets that are listed or still trusted, by name.
+        leaving: Names that were seen leaving; they never come back.
+    """
+
+    def __init__(self, return_s: float, hold_s: float):
+        self.return_s = return_s
+        self.hold_s = hold_s
+        self.entries: dict[str, ListedTarget] = {}
+        self.leaving: set[str] = set()
+        self._drop_at: dict[str, float] = {}
+        self._away = False
+        self._back_at = -_FOREVER
+
+    def store_lost(self) -> None:
+        """Notes that the list cannot be read."""
+        self._away = True
+
+    def store_back(self, now: float) -> None:
+        """Notes that the list can be read again."""
+        if self._away:
+            self._away = False
+            self._back_at = now
+
+    def put(self, entry: ListedTarget) -> TargetChange:
+        """Takes in an entry and returns what it changed."""
+        name = entry.target.name
+        self._drop_at.pop(name, None)
+        if name in self.leaving:
+            entry = entry._replace(leaving=True)
+        before = self.entries.get(name)
+        self.entries[name] = entry
+        if entry.leaving:
+            self.leaving.add(name)
+            if before is None or not before.leaving:
+                return TargetChange.LEAVING
+        if before is None:
+            return TargetChange.COME
+        if before == entry:
+            return TargetChange.NONE
+        return TargetChange.CHANGED
+
+    def remove(self, name: str, now: float) -> TargetChange:
+        """Notes that an entry is missing and returns what that changed."""
+        entry = self.entries.get(name)
+        if entry is None:
+            return TargetChange.NONE
+        if entry.leaving or not self._may_have_lapsed(now):
+            self._drop(name)
+            return TargetChange.GONE
+        if name in self._drop_at:
+            return TargetChange.NONE
+        self._drop_at[name] = now + min(self.hold_s, self.return_s)
+        return TargetChange.MISSING
+
+    def expire(self, now: float) -> list[str]:
+        """Drops entries that stayed missing; returns their names."""
+        due = [name for name, at in self._drop_at.items() if now >= at]
+        for name in due:
+            self._drop(name)
+        return due
+
+    def is_missing(self, name: str) -> bool:
+        """Returns whether an entry is kept though it is not listed."""
+        return name in self._drop_at
+
+    def mark_leaving(self, name: str) -> bool:
+        """Notes that a target said itself that it leaves.
+
+        Returns:
+            Whether that is news.
+        """
+        if name in self.leaving:
+            return False
+        self.leaving.add(name)
+        entry = self.entries.get(name)
+        if entry is not None:
+            self.entries[name] = entry._replace(leaving=True)
+        return True
+
+    def members(self, pool: objects.Pool) -> list[ListedTarget]:
+        """Returns the targets of a pool that may get new work."""
+        selector = labels.parse_selector(pool.target_selector)
+        return [
+            entry
+            for entry in self.entries.values()
+            if not entry.leaving and selector.matches(entry.target.labels)
+        ]
+
+    def _may_have_lapsed(self, now: float) -> bool:
+        return self._away or now - self._back_at <= self.return_s
+
+    def _drop(self, name: str) -> None:
+        self.entries.pop(name, None)
+        self._drop_at.pop(name, None)
--- /dev/null
+++ b/hillthread/state/target_state.py
@@ -0,0 +1,90 @@
+"""What one host learned of a target from its own attempts."""
+
+from __future__ import annotations
+
+import collections
+
+from hillthread.state import health
+
+__all__ = ["TargetState"]
+
+# Outcomes remembered to tell a target that fails some of its requests.
+_RECENT = 10
+_EJECT_FAILURES = 4
+_EJECT_AFTER = 2
+_EJECT_S = 1.0
+_LATENCY_STEP = 0.2
+
+
+class TargetState:
+    """One target as this host's attempts have found it.
+
+    Attributes:
+        breaker: Ejects it after failures.
+        running: This host's unfinished attempts.
+        prefill_tokens: Of these, the tokens still to be computed before their
+            first event.
+        refused_until: Seconds; it refused work and is spared until then.
+        seconds: Smoothed time to the first byte.
+    """
+
+    def __init__(self):
+        self.breaker = health.Breaker(_EJECT_AFTER, _EJECT_S)
+        self.running = 0
+        self.prefill_tokens = 0
+        self.refused_until = float("-inf")
+        self.seconds = 0.0
+        self._recent: collections.deque[bool] = collections.deque(
+            maxlen=_RECENT
+        )
+
+    def accepts(self, now: float) -> bool:
+        """Returns whether it may be given a request."""
+        if now < self.refused_until:
+            return False
+        return self.breaker.state(now) is not health.BreakerState.OPEN
+
+    def begin(self, now: float, prefill_tokens: int) -> None:
+        """Notes an attempt that is about to be sent."""
+        self.breaker.admit(now)
+        self.running += 1
+        self.prefill_tokens += prefill_tokens
+
+    def first_byte(self, prefill_tokens: int, seconds: float) -> None:
+        """Notes that an attempt's answer has begun."""
+        self.prefill_tokens -= prefill_tokens
+        step = _LATENCY_STEP if self.seconds else 1.0
+        self.seconds += step * (seconds - self.seconds)
+
+    def end(self) -> None:
+        """Notes that an attempt has ended in any way."""
+        self.running -= 1
+        self.breaker.release()
+
+    def succeed(self) -> None:
+        """Notes an answer as it should be."""
+        self._recent.append(True)
+        self.breaker.succeed()
+
+    def refuse(self, until: float) -> None:
+        """Notes that it refused work, without fault."""
+        self.refused_until = max(self.refused_until, until)
+
+    def fail(self, now: float) -> bool:
+        """Notes a failure that is the target's.
+
+        Returns:
+            Whether it is ejected now.
+        """
+        self._recent.append(False)
+        before = self.breaker.ejections
+        if self._recent.count(False) >= _EJECT_FAILURES:
+            self._recent.clear()
+            self.breaker.trip(now)
+        else:
+            self.breaker.fail(now)
+        return self.breaker.ejections > before
+
+    def lose(self, now: float) -> None:
+        """Notes that it cannot be reached."""
+        self.breaker.trip(now)
--- /dev/null
+++ b/hillthread/transport/http1_client.py
@@ -0,0 +1,339 @@
+"""Requests to targets over kept connections; what was sent stays known."""
+
+from __future__ import annotations
+
+import collections
+from typing import NamedTuple
+
+import anyio
+import h11
+
+from hillthread import settings as settings_lib
+from hillthread.transport import http1
+
+__all__ = [
+    "AnswerHead",
+    "CallError",
+    "ClientConnection",
+    "ClientRequest",
+    "ConnectionPool",
+    "WholeAnswer",
+    "call",
+]
+
+_MAX_HEAD_BYTES = 65_536
+_MAX_IDLE = 64
+# Used up to this share of the time a peer said it keeps idle connections.
+_KEEP_ALIVE_SHARE = 0.7
+# When the peer tells no time: shorter than what peers are seen to keep.
+_DEFAULT_KEEP_S = 4.0
+_INLINE_BODY_BYTES = 16_384
+_GARBLED = (h11.RemoteProtocolError, h11.LocalProtocolError)
+
+
+class CallError(Exception):
+    """A call did not bring a whole answer.
+
+    Attributes:
+        sent: Whether any byte of the request may have reached the peer.
+        reason: What happened, in a few words.
+    """
+
+    def __init__(self, sent: bool, reason: str):
+        super().__init__(reason)
+        self.sent = sent
+        self.reason = reason
+
+
+class ClientRequest(NamedTuple):
+    """A request to a target.
+
+    Attributes:
+        method: In capitals.
+        target: Path and query.
+        headers: Without those that frame the body.
+        body: The whole body.
+    """
+
+    method: bytes
+    target: bytes
+    headers: http1.Headers
+    body: bytes = b""
+
+
+class AnswerHead(NamedTuple):
+    """The head of an answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: In order, names in lower case.
+    """
+
+    status: int
+    headers: http1.Headers
+
+    def get(self, name: bytes) -> bytes:
+        """Returns the first value of a header, or nothing."""
+        for each, value in self.headers:
+            if each == name:
+                return value
+        return b""
+
+
+class WholeAnswer(NamedTuple):
+    """An answer with its whole body."""
+
+    head: AnswerHead
+    body: bytes
+
+
+class ClientConnection(http1.Http1Connection):
+    """A connection to a target.
+
+    Attributes:
+        address: `IP:port`.
+        used_at: Seconds, when its last answer ended.
+        keep_s: Seconds it may rest before it is used again.
+        requests: Requests sent over it.
+        body_sent: Whether the whole request was handed to the kernel.
+    """
+
+    def __init__(self, stream, address: str):
+        super().__init__(stream, h11.CLIENT, _MAX_HEAD_BYTES)
+        self.address = address
+        self.used_at = anyio.current_time()
+        self.keep_s = _DEFAULT_KEEP_S
+        self.requests = 0
+        self.body_sent = True
+        self.told_close = False
+
+    async def send_request(self, request: ClientRequest) -> None:
+        """Sends a request whole; a long body is sent by `send_body`.
+
+        Raises:
+            CallError: The connection was lost.
+        """
+        self.requests += 1
+        head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=_framed(request),
+        )
+        events: list[h11.Event] = [head]
+        self.body_sent = len(request.body) <= _INLINE_BODY_BYTES
+        if self.body_sent:
+            events += [h11.Data(data=request.body)] if request.body else []
+            events.append(h11.EndOfMessage())
+        try:
+            await self.send(events)
+        except http1.ConnectionLostError as error:
+            raise CallError(True, f"lost while sending: {error}") from error
+        except h11.LocalProtocolError as error:
+            raise CallError(False, f"cannot be sent: {error}") from error
+
+    async def send_body(self, request: ClientRequest) -> None:
+        """Sends the body of a request whose head was sent.
+
+        An answer may come, and the peer may stop reading, before its end.
+        """
+        try:
+            await self.send([h11.Data(data=request.body), h11.EndOfMessage()])
+        except (http1.ConnectionLostError, h11.LocalProtocolError):
+            return  # reading the answer tells what became of the request
+        self.body_sent = True
+
+    async def read_head(self) -> AnswerHead:
+        """Returns the head of the final answer.
+
+        Raises:
+            CallError: No answer came, or what came is none.
+        """
+        try:
+            while True:
+                event = await self.next_event()
+                match event:
+                    case h11.InformationalResponse():
+                        continue
+                    case h11.Response():
+                        return self._head(event)
+                    case _:
+                        raise CallError(True, "closed before an answer")
+        except http1.ConnectionLostError as error:
+            raise CallError(True, f"lost before an answer: {error}") from error
+        except _GARBLED as error:
+            raise CallError(True, f"not an HTTP answer: {error}") from error
+
+    async def read_part(self) -> bytes:
+        """Returns a part of the answer's body; nothing at its end.
+
+        Raises:
+            CallError: The answer broke off.
+        """
+        try:
+            while True:
+                event = await self.next_event()
+                match event:
+                    case h11.Data():
+                        if event.data:
+                            return bytes(event.data)
+                    case h11.EndOfMessage():
+                        return b""
+                    case _:
+                        raise CallError(True, "answer broke off")
+        except http1.ConnectionLostError as error:
+            raise CallError(True, f"answer cut: {error}") from error
+        except _GARBLED as error:
+            raise CallError(True, f"answer broke off: {error}") from error
+
+    async def read_body(self, limit: int) -> bytes:
+        """Returns the whole body of an answer.
+
+        Raises:
+            CallError: It broke off or is larger than `limit`.
+        """
+        parts = []
+        size = 0
+        while part := await self.read_part():
+            parts.append(part)
+            size += len(part)
+            if size > limit:
+                raise CallError(True, f"answer larger than {limit} bytes")
+        return b"".join(parts)
+
+    def can_be_kept(self) -> bool:
+        """Returns whether another request may follow on the connection."""
+        if self.told_close or not self.body_sent:
+            return False
+        if self.machine.our_state is not h11.DONE:
+            return False
+        if self.machine.their_state is not h11.DONE:
+            return False
+        return not self.machine.trailing_data[0]
+
+    def _head(self, response: h11.Response) -> AnswerHead:
+        head = AnswerHead(
+            response.status_code,
+            [(bytes(name), bytes(value)) for name, value in response.headers],
+        )
+        self.keep_s = _keep_s(head.get(b"keep-alive"))
+        self.told_close = b"close" in head.get(b"connection").lower()
+        return head
+
+
+class ConnectionPool:
+    """Keeps connections to targets, the last used one first.
+
+    Attributes:
+        connect_timeout_s: For a new connection to come up.
+        opened: Connections opened so far.
+        idle: Connections not in use, by address, the last used last.
+    """
+
+    def __init__(self, connect_timeout_s: float):
+        self.connect_timeout_s = connect_timeout_s
+        self.opened = 0
+        self.idle: dict[str, collections.deque[ClientConnection]] = {}
+
+    def has_idle(self, address: str) -> bool:
+        """Returns whether a kept connection is likely to be there."""
+        now = anyio.current_time()
+        kept = self.idle.get(address)
+        return bool(kept) and now - kept[-1].used_at < kept[-1].keep_s
+
+    async def take(
+        self, address: str, max_idle_s: float = float("inf")
+    ) -> ClientConnection:
+        """Returns a kept connection that rested briefly, or a new one.
+
+        Raises:
+            CallError: No connection came up; nothing was sent.
+        """
+        kept = self.idle.get(address)
+        while kept:
+            connection = kept.pop()
+            rested_s = anyio.current_time() - connection.used_at
+            if rested_s >= connection.keep_s or connection.is_readable():
+                await connection.close()
+                continue
+            if rested_s > max_idle_s:
+                kept.append(connection)
+                break
+            connection.machine.start_next_cycle()
+            return connection
+        return await self._open(address)
+
+    async def give_back(self, connection: ClientConnection) -> None:
+        """Keeps a connection whose exchange ended cleanly, else closes it."""
+        kept = self.idle.setdefault(connection.address, collections.deque())
+        if connection.can_be_kept() and len(kept) < _MAX_IDLE:
+            connection.used_at = anyio.current_time()
+            kept.append(connection)
+            return
+        await connection.close()
+
+    async def drop(self, address: str) -> None:
+        """Closes all idle connections to an address."""
+        for connection in self.idle.pop(address, ()):
+            await connection.close()
+
+    async def close(self) -> None:
+        """Closes all idle connections."""
+        for address in list(self.idle):
+            await self.drop(address)
+
+    async def _open(self, address: str) -> ClientConnection:
+        ip, port = settings_lib.split_address(address)
+        try:
+            with anyio.fail_after(self.connect_timeout_s):
+                stream = await anyio.connect_tcp(ip, port)
+        except TimeoutError as error:
+            raise CallError(False, "connecting timed out") from error
+        except OSError as error:
+            raise CallError(False, f"cannot connect: {error}") from error
+        self.opened += 1
+        http1.tune_socket(stream, http1.TARGET_SILENCE_MS)
+        return ClientConnection(stream, address)
+
+
+async def call(
+    pool: ConnectionPool,
+    address: str,
+    request: ClientRequest,
+    timeout_s: float,
+    max_bytes: int,
+) -> WholeAnswer:
+    """Returns the whole answer of a short call.
+
+    Raises:
+        CallError: There is none; `sent` tells whether it may have been done.
+    """
+    connection = None
+    try:
+        with anyio.fail_after(timeout_s):
+            connection = await pool.take(address)
+            await connection.send_request(request)
+            if not connection.body_sent:
+                await connection.send_body(request)
+            head = await connection.read_head()
+            body = await connection.read_body(max_bytes)
+    except TimeoutError as error:
+        raise CallError(connection is not None, "timed out") from error
+    finally:
+        if connection is not None:
+            await pool.give_back(connection)
+    return WholeAnswer(head, body)
+
+
+def _framed(request: ClientRequest) -> http1.Headers:
+    if not request.body and request.method in (b"GET", b"HEAD"):
+        return request.headers
+    length = b"%d" % len(request.body)
+    return [*request.headers, (b"content-length", length)]
+
+
+def _keep_s(header: bytes) -> float:
+    for term in header.split(b","):
+        name, _, value = term.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return int(value) * _KEEP_ALIVE_SHARE
+    return _DEFAULT_KEEP_S
--- /dev/null
+++ b/hillthread/transport/http1_server.py
@@ -0,0 +1,350 @@
+"""Serves callers over HTTP/1.1 with the outcome of every write known.
+
+One task reads each connection. While a request is served a second one watches
+for the caller to leave; the handler is then cancelled.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+import socket
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+import h11
+
+from hillthread.state import caller_bounds
+from hillthread.transport import http1
+
+__all__ = ["BrokenAnswerError", "CallerAnswer", "CallerRequest", "Server"]
+
+_BACKLOG = 1024
+_MAX_AHEAD_BYTES = 65_536
+_CLOSE = (b"connection", b"close")
+
+_logger = logging.getLogger(__name__)
+
+
+class CallerRequest(NamedTuple):
+    """A whole request of a caller.
+
+    Attributes:
+        method: In capitals.
+        target: Path and query as sent.
+        headers: In order, names in lower case.
+        body: Its whole body.
+        arrived: Seconds on the steady clock, when its head was read.
+    """
+
+    method: bytes
+    target: bytes
+    headers: http1.Headers
+    body: bytes
+    arrived: float
+
+    def get(self, name: bytes) -> bytes:
+        """Returns the first value of a header, or nothing."""
+        for each, value in self.headers:
+            if each == name:
+                return value
+        return b""
+
+    @property
+    def path(self) -> str:
+        """The path without its query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+class BrokenAnswerError(Exception):
+    """An answer that has begun cannot be completed."""
+
+
+class _BadRequestError(Exception):
+    """A request that cannot be read.
+
+    Attributes:
+        status: Of the answer.
+    """
+
+    def __init__(self, status: int, reason: str):
+        super().__init__(reason)
+        self.status = status
+
+
+class CallerAnswer:
+    """Where the answer to one request goes.
+
+    Attributes:
+        started: Whether its head was sent.
+        ended: Whether it was sent whole.
+        closing: Whether the connection closes after it.
+    """
+
+    def __init__(self, connection: http1.Http1Connection):
+        self.connection = connection
+        self.started = False
+        self.ended = False
+        self.closing = False
+
+    async def begin(
+        self, status: int, headers: http1.Headers, data: bytes = b""
+    ) -> None:
+        """Sends the head, and the first part of the body with it."""
+        extra = [_CLOSE] if self.closing else []
+        events: list[h11.Event] = [
+            h11.Response(status_code=status, headers=[*headers, *extra])
+        ]
+        if data:
+            events.append(h11.Data(data=data))
+        self.started = True
+        await self.connection.send(events)
+
+    async def send(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        await self.connection.send([h11.Data(data=data)])
+
+    async def end(self) -> None:
+        """Ends the body; the answer is then complete."""
+        await self.connection.send([h11.EndOfMessage()])
+        self.ended = True
+
+    async def send_whole(
+        self, status: int, headers: http1.Headers, body: bytes
+    ) -> None:
+        """Sends a whole answer with one write."""
+        extra = [_CLOSE] if self.closing else []
+        framed = [*headers, (b"content-length", b"%d" % len(body)), *extra]
+        events: list[h11.Event] = [
+            h11.Response(status_code=status, headers=framed)
+        ]
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        self.started = True
+        await self.connection.send(events)
+        self.ended = True
+
+
+Handler = Callable[[CallerRequest, CallerAnswer], Awaitable[None]]
+
+
+class _CallerConnection:
+    """One connection of a caller."""
+
+    def __init__(self, stream: anyio.abc.SocketStream, server: Server):
+        self.server = server
+        self.bounds = server.bounds()
+        self.http = http1.Http1Connection(
+            stream, h11.SERVER, self.bounds.max_head_bytes
+        )
+        self.ahead: list[bytes] = []
+        self.serving = False
+
+    async def run(self) -> None:
+        """Serves requests until the connection ends."""
+        try:
+            while await self._serve_next():
+                pass
+        except http1.ConnectionLostError:
+            pass
+        except _BadRequestError as error:
+            await self._refuse(error)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.http.close()
+
+    async def _serve_next(self) -> bool:
+        """Serves one request; returns whether another may follow."""
+        request = await self._read_request()
+        if request is None:
+            return False
+        answer = CallerAnswer(self.http)
+        answer.closing = self.server.stopping
+        self.serving = True
+        try:
+            await self._handle(request, answer)
+        except BrokenAnswerError:
+            await self.http.reset()
+            return False
+        finally:
+            self.serving = False
+        if not answer.ended:
+            return False
+        if self.http.machine.our_state is not h11.DONE:
+            await self.http.linger()
+            return False
+        self.http.machine.start_next_cycle()
+        return True
+
+    async def _handle(
+        self, request: CallerRequest, answer: CallerAnswer
+    ) -> None:
+        """Calls the handler, and cancels it when the caller leaves."""
+        broken: BrokenAnswerError | None = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch_departure, group.cancel_scope)
+            try:
+                await self.server.handler(request, answer)
+            except BrokenAnswerError as error:
+                broken = error
+            except http1.ConnectionLostError:
+                pass  # the caller left while an answer was being sent
+            group.cancel_scope.cancel()
+        if broken is not None:
+            raise broken
+
+    async def _watch_departure(self, scope: anyio.CancelScope) -> None:
+        """Cancels `scope` when the caller closes; keeps bytes sent ahead."""
+        size = 0
+        while size <= _MAX_AHEAD_BYTES:
+            try:
+                data = await self.http.receive()
+            except http1.ConnectionLostError:
+                data = b""
+            if not data:
+                scope.cancel()
+                return
+            self.ahead.append(data)
+            size += len(data)
+        await anyio.sleep_forever()
+
+    async def _read_request(self) -> CallerRequest | None:
+        """Returns the next request, or None when there is none."""
+        while self.ahead:
+            self.http.machine.receive_data(self.ahead.pop(0))
+        try:
+            head = await self._read_head()
+            if head is None:
+                return None
+            arrived = anyio.current_time()
+            if self.http.machine.they_are_waiting_for_100_continue:
+                await self.http.send(
+                    [h11.InformationalResponse(status_code=100, headers=[])]
+                )
+            body = await self._read_body(head)
+        except h11.RemoteProtocolError as error:
+            raise _BadRequestError(
+                error.error_status_hint, str(error)
+            ) from error
+        return CallerRequest(
+            bytes(head.method),
+            bytes(head.target),
+            [(bytes(name), bytes(value)) for name, value in head.headers],
+            body,
+            arrived,
+        )
+
+    async def _read_head(self) -> h11.Request | None:
+        """Returns the next head, or None when the connection ends instead."""
+        machine = self.http.machine
+        if not machine.trailing_data[0]:
+            with anyio.move_on_after(self.bounds.idle_timeout_s):
+                data = await self.http.receive()
+                if not data:
+                    return None
+                machine.receive_data(data)
+            if not machine.trailing_data[0]:
+                return None
+        with anyio.move_on_after(self.bounds.head_timeout_s):
+            event = await self.http.next_event()
+            if isinstance(event, h11.Request):
+                _check_framing(event)
+                return event
+            return None
+        raise _BadRequestError(408, "the head took too long")
+
+    async def _read_body(self, head: h11.Request) -> bytes:
+        parts = []
+        size = 0
+        while True:
+            event = None
+            with anyio.move_on_after(self.bounds.idle_timeout_s):
+                event = await self.http.next_event()
+            match event:
+                case h11.Data():
+                    parts.append(bytes(event.data))
+                    size += len(event.data)
+                case h11.EndOfMessage():
+                    return b"".join(parts)
+                case None:
+                    raise _BadRequestError(408, "the body took too long")
+                case _:
+                    raise http1.ConnectionLostError("caller left")
+            if size > self.bounds.max_body_bytes:
+                raise _BadRequestError(413, "the body is too large")
+
+    async def _refuse(self, error: _BadRequestError) -> None:
+        """Answers a request that could not be read, then closes."""
+        self.server.refused(error.status, str(error))
+        answer = CallerAnswer(self.http)
+        answer.closing = True
+        body = b'{"error":{"code":"bad_request"}}'
+        headers = [(b"content-type", b"application/json")]
+        try:
+            await answer.send_whole(error.status, headers, body)
+            await self.http.linger()
+        except (h11.LocalProtocolError, http1.ConnectionLostError):
+            return  # nobody is there to be told
+
+
+class Server:
+    """A listening socket and the connections accepted on it.
+
+    Attributes:
+        handler: Serves one request.
+        bounds: Returns the bounds on callers in force.
+        refused: Told of each request that could not be read.
+        stopping: Whether connections close after their current answer.
+        address: `IP:port` it listens on.
+    """
+
+    def __init__(
+        self,
+        listen: tuple[str, int],
+        handler: Handler,
+        bounds: Callable[[], caller_bounds.CallerBounds],
+        refused: Callable[[int, str], None],
+    ):
+        self.handler = handler
+        self.bounds = bounds
+        self.refused = refused
+        self.stopping = False
+        self.connections: set[_CallerConnection] = set()
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind(listen)
+        ip, port = self.socket.getsockname()
+        self.address = f"{ip}:{port}"
+
+    @property
+    def serving(self) -> int:
+        """Requests being served."""
+        return sum(each.serving for each in self.connections)
+
+    async def serve(self) -> None:
+        """Accepts connections until cancelled."""
+        self.socket.listen(_BACKLOG)
+        self.socket.setblocking(False)
+        listener = await anyio.abc.SocketListener.from_socket(self.socket)
+        await listener.serve(self._accept)
+
+    async def _accept(self, stream: anyio.abc.SocketStream) -> None:
+        http1.tune_socket(stream, http1.CALLER_SILENCE_MS)
+        connection = _CallerConnection(stream, self)
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        except Exception:
+            _logger.exception("connection failed", extra={"code": "internal"})
+        finally:
+            self.connections.discard(connection)
+
+
+def _check_framing(head: h11.Request) -> None:
+    """Refuses a body with two lengths: targets may read it another way."""
+    names = [bytes(name) for name, _ in head.headers]
+    if b"content-length" in names and b"transfer-encoding" in names:
+        raise _BadRequestError(400, "both a length and chunks")
