--- a/hillthread/coordination/gateway/attempt.py
+++ b/hillthread/coordination/gateway/attempt.py
@@ -32,6 +32,7 @@
         relay: Where events go.
         meaning: What the head of the answer said; None before it came.
         reused: Whether it went over a kept connection.
+        sent: Whether any of it may have reached the target.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         self.relay = relay
         self.meaning: attempts.AnswerMeaning | None = None
         self.reused = False
+        self.sent = False
 
     async def run(self) -> outcome_lib.Outcome:
         """Returns how it ended."""
@@ -60,6 +62,7 @@
         except http1_client.CallError as error:
             return outcome_lib.Unsent(error.reason)
         self.reused = connection.requests > 0
+        self.sent = True
         try:
             return await self._exchange(connection)
         except http1_client.CallError as error:
--- a/hillthread/coordination/gateway/dispatcher.py
+++ b/hillthread/coordination/gateway/dispatcher.py
@@ -169,6 +169,8 @@
             result = await attempt.run()
             return result
         finally:
+            if result is None and attempt.sent:
+                self.runs += 1
             state.first_byte(planned.prefill_tokens, time.monotonic() - now)
             state.end()
             self._learn(planned, attempt, result, now)
--- /dev/null
+++ b/hillthread/coordination/gateway/order_lease.py
@@ -0,0 +1,143 @@
+"""The lease on giving orders, as records of a topic in the store.
+
+It is taken only when there is something to order, so that a quiet day costs
+no calls. Every append names the end of the topic that its author has read, so
+a record in the topic followed from all before it.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from hillthread import errors
+from hillthread.platform import store as store_lib
+from hillthread.state import lease
+
+__all__ = ["OrderLease"]
+
+LEASE_TOPIC = "order-lease"
+# After an append a holder acts so long at most; it renews while it works.
+_ACT_S = 2.0
+_MARGIN_S = 0.3
+
+_logger = logging.getLogger("hillthread.lease")
+
+
+class OrderLease:
+    """This host's part in the lease.
+
+    Attributes:
+        store: The platform's store.
+        contender: When this host may act, and when contend.
+    """
+
+    def __init__(self, store: store_lib.StoreClient, name: str, pause_s: float):
+        """Makes the lease.
+
+        Args:
+            store: The platform's store.
+            name: This host's name.
+            pause_s: Least time between the orders of two holders.
+        """
+        self.store = store
+        self.contender = lease.Contender(
+            name, _ACT_S + pause_s + _MARGIN_S, _ACT_S
+        )
+
+    @property
+    def fencing(self) -> int:
+        """The fencing number of the holder."""
+        return self.contender.state.fencing
+
+    @property
+    def is_holder(self) -> bool:
+        """Whether this host was the last holder, as far as it has read."""
+        return self.contender.state.holder == self.contender.name
+
+    @property
+    def has_holder(self) -> bool:
+        """Whether anybody is known to have held it."""
+        return self.contender.state.holder != lease.NOBODY
+
+    def may_act(self) -> bool:
+        """Returns whether this host may give orders; ask before each."""
+        return self.contender.may_act(time.monotonic())
+
+    async def ensure(self) -> bool:
+        """Takes or renews the lease if that is due.
+
+        Returns:
+            Whether this host may give orders now.
+        """
+        now = time.monotonic()
+        if self.contender.may_act(now) and not self.contender.should_renew(now):
+            return True
+        try:
+            if not self.is_holder:
+                await self.catch_up()
+                if not self.contender.may_contend(time.monotonic()):
+                    return False
+            await self._append()
+        except errors.HillthreadError as error:
+            _logger.warning(
+                "lease not taken",
+                extra={"event": "lease_failed", "reason": error.message},
+            )
+        return self.may_act()
+
+    async def catch_up(self) -> None:
+        """Reads the topic to its end.
+
+        Raises:
+            LogError: The store cannot be read.
+        """
+        state = self.contender.state
+        start = state.position + 1
+        try:
+            page = await self.store.read(LEASE_TOPIC, start, 0.0)
+        except store_lib.TruncatedError as error:
+            page = await self.store.read(LEASE_TOPIC, error.first, 0.0)
+        now = time.monotonic()
+        before = state.holder
+        for record in page.records:
+            self.contender.read(record.offset, record.payload, now)
+        state.position = max(state.position, page.end - 1)
+        self.contender.start_waiting(now)
+        if state.holder != before:
+            _logger.info(
+                "lease has a holder",
+                extra={
+                    "event": "lease_seen",
+                    "holder": state.holder,
+                    "fencing": state.fencing,
+                },
+            )
+
+    def give_up(self, reason: str) -> None:
+        """Stops acting, because an engine has seen a newer holder."""
+        self.contender.resign()
+        _logger.warning(
+            "lease given up",
+            extra={"event": "lease_given_up", "reason": reason},
+        )
+
+    async def _append(self) -> None:
+        now = time.monotonic()
+        payload = lease.encode_lease(self.contender.begin_append(now))
+        state = self.contender.state
+        try:
+            offset = await self.store.append(
+                LEASE_TOPIC, payload, state.position + 1
+            )
+        except (errors.ConflictError, errors.UnknownOutcomeError):
+            # Somebody else was first, or the answer was lost: the topic tells.
+            await self.catch_up()
+            return
+        was_holder = self.is_holder
+        self.contender.read(offset, payload, time.monotonic())
+        if not was_holder:
+            _logger.info(
+                "lease taken",
+                extra={"event": "lease_taken", "fencing": state.fencing},
+            )
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -84,10 +84,21 @@
 
 
 class TruncatedError(errors.LogError):
-    """The wanted records are no longer kept."""
+    """The wanted records are no longer kept.
+
+    Attributes:
+        first: Offset of the oldest record kept.
+    """
 
     code = "log_truncated"
 
+    def __init__(self, first: int):
+        super().__init__(
+            f"Records before {first} are no longer kept.",
+            "Read the newest record of each key, or start there.",
+        )
+        self.first = first
+
 
 class ChangedError(errors.ConflictError):
     """The topic does not end where a conditional append expected.
@@ -115,6 +126,10 @@
     truncated: bool = False
 
 
+class _Gone(msgspec.Struct):
+    first: int = 0
+
+
 class _Appended(msgspec.Struct):
     offset: int = -1
     end: int = -1
@@ -219,10 +234,7 @@
             case 200:
                 return answer.body
             case 410:
-                raise TruncatedError(
-                    "Wanted records are no longer kept.",
-                    "Read the newest record of each key.",
-                )
+                raise TruncatedError(_decode(answer.body, _Gone).first)
             case status:
                 raise _refused(status)
 
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -13,6 +13,8 @@
 from hillthread import settings as settings_lib
 from hillthread.coordination.gateway import gateway as gateway_lib
 from hillthread.coordination.gateway import metrics as metrics_lib
+from hillthread.coordination.gateway import order_lease
+from hillthread.coordination.gateway import rollout_keeper
 from hillthread.coordination.gateway import settings as gateway_settings
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway import store_follower
@@ -71,6 +73,15 @@
             self._take_target,
             self._targets_proven,
         )
+        self.rollout = rollout_keeper.RolloutKeeper(
+            self.site,
+            order_lease.OrderLease(
+                self.store, settings.host, settings.lease_ms / 1000.0
+            ),
+            self.pool,
+            self.metrics,
+            tasks,
+        )
         self.site.target_gone = self._close_idle
         self.server = http1_server.Server(
             settings_lib.split_address(settings.listen),
@@ -92,6 +103,7 @@
             self.server.serve,
             self.ready_server.serve,
             self.metrics_server.serve,
+            self.rollout.run,
             self._tick,
         ):
             self.tasks.start_soon(start)
@@ -103,7 +115,7 @@
         _logger.info("stopping", extra={"event": "stop_notice"})
         give_up_at = asked_at + self.settings.grace_s - _STOP_MARGIN_S
         await anyio.sleep(min(_NOTICE_S, self.settings.grace_s / 2))
-        while time.monotonic() < give_up_at and self.server.serving:
+        while time.monotonic() < give_up_at and self.server.serving:  # noqa: ASYNC110
             await anyio.sleep(_IDLE_CHECK_S)
         _logger.info(
             "stopped",
--- a/hillthread/state/lease.py
+++ b/hillthread/state/lease.py
@@ -95,11 +95,16 @@
         """Takes in a record; returns whether it counted."""
         if offset <= self.position:
             return False
+        starts_late = self.position < 0 and offset > 0
         self.position = offset
         try:
             record = decode_lease(payload)
         except errors.ConfigurationError:
             return False
+        if starts_late:
+            # Older records are no longer kept; this one followed from them.
+            self._adopt(offset, record)
+            return True
         match record:
             case Acquire() if record.after == self.last:
                 self.holder = record.holder
@@ -114,6 +119,15 @@
         self.last = offset
         return True
 
+    def _adopt(self, offset: int, record: LeaseRecord) -> None:
+        self.holder = record.holder
+        self.last = offset
+        match record:
+            case Acquire():
+                self.fencing = offset
+            case Renew(fencing=fencing):
+                self.fencing = fencing
+
 
 class Contender:
     """One host's part in a lease: when it may act and when contend.
@@ -121,12 +135,15 @@
     Attributes:
         name: Host and incarnation.
         ttl_s: Time to live of the lease.
+        act_s: How long after it began to append a holder may act; shorter
+            than `ttl_s`.
         state: As read from the log.
     """
 
-    def __init__(self, name: str, ttl_s: float):
+    def __init__(self, name: str, ttl_s: float, act_s: float | None = None):
         self.name = name
         self.ttl_s = ttl_s
+        self.act_s = ttl_s * _ACT_SHARE if act_s is None else act_s
         self.state = LeaseState()
         self._read_at: float | None = None
         self._number = 0
@@ -157,13 +174,18 @@
             return
         began_at = self._began_at.get(decode_lease(payload).number)
         if began_at is not None:
-            self._acts_until = began_at + self.ttl_s * _ACT_SHARE
+            self._acts_until = began_at + self.act_s
 
     def start_waiting(self, now: float) -> None:
         """Notes that the log was read to its end, though it was empty."""
         if self._read_at is None:
             self._read_at = now
 
+    def resign(self) -> None:
+        """Stops acting; the lease is not contended before its time is over."""
+        self._acts_until = float("-inf")
+        self.state.holder = NOBODY
+
     def may_act(self, now: float) -> bool:
         """Returns whether this host holds the lease; ask right before acting.
 
@@ -183,5 +205,5 @@
 
     def should_renew(self, now: float) -> bool:
         """Returns whether a renewal is due."""
-        due = self._acts_until - self.ttl_s * _ACT_SHARE / 2
+        due = self._acts_until - self.act_s / 2
         return self.may_act(now) and now >= due
