Close resting connections at a stop; keep requests off old weights

Ruled out: a longer drain (the time until the kill is fixed). Changed: resting connections close 2.6 s after SIGTERM, when the balancer sends no more; targets on old weights are excluded after 8.5 s, and cost before that; a 421 refutes what was believed; loads at once are rounded up; the queue ahead is own prefill plus what each other host is expected to have in the mean.

--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -14,6 +14,7 @@
 from hillthread.state import objects
 from hillthread.state import target_choice
 from hillthread.state import target_list
+from hillthread.state import weights as weights_lib
 from hillthread.transport import http1_client
 
 __all__ = ["Chooser", "Planned"]
@@ -21,10 +22,8 @@
 # Tokens an engine reads in a second; the users' engines read 56.9 in a ms.
 _PREFILL_TOKENS_PER_S = 50_000.0
 # First-token time that old weights, and a prefix from elsewhere, are worth.
-_BEHIND_S = 0.1
-_AWAY_S = 0.08
-# Old weights cost nothing for so long after newer ones were named.
-_BEHIND_FREE_S = 1.3
+_BEHIND_S = 0.3
+_AWAY_S = 0.25
 _NO_TARGET_RETRY_S = 0.3
 
 
@@ -121,6 +120,8 @@
             exclusion = target_choice.Exclusion.TRIED
         elif now < state.refused_until:
             exclusion = target_choice.Exclusion.REFUSING
+        elif self._is_forbidden(target.name, request.prompt.model, now):
+            exclusion = target_choice.Exclusion.OLD_WEIGHTS
         elif state.breaker.state(now) is health.BreakerState.OPEN:
             exclusion = target_choice.Exclusion.EJECTED
         return target_choice.TargetView(
@@ -128,12 +129,19 @@
             target.data_centre,
             exclusion,
             state.running,
-            state.prefill_tokens,
+            state.queued_tokens(now, self.site.hosts),
             self.site.weights.is_behind(target.name, request.prompt.model),
             self.pool.has_idle(target.address),
             state.seconds,
         )
 
+    def _is_forbidden(self, target: str, model: str, now: float) -> bool:
+        """Returns whether nothing may start on a target's old weights."""
+        weights = self.site.weights
+        if not model or not weights.is_behind(target, model):
+            return False
+        return weights.grace(model, now) is weights_lib.WeightsGrace.FORBIDDEN
+
     def _choose(
         self,
         request: intake.GatewayRequest,
@@ -144,11 +152,11 @@
                 request.request_id, views, self.site.settings.data_centre
             )
         model = request.prompt.model
-        named_s = self.site.weights.seconds_named(model, time.monotonic())
+        grace = self.site.weights.grace(model, time.monotonic())
+        is_free = grace is weights_lib.WeightsGrace.FREE
         weights = target_choice.EngineWeights(
             _PREFILL_TOKENS_PER_S,
-            self.site.hosts,
-            _BEHIND_S if named_s > _BEHIND_FREE_S else 0.0,
+            0.0 if is_free else _BEHIND_S,
             _AWAY_S,
         )
         return target_choice.choose_engine(
--- a/hillthread/coordination/gateway/dispatcher.py
+++ b/hillthread/coordination/gateway/dispatcher.py
@@ -80,6 +80,26 @@
         )
 
 
+class _FirstByte:
+    """Notes the first byte of an attempt once.
+
+    Attributes:
+        noted: Whether it was noted.
+    """
+
+    def __init__(self, job: _Job, planned: chooser_lib.Planned, started: float):
+        self.job = job
+        self.planned = planned
+        self.started = started
+        self.noted = False
+
+    def note(self) -> None:
+        """Notes it; later calls change nothing."""
+        if not self.noted:
+            self.noted = True
+            self.job.note_first_byte(self.planned, self.started)
+
+
 class _Job:
     """One request on its way.
 
@@ -164,6 +184,8 @@
             self.relay,
         )
         state.begin(now, planned.prefill_tokens)
+        waits = _FirstByte(self, planned, now)
+        self.relay.begun = waits.note
         result: outcome_lib.Outcome | None = None
         try:
             result = await attempt.run()
@@ -171,10 +193,23 @@
         finally:
             if result is None and attempt.sent:
                 self.runs += 1
-            state.first_byte(planned.prefill_tokens, time.monotonic() - now)
+            waits.note()
             state.end()
             self._learn(planned, attempt, result, now)
 
+    def note_first_byte(
+        self, planned: chooser_lib.Planned, started: float
+    ) -> None:
+        """Notes that an attempt's answer has begun, or never will."""
+        now = time.monotonic()
+        state = self.site.state(planned.plan.target.name)
+        state.first_byte(now, planned.prefill_tokens, now - started)
+        self.metrics.observe_first_byte(
+            self.request.tenant_name,
+            self.request.route.name,
+            now - self.request.caller.arrived,
+        )
+
     def _learn(
         self,
         planned: chooser_lib.Planned,
@@ -247,6 +282,10 @@
             # Another target has the address: this one is gone.
             self.site.state(name).lose(now)
             self.tried.add(name)
+            return
+        plan = planned.plan
+        if plan.weights_version is not None:
+            self.site.weights.refute(name, plan.model, plan.weights_version)
 
     async def _finish(
         self, result: outcome_lib.Outcome, planned: chooser_lib.Planned
--- a/hillthread/coordination/gateway/event_relay.py
+++ b/hillthread/coordination/gateway/event_relay.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import time
 
 from hillthread import errors
@@ -30,6 +31,7 @@
         first_at: Seconds on the steady clock, of the first event, or None.
         longest_gap_s: Longest pause between two events.
         weights_version: Weights that the last event told, or None.
+        begun: Called when the first event of a run is relayed.
     """
 
     def __init__(self, answer: http1_server.CallerAnswer):
@@ -39,7 +41,9 @@
         self.first_at: float | None = None
         self.longest_gap_s = 0.0
         self.weights_version: int | None = None
+        self.begun: Callable[[], None] = _nobody
         self._last_at = 0.0
+        self._run_began = False
 
     async def run(
         self,
@@ -51,6 +55,7 @@
         Raises:
             CallError: The run broke off.
         """
+        self._run_began = False
         splitter = event_stream.EventSplitter(_MAX_EVENT_BYTES)
         while part := await connection.read_part():
             try:
@@ -90,6 +95,9 @@
         if not data:
             return
         now = time.monotonic()
+        if not self._run_began:
+            self._run_began = True
+            self.begun()
         if self.first_at is None:
             self.first_at = now
         else:
@@ -101,3 +109,7 @@
             return
         headers = attempts.relayed_headers(head)
         await self.answer.begin(head.status, headers, data)
+
+
+def _nobody() -> None:
+    """Stands for nobody who wants to know that a run has begun."""
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -101,15 +101,19 @@
             },
         )
 
-    def name_weights(self, payload: bytes) -> None:
+    def name_weights(self, payload: bytes, seen_named: bool) -> None:
         """Takes in newly named weights.
 
+        Args:
+            payload: The record.
+            seen_named: It was read when it was written.
+
         Raises:
             ConfigurationError: The record is unreadable.
         """
         named = configuration_lib.decode_weights(payload)
         now = time.monotonic()
-        if self.weights.name(named.model, named.version, now):
+        if self.weights.name(named.model, named.version, now, seen_named):
             _logger.info(
                 "weights named",
                 extra={
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -29,10 +29,11 @@
 
 __all__ = ["main", "run"]
 
-# The balancer asks once a second and takes a host out after two misses.
-_NOTICE_S = 3.2
+# The balancer asks once a second and takes a host out after two misses; from
+# then on connections that rest are closed, before callers use them again.
+_NOTICE_S = 2.6
 # Before the process is killed, what still runs is broken off.
-_STOP_MARGIN_S = 0.7
+_STOP_MARGIN_S = 0.3
 _IDLE_CHECK_S = 0.05
 _CONNECT_TIMEOUT_S = 0.4
 # How long the store holds a read. That of the operator's topic also proves
@@ -115,6 +116,7 @@
         _logger.info("stopping", extra={"event": "stop_notice"})
         give_up_at = asked_at + self.settings.grace_s - _STOP_MARGIN_S
         await anyio.sleep(min(_NOTICE_S, self.settings.grace_s / 2))
+        self.server.close_idle()
         while time.monotonic() < give_up_at and self.server.serving:  # noqa: ASYNC110
             await anyio.sleep(_IDLE_CHECK_S)
         _logger.info(
@@ -157,7 +159,8 @@
         if record.key == configuration.CONFIGURATION_KEY:
             self.site.adopt_configuration(record.value)
         elif record.key.startswith(configuration.WEIGHTS_KEY_PREFIX):
-            self.site.name_weights(record.value)
+            seen_named = self.operator.position is not None
+            self.site.name_weights(record.value, seen_named)
 
     def _take_target(self, record: store_lib.KeyedRecord) -> None:
         if record.value:
--- a/hillthread/state/rollout.py
+++ b/hillthread/state/rollout.py
@@ -19,7 +19,7 @@
 
 def loads_at_once(targets: int) -> int:
     """Returns how many of a pool's targets may load at the same time."""
-    return max(1, math.floor(targets * _AT_ONCE_SHARE))
+    return max(1, math.ceil(targets * _AT_ONCE_SHARE))
 
 
 def wave_order(model: str, version: int, names: Collection[str]) -> list[str]:
--- a/hillthread/state/target_choice.py
+++ b/hillthread/state/target_choice.py
@@ -30,7 +30,7 @@
     TRIED = "tried"
     REFUSING = "refusing"
     EJECTED = "ejected"
-    SPARED = "spared_before_load"
+    OLD_WEIGHTS = "old_weights"
 
 
 class TargetView(NamedTuple):
@@ -41,7 +41,8 @@
         data_centre: Where it runs.
         exclusion: Why it cannot be taken, or None.
         running: This host's unfinished attempts on it.
-        prefill_tokens: Of these, tokens not yet computed.
+        queued_tokens: Tokens expected to be computed before a new request,
+            those of other hosts included.
         behind: It holds older weights than named.
         has_connection: A kept connection is there.
         seconds: Smoothed time to its first byte.
@@ -51,7 +52,7 @@
     data_centre: str
     exclusion: Exclusion | None
     running: int
-    prefill_tokens: int
+    queued_tokens: float
     behind: bool
     has_connection: bool
     seconds: float
@@ -76,13 +77,11 @@
 
     Attributes:
         prefill_tokens_per_s: How fast an engine reads a prompt.
-        hosts: Hosts that place requests as this one does.
         behind_s: Seconds of first-token time that old weights are worth.
         away_s: The same for a prefix that must come from elsewhere.
     """
 
     prefill_tokens_per_s: float
-    hosts: int
     behind_s: float
     away_s: float
 
@@ -142,8 +141,7 @@
 
 
 def _engine_cost(view: TargetView, rank: int, weights: EngineWeights) -> float:
-    queued = view.prefill_tokens * weights.hosts
-    cost = queued / weights.prefill_tokens_per_s
+    cost = view.queued_tokens / weights.prefill_tokens_per_s
     if rank:
         cost += weights.away_s * (1.0 + 0.1 * rank)
     if view.behind:
--- a/hillthread/state/target_state.py
+++ b/hillthread/state/target_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 
 from hillthread.state import health
 
@@ -14,6 +15,8 @@
 _EJECT_AFTER = 2
 _EJECT_S = 1.0
 _LATENCY_STEP = 0.2
+# Over this time the mean of unfinished prefill is taken.
+_MEAN_S = 1.0
 
 
 class TargetState:
@@ -26,6 +29,7 @@
             first event.
         refused_until: Seconds; it refused work and is spared until then.
         seconds: Smoothed time to the first byte.
+        mean_prefill: Mean of `prefill_tokens` over the last second or so.
     """
 
     def __init__(self):
@@ -34,6 +38,8 @@
         self.prefill_tokens = 0
         self.refused_until = float("-inf")
         self.seconds = 0.0
+        self.mean_prefill = 0.0
+        self._mean_at = float("-inf")
         self._recent: collections.deque[bool] = collections.deque(
             maxlen=_RECENT
         )
@@ -47,11 +53,24 @@
     def begin(self, now: float, prefill_tokens: int) -> None:
         """Notes an attempt that is about to be sent."""
         self.breaker.admit(now)
+        self._update_mean(now)
         self.running += 1
         self.prefill_tokens += prefill_tokens
 
-    def first_byte(self, prefill_tokens: int, seconds: float) -> None:
+    def queued_tokens(self, now: float, hosts: int) -> float:
+        """Returns tokens expected to be computed before a new request.
+
+        Other hosts place the same prefixes on the same targets: each is
+        expected to have what this one has in the mean.
+        """
+        self._update_mean(now)
+        return self.prefill_tokens + (hosts - 1) * self.mean_prefill
+
+    def first_byte(
+        self, now: float, prefill_tokens: int, seconds: float
+    ) -> None:
         """Notes that an attempt's answer has begun."""
+        self._update_mean(now)
         self.prefill_tokens -= prefill_tokens
         step = _LATENCY_STEP if self.seconds else 1.0
         self.seconds += step * (seconds - self.seconds)
@@ -85,6 +104,14 @@
             self.breaker.fail(now)
         return self.breaker.ejections > before
 
+    def _update_mean(self, now: float) -> None:
+        passed = now - self._mean_at
+        kept = math.exp(-passed / _MEAN_S)
+        self.mean_prefill = (
+            kept * self.mean_prefill + (1.0 - kept) * self.prefill_tokens
+        )
+        self._mean_at = now
+
     def lose(self, now: float) -> None:
         """Notes that it cannot be reached."""
         self.breaker.trip(now)
--- a/hillthread/state/weights.py
+++ b/hillthread/state/weights.py
@@ -2,9 +2,25 @@
 
 from __future__ import annotations
 
+import enum
 from typing import NamedTuple
 
-__all__ = ["NamedWeights", "WeightsBoard"]
+__all__ = ["NamedWeights", "WeightsBoard", "WeightsGrace"]
+
+# Starts on older weights cost nothing for 1.5 s, and must end after 10 s
+# (pages); a margin is left for the way of the request.
+_FREE_S = 1.3
+_LAST_S = 8.5
+# A host that has just started does not know since when they were named.
+_LAST_UNSEEN_S = 2.5
+
+
+class WeightsGrace(enum.StrEnum):
+    """How a start on older weights is looked at."""
+
+    FREE = "free"
+    COSTLY = "costly"
+    FORBIDDEN = "forbidden"
 
 
 class NamedWeights(NamedTuple):
@@ -13,10 +29,13 @@
     Attributes:
         version: Its number; versions rise.
         known_at: Seconds, when this host learned of it.
+        seen_named: It was learned when it was named, and not found in the
+            store by a host that has just started.
     """
 
     version: int
     known_at: float
+    seen_named: bool
 
 
 class _Key(NamedTuple):
@@ -36,12 +55,14 @@
         self._held: dict[_Key, int] = {}
         self._listed: dict[_Key, int] = {}
 
-    def name(self, model: str, version: int, now: float) -> bool:
+    def name(
+        self, model: str, version: int, now: float, seen_named: bool = True
+    ) -> bool:
         """Takes in newly named weights; returns whether they are news."""
         before = self.named.get(model)
         if before is not None and before.version >= version:
             return False
-        self.named[model] = NamedWeights(version, now)
+        self.named[model] = NamedWeights(version, now, seen_named)
         return True
 
     def list_target(self, target: str, model: str, version: int) -> None:
@@ -79,7 +100,27 @@
         held = self.held(target, model)
         return named is not None and held is not None and held < named.version
 
-    def seconds_named(self, model: str, now: float) -> float:
-        """Returns seconds since the newest weights became known; 0 if none."""
+    def refute(self, target: str, model: str, version: int) -> None:
+        """Takes in that a target does not hold the version it was thought to.
+
+        It holds the newest when it was thought to be behind; otherwise it is
+        behind, by how much its own report tells.
+        """
+        named = self.named.get(model)
+        newest = named.version if named is not None else version
+        self._held[_Key(target, model)] = (
+            newest if version < newest else version - 1
+        )
+
+    def grace(self, model: str, now: float) -> WeightsGrace:
+        """Returns how starts on older weights are looked at now."""
         named = self.named.get(model)
-        return 0.0 if named is None else now - named.known_at
+        if named is None:
+            return WeightsGrace.FREE
+        age_s = now - named.known_at
+        last_s = _LAST_S if named.seen_named else _LAST_UNSEEN_S
+        if age_s > last_s:
+            return WeightsGrace.FORBIDDEN
+        if age_s > _FREE_S or not named.seen_named:
+            return WeightsGrace.COSTLY
+        return WeightsGrace.FREE
--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -23,6 +23,8 @@
 
 _BACKLOG = 1024
 _MAX_AHEAD_BYTES = 65_536
+# A connection that rests is closed after this time once the server stops.
+_STOPPING_IDLE_S = 0.05
 _CLOSE = (b"connection", b"close")
 
 _logger = logging.getLogger(__name__)
@@ -80,20 +82,22 @@
     Attributes:
         started: Whether its head was sent.
         ended: Whether it was sent whole.
-        closing: Whether the connection closes after it.
+        is_closing: Returns whether the connection closes after it.
     """
 
-    def __init__(self, connection: http1.Http1Connection):
+    def __init__(
+        self, connection: http1.Http1Connection, is_closing: Callable[[], bool]
+    ):
         self.connection = connection
+        self.is_closing = is_closing
         self.started = False
         self.ended = False
-        self.closing = False
 
     async def begin(
         self, status: int, headers: http1.Headers, data: bytes = b""
     ) -> None:
         """Sends the head, and the first part of the body with it."""
-        extra = [_CLOSE] if self.closing else []
+        extra = [_CLOSE] if self.is_closing() else []
         events: list[h11.Event] = [
             h11.Response(status_code=status, headers=[*headers, *extra])
         ]
@@ -115,7 +119,7 @@
         self, status: int, headers: http1.Headers, body: bytes
     ) -> None:
         """Sends a whole answer with one write."""
-        extra = [_CLOSE] if self.closing else []
+        extra = [_CLOSE] if self.is_closing() else []
         framed = [*headers, (b"content-length", b"%d" % len(body)), *extra]
         events: list[h11.Event] = [
             h11.Response(status_code=status, headers=framed)
@@ -142,6 +146,7 @@
         )
         self.ahead: list[bytes] = []
         self.serving = False
+        self.idle_scope: anyio.CancelScope | None = None
 
     async def run(self) -> None:
         """Serves requests until the connection ends."""
@@ -161,8 +166,7 @@
         request = await self._read_request()
         if request is None:
             return False
-        answer = CallerAnswer(self.http)
-        answer.closing = self.server.stopping
+        answer = CallerAnswer(self.http, self.server.is_stopping)
         self.serving = True
         try:
             await self._handle(request, answer)
@@ -241,13 +245,10 @@
         """Returns the next head, or None when the connection ends instead."""
         machine = self.http.machine
         if not machine.trailing_data[0]:
-            with anyio.move_on_after(self.bounds.idle_timeout_s):
-                data = await self.http.receive()
-                if not data:
-                    return None
-                machine.receive_data(data)
-            if not machine.trailing_data[0]:
+            data = await self._receive_first()
+            if not data:
                 return None
+            machine.receive_data(data)
         with anyio.move_on_after(self.bounds.head_timeout_s):
             event = await self.http.next_event()
             if isinstance(event, h11.Request):
@@ -256,6 +257,19 @@
             return None
         raise _BadRequestError(408, "the head took too long")
 
+    async def _receive_first(self) -> bytes:
+        """Returns the first bytes of a request; none when there are none."""
+        idle_s = self.bounds.idle_timeout_s
+        if not self.server.closes_idle:
+            with anyio.move_on_after(idle_s) as self.idle_scope:
+                return await self.http.receive()
+            if not self.server.closes_idle:
+                return b""
+        # What has just come in is still served.
+        with anyio.move_on_after(_STOPPING_IDLE_S):
+            return await self.http.receive()
+        return b""
+
     async def _read_body(self, head: h11.Request) -> bytes:
         parts = []
         size = 0
@@ -279,8 +293,7 @@
     async def _refuse(self, error: _BadRequestError) -> None:
         """Answers a request that could not be read, then closes."""
         self.server.refused(error.status, str(error))
-        answer = CallerAnswer(self.http)
-        answer.closing = True
+        answer = CallerAnswer(self.http, _always)
         body = b'{"error":{"code":"bad_request"}}'
         headers = [(b"content-type", b"application/json")]
         try:
@@ -298,6 +311,7 @@
         bounds: Returns the bounds on callers in force.
         refused: Told of each request that could not be read.
         stopping: Whether connections close after their current answer.
+        closes_idle: Whether connections without a request are closed.
         address: `IP:port` it listens on.
     """
 
@@ -312,6 +326,7 @@
         self.bounds = bounds
         self.refused = refused
         self.stopping = False
+        self.closes_idle = False
         self.connections: set[_CallerConnection] = set()
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -324,6 +339,17 @@
         """Requests being served."""
         return sum(each.serving for each in self.connections)
 
+    def is_stopping(self) -> bool:
+        """Returns whether connections close after their current answer."""
+        return self.stopping
+
+    def close_idle(self) -> None:
+        """Closes connections that carry no request, now and from now on."""
+        self.closes_idle = True
+        for connection in self.connections:
+            if connection.idle_scope is not None and not connection.serving:
+                connection.idle_scope.cancel()
+
     async def serve(self) -> None:
         """Accepts connections until cancelled."""
         self.socket.listen(_BACKLOG)
@@ -343,6 +369,11 @@
             self.connections.discard(connection)
 
 
+def _always() -> bool:
+    """Stands for a connection that closes after its answer."""
+    return True
+
+
 def _check_framing(head: h11.Request) -> None:
     """Refuses a body with two lengths: targets may read it another way."""
     names = [bytes(name) for name, _ in head.headers]
