--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -22,6 +22,7 @@
     "StoreClient",
     "TruncatedError",
     "parse_keyed",
+    "parse_page",
 ]
 
 _CONNECT_TIMEOUT_S = 0.5
@@ -198,7 +199,7 @@
             "waitMs": int(wait_s * 1000),
         }
         raw = await self._get("log-read", query, wait_s)
-        return _parse_page(raw, start)
+        return parse_page(raw, start)
 
     async def append(
         self, topic: str, payload: bytes, expected_end: int
@@ -293,7 +294,16 @@
         ) from error
 
 
-def _parse_page(raw: bytes, start: int) -> LogPage:
+def parse_page(raw: bytes, start: int) -> LogPage:
+    """Returns the records in an answer to a read.
+
+    Args:
+        raw: The answer.
+        start: Offset of the first record wanted.
+
+    Raises:
+        LogError: The answer is cut short.
+    """
     try:
         end, _ = _POSITIONS.unpack_from(raw, 0)
         payloads = list(_split(raw, _POSITIONS.size))
--- /dev/null
+++ b/tests/platform/test_decoders.py
@@ -0,0 +1,209 @@
+"""Tests of what the adapter reads: good records, bad ones, any bytes."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from hillthread import errors
+from hillthread.platform import attempts
+from hillthread.platform import configuration
+from hillthread.platform import names
+from hillthread.platform import store
+from hillthread.platform import targets
+from hillthread.state import attempt_plan
+from hillthread.state import objects
+from hillthread.transport import http1_client
+from tests.coordination.gateway import scene
+
+_json = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-5, 5)
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from(
+                ["version", "routes", "services", "model", "address", "name"]
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+_settings = hypothesis.settings(
+    derandomize=True, max_examples=200, deadline=None
+)
+
+
+class RecordTest(unittest.TestCase):
+    def test_configuration_becomes_objects(self):
+        raw = {
+            "version": 7,
+            "routes": [
+                scene.route(
+                    "r",
+                    "/a/",
+                    "streaming",
+                    "",
+                    resumable=True,
+                    trafficSplit=[
+                        {"service": "x", "weight": 90},
+                        {"service": "y", "weight": 10},
+                    ],
+                )
+            ],
+            "services": [
+                {"name": "x", "engine": {"models": [{"name": "m"}]}},
+                {"name": "y", "newField": 1},
+                {"name": "k", "kvStoreAddr": "10.0.0.1:1", "zone": "z"},
+            ],
+            "limits": {"maxHeaderBytes": 99, "idleTimeoutMs": 1500},
+            "tenants": [{"name": "t", "apiKeys": ["a"], "isolated": True}],
+        }
+        decoded = configuration.decode_configuration(msgspec.json.encode(raw))
+        table = decoded.table()
+        self.assertEqual(decoded.version, 7)
+        self.assertEqual(decoded.bounds.max_head_bytes, 99)
+        self.assertEqual(decoded.bounds.idle_timeout_s, 1.5)
+        route = table.index.find("callers.example:80", "/a/b/c")
+        self.assertTrue(route.repeatable and route.streaming)
+        parts = table.pool_shares(route)
+        self.assertEqual(
+            [(part.pool.name, part.weight) for part in parts],
+            [("x", 90), ("y", 10)],
+        )
+        self.assertEqual(table.tenant_of_key("a").organisation, "t")
+        self.assertEqual(table.cache_stores[0].address, "10.0.0.1:1")
+        self.assertEqual([p.name for p in table.pools_serving("m")], ["x"])
+
+    @_settings
+    @hypothesis.given(strategies.binary(max_size=60) | _json)
+    def test_any_record_is_read_or_refused(self, value):
+        raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        for decode in (
+            configuration.decode_configuration,
+            configuration.decode_weights,
+            lambda payload: targets.decode_entry("i", payload),
+            targets.decode_report,
+        ):
+            try:
+                decode(raw)
+            except errors.ConfigurationError as error:
+                self.assertTrue(error.remedy)
+
+    @_settings
+    @hypothesis.given(
+        strategies.lists(strategies.binary(max_size=30), max_size=6),
+        strategies.integers(0, 200),
+    )
+    def test_log_page_is_read_whole_or_refused(self, payloads, cut):
+        raw = (9).to_bytes(8, "big") + (0).to_bytes(8, "big")
+        for payload in payloads:
+            raw += len(payload).to_bytes(4, "big") + payload
+        page = store.parse_page(raw, 3)
+        self.assertEqual([r.payload for r in page.records], payloads)
+        self.assertEqual(
+            [r.offset for r in page.records],
+            list(range(3, 3 + len(payloads))),
+        )
+        try:
+            cut_page = store.parse_page(raw[:cut], 3)
+        except errors.LogError:
+            return
+        found = [r.payload for r in cut_page.records]
+        self.assertEqual(found, payloads[: len(found)])
+
+    @_settings
+    @hypothesis.given(strategies.binary(max_size=20))
+    def test_keyed_record_is_read_or_refused(self, payload):
+        record = store.LogRecord(5, payload)
+        try:
+            keyed = store.parse_keyed(record)
+        except errors.LogError:
+            return
+        self.assertEqual(len(payload), 1 + payload[0] + len(keyed.value))
+
+
+class AttemptTest(unittest.TestCase):
+    def plan(self, **changes):
+        target = objects.Target(
+            name="i-1", address="10.0.0.1:1", data_centre="z"
+        )
+        return attempt_plan.AttemptPlan(target, "t", 1.5)._replace(**changes)
+
+    def test_only_the_system_sets_its_headers(self):
+        given = [
+            (b"x-hold", b"1"),
+            (b"x-kv-fetch", b"10.0.0.9:1"),
+            (b"x-expect-other", b"1"),
+            (b"x-cache-salt", b"mine"),
+            (b"x-tenant", b"other"),
+            (b"kv-from", b"x"),
+            (b"x-deadline-ms", b"99999"),
+            (b"authorization", b"Bearer k"),
+            (b"connection", b"x-drop, x-model"),
+            (b"x-drop", b"1"),
+            (b"x-model", b"m"),
+            (b"x-pass", b"1"),
+        ]
+        plan = self.plan(model="m", weights_version=3, organisation="o")
+        sent = dict(attempts.encode_attempt(given, plan))
+        self.assertEqual(
+            sent,
+            {
+                b"x-model": b"m",
+                b"x-pass": b"1",
+                b"x-deadline-ms": b"1500",
+                b"x-expect-instance": b"i-1",
+                b"x-tenant": b"t",
+                b"x-expect-version": b"3",
+                b"x-cache-salt": b"o/m/3",
+            },
+        )
+
+    def test_salt_differs_by_weights_and_organisation(self):
+        salts = {
+            dict(
+                attempts.encode_attempt(
+                    [],
+                    self.plan(
+                        model="m", weights_version=version, organisation=who
+                    ),
+                )
+            )[names.CACHE_SALT]
+            for version in (1, 2)
+            for who in ("a", "b")
+        }
+        self.assertEqual(len(salts), 4)
+
+    @_settings
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(
+                    [
+                        names.TOKEN_COUNTS,
+                        names.PROMPT_PARTS,
+                        names.MODEL,
+                        names.RETRY_AFTER,
+                        names.WEIGHTS_VERSION,
+                    ]
+                ),
+                strategies.binary(max_size=12),
+            ),
+            max_size=5,
+        )
+    )
+    def test_any_header_value_is_borne(self, headers):
+        attempts.decode_prompt(headers)
+        meaning = attempts.decode_answer(http1_client.AnswerHead(200, headers))
+        self.assertGreaterEqual(meaning.retry_after_s, 0.0)
+
+    def test_event_tells_changed_weights(self):
+        raw = b"x-weight-versions: 4\nid: 1\ndata: x\n\n"
+        self.assertEqual(attempts.event_weights(raw), 4)
+        self.assertIsNone(attempts.event_weights(b"id: 1\ndata: x\n\n"))
