Save KV cache only where the store lacks it; refuse what a stop cannot finish

Changed: a watch of the store's cache events; saves only for parts it lacks. From half of the grace time on a stopping host refuses new requests, which have not run.

--- /dev/null
+++ b/hillthread/coordination/gateway/cache_watch.py
@@ -0,0 +1,99 @@
+"""Follows the events of the stores of KV cache, to save only what they lack.
+
+Every save also carries the part of the prompt that nobody shares; sent with
+each request, these push the shared parts out of the store.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+
+import anyio
+import anyio.abc
+
+from hillthread import errors
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.platform import cache_events
+from hillthread.state import cache_contents
+from hillthread.transport import http1_client
+
+__all__ = ["CacheWatch"]
+
+_WAIT_S = 1.0
+# Events of a busy store come at once: they are collected for so long.
+_EVERY_S = 0.3
+_PAUSE_S = 0.5
+_CHECK_S = 0.5
+
+_logger = logging.getLogger("hillthread.cache")
+
+
+class CacheWatch:
+    """Knows what the stores of KV cache hold.
+
+    Attributes:
+        site: The host's beliefs: which stores there are.
+        contents: By the store's address.
+    """
+
+    def __init__(self, site: site_lib.Site, pool: http1_client.ConnectionPool):
+        self.site = site
+        self.pool = pool
+        self.contents: dict[str, cache_contents.CacheContents] = {}
+
+    def lacks(
+        self, address: str, parts: list[cache_contents.CacheEvent]
+    ) -> bool:
+        """Returns whether a store may lack one of some parts."""
+        contents = self.contents.get(address)
+        if contents is None or not contents.known:
+            return True
+        return not all(contents.holds(part, tokens) for part, tokens in parts)
+
+    async def run(self) -> None:
+        """Follows all stores of the configuration until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                for address in self._addresses() - self.contents.keys():
+                    self.contents[address] = cache_contents.CacheContents()
+                    tasks.start_soon(self._follow, address)
+                await anyio.sleep(_CHECK_S)
+
+    def _addresses(self) -> set[str]:
+        table = self.site.table
+        if table is None:
+            return set()
+        return {store.address for store in table.cache_stores}
+
+    async def _follow(self, address: str) -> None:
+        contents = self.contents[address]
+        while address in self._addresses():
+            started = time.monotonic()
+            try:
+                page = await cache_events.read_events(
+                    self.pool, address, contents.position, _WAIT_S
+                )
+            except errors.LogError as error:
+                if contents.known:
+                    self._note_lost(address, error.message)
+                contents.forget()
+                await anyio.sleep(_PAUSE_S * random.uniform(1.0, 2.0))
+                continue
+            if contents.epoch is not None and page.epoch != contents.epoch:
+                self._note_lost(address, "restarted")
+            contents.apply(page.epoch, page.position, page.events, page.lost)
+            passed = time.monotonic() - started
+            await anyio.sleep(max(0.0, _EVERY_S - passed))
+        del self.contents[address]
+
+    def _note_lost(self, address: str, reason: str) -> None:
+        _logger.info(
+            "contents of a cache not known",
+            extra={
+                "event": "cache_lost",
+                "address": address,
+                "reason": reason,
+            },
+        )
--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -7,9 +7,11 @@
 from typing import NamedTuple
 
 from hillthread import errors
+from hillthread.coordination.gateway import cache_watch
 from hillthread.coordination.gateway import intake
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.state import attempt_plan
+from hillthread.state import cache_contents
 from hillthread.state import health
 from hillthread.state import objects
 from hillthread.state import target_choice
@@ -51,11 +53,13 @@
     Attributes:
         site: The host's beliefs.
         pool: Connections to targets.
+        caches: Knows what the stores of KV cache hold.
     """
 
     def __init__(self, site: site_lib.Site, pool: http1_client.ConnectionPool):
         self.site = site
         self.pool = pool
+        self.caches = cache_watch.CacheWatch(site, pool)
 
     def plan(
         self,
@@ -184,9 +188,11 @@
             version,
             request.organisation,
             store,
-            store,
+            "",
             last_event_id,
         )
+        if store and self.caches.lacks(store, _shared_parts(request, plan)):
+            plan = plan._replace(save_to=store)
         tokens = _prefill_tokens(request, choice.rank)
         expected_s = self.site.state(target.name).seconds
         return Planned(plan, pool, choice.rank, tokens, expected_s)
@@ -219,6 +225,19 @@
     return f"{request.organisation}/{last_shared.digest}"
 
 
+def _shared_parts(
+    request: intake.GatewayRequest, plan: attempt_plan.AttemptPlan
+) -> list[cache_contents.CacheEvent]:
+    """Returns the parts of a prompt that other requests may share."""
+    return [
+        cache_contents.CacheEvent(
+            cache_contents.CachedPart(plan.cache_scope, part.digest),
+            part.tokens,
+        )
+        for part in request.prompt.parts[:-1]
+    ]
+
+
 def _prefill_tokens(request: intake.GatewayRequest, rank: int) -> int:
     parts = request.prompt.parts
     if not parts:
--- a/hillthread/coordination/gateway/intake.py
+++ b/hillthread/coordination/gateway/intake.py
@@ -81,6 +81,8 @@
     Raises:
         RefusalError: It cannot be served; it has not run.
     """
+    if site.closing:
+        raise not_ready("The host is about to end.")
     if site.table is None or not site.targets_known:
         raise not_ready("The host does not know the configuration yet.")
     route = _route(site, caller)
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -47,6 +47,7 @@
         freshness: Age of what is known from the operator.
         hosts: Hosts that share the budgets, this one included.
         draining: The process is stopping.
+        closing: It is about to end: a new request could not be finished.
         target_gone: Called with the address of each target that is gone.
     """
 
@@ -69,6 +70,7 @@
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.hosts = DEFAULT_HOSTS
         self.draining = False
+        self.closing = False
         self.target_gone: Callable[[str], None] = _ignore
 
     @property
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -124,7 +124,7 @@
     if plan.weights_version is not None:
         version = b"%d" % plan.weights_version
         sent.append((names.EXPECT_WEIGHTS, version))
-        sent.append((names.CACHE_SALT, _salt(plan).encode()))
+        sent.append((names.CACHE_SALT, plan.cache_scope.encode()))
     if plan.fetch_from:
         sent.append((names.FETCH_CACHE_FROM, plan.fetch_from.encode()))
     if plan.save_to:
@@ -166,15 +166,6 @@
     return _whole(line[len(names.WEIGHTS_EVENT_FIELD) :])
 
 
-def _salt(plan: attempt_plan.AttemptPlan) -> str:
-    """Returns the text under which prefixes are found again.
-
-    It holds the weights version, so that nothing computed with other weights
-    is ever found, on a target or in a store.
-    """
-    return f"{plan.organisation}/{plan.model}/{plan.weights_version}"
-
-
 def _passes(name: bytes, headers: http1.Headers) -> bool:
     if name in names.UNCHANGED:
         return True
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -32,6 +32,10 @@
 # The balancer asks once a second and takes a host out after two misses; from
 # then on connections that rest are closed, before callers use them again.
 _NOTICE_S = 2.6
+# The balancer still uses hosts that are not ready when most of a data centre's
+# are not. What comes in the last part of the time until the kill could not be
+# finished and is refused.
+_CLOSING_SHARE = 0.5
 # Before the process is killed, what still runs is broken off.
 _STOP_MARGIN_S = 0.3
 _IDLE_CHECK_S = 0.05
@@ -105,6 +109,7 @@
             self.ready_server.serve,
             self.metrics_server.serve,
             self.rollout.run,
+            self.gateway.dispatcher.chooser.caches.run,
             self._tick,
         ):
             self.tasks.start_soon(start)
@@ -117,6 +122,9 @@
         give_up_at = asked_at + self.settings.grace_s - _STOP_MARGIN_S
         await anyio.sleep(min(_NOTICE_S, self.settings.grace_s / 2))
         self.server.close_idle()
+        closing_at = asked_at + self.settings.grace_s * _CLOSING_SHARE
+        await anyio.sleep(max(0.0, closing_at - time.monotonic()))
+        self.site.closing = True
         while time.monotonic() < give_up_at and self.server.serving:  # noqa: ASYNC110
             await anyio.sleep(_IDLE_CHECK_S)
         _logger.info(
--- a/hillthread/state/attempt_plan.py
+++ b/hillthread/state/attempt_plan.py
@@ -36,3 +36,12 @@
     fetch_from: str = ""
     save_to: str = ""
     last_event_id: int | None = None
+
+    @property
+    def cache_scope(self) -> str:
+        """Within which cached prefixes are found again.
+
+        It holds the weights version, so that nothing computed with other
+        weights is ever found, on a target or in a store.
+        """
+        return f"{self.organisation}/{self.model}/{self.weights_version}"
--- a/tests/coordination/gateway/test_lifecycle.py
+++ b/tests/coordination/gateway/test_lifecycle.py
@@ -250,6 +250,18 @@
 
         scene_lib.play(story, grace_s=1.6)
 
+    def test_host_about_to_end_refuses_what_it_could_not_finish(self):
+        async def story(scene):
+            scene.tasks.start_soon(scene.program.drain, time.monotonic())
+            await scene.until(lambda: scene.site.closing)
+            answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 503)
+            self.assertEqual(answer.head.get(b"connection"), b"close")
+            self.assertTrue(answer.head.get(b"retry-after"))
+            self.assertEqual(scene.runs(), [])
+
+        scene_lib.play(story, grace_s=0.8)
+
     def test_request_on_a_resting_connection_is_served_until_it_closes(self):
         async def story(scene):
             scene.program.server.stopping = True
