Find out which targets can be reached; trust kept connections by experience

Cause: the worst seconds follow a cut or a silent crash: attempts hung until the kernel gave up, and each host met each dead target anew. A third of sends opened a connection because requests that may not be repeated took only those that rested under a second, though none was ever found closed. Changed: a monitor tries a connection when an attempt hears nothing for 0.4 s, gives up what may be repeated, tries the other targets, and tries unreachable ones until they answer. Kept connections are trusted up to 2.5 s, less after one was dead. Reads of the store are held longer, and sent anew after an outage.

--- a/hillthread/coordination/gateway/attempt.py
+++ b/hillthread/coordination/gateway/attempt.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import time
+
+import anyio
 import anyio.abc
 
 from hillthread.coordination.gateway import event_relay
 from hillthread.coordination.gateway import intake
 from hillthread.coordination.gateway import outcome as outcome_lib
+from hillthread.coordination.gateway import reach_monitor
 from hillthread.platform import attempts
 from hillthread.state import attempt_plan
 from hillthread.transport import http1_client
@@ -16,9 +20,6 @@
 
 # Answers up to this size are checked whole before any of it is relayed.
 _WHOLE_BYTES = 262_144
-# A request that cannot be repeated must not meet a connection that the target
-# is about to close.
-_FRESH_S = 1.0
 
 
 class Attempt:
@@ -27,34 +28,48 @@
     Attributes:
         pool: Connections to targets.
         tasks: Where long bodies are sent.
+        monitor: Ends the attempt when its target cannot be reached.
         request: The caller's request.
         plan: What is asked of the target.
         relay: Where events go.
         meaning: What the head of the answer said; None before it came.
         reused: Whether it went over a kept connection.
         sent: Whether any of it may have reached the target.
+        target: Where it goes.
+        repeatable: Whether the request may run more than once.
+        heard_at: Seconds, when the target last sent anything of its answer.
+        given_up: Why the monitor ended it, or nothing.
     """
 
     def __init__(
         self,
         pool: http1_client.ConnectionPool,
         tasks: anyio.abc.TaskGroup,
+        monitor: reach_monitor.ReachMonitor,
         request: intake.GatewayRequest,
         plan: attempt_plan.AttemptPlan,
         relay: event_relay.EventRelay,
     ):
         self.pool = pool
         self.tasks = tasks
+        self.monitor = monitor
         self.request = request
         self.plan = plan
         self.relay = relay
         self.meaning: attempts.AnswerMeaning | None = None
         self.reused = False
         self.sent = False
+        self.target = plan.target
+        self.repeatable = request.repeatable
+        self.heard_at = 0.0
+        self.scope: anyio.CancelScope | None = None
+        self.given_up = ""
 
     async def run(self) -> outcome_lib.Outcome:
         """Returns how it ended."""
-        max_idle_s = float("inf") if self.request.repeatable else _FRESH_S
+        max_idle_s = (
+            float("inf") if self.request.repeatable else self.pool.trust_s
+        )
         try:
             connection = await self.pool.take(
                 self.plan.target.address, max_idle_s
@@ -63,13 +78,27 @@
             return outcome_lib.Unsent(error.reason)
         self.reused = connection.requests > 0
         self.sent = True
+        self.heard_at = time.monotonic()
+        rested_s = self.heard_at - connection.used_at
+        self.monitor.attempts.add(self)
         try:
-            return await self._exchange(connection)
+            with anyio.CancelScope() as self.scope:
+                return await self._exchange(connection)
+            return self._failed(http1_client.CallError(True, self.given_up))
         except http1_client.CallError as error:
+            if self.reused and self.meaning is None:
+                self.pool.note_dead(rested_s)
             return self._failed(error)
         finally:
+            self.monitor.attempts.discard(self)
             await self.pool.give_back(connection)
 
+    def abandon(self, reason: str) -> None:
+        """Ends the attempt as lost."""
+        self.given_up = reason
+        if self.scope is not None:
+            self.scope.cancel()
+
     async def _exchange(
         self, connection: http1_client.ClientConnection
     ) -> outcome_lib.Outcome:
@@ -84,6 +113,9 @@
         if not connection.body_sent:
             self.tasks.start_soon(connection.send_body, sent)
         head = await connection.read_head()
+        self.heard_at = time.monotonic()
+        if self.reused:
+            self.pool.note_alive()
         self.meaning = attempts.decode_answer(head)
         wrong = self._check(head, self.meaning)
         if wrong:
@@ -93,6 +125,7 @@
             await connection.read_body(_WHOLE_BYTES)
             return outcome_lib.NotRun(head.status, self.meaning)
         if self.request.route.streaming and head.status == 200:
+            self.relay.heard = self._note_heard
             await self.relay.run(connection, head)
             return outcome_lib.Relayed(head.status)
         return await self._collect(connection, head)
@@ -127,6 +160,9 @@
             await answer.send(part)
         await answer.end()
 
+    def _note_heard(self) -> None:
+        self.heard_at = time.monotonic()
+
     def _check(
         self, head: http1_client.AnswerHead, meaning: attempts.AnswerMeaning
     ) -> str:
--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -59,6 +59,7 @@
     def __init__(self, site: site_lib.Site, pool: http1_client.ConnectionPool):
         self.site = site
         self.pool = pool
+        self.metrics = site.metrics
         self.caches = cache_watch.CacheWatch(site, pool)
 
     def plan(
@@ -83,6 +84,7 @@
         members = self.site.targets.members(pool) if pool else []
         views = [self._view(entry, request, tried, now) for entry in members]
         choice = self._choose(request, views)
+        self.metrics.choices.labels(choice.reason).inc()
         request.story.note(
             "target_chosen" if choice.name else "no_target",
             target=choice.name,
@@ -122,6 +124,8 @@
         exclusion = None
         if target.name in tried:
             exclusion = target_choice.Exclusion.TRIED
+        elif state.unreachable:
+            exclusion = target_choice.Exclusion.UNREACHABLE
         elif now < state.refused_until:
             exclusion = target_choice.Exclusion.REFUSING
         elif self._is_forbidden(target.name, request.prompt.model, now):
--- a/hillthread/coordination/gateway/dispatcher.py
+++ b/hillthread/coordination/gateway/dispatcher.py
@@ -14,6 +14,7 @@
 from hillthread.coordination.gateway import intake
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import outcome as outcome_lib
+from hillthread.coordination.gateway import reach_monitor
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.platform import attempts
 from hillthread.transport import http1_client
@@ -37,6 +38,7 @@
         site: The host's beliefs.
         pool: Connections to targets.
         chooser: Chooses targets.
+        monitor: Finds out which targets can be reached.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self.pool = pool
         self.tasks = tasks
         self.chooser = chooser_lib.Chooser(site, pool)
+        self.monitor = reach_monitor.ReachMonitor(site, pool, tasks)
 
     async def serve(
         self,
@@ -179,6 +182,7 @@
         attempt = attempt_lib.Attempt(
             self.dispatcher.pool,
             self.dispatcher.tasks,
+            self.dispatcher.monitor,
             request,
             planned.plan,
             self.relay,
@@ -245,7 +249,7 @@
         state = self.site.state(name)
         match result:
             case outcome_lib.Unsent(reason):
-                state.lose(now)
+                self.dispatcher.monitor.note_unreachable(plan.target, reason)
                 self.request.story.warn("attempt", reason=reason, **fields)
             case outcome_lib.Lost(reason) | outcome_lib.Broken(reason):
                 ejected = state.fail(now)
--- a/hillthread/coordination/gateway/event_relay.py
+++ b/hillthread/coordination/gateway/event_relay.py
@@ -32,6 +32,7 @@
         longest_gap_s: Longest pause between two events.
         weights_version: Weights that the last event told, or None.
         begun: Called when the first event of a run is relayed.
+        heard: Called when anything of a run came.
     """
 
     def __init__(self, answer: http1_server.CallerAnswer):
@@ -42,6 +43,7 @@
         self.longest_gap_s = 0.0
         self.weights_version: int | None = None
         self.begun: Callable[[], None] = _nobody
+        self.heard: Callable[[], None] = _nobody
         self._last_at = 0.0
         self._run_began = False
 
@@ -58,6 +60,7 @@
         self._run_began = False
         splitter = event_stream.EventSplitter(_MAX_EVENT_BYTES)
         while part := await connection.read_part():
+            self.heard()
             try:
                 events = splitter.feed(part)
             except errors.HillthreadError as error:
--- a/hillthread/coordination/gateway/gateway.py
+++ b/hillthread/coordination/gateway/gateway.py
@@ -107,6 +107,7 @@
     def _note_admitted(self, request: intake.GatewayRequest) -> None:
         request.story.note(
             "admitted",
+            path=request.caller.path,
             route=request.route.name,
             tenant=request.tenant_name,
             repeatable=request.repeatable,
--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -33,6 +33,9 @@
         self.attempts = self._counter(
             "attempts", "Attempts by outcome.", ["outcome"]
         )
+        self.choices = self._counter(
+            "choices", "Targets chosen, by reason.", ["reason"]
+        )
         self.retries = self._counter(
             "retries", "Attempts after the first, by reason.", ["reason"]
         )
@@ -100,6 +103,15 @@
             route = _OTHER
         self.whole.labels(route).observe(seconds)
 
+    def count_choices(self) -> dict[str, int]:
+        """Returns how many targets were chosen so far, by reason."""
+        return {
+            sample.labels["reason"]: int(sample.value)
+            for metric in self.choices.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total")
+        }
+
     def page(self) -> bytes:
         """Returns all metrics in the customary text form."""
         return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/hillthread/coordination/gateway/reach_monitor.py
@@ -0,0 +1,171 @@
+"""Finds out which targets can be reached, and gives up attempts that cannot.
+
+A target that lost power, or lies behind a cut link, says nothing: attempts on
+it would hang until the kernel gives up. When an attempt hears nothing for a
+while, a connection to its target is tried; if none comes up, the target gets
+no new requests until one does, attempts on it that may be repeated are given
+up, and the other targets are tried too, because cuts seldom come alone.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from typing import Protocol
+
+import anyio
+import anyio.abc
+
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.state import objects
+from hillthread.transport import http1_client
+
+__all__ = ["OpenAttempt", "ReachMonitor"]
+
+_TICK_S = 0.05
+# Nine in ten first bytes come sooner; a trial costs one new connection.
+_SILENCE_S = 0.4
+# Between two trials for the same attempts.
+_AGAIN_S = 1.5
+# Between two trials of a target that could not be reached.
+_RETRY_S = 0.4
+_LONGEST_RETRY_S = 1.6
+# Other targets tried after one could not be reached, and how often at most.
+_SWEEP_TARGETS = 10
+_SWEEP_EVERY_S = 2.0
+
+_logger = logging.getLogger("hillthread.reach")
+
+
+class OpenAttempt(Protocol):
+    """An attempt that waits for its target."""
+
+    target: objects.Target
+    repeatable: bool
+    heard_at: float
+
+    def abandon(self, reason: str) -> None:
+        """Ends the attempt as lost."""
+
+
+class ReachMonitor:
+    """Watches open attempts and targets that cannot be reached.
+
+    Attributes:
+        site: The host's beliefs.
+        pool: Connections to targets; a trial's is kept there.
+        attempts: All that wait.
+    """
+
+    def __init__(
+        self,
+        site: site_lib.Site,
+        pool: http1_client.ConnectionPool,
+        tasks: anyio.abc.TaskGroup,
+    ):
+        self.site = site
+        self.pool = pool
+        self.tasks = tasks
+        self.attempts: set[OpenAttempt] = set()
+        self._trying: set[str] = set()
+        self._tried_at: dict[str, float] = {}
+        self._retry_at: dict[str, float] = {}
+        self._pause_s: dict[str, float] = {}
+        self._swept_at = float("-inf")
+
+    async def run(self) -> None:
+        """Watches until cancelled."""
+        while True:
+            await anyio.sleep(_TICK_S)
+            now = time.monotonic()
+            self._look_at_attempts(now)
+            self._look_at_unreachable(now)
+
+    def note_unreachable(self, target: objects.Target, reason: str) -> None:
+        """Notes that no connection to a target came up."""
+        state = self.site.state(target.name)
+        if state.unreachable:
+            return
+        state.unreachable = True
+        self._pause_s[target.name] = _RETRY_S
+        self._retry_at[target.name] = 0.0  # at once: a packet may be lost
+        _logger.warning(
+            "target cannot be reached",
+            extra={
+                "event": "target_unreachable",
+                "target": target.name,
+                "data_centre": target.data_centre,
+                "reason": reason,
+            },
+        )
+
+    def _look_at_attempts(self, now: float) -> None:
+        for attempt in self.attempts:
+            if now - attempt.heard_at < _SILENCE_S:
+                continue
+            name = attempt.target.name
+            if now - self._tried_at.get(name, float("-inf")) < _AGAIN_S:
+                continue
+            self._start_trial(attempt.target, now)
+
+    def _look_at_unreachable(self, now: float) -> None:
+        for name in list(self._retry_at):
+            entry = self.site.targets.entries.get(name)
+            if entry is None:
+                self._forget(name)
+            elif now >= self._retry_at[name]:
+                self._start_trial(entry.target, now)
+
+    def _start_trial(self, target: objects.Target, now: float) -> None:
+        if target.name in self._trying:
+            return
+        self._trying.add(target.name)
+        self._tried_at[target.name] = now
+        self.tasks.start_soon(self._try, target)
+
+    async def _try(self, target: objects.Target) -> None:
+        try:
+            connection = await self.pool.open(target.address, "trial")
+        except http1_client.CallError as error:
+            self._failed(target, error.reason)
+            return
+        finally:
+            self._trying.discard(target.name)
+        await self.pool.give_back(connection)
+        if target.name in self._retry_at:
+            self._forget(target.name)
+            self.site.state(target.name).unreachable = False
+            _logger.info(
+                "target can be reached",
+                extra={"event": "target_reachable", "target": target.name},
+            )
+
+    def _failed(self, target: objects.Target, reason: str) -> None:
+        now = time.monotonic()
+        self.note_unreachable(target, reason)
+        pause_s = self._pause_s.get(target.name, _RETRY_S)
+        self._retry_at[target.name] = now + pause_s * random.uniform(0.8, 1.2)
+        self._pause_s[target.name] = min(_LONGEST_RETRY_S, pause_s * 1.5)
+        for attempt in list(self.attempts):
+            if attempt.target.name == target.name and attempt.repeatable:
+                attempt.abandon("target cannot be reached")
+        self._sweep(now)
+
+    def _sweep(self, now: float) -> None:
+        """Tries other targets: a link or a data centre may be cut."""
+        if now - self._swept_at < _SWEEP_EVERY_S:
+            return
+        self._swept_at = now
+        others = [
+            entry.target
+            for name, entry in self.site.targets.entries.items()
+            if name not in self._retry_at
+        ]
+        for target in random.sample(others, min(_SWEEP_TARGETS, len(others))):
+            self._start_trial(target, now)
+
+    def _forget(self, name: str) -> None:
+        self._retry_at.pop(name, None)
+        self._pause_s.pop(name, None)
+        self._tried_at.pop(name, None)
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -85,6 +85,12 @@
         self.proven = proven
         self.position: int | None = None
         self.offsets: dict[str, int] = {}
+        self._held: anyio.CancelScope | None = None
+
+    def interrupt(self) -> None:
+        """Has a read that is held by the store sent anew."""
+        if self._held is not None:
+            self._held.cancel()
 
     async def run(self) -> None:
         """Follows until cancelled."""
@@ -126,7 +132,12 @@
     async def _read_changes(self, started: float, failures: int) -> None:
         # After a failure an answer at once is wanted, to know where we are.
         wait_s = 0.0 if failures else self.wait_s
-        page = await self.client.read(self.topic, self.position, wait_s)
+        page = None
+        with anyio.CancelScope() as self._held:
+            page = await self.client.read(self.topic, self.position, wait_s)
+        self._held = None
+        if page is None:
+            return
         for record in page.records:
             self.position = record.offset + 1
             self._apply_raw(record)
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -9,6 +9,7 @@
 import time
 
 import anyio
+import anyio.abc
 
 from hillthread import settings as settings_lib
 from hillthread.coordination.gateway import gateway as gateway_lib
@@ -39,13 +40,14 @@
 # Before the process is killed, what still runs is broken off.
 _STOP_MARGIN_S = 0.3
 _IDLE_CHECK_S = 0.05
-_CONNECT_TIMEOUT_S = 0.4
+# Connections come up within 10 ms; a lost packet is sent again after a second.
+_CONNECT_TIMEOUT_S = 0.2
 # How long the store holds a read. That of the operator's topic also proves
 # that no key was withdrawn.
-_OPERATOR_WAIT_S = 2.0
-_TARGETS_WAIT_S = 5.0
+_OPERATOR_WAIT_S = 2.5
+_TARGETS_WAIT_S = 20.0
 _TICK_S = 0.1
-_STORE_LOST_IDLE_S = 60.0
+_STATUS_S = 5.0
 
 _logger = logging.getLogger("hillthread.program")
 
@@ -53,9 +55,15 @@
 class GatewayProgram:
     """The gateway with its sockets, followers and duties."""
 
-    def __init__(self, settings: gateway_settings.GatewaySettings, tasks):
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        tasks: anyio.abc.TaskGroup,
+        log: log_writer.BufferedLogHandler,
+    ):
         self.settings = settings
         self.tasks = tasks
+        self.log = log
         self.metrics = metrics_lib.GatewayMetrics()
         self.site = site_lib.Site(settings, self.metrics)
         self.pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S)
@@ -64,7 +72,7 @@
         )
         self.store = store_lib.StoreClient(settings.store)
         self.watch = store_follower.StoreWatch(
-            self.site.store_lost, self.site.store_back
+            self.site.store_lost, self._store_back
         )
         self.operator = self._follower(
             configuration.OPERATOR_TOPIC,
@@ -110,6 +118,7 @@
             self.metrics_server.serve,
             self.rollout.run,
             self.gateway.dispatcher.chooser.caches.run,
+            self.gateway.dispatcher.monitor.run,
             self._tick,
         ):
             self.tasks.start_soon(start)
@@ -180,12 +189,18 @@
         del sent_at, held_s
         self.site.targets_known = True
 
+    def _store_back(self, now: float, lost_s: float) -> None:
+        self.site.store_back(now, lost_s)
+        # A read that was held over the outage may never be answered.
+        self.targets.interrupt()
+
     def _close_idle(self, address: str) -> None:
         self.tasks.start_soon(self.pool.drop, address)
 
     async def _tick(self) -> None:
         """Does what is due with time, and notes changes of readiness."""
         ready = None
+        status_at = time.monotonic() + _STATUS_S
         while True:
             now = time.monotonic()
             self.site.expire_targets(now)
@@ -202,9 +217,31 @@
                 )
             self.metrics.ready.set(not reason)
             self.metrics.age.set(self.site.freshness.age(now))
-            self.metrics.connections.set(self.pool.opened)
+            self.metrics.connections.set(self.pool.opened.total())
+            if now >= status_at:
+                status_at = now + _STATUS_S
+                self._tell_status(now)
             await anyio.sleep(_TICK_S)
 
+    def _tell_status(self, now: float) -> None:
+        """Logs how the host is doing."""
+        _logger.info(
+            "status",
+            extra={
+                "event": "status",
+                "serving": self.server.serving,
+                "callers": len(self.server.connections),
+                "store_age_s": round(self.site.freshness.age(now), 3),
+                "store_calls": self.store.calls,
+                "targets": len(self.site.targets.entries),
+                "ejected": self.site.ejected(now),
+                "connections_opened": dict(self.pool.opened),
+                "choices": self.metrics.count_choices(),
+                "log_lines": self.log.written_lines,
+                "log_bytes": self.log.written_bytes,
+            },
+        )
+
 
 async def serve(settings: gateway_settings.GatewaySettings) -> None:
     """Runs until asked to stop and drained."""
@@ -212,7 +249,7 @@
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(handler.run)
-        program = GatewayProgram(settings, tasks)
+        program = GatewayProgram(settings, tasks, handler)
         _logger.info(
             "started",
             extra={
--- a/hillthread/state/target_choice.py
+++ b/hillthread/state/target_choice.py
@@ -30,6 +30,7 @@
     TRIED = "tried"
     REFUSING = "refusing"
     EJECTED = "ejected"
+    UNREACHABLE = "unreachable"
     OLD_WEIGHTS = "old_weights"
 
 
--- a/hillthread/state/target_state.py
+++ b/hillthread/state/target_state.py
@@ -28,6 +28,7 @@
         prefill_tokens: Of these, the tokens still to be computed before their
             first event.
         refused_until: Seconds; it refused work and is spared until then.
+        unreachable: No connection to it comes up.
         seconds: Smoothed time to the first byte.
         mean_prefill: Mean of `prefill_tokens` over the last second or so.
     """
@@ -37,6 +38,7 @@
         self.running = 0
         self.prefill_tokens = 0
         self.refused_until = float("-inf")
+        self.unreachable = False
         self.seconds = 0.0
         self.mean_prefill = 0.0
         self._mean_at = float("-inf")
@@ -46,7 +48,7 @@
 
     def accepts(self, now: float) -> bool:
         """Returns whether it may be given a request."""
-        if now < self.refused_until:
+        if self.unreachable or now < self.refused_until:
             return False
         return self.breaker.state(now) is not health.BreakerState.OPEN
 
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -23,6 +23,11 @@
 
 _MAX_HEAD_BYTES = 65_536
 _MAX_IDLE = 64
+# How long a kept connection may have rested for a request that may not be
+# repeated; less once one turned out dead, and slowly more again.
+_LONGEST_TRUST_S = 2.5
+_LEAST_TRUST_S = 0.2
+_TRUST_GAIN = 1.02
 # Used up to this share of the time a peer said it keeps idle connections.
 _KEEP_ALIVE_SHARE = 0.7
 # When the peer tells no time: shorter than what peers are seen to keep.
@@ -202,6 +207,8 @@
 
     def can_be_kept(self) -> bool:
         """Returns whether another request may follow on the connection."""
+        if self.requests == 0:
+            return True
         if self.told_close or not self.body_sent:
             return False
         if self.machine.our_state is not h11.DONE:
@@ -225,13 +232,16 @@
 
     Attributes:
         connect_timeout_s: For a new connection to come up.
-        opened: Connections opened so far.
+        opened: Connections opened so far, by why no kept one was used.
         idle: Connections not in use, by address, the last used last.
+        trust_s: A request that may not be repeated takes a kept connection
+            only if it rested less; falls when kept connections turn out dead.
     """
 
     def __init__(self, connect_timeout_s: float):
         self.connect_timeout_s = connect_timeout_s
-        self.opened = 0
+        self.trust_s = _LONGEST_TRUST_S
+        self.opened: collections.Counter[str] = collections.Counter()
         self.idle: dict[str, collections.deque[ClientConnection]] = {}
 
     def has_idle(self, address: str) -> bool:
@@ -249,18 +259,32 @@
             CallError: No connection came up; nothing was sent.
         """
         kept = self.idle.get(address)
+        reason = "none_kept"
         while kept:
             connection = kept.pop()
             rested_s = anyio.current_time() - connection.used_at
-            if rested_s >= connection.keep_s or connection.is_readable():
-                await connection.close()
-                continue
-            if rested_s > max_idle_s:
+            if rested_s >= connection.keep_s:
+                reason = "rested_too_long"
+            elif connection.is_readable():
+                reason = "closed_by_peer"
+            elif rested_s > max_idle_s:
                 kept.append(connection)
+                reason = "too_old_for_request"
                 break
-            connection.machine.start_next_cycle()
-            return connection
-        return await self._open(address)
+            else:
+                if connection.requests:
+                    connection.machine.start_next_cycle()
+                return connection
+            await connection.close()
+        return await self.open(address, reason)
+
+    def note_dead(self, rested_s: float) -> None:
+        """Notes that a kept connection had died while it rested."""
+        self.trust_s = max(_LEAST_TRUST_S, min(self.trust_s, rested_s / 2.0))
+
+    def note_alive(self) -> None:
+        """Notes that a kept connection carried a request."""
+        self.trust_s = min(_LONGEST_TRUST_S, self.trust_s * _TRUST_GAIN)
 
     async def give_back(self, connection: ClientConnection) -> None:
         """Keeps a connection whose exchange ended cleanly, else closes it."""
@@ -281,7 +305,16 @@
         for address in list(self.idle):
             await self.drop(address)
 
-    async def _open(self, address: str) -> ClientConnection:
+    async def open(self, address: str, reason: str) -> ClientConnection:
+        """Returns a new connection.
+
+        Args:
+            address: `IP:port`.
+            reason: Why no kept one is used, for the count.
+
+        Raises:
+            CallError: It did not come up.
+        """
         ip, port = settings_lib.split_address(address)
         try:
             with anyio.fail_after(self.connect_timeout_s):
@@ -290,7 +323,7 @@
             raise CallError(False, "connecting timed out") from error
         except OSError as error:
             raise CallError(False, f"cannot connect: {error}") from error
-        self.opened += 1
+        self.opened[reason] += 1
         http1.tune_socket(stream, http1.TARGET_SILENCE_MS)
         return ClientConnection(stream, address)
 
--- a/tests/coordination/gateway/scene.py
+++ b/tests/coordination/gateway/scene.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import itertools
+import tempfile
 
 import anyio
 
@@ -12,6 +13,7 @@
 from hillthread.standin import platform_store
 from hillthread.standin import platform_target
 from hillthread.transport import http1_client
+from hillthread.transport import log_writer
 
 KEY = "key-one"
 HOST = b"callers.example"
@@ -83,6 +85,7 @@
                 {"name": "tenant-two", "apiKeys": ["key-two"]},
             ],
         }
+        self.log = tempfile.TemporaryFile()  # noqa: SIM115 (lives as long)
         self.pool = http1_client.ConnectionPool(1.0)
         self.ids = itertools.count()
         self.program = None
@@ -129,7 +132,9 @@
             **settings,
         }
         self.program = gateway_program.GatewayProgram(
-            settings_lib.GatewaySettings(**values), self.tasks
+            settings_lib.GatewaySettings(**values),
+            self.tasks,
+            log_writer.BufferedLogHandler(self.log.fileno()),
         )
         await self.program.run()
         await self.until(lambda: not self.not_ready_reason())
