End reads of the operator's topic before keys look old

Changed: a read is held no longer than keeps the age under 0.7 of its limit. Test shown failing before (it needs the new property; the age passed the limit by 0.4 s).

--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -212,12 +212,16 @@
             extra={"event": "store_back", "lost_s": round(lost_s, 3)},
         )
 
+    @property
+    def greatest_age_s(self) -> float:
+        """The age up to which knowledge of keys is used, seconds."""
+        return self.settings.revoke_ms / 1000.0 - _REVOKE_MARGIN_S
+
     def may_serve_keys(self, now: float) -> bool:
         """Returns whether what is known of keys is recent enough."""
         if not self.settings.fail_closed:
             return self.table is not None
-        limit = self.settings.revoke_ms / 1000.0 - _REVOKE_MARGIN_S
-        return self.freshness.age(now) <= limit
+        return self.freshness.age(now) <= self.greatest_age_s
 
     def not_ready_reason(self, now: float) -> str:
         """Returns why callers should be sent elsewhere; empty when ready."""
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -1,7 +1,7 @@
 """Follows the keyed topics of the store: the newest of each key, then changes.
 
 Reads are held by the store until something changes, so that a change is known
-at once and a quiet topic costs one call each `wait_s`.
+at once and a quiet topic costs few calls.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 __all__ = ["StoreWatch", "TopicFollower"]
 
 _FIRST_PAUSE_S = 0.1
-_LONGEST_PAUSE_S = 0.8
+_LONGEST_PAUSE_S = 0.5
 _JITTER = 0.3
 
 _logger = logging.getLogger("hillthread.store")
@@ -62,7 +62,7 @@
 
     Attributes:
         topic: Its name.
-        wait_s: How long the store holds a read.
+        wait_s: Returns how long the store is to hold the next read, seconds.
         position: Offset of the next record; None before the first read.
     """
 
@@ -70,7 +70,7 @@
         self,
         client: store.StoreClient,
         topic: str,
-        wait_s: float,
+        wait_s: Callable[[], float],
         watch: StoreWatch,
         metrics: metrics_lib.GatewayMetrics,
         take: Callable[[store.KeyedRecord], None],
@@ -131,7 +131,7 @@
 
     async def _read_changes(self, started: float, failures: int) -> None:
         # After a failure an answer at once is wanted, to know where we are.
-        wait_s = 0.0 if failures else self.wait_s
+        wait_s = 0.0 if failures else self.wait_s()
         page = None
         with anyio.CancelScope() as self._held:
             page = await self.client.read(self.topic, self.position, wait_s)
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import logging
 import os
 import signal
@@ -42,10 +43,12 @@
 _IDLE_CHECK_S = 0.05
 # Connections come up within 10 ms; a lost packet is sent again after a second.
 _CONNECT_TIMEOUT_S = 0.2
-# How long the store holds a read. That of the operator's topic also proves
-# that no key was withdrawn.
+# How long the store holds a read at most.
 _OPERATOR_WAIT_S = 2.5
 _TARGETS_WAIT_S = 20.0
+# Reads of the operator's topic also prove that no key was withdrawn: they end
+# before what is known of keys has reached this share of its greatest age.
+_PROOF_SHARE = 0.7
 _TICK_S = 0.1
 _STATUS_S = 5.0
 
@@ -76,13 +79,13 @@
         )
         self.operator = self._follower(
             configuration.OPERATOR_TOPIC,
-            _OPERATOR_WAIT_S,
+            self._operator_wait_s,
             self._take_operator,
             self.site.freshness.prove,
         )
         self.targets = self._follower(
             targets.TARGET_TOPIC,
-            _TARGETS_WAIT_S,
+            lambda: _TARGETS_WAIT_S,
             self._take_target,
             self._targets_proven,
         )
@@ -164,12 +167,22 @@
         )
 
     def _follower(
-        self, topic: str, wait_s: float, take, proven
+        self, topic: str, wait_s: Callable[[], float], take, proven
     ) -> store_follower.TopicFollower:
         return store_follower.TopicFollower(
             self.store, topic, wait_s, self.watch, self.metrics, take, proven
         )
 
+    def _operator_wait_s(self) -> float:
+        """Returns how long the next read may be held.
+
+        A read that brings something proves nothing after its sending: the
+        next one must be short.
+        """
+        age_s = self.site.freshness.age(time.monotonic())
+        left_s = self.site.greatest_age_s * _PROOF_SHARE - age_s
+        return min(_OPERATOR_WAIT_S, max(0.0, left_s))
+
     def _take_operator(self, record: store_lib.KeyedRecord) -> None:
         if not record.value:
             return
--- a/tests/coordination/gateway/test_lifecycle.py
+++ b/tests/coordination/gateway/test_lifecycle.py
@@ -81,6 +81,20 @@
 
 
 class KeyTest(unittest.TestCase):
+    def test_changes_do_not_make_keys_look_old(self):
+        async def story(scene):
+            oldest = 0.0
+            started = anyio.current_time()
+            while anyio.current_time() - started < 2.0:
+                scene.configure()
+                for _ in range(9):
+                    await anyio.sleep(0.05)
+                    now = anyio.current_time()
+                    oldest = max(oldest, scene.site.freshness.age(now))
+            self.assertLess(oldest, scene.site.greatest_age_s)
+
+        scene_lib.play(story, revoke_ms=1400)
+
     def test_withdrawn_key_ends_at_a_host_that_lost_the_store(self):
         async def story(scene):
             scene.store.faults.silent = True
