Explain requests from the logs of gateways

Tests drive the program through a refusal under overload, a stream cut by a crash, and a lost store, and read the cause; each refusal has its line; a stuffed output delays no request.

--- a/hillthread/coordination/gateway/dispatcher.py
+++ b/hillthread/coordination/gateway/dispatcher.py
@@ -381,15 +381,27 @@
         self, planned: chooser_lib.Planned, reason: str
     ) -> None:
         """Lets a broken stream go on in another run, or breaks it off."""
-        if not self.request.route.resumable or self.relay.last_id is None:
-            raise http1_server.BrokenAnswerError
-        if not self._may_run_again() or not self._withdraw(planned, reason):
+        why_not = self._why_no_resume(planned, reason)
+        if why_not:
+            self.request.story.warn("no_resume", reason=reason, why=why_not)
             raise http1_server.BrokenAnswerError
         self.metrics.resumes.inc()
         self.request.story.warn(
             "stream_resumes", after=self.relay.last_id, reason=reason
         )
 
+    def _why_no_resume(self, planned: chooser_lib.Planned, reason: str) -> str:
+        """Returns why a broken stream cannot go on; empty when it can."""
+        if not self.request.route.resumable:
+            return "its route is not resumable"
+        if self.relay.last_id is None:
+            return "its events have no ids"
+        if not self._may_run_again():
+            return "it may not run on more targets"
+        if not self._withdraw(planned, reason):
+            return "the retry budget is spent"
+        return ""
+
     def _withdraw(self, planned: chooser_lib.Planned, reason: str) -> bool:
         """Returns whether the retry budget allows another attempt."""
         budget = self.site.budget(planned.pool.name)
--- a/hillthread/errors.py
+++ b/hillthread/errors.py
@@ -9,6 +9,7 @@
     "ConflictError",
     "HillthreadError",
     "LogError",
+    "NotFoundError",
     "PeerError",
     "RefusalError",
     "RunState",
@@ -67,6 +68,12 @@
     code = "version_conflict"
 
 
+class NotFoundError(HillthreadError):
+    """What was asked for is not known."""
+
+    code = "not_found"
+
+
 class LogError(HillthreadError):
     """The platform's log cannot be reached, or answered with an error."""
 
--- a/hillthread/programs/ctl.py
+++ b/hillthread/programs/ctl.py
@@ -11,7 +11,9 @@
 import msgspec
 
 from hillthread import errors
+from hillthread.protocol import documents
 from hillthread.protocol import explanation
+from hillthread.protocol import log_story
 from hillthread.transport import service
 
 __all__ = ["Ctl", "main"]
@@ -123,8 +125,22 @@
         """Prints the configuration position in force on every host."""
         _print(self._call("GET", "/v1/status"))
 
-    def explain(self, request_id: str, json: bool = False) -> None:
-        """Tells why a request went where it did."""
+    def explain(
+        self, request_id: str, *files: str, logs: str = "", json: bool = False
+    ) -> None:
+        """Tells why a request went where it did.
+
+        Args:
+            request_id: The request's id.
+            files: More log files.
+            logs: A log file of a gateway; without one the hosts are asked.
+            json: Print the decisions as JSON.
+        """
+        if logs or files:
+            _explain_from_logs(
+                request_id, [*filter(None, [logs]), *files], json
+            )
+            return
         found = self._call("GET", "/v1/records", request_id=request_id)
         if not found:
             raise CtlError(
@@ -185,6 +201,33 @@
         return value
 
 
+def _explain_from_logs(
+    request_id: str, files: list[str], as_json: bool
+) -> None:
+    lines: list[log_story.StoryLine] = []
+    for file in files:
+        try:
+            text = pathlib.Path(file).read_text(errors="replace")
+        except OSError as error:
+            raise CtlError(
+                f"{file} cannot be read: {error.strerror}.",
+                "Give the log files of the hosts.",
+            ) from error
+        lines += log_story.parse_lines(
+            pathlib.Path(file).stem, text.splitlines()
+        )
+    story = log_story.find_story(str(request_id), lines)
+    if story is None:
+        raise errors.NotFoundError(
+            f"No line in {len(files)} files is about {request_id}.",
+            "Give the logs of all hosts; ordinary requests are only sampled.",
+        )
+    if as_json:
+        _print(documents.as_document(story))
+    else:
+        print(log_story.tell(story))
+
+
 def _read_changes(file: str) -> list[dict[str, Any]]:
     try:
         value = msgspec.json.decode(pathlib.Path(file).read_bytes())
--- a/hillthread/transport/service.py
+++ b/hillthread/transport/service.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "EXIT_FAILED",
+    "EXIT_NOT_FOUND",
     "EXIT_SETTINGS",
     "StatusPages",
     "announce",
@@ -27,6 +28,7 @@
 
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
+EXIT_NOT_FOUND = 3
 
 _logger = logging.getLogger(__name__)
 
@@ -101,6 +103,9 @@
     """Runs a command line and turns typed errors into exit codes."""
     try:
         fire.Fire(command)
+    except errors.NotFoundError as error:
+        print(f"{error.code}: {error}", file=sys.stderr)
+        sys.exit(EXIT_NOT_FOUND)
     except errors.SettingsError as error:
         print(f"{error.code}: {error}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
--- /dev/null
+++ b/tests/coordination/gateway/test_explaining.py
@@ -0,0 +1,144 @@
+"""Tests that failures can be explained from logs alone."""
+
+import contextlib
+import io
+import json
+import logging
+import os
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+
+from hillthread import errors
+from hillthread.programs import ctl
+from hillthread.standin import platform_target as standin
+from hillthread.transport import http1_client
+from hillthread.transport import log_writer
+from tests.coordination.gateway import scene as scene_lib
+
+
+class ExplainingTest(unittest.TestCase):
+    def setUp(self):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.path = pathlib.Path(folder) / "host.log"
+        self.file = self.enterContext(self.path.open("wb"))
+        self.handler = log_writer.BufferedLogHandler(self.file.fileno())
+        root = logging.getLogger()
+        level = root.level
+        root.addHandler(self.handler)
+        root.setLevel(logging.INFO)
+        self.addCleanup(root.setLevel, level)
+        self.addCleanup(root.removeHandler, self.handler)
+
+    def explain(self, request, **options):
+        self.handler.flush()
+        name = dict(request.headers)[b"x-request-id"].decode()
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            ctl.Ctl().explain(name, logs=str(self.path), **options)
+        return output.getvalue()
+
+    def test_refused_under_overload(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.always = standin.Refuse()
+            request = scene.request("/once/x")
+            answer = await scene.call(request)
+            self.assertEqual(answer.head.status, 503)
+            told = self.explain(request)
+            self.assertIn("Cause: targets refused it: p", told)
+            self.assertIn("p0 (503)", told)
+            self.assertIn("p1 (503)", told)
+            self.assertIn("run: not_run", told)
+
+        scene_lib.play(story)
+
+    def test_cut_in_mid_stream_by_a_crash(self):
+        async def story(scene):
+            for engine in scene.engines:
+                engine.always = standin.Cut(2)
+            request = scene.prompt("/stream/x")
+            with self.assertRaises(http1_client.CallError):
+                await scene.call(request)
+            await anyio.sleep(0.05)
+            ran = next(e.name for e in scene.engines if e.runs)
+            told = self.explain(request)
+            self.assertIn(f"target {ran} failed (answer", told)
+            self.assertIn("because its route is not resumable", told)
+            story = json.loads(self.explain(request, json=True))
+            self.assertEqual(story["missing"], [])
+
+        scene_lib.play(story)
+
+    def test_refused_because_the_store_was_lost(self):
+        async def story(scene):
+            scene.store.faults.reset = True
+            scene.configure()
+            await scene.until(scene.not_ready_reason)
+            await scene.until(
+                lambda: not scene.site.may_serve_keys(anyio.current_time())
+            )
+            request = scene.request("/once/x")
+            answer = await scene.call(request)
+            self.assertEqual(answer.head.status, 503)
+            told = self.explain(request)
+            self.assertIn("lost the store and cannot check keys", told)
+            self.assertRegex(told, r"the store was lost \d\.\d s before")
+
+        scene_lib.play(story, revoke_ms=1600)
+
+    def test_every_refusal_has_its_line(self):
+        async def story(scene):
+            requests = [
+                scene.request("/none/x"),
+                scene.request("/once/x", authorization="Bearer no"),
+                scene.request("/once/x", x_deadline_ms="100"),
+                scene.request("/again/x"),
+            ]
+            for target in scene.plain:
+                target.behave(standin.Hang())
+            for request in requests[:3]:
+                await scene.call(request)
+            for target in scene.plain:
+                target.behaviours.clear()
+                target.always = standin.Vanish()
+            await scene.call(requests[3])
+            for request in requests:
+                self.assertIn("refused with", self.explain(request))
+
+        scene_lib.play(story)
+
+    def test_unknown_id_and_unreadable_file(self):
+        with self.assertRaises(errors.NotFoundError):
+            ctl.Ctl().explain("none", logs=os.devnull)
+        with self.assertRaises(ctl.CtlError):
+            ctl.Ctl().explain("none", logs="/nonexistent/file")
+
+
+class StuffedOutputTest(unittest.TestCase):
+    def test_stuffed_output_delays_no_request(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        handler = log_writer.BufferedLogHandler(writer, 20_000)
+        root = logging.getLogger()
+        root.addHandler(handler)
+        self.addCleanup(root.removeHandler, handler)
+        level = root.level
+        root.setLevel(logging.INFO)
+        self.addCleanup(root.setLevel, level)
+
+        async def story(scene):
+            scene.tasks.start_soon(handler.run)
+            for target in scene.plain:
+                target.always = standin.Fail()
+            for _ in range(300):
+                answer = await scene.call(scene.request("/again/x"))
+                self.assertEqual(answer.head.status, 500)
+                for target in scene.plain:
+                    scene.site.state(target.name).succeed()
+
+        scene_lib.play(story)
+        self.assertGreater(handler.dropped, 0)
