Read changes of the store in numbers; count the hosts that share a budget

Budgets were shared as if there were 8 hosts. Changed: after a read that brought something the next waits 0.2 s (operator) or 0.6 s (targets); hosts list themselves in a keyed topic and count it; decisions are logged with the excluded targets only.

--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -27,6 +27,7 @@
 _BEHIND_S = 0.3
 _AWAY_S = 0.25
 _NO_TARGET_RETRY_S = 0.3
+_MAX_SUMMARIES = 8
 
 
 class Planned(NamedTuple):
@@ -93,7 +94,7 @@
             pool=pool.name if pool else None,
             configuration=self.site.table.position if self.site.table else -1,
             store_age_s=round(self.site.freshness.age(now), 3),
-            candidates=[_summary(view) for view in views],
+            candidates=_summaries(views, choice.name),
         )
         if pool is None or choice.name is None:
             raise no_target()
@@ -251,6 +252,20 @@
     return sum(part.tokens for part in parts)
 
 
+def _summaries(
+    views: list[target_choice.TargetView], chosen: str | None
+) -> list[str]:
+    """Returns the chosen target and why others were not taken, in words."""
+    told = [
+        view
+        for view in views
+        if view.exclusion is not None or view.behind or view.name == chosen
+    ]
+    words = [_summary(view) for view in told[:_MAX_SUMMARIES]]
+    left = len(views) - len(words)
+    return [*words, f"{left} others"] if left else words
+
+
 def _summary(view: target_choice.TargetView) -> str:
     state = view.exclusion or ("behind" if view.behind else "open")
     return f"{view.name} {state} running={view.running}"
--- a/hillthread/coordination/gateway/rollout_keeper.py
+++ b/hillthread/coordination/gateway/rollout_keeper.py
@@ -24,7 +24,7 @@
 
 STRATEGY = "retain"
 _TICK_S = 0.05
-_POLL_S = 0.15
+_POLL_S = 0.2
 # A load takes under a second; requests that run end before it begins.
 _LOAD_LIMIT_S = 4.0
 # An unanswered order may still arrive; the engine's count of orders tells.
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -28,8 +28,8 @@
 _REVOKE_MARGIN_S = 0.8
 # Of its full age; the host then asks the balancer to send callers elsewhere.
 _READY_SHARE = 0.6
-# Hosts to share a budget with, until others are heard of.
-DEFAULT_HOSTS = 8
+# Hosts to share a budget with, until they are counted; rather too many.
+DEFAULT_HOSTS = 24
 
 _logger = logging.getLogger("hillthread.site")
 
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -63,6 +63,8 @@
     Attributes:
         topic: Its name.
         wait_s: Returns how long the store is to hold the next read, seconds.
+        gather_s: After a read that brought something the next one is sent so
+            much later: changes often come in numbers, and each read costs.
         position: Offset of the next record; None before the first read.
     """
 
@@ -71,6 +73,7 @@
         client: store.StoreClient,
         topic: str,
         wait_s: Callable[[], float],
+        gather_s: float,
         watch: StoreWatch,
         metrics: metrics_lib.GatewayMetrics,
         take: Callable[[store.KeyedRecord], None],
@@ -79,12 +82,14 @@
         self.client = client
         self.topic = topic
         self.wait_s = wait_s
+        self.gather_s = gather_s
         self.watch = watch
         self.metrics = metrics
         self.take = take
         self.proven = proven
         self.position: int | None = None
         self.offsets: dict[str, int] = {}
+        self._brought = False
         self._held: anyio.CancelScope | None = None
 
     def interrupt(self) -> None:
@@ -101,7 +106,7 @@
                 if self.position is None:
                     await self._read_newest(started)
                 else:
-                    await self._read_changes(started, failures)
+                    await self._read_changes(failures)
             except store.TruncatedError:
                 self.position = None
                 outcome = "truncated"
@@ -129,8 +134,11 @@
         self.position = page.end
         self.proven(started, 0.0)
 
-    async def _read_changes(self, started: float, failures: int) -> None:
+    async def _read_changes(self, failures: int) -> None:
         # After a failure an answer at once is wanted, to know where we are.
+        if self._brought:
+            await anyio.sleep(self.gather_s)
+        started = time.monotonic()
         wait_s = 0.0 if failures else self.wait_s()
         page = None
         with anyio.CancelScope() as self._held:
@@ -138,6 +146,7 @@
         self._held = None
         if page is None:
             return
+        self._brought = bool(page.records)
         for record in page.records:
             self.position = record.offset + 1
             self._apply_raw(record)
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -229,6 +229,21 @@
             case status:
                 raise _refused(status)
 
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Writes a value under a key of a keyed topic; idempotent.
+
+        Raises:
+            LogError: It was not written.
+            UnknownOutcomeError: It may have been written.
+        """
+        query = {"topic": topic, "part": _PARTITION}
+        name = key.encode()
+        payload = bytes([len(name)]) + name + value
+        body = _LENGTH.pack(len(payload)) + payload
+        answer = await self._call(b"POST", "log-append", query, body, 0.0)
+        if answer.head.status != 200:
+            raise _refused(answer.head.status)
+
     async def _get(self, call: str, query: dict, wait_s: float) -> bytes:
         answer = await self._call(b"GET", call, query, b"", wait_s)
         match answer.head.status:
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -14,6 +14,7 @@
 
 from hillthread import settings as settings_lib
 from hillthread.coordination.gateway import gateway as gateway_lib
+from hillthread.coordination.gateway import host_registry
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import order_lease
 from hillthread.coordination.gateway import rollout_keeper
@@ -46,6 +47,10 @@
 # How long the store holds a read at most.
 _OPERATOR_WAIT_S = 2.5
 _TARGETS_WAIT_S = 20.0
+# Changes that follow each other are read together. Leaving targets serve on for
+# two seconds and more.
+_OPERATOR_GATHER_S = 0.2
+_TARGETS_GATHER_S = 0.6
 # Reads of the operator's topic also prove that no key was withdrawn: they end
 # before what is known of keys has reached this share of its greatest age.
 _PROOF_SHARE = 0.7
@@ -80,15 +85,18 @@
         self.operator = self._follower(
             configuration.OPERATOR_TOPIC,
             self._operator_wait_s,
+            _OPERATOR_GATHER_S,
             self._take_operator,
             self.site.freshness.prove,
         )
         self.targets = self._follower(
             targets.TARGET_TOPIC,
             lambda: _TARGETS_WAIT_S,
+            _TARGETS_GATHER_S,
             self._take_target,
             self._targets_proven,
         )
+        self.hosts = host_registry.HostRegistry(self.store, self.site)
         self.rollout = rollout_keeper.RolloutKeeper(
             self.site,
             order_lease.OrderLease(
@@ -120,6 +128,7 @@
             self.ready_server.serve,
             self.metrics_server.serve,
             self.rollout.run,
+            self.hosts.run,
             self.gateway.dispatcher.chooser.caches.run,
             self.gateway.dispatcher.monitor.run,
             self._tick,
@@ -167,10 +176,22 @@
         )
 
     def _follower(
-        self, topic: str, wait_s: Callable[[], float], take, proven
+        self,
+        topic: str,
+        wait_s: Callable[[], float],
+        gather_s: float,
+        take: Callable[[store_lib.KeyedRecord], None],
+        proven: Callable[[float, float], None],
     ) -> store_follower.TopicFollower:
         return store_follower.TopicFollower(
-            self.store, topic, wait_s, self.watch, self.metrics, take, proven
+            self.store,
+            topic,
+            wait_s,
+            gather_s,
+            self.watch,
+            self.metrics,
+            take,
+            proven,
         )
 
     def _operator_wait_s(self) -> float:
@@ -249,6 +270,8 @@
                 "targets": len(self.site.targets.entries),
                 "ejected": self.site.ejected(now),
                 "connections_opened": dict(self.pool.opened),
+                "keep_told_s": dict(self.pool.keep_told),
+                "hosts": self.site.hosts,
                 "choices": self.metrics.count_choices(),
                 "log_lines": self.log.written_lines,
                 "log_bytes": self.log.written_bytes,
--- a/hillthread/standin/platform_store.py
+++ b/hillthread/standin/platform_store.py
@@ -208,8 +208,14 @@
         while position < len(body):
             (length,) = struct.unpack_from(">I", body, position)
             position += 4
-            topic.records.append(body[position : position + length])
+            payload = body[position : position + length]
             position += length
+            if query["topic"].startswith("keyed."):
+                key_end = 1 + payload[0]
+                key = payload[1:key_end].decode()
+                self._append_keyed(query["topic"], key, payload[key_end:])
+            else:
+                topic.records.append(payload)
         self._wake()
         if lost:
             await anyio.sleep_forever()
--- a/hillthread/state/rollout.py
+++ b/hillthread/state/rollout.py
@@ -36,9 +36,10 @@
     named = board.named.get(model)
     if named is None:
         return []
-    by_name = {entry.target.name: entry for entry in entries}
-    return [
-        by_name[name]
-        for name in wave_order(model, named.version, by_name)
-        if board.is_behind(name, model)
-    ]
+    behind = {
+        entry.target.name: entry
+        for entry in entries
+        if board.is_behind(entry.target.name, model)
+    }
+    order = wave_order(model, named.version, behind)
+    return [behind[name] for name in order]
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -29,7 +29,7 @@
 _LEAST_TRUST_S = 0.2
 _TRUST_GAIN = 1.02
 # Used up to this share of the time a peer said it keeps idle connections.
-_KEEP_ALIVE_SHARE = 0.7
+_KEEP_ALIVE_SHARE = 0.85
 # When the peer tells no time: shorter than what peers are seen to keep.
 _DEFAULT_KEEP_S = 4.0
 _INLINE_BODY_BYTES = 16_384
@@ -234,6 +234,7 @@
         connect_timeout_s: For a new connection to come up.
         opened: Connections opened so far, by why no kept one was used.
         idle: Connections not in use, by address, the last used last.
+        keep_told: How long peers said they keep connections, counted.
         trust_s: A request that may not be repeated takes a kept connection
             only if it rested less; falls when kept connections turn out dead.
     """
@@ -243,6 +244,7 @@
         self.trust_s = _LONGEST_TRUST_S
         self.opened: collections.Counter[str] = collections.Counter()
         self.idle: dict[str, collections.deque[ClientConnection]] = {}
+        self.keep_told: collections.Counter[str] = collections.Counter()
 
     def has_idle(self, address: str) -> bool:
         """Returns whether a kept connection is likely to be there."""
@@ -291,6 +293,7 @@
         kept = self.idle.setdefault(connection.address, collections.deque())
         if connection.can_be_kept() and len(kept) < _MAX_IDLE:
             connection.used_at = anyio.current_time()
+            self.keep_told[f"{connection.keep_s:.1f}"] += 1
             kept.append(connection)
             return
         await connection.close()
--- a/tests/coordination/gateway/scene.py
+++ b/tests/coordination/gateway/scene.py
@@ -138,6 +138,7 @@
         )
         await self.program.run()
         await self.until(lambda: not self.not_ready_reason())
+        self.site.hosts = 1  # as it counts itself a little later
 
     def not_ready_reason(self) -> str:
         """Returns why the gateway is not ready, or nothing."""
--- a/tests/coordination/gateway/test_dispatcher.py
+++ b/tests/coordination/gateway/test_dispatcher.py
@@ -168,6 +168,7 @@
         async def story(scene):
             for target in scene.plain:
                 target.always = standin.Fail()
+            scene.site.hosts = 8
             for _ in range(40):
                 await scene.call(scene.request("/again/x"))
                 for target in scene.plain:
--- a/tests/coordination/gateway/test_lifecycle.py
+++ b/tests/coordination/gateway/test_lifecycle.py
@@ -126,6 +126,28 @@
         scene_lib.play(story)
 
 
+class HostsTest(unittest.TestCase):
+    def test_hosts_are_counted_in_the_store(self):
+        async def story(scene):
+            for name in ("h2", "h3"):
+                scene.store.put("keyed.hosts", name, {})
+            registry = scene.program.hosts
+            await scene.until(
+                lambda: "h1" in scene.store.topics["keyed.hosts"].newest
+            )
+            await registry.count()
+            self.assertEqual(scene.site.hosts, 3)
+            self.assertEqual(
+                scene.site.budget("plain").extra,
+                scene.site.settings.retry_extra / 3,
+            )
+            scene.store.faults.status = 429
+            await registry.count()
+            self.assertEqual(scene.site.hosts, 3)
+
+        scene_lib.play(story)
+
+
 class TargetTest(unittest.TestCase):
     def test_leaving_target_gets_no_new_work(self):
         async def story(scene):
