Take over changed settings at SIGHUP or when their file changes

Cause: SIGHUP ended the gateway, by the default action of the signal. Changed: it reads its settings again, keeps the ones in force when the new are wrong, and logs which need a restart; it also looks at the file every 2 s. Exit codes moved to transport/command.py, so that the gateway does not import hypercorn. Tests with the real process: hangup, changed file, planned stop, wrong settings.

--- a/hillthread/bench/bare_proxy.py
+++ b/hillthread/bench/bare_proxy.py
@@ -8,6 +8,7 @@
 import anyio
 
 from hillthread import settings as settings_lib
+from hillthread.transport import command
 from hillthread.transport import http_server
 from hillthread.transport import service
 from hillthread.transport import target_client
@@ -77,7 +78,7 @@
 
 def main() -> None:
     """Runs it as a module."""
-    service.run_command(run)
+    command.run_command(run)
 
 
 if __name__ == "__main__":
--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -13,7 +13,7 @@
 from hillthread.bench import slopes as slopes_lib
 from hillthread.bench import soak as soak_lib
 from hillthread.bench.faults import runner
-from hillthread.transport import service
+from hillthread.transport import command
 
 __all__ = ["main"]
 
@@ -156,7 +156,7 @@
 
 def main() -> None:
     """The console script."""
-    service.run_command(
+    command.run_command(
         {
             "compare": compare,
             "control": control,
--- a/hillthread/programs/control.py
+++ b/hillthread/programs/control.py
@@ -18,6 +18,7 @@
 from hillthread.coordination import order_keeper
 from hillthread.coordination import record_archive
 from hillthread.coordination import target_watch
+from hillthread.transport import command
 from hillthread.transport import http_server
 from hillthread.transport import link
 from hillthread.transport import log_client
@@ -130,7 +131,7 @@
 
 def main() -> None:
     """The console script."""
-    service.run_command(run)
+    command.run_command(run)
 
 
 if __name__ == "__main__":
--- a/hillthread/programs/ctl.py
+++ b/hillthread/programs/ctl.py
@@ -14,7 +14,7 @@
 from hillthread.protocol import documents
 from hillthread.protocol import explanation
 from hillthread.protocol import log_story
-from hillthread.transport import service
+from hillthread.transport import command
 
 __all__ = ["Ctl", "main"]
 
@@ -251,7 +251,7 @@
 
 def main() -> None:
     """The console script."""
-    service.run_command(Ctl)
+    command.run_command(Ctl)
 
 
 if __name__ == "__main__":
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import logging
 import os
+import pathlib
 import signal
 import sys
 import time
@@ -12,6 +13,7 @@
 import anyio
 import anyio.abc
 
+from hillthread import errors
 from hillthread import settings as settings_lib
 from hillthread.coordination.gateway import gateway as gateway_lib
 from hillthread.coordination.gateway import host_registry
@@ -26,6 +28,7 @@
 from hillthread.platform import store as store_lib
 from hillthread.platform import targets
 from hillthread.state import caller_bounds
+from hillthread.transport import command
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 from hillthread.transport import log_writer
@@ -56,6 +59,17 @@
 _PROOF_SHARE = 0.7
 _TICK_S = 0.1
 _STATUS_S = 5.0
+_SETTINGS_EVERY_S = 2.0
+# These are read at the start only.
+_FIXED_SETTINGS = (
+    "host",
+    "data_centre",
+    "listen",
+    "ready_listen",
+    "store",
+    "lease_ms",
+    "metrics_port",
+)
 
 _logger = logging.getLogger("hillthread.program")
 
@@ -153,6 +167,46 @@
             extra={"event": "stop_drained", "open": self.server.serving},
         )
 
+    async def watch_settings(self, path: str) -> None:
+        """Reads the settings again when their file changes."""
+        file = pathlib.Path(path)  # a look takes microseconds, no thread
+        changed_at = file.stat().st_mtime_ns  # noqa: ASYNC240
+        while True:
+            await anyio.sleep(_SETTINGS_EVERY_S)
+            try:
+                found = file.stat().st_mtime_ns  # noqa: ASYNC240
+            except OSError:
+                continue  # it is being replaced; the next look finds it
+            if found != changed_at:
+                changed_at = found
+                self.reload(path)
+
+    def reload(self, path: str) -> None:
+        """Takes over changed settings; wrong ones change nothing."""
+        try:
+            loaded = settings_lib.load_settings(
+                path, gateway_settings.GatewaySettings
+            )
+        except errors.SettingsError as error:
+            _logger.error(
+                "settings not taken over",
+                extra={"event": "reload_failed", "reason": str(error)},
+            )
+            return
+        if loaded == self.settings:
+            return
+        fixed = [
+            name
+            for name in _FIXED_SETTINGS
+            if getattr(loaded, name) != getattr(self.settings, name)
+        ]
+        self.settings = loaded
+        self.site.settings = loaded
+        _logger.info(
+            "settings taken over",
+            extra={"event": "reload", "need_a_restart": fixed},
+        )
+
     async def answer_status(
         self,
         caller: http1_server.CallerRequest,
@@ -279,8 +333,13 @@
         )
 
 
-async def serve(settings: gateway_settings.GatewaySettings) -> None:
-    """Runs until asked to stop and drained."""
+async def serve(settings: gateway_settings.GatewaySettings, path: str) -> None:
+    """Runs until asked to stop and drained.
+
+    Args:
+        settings: As read at the start.
+        path: Of their file, which is read again when it changes.
+    """
     handler = log_writer.BufferedLogHandler(sys.stdout.fileno())
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
     async with anyio.create_task_group() as tasks:
@@ -296,12 +355,15 @@
                 "store": settings.store,
             },
         )
-        await program.run()
         with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
-            async for _ in signals:
-                break
+            await program.run()
+            tasks.start_soon(program.watch_settings, path)
+            async for number in signals:
+                if number is not signal.SIGHUP:
+                    break
+                program.reload(path)
         await program.drain(time.monotonic())
         tasks.cancel_scope.cancel()
 
@@ -315,16 +377,12 @@
     """
     path = settings or os.environ.get(names.SETTINGS_VARIABLE, "")
     loaded = settings_lib.load_settings(path, gateway_settings.GatewaySettings)
-    anyio.run(serve, loaded)
+    anyio.run(serve, loaded, path)
 
 
 def main() -> None:
     """The console script."""
-    # service.run_command would import hypercorn, which this program does not
-    # need: memory is short on the hosts.
-    import fire  # noqa: PLC0415
-
-    fire.Fire(run)
+    command.run_command(run)
 
 
 if __name__ == "__main__":
--- a/hillthread/programs/router.py
+++ b/hillthread/programs/router.py
@@ -14,6 +14,7 @@
 from hillthread.coordination import record_pages
 from hillthread.coordination import router as router_lib
 from hillthread.protocol import documents
+from hillthread.transport import command
 from hillthread.transport import http_server
 from hillthread.transport import link
 from hillthread.transport import service
@@ -126,7 +127,7 @@
 
 def main() -> None:
     """The console script."""
-    service.run_command(run)
+    command.run_command(run)
 
 
 if __name__ == "__main__":
--- a/hillthread/programs/standin.py
+++ b/hillthread/programs/standin.py
@@ -10,6 +10,7 @@
 from hillthread.standin import engine as engine_lib
 from hillthread.standin import fault_proxy
 from hillthread.standin import services
+from hillthread.transport import command
 from hillthread.transport import http_server
 from hillthread.transport import service
 
@@ -71,7 +72,7 @@
 
 def main() -> None:
     """The console script."""
-    service.run_command(
+    command.run_command(
         {
             "engine": engine,
             "log": log,
--- a/hillthread/transport/service.py
+++ b/hillthread/transport/service.py
@@ -8,27 +8,18 @@
 import sys
 
 import anyio
-import fire
 import prometheus_client
 from pythonjsonlogger import json as jsonlogger
 
-from hillthread import errors
 from hillthread.transport import http_server
 
 __all__ = [
-    "EXIT_FAILED",
-    "EXIT_NOT_FOUND",
-    "EXIT_SETTINGS",
     "StatusPages",
     "announce",
     "configure_logging",
-    "run_command",
     "wait_for_signal",
 ]
 
-EXIT_FAILED = 1
-EXIT_SETTINGS = 2
-EXIT_NOT_FOUND = 3
 
 _logger = logging.getLogger(__name__)
 
@@ -97,18 +88,3 @@
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             return
-
-
-def run_command(command: object) -> None:
-    """Runs a command line and turns typed errors into exit codes."""
-    try:
-        fire.Fire(command)
-    except errors.NotFoundError as error:
-        print(f"{error.code}: {error}", file=sys.stderr)
-        sys.exit(EXIT_NOT_FOUND)
-    except errors.SettingsError as error:
-        print(f"{error.code}: {error}", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    except errors.HillthreadError as error:
-        print(f"{error.code}: {error}", file=sys.stderr)
-        sys.exit(EXIT_FAILED)
--- /dev/null
+++ b/tests/programs/test_gateway.py
@@ -0,0 +1,105 @@
+"""Tests of the gateway as a process: signals, settings, exit codes."""
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+_WAIT_S = 20.0
+
+
+class GatewayProcessTest(unittest.TestCase):
+    def setUp(self):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.path = pathlib.Path(folder) / "gateway.json"
+        self.log = pathlib.Path(folder) / "gateway.log"
+        self.settings = {
+            "host": "h1",
+            "data_centre": "here",
+            "listen": "127.0.0.1:0",
+            "ready_listen": "127.0.0.1:0",
+            "store": "127.0.0.1:1",
+            "grace_s": 1.0,
+        }
+        self.write(self.settings)
+
+    def write(self, settings):
+        text = settings if isinstance(settings, str) else json.dumps(settings)
+        self.path.write_text(text)
+
+    def start(self):
+        output = self.enterContext(self.log.open("wb"))
+        process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "hillthread.programs.gateway",
+                f"--settings={self.path}",
+            ],
+            stdout=output,
+            stderr=subprocess.DEVNULL,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def events(self):
+        lines = self.log.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def wait_event(self, name, count=1):
+        deadline = time.monotonic() + _WAIT_S
+        while time.monotonic() < deadline:
+            found = [e for e in self.events() if e.get("event") == name]
+            if len(found) >= count:
+                return found[-1]
+            time.sleep(0.02)
+        raise AssertionError(f"no event {name} in {self.log.read_text()}")
+
+    def test_hangup_takes_over_settings_and_ends_nothing(self):
+        process = self.start()
+        self.wait_event("readiness")
+        self.write({**self.settings, "retry_extra": 7, "host": "h2"})
+        process.send_signal(signal.SIGHUP)
+        reload = self.wait_event("reload")
+        self.assertEqual(reload["need_a_restart"], ["host"])
+        self.write("{")
+        process.send_signal(signal.SIGHUP)
+        self.wait_event("reload_failed")
+        self.assertIsNone(process.poll())
+
+    def test_changed_file_is_taken_over_without_a_signal(self):
+        self.start()
+        self.wait_event("readiness")
+        self.write({**self.settings, "retry_extra": 7})
+        self.wait_event("reload")
+
+    def test_termination_is_a_planned_stop(self):
+        process = self.start()
+        self.wait_event("readiness")
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(_WAIT_S), 0)
+        names = [event["event"] for event in self.events() if "event" in event]
+        self.assertIn("stop_notice", names)
+        self.assertEqual(names[-1], "stop_drained")
+
+    def test_wrong_settings_end_it_with_the_field_named(self):
+        self.write({**self.settings, "listen": 7})
+        result = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "hillthread.programs.gateway",
+                f"--settings={self.path}",
+            ],
+            capture_output=True,
+            text=True,
+            timeout=_WAIT_S,
+            check=False,
+        )
+        self.assertEqual(result.returncode, 2)
+        self.assertIn("$.listen", result.stderr)
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -6,6 +6,7 @@
 from hillthread import errors
 from hillthread import settings
 from hillthread.coordination import configuration_file
+from hillthread.coordination.gateway import settings as gateway_settings
 from hillthread.standin import engine
 from hillthread.standin import fault_proxy
 from hillthread.standin import services
@@ -16,6 +17,7 @@
 KINDS = {
     "router.json": settings.RouterSettings,
     "control.json": settings.ControlSettings,
+    "gateway.json": gateway_settings.GatewaySettings,
     "standin-engine.json": engine.EngineSettings,
     "standin-log.json": services.StandinSettings,
     "standin-hosts.json": services.StandinSettings,
