Let hosts of a data centre read the store's topics from one of them

Changed: the host that ranks first in its data centre reads for all others, from four hosts on; whoever answers tells the age of its knowledge, and the proof of a reader begins at its own sending less that age. Two sources, then the store. Hosts step into the duty of orders by rank. HTTP held calls with CBOR bodies in place of websockets: the same client, server and timeouts as elsewhere. Ruled out: pushed messages, whose way may take any time, so that they prove nothing.

--- a/hillthread/coordination/gateway/host_registry.py
+++ b/hillthread/coordination/gateway/host_registry.py
@@ -1,7 +1,8 @@
-"""How many hosts there are, so that each can take its part of a budget.
+"""Which hosts there are: to share budgets, duties and reads of the store.
 
-Each host writes its name into a keyed topic when it starts. A host that is gone
-stays listed: the parts are then smaller than they could be, never larger.
+Each host writes its entry into a keyed topic when it starts. One that is gone
+stays listed: parts of a budget are then smaller than they could be, never
+larger, and whoever is asked in vain is passed over for a while.
 """
 
 from __future__ import annotations
@@ -15,81 +16,86 @@
 from hillthread import errors
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.platform import store as store_lib
+from hillthread.state import feed_source
+from hillthread.state import payloads
+from hillthread.state import topic_copy
 
-__all__ = ["HostRegistry"]
+__all__ = ["HOSTS_TOPIC", "HostRegistry"]
 
 HOSTS_TOPIC = "keyed.hosts"
-# All hosts start within 0.3 s of each other; then new ones are rare.
-_FIRST_READ_S = 3.0
-_READ_EVERY_S = 30.0
 _RETRY_S = 2.0
 _SPREAD = 0.5
 
 _logger = logging.getLogger("hillthread.hosts")
 
 
-class _Host(msgspec.Struct):
+class _Entry(msgspec.Struct):
     """What a host writes of itself."""
 
     data_centre: str
-    listen: str
+    feed: str
+
+
+_decoder = msgspec.json.Decoder(_Entry)
 
 
 class HostRegistry:
-    """Lists this host and counts the others.
+    """Lists this host and knows the others.
 
     Attributes:
         store: The platform's store.
         site: Whose `hosts` is set.
+        source: Whose hosts are kept.
+        feed: `IP:port` where this host answers others.
     """
 
-    def __init__(self, store: store_lib.StoreClient, site: site_lib.Site):
+    def __init__(
+        self,
+        store: store_lib.StoreClient,
+        site: site_lib.Site,
+        source: feed_source.FeedSource,
+        feed: str,
+    ):
         self.store = store
         self.site = site
+        self.source = source
+        self.feed = feed
 
-    async def run(self) -> None:
-        """Lists this host, then counts until cancelled."""
-        while not await self._write():  # noqa: ASYNC110 (a retry)
-            await anyio.sleep(_RETRY_S * random.uniform(1.0, 1.0 + _SPREAD))
-        await anyio.sleep(_FIRST_READ_S)
-        while True:
-            await self.count()
-            pause_s = _READ_EVERY_S * random.uniform(1.0, 1.0 + _SPREAD)
-            await anyio.sleep(pause_s)
-
-    async def _write(self) -> bool:
+    async def list_host(self) -> None:
+        """Writes this host's entry; tries until that is done."""
         settings = self.site.settings
-        entry = _Host(settings.data_centre, settings.listen)
-        try:
-            await self.store.put(
-                HOSTS_TOPIC, settings.host, msgspec.json.encode(entry)
-            )
-        except errors.HillthreadError as error:
-            _note_failure("host not listed", error)
-            return False
-        return True
-
-    async def count(self) -> None:
-        """Counts the hosts that are listed."""
-        try:
-            page = await self.store.newest(HOSTS_TOPIC)
-        except errors.LogError as error:
-            _note_failure("hosts not counted", error)
-            return
-        hosts = max(1, len(page.records))
-        if hosts != self.site.hosts:
-            _logger.info(
-                "hosts counted",
-                extra={
-                    "event": "hosts",
-                    "hosts": hosts,
-                    "before": self.site.hosts,
-                },
-            )
-        self.site.hosts = hosts
+        entry = msgspec.json.encode(_Entry(settings.data_centre, self.feed))
+        while True:
+            try:
+                await self.store.put(HOSTS_TOPIC, settings.host, entry)
+            except errors.HillthreadError as error:
+                _logger.warning(
+                    "host not listed",
+                    extra={"event": "host_unlisted", "reason": error.message},
+                )
+            else:
+                return
+            await anyio.sleep(_RETRY_S * random.uniform(1.0, 1.0 + _SPREAD))
 
+    def take(self, record: topic_copy.TopicRecord) -> None:
+        """Takes in a change of the topic.
 
-def _note_failure(what: str, error: errors.HillthreadError) -> None:
-    _logger.warning(
-        what, extra={"event": "hosts_unknown", "reason": error.message}
-    )
+        Raises:
+            ConfigurationError: The entry is unreadable.
+        """
+        if record.value:
+            entry = payloads.decode_payload(_decoder, record.value, "host")
+            self.source.put(
+                feed_source.HostEntry(record.key, entry.data_centre, entry.feed)
+            )
+        else:
+            self.source.remove(record.key)
+        self.site.hosts = max(1, len(self.source.hosts))
+        _logger.info(
+            "hosts changed",
+            extra={
+                "event": "hosts",
+                "host": record.key,
+                "hosts": self.site.hosts,
+            },
+        )
--- a/hillthread/coordination/gateway/rollout_keeper.py
+++ b/hillthread/coordination/gateway/rollout_keeper.py
@@ -11,11 +11,11 @@
 import anyio.abc
 
 from hillthread import errors
-from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import order_lease
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.platform import orders
 from hillthread.platform import targets as targets_lib
+from hillthread.state import feed_source
 from hillthread.state import rollout
 from hillthread.state import target_list
 from hillthread.transport import http1_client
@@ -29,11 +29,15 @@
 _LOAD_LIMIT_S = 4.0
 # An unanswered order may still arrive; the engine's count of orders tells.
 _UNANSWERED_S = 1.0
-# The first to contend wins: hosts spread their attempts over this time.
-_FIRST_SPREAD_S = 0.15
+# The first to contend wins: hosts step in by their rank for the duty.
+_DUTY = "orders"
+_FIRST_SPREAD_S = 0.05
+_RANK_PATIENCE_S = 0.5
 # A holder that lives renews at once when weights are named.
 _HOLDER_PATIENCE_S = 1.5
-_PATIENCE_SPREAD_S = 0.5
+_PATIENCE_SPREAD_S = 0.3
+# Hosts of lower rank do not read the lease after a rollout.
+_LOOKING_HOSTS = 3
 _LOOK_AFTER_S = 1.0
 
 _logger = logging.getLogger("hillthread.orders")
@@ -53,6 +57,7 @@
     Attributes:
         site: The host's beliefs.
         lease: On giving orders.
+        hosts: All hosts: those that rank first for orders step in first.
         loading: Targets that this host is moving.
     """
 
@@ -61,13 +66,14 @@
         site: site_lib.Site,
         lease: order_lease.OrderLease,
         pool: http1_client.ConnectionPool,
-        metrics: metrics_lib.GatewayMetrics,
+        hosts: feed_source.FeedSource,
         tasks: anyio.abc.TaskGroup,
     ):
         self.site = site
         self.lease = lease
         self.pool = pool
-        self.metrics = metrics
+        self.hosts = hosts
+        self.metrics = site.metrics
         self.tasks = tasks
         self.loading: set[str] = set()
         self._behind_since: float | None = None
@@ -120,15 +126,19 @@
         if now < self._wait_s:
             return
         self._looked = True
-        if not self.lease.is_holder:
+        looks = self.hosts.rank_among_all(_DUTY) < _LOOKING_HOSTS
+        if looks and not self.lease.is_holder:
             await self.lease.catch_up()
 
     def _patience_s(self) -> float:
         if self.lease.is_holder:
             return 0.0
+        rank = self.hosts.rank_among_all(_DUTY)
+        step_in_s = rank * _RANK_PATIENCE_S
         if not self.lease.has_holder:
-            return random.uniform(0.0, _FIRST_SPREAD_S)
-        return _HOLDER_PATIENCE_S + random.uniform(0.0, _PATIENCE_SPREAD_S)
+            return step_in_s + random.uniform(0.0, _FIRST_SPREAD_S)
+        spread_s = random.uniform(0.0, _PATIENCE_SPREAD_S)
+        return _HOLDER_PATIENCE_S + step_in_s + spread_s
 
     def _due(self) -> list[_Job]:
         """Returns the loads that may be ordered now."""
--- a/hillthread/coordination/gateway/settings.py
+++ b/hillthread/coordination/gateway/settings.py
@@ -36,6 +36,8 @@
         retry_extra: Retries beyond that in a window, of all hosts together.
         retry_window_s: Length of that window.
         memory_mb: The process may use this much.
+        feed_port: Where other hosts of the data centre are answered, on the
+            host's own address.
         metrics_port: Where metrics are served, on the host's own address.
         log_requests_per_s: Ordinary requests logged in a second.
     """
@@ -54,5 +56,6 @@
     retry_extra: Annotated[float, msgspec.Meta(ge=0)] = 50
     retry_window_s: settings_lib.Seconds = 10.0
     memory_mb: float = 150
+    feed_port: int = 0
     metrics_port: int = 0
     log_requests_per_s: int = 5
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -1,7 +1,8 @@
 """Follows the keyed topics of the store: the newest of each key, then changes.
 
 Reads are held by the store until something changes, so that a change is known
-at once and a quiet topic costs few calls.
+at once and a quiet topic costs few calls. In a data centre with many hosts most
+of them read from one that reads for all.
 """
 
 from __future__ import annotations
@@ -10,18 +11,30 @@
 import logging
 import random
 import time
+from typing import NamedTuple
 
 import anyio
 
 from hillthread import errors
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.platform import store
+from hillthread.protocol import feed
+from hillthread.state import feed_source
+from hillthread.state import freshness
+from hillthread.state import topic_copy
+from hillthread.transport import http1_client
 
-__all__ = ["StoreWatch", "TopicFollower"]
+__all__ = ["Readers", "StoreWatch", "TopicFollower", "TopicPlan"]
 
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 0.5
 _JITTER = 0.3
+# How long another host may hold a read, and how old its knowledge may be
+# before the store is read instead.
+_PEER_WAIT_S = 1.0
+_PEER_MARGIN_S = 0.5
+_PEER_AGE_S = 2.0
+_MAX_PAGE_BYTES = 16_777_216
 
 _logger = logging.getLogger("hillthread.store")
 
@@ -57,43 +70,68 @@
             self.lost_at = None
 
 
-class TopicFollower:
-    """Follows one keyed topic.
+class Readers(NamedTuple):
+    """What all followers of a host share.
+
+    Attributes:
+        client: Calls the store.
+        watch: Whether the store answers.
+        source: Chooses whom to read from.
+        peers: Connections to other hosts.
+        metrics: What is counted.
+    """
+
+    client: store.StoreClient
+    watch: StoreWatch
+    source: feed_source.FeedSource
+    peers: http1_client.ConnectionPool
+    metrics: metrics_lib.GatewayMetrics
+
+
+class TopicPlan(NamedTuple):
+    """How a topic is followed.
 
     Attributes:
         topic: Its name.
         wait_s: Returns how long the store is to hold the next read, seconds.
         gather_s: After a read that brought something the next one is sent so
             much later: changes often come in numbers, and each read costs.
-        position: Offset of the next record; None before the first read.
+        take: Called with each change.
+    """
+
+    topic: str
+    wait_s: Callable[[], float]
+    gather_s: float
+    take: Callable[[topic_copy.TopicRecord], None]
+
+
+class TopicFollower:
+    """Follows one keyed topic.
+
+    Attributes:
+        plan: How.
+        readers: What all followers share.
+        copy: What is known of the topic.
+        freshness: How old that is.
+        changed: Set, and replaced, when a record came.
     """
 
     def __init__(
         self,
-        client: store.StoreClient,
-        topic: str,
-        wait_s: Callable[[], float],
-        gather_s: float,
-        watch: StoreWatch,
-        metrics: metrics_lib.GatewayMetrics,
-        take: Callable[[store.KeyedRecord], None],
-        proven: Callable[[float, float], None],
+        plan: TopicPlan,
+        readers: Readers,
+        freshness_of: freshness.Freshness | None = None,
     ):
-        self.client = client
-        self.topic = topic
-        self.wait_s = wait_s
-        self.gather_s = gather_s
-        self.watch = watch
-        self.metrics = metrics
-        self.take = take
-        self.proven = proven
-        self.position: int | None = None
-        self.offsets: dict[str, int] = {}
+        self.plan = plan
+        self.readers = readers
+        self.copy = topic_copy.TopicCopy()
+        self.freshness = freshness_of or freshness.Freshness()
+        self.changed = anyio.Event()
         self._brought = False
         self._held: anyio.CancelScope | None = None
 
     def interrupt(self) -> None:
-        """Has a read that is held by the store sent anew."""
+        """Has a read that is held sent anew."""
         if self._held is not None:
             self._held.cancel()
 
@@ -101,84 +139,165 @@
         """Follows until cancelled."""
         failures = 0
         while True:
-            started = time.monotonic()
-            try:
-                if self.position is None:
-                    await self._read_newest(started)
-                else:
-                    await self._read_changes(failures)
-            except store.TruncatedError:
-                self.position = None
-                outcome = "truncated"
-            except errors.LogError as error:
-                outcome = "failed"
-                failures += 1
-                self.watch.note_failure(error.message)
-                await anyio.sleep(_pause_s(failures))
-            else:
-                outcome = "answered"
+            if self._brought:
+                await anyio.sleep(self.plan.gather_s)
+            self._brought = False
+            peer = self._peer(failures)
+            if peer is not None and await self._read_peer(peer):
                 failures = 0
-                self.watch.note_success()
-            self.metrics.store_calls.labels(self.topic, outcome).inc()
-            self.metrics.store_seconds.labels(self.topic).observe(
-                time.monotonic() - started
+                continue
+            failures = await self._read_store(failures)
+
+    def page(self, start: int) -> feed.FeedPage:
+        """Returns what another host wants to know now."""
+        position = self.copy.position or 0
+        age_s = self.freshness.age(time.monotonic())
+        records = self.copy.since(start)
+        if records is None:
+            newest = list(self.copy.newest.values())
+            return feed.FeedPage(position, True, age_s, newest)
+        return feed.FeedPage(position, False, age_s, records)
+
+    def _peer(self, failures: int) -> feed_source.HostEntry | None:
+        if self.copy.position is None or failures:
+            return None
+        return self.readers.source.pick(time.monotonic())
+
+    async def _read_peer(self, peer: feed_source.HostEntry) -> bool:
+        """Reads from another host; returns whether that helped."""
+        started = time.monotonic()
+        try:
+            page = await self._call_peer(peer)
+        except (errors.PeerError, http1_client.CallError):
+            page = None
+        now = time.monotonic()
+        outcome = "peer_failed"
+        if page is not None and page.age_s <= _PEER_AGE_S:
+            self._take_page(page)
+            held_s = 0.0 if page.records else min(_PEER_WAIT_S, now - started)
+            self.freshness.prove(started - page.age_s, held_s)
+            self.readers.watch.note_success()
+            outcome = "peer_answered"
+        else:
+            self.readers.source.avoid(peer.name, now)
+        self._count(outcome, started)
+        return outcome == "peer_answered"
+
+    async def _call_peer(self, peer: feed_source.HostEntry) -> feed.FeedPage:
+        query = feed.FeedQuery(
+            self.plan.topic, self.copy.position or 0, _PEER_WAIT_S
+        )
+        request = http1_client.ClientRequest(
+            b"GET", feed.encode_query(query), [(b"host", peer.feed.encode())]
+        )
+        answer = await http1_client.call(
+            self.readers.peers,
+            peer.feed,
+            request,
+            _PEER_WAIT_S + _PEER_MARGIN_S,
+            _MAX_PAGE_BYTES,
+        )
+        if answer.head.status != 200:
+            raise errors.PeerError(
+                f"Host {peer.name} answered with {answer.head.status}.",
+                "It stops or has just started; the store is read instead.",
             )
+        return feed.decode_page(answer.body)
 
-    async def _read_newest(self, started: float) -> None:
-        page = await self.client.newest(self.topic)
-        listed = {record.key for record in page.records}
-        for key in [key for key in self.offsets if key not in listed]:
-            self._apply(store.KeyedRecord(key, b"", page.end - 1))
+    def _take_page(self, page: feed.FeedPage) -> None:
+        if page.whole:
+            if page.position < (self.copy.position or 0):
+                return  # it knows less than this host
+            self._take_all(self.copy.replace(page.records, page.position))
+            return
         for record in page.records:
-            self._apply(record)
-        self.position = page.end
-        self.proven(started, 0.0)
-
-    async def _read_changes(self, failures: int) -> None:
-        # After a failure an answer at once is wanted, to know where we are.
-        if self._brought:
-            await anyio.sleep(self.gather_s)
+            if self.copy.add(record):
+                self._take_all([record])
+
+    async def _read_store(self, failures: int) -> int:
+        """Reads from the store; returns failures in a row so far."""
+        started = time.monotonic()
+        try:
+            if self.copy.position is None:
+                await self._read_newest(started)
+            else:
+                # After a failure an answer at once is wanted.
+                await self._read_changes(0.0 if failures else self._wait_s())
+        except store.TruncatedError:
+            self.copy.position = None
+            self._count("truncated", started)
+            return 0
+        except errors.LogError as error:
+            self.readers.watch.note_failure(error.message)
+            self._count("failed", started)
+            await anyio.sleep(_pause_s(failures + 1))
+            return failures + 1
+        self.readers.watch.note_success()
+        self._count("answered", started)
+        return 0
+
+    def _wait_s(self) -> float:
+        wait_s = self.plan.wait_s()
+        if self.readers.source.reads_for_many():
+            return min(wait_s, _PEER_WAIT_S)
+        return wait_s
+
+    async def _read_newest(self, started: float) -> None:
+        page = await self.readers.client.newest(self.plan.topic)
+        self._take_all(self.copy.replace(page.records, page.end))
+        self.freshness.prove(started)
+
+    async def _read_changes(self, wait_s: float) -> None:
         started = time.monotonic()
-        wait_s = 0.0 if failures else self.wait_s()
         page = None
         with anyio.CancelScope() as self._held:
-            page = await self.client.read(self.topic, self.position, wait_s)
+            page = await self.readers.client.read(
+                self.plan.topic, self.copy.position or 0, wait_s
+            )
         self._held = None
         if page is None:
             return
-        self._brought = bool(page.records)
         for record in page.records:
-            self.position = record.offset + 1
-            self._apply_raw(record)
+            self._take_raw(record)
         took_s = time.monotonic() - started
         held_s = 0.0 if page.records else min(wait_s, took_s)
-        self.proven(started, held_s)
+        self.freshness.prove(started, held_s)
 
-    def _apply_raw(self, record: store.LogRecord) -> None:
+    def _take_raw(self, raw: store.LogRecord) -> None:
         try:
-            self._apply(store.parse_keyed(record))
+            record = store.parse_keyed(raw)
         except errors.LogError as error:
-            self._note_bad(str(record.offset), error)
-
-    def _apply(self, record: store.KeyedRecord) -> None:
-        if record.offset < self.offsets.get(record.key, -1):
+            self.copy.skip(raw.offset)
+            self._note_bad(str(raw.offset), error)
             return
-        if record.value:
-            self.offsets[record.key] = record.offset
-        else:
-            self.offsets.pop(record.key, None)
-        try:
-            self.take(record)
-        except errors.ConfigurationError as error:
-            self._note_bad(record.key, error)
+        if self.copy.add(record):
+            self._take_all([record])
+
+    def _take_all(self, changes: list[topic_copy.TopicRecord]) -> None:
+        for record in changes:
+            try:
+                self.plan.take(record)
+            except errors.ConfigurationError as error:
+                self._note_bad(record.key, error)
+        if changes:
+            self._brought = True
+            self.changed.set()
+            self.changed = anyio.Event()
+
+    def _count(self, outcome: str, started: float) -> None:
+        metrics = self.readers.metrics
+        metrics.store_calls.labels(self.plan.topic, outcome).inc()
+        metrics.store_seconds.labels(self.plan.topic).observe(
+            time.monotonic() - started
+        )
 
     def _note_bad(self, key: str, error: errors.HillthreadError) -> None:
-        self.metrics.bad_records.labels(self.topic).inc()
+        self.readers.metrics.bad_records.labels(self.plan.topic).inc()
         _logger.error(
             "record passed over",
             extra={
                 "event": "bad_record",
-                "topic": self.topic,
+                "topic": self.plan.topic,
                 "key": key,
                 "reason": str(error),
             },
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -11,12 +11,12 @@
 import msgspec
 
 from hillthread import errors
+from hillthread.state import topic_copy
 from hillthread.transport import http1_client
 
 __all__ = [
     "ChangedError",
     "KeyedPage",
-    "KeyedRecord",
     "LogPage",
     "LogRecord",
     "StoreClient",
@@ -58,20 +58,6 @@
     records: list[LogRecord]
 
 
-class KeyedRecord(NamedTuple):
-    """One record of a keyed topic.
-
-    Attributes:
-        key: What it is about.
-        value: Its bytes; none when the key was removed.
-        offset: Its place in the topic.
-    """
-
-    key: str
-    value: bytes
-    offset: int
-
-
 class KeyedPage(NamedTuple):
     """The newest record of each key, or of some of them.
 
@@ -80,7 +66,7 @@
         end: One past the newest record when the page was made.
     """
 
-    records: list[KeyedRecord]
+    records: list[topic_copy.TopicRecord]
     end: int
 
 
@@ -163,7 +149,7 @@
         Raises:
             LogError: The store cannot be read.
         """
-        records: list[KeyedRecord] = []
+        records: list[topic_copy.TopicRecord] = []
         end = None
         after = None
         while True:
@@ -173,7 +159,9 @@
             page = _decode(await self._get("log-newest", query, 0.0), _Newest)
             end = page.end if end is None else end
             records += [
-                KeyedRecord(item.key, _unpack_value(item.value), item.offset)
+                topic_copy.TopicRecord(
+                    item.key, _unpack_value(item.value), item.offset
+                )
                 for item in page.items
             ]
             if not page.truncated or not page.items:
@@ -345,7 +333,7 @@
         position += length
 
 
-def parse_keyed(record: LogRecord) -> KeyedRecord:
+def parse_keyed(record: LogRecord) -> topic_copy.TopicRecord:
     """Returns the keyed record in a record of a keyed topic.
 
     Raises:
@@ -359,4 +347,4 @@
             "Check what wrote it; it is passed over.",
         )
     key = payload[1 : 1 + size].decode("utf-8", "replace")
-    return KeyedRecord(key, payload[1 + size :], record.offset)
+    return topic_copy.TopicRecord(key, payload[1 + size :], record.offset)
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 import logging
 import os
 import pathlib
@@ -15,6 +14,7 @@
 
 from hillthread import errors
 from hillthread import settings as settings_lib
+from hillthread.coordination.gateway import feed_server
 from hillthread.coordination.gateway import gateway as gateway_lib
 from hillthread.coordination.gateway import host_registry
 from hillthread.coordination.gateway import metrics as metrics_lib
@@ -28,6 +28,8 @@
 from hillthread.platform import store as store_lib
 from hillthread.platform import targets
 from hillthread.state import caller_bounds
+from hillthread.state import feed_source
+from hillthread.state import topic_copy
 from hillthread.transport import command
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
@@ -54,6 +56,8 @@
 # two seconds and more.
 _OPERATOR_GATHER_S = 0.2
 _TARGETS_GATHER_S = 0.6
+_HOSTS_WAIT_S = 30.0
+_HOSTS_GATHER_S = 2.0
 # Reads of the operator's topic also prove that no key was withdrawn: they end
 # before what is known of keys has reached this share of its greatest age.
 _PROOF_SHARE = 0.7
@@ -93,31 +97,34 @@
             self.site, self.metrics, self.pool, tasks
         )
         self.store = store_lib.StoreClient(settings.store)
-        self.watch = store_follower.StoreWatch(
-            self.site.store_lost, self._store_back
+        ip, _ = settings_lib.split_address(settings.listen)
+        self.source = feed_source.FeedSource(
+            settings.host, settings.data_centre
+        )
+        self.readers = store_follower.Readers(
+            self.store,
+            store_follower.StoreWatch(self.site.store_lost, self._store_back),
+            self.source,
+            http1_client.ConnectionPool(_CONNECT_TIMEOUT_S),
+            self.metrics,
         )
-        self.operator = self._follower(
-            configuration.OPERATOR_TOPIC,
-            self._operator_wait_s,
-            _OPERATOR_GATHER_S,
-            self._take_operator,
-            self.site.freshness.prove,
+        self.followers = self._followers()
+        self.feed_server = http1_server.Server(
+            (ip, settings.feed_port),
+            feed_server.FeedServer(self.site, self.followers).answer,
+            caller_bounds.CallerBounds,
+            self.gateway.refused_unread,
         )
-        self.targets = self._follower(
-            targets.TARGET_TOPIC,
-            lambda: _TARGETS_WAIT_S,
-            _TARGETS_GATHER_S,
-            self._take_target,
-            self._targets_proven,
+        self.hosts = host_registry.HostRegistry(
+            self.store, self.site, self.source, self.feed_server.address
         )
-        self.hosts = host_registry.HostRegistry(self.store, self.site)
         self.rollout = rollout_keeper.RolloutKeeper(
             self.site,
             order_lease.OrderLease(
                 self.store, settings.host, settings.lease_ms / 1000.0
             ),
             self.pool,
-            self.metrics,
+            self.source,
             tasks,
         )
         self.site.target_gone = self._close_idle
@@ -128,7 +135,6 @@
             self.gateway.refused_unread,
         )
         self.ready_server = self._status_server(settings.ready_listen)
-        ip, _ = settings_lib.split_address(settings.listen)
         self.metrics_server = self._status_server(
             f"{ip}:{settings.metrics_port}"
         )
@@ -136,13 +142,13 @@
     async def run(self) -> None:
         """Starts everything."""
         for start in (
-            self.operator.run,
-            self.targets.run,
+            *(follower.run for follower in self.followers.values()),
+            self.feed_server.serve,
             self.server.serve,
             self.ready_server.serve,
             self.metrics_server.serve,
             self.rollout.run,
-            self.hosts.run,
+            self.hosts.list_host,
             self.gateway.dispatcher.chooser.caches.run,
             self.gateway.dispatcher.monitor.run,
             self._tick,
@@ -229,24 +235,35 @@
             self.gateway.refused_unread,
         )
 
-    def _follower(
-        self,
-        topic: str,
-        wait_s: Callable[[], float],
-        gather_s: float,
-        take: Callable[[store_lib.KeyedRecord], None],
-        proven: Callable[[float, float], None],
-    ) -> store_follower.TopicFollower:
-        return store_follower.TopicFollower(
-            self.store,
-            topic,
-            wait_s,
-            gather_s,
-            self.watch,
-            self.metrics,
-            take,
-            proven,
-        )
+    def _followers(self) -> dict[str, store_follower.TopicFollower]:
+        """Returns the followers of all topics, by topic."""
+        plans = [
+            store_follower.TopicPlan(
+                configuration.OPERATOR_TOPIC,
+                self._operator_wait_s,
+                _OPERATOR_GATHER_S,
+                self._take_operator,
+            ),
+            store_follower.TopicPlan(
+                targets.TARGET_TOPIC,
+                lambda: _TARGETS_WAIT_S,
+                _TARGETS_GATHER_S,
+                self._take_target,
+            ),
+            store_follower.TopicPlan(
+                host_registry.HOSTS_TOPIC,
+                lambda: _HOSTS_WAIT_S,
+                _HOSTS_GATHER_S,
+                self._take_host,
+            ),
+        ]
+        followers = {
+            plan.topic: store_follower.TopicFollower(plan, self.readers)
+            for plan in plans
+        }
+        operator = followers[configuration.OPERATOR_TOPIC]
+        operator.freshness = self.site.freshness
+        return followers
 
     def _operator_wait_s(self) -> float:
         """Returns how long the next read may be held.
@@ -258,29 +275,31 @@
         left_s = self.site.greatest_age_s * _PROOF_SHARE - age_s
         return min(_OPERATOR_WAIT_S, max(0.0, left_s))
 
-    def _take_operator(self, record: store_lib.KeyedRecord) -> None:
+    def _take_operator(self, record: topic_copy.TopicRecord) -> None:
         if not record.value:
             return
         if record.key == configuration.CONFIGURATION_KEY:
             self.site.adopt_configuration(record.value)
         elif record.key.startswith(configuration.WEIGHTS_KEY_PREFIX):
-            seen_named = self.operator.position is not None
+            operator = self.followers[configuration.OPERATOR_TOPIC]
+            seen_named = operator.copy.position is not None
             self.site.name_weights(record.value, seen_named)
 
-    def _take_target(self, record: store_lib.KeyedRecord) -> None:
+    def _take_target(self, record: topic_copy.TopicRecord) -> None:
         if record.value:
             self.site.put_target(record.key, record.value)
         else:
             self.site.remove_target(record.key, time.monotonic())
 
-    def _targets_proven(self, sent_at: float, held_s: float) -> None:
-        del sent_at, held_s
-        self.site.targets_known = True
+    def _take_host(self, record: topic_copy.TopicRecord) -> None:
+        self.hosts.take(record)
 
     def _store_back(self, now: float, lost_s: float) -> None:
         self.site.store_back(now, lost_s)
         # A read that was held over the outage may never be answered.
-        self.targets.interrupt()
+        for follower in self.followers.values():
+            if follower.plan.topic != configuration.OPERATOR_TOPIC:
+                follower.interrupt()
 
     def _close_idle(self, address: str) -> None:
         self.tasks.start_soon(self.pool.drop, address)
@@ -292,6 +311,8 @@
         while True:
             now = time.monotonic()
             self.site.expire_targets(now)
+            listed = self.followers[targets.TARGET_TOPIC]
+            self.site.targets_known = listed.copy.position is not None
             reason = self.site.not_ready_reason(now)
             if reason != ready:
                 ready = reason
--- /dev/null
+++ b/hillthread/protocol/feed.py
@@ -0,0 +1,112 @@
+"""What hosts of a data centre pass on to each other of the store's topics."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from urllib import parse
+
+import cbor2
+import msgspec
+
+from hillthread import errors
+from hillthread.state import topic_copy
+
+__all__ = [
+    "FEED_PATH",
+    "FeedPage",
+    "FeedQuery",
+    "decode_page",
+    "encode_page",
+    "encode_query",
+    "parse_query",
+]
+
+FEED_PATH = "/feed"
+
+
+class FeedQuery(NamedTuple):
+    """What a host asks another for.
+
+    Attributes:
+        topic: Name of the topic.
+        start: Offset of the first record wanted.
+        wait_s: How long the answer may be held while there is none.
+    """
+
+    topic: str
+    start: int
+    wait_s: float
+
+
+class FeedPage(NamedTuple):
+    """The answer.
+
+    Attributes:
+        position: Offset of the next record.
+        whole: The records are the newest of all keys, not the changes.
+        age_s: Age of the answering host's own knowledge when it answered.
+        records: In order.
+    """
+
+    position: int
+    whole: bool
+    age_s: float
+    records: list[topic_copy.TopicRecord]
+
+
+def encode_query(query: FeedQuery) -> bytes:
+    """Returns the request target that asks for a page."""
+    fields = {
+        "topic": query.topic,
+        "from": query.start,
+        "wait_ms": int(query.wait_s * 1000),
+    }
+    return f"{FEED_PATH}?{parse.urlencode(fields)}".encode()
+
+
+def parse_query(target: bytes) -> FeedQuery:
+    """Returns what a request target asks for.
+
+    Raises:
+        PeerError: It is no such question.
+    """
+    text = target.partition(b"?")[2].decode("latin-1")
+    fields = dict(parse.parse_qsl(text))
+    try:
+        return FeedQuery(
+            fields["topic"],
+            int(fields["from"]),
+            int(fields["wait_ms"]) / 1000.0,
+        )
+    except (KeyError, ValueError) as error:
+        raise errors.PeerError(
+            f"The question for a feed is not readable: {error!r}.",
+            "Run the same release on all hosts.",
+        ) from error
+
+
+def encode_page(page: FeedPage) -> bytes:
+    """Returns a page as CBOR."""
+    return cbor2.dumps(
+        [
+            page.position,
+            page.whole,
+            page.age_s,
+            [list(record) for record in page.records],
+        ]
+    )
+
+
+def decode_page(raw: bytes) -> FeedPage:
+    """Returns the page in an answer.
+
+    Raises:
+        PeerError: It is none.
+    """
+    try:
+        return msgspec.convert(cbor2.loads(raw), FeedPage)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
+        raise errors.PeerError(
+            f"The page of a feed is not readable: {error}.",
+            "Run the same release on all hosts.",
+        ) from error
--- /dev/null
+++ b/hillthread/state/feed_source.py
@@ -0,0 +1,104 @@
+"""From whom a host reads topics: the store, or a host that reads for many.
+
+In a data centre with many hosts the one that ranks first reads the store, and
+the others read from it. Whoever is asked tells how old its knowledge is, so
+that a wrong choice costs calls and never truth.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from hillthread.state import placement
+
+__all__ = ["FeedSource", "HostEntry"]
+
+# Below this number each host reads the store: a reader for many reads more
+# often than one for itself.
+_LEAST_HOSTS = 4
+_AVOID_S = 2.0
+# Only so many are tried before the store is read.
+_SOURCES = 2
+
+
+class HostEntry(NamedTuple):
+    """One host of the system.
+
+    Attributes:
+        name: Unique.
+        data_centre: Where it runs.
+        feed: `IP:port` where it answers other hosts.
+    """
+
+    name: str
+    data_centre: str
+    feed: str
+
+
+class FeedSource:
+    """Chooses whom to read from.
+
+    Attributes:
+        name: This host's name.
+        data_centre: Where it runs.
+        hosts: All that are listed, by name.
+    """
+
+    def __init__(self, name: str, data_centre: str):
+        self.name = name
+        self.data_centre = data_centre
+        self.hosts: dict[str, HostEntry] = {}
+        self._ranked: list[HostEntry] = []
+        self._avoided_until: dict[str, float] = {}
+
+    def put(self, entry: HostEntry) -> None:
+        """Takes in a host."""
+        self.hosts[entry.name] = entry
+        self._rank()
+
+    def remove(self, name: str) -> None:
+        """Forgets a host."""
+        self.hosts.pop(name, None)
+        self._rank()
+
+    def pick(self, now: float) -> HostEntry | None:
+        """Returns the host to read from; None for the store."""
+        for entry in self._ranked[:_SOURCES]:
+            if entry.name == self.name:
+                return None
+            if now >= self._avoided_until.get(entry.name, 0.0):
+                return entry
+        return None
+
+    def avoid(self, name: str, now: float) -> None:
+        """Notes that a host did not help."""
+        self._avoided_until[name] = now + _AVOID_S
+
+    def reads_for_many(self) -> bool:
+        """Returns whether others are expected to read from this host."""
+        return any(entry.name == self.name for entry in self._ranked[:1])
+
+    def rank_among_all(self, key: str) -> int:
+        """Returns this host's place among all hosts for a duty, 0 first."""
+        order = placement.rank_by_rendezvous(key.encode(), self.hosts)
+        return order.index(self.name) if self.name in order else len(order)
+
+    def _rank(self) -> None:
+        own = self._own_data_centre(self.hosts.values())
+        if len(own) < _LEAST_HOSTS:
+            self._ranked = []
+            return
+        order = placement.rank_by_rendezvous(
+            f"feed/{self.data_centre}".encode(), own
+        )
+        self._ranked = [own[name] for name in order]
+
+    def _own_data_centre(
+        self, entries: Iterable[HostEntry]
+    ) -> dict[str, HostEntry]:
+        return {
+            entry.name: entry
+            for entry in entries
+            if entry.data_centre == self.data_centre
+        }
--- /dev/null
+++ b/tests/coordination/gateway/test_feed.py
@@ -0,0 +1,89 @@
+"""Tests of hosts that read the store's topics from another host."""
+
+import unittest
+
+import anyio
+
+from hillthread.coordination.gateway import settings as settings_lib
+from hillthread.programs import gateway as gateway_program
+from hillthread.transport import log_writer
+from tests.coordination.gateway import scene as scene_lib
+
+
+async def second_host(scene, **settings):
+    """Returns a gateway of the same site that reads from the first."""
+    values = {
+        "host": "h2",
+        "data_centre": "here",
+        "listen": "127.0.0.1:0",
+        "ready_listen": "127.0.0.1:0",
+        "store": scene.store.address,
+        **settings,
+    }
+    program = gateway_program.GatewayProgram(
+        settings_lib.GatewaySettings(**values),
+        scene.tasks,
+        log_writer.BufferedLogHandler(scene.log.fileno()),
+    )
+    await program.run()
+    await scene.until(
+        lambda: not program.site.not_ready_reason(anyio.current_time())
+    )
+    return program
+
+
+def read_from(program, other):
+    """Has a host read from another, whatever their ranks."""
+    entry = program.source.hosts[other]
+    program.source.pick = lambda now: (
+        None if now < program.source._avoided_until.get(other, 0.0) else entry
+    )
+    for follower in program.followers.values():
+        follower.interrupt()
+
+
+class FeedTest(unittest.TestCase):
+    def test_changes_come_through_another_host(self):
+        async def story(scene):
+            reader = await second_host(scene)
+            await scene.until(lambda: "h1" in reader.source.hosts)
+            read_from(reader, "h1")
+            await anyio.sleep(0.3)
+            calls = scene.store.calls["log-read"]
+            scene.configure(routes=[])
+            await scene.until(lambda: reader.site.table.position == 2)
+            scene.store.remove("keyed.servers", "p0")
+            await scene.until(lambda: "p0" not in reader.site.targets.entries)
+            age = reader.site.freshness.age(anyio.current_time())
+            self.assertLess(age, reader.site.greatest_age_s)
+            # The first host alone reads on: a few held calls.
+            self.assertLess(scene.store.calls["log-read"] - calls, 12)
+
+        scene_lib.play(story)
+
+    def test_host_whose_source_lost_the_store_does_not_trust_its_age(self):
+        async def story(scene):
+            reader = await second_host(scene, revoke_ms=1800)
+            await scene.until(lambda: "h1" in reader.source.hosts)
+            read_from(reader, "h1")
+            await anyio.sleep(0.2)
+            scene.store.faults.silent = True
+            scene.configure(tenants=[])
+            lost_at = anyio.current_time()
+            await scene.until(
+                lambda: not reader.site.may_serve_keys(anyio.current_time())
+            )
+            self.assertLess(anyio.current_time() - lost_at, 1.8)
+
+        scene_lib.play(story, revoke_ms=1800)
+
+    def test_host_reads_the_store_when_its_source_is_gone(self):
+        async def story(scene):
+            reader = await second_host(scene)
+            await scene.until(lambda: "h1" in reader.source.hosts)
+            scene.site.draining = True
+            read_from(reader, "h1")
+            scene.configure(routes=[])
+            await scene.until(lambda: reader.site.table.position == 2)
+
+        scene_lib.play(story)
--- /dev/null
+++ b/tests/state/test_topic_copy.py
@@ -0,0 +1,103 @@
+"""Tests of copies of topics and of whom to read them from."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from hillthread import errors
+from hillthread.protocol import feed
+from hillthread.state import feed_source
+from hillthread.state import topic_copy
+
+
+def record(offset, key, value):
+    """Returns a record."""
+    return topic_copy.TopicRecord(key, value, offset)
+
+
+_changes = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from("abc"), strategies.sampled_from([b"", b"1"])
+    ),
+    max_size=30,
+)
+
+
+class TopicCopyTest(unittest.TestCase):
+    @hypothesis.given(_changes, strategies.integers(0, 30))
+    def test_reader_of_a_copy_knows_what_the_copy_knows(self, changes, join):
+        copy = topic_copy.TopicCopy()
+        copy.replace([], 0)
+        reader = topic_copy.TopicCopy()
+        reader.replace([], 0)
+        for offset, (key, value) in enumerate(changes):
+            copy.add(record(offset, key, value))
+            if offset >= join:
+                for each in copy.since(reader.position):
+                    reader.add(each)
+                self.assertEqual(reader.newest, copy.newest)
+
+    def test_reader_that_lags_behind_history_is_given_the_whole(self):
+        copy = topic_copy.TopicCopy()
+        copy.replace([record(4, "a", b"1")], 9)
+        self.assertIsNone(copy.since(3))
+        self.assertEqual(copy.since(9), [])
+
+    def test_replacing_tells_what_was_removed(self):
+        copy = topic_copy.TopicCopy()
+        copy.replace([record(1, "a", b"1"), record(2, "b", b"1")], 3)
+        changes = copy.replace([record(2, "b", b"1"), record(5, "c", b"1")], 6)
+        self.assertEqual(
+            [(each.key, each.value) for each in changes],
+            [("a", b""), ("c", b"1")],
+        )
+
+    def test_page_survives_the_wire_and_others_are_refused(self):
+        page = feed.FeedPage(9, True, 0.5, [record(4, "a", b"\x00")])
+        self.assertEqual(feed.decode_page(feed.encode_page(page)), page)
+        query = feed.FeedQuery("t", 3, 0.25)
+        self.assertEqual(feed.parse_query(feed.encode_query(query)), query)
+        for raw in (b"", b"\x01", b"\xff", b"\x84\x01\x02\x03\x04"):
+            with self.assertRaises(errors.PeerError):
+                feed.decode_page(raw)
+        with self.assertRaises(errors.PeerError):
+            feed.parse_query(b"/feed?topic=t")
+
+
+class FeedSourceTest(unittest.TestCase):
+    def sources(self, count):
+        names = [f"h{number}" for number in range(count)]
+        sources = [feed_source.FeedSource(name, "z") for name in names]
+        for source in sources:
+            for name in names:
+                source.put(feed_source.HostEntry(name, "z", f"{name}:1"))
+            source.put(feed_source.HostEntry("far", "y", "far:1"))
+        return sources
+
+    def test_few_hosts_read_the_store(self):
+        for source in self.sources(3):
+            self.assertIsNone(source.pick(0.0))
+            self.assertFalse(source.reads_for_many())
+
+    def test_many_hosts_agree_on_one_that_reads_the_store(self):
+        picked = [source.pick(0.0) for source in self.sources(9)]
+        self.assertEqual(picked.count(None), 1)
+        names = {entry.name for entry in picked if entry is not None}
+        self.assertEqual(len(names), 1)
+        self.assertNotIn("far", names)
+
+    def test_host_that_does_not_help_is_avoided_for_a_while(self):
+        source = next(s for s in self.sources(9) if s.pick(0.0))
+        first = source.pick(0.0)
+        source.avoid(first.name, 0.0)
+        second = source.pick(0.1)
+        if second is not None:
+            self.assertNotEqual(second.name, first.name)
+            source.avoid(second.name, 0.1)
+        self.assertIsNone(source.pick(0.2))
+        self.assertEqual(source.pick(9.0), first)
+
+    def test_ranks_for_a_duty_differ(self):
+        ranks = [s.rank_among_all("orders") for s in self.sources(5)]
+        self.assertEqual(len(set(ranks)), 5)
