Wake less, look at fewer targets for a choice, foresee loads

Changed: pauses that end with an event; choices look at targets by rank until none can cost less; members of a pool are kept; a target that may be loading by the order of loads costs more; a second refusal for weights excludes a target.

--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -14,8 +14,10 @@
 from hillthread.state import cache_contents
 from hillthread.state import health
 from hillthread.state import objects
+from hillthread.state import rollout
 from hillthread.state import target_choice
 from hillthread.state import target_list
+from hillthread.state import target_state
 from hillthread.state import weights as weights_lib
 from hillthread.transport import http1_client
 
@@ -28,6 +30,8 @@
 _AWAY_S = 0.25
 _NO_TARGET_RETRY_S = 0.3
 _MAX_SUMMARIES = 8
+# A request to a target that loads weights is refused at once and costs a retry.
+_LOADING_S = 0.2
 
 
 class Planned(NamedTuple):
@@ -48,6 +52,87 @@
     expected_s: float
 
 
+class _Look:
+    """How the targets of a pool look for one request, now.
+
+    Attributes:
+        now: Seconds.
+        entries: The targets, by name.
+        views: Those that were looked at.
+    """
+
+    def __init__(
+        self,
+        chooser: Chooser,
+        request: intake.GatewayRequest,
+        tried: frozenset[str],
+        members: list[target_list.ListedTarget],
+    ):
+        self.site = chooser.site
+        self.pool = chooser.pool
+        self.model = request.prompt.model
+        self.tried = tried
+        self.now = time.monotonic()
+        self.entries = {entry.target.name: entry for entry in members}
+        self.views: list[target_choice.TargetView] = []
+
+    def view(self, name: str) -> target_choice.TargetView:
+        """Returns how one target looks."""
+        target = self.entries[name].target
+        state = self.site.state(name)
+        behind = self.site.weights.is_behind(name, self.model)
+        view = target_choice.TargetView(
+            name,
+            target.data_centre,
+            self._exclusion(name, state, behind),
+            state.running,
+            state.queued_tokens(self.now, self.site.hosts),
+            behind,
+            behind and self._may_be_loading(name),
+            self.pool.has_idle(target.address),
+            state.seconds,
+        )
+        self.views.append(view)
+        return view
+
+    def summaries(self) -> list[str]:
+        """Returns what was seen of the targets looked at, in words."""
+        return [_summary(view) for view in self.views[:_MAX_SUMMARIES]]
+
+    def _exclusion(
+        self, name: str, state: target_state.TargetState, behind: bool
+    ) -> target_choice.Exclusion | None:
+        """Returns why a target cannot be taken, or None."""
+        if name in self.tried:
+            return target_choice.Exclusion.TRIED
+        if state.unreachable:
+            return target_choice.Exclusion.UNREACHABLE
+        if self.now < state.refused_until:
+            return target_choice.Exclusion.REFUSING
+        if behind and self._is_forbidden():
+            return target_choice.Exclusion.OLD_WEIGHTS
+        if state.breaker.state(self.now) is health.BreakerState.OPEN:
+            return target_choice.Exclusion.EJECTED
+        return None
+
+    def _is_forbidden(self) -> bool:
+        """Returns whether nothing may start on old weights any more."""
+        grace = self.site.weights.grace(self.model, self.now)
+        return grace is weights_lib.WeightsGrace.FORBIDDEN
+
+    def _may_be_loading(self, name: str) -> bool:
+        named = self.site.weights.named[self.model]
+        if not named.seen_named:
+            return False
+        return rollout.may_be_loading(
+            self.model,
+            named.version,
+            name,
+            self.entries,
+            self.now - named.known_at,
+        )
+
+
 class Chooser:
     """Chooses targets from what the host believes.
 
@@ -80,11 +165,10 @@
         Raises:
             RefusalError: No target can be taken.
         """
-        now = time.monotonic()
         pool = self._pool(request.route)
         members = self.site.targets.members(pool) if pool else []
-        views = [self._view(entry, request, tried, now) for entry in members]
-        choice = self._choose(request, views)
+        look = _Look(self, request, tried, members)
+        choice = self._choose(request, look)
         self.metrics.choices.labels(choice.reason).inc()
         request.story.note(
             "target_chosen" if choice.name else "no_target",
@@ -93,8 +177,9 @@
             rank=choice.rank,
             pool=pool.name if pool else None,
             configuration=self.site.table.position if self.site.table else -1,
-            store_age_s=round(self.site.freshness.age(now), 3),
-            candidates=_summaries(views, choice.name),
+            store_age_s=round(self.site.freshness.age(look.now), 3),
+            candidates=look.summaries(),
+            targets=len(members),
         )
         if pool is None or choice.name is None:
             raise no_target()
@@ -113,63 +198,24 @@
             [part.pool for part in parts], [part.weight for part in parts]
         )[0]
 
-    def _view(
-        self,
-        entry: target_list.ListedTarget,
-        request: intake.GatewayRequest,
-        tried: frozenset[str],
-        now: float,
-    ) -> target_choice.TargetView:
-        target = entry.target
-        state = self.site.state(target.name)
-        exclusion = None
-        if target.name in tried:
-            exclusion = target_choice.Exclusion.TRIED
-        elif state.unreachable:
-            exclusion = target_choice.Exclusion.UNREACHABLE
-        elif now < state.refused_until:
-            exclusion = target_choice.Exclusion.REFUSING
-        elif self._is_forbidden(target.name, request.prompt.model, now):
-            exclusion = target_choice.Exclusion.OLD_WEIGHTS
-        elif state.breaker.state(now) is health.BreakerState.OPEN:
-            exclusion = target_choice.Exclusion.EJECTED
-        return target_choice.TargetView(
-            target.name,
-            target.data_centre,
-            exclusion,
-            state.running,
-            state.queued_tokens(now, self.site.hosts),
-            self.site.weights.is_behind(target.name, request.prompt.model),
-            self.pool.has_idle(target.address),
-            state.seconds,
-        )
-
-    def _is_forbidden(self, target: str, model: str, now: float) -> bool:
-        """Returns whether nothing may start on a target's old weights."""
-        weights = self.site.weights
-        if not model or not weights.is_behind(target, model):
-            return False
-        return weights.grace(model, now) is weights_lib.WeightsGrace.FORBIDDEN
-
     def _choose(
-        self,
-        request: intake.GatewayRequest,
-        views: list[target_choice.TargetView],
+        self, request: intake.GatewayRequest, look: _Look
     ) -> target_choice.Choice:
         if not request.prompt.parts:
+            views = [look.view(name) for name in look.entries]
             return target_choice.choose_plain(
                 request.request_id, views, self.site.settings.data_centre
             )
-        model = request.prompt.model
-        grace = self.site.weights.grace(model, time.monotonic())
+        grace = self.site.weights.grace(request.prompt.model, look.now)
         is_free = grace is weights_lib.WeightsGrace.FREE
         weights = target_choice.EngineWeights(
             _PREFILL_TOKENS_PER_S,
             0.0 if is_free else _BEHIND_S,
             _AWAY_S,
+            _LOADING_S,
         )
         return target_choice.choose_engine(
-            _affinity_key(request), views, weights
+            _affinity_key(request), list(look.entries), look.view, weights
         )
 
     def _planned(
@@ -252,20 +298,6 @@
     return sum(part.tokens for part in parts)
 
 
-def _summaries(
-    views: list[target_choice.TargetView], chosen: str | None
-) -> list[str]:
-    """Returns the chosen target and why others were not taken, in words."""
-    told = [
-        view
-        for view in views
-        if view.exclusion is not None or view.behind or view.name == chosen
-    ]
-    words = [_summary(view) for view in told[:_MAX_SUMMARIES]]
-    left = len(views) - len(words)
-    return [*words, f"{left} others"] if left else words
-
-
 def _summary(view: target_choice.TargetView) -> str:
     state = view.exclusion or ("behind" if view.behind else "open")
     return f"{view.name} {state} running={view.running}"
--- a/hillthread/coordination/gateway/dispatcher.py
+++ b/hillthread/coordination/gateway/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import time
 
 import anyio
@@ -23,9 +24,13 @@
 __all__ = ["Dispatcher"]
 
 # Sends of one request at most, those that targets refused included.
-_MAX_SENDS = 4
+_MAX_SENDS = 5
+# A target that refuses for its weights twice is not what it is taken for.
+_MAX_MISMATCHES = 2
 # A target that refused work is spared this long.
 _SPARE_S = 0.15
+# The same while it may be loading weights, which takes 0.8 s.
+_SPARE_LOADING_S = 0.4
 _OVERLOAD_RETRY_S = 0.25
 # Statuses that promise that a request has not run.
 _PROMISES = (408, 421, 429, 503)
@@ -110,6 +115,7 @@
         sends: Attempts so far.
         runs: Attempts that may have run.
         tried: Targets not to be taken again.
+        mismatches: How often each target refused for its weights.
         last_answer: A target's failure, relayed when no retry does better.
     """
 
@@ -128,6 +134,7 @@
         self.sends = 0
         self.runs = 0
         self.tried: set[str] = set()
+        self.mismatches: collections.Counter[str] = collections.Counter()
         self.last_answer: http1_client.WholeAnswer | None = None
 
     def run_state(self) -> errors.RunState:
@@ -280,7 +287,9 @@
         """Takes in why a target did not run a request."""
         name = planned.plan.target.name
         if refusal.status != 421:
-            self.site.state(name).refuse(now + _SPARE_S)
+            loads = self.site.weights.is_behind(name, planned.plan.model)
+            spare_s = _SPARE_LOADING_S if loads else _SPARE_S
+            self.site.state(name).refuse(now + spare_s)
             return
         if refusal.meaning.incarnation not in ("", name):
             # Another target has the address: this one is gone.
@@ -303,7 +312,8 @@
                 self.tried.add(name)
                 self._retry_or_refuse(planned, reason)
             case outcome_lib.NotRun(status):
-                if status != 421:
+                self.mismatches[name] += status == 421
+                if status != 421 or self.mismatches[name] >= _MAX_MISMATCHES:
                     self.tried.add(name)
                 self._retry_or_refuse(planned, f"refused with {status}")
             case outcome_lib.Lost(reason):
--- a/hillthread/coordination/gateway/reach_monitor.py
+++ b/hillthread/coordination/gateway/reach_monitor.py
@@ -23,7 +23,9 @@
 
 __all__ = ["OpenAttempt", "ReachMonitor"]
 
-_TICK_S = 0.05
+_TICK_S = 0.1
+# When nothing waits and all can be reached.
+_IDLE_TICK_S = 0.3
 # Nine in ten first bytes come sooner; a trial costs one new connection.
 _SILENCE_S = 0.4
 # Between two trials for the same attempts.
@@ -77,7 +79,8 @@
     async def run(self) -> None:
         """Watches until cancelled."""
         while True:
-            await anyio.sleep(_TICK_S)
+            busy = self.attempts or self._retry_at
+            await anyio.sleep(_TICK_S if busy else _IDLE_TICK_S)
             now = time.monotonic()
             self._look_at_attempts(now)
             self._look_at_unreachable(now)
--- a/hillthread/coordination/gateway/rollout_keeper.py
+++ b/hillthread/coordination/gateway/rollout_keeper.py
@@ -23,7 +23,9 @@
 __all__ = ["RolloutKeeper"]
 
 STRATEGY = "retain"
-_TICK_S = 0.05
+_TICK_S = 0.1
+# Without anything to order; newly named weights end the pause.
+_IDLE_TICK_S = 1.0
 _POLL_S = 0.2
 # A load takes under a second; requests that run end before it begins.
 _LOAD_LIMIT_S = 4.0
@@ -32,12 +34,12 @@
 # The first to contend wins: hosts step in by their rank for the duty.
 _DUTY = "orders"
 _FIRST_SPREAD_S = 0.05
-_RANK_PATIENCE_S = 0.5
+_RANK_PATIENCE_S = 0.2
 # A holder that lives renews at once when weights are named.
 _HOLDER_PATIENCE_S = 1.5
 _PATIENCE_SPREAD_S = 0.3
 # Hosts of lower rank do not read the lease after a rollout.
-_LOOKING_HOSTS = 3
+_LOOKING_HOSTS = 8
 _LOOK_AFTER_S = 1.0
 
 _logger = logging.getLogger("hillthread.orders")
@@ -83,7 +85,7 @@
     async def run(self) -> None:
         """Watches for targets with old weights until cancelled."""
         while True:
-            await anyio.sleep(_TICK_S)
+            await self._pause()
             try:
                 await self._turn(time.monotonic())
             except errors.HillthreadError as error:
@@ -93,6 +95,13 @@
                 )
             self.metrics.holds_lease.set(self.lease.may_act())
 
+    async def _pause(self) -> None:
+        if self._behind_since is not None or self.loading:
+            await anyio.sleep(_TICK_S)
+            return
+        with anyio.move_on_after(_IDLE_TICK_S):
+            await self.site.weights_named.wait()
+
     async def _turn(self, now: float) -> None:
         jobs = self._due()
         if not jobs:
--- a/hillthread/coordination/gateway/settings.py
+++ b/hillthread/coordination/gateway/settings.py
@@ -58,4 +58,4 @@
     memory_mb: float = 150
     feed_port: int = 0
     metrics_port: int = 0
-    log_requests_per_s: int = 5
+    log_requests_per_s: int = 2
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -6,6 +6,8 @@
 import logging
 import time
 
+import anyio
+
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import settings as settings_lib
 from hillthread.platform import configuration as configuration_lib
@@ -48,6 +50,7 @@
         hosts: Hosts that share the budgets, this one included.
         draining: The process is stopping.
         closing: It is about to end: a new request could not be finished.
+        weights_named: Set, and replaced, when new weights are named.
         target_gone: Called with the address of each target that is gone.
     """
 
@@ -71,6 +74,7 @@
         self.hosts = DEFAULT_HOSTS
         self.draining = False
         self.closing = False
+        self.weights_named = anyio.Event()
         self.target_gone: Callable[[str], None] = _ignore
 
     @property
@@ -116,6 +120,8 @@
         named = configuration_lib.decode_weights(payload)
         now = time.monotonic()
         if self.weights.name(named.model, named.version, now, seen_named):
+            self.weights_named.set()
+            self.weights_named = anyio.Event()
             _logger.info(
                 "weights named",
                 extra={
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -61,7 +61,7 @@
 # Reads of the operator's topic also prove that no key was withdrawn: they end
 # before what is known of keys has reached this share of its greatest age.
 _PROOF_SHARE = 0.7
-_TICK_S = 0.1
+_TICK_S = 0.25
 _STATUS_S = 5.0
 _SETTINGS_EVERY_S = 2.0
 # These are read at the start only.
--- a/hillthread/state/target_choice.py
+++ b/hillthread/state/target_choice.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import enum
 from typing import NamedTuple
@@ -45,6 +46,7 @@
         queued_tokens: Tokens expected to be computed before a new request,
             those of other hosts included.
         behind: It holds older weights than named.
+        may_be_loading: By the order of loads it may be loading weights now.
         has_connection: A kept connection is there.
         seconds: Smoothed time to its first byte.
     """
@@ -55,6 +57,7 @@
     running: int
     queued_tokens: float
     behind: bool
+    may_be_loading: bool
     has_connection: bool
     seconds: float
 
@@ -80,40 +83,51 @@
         prefill_tokens_per_s: How fast an engine reads a prompt.
         behind_s: Seconds of first-token time that old weights are worth.
         away_s: The same for a prefix that must come from elsewhere.
+        loading_s: The same for a target that may be loading weights.
     """
 
     prefill_tokens_per_s: float
     behind_s: float
     away_s: float
+    loading_s: float
 
 
 _NONE = Choice(None, -1, "no target can be taken")
 
 
 def choose_engine(
-    key: str, views: Sequence[TargetView], weights: EngineWeights
+    key: str,
+    names: Sequence[str],
+    view_of: Callable[[str], TargetView],
+    weights: EngineWeights,
 ) -> Choice:
     """Returns the engine for a prompt.
 
     Args:
         key: The same for all requests that share the prefix.
-        views: All targets of the pool.
+        names: All targets of the pool.
+        view_of: Returns a target's view; asked only as long as a target of
+            lower rank could still cost less.
         weights: What weighs how much.
     """
-    by_name = {view.name: view for view in views}
-    order = placement.rank_by_rendezvous(key.encode(), by_name)
-    best = None
-    for rank, name in enumerate(order):
-        view = by_name[name]
+    best: tuple[float, int, str] | None = None
+    first: TargetView | None = None
+    for rank, name in enumerate(
+        placement.rank_by_rendezvous(key.encode(), names)
+    ):
+        if best is not None and best[0] <= _rank_cost(rank, weights):
+            break
+        view = view_of(name)
+        first = first or view
         if view.exclusion is not None:
             continue
         cost = _engine_cost(view, rank, weights)
         if best is None or cost < best[0]:
             best = (cost, rank, name)
-    if best is None:
+    if best is None or first is None:
         return _NONE
     _, rank, name = best
-    return Choice(name, rank, "warm" if rank == 0 else _reason(by_name, order))
+    return Choice(name, rank, "warm" if rank == 0 else _reason(first))
 
 
 def choose_plain(
@@ -141,19 +155,26 @@
     return Choice(min(open_views, key=cost).name, 0, "least busy")
 
 
+def _rank_cost(rank: int, weights: EngineWeights) -> float:
+    """Returns the least that a target of some rank costs."""
+    return weights.away_s * (1.0 + 0.1 * rank) if rank else 0.0
+
+
 def _engine_cost(view: TargetView, rank: int, weights: EngineWeights) -> float:
     cost = view.queued_tokens / weights.prefill_tokens_per_s
-    if rank:
-        cost += weights.away_s * (1.0 + 0.1 * rank)
+    cost += _rank_cost(rank, weights)
     if view.behind:
         cost += weights.behind_s
+    if view.may_be_loading:
+        cost += weights.loading_s
     return cost
 
 
-def _reason(by_name: dict[str, TargetView], order: Sequence[str]) -> str:
-    first = by_name[order[0]]
+def _reason(first: TargetView) -> str:
     if first.exclusion is not None:
         return f"first-ranked target {first.exclusion}"
+    if first.may_be_loading:
+        return "first-ranked target may be loading"
     if first.behind:
         return "first-ranked target has older weights"
     return "first-ranked target is busy"
--- a/hillthread/state/target_list.py
+++ b/hillthread/state/target_list.py
@@ -62,6 +62,7 @@
         self.entries: dict[str, ListedTarget] = {}
         self.leaving: set[str] = set()
         self._drop_at: dict[str, float] = {}
+        self._members: dict[str, list[ListedTarget]] = {}
         self._away = False
         self._back_at = -_FOREVER
 
@@ -83,6 +84,8 @@
             entry = entry._replace(leaving=True)
         before = self.entries.get(name)
         self.entries[name] = entry
+        if before != entry:
+            self._members.clear()
         if entry.leaving:
             self.leaving.add(name)
             if before is None or not before.leaving:
@@ -129,16 +132,20 @@
         entry = self.entries.get(name)
         if entry is not None:
             self.entries[name] = entry._replace(leaving=True)
+            self._members.clear()
         return True
 
     def members(self, pool: objects.Pool) -> list[ListedTarget]:
         """Returns the targets of a pool that may get new work."""
-        selector = labels.parse_selector(pool.target_selector)
-        return [
-            entry
-            for entry in self.entries.values()
-            if not entry.leaving and selector.matches(entry.target.labels)
-        ]
+        members = self._members.get(pool.target_selector)
+        if members is None:
+            selector = labels.parse_selector(pool.target_selector)
+            members = self._members[pool.target_selector] = [
+                entry
+                for entry in self.entries.values()
+                if not entry.leaving and selector.matches(entry.target.labels)
+            ]
+        return members
 
     def _may_have_lapsed(self, now: float) -> bool:
         return self._away or now - self._back_at <= self.return_s
@@ -146,3 +153,4 @@
     def _drop(self, name: str) -> None:
         self.entries.pop(name, None)
         self._drop_at.pop(name, None)
+        self._members.clear()
--- a/hillthread/transport/log_writer.py
+++ b/hillthread/transport/log_writer.py
@@ -15,7 +15,7 @@
 
 __all__ = ["BufferedLogHandler"]
 
-_FLUSH_EVERY_S = 0.05
+_FLUSH_EVERY_S = 0.2
 _WRITE_BYTES = 65_536
 
 
