Let a stopping holder order on, then release the lease

Changed: a stopping holder goes on until it is about to end, then appends a release; who reads it may contend at once.

--- a/hillthread/coordination/gateway/order_lease.py
+++ b/hillthread/coordination/gateway/order_lease.py
@@ -122,6 +122,29 @@
             extra={"event": "lease_given_up", "reason": reason},
         )
 
+    async def release(self) -> None:
+        """Gives the lease back at a planned stop, if this host holds it."""
+        if not self.is_holder:
+            return
+        state = self.contender.state
+        record = lease.Release(
+            holder=self.contender.name, fencing=state.fencing
+        )
+        end = state.position + 1
+        self.contender.resign()
+        try:
+            await self.store.append(
+                LEASE_TOPIC, lease.encode_lease(record), end
+            )
+        except errors.HillthreadError as error:
+            # Others then wait until the lease has lapsed.
+            _logger.warning(
+                "lease not released",
+                extra={"event": "lease_failed", "reason": error.message},
+            )
+            return
+        _logger.info("lease released", extra={"event": "lease_released"})
+
     async def _append(self) -> None:
         now = time.monotonic()
         payload = lease.encode_lease(self.contender.begin_append(now))
--- a/hillthread/coordination/gateway/rollout_keeper.py
+++ b/hillthread/coordination/gateway/rollout_keeper.py
@@ -111,7 +111,7 @@
             self._behind_since = now
             self._wait_s = self._patience_s()
         self._looked = False
-        if now - self._behind_since < self._wait_s or self.site.draining:
+        if now - self._behind_since < self._wait_s or self._stops():
             return
         if not await self.lease.ensure():
             self._behind_since = now
@@ -139,6 +139,16 @@
         if looks and not self.lease.is_holder:
             await self.lease.catch_up()
 
+    def _stops(self) -> bool:
+        """Returns whether this host must not begin orders any more.
+
+        A holder goes on until the host is about to end: another one would
+        have to wait for its lease.
+        """
+        if self.site.closing:
+            return True
+        return self.site.draining and not self.lease.is_holder
+
     def _patience_s(self) -> float:
         if self.lease.is_holder:
             return 0.0
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -166,6 +166,7 @@
         closing_at = asked_at + self.settings.grace_s * _CLOSING_SHARE
         await anyio.sleep(max(0.0, closing_at - time.monotonic()))
         self.site.closing = True
+        await self.rollout.lease.release()
         while time.monotonic() < give_up_at and self.server.serving:  # noqa: ASYNC110
             await anyio.sleep(_IDLE_CHECK_S)
         _logger.info(
--- a/hillthread/state/lease.py
+++ b/hillthread/state/lease.py
@@ -17,7 +17,14 @@
 from hillthread import errors
 from hillthread.state import payloads
 
-__all__ = ["Acquire", "Contender", "LeaseState", "Renew", "decode_lease"]
+__all__ = [
+    "Acquire",
+    "Contender",
+    "LeaseState",
+    "Release",
+    "Renew",
+    "decode_lease",
+]
 
 _ACT_SHARE = 0.75
 _MAX_UNREAD = 64
@@ -57,7 +64,21 @@
     number: int = 0
 
 
-LeaseRecord: TypeAlias = Acquire | Renew
+class Release(
+    msgspec.Struct, frozen=True, kw_only=True, tag_field="op", tag="release"
+):
+    """Gives the lease back before its time.
+
+    Attributes:
+        holder: Host and incarnation.
+        fencing: Offset of its acquisition.
+    """
+
+    holder: str
+    fencing: int
+
+
+LeaseRecord: TypeAlias = Acquire | Renew | Release
 _decoder = msgspec.json.Decoder(LeaseRecord)
 
 
@@ -114,6 +135,11 @@
                 self.fencing,
             ):
                 pass
+            case Release() if (record.holder, record.fencing) == (
+                self.holder,
+                self.fencing,
+            ):
+                self.holder = NOBODY
             case _:
                 return False
         self.last = offset
@@ -127,6 +153,9 @@
                 self.fencing = offset
             case Renew(fencing=fencing):
                 self.fencing = fencing
+            case Release(fencing=fencing):
+                self.fencing = fencing
+                self.holder = NOBODY
 
 
 class Contender:
@@ -171,6 +200,7 @@
             return
         self._read_at = now
         if self.state.holder != self.name:
+            self._acts_until = float("-inf")
             return
         began_at = self._began_at.get(decode_lease(payload).number)
         if began_at is not None:
--- a/tests/state/test_lease.py
+++ b/tests/state/test_lease.py
@@ -98,3 +98,34 @@
         for offset, payload in enumerate([b"\xff", b"{}", b'{"op":"new"}']):
             self.assertFalse(state.apply(offset, payload))
         self.assertEqual(state.holder, lease.NOBODY)
+
+
+class ReleaseTest(unittest.TestCase):
+    def test_released_lease_is_free_at_once_and_numbers_rise(self):
+        first = lease.Contender("a", TTL)
+        second = lease.Contender("b", TTL)
+        log = Log()
+        log.append(first.begin_append(0.0))
+        for contender in (first, second):
+            contender.read(0, log.records[0], 0.0)
+        self.assertTrue(first.may_act(0.1))
+        self.assertFalse(second.may_contend(0.1))
+        log.append(lease.Release(holder="a", fencing=0))
+        for contender in (first, second):
+            contender.read(1, log.records[1], 0.2)
+        self.assertFalse(first.may_act(0.2))
+        self.assertTrue(second.may_contend(0.2))
+        log.append(second.begin_append(0.2))
+        second.read(2, log.records[2], 0.2)
+        self.assertTrue(second.may_act(0.3))
+        self.assertEqual(second.state.fencing, 2)
+
+    def test_only_the_holder_can_release(self):
+        state = lease.LeaseState()
+        log = Log()
+        log.append(lease.Acquire(holder="a", after=-1))
+        log.append(lease.Release(holder="b", fencing=0))
+        log.append(lease.Release(holder="a", fencing=9))
+        counted = [state.apply(n, r) for n, r in enumerate(log.records)]
+        self.assertEqual(counted, [True, False, False])
+        self.assertEqual(state.holder, "a")
