--- a/hillthread/coordination/gateway/event_relay.py
+++ b/hillthread/coordination/gateway/event_relay.py
@@ -71,6 +71,11 @@
             raise http1_client.CallError(True, "stream without events")
         await self.answer.end()
 
+    def take_weights(self) -> int | None:
+        """Returns the weights told since the last call, or None."""
+        version, self.weights_version = self.weights_version, None
+        return version
+
     async def _relay(
         self,
         head: http1_client.AnswerHead,
--- /dev/null
+++ b/hillthread/coordination/gateway/host.py
@@ -0,0 +1,351 @@
+"""One host: its sockets, what it follows, its duties, its planned stop."""
+
+from __future__ import annotations
+
+import logging
+import pathlib
+import time
+
+import anyio
+import anyio.abc
+
+from hillthread import errors
+from hillthread import settings as settings_lib
+from hillthread.coordination.gateway import feed_server
+from hillthread.coordination.gateway import gateway as gateway_lib
+from hillthread.coordination.gateway import host_registry
+from hillthread.coordination.gateway import metrics as metrics_lib
+from hillthread.coordination.gateway import order_lease
+from hillthread.coordination.gateway import rollout_keeper
+from hillthread.coordination.gateway import settings as gateway_settings
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway import store_follower
+from hillthread.platform import configuration
+from hillthread.platform import store as store_lib
+from hillthread.platform import targets
+from hillthread.state import caller_bounds
+from hillthread.state import feed_source
+from hillthread.state import topic_copy
+from hillthread.transport import http1_client
+from hillthread.transport import http1_server
+from hillthread.transport import log_writer
+
+__all__ = ["GatewayHost"]
+
+# The balancer asks once a second and takes a host out after two misses; from
+# then on connections that rest are closed, before callers use them again.
+_NOTICE_S = 2.6
+# The balancer still uses hosts that are not ready when most of a data centre's
+# are not. What comes in the last part of the time until the kill could not be
+# finished and is refused.
+_CLOSING_SHARE = 0.5
+# Before the process is killed, what still runs is broken off.
+_STOP_MARGIN_S = 0.3
+_IDLE_CHECK_S = 0.05
+# Connections come up within 10 ms; a lost packet is sent again after a second.
+_CONNECT_TIMEOUT_S = 0.2
+# How long the store holds a read at most.
+_OPERATOR_WAIT_S = 2.5
+_TARGETS_WAIT_S = 20.0
+# Changes that follow each other are read together. Leaving targets serve on for
+# two seconds and more.
+_OPERATOR_GATHER_S = 0.2
+_TARGETS_GATHER_S = 0.6
+_HOSTS_WAIT_S = 30.0
+_HOSTS_GATHER_S = 2.0
+# Reads of the operator's topic also prove that no key was withdrawn: they end
+# before what is known of keys has reached this share of its greatest age.
+_PROOF_SHARE = 0.7
+_TICK_S = 0.25
+_STATUS_S = 5.0
+_SETTINGS_EVERY_S = 2.0
+# These are read at the start only.
+_FIXED_SETTINGS = (
+    "host",
+    "data_centre",
+    "listen",
+    "ready_listen",
+    "store",
+    "lease_ms",
+    "feed_port",
+    "metrics_port",
+)
+
+_logger = logging.getLogger("hillthread.program")
+
+
+class GatewayHost:
+    """The gateway with its sockets, followers and duties."""
+
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        tasks: anyio.abc.TaskGroup,
+        log: log_writer.BufferedLogHandler,
+    ):
+        self.settings = settings
+        self.tasks = tasks
+        self.log = log
+        self.metrics = metrics_lib.GatewayMetrics()
+        self.site = site_lib.Site(settings, self.metrics)
+        self.pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S)
+        self.gateway = gateway_lib.Gateway(
+            self.site, self.metrics, self.pool, tasks
+        )
+        self.store = store_lib.StoreClient(settings.store)
+        ip, _ = settings_lib.split_address(settings.listen)
+        self.source = feed_source.FeedSource(
+            settings.host, settings.data_centre
+        )
+        self.readers = store_follower.Readers(
+            self.store,
+            store_follower.StoreWatch(self.site.store_lost, self._store_back),
+            self.source,
+            http1_client.ConnectionPool(_CONNECT_TIMEOUT_S),
+            self.metrics,
+        )
+        self.followers = self._followers()
+        self.feed_server = http1_server.Server(
+            (ip, settings.feed_port),
+            feed_server.FeedServer(self.site, self.followers).answer,
+            caller_bounds.CallerBounds,
+            self.gateway.refused_unread,
+        )
+        self.hosts = host_registry.HostRegistry(
+            self.store, self.site, self.source, self.feed_server.address
+        )
+        self.rollout = rollout_keeper.RolloutKeeper(
+            self.site,
+            order_lease.OrderLease(
+                self.store, settings.host, settings.lease_ms / 1000.0
+            ),
+            self.pool,
+            self.source,
+            tasks,
+        )
+        self.site.target_gone = self._close_idle
+        self.server = http1_server.Server(
+            settings_lib.split_address(settings.listen),
+            self.gateway.handle,
+            lambda: self.site.bounds,
+            self.gateway.refused_unread,
+        )
+        self.ready_server = self._status_server(settings.ready_listen)
+        self.metrics_server = self._status_server(
+            f"{ip}:{settings.metrics_port}"
+        )
+
+    async def run(self) -> None:
+        """Starts everything."""
+        for start in (
+            *(follower.run for follower in self.followers.values()),
+            self.feed_server.serve,
+            self.server.serve,
+            self.ready_server.serve,
+            self.metrics_server.serve,
+            self.rollout.run,
+            self.hosts.list_host,
+            self.gateway.dispatcher.chooser.caches.run,
+            self.gateway.dispatcher.monitor.run,
+            self._tick,
+        ):
+            self.tasks.start_soon(start)
+
+    async def drain(self, asked_at: float) -> None:
+        """Stops as planned: not ready, serve on, then wait for requests."""
+        self.site.draining = True
+        self.server.stopping = True
+        _logger.info("stopping", extra={"event": "stop_notice"})
+        give_up_at = asked_at + self.settings.grace_s - _STOP_MARGIN_S
+        await anyio.sleep(min(_NOTICE_S, self.settings.grace_s / 2))
+        self.server.close_idle()
+        closing_at = asked_at + self.settings.grace_s * _CLOSING_SHARE
+        await anyio.sleep(max(0.0, closing_at - time.monotonic()))
+        self.site.closing = True
+        await self.rollout.lease.release()
+        while time.monotonic() < give_up_at and self.server.serving:  # noqa: ASYNC110
+            await anyio.sleep(_IDLE_CHECK_S)
+        _logger.info(
+            "stopped",
+            extra={"event": "stop_drained", "open": self.server.serving},
+        )
+
+    async def watch_settings(self, path: str) -> None:
+        """Reads the settings again when their file changes."""
+        file = pathlib.Path(path)  # a look takes microseconds, no thread
+        changed_at = file.stat().st_mtime_ns  # noqa: ASYNC240
+        while True:
+            await anyio.sleep(_SETTINGS_EVERY_S)
+            try:
+                found = file.stat().st_mtime_ns  # noqa: ASYNC240
+            except OSError:
+                continue  # it is being replaced; the next look finds it
+            if found != changed_at:
+                changed_at = found
+                self.reload(path)
+
+    def reload(self, path: str) -> None:
+        """Takes over changed settings; wrong ones change nothing."""
+        try:
+            loaded = settings_lib.load_settings(
+                path, gateway_settings.GatewaySettings
+            )
+        except errors.SettingsError as error:
+            _logger.error(
+                "settings not taken over",
+                extra={"event": "reload_failed", "reason": str(error)},
+            )
+            return
+        if loaded == self.settings:
+            return
+        fixed = [
+            name
+            for name in _FIXED_SETTINGS
+            if getattr(loaded, name) != getattr(self.settings, name)
+        ]
+        self.settings = loaded
+        self.site.settings = loaded
+        _logger.info(
+            "settings taken over",
+            extra={"event": "reload", "need_a_restart": fixed},
+        )
+
+    async def answer_status(
+        self,
+        caller: http1_server.CallerRequest,
+        answer: http1_server.CallerAnswer,
+    ) -> None:
+        """Answers the balancer's question and the metrics page."""
+        if caller.path.endswith("/metrics"):
+            kind = [(b"content-type", b"text/plain; version=0.0.4")]
+            await answer.send_whole(200, kind, self.metrics.page())
+            return
+        reason = self.site.not_ready_reason(time.monotonic())
+        status = 503 if reason else 200
+        await answer.send_whole(status, [], reason.encode())
+
+    def _status_server(self, address: str) -> http1_server.Server:
+        return http1_server.Server(
+            settings_lib.split_address(address),
+            self.answer_status,
+            caller_bounds.CallerBounds,
+            self.gateway.refused_unread,
+        )
+
+    def _followers(self) -> dict[str, store_follower.TopicFollower]:
+        """Returns the followers of all topics, by topic."""
+        plans = [
+            store_follower.TopicPlan(
+                configuration.OPERATOR_TOPIC,
+                self._operator_wait_s,
+                _OPERATOR_GATHER_S,
+                self._take_operator,
+            ),
+            store_follower.TopicPlan(
+                targets.TARGET_TOPIC,
+                lambda: _TARGETS_WAIT_S,
+                _TARGETS_GATHER_S,
+                self._take_target,
+            ),
+            store_follower.TopicPlan(
+                host_registry.HOSTS_TOPIC,
+                lambda: _HOSTS_WAIT_S,
+                _HOSTS_GATHER_S,
+                self._take_host,
+            ),
+        ]
+        followers = {
+            plan.topic: store_follower.TopicFollower(plan, self.readers)
+            for plan in plans
+        }
+        operator = followers[configuration.OPERATOR_TOPIC]
+        operator.freshness = self.site.freshness
+        return followers
+
+    def _operator_wait_s(self) -> float:
+        """Returns how long the next read may be held.
+
+        A read that brings something proves nothing after its sending: the
+        next one must be short.
+        """
+        age_s = self.site.freshness.age(time.monotonic())
+        left_s = self.site.greatest_age_s * _PROOF_SHARE - age_s
+        return min(_OPERATOR_WAIT_S, max(0.0, left_s))
+
+    def _take_operator(self, record: topic_copy.TopicRecord) -> None:
+        if not record.value:
+            return
+        if record.key == configuration.CONFIGURATION_KEY:
+            self.site.adopt_configuration(record.value)
+        elif record.key.startswith(configuration.WEIGHTS_KEY_PREFIX):
+            operator = self.followers[configuration.OPERATOR_TOPIC]
+            seen_named = operator.copy.position is not None
+            self.site.name_weights(record.value, seen_named)
+
+    def _take_target(self, record: topic_copy.TopicRecord) -> None:
+        if record.value:
+            self.site.put_target(record.key, record.value)
+        else:
+            self.site.remove_target(record.key, time.monotonic())
+
+    def _take_host(self, record: topic_copy.TopicRecord) -> None:
+        self.hosts.take(record)
+
+    def _store_back(self, now: float, lost_s: float) -> None:
+        self.site.store_back(now, lost_s)
+        # A read that was held over the outage may never be answered.
+        for follower in self.followers.values():
+            if follower.plan.topic != configuration.OPERATOR_TOPIC:
+                follower.interrupt()
+
+    def _close_idle(self, address: str) -> None:
+        self.tasks.start_soon(self.pool.drop, address)
+
+    async def _tick(self) -> None:
+        """Does what is due with time, and notes changes of readiness."""
+        ready = None
+        status_at = time.monotonic() + _STATUS_S
+        while True:
+            now = time.monotonic()
+            self.site.expire_targets(now)
+            listed = self.followers[targets.TARGET_TOPIC]
+            self.site.targets_known = listed.copy.position is not None
+            reason = self.site.not_ready_reason(now)
+            if reason != ready:
+                ready = reason
+                _logger.info(
+                    "not ready" if reason else "ready",
+                    extra={
+                        "event": "readiness",
+                        "reason": reason,
+                        "store_age_s": round(self.site.freshness.age(now), 3),
+                    },
+                )
+            self.metrics.ready.set(not reason)
+            self.metrics.age.set(self.site.freshness.age(now))
+            self.metrics.connections.set(self.pool.opened.total())
+            if now >= status_at:
+                status_at = now + _STATUS_S
+                self._tell_status(now)
+            await anyio.sleep(_TICK_S)
+
+    def _tell_status(self, now: float) -> None:
+        """Logs how the host is doing."""
+        _logger.info(
+            "status",
+            extra={
+                "event": "status",
+                "serving": self.server.serving,
+                "callers": len(self.server.connections),
+                "store_age_s": round(self.site.freshness.age(now), 3),
+                "store_calls": self.store.calls,
+                "targets": len(self.site.targets.entries),
+                "ejected": self.site.ejected(now),
+                "connections_opened": dict(self.pool.opened),
+                "keep_told_s": dict(self.pool.keep_told),
+                "hosts": self.site.hosts,
+                "choices": self.metrics.count_choices(),
+                "log_lines": self.log.written_lines,
+                "log_bytes": self.log.written_bytes,
+            },
+        )
--- /dev/null
+++ b/hillthread/coordination/gateway/job.py
@@ -0,0 +1,320 @@
+"""Carries one request to targets: attempts, retries, resumes, the answer."""
+
+from __future__ import annotations
+
+import collections
+import time
+from typing import NamedTuple
+
+import anyio.abc
+
+from hillthread import errors
+from hillthread.coordination.gateway import attempt as attempt_lib
+from hillthread.coordination.gateway import chooser as chooser_lib
+from hillthread.coordination.gateway import event_relay
+from hillthread.coordination.gateway import intake
+from hillthread.coordination.gateway import learning
+from hillthread.coordination.gateway import metrics as metrics_lib
+from hillthread.coordination.gateway import outcome as outcome_lib
+from hillthread.coordination.gateway import reach_monitor
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.platform import attempts
+from hillthread.transport import http1_client
+from hillthread.transport import http1_server
+
+__all__ = ["Job", "JobTools"]
+
+# Sends of one request at most, those that targets refused included.
+_MAX_SENDS = 5
+# A target that refuses for its weights twice is not what it is taken for.
+_MAX_MISMATCHES = 2
+_OVERLOAD_RETRY_S = 0.25
+# Statuses that promise that a request has not run.
+_PROMISES = (408, 421, 429, 503)
+
+
+class JobTools(NamedTuple):
+    """What all jobs share.
+
+    Attributes:
+        site: The host's beliefs.
+        metrics: What is counted.
+        pool: Connections to targets.
+        tasks: Where long bodies are sent.
+        chooser: Chooses targets.
+        monitor: Finds out which targets can be reached.
+        learner: Takes in what attempts tell.
+    """
+
+    site: site_lib.Site
+    metrics: metrics_lib.GatewayMetrics
+    pool: http1_client.ConnectionPool
+    tasks: anyio.abc.TaskGroup
+    chooser: chooser_lib.Chooser
+    monitor: reach_monitor.ReachMonitor
+    learner: learning.Learner
+
+
+class Job:
+    """One request on its way.
+
+    Attributes:
+        sends: Attempts so far.
+        runs: Attempts that may have run.
+        tried: Targets not to be taken again.
+        mismatches: How often each target refused for its weights.
+        last_answer: A target's failure, relayed when no retry does better.
+    """
+
+    def __init__(
+        self,
+        tools: JobTools,
+        request: intake.GatewayRequest,
+        answer: http1_server.CallerAnswer,
+    ):
+        self.tools = tools
+        self.site = tools.site
+        self.metrics = tools.metrics
+        self.request = request
+        self.answer = answer
+        self.relay = event_relay.EventRelay(answer)
+        self.sends = 0
+        self.runs = 0
+        self.tried: set[str] = set()
+        self.mismatches: collections.Counter[str] = collections.Counter()
+        self.last_answer: http1_client.WholeAnswer | None = None
+
+    def run_state(self) -> errors.RunState:
+        """Returns whether the request has run, as far as it is known."""
+        if self.runs == 0:
+            return errors.RunState.NOT_RUN
+        if self.last_answer is not None:
+            return errors.RunState.RAN
+        return errors.RunState.UNKNOWN
+
+    async def run(self) -> None:
+        """Makes attempts until the request is answered.
+
+        Raises:
+            RefusalError: It cannot be answered.
+            BrokenAnswerError: Its answer cannot be completed.
+        """
+        while True:
+            planned = self._plan()
+            if planned is None:
+                return await self._relay_last()
+            result = await self._attempt(planned)
+            if await self._finish(result, planned):
+                return None
+
+    def _plan(self) -> chooser_lib.Planned | None:
+        """Returns the next attempt; None when the last failure is relayed."""
+        request = self.request
+        if self.sends:
+            intake.authorise(self.site, request.caller, request.route)
+            route = intake.current_route(self.site, request.caller)
+            request.route = route or request.route
+        try:
+            return self.tools.chooser.plan(
+                request, frozenset(self.tried), self.relay.last_id
+            )
+        except errors.RefusalError as refusal:
+            if self.last_answer is not None:
+                return None
+            raise self._refusal(refusal) from refusal
+
+    async def _attempt(
+        self, planned: chooser_lib.Planned
+    ) -> outcome_lib.Outcome:
+        request = self.request
+        target = planned.plan.target
+        state = self.site.state(target.name)
+        now = time.monotonic()
+        if self.sends == 0:
+            self.site.budget(planned.pool.name).deposit(now)
+        self.sends += 1
+        attempt = attempt_lib.Attempt(
+            self.tools.pool,
+            self.tools.tasks,
+            self.tools.monitor,
+            request,
+            planned.plan,
+            self.relay,
+        )
+        state.begin(now, planned.prefill_tokens)
+        first_byte = self.tools.learner.first_byte(request, planned, now)
+        self.relay.begun = first_byte.note
+        result: outcome_lib.Outcome | None = None
+        try:
+            result = await attempt.run()
+            return result
+        finally:
+            if result is None and attempt.sent:
+                self.runs += 1
+            first_byte.note()
+            state.end()
+            self.tools.learner.learn(attempt, result, now)
+
+    async def _finish(
+        self, result: outcome_lib.Outcome, planned: chooser_lib.Planned
+    ) -> bool:
+        """Acts on the end of an attempt; returns whether all is done."""
+        name = planned.plan.target.name
+        match result:
+            case outcome_lib.Relayed():
+                return True
+            case outcome_lib.Unsent(reason):
+                self.tried.add(name)
+                self._retry_or_refuse(planned, reason)
+            case outcome_lib.NotRun(status, meaning):
+                is_other = meaning.incarnation not in ("", name)
+                self.mismatches[name] += status == 421
+                if (
+                    status != 421
+                    or is_other
+                    or self.mismatches[name] >= _MAX_MISMATCHES
+                ):
+                    self.tried.add(name)
+                self._retry_or_refuse(planned, f"refused with {status}")
+            case outcome_lib.Lost(reason):
+                self.runs += 1
+                self.tried.add(name)
+                self._repeat_or_refuse(planned, reason)
+            case outcome_lib.Broken(reason):
+                self.runs += 1
+                self.tried.add(name)
+                self._resume_or_break(planned, reason)
+            case outcome_lib.Whole(whole):
+                self.runs += 1
+                self.tried.add(name)
+                self.last_answer = whole
+                if not self._may_improve(planned, whole):
+                    await self._relay_last()
+                    return True
+        return False
+
+    def _may_improve(
+        self,
+        planned: chooser_lib.Planned,
+        whole: http1_client.WholeAnswer,
+    ) -> bool:
+        """Returns whether a target's failure is worth another run."""
+        if whole.head.status < 500 or not self._may_run_again():
+            return False
+        return self._withdraw(planned, f"status {whole.head.status}")
+
+    def _may_run_again(self) -> bool:
+        return (
+            self.request.repeatable
+            and self.runs < self.request.route.max_attempts
+            and self.sends < _MAX_SENDS
+        )
+
+    def _retry_or_refuse(
+        self, planned: chooser_lib.Planned, reason: str
+    ) -> None:
+        """Allows another attempt after one that surely did not run."""
+        if self.answer.started:
+            return self._resume_or_break(planned, reason)
+        if self.sends < _MAX_SENDS and self._withdraw(planned, reason):
+            return None
+        if self.last_answer is not None:
+            return None
+        raise self._refusal(
+            errors.RefusalError(
+                "overloaded",
+                503,
+                f"No target took the request; the last one: {reason}.",
+                "Try again after the time in Retry-After.",
+                retry_after_s=_OVERLOAD_RETRY_S,
+            )
+        )
+
+    def _repeat_or_refuse(
+        self, planned: chooser_lib.Planned, reason: str
+    ) -> None:
+        """Allows another attempt after one that may have run."""
+        if self._may_run_again() and self._withdraw(planned, reason):
+            return
+        remedy = "Send the request again."
+        if not self.request.repeatable:
+            remedy = "It may have run: find out before sending it again."
+        raise errors.RefusalError(
+            "target_failed",
+            502,
+            f"The target did not answer: {reason}.",
+            remedy,
+            self.run_state(),
+        )
+
+    def _resume_or_break(
+        self, planned: chooser_lib.Planned, reason: str
+    ) -> None:
+        """Lets a broken stream go on in another run, or breaks it off."""
+        why_not = self._why_no_resume(planned, reason)
+        if why_not:
+            self.request.story.warn("no_resume", reason=reason, why=why_not)
+            raise http1_server.BrokenAnswerError
+        self.metrics.resumes.inc()
+        self.request.story.warn(
+            "stream_resumes", after=self.relay.last_id, reason=reason
+        )
+
+    def _why_no_resume(self, planned: chooser_lib.Planned, reason: str) -> str:
+        """Returns why a broken stream cannot go on; empty when it can."""
+        if not self.request.route.resumable:
+            return "its route is not resumable"
+        if self.relay.last_id is None:
+            return "its events have no ids"
+        if not self._may_run_again():
+            return "it may not run on more targets"
+        if not self._withdraw(planned, reason):
+            return "the retry budget is spent"
+        return ""
+
+    def _withdraw(self, planned: chooser_lib.Planned, reason: str) -> bool:
+        """Returns whether the retry budget allows another attempt."""
+        budget = self.site.budget(planned.pool.name)
+        now = time.monotonic()
+        allowed = budget.withdraw(now)
+        self.request.story.warn(
+            "retry" if allowed else "no_retry",
+            reason=reason,
+            sends=self.sends,
+            runs=self.runs,
+            budget_left=round(budget.left(now), 2),
+        )
+        if allowed:
+            self.metrics.retries.labels(reason[:32]).inc()
+        return allowed
+
+    async def _relay_last(self) -> None:
+        """Passes on a target's whole answer.
+
+        A status that promises that the request has not run must not be passed
+        on for one that may have run.
+        """
+        assert self.last_answer is not None
+        head, body = self.last_answer
+        if head.status in _PROMISES:
+            raise errors.RefusalError(
+                "target_failed",
+                502,
+                f"The target answered with status {head.status}.",
+                "It may have run: find out before sending it again.",
+                errors.RunState.UNKNOWN,
+            )
+        headers = attempts.relayed_headers(head)
+        await self.answer.send_whole(head.status, headers, body)
+
+    def _refusal(self, refusal: errors.RefusalError) -> errors.RefusalError:
+        """Returns a refusal that is true of a request that may have run."""
+        if self.runs == 0:
+            return refusal
+        return errors.RefusalError(
+            refusal.code,
+            502,
+            refusal.message,
+            "It may have run; send it again only if that is safe.",
+            self.run_state(),
+        )
--- /dev/null
+++ b/hillthread/coordination/gateway/learning.py
@@ -0,0 +1,173 @@
+"""Takes in what attempts tell of their targets, and logs how they ended."""
+
+from __future__ import annotations
+
+import time
+
+from hillthread.coordination.gateway import attempt as attempt_lib
+from hillthread.coordination.gateway import chooser as chooser_lib
+from hillthread.coordination.gateway import intake
+from hillthread.coordination.gateway import metrics as metrics_lib
+from hillthread.coordination.gateway import outcome as outcome_lib
+from hillthread.coordination.gateway import reach_monitor
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.state import attempt_plan
+
+__all__ = ["FirstByte", "Learner"]
+
+# A target that refused work is spared this long.
+_SPARE_S = 0.15
+# The same while it may be loading weights, which takes 0.8 s.
+_SPARE_LOADING_S = 0.4
+_MAX_REASON = 32
+
+
+class FirstByte:
+    """Notes the first byte of an attempt once.
+
+    Attributes:
+        noted: Whether it was noted.
+    """
+
+    def __init__(
+        self,
+        learner: Learner,
+        request: intake.GatewayRequest,
+        planned: chooser_lib.Planned,
+        started: float,
+    ):
+        self.learner = learner
+        self.request = request
+        self.planned = planned
+        self.started = started
+        self.noted = False
+
+    def note(self) -> None:
+        """Notes that the answer has begun, or never will; idempotent."""
+        if self.noted:
+            return
+        self.noted = True
+        now = time.monotonic()
+        planned = self.planned
+        state = self.learner.site.state(planned.plan.target.name)
+        state.first_byte(now, planned.prefill_tokens, now - self.started)
+        self.learner.metrics.observe_first_byte(
+            self.request.tenant_name,
+            self.request.route.name,
+            now - self.request.caller.arrived,
+        )
+
+
+class Learner:
+    """Changes the host's beliefs after each attempt.
+
+    Attributes:
+        site: The beliefs.
+        metrics: What is counted.
+        monitor: Told of targets that cannot be reached.
+    """
+
+    def __init__(
+        self,
+        site: site_lib.Site,
+        metrics: metrics_lib.GatewayMetrics,
+        monitor: reach_monitor.ReachMonitor,
+    ):
+        self.site = site
+        self.metrics = metrics
+        self.monitor = monitor
+
+    def first_byte(
+        self,
+        request: intake.GatewayRequest,
+        planned: chooser_lib.Planned,
+        started: float,
+    ) -> FirstByte:
+        """Returns what notes the first byte of an attempt that starts."""
+        return FirstByte(self, request, planned, started)
+
+    def learn(
+        self,
+        attempt: attempt_lib.Attempt,
+        result: outcome_lib.Outcome | None,
+        started: float,
+    ) -> None:
+        """Takes in how an attempt ended.
+
+        Args:
+            attempt: The attempt.
+            result: How it ended; None when nobody waited for it any more.
+            started: Seconds, when it began.
+        """
+        now = time.monotonic()
+        kind = type(result).__name__.lower() if result else "abandoned"
+        self.metrics.attempts.labels(kind).inc()
+        self._learn_weights(attempt)
+        story = attempt.request.story
+        state = self.site.state(attempt.plan.target.name)
+        fields = _log_fields(attempt, kind, now - started)
+        match result:
+            case outcome_lib.Unsent(reason):
+                self.monitor.note_unreachable(attempt.plan.target, reason)
+                story.warn("attempt", reason=reason, **fields)
+            case outcome_lib.Lost(reason) | outcome_lib.Broken(reason):
+                ejected = state.fail(now)
+                self.metrics.mismatches.labels(reason[:_MAX_REASON]).inc()
+                story.warn("attempt", reason=reason, ejected=ejected, **fields)
+            case outcome_lib.NotRun(status):
+                self._learn_refusal(attempt.plan, result, now)
+                story.warn("attempt", status=status, **fields)
+            case outcome_lib.Whole(whole) if whole.head.status >= 500:
+                state.fail(now)
+                story.warn("attempt", status=whole.head.status, **fields)
+            case outcome_lib.Whole() | outcome_lib.Relayed():
+                state.succeed()
+                story.note("attempt", **fields)
+            case None:
+                story.warn("attempt", **fields)
+
+    def _learn_weights(self, attempt: attempt_lib.Attempt) -> None:
+        """Takes in the weights that an answer or its events told."""
+        plan = attempt.plan
+        told = [attempt.relay.take_weights()]
+        if attempt.meaning is not None:
+            told.append(attempt.meaning.weights_version)
+        for version in told:
+            if version is not None and plan.model:
+                self.site.observe_weights(plan.target.name, plan.model, version)
+
+    def _learn_refusal(
+        self,
+        plan: attempt_plan.AttemptPlan,
+        refusal: outcome_lib.NotRun,
+        now: float,
+    ) -> None:
+        """Takes in why a target did not run a request."""
+        name = plan.target.name
+        state = self.site.state(name)
+        if refusal.status != 421:
+            loads = self.site.weights.is_behind(name, plan.model)
+            state.refuse(now + (_SPARE_LOADING_S if loads else _SPARE_S))
+            return
+        if refusal.meaning.incarnation not in ("", name):
+            # Another target has the address: this one is gone.
+            state.lose(now)
+            return
+        if plan.weights_version is not None:
+            self.site.weights.refute(name, plan.model, plan.weights_version)
+
+
+def _log_fields(
+    attempt: attempt_lib.Attempt, kind: str, seconds: float
+) -> dict[str, object]:
+    """Returns what every line on the end of an attempt says."""
+    fields: dict[str, object] = {
+        "target": attempt.plan.target.name,
+        "outcome": kind,
+        "seconds": round(seconds, 4),
+        "weights": attempt.plan.weights_version,
+        "reused": attempt.reused,
+    }
+    if attempt.meaning is not None:
+        fields["answered_weights"] = attempt.meaning.weights_version
+    return fields
--- a/hillthread/coordination/gateway/rollout_keeper.py
+++ b/hillthread/coordination/gateway/rollout_keeper.py
@@ -208,7 +208,7 @@
             if report is None:
                 return
             held = report.weights.get(job.model, 0)
-            self.site.observe_weights(target.name, job.model, held)
+            self.site.weights.report(target.name, job.model, held)
             if held >= job.version:
                 return
             now = time.monotonic()
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -156,6 +156,9 @@
         left: Requests whose caller left while they ran.
         orders: Orders taken.
         load_s: How long it loads weights.
+        cache_events: What its cache tells: number, sign, salt, digest,
+            tokens, model.
+        cache_epoch: Changes when its cache restarts.
     """
 
     def __init__(
@@ -175,6 +178,8 @@
         self.order_status = 0
         self.load_s = 0.05
         self.busy = False
+        self.cache_events: list[tuple[int, str, str, str, int, str]] = []
+        self.cache_epoch = 1
         self.server = http1_server.Server(
             ("127.0.0.1", 0), self._handle, caller_bounds.CallerBounds, _ignore
         )
@@ -212,6 +217,8 @@
             await self._misdirect(request, answer)
         elif request.path == "/api/report":
             await answer.send_whole(200, _JSON, self._report())
+        elif request.path == "/api/kv-events":
+            await answer.send_whole(200, _JSON, self._cache_page(request))
         elif request.path == "/api/order":
             await self._order(request, answer)
         elif self._has_other_weights(request) or self.busy:
@@ -229,6 +236,17 @@
             }
         )
 
+    def _cache_page(self, request: http1_server.CallerRequest) -> bytes:
+        since = int(request.target.partition(b"since=")[2] or 0)
+        return msgspec.json.encode(
+            {
+                "bootEpoch": self.cache_epoch,
+                "nextPageToken": len(self.cache_events),
+                "lost": False,
+                "events": self.cache_events[since:],
+            }
+        )
+
     async def _order(
         self,
         request: http1_server.CallerRequest,
--- a/hillthread/state/weights.py
+++ b/hillthread/state/weights.py
@@ -77,13 +77,21 @@
         self._held[key] = version
 
     def observe(self, target: str, model: str, version: int) -> bool:
-        """Takes in what a target said; returns whether it is news."""
+        """Takes in the version that an answer told; returns whether it is news.
+
+        Answers begin at any time, and may tell what was before a load: only a
+        higher version counts. A report, and a refusal, may lower it.
+        """
         key = _Key(target, model)
-        if self._held.get(key) == version:
+        if self._held.get(key, -1) >= version:
             return False
         self._held[key] = version
         return True
 
+    def report(self, target: str, model: str, version: int) -> None:
+        """Takes in the version that a target reports of itself."""
+        self._held[_Key(target, model)] = version
+
     def forget(self, target: str) -> None:
         """Forgets a target that is gone."""
         for held in (self._held, self._listed):
--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -350,13 +350,18 @@
             if connection.idle_scope is not None and not connection.serving:
                 connection.idle_scope.cancel()
 
-    async def serve(self) -> None:
-        """Accepts connections until cancelled."""
+    async def serve(self, tasks: anyio.abc.TaskGroup | None = None) -> None:
+        """Accepts connections until cancelled.
+
+        Args:
+            tasks: Where connections are served, so that they outlive the
+                listening socket; None ends them with it.
+        """
         self.socket.listen(_BACKLOG)
         self.socket.setblocking(False)
         listener = await anyio.abc.SocketListener.from_socket(self.socket)
         async with listener:
-            await listener.serve(self._accept)
+            await listener.serve(self._accept, tasks)
 
     async def _accept(self, stream: anyio.abc.SocketStream) -> None:
         http1.tune_socket(stream, http1.CALLER_SILENCE_MS)
--- a/tests/coordination/gateway/scene.py
+++ b/tests/coordination/gateway/scene.py
@@ -8,8 +8,8 @@
 
 import anyio
 
+from hillthread.coordination.gateway import host as host_lib
 from hillthread.coordination.gateway import settings as settings_lib
-from hillthread.programs import gateway as gateway_program
 from hillthread.standin import platform_store
 from hillthread.standin import platform_target
 from hillthread.transport import http1_client
@@ -89,6 +89,7 @@
         self.pool = http1_client.ConnectionPool(1.0)
         self.ids = itertools.count()
         self.program = None
+        self.scopes = {}
 
     @property
     def targets(self):
@@ -120,7 +121,7 @@
         """Starts everything and waits until the gateway is ready."""
         self.tasks.start_soon(self.store.server.serve)
         for target in self.targets:
-            self.tasks.start_soon(target.server.serve)
+            self.tasks.start_soon(self.listen, target)
             self.list_target(target)
         self.configure()
         values = {
@@ -131,7 +132,7 @@
             "store": self.store.address,
             **settings,
         }
-        self.program = gateway_program.GatewayProgram(
+        self.program = host_lib.GatewayHost(
             settings_lib.GatewaySettings(**values),
             self.tasks,
             log_writer.BufferedLogHandler(self.log.fileno()),
@@ -140,6 +141,15 @@
         await self.until(lambda: not self.not_ready_reason())
         self.site.hosts = 1  # as it counts itself a little later
 
+    async def listen(self, target) -> None:
+        """Has a target accept connections until `stop_listening`."""
+        with anyio.CancelScope() as self.scopes[target.name]:
+            await target.server.serve(self.tasks)
+
+    def stop_listening(self, target) -> None:
+        """Has new connections to a target refused; open ones stay."""
+        self.scopes[target.name].cancel()
+
     def not_ready_reason(self) -> str:
         """Returns why the gateway is not ready, or nothing."""
         return self.site.not_ready_reason(anyio.current_time())
--- a/tests/coordination/gateway/test_feed.py
+++ b/tests/coordination/gateway/test_feed.py
@@ -4,8 +4,8 @@
 
 import anyio
 
+from hillthread.coordination.gateway import host as host_lib
 from hillthread.coordination.gateway import settings as settings_lib
-from hillthread.programs import gateway as gateway_program
 from hillthread.transport import log_writer
 from tests.coordination.gateway import scene as scene_lib
 
@@ -20,7 +20,7 @@
         "store": scene.store.address,
         **settings,
     }
-    program = gateway_program.GatewayProgram(
+    program = host_lib.GatewayHost(
         settings_lib.GatewaySettings(**values),
         scene.tasks,
         log_writer.BufferedLogHandler(scene.log.fileno()),
--- /dev/null
+++ b/tests/coordination/gateway/test_reach.py
@@ -0,0 +1,139 @@
+"""Tests of targets that cannot be reached, and of caches that are watched."""
+
+import socket
+import unittest
+
+import anyio
+
+from hillthread.standin import platform_target as standin
+from hillthread.state import caller_bounds
+from hillthread.transport import http1_server
+from tests.coordination.gateway import scene as scene_lib
+
+
+def free_port():
+    """Returns a port on which nobody listens."""
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        return unused.getsockname()[1]
+
+
+class ReachTest(unittest.TestCase):
+    def test_target_comes_back_when_it_can_be_reached_again(self):
+        async def story(scene):
+            target = scene.plain[0]
+            address = ("127.0.0.1", free_port())
+            entry = {**target.entry(), "address": f"127.0.0.1:{address[1]}"}
+            scene.store.put("keyed.servers", "moved", entry)
+            scene.store.remove("keyed.servers", "p0")
+            await scene.until(lambda: "p0" not in scene.site.targets.entries)
+            answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 503)
+            state = scene.site.state("moved")
+            self.assertTrue(state.unreachable)
+            target.name = "moved"
+            again = http1_server.Server(
+                address,
+                target.server.handler,
+                caller_bounds.CallerBounds,
+                target.server.refused,
+            )
+            scene.tasks.start_soon(again.serve)
+            await scene.until(lambda: not state.unreachable)
+            answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 200)
+
+        scene_lib.play(story, plain=1)
+
+    def test_attempt_on_a_target_that_fell_silent_goes_elsewhere(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.behave(standin.Hang())
+            request = scene.request("/again/x")
+            answers = []
+
+            async def call():
+                answers.append(await scene.call(request))
+
+            scene.tasks.start_soon(call)
+            await scene.until(scene.runs)
+            silent = next(t for t in scene.plain if t.runs)
+            other = next(t for t in scene.plain if t is not silent)
+            other.behaviours.clear()
+            scene.stop_listening(silent)
+            await scene.until(lambda: answers)
+            self.assertEqual(answers[0].head.status, 200)
+            self.assertIn(other.name.encode(), answers[0].body)
+
+        scene_lib.play(story)
+
+    def test_request_that_may_not_be_repeated_is_left_alone(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.always = standin.Serve(1.2)
+            answers = []
+
+            async def call():
+                answers.append(await scene.call(scene.request("/once/x")))
+
+            scene.tasks.start_soon(call)
+            await scene.until(scene.runs)
+            silent = next(t for t in scene.plain if t.runs)
+            scene.stop_listening(silent)
+            await scene.until(lambda: answers)
+            self.assertEqual(answers[0].head.status, 200)
+            self.assertEqual(len(scene.runs()), 1)
+
+        scene_lib.play(story)
+
+
+class CacheTest(unittest.TestCase):
+    def test_only_what_the_store_lacks_is_saved(self):
+        async def story(scene):
+            store = standin.PlatformTargetStandin("k", "keep")
+            scene.tasks.start_soon(store.server.serve)
+            services = [
+                *scene.configuration["services"],
+                {"name": "keep", "kvStoreAddr": store.address},
+            ]
+            scene.configure(services=services)
+            await scene.until(lambda: scene.site.table.cache_stores)
+            address = store.address.encode()
+            await scene.call(scene.prompt("/stream/x"))
+            run = next(r for e in scene.engines for r in e.runs)
+            self.assertEqual(run.request.get(b"x-kv-save"), address)
+            self.assertEqual(run.request.get(b"x-kv-fetch"), address)
+            salt = run.request.get(b"x-cache-salt").decode()
+            store.cache_events = [
+                (0, "+", salt, "aa", 288, "m"),
+                (1, "+", salt, "bb", 496, "m"),
+            ]
+            caches = scene.program.gateway.dispatcher.chooser.caches
+            await scene.until(
+                lambda: len(caches.contents.get(store.address, ())) == 2
+            )
+            await scene.call(scene.prompt("/stream/x"))
+            run = [r for e in scene.engines for r in e.runs][-1]
+            self.assertEqual(run.request.get(b"x-kv-save"), b"")
+            self.assertEqual(run.request.get(b"x-kv-fetch"), address)
+            store.cache_epoch = 2
+            store.cache_events = []
+            await scene.until(lambda: not caches.contents[store.address])
+            await scene.call(scene.prompt("/stream/x"))
+            run = [r for e in scene.engines for r in e.runs][-1]
+            self.assertEqual(run.request.get(b"x-kv-save"), address)
+
+        scene_lib.play(story, engines=1)
+
+
+class WeightsMismatchTest(unittest.TestCase):
+    def test_wrong_belief_of_weights_costs_one_send(self):
+        async def story(scene):
+            engine = scene.engines[0]
+            engine.weights = 2
+            scene.site.weights.name("m", 2, anyio.current_time())
+            answer = await scene.call(scene.prompt("/stream/x"))
+            self.assertEqual(answer.head.status, 200)
+            self.assertEqual(scene.site.weights.held("e0", "m"), 2)
+
+        scene_lib.play(story, engines=1)
--- a/tests/state/test_weights.py
+++ b/tests/state/test_weights.py
@@ -21,6 +21,14 @@
         board.list_target("t", "m", 1)
         self.assertEqual(board.held("t", "m"), 2)
 
+    def test_answer_begun_before_a_load_does_not_lower_the_version(self):
+        board = weights.WeightsBoard()
+        board.observe("t", "m", 2)
+        self.assertFalse(board.observe("t", "m", 1))
+        self.assertEqual(board.held("t", "m"), 2)
+        board.report("t", "m", 1)
+        self.assertEqual(board.held("t", "m"), 1)
+
     def test_refuted_belief(self):
         board = weights.WeightsBoard()
         board.name("m", 2, 0.0)
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -18,6 +18,7 @@
     "state",
     "protocol",
     "transport",
+    "platform",
     "coordination",
     "standin",
     "bench",
