--- a/hillthread/bench/caller.py
+++ b/hillthread/bench/caller.py
@@ -174,6 +174,8 @@
         if event.data == engine.DONE:
             self.complete = True
             return
+        if not event.data:
+            return  # a blank line carries nothing
         if self.first_token_s is None:
             self.first_token_s = time.monotonic() - self.started
         chunk = msgspec.json.decode(event.data)
--- a/hillthread/coordination/fleet.py
+++ b/hillthread/coordination/fleet.py
@@ -41,6 +41,9 @@
 
 
 _PRIOR = 0.7
+# Retries in 10 s beyond what requests earn: a router with few requests still
+# gets over the loss of a target or two.
+_RETRY_EXTRA = 6.0
 _HEARD_PRIOR = 0.1
 
 
@@ -282,7 +285,7 @@
         """Returns the retry budget of a pool."""
         budget = self.budgets.get(pool.name)
         if budget is None or budget.ratio != pool.retry_ratio:
-            budget = retry_budget.RetryBudget(pool.retry_ratio)
+            budget = retry_budget.RetryBudget(pool.retry_ratio, _RETRY_EXTRA)
             self.budgets[pool.name] = budget
         return budget
 
