--- a/hillthread/coordination/gateway/order_lease.py
+++ b/hillthread/coordination/gateway/order_lease.py
@@ -10,6 +10,8 @@
 import logging
 import time
 
+import anyio
+
 from hillthread import errors
 from hillthread.platform import store as store_lib
 from hillthread.state import lease
@@ -44,6 +46,7 @@
         self.contender = lease.Contender(
             name, _ACT_S + pause_s + _MARGIN_S, _ACT_S
         )
+        self._turn = anyio.Lock()
 
     @property
     def fencing(self) -> int:
@@ -70,6 +73,10 @@
         Returns:
             Whether this host may give orders now.
         """
+        async with self._turn:  # several loads ask at the same time
+            return await self._ensure()
+
+    async def _ensure(self) -> bool:
         now = time.monotonic()
         if self.contender.may_act(now) and not self.contender.should_renew(now):
             return True
