--- a/hillthread/coordination/gateway/attempt.py
+++ b/hillthread/coordination/gateway/attempt.py
@@ -38,6 +38,7 @@
         target: Where it goes.
         repeatable: Whether the request may run more than once.
         heard_at: Seconds, when the target last sent anything of its answer.
+        connection: To the target, once there is one.
         given_up: Why the monitor ended it, or nothing.
     """
 
@@ -62,7 +63,7 @@
         self.target = plan.target
         self.repeatable = request.repeatable
         self.heard_at = 0.0
-        self.scope: anyio.CancelScope | None = None
+        self.connection: http1_client.ClientConnection | None = None
         self.given_up = ""
 
     async def run(self) -> outcome_lib.Outcome:
@@ -81,23 +82,27 @@
         self.heard_at = time.monotonic()
         rested_s = self.heard_at - connection.used_at
         self.monitor.attempts.add(self)
+        self.connection = connection
         try:
-            with anyio.CancelScope() as self.scope:
-                return await self._exchange(connection)
-            return self._failed(http1_client.CallError(True, self.given_up))
+            return await self._exchange(connection)
         except http1_client.CallError as error:
             if self.reused and self.meaning is None:
                 self.pool.note_dead(rested_s)
-            return self._failed(error)
+            reason = self.given_up or error.reason
+            return self._failed(http1_client.CallError(error.sent, reason))
         finally:
             self.monitor.attempts.discard(self)
             await self.pool.give_back(connection)
 
     def abandon(self, reason: str) -> None:
-        """Ends the attempt as lost."""
+        """Ends the attempt as lost.
+
+        Only the target's connection is closed: a write to the caller that is
+        under way must not be cut, since another attempt may go on after it.
+        """
         self.given_up = reason
-        if self.scope is not None:
-            self.scope.cancel()
+        if self.connection is not None:
+            self.tasks.start_soon(self.connection.close)
 
     async def _exchange(
         self, connection: http1_client.ClientConnection
--- a/hillthread/coordination/gateway/cache_watch.py
+++ b/hillthread/coordination/gateway/cache_watch.py
@@ -22,8 +22,10 @@
 __all__ = ["CacheWatch"]
 
 _WAIT_S = 1.0
-# Events of a busy store come at once: they are collected for so long.
+# Events of a busy store come at once: they are collected for so long, and
+# longer with many hosts, which together may have few calls at a store.
 _EVERY_S = 0.3
+_EVERY_HOST_S = 0.02
 _PAUSE_S = 0.5
 _CHECK_S = 0.5
 
@@ -85,7 +87,8 @@
                 self._note_lost(address, "restarted")
             contents.apply(page.epoch, page.position, page.events, page.lost)
             passed = time.monotonic() - started
-            await anyio.sleep(max(0.0, _EVERY_S - passed))
+            every_s = max(_EVERY_S, _EVERY_HOST_S * self.site.hosts)
+            await anyio.sleep(max(0.0, every_s - passed))
         del self.contents[address]
 
     def _note_lost(self, address: str, reason: str) -> None:
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -47,6 +47,9 @@
 # How long the store holds a read at most.
 _OPERATOR_WAIT_S = 2.5
 _TARGETS_WAIT_S = 20.0
+# The same between hosts. Keys age while a read is held, targets do not.
+_OPERATOR_PEER_WAIT_S = 1.0
+_PEER_WAIT_S = 4.0
 # Changes that follow each other are read together. Leaving targets serve on for
 # two seconds and more.
 _OPERATOR_GATHER_S = 0.2
@@ -238,18 +241,21 @@
             store_follower.TopicPlan(
                 configuration.OPERATOR_TOPIC,
                 self._operator_wait_s,
+                _OPERATOR_PEER_WAIT_S,
                 _OPERATOR_GATHER_S,
                 self._take_operator,
             ),
             store_follower.TopicPlan(
                 targets.TARGET_TOPIC,
                 lambda: _TARGETS_WAIT_S,
+                _PEER_WAIT_S,
                 _TARGETS_GATHER_S,
                 self._take_target,
             ),
             store_follower.TopicPlan(
                 host_registry.HOSTS_TOPIC,
                 lambda: _HOSTS_WAIT_S,
+                _PEER_WAIT_S,
                 _HOSTS_GATHER_S,
                 self._take_host,
             ),
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -29,11 +29,9 @@
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 0.5
 _JITTER = 0.3
-# How long another host may hold a read, and how old its knowledge may be
-# before the store is read instead.
-_PEER_WAIT_S = 1.0
+# How old another host's knowledge may be before the store is read instead.
 _PEER_MARGIN_S = 0.5
-_PEER_AGE_S = 2.0
+_PEER_AGE_S = 1.0
 _MAX_PAGE_BYTES = 16_777_216
 
 _logger = logging.getLogger("hillthread.store")
@@ -94,6 +92,8 @@
     Attributes:
         topic: Its name.
         wait_s: Returns how long the store is to hold the next read, seconds.
+        peer_wait_s: How long another host is to hold a read, and the store one
+            of a host that reads for others, seconds.
         gather_s: After a read that brought something the next one is sent so
             much later: changes often come in numbers, and each read costs.
         take: Called with each change.
@@ -101,6 +101,7 @@
 
     topic: str
     wait_s: Callable[[], float]
+    peer_wait_s: float
     gather_s: float
     take: Callable[[topic_copy.TopicRecord], None]
 
@@ -172,9 +173,11 @@
             page = None
         now = time.monotonic()
         outcome = "peer_failed"
-        if page is not None and page.age_s <= _PEER_AGE_S:
+        oldest_s = _PEER_AGE_S + self.plan.peer_wait_s
+        if page is not None and page.age_s <= oldest_s:
             self._take_page(page)
-            held_s = 0.0 if page.records else min(_PEER_WAIT_S, now - started)
+            waited_s = min(self.plan.peer_wait_s, now - started)
+            held_s = 0.0 if page.records else waited_s
             self.freshness.prove(started - page.age_s, held_s)
             self.readers.watch.note_success()
             outcome = "peer_answered"
@@ -185,7 +188,7 @@
 
     async def _call_peer(self, peer: feed_source.HostEntry) -> feed.FeedPage:
         query = feed.FeedQuery(
-            self.plan.topic, self.copy.position or 0, _PEER_WAIT_S
+            self.plan.topic, self.copy.position or 0, self.plan.peer_wait_s
         )
         request = http1_client.ClientRequest(
             b"GET", feed.encode_query(query), [(b"host", peer.feed.encode())]
@@ -194,7 +197,7 @@
             self.readers.peers,
             peer.feed,
             request,
-            _PEER_WAIT_S + _PEER_MARGIN_S,
+            self.plan.peer_wait_s + _PEER_MARGIN_S,
             _MAX_PAGE_BYTES,
         )
         if answer.head.status != 200:
@@ -239,7 +242,7 @@
     def _wait_s(self) -> float:
         wait_s = self.plan.wait_s()
         if self.readers.source.reads_for_many():
-            return min(wait_s, _PEER_WAIT_S)
+            return min(wait_s, self.plan.peer_wait_s)
         return wait_s
 
     async def _read_newest(self, started: float) -> None:
--- a/hillthread/state/target_state.py
+++ b/hillthread/state/target_state.py
@@ -15,8 +15,10 @@
 _EJECT_AFTER = 2
 _EJECT_S = 1.0
 _LATENCY_STEP = 0.2
-# Over this time the mean of unfinished prefill is taken.
-_MEAN_S = 1.0
+# Over this time for each host the mean of unfinished prefill is taken. It
+# stands for what the others have: the more they are, the more its noise counts.
+_MEAN_S = 0.125
+_LEAST_MEAN_S = 1.0
 
 
 class TargetState:
@@ -30,7 +32,8 @@
         refused_until: Seconds; it refused work and is spared until then.
         unreachable: No connection to it comes up.
         seconds: Smoothed time to the first byte.
-        mean_prefill: Mean of `prefill_tokens` over the last second or so.
+        mean_prefill: Mean of `prefill_tokens` over the last seconds.
+        mean_over_s: Over how many.
     """
 
     def __init__(self):
@@ -41,6 +44,7 @@
         self.unreachable = False
         self.seconds = 0.0
         self.mean_prefill = 0.0
+        self.mean_over_s = _LEAST_MEAN_S
         self._mean_at = float("-inf")
         self._recent: collections.deque[bool] = collections.deque(
             maxlen=_RECENT
@@ -65,6 +69,7 @@
         Other hosts place the same prefixes on the same targets: each is
         expected to have what this one has in the mean.
         """
+        self.mean_over_s = max(_LEAST_MEAN_S, _MEAN_S * hosts)
         self._update_mean(now)
         return self.prefill_tokens + (hosts - 1) * self.mean_prefill
 
@@ -108,7 +113,7 @@
 
     def _update_mean(self, now: float) -> None:
         passed = now - self._mean_at
-        kept = math.exp(-passed / _MEAN_S)
+        kept = math.exp(-passed / self.mean_over_s)
         self.mean_prefill = (
             kept * self.mean_prefill + (1.0 - kept) * self.prefill_tokens
         )
--- a/tests/coordination/gateway/test_reach.py
+++ b/tests/coordination/gateway/test_reach.py
@@ -2,11 +2,14 @@
 
 import socket
 import unittest
+from unittest import mock
 
 import anyio
+import h11
 
 from hillthread.standin import platform_target as standin
 from hillthread.state import caller_bounds
+from hillthread.transport import http1
 from hillthread.transport import http1_server
 from tests.coordination.gateway import scene as scene_lib
 
@@ -67,6 +70,35 @@
 
         scene_lib.play(story)
 
+    def test_giving_up_never_cuts_what_is_being_written_to_the_caller(self):
+        async def slow_send(connection, events):
+            """Sends with a pause between framing and writing."""
+            data = b"".join(connection.machine.send(e) or b"" for e in events)
+            if connection.machine.our_role is h11.SERVER:
+                await anyio.sleep(0.1)
+            await connection.stream.send(data)
+
+        async def story(scene):
+            answers = []
+
+            async def call():
+                answers.append(await scene.call(scene.prompt("/resume/x")))
+
+            scene.tasks.start_soon(call)
+            monitor = scene.program.gateway.dispatcher.monitor
+            await scene.until(lambda: monitor.attempts)
+            answer = next(iter(monitor.attempts)).relay.answer
+            await scene.until(lambda: answer.started)
+            for attempt in list(monitor.attempts):
+                attempt.abandon("given up by the test")
+            await scene.until(lambda: answers)
+            event = scene.engines[0].event
+            whole = b"".join(event(n) for n in range(4))
+            self.assertEqual(answers[0].body, whole)
+
+        with mock.patch.object(http1.Http1Connection, "send", slow_send):
+            scene_lib.play(story)
+
     def test_request_that_may_not_be_repeated_is_left_alone(self):
         async def story(scene):
             for target in scene.plain:
