Learn of changes sooner where few hosts read; drop foreseen loads

Conclusion: foresight and the longer sparing are taken out; data centres where each host reads for itself gather for 0.1 s.

--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -14,7 +14,6 @@
 from hillthread.state import cache_contents
 from hillthread.state import health
 from hillthread.state import objects
-from hillthread.state import rollout
 from hillthread.state import target_choice
 from hillthread.state import target_list
 from hillthread.state import target_state
@@ -30,8 +29,6 @@
 _AWAY_S = 0.25
 _NO_TARGET_RETRY_S = 0.3
 _MAX_SUMMARIES = 8
-# A request to a target that loads weights is refused at once and costs a retry.
-_LOADING_S = 0.2
 
 
 class Planned(NamedTuple):
@@ -88,7 +85,6 @@
             state.running,
             state.queued_tokens(self.now, self.site.hosts),
             behind,
-            behind and self._may_be_loading(name),
             self.pool.has_idle(target.address),
             state.seconds,
         )
@@ -120,18 +116,6 @@
         grace = self.site.weights.grace(self.model, self.now)
         return grace is weights_lib.WeightsGrace.FORBIDDEN
 
-    def _may_be_loading(self, name: str) -> bool:
-        named = self.site.weights.named[self.model]
-        if not named.seen_named:
-            return False
-        return rollout.may_be_loading(
-            self.model,
-            named.version,
-            name,
-            self.entries,
-            self.now - named.known_at,
-        )
-
 
 class Chooser:
     """Chooses targets from what the host believes.
@@ -212,7 +196,6 @@
             _PREFILL_TOKENS_PER_S,
             0.0 if is_free else _BEHIND_S,
             _AWAY_S,
-            _LOADING_S,
         )
         return target_choice.choose_engine(
             _affinity_key(request), list(look.entries), look.view, weights
--- a/hillthread/coordination/gateway/learning.py
+++ b/hillthread/coordination/gateway/learning.py
@@ -17,8 +17,6 @@
 
 # A target that refused work is spared this long.
 _SPARE_S = 0.15
-# The same while it may be loading weights, which takes 0.8 s.
-_SPARE_LOADING_S = 0.4
 _MAX_REASON = 32
 
 
@@ -146,8 +144,7 @@
         name = plan.target.name
         state = self.site.state(name)
         if refusal.status != 421:
-            loads = self.site.weights.is_behind(name, plan.model)
-            state.refuse(now + (_SPARE_LOADING_S if loads else _SPARE_S))
+            state.refuse(now + _SPARE_S)
             return
         if refusal.meaning.incarnation not in ("", name):
             # Another target has the address: this one is gone.
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -31,6 +31,7 @@
 _JITTER = 0.3
 # How old another host's knowledge may be before the store is read instead.
 _PEER_MARGIN_S = 0.5
+_LONE_GATHER_S = 0.1
 _PEER_AGE_S = 1.0
 _MAX_PAGE_BYTES = 16_777_216
 
@@ -141,7 +142,7 @@
         failures = 0
         while True:
             if self._brought:
-                await anyio.sleep(self.plan.gather_s)
+                await anyio.sleep(self._gather_s())
             self._brought = False
             peer = self._peer(failures)
             if peer is not None and await self._read_peer(peer):
@@ -149,6 +150,15 @@
                 continue
             failures = await self._read_store(failures)
 
+    def _gather_s(self) -> float:
+        """Returns how long to wait for more after a read that brought some.
+
+        Where few hosts read, knowing early is worth more than the calls.
+        """
+        if self.readers.source.is_shared():
+            return self.plan.gather_s
+        return min(_LONE_GATHER_S, self.plan.gather_s)
+
     def page(self, start: int) -> feed.FeedPage:
         """Returns what another host wants to know now."""
         position = self.copy.position or 0
--- a/hillthread/state/feed_source.py
+++ b/hillthread/state/feed_source.py
@@ -75,6 +75,10 @@
         """Notes that a host did not help."""
         self._avoided_until[name] = now + _AVOID_S
 
+    def is_shared(self) -> bool:
+        """Returns whether one host of the data centre reads for the others."""
+        return bool(self._ranked)
+
     def reads_for_many(self) -> bool:
         """Returns whether others are expected to read from this host."""
         return any(entry.name == self.name for entry in self._ranked[:1])
--- a/hillthread/state/rollout.py
+++ b/hillthread/state/rollout.py
@@ -12,7 +12,6 @@
 
 __all__ = [
     "loads_at_once",
-    "may_be_loading",
     "targets_behind",
     "wave_order",
 ]
@@ -20,8 +19,6 @@
 # More loads than this share of a pool at once slow each other down: 2 of 5,
 # 18 of 45 and 28 of 70 on the users' sheets.
 _AT_ONCE_SHARE = 0.4
-# An order, a load of 0.8 s, and the look that finds it done.
-_WAVE_S = 0.95
 
 
 def loads_at_once(targets: int) -> int:
@@ -34,26 +31,6 @@
     return placement.rank_by_rendezvous(f"{model}/{version}".encode(), names)
 
 
-def may_be_loading(
-    model: str,
-    version: int,
-    name: str,
-    names: Collection[str],
-    seconds_named: float,
-) -> bool:
-    """Returns whether a target may be loading weights named a while ago.
-
-    All hosts know the order of loads and about how long each wave takes, so
-    that they need not be told.
-    """
-    wave = int(seconds_named / _WAVE_S)
-    at_once = loads_at_once(len(names))
-    if wave * at_once >= len(names):
-        return False
-    place = wave_order(model, version, names).index(name)
-    return place // at_once == wave
-
-
 def targets_behind(
     entries: Sequence[target_list.ListedTarget],
     model: str,
--- a/hillthread/state/target_choice.py
+++ b/hillthread/state/target_choice.py
@@ -46,7 +46,6 @@
         queued_tokens: Tokens expected to be computed before a new request,
             those of other hosts included.
         behind: It holds older weights than named.
-        may_be_loading: By the order of loads it may be loading weights now.
         has_connection: A kept connection is there.
         seconds: Smoothed time to its first byte.
     """
@@ -57,7 +56,6 @@
     running: int
     queued_tokens: float
     behind: bool
-    may_be_loading: bool
     has_connection: bool
     seconds: float
 
@@ -83,13 +81,11 @@
         prefill_tokens_per_s: How fast an engine reads a prompt.
         behind_s: Seconds of first-token time that old weights are worth.
         away_s: The same for a prefix that must come from elsewhere.
-        loading_s: The same for a target that may be loading weights.
     """
 
     prefill_tokens_per_s: float
     behind_s: float
     away_s: float
-    loading_s: float
 
 
 _NONE = Choice(None, -1, "no target can be taken")
@@ -165,16 +161,12 @@
     cost += _rank_cost(rank, weights)
     if view.behind:
         cost += weights.behind_s
-    if view.may_be_loading:
-        cost += weights.loading_s
     return cost
 
 
 def _reason(first: TargetView) -> str:
     if first.exclusion is not None:
         return f"first-ranked target {first.exclusion}"
-    if first.may_be_loading:
-        return "first-ranked target may be loading"
     if first.behind:
         return "first-ranked target has older weights"
     return "first-ranked target is busy"
