Refuse requests from 2.9 s after SIGTERM on

Ruled out: a smaller margin before the kill (the stream was far from its end). Changed: what comes later than 2.9 s is refused, not run, with Retry-After; it was half of the grace time, 4 s. Test shown failing before (200 in place of 503).

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -36,8 +36,9 @@
 # then on connections that rest are closed, before callers use them again.
 _NOTICE_S = 2.6
 # The balancer still uses hosts that are not ready when most of a data centre's
-# are not. What comes in the last part of the time until the kill could not be
-# finished and is refused.
+# are not. What comes later than this could not be finished before the kill and
+# is refused: the pages excuse cut streams that came within 3 s.
+_CLOSING_S = 2.9
 _CLOSING_SHARE = 0.5
 # Before the process is killed, what still runs is broken off.
 _STOP_MARGIN_S = 0.3
@@ -162,7 +163,8 @@
         give_up_at = asked_at + self.settings.grace_s - _STOP_MARGIN_S
         await anyio.sleep(min(_NOTICE_S, self.settings.grace_s / 2))
         self.server.close_idle()
-        closing_at = asked_at + self.settings.grace_s * _CLOSING_SHARE
+        closing_s = min(_CLOSING_S, self.settings.grace_s * _CLOSING_SHARE)
+        closing_at = asked_at + closing_s
         await anyio.sleep(max(0.0, closing_at - time.monotonic()))
         self.site.closing = True
         await self.rollout.lease.release()
--- a/tests/coordination/gateway/test_lifecycle.py
+++ b/tests/coordination/gateway/test_lifecycle.py
@@ -292,6 +292,16 @@
 
         scene_lib.play(story, grace_s=0.8)
 
+    def test_request_three_seconds_into_a_stop_is_refused(self):
+        async def story(scene):
+            scene.tasks.start_soon(scene.program.drain, time.monotonic())
+            await anyio.sleep(3.0)
+            answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 503)
+            self.assertEqual(scene.runs(), [])
+
+        scene_lib.play(story, grace_s=8.0)
+
     def test_request_on_a_resting_connection_is_served_until_it_closes(self):
         async def story(scene):
             scene.program.server.stopping = True
