--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -68,10 +68,6 @@
         self.holds_lease = self._gauge(
             "holds_lease", "Whether this host may give orders."
         )
-        self.retry_budget = self._gauge(
-            "retry_budget_left", "Retries that may be made, least of all pools."
-        )
-        self.log_dropped = self._gauge("log_lines_dropped", "Lines dropped.")
         self.store_seconds = self._histogram(
             "store_seconds", "Duration of calls to the store.", ["call"]
         )
