Let requests in a host's first moments wait for the configuration

Of the 0.25 s a part was a flag that was taken over by a tick each 0.25 s though the list of targets had been read; the rest were requests that came in the 30 to 100 ms before the store's first answer.

Now the list counts as known when it was read, and a request waits up to the first 0.5 s of the process. A host that cannot reach the store holds up nobody after that.

--- a/hillthread/coordination/gateway/gateway.py
+++ b/hillthread/coordination/gateway/gateway.py
@@ -67,6 +67,7 @@
         outcome = "left"
         code = ""
         try:
+            await self.site.wait_known(caller.arrived)
             request = intake.admit(self.site, caller, story)
             self._note_admitted(request)
             await self.dispatcher.serve(request, answer)
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -253,6 +253,7 @@
                 _PEER_WAIT_S,
                 _TARGETS_GATHER_S,
                 self._take_target,
+                self.site.note_targets_known,
             ),
             store_follower.TopicPlan(
                 host_registry.HOSTS_TOPIC,
@@ -316,8 +317,6 @@
         while True:
             now = time.monotonic()
             self.site.expire_targets(now)
-            listed = self.followers[targets.TARGET_TOPIC]
-            self.site.targets_known = listed.copy.position is not None
             reason = self.site.not_ready_reason(now)
             if reason != ready:
                 ready = reason
--- a/hillthread/coordination/gateway/intake.py
+++ b/hillthread/coordination/gateway/intake.py
@@ -83,7 +83,7 @@
     """
     if site.closing:
         raise not_ready("The host is about to end.")
-    if site.table is None or not site.targets_known:
+    if not site.knows_enough:
         raise not_ready("The host does not know the configuration yet.")
     route = _route(site, caller)
     tenant = authorise(site, caller, route)
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -30,6 +30,9 @@
 _REVOKE_MARGIN_S = 0.8
 # Of its full age; the host then asks the balancer to send callers elsewhere.
 _READY_SHARE = 0.6
+# A process that has just started knows the configuration within 0.1 s of its
+# first call when the store answers; a request that comes before waits for it.
+_FIRST_MOMENTS_S = 0.5
 # Hosts to share a budget with, until they are counted; rather too many.
 DEFAULT_HOSTS = 24
 
@@ -47,6 +50,8 @@
         states: What own attempts found, by target.
         weights: Versions of weights.
         freshness: Age of what is known from the operator.
+        started_at: Seconds, when this process began to serve.
+        known: Set once the first configuration and the targets are known.
         hosts: Hosts that share the budgets, this one included.
         draining: The process is stopping.
         closing: It is about to end: a new request could not be finished.
@@ -67,6 +72,8 @@
             _RETURN_S, settings.drain_ms / 1000.0 * _READY_SHARE
         )
         self.targets_known = False
+        self.started_at = time.monotonic()
+        self.known = anyio.Event()
         self.states: dict[str, target_state.TargetState] = {}
         self.weights = weights.WeightsBoard()
         self.freshness = freshness.Freshness()
@@ -96,6 +103,7 @@
             return
         self.table = adopted.table()
         self.configuration = adopted
+        self._note_known()
         self.metrics.position.set(adopted.version)
         _logger.info(
             "configuration in force",
@@ -131,6 +139,34 @@
                 },
             )
 
+    def note_targets_known(self) -> None:
+        """Notes that the whole list of targets was read."""
+        self.targets_known = True
+        self._note_known()
+
+    def _note_known(self) -> None:
+        if self.knows_enough:
+            self.known.set()
+
+    @property
+    def knows_enough(self) -> bool:
+        """Whether requests can be routed at all."""
+        return self.table is not None and self.targets_known
+
+    async def wait_known(self, now: float) -> None:
+        """Returns when requests can be routed, or the first moments are over.
+
+        A host that cannot reach the store must not hold up its callers: only
+        a process that has just started lets them wait.
+        """
+        if self.knows_enough:
+            return
+        left_s = self.started_at + _FIRST_MOMENTS_S - now
+        if left_s <= 0.0:
+            return
+        with anyio.move_on_after(left_s):
+            await self.known.wait()
+
     def put_target(self, incarnation: str, payload: bytes) -> None:
         """Takes in an entry of the list of targets.
 
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -38,6 +38,10 @@
 _logger = logging.getLogger("hillthread.store")
 
 
+def _nobody() -> None:
+    """Stands for nobody who wants to know that a topic was read."""
+
+
 class StoreWatch:
     """Whether the store answers this host, as all its callers find.
 
@@ -98,6 +102,7 @@
         gather_s: After a read that brought something the next one is sent so
             much later: changes often come in numbers, and each read costs.
         take: Called with each change.
+        caught_up: Called when the newest of all keys was read.
     """
 
     topic: str
@@ -105,6 +110,7 @@
     peer_wait_s: float
     gather_s: float
     take: Callable[[topic_copy.TopicRecord], None]
+    caught_up: Callable[[], None] = _nobody
 
 
 class TopicFollower:
@@ -259,6 +265,7 @@
         page = await self.readers.client.newest(self.plan.topic)
         self._take_all(self.copy.replace(page.records, page.end))
         self.freshness.prove(started)
+        self.plan.caught_up()
 
     async def _read_changes(self, wait_s: float) -> None:
         started = time.monotonic()
--- a/tests/coordination/gateway/scene.py
+++ b/tests/coordination/gateway/scene.py
@@ -117,8 +117,8 @@
         """Has a target write its entry."""
         self.store.put("keyed.servers", target.name, target.entry(state))
 
-    async def start(self, **settings) -> None:
-        """Starts everything and waits until the gateway is ready."""
+    async def start(self, ready=True, **settings) -> None:
+        """Starts everything and, if asked, waits until the gateway is ready."""
         self.tasks.start_soon(self.store.server.serve)
         for target in self.targets:
             self.tasks.start_soon(self.listen, target)
@@ -138,6 +138,8 @@
             log_writer.BufferedLogHandler(self.log.fileno()),
         )
         await self.program.run()
+        if not ready:
+            return
         await self.until(lambda: not self.not_ready_reason())
         self.site.hosts = 1  # as it counts itself a little later
 
@@ -200,12 +202,13 @@
 
 
 @contextlib.asynccontextmanager
-async def opened(engines=2, plain=2, **settings):
+async def opened(engines=2, plain=2, slow_s=0.0, **settings):
     """Yields a running scene, or what is wrong in it."""
     failure = None
     async with anyio.create_task_group() as tasks:
         scene = Scene(tasks, engines, plain)
         try:
+            scene.store.faults.slow_s = slow_s
             await scene.start(**settings)
             yield scene
         except Exception as error:
--- a/tests/coordination/gateway/test_lifecycle.py
+++ b/tests/coordination/gateway/test_lifecycle.py
@@ -20,6 +20,34 @@
 
         scene_lib.play(story)
 
+    def test_request_in_the_first_moments_waits_for_the_configuration(self):
+        async def story(scene):
+            self.assertTrue(scene.not_ready_reason())
+            answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 200)
+
+        scene_lib.play(story, ready=False, slow_s=0.1)
+
+    def test_host_that_learns_nothing_refuses_after_its_first_moments(self):
+        async def story(scene):
+            scene.store.faults.silent = True
+            first = await scene.call(scene.request("/once/x"))
+            self.assertEqual(first.head.status, 503)
+            scene.site.started_at -= 1.0
+            scene.site.known = None  # whoever waits for it now fails
+            again = await scene.call(scene.request("/once/x"))
+            self.assertEqual(again.head.status, 503)
+
+        scene_lib.play(story, ready=False, slow_s=5.0)
+
+    def test_targets_count_as_known_as_soon_as_they_are_read(self):
+        async def story(scene):
+            site = scene.site
+            await scene.until(lambda: site.table and site.targets.entries)
+            self.assertEqual(scene.not_ready_reason(), "")
+
+        scene_lib.play(story, ready=False, slow_s=0.05)
+
     def test_unknown_route_and_key(self):
         async def story(scene):
             answer = await scene.call(scene.request("/none/x"))
