--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -7,11 +7,10 @@
 from typing import NamedTuple
 
 from hillthread import errors
-from hillthread.coordination.gateway import cache_watch
+from hillthread.coordination.gateway import cache_source
 from hillthread.coordination.gateway import intake
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.state import attempt_plan
-from hillthread.state import cache_contents
 from hillthread.state import health
 from hillthread.state import objects
 from hillthread.state import target_choice
@@ -123,14 +122,14 @@
     Attributes:
         site: The host's beliefs.
         pool: Connections to targets.
-        caches: Knows what the stores of KV cache hold.
+        caches: Adds to a plan where cached prefixes come from and go to.
     """
 
     def __init__(self, site: site_lib.Site, pool: http1_client.ConnectionPool):
         self.site = site
         self.pool = pool
         self.metrics = site.metrics
-        self.caches = cache_watch.CacheWatch(site, pool)
+        self.caches = cache_source.CachePlanner(site, pool)
 
     def plan(
         self,
@@ -168,7 +167,9 @@
         if pool is None or choice.name is None:
             raise no_target()
         entry = self.site.targets.entries[choice.name]
-        return self._planned(request, pool, entry, choice, last_event_id)
+        planned = self._planned(request, pool, entry, choice, last_event_id)
+        plan = self.caches.complete(planned.plan, request)
+        return planned._replace(plan=plan)
 
     def _pool(self, route: objects.Route) -> objects.Pool | None:
         """Returns one of the route's pools by their weights."""
@@ -198,7 +199,10 @@
             _AWAY_S,
         )
         return target_choice.choose_engine(
-            _affinity_key(request), list(look.entries), look.view, weights
+            cache_source.affinity_key(request),
+            list(look.entries),
+            look.view,
+            weights,
         )
 
     def _planned(
@@ -212,7 +216,6 @@
         target = entry.target
         model = request.prompt.model
         version = self.site.weights.held(target.name, model) if model else None
-        store = self._cache_store() if version is not None else ""
         plan = attempt_plan.AttemptPlan(
             target,
             request.tenant_name,
@@ -221,25 +224,12 @@
             model,
             version,
             request.organisation,
-            store,
-            "",
-            last_event_id,
+            last_event_id=last_event_id,
         )
-        if store and self.caches.lacks(store, _shared_parts(request, plan)):
-            plan = plan._replace(save_to=store)
         tokens = _prefill_tokens(request, choice.rank)
         expected_s = self.site.state(target.name).seconds
         return Planned(plan, pool, choice.rank, tokens, expected_s)
 
-    def _cache_store(self) -> str:
-        """Returns the address of a store of KV cache, or nothing."""
-        stores = self.site.table.cache_stores if self.site.table else []
-        if not stores:
-            return ""
-        own = self.site.settings.data_centre
-        near = [store for store in stores if store.data_centre == own]
-        return (near or stores)[0].address
-
 
 def no_target() -> errors.RefusalError:
     """Returns the refusal of a request that no target can take now."""
@@ -252,26 +242,6 @@
     )
 
 
-def _affinity_key(request: intake.GatewayRequest) -> str:
-    """Returns what requests that share their longest prefix have in common."""
-    parts = request.prompt.parts
-    last_shared = parts[-2] if len(parts) > 1 else parts[-1]
-    return f"{request.organisation}/{last_shared.digest}"
-
-
-def _shared_parts(
-    request: intake.GatewayRequest, plan: attempt_plan.AttemptPlan
-) -> list[cache_contents.CacheEvent]:
-    """Returns the parts of a prompt that other requests may share."""
-    return [
-        cache_contents.CacheEvent(
-            cache_contents.CachedPart(plan.cache_scope, part.digest),
-            part.tokens,
-        )
-        for part in request.prompt.parts[:-1]
-    ]
-
-
 def _prefill_tokens(request: intake.GatewayRequest, rank: int) -> int:
     parts = request.prompt.parts
     if not parts:
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -149,7 +149,7 @@
             self.metrics_server.serve,
             self.rollout.run,
             self.hosts.list_host,
-            self.gateway.dispatcher.chooser.caches.run,
+            self.gateway.dispatcher.chooser.caches.watch.run,
             self.gateway.dispatcher.monitor.run,
             self._tick,
         ):
--- a/hillthread/state/target_choice.py
+++ b/hillthread/state/target_choice.py
@@ -92,7 +92,7 @@
 
 
 def choose_engine(
-    key: str,
+    key: bytes,
     names: Sequence[str],
     view_of: Callable[[str], TargetView],
     weights: EngineWeights,
@@ -108,9 +108,7 @@
     """
     best: tuple[float, int, str] | None = None
     first: TargetView | None = None
-    for rank, name in enumerate(
-        placement.rank_by_rendezvous(key.encode(), names)
-    ):
+    for rank, name in enumerate(placement.rank_by_rendezvous(key, names)):
         if best is not None and best[0] <= _rank_cost(rank, weights):
             break
         view = view_of(name)
--- a/tests/coordination/gateway/scene.py
+++ b/tests/coordination/gateway/scene.py
@@ -141,7 +141,8 @@
         if not ready:
             return
         await self.until(lambda: not self.not_ready_reason())
-        self.site.hosts = 1  # as it counts itself a little later
+        # It counts itself a little later; tests set the count they want.
+        await self.until(lambda: self.program.source.hosts)
 
     async def listen(self, target) -> None:
         """Has a target accept connections until `stop_listening`."""
--- a/tests/coordination/gateway/test_reach.py
+++ b/tests/coordination/gateway/test_reach.py
@@ -119,17 +119,23 @@
         scene_lib.play(story)
 
 
+async def keep_cache(scene):
+    """Starts a store of KV cache and returns it once the gateway reads it."""
+    store = standin.PlatformTargetStandin("k", "keep")
+    scene.tasks.start_soon(store.server.serve)
+    services = [
+        *scene.configuration["services"],
+        {"name": "keep", "kvStoreAddr": store.address},
+    ]
+    scene.configure(services=services)
+    await scene.until(lambda: scene.site.table.cache_stores)
+    return store
+
+
 class CacheTest(unittest.TestCase):
     def test_only_what_the_store_lacks_is_saved(self):
         async def story(scene):
-            store = standin.PlatformTargetStandin("k", "keep")
-            scene.tasks.start_soon(store.server.serve)
-            services = [
-                *scene.configuration["services"],
-                {"name": "keep", "kvStoreAddr": store.address},
-            ]
-            scene.configure(services=services)
-            await scene.until(lambda: scene.site.table.cache_stores)
+            store = await keep_cache(scene)
             address = store.address.encode()
             await scene.call(scene.prompt("/stream/x"))
             run = next(r for e in scene.engines for r in e.runs)
@@ -140,7 +146,7 @@
                 (0, "+", salt, "aa", 288, "m"),
                 (1, "+", salt, "bb", 496, "m"),
             ]
-            caches = scene.program.gateway.dispatcher.chooser.caches
+            caches = scene.program.gateway.dispatcher.chooser.caches.watch
             await scene.until(
                 lambda: len(caches.contents.get(store.address, ())) == 2
             )
