Add a fault soak of the gateway with real processes

What: `hillthread-bench gateway-soak` runs gateways as separate processes on loopback. Stand-ins of store and targets, byte proxies on the links to store and targets, callers and a balancer stand outside. Faults come in series and overlap: kill, pause, planned stop, reload, all killed at once; store busy, silent, resetting, slow, losing answers, forgetting; links silent, cut one way, delayed, reset; targets that misbehave in eleven ways, crash, leave, whose address is reused; configurations, keys, weights.

Proof of the checker: eight deliberately broken gateways (repeats what may have run, clean end of a cut stream, withdrawn keys kept, memory shared between weights and between tenants, orders without the lease, "not run" always, keys passed on) are each found out; the shipped gateway passes the same seed.

Also: gateways tell their addresses in the start line, and listen before it.

Not covered: the time of day (the gateway decides by the steady clock only).

--- /dev/null
+++ b/hillthread/bench/gateway_soak/callers.py
@@ -0,0 +1,130 @@
+"""Callers of a soak: they keep connections, give up, and note what they get."""
+
+from __future__ import annotations
+
+import random
+import time
+import uuid
+
+import anyio
+import httpx
+
+from hillthread.bench.gateway_soak import evidence as evidence_lib
+from hillthread.bench.gateway_soak import stage as stage_lib
+
+__all__ = ["Callers"]
+
+_ROUTES = ("stream", "resume", "once", "again")
+_DEADLINE_MS = 2500
+_TIMEOUT_S = 4.0
+# Requests over one connection at most, and the pause between two.
+_MOST_REQUESTS = 25
+_PAUSE_S = 0.08
+_GIVE_UP_SHARE = 0.05
+_OLD_KEY_SHARE = 0.1
+_GIVE_UP_S = 0.2
+_PREFIXES = 12
+
+
+class Callers:
+    """Makes requests until told to stop.
+
+    Attributes:
+        stage: Whom they call.
+        random: Of the soak's seed.
+        stopped: Whether they end.
+    """
+
+    def __init__(self, stage: stage_lib.Stage, seed: random.Random):
+        self.stage = stage
+        self.random = seed
+        self.stopped = False
+
+    async def run(self, count: int) -> None:
+        """Runs some callers until they are stopped."""
+        async with anyio.create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(self._caller)
+
+    async def _caller(self) -> None:
+        while not self.stopped:
+            ready = [host for host in self.stage.hosts if host.routable]
+            if not ready:
+                await anyio.sleep(_PAUSE_S)
+                continue
+            await self._use(self.random.choice(ready))
+
+    async def _use(self, host: stage_lib.SoakHost) -> None:
+        """Makes requests over one kept connection."""
+        life = host.lives
+        limits = httpx.Limits(max_connections=1)
+        async with httpx.AsyncClient(
+            base_url=f"http://{host.address}",
+            trust_env=False,
+            timeout=_TIMEOUT_S,
+            limits=limits,
+        ) as client:
+            for _ in range(self.random.randint(1, _MOST_REQUESTS)):
+                exchange = await self.ask(client, host, life)
+                if self.stopped or (exchange.status == 0 and exchange.error):
+                    return
+                await anyio.sleep(self.random.random() * _PAUSE_S)
+
+    async def ask(
+        self,
+        client: httpx.AsyncClient,
+        host: stage_lib.SoakHost,
+        life: int,
+        route: str = "",
+    ) -> evidence_lib.Exchange:
+        """Makes one request and notes what came back."""
+        exchange = evidence_lib.Exchange(
+            uuid.UUID(int=self.random.getrandbits(128)).hex[:16],
+            route or self.random.choice(_ROUTES),
+            self._key(bool(route)),
+            host.name,
+            life,
+            time.monotonic(),
+        )
+        self.stage.evidence.exchanges.append(exchange)
+        gives_up = not route and self.random.random() < _GIVE_UP_SHARE
+        limit_s = self.random.random() * _GIVE_UP_S if gives_up else _TIMEOUT_S
+        with anyio.move_on_after(limit_s) as scope:
+            await self._exchange(client, exchange)
+        exchange.left = scope.cancelled_caught
+        exchange.ended_at = time.monotonic()
+        return exchange
+
+    def _key(self, valid: bool) -> str:
+        """Returns a key that holds, now and then one that has ended."""
+        if not valid and self.random.random() < _OLD_KEY_SHARE:
+            return self.random.choice(list(self.stage.evidence.keys))
+        return self.random.choice(self.stage.valid_keys())
+
+    async def _exchange(
+        self, client: httpx.AsyncClient, exchange: evidence_lib.Exchange
+    ) -> None:
+        prefix = f"{self.random.randrange(_PREFIXES):x}"
+        headers = {
+            "host": stage_lib.CALLER_HOST,
+            "x-request-id": exchange.request_id,
+            "authorization": f"Bearer {exchange.key}",
+            "x-deadline-ms": str(_DEADLINE_MS),
+            "x-hold": "callers-must-not-set-this",
+        }
+        if exchange.route in ("stream", "resume"):
+            headers["x-model"] = "m"
+            headers["x-token-count"] = "900,40"
+            headers["x-prompt-prefix"] = f"aa:300,{prefix}b:500,cc:100"
+        path = f"/{exchange.route}/x"
+        try:
+            async with client.stream(
+                "POST", path, headers=headers, content=b"body"
+            ) as answer:
+                exchange.status = answer.status_code
+                exchange.receipt = answer.headers.get("x-response-stamp", "")
+                async for part in answer.aiter_raw():
+                    exchange.body += part
+                exchange.whole = True
+        except httpx.HTTPError as error:
+            exchange.error = repr(error)
--- /dev/null
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -0,0 +1,171 @@
+"""What a soak has seen: exchanges of callers, runs of targets, disturbances."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import NamedTuple
+
+from hillthread.standin import platform_target
+
+__all__ = [
+    "Bounds",
+    "Disturbance",
+    "Evidence",
+    "Exchange",
+    "KeyLife",
+    "Violation",
+]
+
+
+class Bounds(NamedTuple):
+    """The promises' figures in a soak, seconds.
+
+    They are shorter than the users', so that a short run meets each often.
+
+    Attributes:
+        revoke_s: A withdrawn key must not be served later than this.
+        drain_s: A leaving target gets no work later than this.
+        grace_s: After SIGTERM a process is killed so much later.
+        lease_s: Least time between the orders of two holders.
+        contact_s: A host is in touch when undisturbed for so long.
+        configuration_s: A change is in force everywhere after this.
+        leave_s: A run ends so soon after its caller has left.
+    """
+
+    revoke_s: float = 3.0
+    drain_s: float = 1.5
+    grace_s: float = 6.0
+    lease_s: float = 1.0
+    contact_s: float = 2.0
+    configuration_s: float = 2.0
+    leave_s: float = 0.7
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """One request of a caller and what came back.
+
+    Attributes:
+        request_id: Its own.
+        route: Name of its route.
+        key: The key it carried.
+        host: Who took it.
+        life: Which process of the host, counted.
+        sent_at: Seconds on the steady clock.
+        ended_at: When the caller was done with it.
+        status: Of the answer; 0 when none came.
+        receipt: The target's receipt; empty when the answer had none.
+        body: What came of the body.
+        whole: The answer ended as it should.
+        left: The caller gave it up.
+        error: Why there is no whole answer, in words.
+    """
+
+    request_id: str
+    route: str
+    key: str
+    host: str
+    life: int
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    receipt: str = ""
+    body: bytes = b""
+    whole: bool = False
+    left: bool = False
+    error: str = ""
+
+
+class Disturbance(NamedTuple):
+    """A fault while it lasted.
+
+    Attributes:
+        kind: Its name.
+        subject: A host's or target's name; `store` for the store itself.
+        began_at: Seconds.
+        ended_at: Seconds; infinite while it lasts.
+    """
+
+    kind: str
+    subject: str
+    began_at: float
+    ended_at: float
+
+
+class KeyLife(NamedTuple):
+    """From when to when a key held.
+
+    Attributes:
+        tenant: Whose it is.
+        issued_at: When the configuration with it was written; seconds.
+        withdrawn_at: When one without it was written; infinite if never.
+    """
+
+    tenant: str
+    issued_at: float
+    withdrawn_at: float
+
+
+class Violation(NamedTuple):
+    """A promise that was broken.
+
+    Attributes:
+        promise: Its name.
+        subject: The request, host or target.
+        detail: What was seen.
+    """
+
+    promise: str
+    subject: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.promise}: {self.subject}: {self.detail}"
+
+
+@dataclasses.dataclass
+class Evidence:
+    """All that a soak has seen.
+
+    Attributes:
+        bounds: The promises' figures.
+        exchanges: All requests.
+        targets: All stand-ins that ever ran, with their runs and orders.
+        disturbances: All faults.
+        keys: Lives of all keys.
+        leaving: When each leaving target's entry was written; seconds.
+        stops: Planned stops of processes: who, and when they were asked.
+        isolated: Tenants that share nothing.
+        refusal_lines: Request ids that the hosts' logs tell as refused.
+        unheard: Lives of processes whose logs may lack their last lines.
+    """
+
+    bounds: Bounds
+    exchanges: list[Exchange] = dataclasses.field(default_factory=list)
+    targets: list[platform_target.PlatformTargetStandin] = dataclasses.field(
+        default_factory=list
+    )
+    disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
+    keys: dict[str, KeyLife] = dataclasses.field(default_factory=dict)
+    leaving: dict[str, float] = dataclasses.field(default_factory=dict)
+    stops: list[Disturbance] = dataclasses.field(default_factory=list)
+    isolated: frozenset[str] = frozenset()
+    refusal_lines: set[str] = dataclasses.field(default_factory=set)
+    unheard: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+
+    def disturbed(self, subject: str, begin: float, end: float) -> bool:
+        """Returns whether any fault touched a subject within a time."""
+        return any(
+            each.subject == subject
+            and each.began_at <= end
+            and each.ended_at >= begin
+            for each in self.disturbances
+        )
+
+    def in_touch(self, host: str, begin: float, end: float) -> bool:
+        """Returns whether a host and the store were calm for long enough."""
+        begin -= self.bounds.contact_s
+        return not (
+            self.disturbed(host, begin, end)
+            or self.disturbed("store", begin, end)
+        )
--- /dev/null
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -0,0 +1,375 @@
+"""The stage of a soak: gateways as processes, stand-ins, links between them."""
+
+from __future__ import annotations
+
+import itertools
+import signal
+import time
+from typing import Any
+
+import anyio
+import anyio.abc
+import httpx
+
+from hillthread.bench import processes
+from hillthread.bench import site as site_lib
+from hillthread.bench.gateway_soak import evidence as evidence_lib
+from hillthread.bench.gateway_soak import verdict
+from hillthread.standin import platform_store
+from hillthread.standin import platform_target
+from hillthread.standin import wire_proxy
+
+__all__ = ["CALLER_HOST", "LinkedTarget", "SoakHost", "Stage"]
+
+CALLER_HOST = "callers.example"
+_MODEL = "m"
+_ENGINES = "engines"
+_PLAIN = "plain"
+_PLAIN_TARGETS = 3
+# The balancer asks so often, and takes a host out after two misses.
+_BALANCE_EVERY_S = 0.5
+_ASK_TIMEOUT_S = 0.4
+_MISSES = 2
+_CHECK_S = 0.02
+_START_S = 20.0
+_EXIT_MARGIN_S = 2.0
+
+
+class LinkedTarget(platform_target.PlatformTargetStandin):
+    """A target that is reached over a link.
+
+    Attributes:
+        link: The link.
+        scope: Ends its listening.
+    """
+
+    def __init__(self, name: str, service: str, model: str, weights: int):
+        super().__init__(name, service, model, weights)
+        self.names_requests = True
+        self.events = verdict.EVENTS
+        self.link = wire_proxy.WireProxy(self.server.address)
+        self.scope = anyio.CancelScope()
+
+    @property
+    def address(self) -> str:
+        """Where the link begins."""
+        return self.link.address
+
+
+class SoakHost:
+    """One gateway and its link to the store.
+
+    Attributes:
+        name: Its name.
+        settings: Of its process.
+        store_link: To the store.
+        process: The running process.
+        lives: Processes so far.
+        address: Where callers connect.
+        ready_address: Where the balancer asks.
+        routable: Whether the balancer sends new callers.
+        busy: Held while a fault acts on the process.
+    """
+
+    def __init__(self, name: str, settings: dict[str, Any], store: str):
+        self.name = name
+        self.settings = settings
+        self.store_link = wire_proxy.WireProxy(store)
+        self.settings["store"] = self.store_link.address
+        self.process: processes.Process | None = None
+        self.lives = 0
+        self.address = ""
+        self.ready_address = ""
+        self.routable = False
+        self.busy = anyio.Lock()
+
+
+class Stage:
+    """Everything a soak acts on.
+
+    Attributes:
+        group: The processes.
+        tasks: Where stand-ins and links run.
+        evidence: What is seen.
+        store: The stand-in of the platform's store.
+        hosts: The gateways.
+        targets: Those that run now, by name.
+        configuration: As the operator wrote it last.
+        weights: The version named last.
+        module: The program that is run as gateway.
+        trouble: What went wrong with processes.
+    """
+
+    def __init__(
+        self,
+        group: processes.ProcessGroup,
+        tasks: anyio.abc.TaskGroup,
+        bounds: evidence_lib.Bounds,
+        hosts: int,
+        module: str = "",
+    ):
+        self.group = group
+        self.tasks = tasks
+        self.module = module
+        self.evidence = evidence_lib.Evidence(bounds)
+        self.store = platform_store.PlatformStoreStandin()
+        self.hosts = [
+            SoakHost(name, self._settings(name, number), self.store.address)
+            for number, name in enumerate(f"h{n}" for n in range(hosts))
+        ]
+        self.targets: dict[str, LinkedTarget] = {}
+        self.weights = 1
+        self.trouble: list[evidence_lib.Violation] = []
+        self.client = httpx.AsyncClient(trust_env=False, timeout=_ASK_TIMEOUT_S)
+        self._numbers = itertools.count()
+        self.configuration = self._first_configuration()
+        self.evidence.isolated = frozenset(["t-alone"])
+
+    def _settings(self, name: str, number: int) -> dict[str, Any]:
+        bounds = self.evidence.bounds
+        return {
+            "host": name,
+            "data_centre": f"dc{number % 2}",
+            "listen": "127.0.0.1:0",
+            "ready_listen": "127.0.0.1:0",
+            "revoke_ms": bounds.revoke_s * 1000,
+            "drain_ms": bounds.drain_s * 1000,
+            "grace_s": bounds.grace_s,
+            "lease_ms": bounds.lease_s * 1000,
+        }
+
+    def _first_configuration(self) -> dict[str, Any]:
+        kinds = {
+            "stream": ("streaming", _ENGINES),
+            "resume": ("streaming", _ENGINES),
+            "once": ("non_idempotent", _PLAIN),
+            "again": ("idempotent", _PLAIN),
+        }
+        routes = [
+            {
+                "name": name,
+                "host": CALLER_HOST,
+                "pathPrefix": f"/{name}/",
+                "type": kind,
+                "service": service,
+                "timeoutMs": 3000,
+                "targetLatencyMs": 500,
+                "priority": 1,
+                "maxAttempts": 2,
+                "resumable": name in verdict.RESUMABLE,
+            }
+            for name, (kind, service) in kinds.items()
+        ]
+        engine = {"slots": 8, "models": [{"name": _MODEL}]}
+        return {
+            "version": 0,
+            "routes": routes,
+            "services": [
+                {"name": _ENGINES, "engine": engine},
+                {"name": _PLAIN},
+            ],
+            "tenants": [
+                {"name": "t-alone", "apiKeys": [], "isolated": True},
+                {"name": "t-shared", "apiKeys": []},
+            ],
+        }
+
+    async def start(self, engines: int) -> None:
+        """Starts everything and waits until all hosts are ready."""
+        self.tasks.start_soon(self.store.server.serve)
+        for _ in range(engines):
+            self.add_target(_ENGINES)
+        for _ in range(_PLAIN_TARGETS):
+            self.add_target(_PLAIN)
+        for tenant in self.configuration["tenants"]:
+            self.issue_key(tenant)
+        self.configure()
+        for host in self.hosts:
+            self.tasks.start_soon(host.store_link.serve)
+            self.start_process(host)
+        for host in self.hosts:
+            await self.wait_started(host)
+        self.tasks.start_soon(self._balance)
+        with anyio.fail_after(_START_S):
+            while not all(host.routable for host in self.hosts):  # noqa: ASYNC110
+                await anyio.sleep(_CHECK_S)
+
+    # The operator.
+
+    def configure(self) -> None:
+        """Writes the next version of the configuration."""
+        self.configuration["version"] += 1
+        self.store.put("keyed.op", "config", self.configuration)
+
+    def issue_key(self, tenant: dict[str, Any]) -> str:
+        """Adds a key to the configuration, which is not written yet."""
+        key = f"key-{next(self._numbers)}"
+        tenant["apiKeys"].append(key)
+        self.evidence.keys[key] = evidence_lib.KeyLife(
+            tenant["name"], time.monotonic(), float("inf")
+        )
+        return key
+
+    def withdraw_key(self, tenant: dict[str, Any]) -> None:
+        """Takes a tenant's oldest key out of the configuration."""
+        key = tenant["apiKeys"].pop(0)
+        life = self.evidence.keys[key]
+        self.evidence.keys[key] = life._replace(withdrawn_at=time.monotonic())
+
+    def valid_keys(self) -> list[str]:
+        """Returns all keys of the newest configuration."""
+        tenants = self.configuration["tenants"]
+        return [key for tenant in tenants for key in tenant["apiKeys"]]
+
+    def name_weights(self) -> None:
+        """Names newer weights."""
+        self.weights += 1
+        named = {"model": _MODEL, "version": self.weights}
+        self.store.put("keyed.op", f"version/{_MODEL}", named)
+
+    # Targets.
+
+    def add_target(self, service: str, weights: int = 0) -> LinkedTarget:
+        """Starts a target and lists it."""
+        model = _MODEL if service == _ENGINES else ""
+        name = f"i-{next(self._numbers)}"
+        target = LinkedTarget(name, service, model, weights or self.weights)
+        self.targets[name] = target
+        self.evidence.targets.append(target)
+        self.tasks.start_soon(self._listen, target)
+        self.tasks.start_soon(target.link.serve)
+        self.list_target(target)
+        return target
+
+    async def _listen(self, target: LinkedTarget) -> None:
+        with target.scope:
+            await target.server.serve()
+
+    def list_target(self, target: LinkedTarget, state: str = "ready") -> None:
+        """Writes a target's entry."""
+        self.store.put("keyed.servers", target.name, target.entry(state))
+        if state == "draining":
+            now = time.monotonic()
+            self.evidence.leaving.setdefault(target.name, now)
+
+    def unlist_target(self, target: LinkedTarget) -> None:
+        """Removes a target's entry."""
+        self.store.remove("keyed.servers", target.name)
+        self.evidence.leaving.setdefault(target.name, time.monotonic())
+
+    async def end_target(self, target: LinkedTarget) -> None:
+        """Ends a target as a crash does: all its connections are reset."""
+        self.targets.pop(target.name, None)
+        target.scope.cancel()
+        target.link.heal()
+        await target.link.reset()
+
+    # Processes.
+
+    def start_process(self, host: SoakHost) -> None:
+        """Starts a gateway's process without waiting for it."""
+        host.lives += 1
+        host.routable = False
+        host.process = self.group.start_later(
+            "gateway", host.settings, module=self.module, logs_to_output=True
+        )
+
+    async def wait_started(self, host: SoakHost) -> None:
+        """Returns when a process has told where it listens."""
+        assert host.process is not None
+        with anyio.fail_after(_START_S):
+            while True:
+                for event in host.process.events():
+                    if event.get("event") == "start":
+                        host.address = event["listen"]
+                        host.ready_address = event["ready_listen"]
+                        return
+                await anyio.sleep(_CHECK_S)
+
+    async def restart(self, host: SoakHost) -> None:
+        """Starts a host's next process and waits until it listens."""
+        self.start_process(host)
+        await self.wait_started(host)
+
+    def kill(self, host: SoakHost) -> None:
+        """Kills a host's process; its last lines may be lost."""
+        assert host.process is not None
+        self.evidence.unheard.add((host.name, host.lives))
+        host.process.kill()
+
+    async def stop(self, host: SoakHost) -> None:
+        """Stops a process as planned, and kills it when its time is over."""
+        process = host.process
+        assert process is not None
+        began_at = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        limit_s = self.evidence.bounds.grace_s + _EXIT_MARGIN_S
+        with anyio.move_on_after(limit_s):
+            while process.popen.poll() is None:  # noqa: ASYNC110
+                await anyio.sleep(_CHECK_S)
+        code = process.popen.poll()
+        if code is None:
+            self.kill(host)
+        if code != 0:
+            self._note(host, f"a planned stop ended with {code}")
+        self.evidence.stops.append(
+            evidence_lib.Disturbance(
+                "host_stops", host.name, began_at, time.monotonic()
+            )
+        )
+
+    def check_alive(self) -> None:
+        """Notes processes that have ended by themselves."""
+        for host in self.hosts:
+            if host.process is None or host.busy.locked():
+                continue
+            code = host.process.popen.poll()
+            if code is not None:
+                self._note(host, f"ended by itself with {code}")
+
+    def read_logs(self) -> None:
+        """Collects what the hosts' logs tell of refusals."""
+        for process in self.group.processes:
+            for event in process.events():
+                if event.get("event") in ("refused", "deadline_passed"):
+                    request = event.get("request", "")
+                    self.evidence.refusal_lines.add(request)
+
+    def _note(self, host: SoakHost, detail: str) -> None:
+        self.trouble.append(
+            evidence_lib.Violation("process", host.name, detail)
+        )
+
+    # The balancer.
+
+    async def _balance(self) -> None:
+        misses = {host.name: 0 for host in self.hosts}
+        while True:
+            for host in self.hosts:
+                is_ready = await self._is_ready(host)
+                misses[host.name] = 0 if is_ready else misses[host.name] + 1
+                if is_ready:
+                    host.routable = True
+                elif misses[host.name] >= _MISSES:
+                    host.routable = False
+            await anyio.sleep(_BALANCE_EVERY_S)
+
+    async def _is_ready(self, host: SoakHost) -> bool:
+        if not host.ready_address:
+            return False
+        try:
+            answer = await self.client.get(
+                f"http://{host.ready_address}/api/ready"
+            )
+        except httpx.HTTPError:
+            return False
+        return answer.status_code == 200
+
+    async def wait_ready(self) -> None:
+        """Returns when all hosts are ready.
+
+        Raises:
+            TimeoutError: One is not for long.
+        """
+        for host in self.hosts:
+            await site_lib.wait_until(lambda host=host: self._is_ready(host))
--- /dev/null
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -0,0 +1,258 @@
+"""Judges the promises from what callers and targets saw, nothing else."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import itertools
+from typing import NamedTuple
+
+from hillthread.bench.gateway_soak import evidence as evidence_lib
+from hillthread.standin import platform_target
+
+__all__ = ["EVENTS", "Judge", "REPEATABLE", "RESUMABLE", "STREAMS"]
+
+Violation = evidence_lib.Violation
+
+# Events of each stream.
+EVENTS = 6
+STREAMS = frozenset(["stream", "resume"])
+RESUMABLE = frozenset(["resume"])
+REPEATABLE = frozenset(["resume", "again"])
+_MAX_RUNS = 2
+# These statuses say that a request has not run and never will.
+_NOT_RUN = frozenset([408, 421, 429, 503])
+_DENIED = frozenset([401, 403, 404])
+# Of the holder's own margin; a stand-in sees orders a little later.
+_LEASE_SLACK_S = 0.1
+
+
+class _Seen(NamedTuple):
+    """A run and who ran it."""
+
+    target: platform_target.PlatformTargetStandin
+    run: platform_target.Run
+
+
+class Judge:
+    """Finds the promises that were broken.
+
+    Attributes:
+        evidence: What was seen.
+        runs: All runs by request id.
+        strict_time: Whether bounds in seconds are judged too; a machine that
+            is busy with other work may break those by itself.
+    """
+
+    def __init__(
+        self, evidence: evidence_lib.Evidence, strict_time: bool = True
+    ):
+        self.evidence = evidence
+        self.strict_time = strict_time
+        self.runs: dict[str, list[_Seen]] = collections.defaultdict(list)
+        for target in evidence.targets:
+            for run in target.runs:
+                self.runs[run.request_id].append(_Seen(target, run))
+
+    def violations(self) -> list[Violation]:
+        """Returns all broken promises."""
+        checks: list[Callable[[evidence_lib.Exchange], Iterator[Violation]]]
+        checks = [
+            self._answers,
+            self._refusals,
+            self._denials,
+            self._repeats,
+            self._requests,
+            self._memory,
+            self._stops,
+            self._explained,
+        ]
+        if self.strict_time:
+            checks += [self._keys, self._leaving, self._left]
+        found = [
+            violation
+            for exchange in self.evidence.exchanges
+            for check in checks
+            for violation in check(exchange)
+        ]
+        known = {each.request_id for each in self.evidence.exchanges}
+        found += [
+            Violation("unasked", request_id, "ran, and nobody sent it")
+            for request_id in self.runs.keys() - known
+        ]
+        return found + list(self._orders())
+
+    def _answers(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
+        """A success is the whole answer of a run, or shows that it is not."""
+        if exchange.status // 100 != 2:
+            return
+        targets = {seen.target.name for seen in self.runs[exchange.request_id]}
+        if exchange.receipt.removeprefix("stamp-") not in targets:
+            yield self._of(exchange, "mixed", f"receipt {exchange.receipt!r}")
+        wholes = self._wholes(exchange, targets)
+        if exchange.whole and exchange.body not in wholes:
+            yield self._of(exchange, "mixed", f"whole {exchange.body!r}")
+        if not exchange.whole and not any(
+            whole.startswith(exchange.body) for whole in wholes
+        ):
+            yield self._of(exchange, "order", f"began {exchange.body!r}")
+
+    def _wholes(
+        self, exchange: evidence_lib.Exchange, targets: set[str]
+    ) -> list[bytes]:
+        """Returns the whole answers that would be right."""
+        mark = f" to {exchange.request_id}".encode()
+        if exchange.route in STREAMS:
+            events = [
+                b"id: %d\ndata: event %d%b\n\n" % (number, number, mark)
+                for number in range(EVENTS)
+            ]
+            return [b"".join(events)]
+        return [b"answer of " + name.encode() + mark for name in targets]
+
+    def _refusals(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
+        """What was said not to have run has not run and never will."""
+        if exchange.status in _NOT_RUN and self.runs[exchange.request_id]:
+            yield self._of(exchange, "refused", f"{exchange.status}, and ran")
+
+    def _denials(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
+        """What the configuration allows is not denied."""
+        if exchange.status not in _DENIED:
+            return
+        life = self.evidence.keys[exchange.key]
+        slack_s = self.evidence.bounds.configuration_s
+        is_new = exchange.sent_at <= life.issued_at + slack_s
+        is_over = exchange.ended_at >= life.withdrawn_at
+        if exchange.status == 404 or not (is_new or is_over):
+            yield self._of(exchange, "denied", str(exchange.status))
+
+    def _repeats(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
+        """A request runs as often as its route allows."""
+        most = _MAX_RUNS if exchange.route in REPEATABLE else 1
+        count = len(self.runs[exchange.request_id])
+        if count > most:
+            yield self._of(exchange, "twice", f"ran {count} times, not {most}")
+
+    def _requests(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
+        """Targets get the caller's request, and its tenant for its key."""
+        tenant = self.evidence.keys[exchange.key].tenant
+        for _, run in self.runs[exchange.request_id]:
+            request = run.request
+            if (
+                request.path != f"/{exchange.route}/x"
+                or request.body != b"body"
+            ):
+                yield self._of(exchange, "unasked", f"changed: {request.path}")
+            if request.get(b"authorization"):
+                yield self._of(exchange, "key_passed_on", "to a target")
+            if request.get(b"x-tenant").decode() != tenant:
+                yield self._of(exchange, "wrong_tenant", "at a target")
+            if request.get(b"x-hold"):
+                yield self._of(exchange, "unasked", "the caller's hold passed")
+
+    def _memory(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
+        """Nothing is found that other weights or another wall computed."""
+        tenant = self.evidence.keys[exchange.key].tenant
+        for target, run in self.runs[exchange.request_id]:
+            salt = run.request.get(b"x-cache-salt").decode()
+            if not target.model or not salt:
+                continue
+            if not salt.endswith(f"/{run.weights}"):
+                yield self._of(
+                    exchange, "stale", f"{salt} with weights {run.weights}"
+                )
+            is_alone = salt.startswith(f"{tenant}/")
+            if is_alone != (tenant in self.evidence.isolated):
+                yield self._of(exchange, "wall", f"{salt} for {tenant}")
+
+    def _stops(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
+        """A planned stop cuts no request that was taken in time."""
+        if exchange.whole or exchange.left or not exchange.sent_at:
+            return
+        for stop in self.evidence.stops:
+            if stop.subject != exchange.host or not (
+                exchange.sent_at <= stop.began_at <= exchange.ended_at
+            ):
+                continue
+            begin = exchange.sent_at - self.evidence.bounds.contact_s
+            names = {s.target.name for s in self.runs[exchange.request_id]}
+            subjects = {exchange.host, "store", *names}
+            others = [
+                each
+                for each in self.evidence.disturbances
+                if each.subject in subjects
+                and each.kind != stop.kind
+                and each.began_at <= exchange.ended_at
+                and each.ended_at >= begin
+            ]
+            if names and not others and exchange.status in (0, 200):
+                yield self._of(exchange, "lost", f"cut: {exchange.error}")
+
+    def _explained(
+        self, exchange: evidence_lib.Exchange
+    ) -> Iterator[Violation]:
+        """Every refusal has its line in the log of its host."""
+        own = exchange.status >= 400 and not exchange.receipt
+        if not own or (exchange.host, exchange.life) in self.evidence.unheard:
+            return
+        if exchange.request_id not in self.evidence.refusal_lines:
+            yield self._of(exchange, "unexplained", str(exchange.status))
+
+    def _keys(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
+        """A withdrawn key is not served, wherever the host stands."""
+        life = self.evidence.keys[exchange.key]
+        limit = life.withdrawn_at + self.evidence.bounds.revoke_s
+        if exchange.sent_at > limit and self.runs[exchange.request_id]:
+            late_s = exchange.sent_at - life.withdrawn_at
+            yield self._of(
+                exchange, "key_kept", f"{late_s:.2f} s after its end"
+            )
+
+    def _leaving(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
+        """A leaving target gets no work from hosts in touch."""
+        for target, run in self.runs[exchange.request_id]:
+            left_at = self.evidence.leaving.get(target.name, float("inf"))
+            late_s = run.at - left_at
+            if late_s > self.evidence.bounds.drain_s and self.evidence.in_touch(
+                exchange.host, left_at, run.at
+            ):
+                yield self._of(
+                    exchange, "drain", f"{target.name} left {late_s:.2f} s ago"
+                )
+
+    def _left(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
+        """A run ends soon after its caller has left."""
+        if not exchange.left:
+            return
+        limit = exchange.ended_at + self.evidence.bounds.leave_s
+        for target, run in self.runs[exchange.request_id]:
+            begin = run.at - self.evidence.bounds.contact_s
+            is_calm = not (
+                self.evidence.disturbed(target.name, begin, limit)
+                or self.evidence.disturbed(exchange.host, begin, limit)
+            )
+            if is_calm and run.at > limit:
+                yield self._of(exchange, "gone", f"sent on to {target.name}")
+
+    def _orders(self) -> Iterator[Violation]:
+        """Orders come from one holder at a time, with rising fences."""
+        for target in self.evidence.targets:
+            for before, after in itertools.pairwise(target.order_log):
+                holders = {before.fields["holder"], after.fields["holder"]}
+                fences = before.fields["fence"], after.fields["fence"]
+                if fences[1] < fences[0]:
+                    yield Violation("one", target.name, f"fences {fences}")
+                if len(holders) == 1:
+                    continue
+                if fences[1] == fences[0]:
+                    yield Violation("one", target.name, f"shared {fences[0]}")
+                pause_s = after.at - before.at + _LEASE_SLACK_S
+                if self.strict_time and pause_s < self.evidence.bounds.lease_s:
+                    yield Violation("one", target.name, f"turns: {pause_s:.2f}")
+
+    def _of(
+        self, exchange: evidence_lib.Exchange, promise: str, detail: str
+    ) -> Violation:
+        where = f"{exchange.route} at {exchange.host}: {detail}"
+        return Violation(promise, exchange.request_id, where)
--- a/hillthread/bench/processes.py
+++ b/hillthread/bench/processes.py
@@ -27,14 +27,29 @@
         log_path: Its log, JSON lines.
     """
 
-    def __init__(self, name: str, arguments: list[str], log_path: pathlib.Path):
+    def __init__(
+        self,
+        name: str,
+        arguments: list[str],
+        log_path: pathlib.Path,
+        logs_to_output: bool = False,
+    ):
+        """Starts the program.
+
+        Args:
+            name: For messages.
+            arguments: Of the command.
+            log_path: Where its log is written.
+            logs_to_output: Its standard output is its log, and it announces
+                its addresses there.
+        """
         self.name = name
         self.log_path = log_path
         self.addresses: dict[str, str] = {}
         with log_path.open("wb") as log:
             self.popen = subprocess.Popen(
                 arguments,
-                stdout=subprocess.PIPE,
+                stdout=log if logs_to_output else subprocess.PIPE,
                 stderr=log,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
@@ -57,6 +72,17 @@
             name, _, address = pair.partition("=")
             self.addresses[name] = address
 
+    def events(self) -> list[dict[str, Any]]:
+        """Returns the lines of its log so far; the last may be incomplete."""
+        lines = self.log_path.read_text(errors="replace").splitlines()
+        events = []
+        for line in lines:
+            try:
+                events.append(msgspec.json.decode(line))
+            except msgspec.DecodeError:
+                continue  # a line that is being written, or no JSON line
+        return events
+
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to this process only."""
         self.popen.send_signal(number)
@@ -138,6 +164,7 @@
         settings: dict[str, Any],
         *words: str,
         module: str = "",
+        logs_to_output: bool = False,
     ) -> Process:
         """Starts a program without waiting for it to listen."""
         name = f"{len(self.processes)}-{'-'.join((program, *words))}"
@@ -150,7 +177,8 @@
             *words,
             f"--settings={path}",
         ]
-        process = Process(name, arguments, self.folder / f"{name}.log")
+        log_path = self.folder / f"{name}.log"
+        process = Process(name, arguments, log_path, logs_to_output)
         self.processes.append(process)
         return process
 
--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -13,6 +13,7 @@
 from hillthread.bench import slopes as slopes_lib
 from hillthread.bench import soak as soak_lib
 from hillthread.bench.faults import runner
+from hillthread.bench.gateway_soak import runner as gateway_soak_lib
 from hillthread.transport import command
 
 __all__ = ["main"]
@@ -114,6 +115,53 @@
         )
 
 
+def gateway_soak(
+    seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 20.0,
+    hosts: int = 3,
+    engines: int = 3,
+    callers: int = 8,
+    faults: str = "",
+    keep: str = "",
+) -> None:
+    """Runs gateways as processes under random faults, promises judged.
+
+    Args:
+        seed: The first one, of load and faults.
+        seeds: How many are run, one after the other.
+        seconds: How long faults begin in each.
+        hosts: Gateways.
+        engines: Engines; three plain targets come with them.
+        callers: Callers at the same time.
+        faults: Kinds of faults, separated by commas; all when left out.
+        keep: Folder for the logs of seeds that broke promises.
+    """
+    kinds = tuple(faults.split(",")) if faults else ()
+    broken = []
+    for each in range(seed, seed + seeds):
+        report = gateway_soak_lib.run_soak(
+            gateway_soak_lib.SoakPlan(
+                each, seconds, hosts, engines, callers, kinds, keep=keep
+            )
+        )
+        print(
+            f"seed {each}: {report.requests} requests, {report.whole} whole, "
+            f"{sum(report.faults.values())} faults, "
+            f"{len(report.violations)} promises broken",
+            flush=True,
+        )
+        for violation in report.violations:
+            print(f"  {violation}", flush=True)
+        if report.violations:
+            broken.append(each)
+    if broken:
+        raise errors.HillthreadError(
+            f"Seeds {broken} broke promises.",
+            "Run them again with --seed and --keep, and read the logs.",
+        )
+
+
 def slopes(json: bool = True, seconds: float = 10.0) -> None:
     """Measures what one more of each thing costs.
 
@@ -162,6 +210,7 @@
             "control": control,
             "demo": demo,
             "faults": faults,
+            "gateway-soak": gateway_soak,
             "limits": limits,
             "overhead": overhead,
             "slopes": slopes,
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -40,7 +40,9 @@
                 "event": "start",
                 "host": settings.host,
                 "data_centre": settings.data_centre,
-                "listen": settings.listen,
+                "listen": host.server.address,
+                "ready_listen": host.ready_server.address,
+                "metrics_listen": host.metrics_server.address,
                 "store": settings.store,
             },
         )
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import time
 from typing import Any
 from typing import NamedTuple
 
@@ -19,6 +20,7 @@
     "Encoded",
     "Fail",
     "Hang",
+    "Order",
     "OtherAnswer",
     "PlatformTargetStandin",
     "Refuse",
@@ -135,10 +137,26 @@
     Attributes:
         request_id: As it came.
         request: All of it.
+        at: Seconds on the steady clock.
+        weights: Version of the target's weights.
     """
 
     request_id: str
     request: http1_server.CallerRequest
+    at: float
+    weights: int
+
+
+class Order(NamedTuple):
+    """An order that the target took.
+
+    Attributes:
+        fields: Its body.
+        at: Seconds on the steady clock.
+    """
+
+    fields: dict[str, Any]
+    at: float
 
 
 class PlatformTargetStandin:
@@ -154,7 +172,10 @@
         behaviours: What it does with the next requests; then it serves.
         runs: What it ran.
         left: Requests whose caller left while they ran.
-        orders: Orders taken.
+        orders: Orders taken, as they came.
+        order_log: The same with their times.
+        names_requests: Answers hold the id of their request, so that no two
+            are alike.
         load_s: How long it loads weights.
         cache_events: What its cache tells: number, sign, salt, digest,
             tokens, model.
@@ -175,6 +196,8 @@
         self.runs: list[Run] = []
         self.left: list[str] = []
         self.orders: list[dict[str, Any]] = []
+        self.order_log: list[Order] = []
+        self.names_requests = False
         self.order_status = 0
         self.load_s = 0.05
         self.busy = False
@@ -260,6 +283,7 @@
             await answer.send_whole(409, [], b"")
             return
         self.orders.append(order)
+        self.order_log.append(Order(order, time.monotonic()))
         self.busy = True
         await answer.send_whole(202, [], b"")
         with anyio.CancelScope(shield=True):
@@ -307,7 +331,9 @@
             await self._refuse(request, answer, behaviour.status)
             return
         request_id = request.get(b"x-request-id").decode()
-        self.runs.append(Run(request_id, request))
+        self.runs.append(
+            Run(request_id, request, time.monotonic(), self.weights)
+        )
         try:
             await self._run(request, answer, behaviour)
         except (anyio.get_cancelled_exc_class(), http1.ConnectionLostError):
@@ -321,7 +347,7 @@
         behaviour: Behaviour,
     ) -> None:
         headers = self._headers(request)
-        body = b"answer of " + self.name.encode()
+        body = self._body(request)
         match behaviour:
             case Serve(delay_s):
                 await self._whole(request, answer, headers, delay_s)
@@ -369,18 +395,26 @@
     ) -> None:
         if not self.model:
             await anyio.sleep(delay_s)
-            body = b"answer of " + self.name.encode()
-            await answer.send_whole(200, headers, body)
+            await answer.send_whole(200, headers, self._body(request))
             return
         await answer.begin(200, [*_EVENTS, *headers])
         for number in range(_first_event(request), self.events):
             await anyio.sleep(delay_s)
-            await answer.send(self.event(number))
+            await answer.send(self.event(number, self._mark(request)))
         await answer.end()
 
-    def event(self, number: int) -> bytes:
+    def event(self, number: int, mark: bytes = b"") -> bytes:
         """Returns the bytes of one event of a stream."""
-        return b"id: %d\ndata: event %d\n\n" % (number, number)
+        return b"id: %d\ndata: event %d%b\n\n" % (number, number, mark)
+
+    def _body(self, request: http1_server.CallerRequest) -> bytes:
+        return b"answer of " + self.name.encode() + self._mark(request)
+
+    def _mark(self, request: http1_server.CallerRequest) -> bytes:
+        """Returns what tells answers apart, if they are to be told apart."""
+        if not self.names_requests:
+            return b""
+        return b" to " + request.get(b"x-request-id")
 
     async def _cut(
         self,
@@ -392,7 +426,7 @@
         await answer.begin(200, [*_EVENTS, *headers])
         first = _first_event(request)
         for number in range(first, first + events):
-            await answer.send(self.event(number))
+            await answer.send(self.event(number, self._mark(request)))
         await answer.send(b"id: 99\nda")
         raise http1_server.BrokenAnswerError
 
--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -331,6 +331,8 @@
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.bind(listen)
+        # Callers wait in the backlog while the process starts.
+        self.socket.listen(_BACKLOG)
         ip, port = self.socket.getsockname()
         self.address = f"{ip}:{port}"
 
@@ -357,7 +359,6 @@
             tasks: Where connections are served, so that they outlive the
                 listening socket; None ends them with it.
         """
-        self.socket.listen(_BACKLOG)
         self.socket.setblocking(False)
         listener = await anyio.abc.SocketListener.from_socket(self.socket)
         async with listener:
--- /dev/null
+++ b/tests/bench/mutant_gateway.py
@@ -0,0 +1,110 @@
+"""Deliberately broken gateways: the soak must find each of them out."""
+
+import os
+import sys
+
+from hillthread import errors
+from hillthread.coordination.gateway import event_relay
+from hillthread.coordination.gateway import job
+from hillthread.coordination.gateway import order_lease
+from hillthread.programs import gateway
+from hillthread.state import attempt_plan
+from hillthread.state import routing_table
+from hillthread.transport import http1_client
+
+VARIABLE = "HILLTHREAD_MUTANT"
+
+
+def repeats_what_may_have_run():
+    job.Job._may_run_again = lambda self: self.sends < 3
+
+
+def ends_cut_streams_cleanly():
+    run = event_relay.EventRelay.run
+
+    async def run_to_an_end(self, connection, head):
+        try:
+            await run(self, connection, head)
+        except http1_client.CallError:
+            if not self.answer.started:
+                raise
+            await self.answer.end()
+
+    event_relay.EventRelay.run = run_to_an_end
+
+
+def keeps_withdrawn_keys():
+    kept = {}
+    find = routing_table.RoutingTable.tenant_of_key
+
+    def find_again(self, key):
+        tenant = find(self, key) or kept.get(key)
+        kept[key] = tenant
+        return tenant
+
+    routing_table.RoutingTable.tenant_of_key = find_again
+
+
+def shares_memory_between_weights():
+    attempt_plan.AttemptPlan.cache_scope = property(
+        lambda plan: f"{plan.organisation}/{plan.model}/1"
+    )
+
+
+def shares_memory_between_tenants():
+    attempt_plan.AttemptPlan.cache_scope = property(
+        lambda plan: f"all/{plan.model}/{plan.weights_version}"
+    )
+
+
+def orders_without_the_lease():
+    async def ensure(self):
+        return True
+
+    order_lease.OrderLease.ensure = ensure
+    order_lease.OrderLease.may_act = lambda self: True
+    order_lease.OrderLease.fencing = property(lambda self: 1)
+
+
+def says_not_run_always():
+    refusal = errors.RefusalError
+
+    class NotRunError(refusal):
+        def __init__(self, code, status, *rest, **fields):
+            super().__init__(
+                code, 503 if status == 502 else status, *rest, **fields
+            )
+
+    errors.RefusalError = NotRunError
+
+
+def passes_keys_on():
+    encode = gateway.host_lib.gateway_lib.dispatcher_lib.job_lib.attempt_lib
+    encode.attempts.encode_attempt = _with_key(encode.attempts.encode_attempt)
+
+
+def _with_key(encode):
+    def encode_with_key(headers, plan):
+        key = [pair for pair in headers if pair[0] == b"authorization"]
+        return encode(headers, plan) + key
+
+    return encode_with_key
+
+
+MUTANTS = {
+    mutant.__name__: mutant
+    for mutant in (
+        repeats_what_may_have_run,
+        ends_cut_streams_cleanly,
+        keeps_withdrawn_keys,
+        shares_memory_between_weights,
+        shares_memory_between_tenants,
+        orders_without_the_lease,
+        says_not_run_always,
+        passes_keys_on,
+    )
+}
+
+if __name__ == "__main__":
+    MUTANTS[os.environ[VARIABLE]]()
+    sys.exit(gateway.main())
--- /dev/null
+++ b/tests/bench/test_gateway_soak.py
@@ -0,0 +1,86 @@
+"""A short soak of the gateway, and broken gateways it must find out.
+
+Bounds in seconds are not judged here but for the keys: a machine that is busy
+with other work may break them by itself.
+"""
+
+from concurrent import futures
+import multiprocessing
+import os
+import pathlib
+import random
+from typing import NamedTuple
+import unittest
+
+from hillthread import errors
+from hillthread.bench.gateway_soak import disturbances
+from hillthread.bench.gateway_soak import runner
+from tests.bench import mutant_gateway
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+SEED = 20261202
+WORKERS = 4
+
+
+class Case(NamedTuple):
+    """What a mutant needs to show itself, and the promise it breaks."""
+
+    fault: str
+    promise: str
+    seconds: float = 6.0
+
+
+MUTANTS = {
+    "repeats_what_may_have_run": Case("target_misbehaves", "twice"),
+    "ends_cut_streams_cleanly": Case("target_cuts_streams", "mixed"),
+    "keeps_withdrawn_keys": Case("key_changes", "key_kept", 12.0),
+    "shares_memory_between_weights": Case("weights_named", "stale"),
+    "shares_memory_between_tenants": Case("host_reloads", "wall"),
+    "orders_without_the_lease": Case("weights_named", "one"),
+    "says_not_run_always": Case("target_misbehaves", "refused"),
+    "passes_keys_on": Case("host_reloads", "key_passed_on"),
+}
+
+
+class GatewaySoakTest(unittest.TestCase):
+    def test_short_soak_holds(self):
+        report = runner.run_soak(
+            runner.SoakPlan(SEED, seconds=8.0, strict_time=False)
+        )
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.whole, 0)
+
+    def test_unknown_fault_is_refused_with_those_there_are(self):
+        disturber = disturbances.Disturber(None, random.Random(1), None)
+        with self.assertRaisesRegex(errors.HillthreadError, "host_killed"):
+            disturber._fault("no_such_fault")
+
+
+class MutantTest(unittest.TestCase):
+    def test_soak_finds_out_broken_gateways(self):
+        self.assertEqual(set(MUTANTS), set(mutant_gateway.MUTANTS))
+        context = multiprocessing.get_context("spawn")
+        with futures.ProcessPoolExecutor(WORKERS, context) as pool:
+            found = dict(
+                zip(MUTANTS, pool.map(broken_promises, MUTANTS), strict=True)
+            )
+        for mutant, case in MUTANTS.items():
+            with self.subTest(mutant):
+                self.assertIn(case.promise, found[mutant])
+
+
+def broken_promises(mutant):
+    """Returns the promises that a mutant broke; runs in its own process."""
+    os.environ[mutant_gateway.VARIABLE] = mutant
+    os.environ["PYTHONPATH"] = str(ROOT)
+    case = MUTANTS[mutant]
+    plan = runner.SoakPlan(
+        SEED,
+        seconds=case.seconds,
+        hosts=2,
+        faults=(case.fault,),
+        strict_time=case.promise == "key_kept",
+        module="tests.bench.mutant_gateway",
+        calm_s=0.5,
+    )
+    return {each.promise for each in runner.run_soak(plan).violations}
