--- /dev/null
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -0,0 +1,33 @@
+"""Seeds of the soak that once broke a promise, and why."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+__all__ = ["REGRESSIONS", "Regression"]
+
+
+class Regression(NamedTuple):
+    """One seed.
+
+    Attributes:
+        seed: Of load and faults.
+        seconds: How long faults began.
+        cause: What it came from.
+    """
+
+    seed: int
+    seconds: float
+    cause: str
+
+
+_PLAIN_ANSWER = (
+    "the judge took an engine's own answer that is no stream for a wrong one"
+)
+
+REGRESSIONS = (
+    Regression(3, 12.0, _PLAIN_ANSWER),
+    Regression(7, 12.0, _PLAIN_ANSWER),
+    Regression(11, 12.0, _PLAIN_ANSWER),
+    Regression(36, 12.0, _PLAIN_ANSWER),
+)
