--- a/hillthread/coordination/gateway/cache_source.py
+++ b/hillthread/coordination/gateway/cache_source.py
@@ -7,11 +7,15 @@
 
 from __future__ import annotations
 
+import time
+
 from hillthread.coordination.gateway import cache_watch
 from hillthread.coordination.gateway import intake
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.state import attempt_plan
 from hillthread.state import cache_contents
+from hillthread.state import objects
+from hillthread.state import save_budget
 from hillthread.transport import http1_client
 
 __all__ = ["CachePlanner", "affinity_key"]
@@ -30,39 +34,68 @@
     Attributes:
         site: The host's beliefs.
         watch: Knows what the stores of KV cache hold.
+        budgets: Bound what is saved, by the store's address.
     """
 
     def __init__(self, site: site_lib.Site, pool: http1_client.ConnectionPool):
         self.site = site
         self.watch = cache_watch.CacheWatch(site, pool)
+        self.budgets: dict[str, save_budget.SaveBudget] = {}
 
     def complete(
         self,
         plan: attempt_plan.AttemptPlan,
         request: intake.GatewayRequest,
+        token_bytes: float,
     ) -> attempt_plan.AttemptPlan:
         """Returns the plan with sources and keepers of KV cache.
 
         Args:
             plan: For a target with known weights; others are left alone.
             request: The caller's request.
+            token_bytes: Bytes of KV cache for each token; 0 when not known.
         """
         if plan.weights_version is None or not request.prompt.parts:
             return plan
         store = self._store()
-        if not store:
+        if store is None:
             return plan
-        lacks = self.watch.lacks(store, _shared(request, plan))
-        return plan._replace(fetch_from=store, save_to=store if lacks else "")
+        saves = self.watch.lacks(
+            store.address, _shared(request, plan)
+        ) and self._may_save(store, request, token_bytes)
+        return plan._replace(
+            fetch_from=store.address, save_to=store.address if saves else ""
+        )
 
-    def _store(self) -> str:
-        """Returns the address of a store of KV cache, or nothing."""
+    def _store(self) -> objects.CacheStore | None:
+        """Returns a store of KV cache, one near by if there is any."""
         stores = self.site.table.cache_stores if self.site.table else []
         if not stores:
-            return ""
+            return None
         own = self.site.settings.data_centre
         near = [store for store in stores if store.data_centre == own]
-        return (near or stores)[0].address
+        return (near or stores)[0]
+
+    def _may_save(
+        self,
+        store: objects.CacheStore,
+        request: intake.GatewayRequest,
+        token_bytes: float,
+    ) -> bool:
+        """Returns whether the store's link has room for a prompt."""
+        if not (store.link_bytes_per_s and token_bytes):
+            return True  # nothing is known of the link
+        budget = self.budgets.setdefault(
+            store.address, save_budget.SaveBudget()
+        )
+        parts = request.prompt.parts
+        whole = sum(part.tokens for part in parts)
+        return budget.withdraw(
+            time.monotonic(),
+            store.link_bytes_per_s / self.site.hosts,
+            (whole - parts[-1].tokens) * token_bytes,
+            whole * token_bytes,
+        )
 
 
 def _shared(
--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -168,7 +168,9 @@
             raise no_target()
         entry = self.site.targets.entries[choice.name]
         planned = self._planned(request, pool, entry, choice, last_event_id)
-        plan = self.caches.complete(planned.plan, request)
+        plan = self.caches.complete(
+            planned.plan, request, pool.cache_token_bytes
+        )
         return planned._replace(plan=plan)
 
     def _pool(self, route: objects.Route) -> objects.Pool | None:
--- a/hillthread/platform/configuration.py
+++ b/hillthread/platform/configuration.py
@@ -30,6 +30,10 @@
 _SHARED_ORGANISATION = "shared"
 
 
+# Of a megabit a second.
+_BYTES_PER_S = 1_000_000 / 8
+
+
 class WeightsName(NamedTuple):
     """Newly named weights of a model."""
 
@@ -48,6 +52,7 @@
 class _Engine(_Wire):
     slots: int = 0
     kv_capacity_tokens: int = 0
+    kv_token_bytes: float = 0.0
     models: list[_Model] = []
 
 
@@ -60,6 +65,7 @@
     kv_store_addr: str = ""
     zone: str = ""
     kv_capacity_tokens: int = 0
+    link_mbps: float = 0.0
 
 
 class _Split(_Wire):
@@ -189,6 +195,7 @@
             address=wire.kv_store_addr,
             data_centre=wire.zone,
             cache_tokens=wire.kv_capacity_tokens,
+            link_bytes_per_s=wire.link_mbps * _BYTES_PER_S,
         )
     engine = wire.engine or _Engine()
     return objects.Pool(
@@ -198,6 +205,7 @@
         models=[model.name for model in engine.models],
         max_running=engine.slots,
         cache_tokens=engine.kv_capacity_tokens,
+        cache_token_bytes=engine.kv_token_bytes,
         max_connections=wire.max_connections,
         status_path=wire.health_path,
     )
--- a/hillthread/state/objects.py
+++ b/hillthread/state/objects.py
@@ -107,6 +107,7 @@
         models: The models its targets serve; empty for plain services.
         max_running: Requests one target runs at once; 0 when not told.
         cache_tokens: Tokens one target keeps in memory; 0 when not told.
+        cache_token_bytes: Bytes of KV cache for each token; 0 when not told.
         max_connections: Connections one target takes from all hosts
             together; 0 when not told.
         status_path: Path of the targets' status check.
@@ -116,6 +117,7 @@
     models: list[str] = []
     max_running: int = 0
     cache_tokens: int = 0
+    cache_token_bytes: float = 0.0
     max_connections: int = 0
     status_path: str = ""
     max_inflight: Count = 64
@@ -132,11 +134,13 @@
         address: `IP:port`.
         data_centre: Where it runs.
         cache_tokens: Tokens it keeps.
+        link_bytes_per_s: What its link carries; 0 when not known.
     """
 
     address: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]+$")]
     data_centre: str = ""
     cache_tokens: int = 0
+    link_bytes_per_s: float = 0.0
 
 
 class PoolShare(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -57,9 +57,17 @@
                 )
             ],
             "services": [
-                {"name": "x", "engine": {"models": [{"name": "m"}]}},
+                {
+                    "name": "x",
+                    "engine": {"models": [{"name": "m"}], "kvTokenBytes": 9},
+                },
                 {"name": "y", "newField": 1},
-                {"name": "k", "kvStoreAddr": "10.0.0.1:1", "zone": "z"},
+                {
+                    "name": "k",
+                    "kvStoreAddr": "10.0.0.1:1",
+                    "zone": "z",
+                    "linkMbps": 8,
+                },
             ],
             "limits": {"maxHeaderBytes": 99, "idleTimeoutMs": 1500},
             "tenants": [{"name": "t", "apiKeys": ["a"], "isolated": True}],
@@ -78,6 +86,8 @@
         )
         self.assertEqual(table.tenant_of_key("a").organisation, "t")
         self.assertEqual(table.cache_stores[0].address, "10.0.0.1:1")
+        self.assertEqual(table.cache_stores[0].link_bytes_per_s, 1e6)
+        self.assertEqual(parts[0].pool.cache_token_bytes, 9)
         self.assertEqual([p.name for p in table.pools_serving("m")], ["x"])
 
     @_settings
