Use all stores of KV cache, and none that does not answer

Cause: the grown sites have three stores of KV cache. Two thirds of room and links lay idle while the one link was asked for twice what it carries. Prefixes are now spread by rendezvous over all stores.

A store that is down cost each request some hundred ms at its engine: it is passed over after two calls for its events in a row were not answered (a 429 is an answer), until one is.

Tests, both failed before (one store used; no notion of reachable): 24 prefixes use three stores, the same prefix the same one; a store that is gone is passed over, and without any store nothing is fetched.

--- a/hillthread/coordination/gateway/cache_source.py
+++ b/hillthread/coordination/gateway/cache_source.py
@@ -15,6 +15,7 @@
 from hillthread.state import attempt_plan
 from hillthread.state import cache_contents
 from hillthread.state import objects
+from hillthread.state import placement
 from hillthread.state import save_budget
 from hillthread.transport import http1_client
 
@@ -57,7 +58,7 @@
         """
         if plan.weights_version is None or not request.prompt.parts:
             return plan
-        store = self._store()
+        store = self._store(affinity_key(request))
         if store is None:
             return plan
         saves = self.watch.lacks(
@@ -67,14 +68,22 @@
             fetch_from=store.address, save_to=store.address if saves else ""
         )
 
-    def _store(self) -> objects.CacheStore | None:
-        """Returns a store of KV cache, one near by if there is any."""
-        stores = self.site.table.cache_stores if self.site.table else []
+    def _store(self, key: bytes) -> objects.CacheStore | None:
+        """Returns the store of KV cache for a prefix, or None.
+
+        All hosts choose alike, so that each prefix is kept once and all links
+        and memories are used.
+        """
+        if self.site.table is None:
+            return None
+        stores = {
+            store.address: store
+            for store in self.site.table.cache_stores
+            if self.watch.is_reachable(store.address)
+        }
         if not stores:
             return None
-        own = self.site.settings.data_centre
-        near = [store for store in stores if store.data_centre == own]
-        return (near or stores)[0]
+        return stores[placement.rank_by_rendezvous(key, stores)[0]]
 
     def _may_save(
         self,
--- a/hillthread/coordination/gateway/cache_watch.py
+++ b/hillthread/coordination/gateway/cache_watch.py
@@ -54,6 +54,11 @@
             return True
         return not all(contents.holds(part, tokens) for part, tokens in parts)
 
+    def is_reachable(self, address: str) -> bool:
+        """Returns whether a store is worth asking; true until it is known."""
+        contents = self.contents.get(address)
+        return contents is None or contents.reachable
+
     async def run(self) -> None:
         """Follows all stores of the configuration until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -78,25 +83,42 @@
                     self.pool, address, contents.position, _WAIT_S
                 )
             except errors.LogError as error:
-                if contents.known:
-                    self._note_lost(address, error.message)
-                contents.forget()
+                self._note_failure(address, error)
                 await anyio.sleep(_PAUSE_S * random.uniform(1.0, 2.0))
                 continue
+            if not contents.reachable:
+                self._log("cache_back", address, "answers again")
             if contents.epoch is not None and page.epoch != contents.epoch:
-                self._note_lost(address, "restarted")
+                self._log("cache_lost", address, "restarted")
             contents.apply(page.epoch, page.position, page.events, page.lost)
             passed = time.monotonic() - started
             every_s = max(_EVERY_S, _EVERY_HOST_S * self.site.hosts)
             await anyio.sleep(max(0.0, every_s - passed))
         del self.contents[address]
 
-    def _note_lost(self, address: str, reason: str) -> None:
+    def _note_failure(self, address: str, error: errors.LogError) -> None:
+        contents = self.contents[address]
+        was_reachable = contents.reachable
+        if isinstance(error, errors.BusyError):
+            contents.note_answer()
+        else:
+            contents.note_failure()
+        if contents.known or was_reachable != contents.reachable:
+            self._log(
+                "cache_lost",
+                address,
+                error.message,
+                reachable=contents.reachable,
+            )
+        contents.forget()
+
+    def _log(self, event: str, address: str, reason: str, **fields) -> None:
         _logger.info(
-            "contents of a cache not known",
+            event.replace("_", " "),
             extra={
-                "event": "cache_lost",
+                "event": event,
                 "address": address,
                 "reason": reason,
+                **fields,
             },
         )
--- a/hillthread/errors.py
+++ b/hillthread/errors.py
@@ -80,6 +80,12 @@
     code = "log_unavailable"
 
 
+class BusyError(LogError):
+    """What was asked answered that it takes no more calls now."""
+
+    code = "busy"
+
+
 class UnknownOutcomeError(HillthreadError):
     """An append may or may not have taken effect."""
 
--- a/hillthread/platform/cache_events.py
+++ b/hillthread/platform/cache_events.py
@@ -59,6 +59,7 @@
         wait_s: How long the call is held while there are none.
 
     Raises:
+        BusyError: It takes no more calls now.
         LogError: They cannot be read now.
     """
     request = http1_client.ClientRequest(
@@ -73,6 +74,11 @@
         answer = await http1_client.call(
             pool, address, request, wait_s + _MARGIN_S, _MAX_ANSWER_BYTES
         )
+        if answer.head.status == 429:
+            raise errors.BusyError(
+                "A cache takes no more calls now.",
+                "It holds a bounded number of them; ask it again later.",
+            )
         if answer.head.status != 200:
             raise _unreadable(f"status {answer.head.status}")
         page = _decoder.decode(answer.body)
--- a/hillthread/state/cache_contents.py
+++ b/hillthread/state/cache_contents.py
@@ -9,6 +9,8 @@
 
 # Memory goes by blocks of 16 tokens: the last one of a part may be missing.
 _BLOCK_TOKENS = 16
+# Calls in a row that were not answered.
+_LOST_AFTER = 2
 
 
 class CachedPart(NamedTuple):
@@ -44,12 +46,15 @@
         epoch: Of the cache's process; another one has lost everything.
         position: Of the next event wanted.
         known: Whether events have been read since the start or the last gap.
+        reachable: Whether the cache answers.
     """
 
     def __init__(self):
         self.epoch: int | None = None
         self.position = 0
         self.known = False
+        self.reachable = True
+        self._failures = 0
         self._tokens: dict[CachedPart, int] = {}
 
     def __len__(self) -> int:
@@ -75,12 +80,24 @@
         self.epoch = epoch
         self.position = position
         self.known = True
+        self.note_answer()
         for event in events:
             if event.tokens > 0:
                 self._tokens[event.part] = event.tokens
             else:
                 self._tokens.pop(event.part, None)
 
+    def note_answer(self) -> None:
+        """Notes that the cache answered, if only that it is busy."""
+        self.reachable = True
+        self._failures = 0
+
+    def note_failure(self) -> None:
+        """Notes that the cache did not answer; one call may be lost."""
+        self._failures += 1
+        if self._failures >= _LOST_AFTER:
+            self.reachable = False
+
     def forget(self) -> None:
         """Notes that the cache cannot be asked any more."""
         self.known = False
--- a/tests/coordination/gateway/test_reach.py
+++ b/tests/coordination/gateway/test_reach.py
@@ -1,5 +1,6 @@
 """Tests of targets that cannot be reached, and of caches that are watched."""
 
+import collections
 import socket
 import unittest
 from unittest import mock
@@ -147,23 +148,86 @@
         scene_lib.play(story)
 
 
-async def keep_cache(scene):
-    """Starts a store of KV cache and returns it once the gateway reads it."""
-    store = standin.PlatformTargetStandin("k", "keep")
-    scene.tasks.start_soon(store.server.serve)
+async def keep_caches(scene, count):
+    """Starts stores of KV cache and returns them when they are read."""
+    stores = [
+        standin.PlatformTargetStandin(f"k{n}", f"keep{n}") for n in range(count)
+    ]
+
+    async def listen(store):
+        """Serves until `stop_listening`, which also ends open connections."""
+        with anyio.CancelScope() as scene.scopes[store.name]:
+            await store.server.serve()
+
+    for store in stores:
+        scene.tasks.start_soon(listen, store)
     services = [
         *scene.configuration["services"],
-        {"name": "keep", "kvStoreAddr": store.address},
+        *({"name": s.service, "kvStoreAddr": s.address} for s in stores),
     ]
     scene.configure(services=services)
-    await scene.until(lambda: scene.site.table.cache_stores)
-    return store
+    caches = scene.program.gateway.dispatcher.chooser.caches.watch
+    await scene.until(
+        lambda: sum(c.known for c in caches.contents.values()) == count
+    )
+    return stores
+
+
+def sources(scene):
+    """Returns where engines were told to fetch from, request by request."""
+    return [
+        run.request.get(b"x-kv-fetch").decode()
+        for engine in scene.engines
+        for run in engine.runs
+    ]
 
 
 class CacheTest(unittest.TestCase):
+    def test_prefixes_are_spread_over_all_stores(self):
+        async def story(scene):
+            stores = await keep_caches(scene, 3)
+            for number in range(24):
+                parts = f"aa:300,{number:x}b:500,cc:100"
+                await scene.call(
+                    scene.prompt("/stream/x", x_prompt_prefix=parts)
+                )
+            counts = collections.Counter(sources(scene))
+            self.assertEqual(set(counts), {s.address for s in stores})
+            await scene.call(scene.prompt("/stream/x"))
+            await scene.call(scene.prompt("/stream/x"))
+            self.assertEqual(*sources(scene)[-2:])
+
+        scene_lib.play(story, engines=1)
+
+    def test_store_that_cannot_be_reached_is_passed_over(self):
+        """Engines would wait for it, each request anew."""
+
+        async def story(scene):
+            stores = await keep_caches(scene, 2)
+            gone, other = stores
+            scene.stop_listening(gone)
+            caches = scene.program.gateway.dispatcher.chooser.caches.watch
+            await scene.until(
+                lambda: not caches.contents[gone.address].reachable
+            )
+            for number in range(12):
+                parts = f"aa:300,{number:x}b:500,cc:100"
+                await scene.call(
+                    scene.prompt("/stream/x", x_prompt_prefix=parts)
+                )
+            self.assertEqual(set(sources(scene)), {other.address})
+            scene.stop_listening(other)
+            await scene.until(
+                lambda: not caches.contents[other.address].reachable
+            )
+            await scene.call(scene.prompt("/stream/x"))
+            self.assertEqual(sources(scene)[-1], "")
+
+        scene_lib.play(story, engines=1)
+
     def test_only_what_the_store_lacks_is_saved(self):
         async def story(scene):
-            store = await keep_cache(scene)
+            (store,) = await keep_caches(scene, 1)
             address = store.address.encode()
             await scene.call(scene.prompt("/stream/x"))
             run = next(r for e in scene.engines for r in e.runs)
