Explain failures that are the targets' own, and where prefixes came from

The line `answered` now tells the status, and the cause names the targets that ran it and failed. Lines on attempts tell the store of KV cache that was named to the engine and whether the prompt was saved there.

Tests: both new ones failed before on the missing words.

--- a/hillthread/coordination/gateway/gateway.py
+++ b/hillthread/coordination/gateway/gateway.py
@@ -72,7 +72,7 @@
             self._note_admitted(request)
             await self.dispatcher.serve(request, answer)
             outcome = "answered"
-            self._note_answered(request, caller)
+            self._note_answered(request, answer)
         except errors.RefusalError as refusal:
             outcome, code = "refused", refusal.code
             await self._refuse(refusal, answer, story)
@@ -119,11 +119,13 @@
     def _note_answered(
         self,
         request: intake.GatewayRequest,
-        caller: http1_server.CallerRequest,
+        answer: http1_server.CallerAnswer,
     ) -> None:
-        seconds = time.monotonic() - caller.arrived
+        seconds = time.monotonic() - request.caller.arrived
         self.metrics.observe_whole(request.route.name, seconds)
-        request.story.note("answered", seconds=round(seconds, 4))
+        request.story.note(
+            "answered", seconds=round(seconds, 4), status=answer.status
+        )
 
     async def _refuse(
         self,
--- a/hillthread/coordination/gateway/learning.py
+++ b/hillthread/coordination/gateway/learning.py
@@ -165,6 +165,9 @@
         "weights": attempt.plan.weights_version,
         "reused": attempt.reused,
     }
+    if attempt.plan.fetch_from:
+        fields["cache"] = attempt.plan.fetch_from
+        fields["saves"] = bool(attempt.plan.save_to)
     if attempt.meaning is not None:
         fields["answered_weights"] = attempt.meaning.weights_version
     return fields
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -175,7 +175,10 @@
                 f"(run: {fields.get('run')}{later}): {fields.get('reason')}"
             )
         case "answered":
-            return f"answered whole after {fields.get('seconds')} s"
+            return (
+                f"answered whole with status {fields.get('status')} after "
+                f"{fields.get('seconds')} s"
+            )
     return _plain_words(line)
 
 
@@ -184,6 +187,9 @@
     for name in ("reason", "status", "weights", "answered_weights"):
         if fields.get(name) is not None:
             told.append(f"{name.replace('_', ' ')} {fields[name]}")
+    if fields.get("cache"):
+        saved = ", saved there" if fields.get("saves") else ""
+        told.append(f"cache {fields['cache']}{saved}")
     if fields.get("reused"):
         told.append("on a kept connection")
     if fields.get("ejected"):
@@ -224,10 +230,17 @@
     if "requester_left" in last:
         return "the requester left before the answer was whole."
     if "answered" in last:
-        return "none; it was answered whole."
+        return _answer_cause(last["answered"], own)
     return "the log of the host ends before the request did."
 
 
+def _answer_cause(answered: StoryLine, own: list[StoryLine]) -> str:
+    if int(answered.fields.get("status") or 0) < 500:
+        return "none; it was answered whole."
+    failed = _targets_with_status(own, "whole")
+    return f"targets ran it and failed: {failed}; that was passed on."
+
+
 def _refusal_cause(
     refused: StoryLine, own: list[StoryLine], context: list[StoryLine]
 ) -> str:
@@ -258,10 +271,15 @@
 
 
 def _refusing_targets(own: list[StoryLine]) -> str:
+    return _targets_with_status(own, "notrun")
+
+
+def _targets_with_status(own: list[StoryLine], outcome: str) -> str:
+    """Returns the targets whose attempts ended so, each with its status."""
     return ", ".join(
         f"{line.fields.get('target')} ({line.fields.get('status')})"
         for line in own
-        if line.event == "attempt" and line.fields.get("outcome") == "notrun"
+        if line.event == "attempt" and line.fields.get("outcome") == outcome
     )
 
 
--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -81,6 +81,7 @@
 
     Attributes:
         started: Whether its head was sent.
+        status: Of the answer; 0 before its head was sent.
         ended: Whether it was sent whole.
         is_closing: Returns whether the connection closes after it.
     """
@@ -91,6 +92,7 @@
         self.connection = connection
         self.is_closing = is_closing
         self.started = False
+        self.status = 0
         self.ended = False
 
     async def begin(
@@ -104,6 +106,7 @@
         if data:
             events.append(h11.Data(data=data))
         self.started = True
+        self.status = status
         await self.connection.send(events)
 
     async def send(self, data: bytes) -> None:
@@ -128,6 +131,7 @@
             events.append(h11.Data(data=body))
         events.append(h11.EndOfMessage())
         self.started = True
+        self.status = status
         await self.connection.send(events)
         self.ended = True
 
--- a/tests/coordination/gateway/scene.py
+++ b/tests/coordination/gateway/scene.py
@@ -202,6 +202,32 @@
         return [run.request_id for t in self.targets for run in t.runs]
 
 
+async def keep_caches(scene, count):
+    """Starts stores of KV cache and returns them when they are read."""
+    stores = [
+        platform_target.PlatformTargetStandin(f"k{n}", f"keep{n}")
+        for n in range(count)
+    ]
+
+    async def listen(store):
+        """Serves until `stop_listening`, which also ends open connections."""
+        with anyio.CancelScope() as scene.scopes[store.name]:
+            await store.server.serve()
+
+    for store in stores:
+        scene.tasks.start_soon(listen, store)
+    services = [
+        *scene.configuration["services"],
+        *({"name": s.service, "kvStoreAddr": s.address} for s in stores),
+    ]
+    scene.configure(services=services)
+    caches = scene.program.gateway.dispatcher.chooser.caches.watch
+    await scene.until(
+        lambda: sum(c.known for c in caches.contents.values()) == count
+    )
+    return stores
+
+
 @contextlib.asynccontextmanager
 async def opened(engines=2, plain=2, slow_s=0.0, **settings):
     """Yields a running scene, or what is wrong in it."""
--- a/tests/coordination/gateway/test_explaining.py
+++ b/tests/coordination/gateway/test_explaining.py
@@ -72,6 +72,33 @@
 
         scene_lib.play(story)
 
+    def test_failure_of_the_targets_themselves(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.always = standin.Fail()
+            request = scene.request("/again/x")
+            answer = await scene.call(request)
+            self.assertEqual(answer.head.status, 500)
+            told = self.explain(request)
+            self.assertIn("answered whole with status 500", told)
+            self.assertIn("Cause: targets ran it and failed: p", told)
+            self.assertIn("p0 (500)", told)
+            self.assertIn("p1 (500)", told)
+
+        scene_lib.play(story)
+
+    def test_story_tells_where_cached_prefixes_came_from(self):
+        async def story(scene):
+            (store,) = await scene_lib.keep_caches(scene, 1)
+            for engine in scene.engines:
+                engine.behave(standin.Refuse())
+            request = scene.prompt("/stream/x")
+            await scene.call(request)
+            told = self.explain(request)
+            self.assertIn(f"cache {store.address}, saved there", told)
+
+        scene_lib.play(story)
+
     def test_refused_because_the_store_was_lost(self):
         async def story(scene):
             scene.store.faults.reset = True
--- a/tests/coordination/gateway/test_reach.py
+++ b/tests/coordination/gateway/test_reach.py
@@ -148,31 +148,6 @@
         scene_lib.play(story)
 
 
-async def keep_caches(scene, count):
-    """Starts stores of KV cache and returns them when they are read."""
-    stores = [
-        standin.PlatformTargetStandin(f"k{n}", f"keep{n}") for n in range(count)
-    ]
-
-    async def listen(store):
-        """Serves until `stop_listening`, which also ends open connections."""
-        with anyio.CancelScope() as scene.scopes[store.name]:
-            await store.server.serve()
-
-    for store in stores:
-        scene.tasks.start_soon(listen, store)
-    services = [
-        *scene.configuration["services"],
-        *({"name": s.service, "kvStoreAddr": s.address} for s in stores),
-    ]
-    scene.configure(services=services)
-    caches = scene.program.gateway.dispatcher.chooser.caches.watch
-    await scene.until(
-        lambda: sum(c.known for c in caches.contents.values()) == count
-    )
-    return stores
-
-
 def sources(scene):
     """Returns where engines were told to fetch from, request by request."""
     return [
@@ -185,7 +160,7 @@
 class CacheTest(unittest.TestCase):
     def test_prefixes_are_spread_over_all_stores(self):
         async def story(scene):
-            stores = await keep_caches(scene, 3)
+            stores = await scene_lib.keep_caches(scene, 3)
             for number in range(24):
                 parts = f"aa:300,{number:x}b:500,cc:100"
                 await scene.call(
@@ -203,7 +178,7 @@
         """Engines would wait for it, each request anew."""
 
         async def story(scene):
-            stores = await keep_caches(scene, 2)
+            stores = await scene_lib.keep_caches(scene, 2)
             gone, other = stores
             scene.stop_listening(gone)
             caches = scene.program.gateway.dispatcher.chooser.caches.watch
@@ -227,7 +202,7 @@
 
     def test_only_what_the_store_lacks_is_saved(self):
         async def story(scene):
-            (store,) = await keep_caches(scene, 1)
+            (store,) = await scene_lib.keep_caches(scene, 1)
             address = store.address.encode()
             await scene.call(scene.prompt("/stream/x"))
             run = next(r for e in scene.engines for r in e.runs)
