Share what metrics of router and gateway had twice

Cause: registry, prefix, counters and bounded labels stood in both metrics modules, with two names for the bound of 256 series. They are one module now; names and labels of all metrics are unchanged. Two tests of the bound, which had none.

--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -2,101 +2,86 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-
-import cachetools
-import prometheus_client
+from hillthread.coordination import metric_set
 
 __all__ = ["GatewayMetrics"]
 
 _SECONDS = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 15.0)
-_MAX_SERIES = 256
-_SERIES_TTL_S = 3600
-_OTHER = "other"
-
-
-class GatewayMetrics:
-    """Everything a gateway counts.
 
-    Tenants and routes beyond the first `_MAX_SERIES` of an hour share a
-    label, so that 2,200 organisations do not fill a host's memory.
 
-    Attributes:
-        registry: Where the metrics are registered.
-    """
+class GatewayMetrics(metric_set.MetricSet):
+    """Everything a gateway counts."""
 
     def __init__(self):
-        self.registry = prometheus_client.CollectorRegistry()
-        self.requests = self._counter(
+        super().__init__(_SECONDS)
+        self.requests = self.counter(
             "requests", "Requests by outcome and code.", ["outcome", "code"]
         )
-        self.attempts = self._counter(
+        self.attempts = self.counter(
             "attempts", "Attempts by outcome.", ["outcome"]
         )
-        self.choices = self._counter(
+        self.choices = self.counter(
             "choices", "Targets chosen, by reason.", ["reason"]
         )
-        self.retries = self._counter(
+        self.retries = self.counter(
             "retries", "Attempts after the first, by reason.", ["reason"]
         )
-        self.resumes = self._counter("resumes", "Streams resumed.", [])
-        self.mismatches = self._counter(
+        self.resumes = self.counter("resumes", "Streams resumed.", [])
+        self.mismatches = self.counter(
             "mismatches", "Answers of targets refused by a check.", ["check"]
         )
-        self.bad_requests = self._counter(
+        self.bad_requests = self.counter(
             "bad_requests", "Requests that could not be read.", ["status"]
         )
-        self.bad_records = self._counter(
+        self.bad_records = self.counter(
             "bad_records", "Records that could not be read.", ["kind"]
         )
-        self.store_calls = self._counter(
+        self.store_calls = self.counter(
             "store_calls", "Calls to the store.", ["call", "outcome"]
         )
-        self.orders = self._counter("orders", "Orders given.", ["outcome"])
-        self.connections = self._gauge(
+        self.orders = self.counter("orders", "Orders given.", ["outcome"])
+        self.connections = self.gauge(
             "target_connections_opened", "Connections opened to targets."
         )
-        self.inflight = self._gauge("inflight", "Requests being served.")
-        self.position = self._gauge(
+        self.inflight = self.gauge("inflight", "Requests being served.")
+        self.position = self.gauge(
             "configuration_version", "Configuration in force."
         )
-        self.age = self._gauge(
+        self.age = self.gauge(
             "store_age_seconds", "Seconds since the last proven read."
         )
-        self.targets = self._gauge("targets", "Targets that may get work.")
-        self.ready = self._gauge("ready", "Whether the host is ready.")
-        self.holds_lease = self._gauge(
+        self.targets = self.gauge("targets", "Targets that may get work.")
+        self.ready = self.gauge("ready", "Whether the host is ready.")
+        self.holds_lease = self.gauge(
             "holds_lease", "Whether this host may give orders."
         )
-        self.store_seconds = self._histogram(
+        self.store_seconds = self.histogram(
             "store_seconds", "Duration of calls to the store.", ["call"]
         )
-        self.first_byte = self._histogram(
+        self.first_byte = self.histogram(
             "first_byte_seconds",
             "From a request's arrival to the first byte of its answer.",
             ["tenant", "route"],
         )
-        self.whole = self._histogram(
+        self.whole = self.histogram(
             "answer_seconds",
             "From a request's arrival to the end of its answer.",
             ["route"],
         )
-        self._labels: cachetools.TTLCache = cachetools.TTLCache(
-            _MAX_SERIES, ttl=_SERIES_TTL_S
-        )
+        self._labels = metric_set.BoundedLabels()
 
     def observe_first_byte(
         self, tenant: str, route: str, seconds: float
     ) -> None:
         """Notes the time to a first byte."""
-        if not self._is_tracked((tenant, route)):
-            tenant = route = _OTHER
+        if not self._labels.admit((tenant, route)):
+            tenant = route = metric_set.OTHER
         self.first_byte.labels(tenant, route).observe(seconds)
 
     def observe_whole(self, route: str, seconds: float) -> None:
         """Notes the time to a whole answer."""
-        if not self._is_tracked(("", route)):
-            route = _OTHER
+        if not self._labels.admit(("", route)):
+            route = metric_set.OTHER
         self.whole.labels(route).observe(seconds)
 
     def count_choices(self) -> dict[str, int]:
@@ -107,38 +92,3 @@
             for sample in metric.samples
             if sample.name.endswith("_total")
         }
-
-    def page(self) -> bytes:
-        """Returns all metrics in the customary text form."""
-        return prometheus_client.generate_latest(self.registry)
-
-    def _is_tracked(self, key: tuple[str, str]) -> bool:
-        if key in self._labels:
-            return True
-        if len(self._labels) >= _MAX_SERIES:
-            return False
-        self._labels[key] = True
-        return True
-
-    def _counter(
-        self, name: str, text: str, labels: Sequence[str]
-    ) -> prometheus_client.Counter:
-        return prometheus_client.Counter(
-            f"hillthread_{name}", text, labels, registry=self.registry
-        )
-
-    def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
-        return prometheus_client.Gauge(
-            f"hillthread_{name}", text, registry=self.registry
-        )
-
-    def _histogram(
-        self, name: str, text: str, labels: Sequence[str]
-    ) -> prometheus_client.Histogram:
-        return prometheus_client.Histogram(
-            f"hillthread_{name}",
-            text,
-            labels,
-            buckets=_SECONDS,
-            registry=self.registry,
-        )
--- a/hillthread/coordination/metrics.py
+++ b/hillthread/coordination/metrics.py
@@ -2,90 +2,60 @@
 
 from __future__ import annotations
 
-import cachetools
-import prometheus_client
+from hillthread.coordination import metric_set
 
 __all__ = ["RouterMetrics"]
 
 _FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.57, 0.8, 1.2, 2.0, 5.0, 15.0)
-_MAX_TENANTS = 256
-OTHER_TENANTS = "other"
 
 
-class RouterMetrics:
-    """Everything a router counts.
-
-    Tenants beyond the first `_MAX_TENANTS` seen within an hour share one
-    label, so that 2,200 organisations do not fill a host's memory.
-
-    Attributes:
-        registry: Where the metrics are registered.
-    """
+class RouterMetrics(metric_set.MetricSet):
+    """Everything a router counts."""
 
     def __init__(self):
-        self.registry = prometheus_client.CollectorRegistry()
-        self.requests = self._counter(
+        super().__init__(_FIRST_TOKEN_BUCKETS)
+        self.requests = self.counter(
             "requests", "Requests by outcome and code.", ["outcome", "code"]
         )
-        self.attempts = self._counter(
+        self.attempts = self.counter(
             "attempts", "Attempts by target and state.", ["target", "state"]
         )
-        self.decisions = self._counter(
+        self.decisions = self.counter(
             "decisions", "Decisions by reason.", ["reason"]
         )
-        self.retries = self._counter("retries", "Attempts after the first.", [])
-        self.resumes = self._counter(
+        self.retries = self.counter("retries", "Attempts after the first.", [])
+        self.resumes = self.counter(
             "resumes", "Streams resumed or continued.", ["way"]
         )
-        self.mismatches = self._counter(
+        self.mismatches = self.counter(
             "mismatches", "Answers refused by a check.", ["check"]
         )
-        self.prompt_tokens = self._counter(
+        self.prompt_tokens = self.counter(
             "prompt_tokens", "Prompt tokens answered.", []
         )
-        self.cached_tokens = self._counter(
+        self.cached_tokens = self.counter(
             "cached_tokens", "Prompt tokens found cached.", []
         )
-        self.records_lost = self._counter(
+        self.records_lost = self.counter(
             "records_lost", "Decision records not kept.", []
         )
-        self.links = self._counter(
+        self.links = self.counter(
             "links", "Connections to the control process.", ["event"]
         )
-        self.position = prometheus_client.Gauge(
-            "hillthread_configuration_position",
+        self.position = self.gauge(
+            "configuration_position",
             "Log position of the configuration in force.",
-            registry=self.registry,
         )
-        self.inflight = prometheus_client.Gauge(
-            "hillthread_inflight", "Requests served.", registry=self.registry
-        )
-        self.first_token = prometheus_client.Histogram(
-            "hillthread_first_token_seconds",
+        self.inflight = self.gauge("inflight", "Requests served.")
+        self.first_token = self.histogram(
+            "first_token_seconds",
             "From a request's arrival to its first token.",
             ["tenant"],
-            buckets=_FIRST_TOKEN_BUCKETS,
-            registry=self.registry,
-        )
-        self._tenants: cachetools.TTLCache = cachetools.TTLCache(
-            _MAX_TENANTS, ttl=3600
         )
+        self._tenants = metric_set.BoundedLabels()
 
     def observe_first_token(self, tenant: str, seconds: float) -> None:
         """Notes a time to first token."""
-        self.first_token.labels(self._tenant_label(tenant)).observe(seconds)
-
-    def _tenant_label(self, tenant: str) -> str:
-        if tenant in self._tenants:
-            return tenant
-        if len(self._tenants) >= _MAX_TENANTS:
-            return OTHER_TENANTS
-        self._tenants[tenant] = True
-        return tenant
-
-    def _counter(
-        self, name: str, text: str, labels: list[str]
-    ) -> prometheus_client.Counter:
-        return prometheus_client.Counter(
-            f"hillthread_{name}", text, labels, registry=self.registry
-        )
+        if not self._tenants.admit(tenant):
+            tenant = metric_set.OTHER
+        self.first_token.labels(tenant).observe(seconds)
--- /dev/null
+++ b/tests/coordination/test_metric_set.py
@@ -0,0 +1,22 @@
+"""Tests of what all programs' metrics share."""
+
+import unittest
+
+from hillthread.coordination import metric_set
+from hillthread.coordination import metrics
+
+
+class BoundedLabelsTest(unittest.TestCase):
+    def test_labels_beyond_the_bound_share_one(self):
+        labels = metric_set.BoundedLabels()
+        admitted = [labels.admit(number) for number in range(300)]
+        self.assertEqual(sum(admitted), 256)
+        self.assertTrue(labels.admit(0))
+
+    def test_organisations_without_number_do_not_fill_the_page(self):
+        router = metrics.RouterMetrics()
+        for number in range(2200):
+            router.observe_first_token(f"t{number}", 0.1)
+        page = router.page().decode()
+        self.assertIn('tenant="other"', page)
+        self.assertEqual(page.count("first_token_seconds_count{"), 257)
