Ask a lost store once for all topics; try no connection that just came up

While the store is down all three followers of each host ask it twice a second; the one of the operator's topic now finds out for the others, which go on as soon as it succeeds, or after 3 s by themselves. With many hosts in a data centre the pause grows to 1 s.

Tests, both failed before: 4 calls for the targets' topic in an outage of 4 calls for the operator's, now one at most, and a target listed after the outage is known; a request over a fresh connection causes no trial, one over a kept connection does.

--- a/hillthread/coordination/gateway/attempt.py
+++ b/hillthread/coordination/gateway/attempt.py
@@ -40,6 +40,7 @@
         may_follow: Returns whether another attempt may follow when this one is
             given up; the retry budget is charged then.
         heard_at: Seconds, when the target last sent anything of its answer.
+        connected_at: Seconds, when its connection came up.
         connection: To the target, once there is one.
         given_up: Why the monitor ended it, or nothing.
     """
@@ -66,6 +67,7 @@
         self.target = plan.target
         self.may_follow = may_follow
         self.heard_at = 0.0
+        self.connected_at = 0.0
         self.connection: http1_client.ClientConnection | None = None
         self.given_up = ""
 
@@ -83,6 +85,7 @@
         self.reused = connection.requests > 0
         self.sent = True
         self.heard_at = time.monotonic()
+        self.connected_at = connection.opened_at
         rested_s = self.heard_at - connection.used_at
         self.monitor.attempts.add(self)
         self.connection = connection
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -246,6 +246,7 @@
                 _OPERATOR_PEER_WAIT_S,
                 _OPERATOR_GATHER_S,
                 self._take_operator,
+                asks_for_all=True,
             ),
             store_follower.TopicPlan(
                 targets.TARGET_TOPIC,
--- a/hillthread/coordination/gateway/reach_monitor.py
+++ b/hillthread/coordination/gateway/reach_monitor.py
@@ -28,6 +28,8 @@
 _IDLE_TICK_S = 0.3
 # Nine in ten first bytes come sooner; a trial costs one new connection.
 _SILENCE_S = 0.4
+# A connection that came up so lately is as good as a trial.
+_FRESH_S = 1.0
 # Between two trials for the same attempts.
 _AGAIN_S = 1.5
 # Between two trials of a target that could not be reached.
@@ -45,6 +47,7 @@
 
     target: objects.Target
     heard_at: float
+    connected_at: float
 
     def give_up(self, reason: str) -> bool:
         """Ends the attempt as lost if another can follow; returns whether."""
@@ -106,6 +109,8 @@
         for attempt in self.attempts:
             if now - attempt.heard_at < _SILENCE_S:
                 continue
+            if now - attempt.connected_at < _FRESH_S:
+                continue
             name = attempt.target.name
             if now - self._tried_at.get(name, float("-inf")) < _AGAIN_S:
                 continue
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -28,6 +28,10 @@
 
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 0.5
+# The same where a data centre has many hosts, which share the store's rate.
+_LONGEST_SHARED_PAUSE_S = 1.0
+# A follower that waits for another one's success asks itself after this.
+_LONGEST_WAIT_S = 3.0
 _JITTER = 0.3
 # How old another host's knowledge may be before the store is read instead.
 _PEER_MARGIN_S = 0.5
@@ -48,6 +52,7 @@
     Attributes:
         lost: Called with a reason when it stops answering.
         back: Called with the time now and the seconds it was lost.
+        answers: Set while the store answers; replaced when it stops.
     """
 
     def __init__(
@@ -58,11 +63,13 @@
         self.lost = lost
         self.back = back
         self.lost_at: float | None = None
+        self.answers = anyio.Event()
 
     def note_failure(self, reason: str) -> None:
         """Notes a call that was not answered."""
         if self.lost_at is None:
             self.lost_at = time.monotonic()
+            self.answers = anyio.Event()
             self.lost(reason)
 
     def note_success(self) -> None:
@@ -71,6 +78,7 @@
             now = time.monotonic()
             self.back(now, now - self.lost_at)
             self.lost_at = None
+            self.answers.set()
 
 
 class Readers(NamedTuple):
@@ -103,6 +111,8 @@
             much later: changes often come in numbers, and each read costs.
         take: Called with each change.
         caught_up: Called when the newest of all keys was read.
+        asks_for_all: While the store fails, this topic's follower finds out
+            when it answers again.
     """
 
     topic: str
@@ -111,6 +121,7 @@
     gather_s: float
     take: Callable[[topic_copy.TopicRecord], None]
     caught_up: Callable[[], None] = _nobody
+    asks_for_all: bool = False
 
 
 class TopicFollower:
@@ -249,12 +260,27 @@
         except errors.LogError as error:
             self.readers.watch.note_failure(error.message)
             self._count("failed", started)
-            await anyio.sleep(_pause_s(failures + 1))
+            await self._pause(failures + 1)
             return failures + 1
         self.readers.watch.note_success()
         self._count("answered", started)
         return 0
 
+    async def _pause(self, failures: int) -> None:
+        """Returns when a store that failed may be asked again.
+
+        Each call has its price: one follower of the host finds out for all
+        when the store answers again.
+        """
+        longest_s = _LONGEST_PAUSE_S
+        if self.readers.source.is_shared():
+            longest_s = _LONGEST_SHARED_PAUSE_S
+        await anyio.sleep(_pause_s(failures, longest_s))
+        is_lost = self.readers.watch.lost_at is not None
+        if is_lost and not self.plan.asks_for_all:
+            with anyio.move_on_after(_LONGEST_WAIT_S):
+                await self.readers.watch.answers.wait()
+
     def _wait_s(self) -> float:
         wait_s = self.plan.wait_s()
         if self.readers.source.reads_for_many():
@@ -324,6 +350,6 @@
         )
 
 
-def _pause_s(failures: int) -> float:
-    pause = min(_LONGEST_PAUSE_S, _FIRST_PAUSE_S * 2 ** (failures - 1))
+def _pause_s(failures: int, longest_s: float) -> float:
+    pause = min(longest_s, _FIRST_PAUSE_S * 2 ** (failures - 1))
     return pause * (1.0 + random.uniform(-_JITTER, _JITTER))
--- a/hillthread/standin/platform_store.py
+++ b/hillthread/standin/platform_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import collections
 import dataclasses
 import struct
 from typing import Any
@@ -67,12 +68,14 @@
     Attributes:
         faults: What it does wrong now.
         calls: Calls taken so far, by name.
+        topic_calls: The same by topic.
         server: Where it listens.
     """
 
     def __init__(self, listen: tuple[str, int] = ("127.0.0.1", 0)):
         self.faults = StoreFaults()
         self.calls: dict[str, int] = {}
+        self.topic_calls: collections.Counter[str] = collections.Counter()
         self.topics: dict[str, _Topic] = {}
         self.changed = anyio.Event()
         self.server = http1_server.Server(
@@ -127,6 +130,9 @@
     ) -> None:
         name = request.path.removeprefix("/api/")
         self.calls[name] = self.calls.get(name, 0) + 1
+        raw_query = request.target.partition(b"?")[2].decode()
+        query = dict(parse.parse_qsl(raw_query))
+        self.topic_calls[query.get("topic", "")] += 1
         if self.faults.reset:
             raise http1_server.BrokenAnswerError
         if self.faults.silent:
@@ -135,8 +141,6 @@
         if self.faults.status:
             await answer.send_whole(self.faults.status, [], b"")
             return
-        raw_query = request.target.partition(b"?")[2].decode()
-        query = dict(parse.parse_qsl(raw_query))
         match name:
             case "log-newest":
                 await self._newest(query, answer)
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -100,6 +100,7 @@
 
     Attributes:
         address: `IP:port`.
+        opened_at: Seconds, when it came up.
         used_at: Seconds, when its last answer ended.
         keep_s: Seconds it may rest before it is used again.
         requests: Requests sent over it.
@@ -109,7 +110,8 @@
     def __init__(self, stream, address: str):
         super().__init__(stream, h11.CLIENT, _MAX_HEAD_BYTES)
         self.address = address
-        self.used_at = anyio.current_time()
+        self.opened_at = anyio.current_time()
+        self.used_at = self.opened_at
         self.keep_s = _DEFAULT_KEEP_S
         self.requests = 0
         self.body_sent = True
--- a/tests/coordination/gateway/test_lifecycle.py
+++ b/tests/coordination/gateway/test_lifecycle.py
@@ -123,6 +123,26 @@
 
         scene_lib.play(story, revoke_ms=1400)
 
+    def test_one_reader_of_a_host_asks_a_lost_store_for_all(self):
+        async def story(scene):
+            calls = scene.store.topic_calls
+            scene.store.faults.status = 503
+            scene.configure()  # ends held reads, and the next ones fail
+            scene.list_target(scene.plain[0])
+            await scene.until(lambda: calls["keyed.op"] > 6)
+            before = dict(calls)
+            await scene.until(
+                lambda: calls["keyed.op"] > before["keyed.op"] + 3
+            )
+            asked = calls["keyed.servers"] - before["keyed.servers"]
+            self.assertLessEqual(asked, 1)
+            scene.store.faults.status = 0
+            late = standin.PlatformTargetStandin("late", "plain")
+            scene.list_target(late)
+            await scene.until(lambda: "late" in scene.site.targets.entries)
+
+        scene_lib.play(story)
+
     def test_withdrawn_key_ends_at_a_host_that_lost_the_store(self):
         async def story(scene):
             scene.store.faults.silent = True
--- a/tests/coordination/gateway/test_reach.py
+++ b/tests/coordination/gateway/test_reach.py
@@ -128,6 +128,20 @@
 
         scene_lib.play(story, retry_extra=0, retry_ratio=0)
 
+    def test_connection_that_has_just_come_up_is_not_tried_again(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.always = standin.Serve(0.8)
+            pool = scene.program.pool
+            answer = await scene.call(scene.request("/again/x"))
+            self.assertEqual(answer.head.status, 200)
+            self.assertEqual(pool.opened["trial"], 0)
+            # The same over the kept connection: it may have died meanwhile.
+            await scene.call(scene.request("/again/x"))
+            self.assertEqual(pool.opened["trial"], 1)
+
+        scene_lib.play(story, plain=1)
+
     def test_request_that_may_not_be_repeated_is_left_alone(self):
         async def story(scene):
             for target in scene.plain:
