--- a/hillthread/bench/gateway_soak/regressions.py
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -30,4 +30,8 @@
     Regression(7, 12.0, _PLAIN_ANSWER),
     Regression(11, 12.0, _PLAIN_ANSWER),
     Regression(36, 12.0, _PLAIN_ANSWER),
+    Regression(38, 12.0, _PLAIN_ANSWER),
+    Regression(43, 12.0, _PLAIN_ANSWER),
+    Regression(48, 12.0, _PLAIN_ANSWER),
+    Regression(50, 12.0, _PLAIN_ANSWER),
 )
