--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 demo: .venv/ready
 	$(BIN)/hillthread-bench demo
+	$(BIN)/hillthread-bench gateway-demo
 
 test: .venv/ready
 	$(BIN)/python tools/run_tests.py
--- a/hillthread/bench/gateway_soak/callers.py
+++ b/hillthread/bench/gateway_soak/callers.py
@@ -76,12 +76,21 @@
         host: stage_lib.SoakHost,
         life: int,
         route: str = "",
+        key: str = "",
     ) -> evidence_lib.Exchange:
-        """Makes one request and notes what came back."""
+        """Makes one request and notes what came back.
+
+        Args:
+            client: Its connection.
+            host: Who is asked.
+            life: Which process of the host.
+            route: Its route; any, and perhaps given up, when left out.
+            key: Its key; one that holds when left out.
+        """
         exchange = evidence_lib.Exchange(
             uuid.UUID(int=self.random.getrandbits(128)).hex[:16],
             route or self.random.choice(_ROUTES),
-            self._key(bool(route)),
+            key or self._key(bool(route)),
             host.name,
             life,
             time.monotonic(),
--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -8,6 +8,7 @@
 from hillthread.bench import compare as compare_lib
 from hillthread.bench import control_times
 from hillthread.bench import demo as demo_lib
+from hillthread.bench import gateway_demo as gateway_demo_lib
 from hillthread.bench import limits as limits_lib
 from hillthread.bench import overhead as overhead_lib
 from hillthread.bench import slopes as slopes_lib
@@ -67,6 +68,11 @@
     demo_lib.run_demo()
 
 
+def gateway_demo() -> None:
+    """Shows gateways on a platform with a store, all on loopback."""
+    gateway_demo_lib.run_gateway_demo()
+
+
 def overhead(json: bool = True) -> None:
     """Measures what the router adds to each request and token.
 
@@ -208,6 +214,7 @@
             "control": control,
             "demo": demo,
             "faults": faults,
+            "gateway-demo": gateway_demo,
             "gateway-soak": gateway_soak,
             "gateway-soak-again": gateway_soak_again,
             "limits": limits,
