--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pathlib
+
 import msgspec
 
 from hillthread import errors
@@ -11,6 +13,7 @@
 from hillthread.bench import gateway_demo as gateway_demo_lib
 from hillthread.bench import limits as limits_lib
 from hillthread.bench import overhead as overhead_lib
+from hillthread.bench import report as report_lib
 from hillthread.bench import slopes as slopes_lib
 from hillthread.bench import soak as soak_lib
 from hillthread.bench.faults import runner
@@ -73,6 +76,21 @@
     gateway_demo_lib.run_gateway_demo()
 
 
+def report(
+    journal: str = "journal", output: str = "target/report.html"
+) -> None:
+    """Writes one page on all runs that the platform's bench has noted.
+
+    Args:
+        journal: The folder of its entries.
+        output: Where the page is written.
+    """
+    path = pathlib.Path(output)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    count = report_lib.write_report(pathlib.Path(journal), path)
+    print(f"{count} runs told in {path}")
+
+
 def overhead(json: bool = True) -> None:
     """Measures what the router adds to each request and token.
 
@@ -219,6 +237,7 @@
             "gateway-soak-again": gateway_soak_again,
             "limits": limits,
             "overhead": overhead,
+            "report": report,
             "slopes": slopes,
             "soak": soak,
         }
