Move the watch of a host's settings out of the host

Site and host kept the settings twice; the site's are now the only ones. Process tests (SIGHUP, changed file, wrong settings) and lifecycle tests pass unchanged.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import logging
-import pathlib
 import time
 
 import anyio
 import anyio.abc
 
-from hillthread import errors
 from hillthread import settings as settings_lib
 from hillthread.coordination.gateway import feed_server
 from hillthread.coordination.gateway import gateway as gateway_lib
@@ -62,18 +60,6 @@
 _PROOF_SHARE = 0.7
 _TICK_S = 0.25
 _STATUS_S = 5.0
-_SETTINGS_EVERY_S = 2.0
-# These are read at the start only.
-_FIXED_SETTINGS = (
-    "host",
-    "data_centre",
-    "listen",
-    "ready_listen",
-    "store",
-    "lease_ms",
-    "feed_port",
-    "metrics_port",
-)
 
 _logger = logging.getLogger("hillthread.program")
 
@@ -87,7 +73,6 @@
         tasks: anyio.abc.TaskGroup,
         log: log_writer.BufferedLogHandler,
     ):
-        self.settings = settings
         self.tasks = tasks
         self.log = log
         self.metrics = metrics_lib.GatewayMetrics()
@@ -160,10 +145,10 @@
         self.site.draining = True
         self.server.stopping = True
         _logger.info("stopping", extra={"event": "stop_notice"})
-        give_up_at = asked_at + self.settings.grace_s - _STOP_MARGIN_S
-        await anyio.sleep(min(_NOTICE_S, self.settings.grace_s / 2))
+        give_up_at = asked_at + self.site.settings.grace_s - _STOP_MARGIN_S
+        await anyio.sleep(min(_NOTICE_S, self.site.settings.grace_s / 2))
         self.server.close_idle()
-        closing_s = min(_CLOSING_S, self.settings.grace_s * _CLOSING_SHARE)
+        closing_s = min(_CLOSING_S, self.site.settings.grace_s * _CLOSING_SHARE)
         closing_at = asked_at + closing_s
         await anyio.sleep(max(0.0, closing_at - time.monotonic()))
         self.site.closing = True
@@ -175,46 +160,6 @@
             extra={"event": "stop_drained", "open": self.server.serving},
         )
 
-    async def watch_settings(self, path: str) -> None:
-        """Reads the settings again when their file changes."""
-        file = pathlib.Path(path)  # a look takes microseconds, no thread
-        changed_at = file.stat().st_mtime_ns  # noqa: ASYNC240
-        while True:
-            await anyio.sleep(_SETTINGS_EVERY_S)
-            try:
-                found = file.stat().st_mtime_ns  # noqa: ASYNC240
-            except OSError:
-                continue  # it is being replaced; the next look finds it
-            if found != changed_at:
-                changed_at = found
-                self.reload(path)
-
-    def reload(self, path: str) -> None:
-        """Takes over changed settings; wrong ones change nothing."""
-        try:
-            loaded = settings_lib.load_settings(
-                path, gateway_settings.GatewaySettings
-            )
-        except errors.SettingsError as error:
-            _logger.error(
-                "settings not taken over",
-                extra={"event": "reload_failed", "reason": str(error)},
-            )
-            return
-        if loaded == self.settings:
-            return
-        fixed = [
-            name
-            for name in _FIXED_SETTINGS
-            if getattr(loaded, name) != getattr(self.settings, name)
-        ]
-        self.settings = loaded
-        self.site.settings = loaded
-        _logger.info(
-            "settings taken over",
-            extra={"event": "reload", "need_a_restart": fixed},
-        )
-
     async def answer_status(
         self,
         caller: http1_server.CallerRequest,
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -13,6 +13,7 @@
 from hillthread import settings as settings_lib
 from hillthread.coordination.gateway import host as host_lib
 from hillthread.coordination.gateway import settings as gateway_settings
+from hillthread.coordination.gateway import settings_watch
 from hillthread.platform import names
 from hillthread.transport import command
 from hillthread.transport import log_writer
@@ -50,11 +51,12 @@
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             await host.run()
-            tasks.start_soon(host.watch_settings, path)
+            watch = settings_watch.SettingsWatch(host.site, path)
+            tasks.start_soon(watch.run)
             async for number in signals:
                 if number is not signal.SIGHUP:
                     break
-                host.reload(path)
+                watch.reload()
         await host.drain(time.monotonic())
         tasks.cancel_scope.cancel()
 
