--- a/hillthread/bench/gateway_demo.py
+++ b/hillthread/bench/gateway_demo.py
@@ -61,7 +61,7 @@
             await self._show_withdrawn_key(stage, callers)
             await anyio.sleep(_LOG_S)
             tasks.cancel_scope.cancel()
-        await stage.client.aclose()
+        await stage.balancer.close()
         stage.read_logs()
         violations = verdict.Judge(stage.evidence).violations()
         if violations:
--- a/hillthread/bench/gateway_soak/runner.py
+++ b/hillthread/bench/gateway_soak/runner.py
@@ -107,7 +107,7 @@
             await stage.start(self.plan.engines)
             counts = await self._disturb(stage)
             tasks.cancel_scope.cancel()
-        await stage.client.aclose()
+        await stage.balancer.close()
         stage.read_logs()
         judge = verdict.Judge(stage.evidence, self.plan.strict_time)
         self.violations += stage.trouble + judge.violations()
@@ -146,7 +146,7 @@
     ) -> None:
         """After the calm every host serves all, on the newest weights."""
         try:
-            await stage.wait_ready()
+            await stage.balancer.wait_all_ready()
         except TimeoutError as error:
             self._note("recover", "hosts", f"not ready: {error}")
             return
--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -9,10 +9,9 @@
 
 import anyio
 import anyio.abc
-import httpx
 
 from hillthread.bench import processes
-from hillthread.bench import site as site_lib
+from hillthread.bench.gateway_soak import balancer as balancer_lib
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import verdict
 from hillthread.standin import platform_store
@@ -26,10 +25,6 @@
 _ENGINES = "engines"
 _PLAIN = "plain"
 _PLAIN_TARGETS = 3
-# The balancer asks so often, and takes a host out after two misses.
-_BALANCE_EVERY_S = 0.5
-_ASK_TIMEOUT_S = 0.4
-_MISSES = 2
 _CHECK_S = 0.02
 _START_S = 20.0
 _EXIT_MARGIN_S = 2.0
@@ -98,6 +93,7 @@
         weights: The version named last.
         module: The program that is run as gateway.
         trouble: What went wrong with processes.
+        balancer: Says which hosts get new callers.
     """
 
     def __init__(
@@ -120,7 +116,7 @@
         self.targets: dict[str, LinkedTarget] = {}
         self.weights = 1
         self.trouble: list[evidence_lib.Violation] = []
-        self.client = httpx.AsyncClient(trust_env=False, timeout=_ASK_TIMEOUT_S)
+        self.balancer = balancer_lib.Balancer(self.hosts)
         self._numbers = itertools.count()
         self.configuration = self._first_configuration()
         self.evidence.isolated = frozenset(["t-alone"])
@@ -189,7 +185,7 @@
             self.start_process(host)
         for host in self.hosts:
             await self.wait_started(host)
-        self.tasks.start_soon(self._balance)
+        self.tasks.start_soon(self.balancer.run)
         with anyio.fail_after(_START_S):
             while not all(host.routable for host in self.hosts):  # noqa: ASYNC110
                 await anyio.sleep(_CHECK_S)
@@ -339,37 +335,3 @@
         self.trouble.append(
             evidence_lib.Violation("process", host.name, detail)
         )
-
-    # The balancer.
-
-    async def _balance(self) -> None:
-        misses = {host.name: 0 for host in self.hosts}
-        while True:
-            for host in self.hosts:
-                is_ready = await self._is_ready(host)
-                misses[host.name] = 0 if is_ready else misses[host.name] + 1
-                if is_ready:
-                    host.routable = True
-                elif misses[host.name] >= _MISSES:
-                    host.routable = False
-            await anyio.sleep(_BALANCE_EVERY_S)
-
-    async def _is_ready(self, host: SoakHost) -> bool:
-        if not host.ready_address:
-            return False
-        try:
-            answer = await self.client.get(
-                f"http://{host.ready_address}/api/ready"
-            )
-        except httpx.HTTPError:
-            return False
-        return answer.status_code == 200
-
-    async def wait_ready(self) -> None:
-        """Returns when all hosts are ready.
-
-        Raises:
-            TimeoutError: One is not for long.
-        """
-        for host in self.hosts:
-            await site_lib.wait_until(lambda host=host: self._is_ready(host))
