--- a/hillthread/bench/report.py
+++ b/hillthread/bench/report.py
@@ -61,6 +61,8 @@
 def write_report(folder: pathlib.Path, output: pathlib.Path) -> int:
     """Writes the page on a journal and returns how many runs it tells of.
 
+    Beside it a picture of the worth of each deployment is written.
+
     Raises:
         ConfigurationError: An entry is unreadable.
         HillthreadError: There are none.
@@ -71,7 +73,12 @@
             f"There are no entries in {folder}.",
             "Name the folder that the platform's bench writes to.",
         )
-    output.write_text(render_page(histories(entries)))
+    sites = histories(entries)
+    output.write_text(render_page(sites))
+    for site in sites:
+        if site.rounds:
+            picture = output.with_name(f"worth-{site.site}.svg")
+            picture.write_text(_worth_chart(site))
     return len(entries)
 
 
@@ -90,9 +97,9 @@
 def _section(site: SiteHistory) -> str:
     parts = [f"<h2>{html.escape(site.site)}</h2>"]
     if site.rounds:
-        parts.append(_worth_chart(site))
+        parts.append(_figure(_worth_chart(site)))
         parts.append(_latest_table(site.rounds[-1]))
-        parts.append(_price_chart(site.rounds[-1]))
+        parts.append(_figure(_price_chart(site.rounds[-1])))
     else:
         parts.append("<p>No run of all days.</p>")
     parts.append(_broken_list(site))
@@ -110,7 +117,7 @@
     for name in names:
         values = [_worth(entry, name) for entry in site.rounds]
         chart.add(name, values)
-    return _inline(chart)
+    return chart.render(is_unicode=True)
 
 
 def _worth(entry: journal.JournalEntry, name: str) -> float | None:
@@ -136,7 +143,7 @@
             for day in days
         ]
         chart.add(name, costs)
-    return _inline(chart)
+    return chart.render(is_unicode=True)
 
 
 def _latest_table(entry: journal.JournalEntry) -> str:
@@ -189,5 +196,5 @@
     }
 
 
-def _inline(chart: pygal.graph.graph.Graph) -> str:
-    return f"<figure>{chart.render(is_unicode=True)}</figure>"
+def _figure(picture: str) -> str:
+    return f"<figure>{picture}</figure>"
--- a/hillthread/state/save_budget.py
+++ b/hillthread/state/save_budget.py
@@ -19,15 +19,14 @@
 _KEPT_S = 20.0
 # Above this level everything may be saved.
 _PLENTY = 0.25
-# Of a host that has just started; all may have started together.
-_FIRST_LEVEL = 0.5
 
 
 class SaveBudget:
     """This host's part of the link of one store.
 
     Attributes:
-        level: Bytes that may be saved now; None before the first save.
+        level: Bytes that may be saved now; None before the first save, when
+            it is as much as is ever kept.
     """
 
     def __init__(self):
@@ -47,8 +46,8 @@
         """
         rate = link_bytes_per_s * _LINK_SHARE
         most = rate * _KEPT_S
-        level = most * _FIRST_LEVEL if self.level is None else self.level
-        self.level = min(most, level + rate * (now - self._at))
+        kept = most if self.level is None else self.level
+        self.level = min(most, kept + rate * (now - self._at))
         self._at = now
         least_share = 1.0 - self.level / (most * _PLENTY)
         if whole <= 0.0 or shared / whole < least_share:
--- a/tests/bench/test_report.py
+++ b/tests/bench/test_report.py
@@ -45,6 +45,17 @@
         self.assertEqual(loads, [])
         self.assertNotIn("<script src", page)
 
+    def test_page_and_pictures_are_written(self):
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            entry = msgspec.json.encode(test_journal.entry(1))
+            (folder / "1.json").write_bytes(entry)
+            page = folder / "page.html"
+            self.assertEqual(report.write_report(folder, page), 1)
+            picture = (folder / "worth-site-one.svg").read_text()
+            self.assertTrue(picture.startswith("<svg"))
+            self.assertIn("quiet-1", picture)
+
     def test_empty_folder_is_refused(self):
         with tempfile.TemporaryDirectory() as name:
             folder = pathlib.Path(name)
