Name what charges the retry budget for what it does

may_follow read like a question and spent a retry; it is claim_retry now, and the flag says that a retry was claimed. Names only; reach and dispatcher tests pass.

--- a/hillthread/coordination/gateway/attempt.py
+++ b/hillthread/coordination/gateway/attempt.py
@@ -37,8 +37,8 @@
         reused: Whether it went over a kept connection.
         sent: Whether any of it may have reached the target.
         target: Where it goes.
-        may_follow: Returns whether another attempt may follow when this one is
-            given up; the retry budget is charged then.
+        claim_retry: Charges the retry budget for an attempt after this one;
+            returns whether there may be one.
         heard_at: Seconds, when the target last sent anything of its answer.
         connected_at: Seconds, when its connection came up.
         connection: To the target, once there is one.
@@ -53,7 +53,7 @@
         request: intake.GatewayRequest,
         plan: attempt_plan.AttemptPlan,
         relay: event_relay.EventRelay,
-        may_follow: Callable[[], bool],
+        claim_retry: Callable[[], bool],
     ):
         self.pool = pool
         self.tasks = tasks
@@ -65,7 +65,7 @@
         self.reused = False
         self.sent = False
         self.target = plan.target
-        self.may_follow = may_follow
+        self.claim_retry = claim_retry
         self.heard_at = 0.0
         self.connected_at = 0.0
         self.connection: http1_client.ClientConnection | None = None
@@ -107,7 +107,7 @@
         Only the target's connection is closed: a write to the caller that is
         under way must not be cut, since another attempt may go on after it.
         """
-        if self.given_up or not self.may_follow():
+        if self.given_up or not self.claim_retry():
             return False
         self.given_up = reason
         if self.connection is not None:
--- a/hillthread/coordination/gateway/job.py
+++ b/hillthread/coordination/gateway/job.py
@@ -64,7 +64,7 @@
         tried: Targets not to be taken again.
         mismatches: How often each target refused for its weights.
         last_answer: A target's failure, relayed when no retry does better.
-        charged: A retry was charged to the budget before its attempt began.
+        retry_claimed: The budget was charged for an attempt not yet planned.
     """
 
     def __init__(
@@ -84,7 +84,7 @@
         self.tried: set[str] = set()
         self.mismatches: collections.Counter[str] = collections.Counter()
         self.last_answer: http1_client.WholeAnswer | None = None
-        self.charged = False
+        self.retry_claimed = False
 
     def run_state(self) -> errors.RunState:
         """Returns whether the request has run, as far as it is known."""
@@ -142,7 +142,7 @@
             request,
             planned.plan,
             self.relay,
-            lambda: self._may_follow(planned),
+            lambda: self._claim_retry(planned),
         )
         state.begin(now, planned.prefill_tokens)
         first_byte = self.tools.learner.first_byte(request, planned, now)
@@ -213,16 +213,20 @@
             and self.sends < _MAX_SENDS
         )
 
-    def _may_follow(self, planned: chooser_lib.Planned) -> bool:
-        """Returns whether an attempt may follow one that is given up now."""
+    def _claim_retry(self, planned: chooser_lib.Planned) -> bool:
+        """Charges the budget for an attempt after one that is given up now.
+
+        Returns:
+            Whether another attempt may follow.
+        """
         if not self.request.repeatable or self.sends >= _MAX_SENDS:
             return False
         if self.runs + 1 >= self.request.route.max_attempts:
             return False
         if self.answer.started and not self._has_resumable_events():
             return False
-        self.charged = self._withdraw(planned, "given up")
-        return self.charged
+        self.retry_claimed = self._withdraw(planned, "given up")
+        return self.retry_claimed
 
     def _retry_or_refuse(
         self, planned: chooser_lib.Planned, reason: str
@@ -291,8 +295,8 @@
 
     def _withdraw(self, planned: chooser_lib.Planned, reason: str) -> bool:
         """Returns whether the retry budget allows another attempt."""
-        if self.charged:
-            self.charged = False
+        if self.retry_claimed:
+            self.retry_claimed = False
             return True
         budget = self.site.budget(planned.pool.name)
         now = time.monotonic()
