Keep the platform's names out of the soak

Cause: the soak's stage wrote topics, fields and headers of the platform itself; outside the adapter and the stand-ins nobody is to know them. A stand-in of the operator now writes configurations, weights and the list of targets from typed values; headers come from the adapter's names.

--- a/hillthread/bench/gateway_demo.py
+++ b/hillthread/bench/gateway_demo.py
@@ -19,6 +19,7 @@
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import stage as stage_lib
 from hillthread.bench.gateway_soak import verdict
+from hillthread.platform import names
 from hillthread.protocol import log_story
 from hillthread.standin import platform_target
 
@@ -115,11 +116,11 @@
         self, stage: stage_lib.Stage, callers: callers_lib.Callers
     ) -> None:
         """A key that the operator takes away is refused."""
-        tenant = stage.configuration["tenants"][1]
-        old = tenant["apiKeys"][0]
+        tenant = stage.operator.tenants[1]
+        old = tenant.keys[0]
         stage.issue_key(tenant)
         stage.withdraw_key(tenant)
-        stage.configure()
+        stage.operator.configure()
         await anyio.sleep(stage.evidence.bounds.configuration_s)
         host = stage.hosts[1]
         async with _client(host) as client:
@@ -132,7 +133,7 @@
 def _prefix(run: platform_target.Run) -> tuple[bytes, bytes]:
     """Returns the scope of a prompt's cached prefix, and the prefix."""
     request = run.request
-    return request.get(b"x-cache-salt"), request.get(b"x-prompt-prefix")
+    return request.get(names.CACHE_SALT), request.get(names.PROMPT_PARTS)
 
 
 def _client(host: stage_lib.SoakHost) -> httpx.AsyncClient:
--- a/hillthread/bench/gateway_soak/balancer.py
+++ b/hillthread/bench/gateway_soak/balancer.py
@@ -55,9 +55,7 @@
         if not host.ready_address:
             return False
         try:
-            answer = await self.client.get(
-                f"http://{host.ready_address}/api/ready"
-            )
+            answer = await self.client.get(f"http://{host.ready_address}/ready")
         except httpx.HTTPError:
             return False
         return answer.status_code == 200
--- a/hillthread/bench/gateway_soak/callers.py
+++ b/hillthread/bench/gateway_soak/callers.py
@@ -11,6 +11,7 @@
 
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import stage as stage_lib
+from hillthread.platform import names
 
 __all__ = ["Callers"]
 
@@ -115,25 +116,31 @@
     ) -> None:
         prefix = f"{self.random.randrange(_PREFIXES):x}"
         headers = {
-            "host": stage_lib.CALLER_HOST,
-            "x-request-id": exchange.request_id,
-            "authorization": f"Bearer {exchange.key}",
-            "x-deadline-ms": str(_DEADLINE_MS),
-            "x-hold": "callers-must-not-set-this",
+            b"host": stage_lib.CALLER_HOST,
+            b"authorization": f"Bearer {exchange.key}",
+            names.REQUEST_ID: exchange.request_id,
+            names.DEADLINE_MS: str(_DEADLINE_MS),
+            names.HOLD: "callers-must-not-set-this",
         }
         if exchange.route in ("stream", "resume"):
-            headers["x-model"] = "m"
-            headers["x-token-count"] = "900,40"
-            headers["x-prompt-prefix"] = f"aa:300,{prefix}b:500,cc:100"
+            headers[names.MODEL] = "m"
+            headers[names.TOKEN_COUNTS] = "900,40"
+            headers[names.PROMPT_PARTS] = f"aa:300,{prefix}b:500,cc:100"
         path = f"/{exchange.route}/x"
         try:
             async with client.stream(
-                "POST", path, headers=headers, content=b"body"
+                "POST", path, headers=_encoded(headers), content=b"body"
             ) as answer:
                 exchange.status = answer.status_code
-                exchange.receipt = answer.headers.get("x-response-stamp", "")
+                exchange.receipt = answer.headers.get(
+                    names.RECEIPT.decode(), ""
+                )
                 async for part in answer.aiter_raw():
                     exchange.body += part
                 exchange.whole = True
         except httpx.HTTPError as error:
             exchange.error = repr(error)
+
+
+def _encoded(headers: dict[bytes, str]) -> list[tuple[bytes, bytes]]:
+    return [(name, value.encode()) for name, value in headers.items()]
--- a/hillthread/bench/gateway_soak/disturbances.py
+++ b/hillthread/bench/gateway_soak/disturbances.py
@@ -313,19 +313,19 @@
 
     async def configuration_changes(self) -> None:
         """A version comes that changes how long requests may take."""
-        for route in self.stage.configuration["routes"]:
-            route["timeoutMs"] = self.random.choice((2800, 3000, 3200))
-        self.stage.configure()
+        operator = self.stage.operator
+        operator.timeout_ms = self.random.choice((2800, 3000, 3200))
+        operator.configure()
 
     async def key_changes(self) -> None:
         """A tenant gets a new key, and a little later loses its oldest."""
-        tenant = self.random.choice(self.stage.configuration["tenants"])
+        tenant = self.random.choice(self.stage.operator.tenants)
         self.stage.issue_key(tenant)
-        self.stage.configure()
+        self.stage.operator.configure()
         await anyio.sleep(self.stage.evidence.bounds.configuration_s)
-        if len(tenant["apiKeys"]) > 1:
+        if len(tenant.keys) > 1:
             self.stage.withdraw_key(tenant)
-            self.stage.configure()
+            self.stage.operator.configure()
 
     async def weights_named(self) -> None:
         """Newer weights are named, sometimes twice in quick succession."""
--- a/hillthread/bench/gateway_soak/runner.py
+++ b/hillthread/bench/gateway_soak/runner.py
@@ -185,7 +185,7 @@
             behind = [
                 target.name
                 for target in stage.targets.values()
-                if target.model and target.weights < stage.weights
+                if target.model and target.weights < stage.operator.weights
             ]
             if not behind:
                 return
--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -14,6 +14,7 @@
 from hillthread.bench.gateway_soak import balancer as balancer_lib
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import verdict
+from hillthread.standin import platform_operator
 from hillthread.standin import platform_store
 from hillthread.standin import platform_target
 from hillthread.standin import wire_proxy
@@ -25,6 +26,12 @@
 _ENGINES = "engines"
 _PLAIN = "plain"
 _PLAIN_TARGETS = 3
+_ROUTES = (
+    platform_operator.OperatorRoute("stream", _ENGINES, True, False),
+    platform_operator.OperatorRoute("resume", _ENGINES, True, True),
+    platform_operator.OperatorRoute("once", _PLAIN, False, False),
+    platform_operator.OperatorRoute("again", _PLAIN, False, True),
+)
 _CHECK_S = 0.02
 _START_S = 20.0
 _EXIT_MARGIN_S = 2.0
@@ -89,8 +96,7 @@
         store: The stand-in of the platform's store.
         hosts: The gateways.
         targets: Those that run now, by name.
-        configuration: As the operator wrote it last.
-        weights: The version named last.
+        operator: Writes into the store.
         module: The program that is run as gateway.
         trouble: What went wrong with processes.
         balancer: Says which hosts get new callers.
@@ -114,12 +120,19 @@
             for number, name in enumerate(f"h{n}" for n in range(hosts))
         ]
         self.targets: dict[str, LinkedTarget] = {}
-        self.weights = 1
         self.trouble: list[evidence_lib.Violation] = []
         self.balancer = balancer_lib.Balancer(self.hosts)
         self._numbers = itertools.count()
-        self.configuration = self._first_configuration()
-        self.evidence.isolated = frozenset(["t-alone"])
+        tenants = [
+            platform_operator.OperatorTenant("t-alone", isolated=True),
+            platform_operator.OperatorTenant("t-shared"),
+        ]
+        self.operator = platform_operator.PlatformOperatorStandin(
+            self.store, CALLER_HOST, list(_ROUTES), tenants, {_ENGINES: _MODEL}
+        )
+        self.evidence.isolated = frozenset(
+            tenant.name for tenant in tenants if tenant.isolated
+        )
 
     def _settings(self, name: str, number: int) -> dict[str, Any]:
         bounds = self.evidence.bounds
@@ -134,42 +147,6 @@
             "lease_ms": bounds.lease_s * 1000,
         }
 
-    def _first_configuration(self) -> dict[str, Any]:
-        kinds = {
-            "stream": ("streaming", _ENGINES),
-            "resume": ("streaming", _ENGINES),
-            "once": ("non_idempotent", _PLAIN),
-            "again": ("idempotent", _PLAIN),
-        }
-        routes = [
-            {
-                "name": name,
-                "host": CALLER_HOST,
-                "pathPrefix": f"/{name}/",
-                "type": kind,
-                "service": service,
-                "timeoutMs": 3000,
-                "targetLatencyMs": 500,
-                "priority": 1,
-                "maxAttempts": 2,
-                "resumable": name in verdict.RESUMABLE,
-            }
-            for name, (kind, service) in kinds.items()
-        ]
-        engine = {"slots": 8, "models": [{"name": _MODEL}]}
-        return {
-            "version": 0,
-            "routes": routes,
-            "services": [
-                {"name": _ENGINES, "engine": engine},
-                {"name": _PLAIN},
-            ],
-            "tenants": [
-                {"name": "t-alone", "apiKeys": [], "isolated": True},
-                {"name": "t-shared", "apiKeys": []},
-            ],
-        }
-
     async def start(self, engines: int) -> None:
         """Starts everything and waits until all hosts are ready."""
         self.tasks.start_soon(self.store.server.serve)
@@ -177,9 +154,9 @@
             self.add_target(_ENGINES)
         for _ in range(_PLAIN_TARGETS):
             self.add_target(_PLAIN)
-        for tenant in self.configuration["tenants"]:
+        for tenant in self.operator.tenants:
             self.issue_key(tenant)
-        self.configure()
+        self.operator.configure()
         for host in self.hosts:
             self.tasks.start_soon(host.store_link.serve)
             self.start_process(host)
@@ -192,36 +169,28 @@
 
     # The operator.
 
-    def configure(self) -> None:
-        """Writes the next version of the configuration."""
-        self.configuration["version"] += 1
-        self.store.put("keyed.op", "config", self.configuration)
-
-    def issue_key(self, tenant: dict[str, Any]) -> str:
+    def issue_key(self, tenant: platform_operator.OperatorTenant) -> str:
         """Adds a key to the configuration, which is not written yet."""
         key = f"key-{next(self._numbers)}"
-        tenant["apiKeys"].append(key)
+        tenant.keys.append(key)
         self.evidence.keys[key] = evidence_lib.KeyLife(
-            tenant["name"], time.monotonic(), float("inf")
+            tenant.name, time.monotonic(), float("inf")
         )
         return key
 
-    def withdraw_key(self, tenant: dict[str, Any]) -> None:
+    def withdraw_key(self, tenant: platform_operator.OperatorTenant) -> None:
         """Takes a tenant's oldest key out of the configuration."""
-        key = tenant["apiKeys"].pop(0)
+        key = tenant.keys.pop(0)
         life = self.evidence.keys[key]
         self.evidence.keys[key] = life._replace(withdrawn_at=time.monotonic())
 
     def valid_keys(self) -> list[str]:
         """Returns all keys of the newest configuration."""
-        tenants = self.configuration["tenants"]
-        return [key for tenant in tenants for key in tenant["apiKeys"]]
+        return [key for each in self.operator.tenants for key in each.keys]
 
     def name_weights(self) -> None:
         """Names newer weights."""
-        self.weights += 1
-        named = {"model": _MODEL, "version": self.weights}
-        self.store.put("keyed.op", f"version/{_MODEL}", named)
+        self.operator.name_weights(_MODEL)
 
     # Targets.
 
@@ -229,7 +198,8 @@
         """Starts a target and lists it."""
         model = _MODEL if service == _ENGINES else ""
         name = f"i-{next(self._numbers)}"
-        target = LinkedTarget(name, service, model, weights or self.weights)
+        version = weights or self.operator.weights
+        target = LinkedTarget(name, service, model, version)
         self.targets[name] = target
         self.evidence.targets.append(target)
         self.tasks.start_soon(self._listen, target)
@@ -243,14 +213,14 @@
 
     def list_target(self, target: LinkedTarget, state: str = "ready") -> None:
         """Writes a target's entry."""
-        self.store.put("keyed.servers", target.name, target.entry(state))
+        self.operator.list_target(target, state)
         if state == "draining":
             now = time.monotonic()
             self.evidence.leaving.setdefault(target.name, now)
 
     def unlist_target(self, target: LinkedTarget) -> None:
         """Removes a target's entry."""
-        self.store.remove("keyed.servers", target.name)
+        self.operator.unlist_target(target)
         self.evidence.leaving.setdefault(target.name, time.monotonic())
 
     async def end_target(self, target: LinkedTarget) -> None:
--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from hillthread.bench.gateway_soak import evidence as evidence_lib
+from hillthread.platform import names
 from hillthread.standin import platform_target
 
 __all__ = ["EVENTS", "Judge", "REPEATABLE", "RESUMABLE", "STREAMS"]
@@ -148,16 +149,16 @@
                 yield self._of(exchange, "unasked", f"changed: {request.path}")
             if request.get(b"authorization"):
                 yield self._of(exchange, "key_passed_on", "to a target")
-            if request.get(b"x-tenant").decode() != tenant:
+            if request.get(names.TENANT).decode() != tenant:
                 yield self._of(exchange, "wrong_tenant", "at a target")
-            if request.get(b"x-hold"):
+            if request.get(names.HOLD):
                 yield self._of(exchange, "unasked", "the caller's hold passed")
 
     def _memory(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
         """Nothing is found that other weights or another wall computed."""
         tenant = self.evidence.keys[exchange.key].tenant
         for target, run in self.runs[exchange.request_id]:
-            salt = run.request.get(b"x-cache-salt").decode()
+            salt = run.request.get(names.CACHE_SALT).decode()
             if not target.model or not salt:
                 continue
             if not salt.endswith(f"/{run.weights}"):
--- a/hillthread/platform/names.py
+++ b/hillthread/platform/names.py
@@ -8,6 +8,7 @@
     "EXPECT_INCARNATION",
     "EXPECT_WEIGHTS",
     "FETCH_CACHE_FROM",
+    "HOLD",
     "INCARNATION",
     "LAST_EVENT_ID",
     "MODEL",
@@ -50,6 +51,7 @@
 TENANT = b"x-tenant"
 PRIORITY = b"x-request-priority"
 CACHE_SALT = b"x-cache-salt"
+HOLD = b"x-hold"
 FETCH_CACHE_FROM = b"x-kv-fetch"
 SAVE_CACHE_TO = b"x-kv-save"
 
@@ -61,7 +63,7 @@
     [
         b"authorization",
         b"kv-from",
-        b"x-hold",
+        HOLD,
         b"x-pin-ms",
         CACHE_SALT,
         DEADLINE_MS,
