Tell the outage that a refusal came from, however long before it began

Three stories were wrong: an outage of the store that began over 5 s before was "not in the log"; one that a restarted process noted 0.9 s after the refusal was named as its cause; an answer that was cut when its time was over was told as "no attempt failed". The last outage before the refusal counts now, if the host's process had not found the store again; a time that was over says so, with what targets answered. Five tests, all failed before.

Open, found with it: a target's whole answer that comes in the moment of the deadline is cut while it is passed on (job of the gateway; probes with 0.4 s).

--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -109,17 +109,40 @@
         and line.host in hosts
         and own[0].at - _CONTEXT_S <= line.at <= own[-1].at + 1.0
     ]
+    outage = _outage(own[-1], lines)
+    if outage is not None and outage not in context:
+        context.append(outage)
     context.sort(key=lambda line: line.at)
     return Story(
         request_id,
         own,
         context,
         _other_tries(own, lines),
-        _cause(own, context),
+        _cause(own, outage),
         _missing(own, context),
     )
 
 
+def _outage(last: StoryLine, lines: list[StoryLine]) -> StoryLine | None:
+    """Returns when the host of a line had lost the store, if it still had.
+
+    It may have been long before. A process that started later found the store
+    again, or lost it anew.
+    """
+    outage = None
+    changes = ("store_lost", "store_back", "start")
+    before = [
+        line
+        for line in lines
+        if line.host == last.host
+        and line.event in changes
+        and line.at <= last.at
+    ]
+    for line in sorted(before, key=lambda line: line.at):
+        outage = line if line.event == "store_lost" else None
+    return outage
+
+
 def tell(story: Story) -> str:
     """Returns a story in words."""
     first = story.lines[0].at
@@ -216,12 +239,16 @@
     return f"{name} ({', '.join(told)})" if told else name
 
 
-def _cause(own: list[StoryLine], context: list[StoryLine]) -> str:
+def _cause(own: list[StoryLine], outage: StoryLine | None) -> str:
     """Returns why a request ended as it did, in a sentence."""
     last = {line.event: line for line in own}
     refused = last.get("refused")
     if refused is not None:
-        return _refusal_cause(refused, own, context)
+        return _refusal_cause(refused, own, outage)
+    if "deadline_passed" in last and "answer_broken" in last:
+        answers = _targets_with_status(own, "whole")
+        whose = f" (answers: {answers})" if answers else ""
+        return f"its time was over while an answer was passed on{whose}."
     if "answer_broken" in last:
         failed = _last_failure(own)
         why = last.get("no_resume")
@@ -242,16 +269,15 @@
 
 
 def _refusal_cause(
-    refused: StoryLine, own: list[StoryLine], context: list[StoryLine]
+    refused: StoryLine, own: list[StoryLine], outage: StoryLine | None
 ) -> str:
     fields = refused.fields
     match fields.get("code"):
         case "not_ready":
-            lost = [line for line in context if line.event == "store_lost"]
-            since = "; the log tells no outage of the store nearby"
-            if lost:
-                why = lost[-1].fields.get("reason")
-                before = refused.at - lost[-1].at
+            since = "; the log tells no outage of the store before it"
+            if outage is not None:
+                why = outage.fields.get("reason")
+                before = refused.at - outage.at
                 since = f"; the store was lost {before:.1f} s before ({why})"
             age = fields.get("store_age_s")
             return f"{fields['reason']} Its knowledge was {age} s old{since}."
