--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -160,7 +160,7 @@
             rank=choice.rank,
             pool=pool.name if pool else None,
             configuration=self.site.table.position if self.site.table else -1,
-            store_age_s=round(self.site.freshness.age(look.now), 3),
+            store_age_s=self.site.told_age_s(look.now),
             candidates=look.summaries(),
             targets=len(members),
         )
--- a/hillthread/coordination/gateway/gateway.py
+++ b/hillthread/coordination/gateway/gateway.py
@@ -141,7 +141,7 @@
             retry_after_s=refusal.retry_after_s,
             reason=refusal.message,
             started=answer.started,
-            store_age_s=round(self.site.freshness.age(time.monotonic()), 3),
+            store_age_s=self.site.told_age_s(time.monotonic()),
         )
         if answer.started:
             raise http1_server.BrokenAnswerError
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -271,7 +271,7 @@
                     extra={
                         "event": "readiness",
                         "reason": reason,
-                        "store_age_s": round(self.site.freshness.age(now), 3),
+                        "store_age_s": self.site.told_age_s(now),
                     },
                 )
             self.metrics.ready.set(not reason)
@@ -290,7 +290,7 @@
                 "event": "status",
                 "serving": self.server.serving,
                 "callers": len(self.server.connections),
-                "store_age_s": round(self.site.freshness.age(now), 3),
+                "store_age_s": self.site.told_age_s(now),
                 "store_calls": self.store.calls,
                 "targets": len(self.site.targets.entries),
                 "ejected": self.site.ejected(now),
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import logging
+import math
 import time
 
 import anyio
@@ -259,6 +260,14 @@
         """The age up to which knowledge of keys is used, seconds."""
         return self.settings.revoke_ms / 1000.0 - _REVOKE_MARGIN_S
 
+    def told_age_s(self, now: float) -> float | None:
+        """Returns the age of what is known, for a log line; None before.
+
+        Logs are JSON, which has no number for what was never read.
+        """
+        age_s = self.freshness.age(now)
+        return round(age_s, 3) if math.isfinite(age_s) else None
+
     def may_serve_keys(self, now: float) -> bool:
         """Returns whether what is known of keys is recent enough."""
         if not self.settings.fail_closed:
--- a/tests/coordination/gateway/test_explaining.py
+++ b/tests/coordination/gateway/test_explaining.py
@@ -116,6 +116,21 @@
 
         scene_lib.play(story, revoke_ms=1600)
 
+    def test_refused_before_anything_was_read(self):
+        """An age that is not known yet must not make the line unreadable."""
+
+        async def story(scene):
+            scene.site.started_at -= 1.0
+            request = scene.request("/once/x")
+            answer = await scene.call(request)
+            self.assertEqual(answer.head.status, 503)
+            told = self.explain(request)
+            self.assertIn("does not know the configuration yet", told)
+            self.handler.flush()
+            self.assertNotIn("Infinity", self.path.read_text())
+
+        scene_lib.play(story, ready=False, slow_s=5.0)
+
     def test_every_refusal_has_its_line(self):
         async def story(scene):
             requests = [
