--- a/tests/coordination/gateway/scene.py
+++ b/tests/coordination/gateway/scene.py
@@ -229,13 +229,23 @@
 
 
 @contextlib.asynccontextmanager
-async def opened(engines=2, plain=2, slow_s=0.0, **settings):
-    """Yields a running scene, or what is wrong in it."""
+async def opened(engines=2, plain=2, slow_s=0.0, weights=0, **settings):
+    """Yields a running scene, or what is wrong in it.
+
+    Args:
+        engines: How many engines there are.
+        plain: How many targets of the plain service.
+        slow_s: Added to every answer of the store.
+        weights: Named before the gateway starts; 0 for none.
+        **settings: Of the gateway; `ready` tells whether to wait for it.
+    """
     failure = None
     async with anyio.create_task_group() as tasks:
         scene = Scene(tasks, engines, plain)
         try:
             scene.store.faults.slow_s = slow_s
+            if weights:
+                scene.name_weights(weights)
             await scene.start(**settings)
             yield scene
         except Exception as error:
