--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -90,6 +90,14 @@
         self.views.append(view)
         return view
 
+    def lag_fields(self, name: str | None) -> dict[str, object] | None:
+        """Returns how the chosen target's weights lag, for a log line."""
+        lag = name and self.site.weights.lag(name, self.model, self.now)
+        if not lag:
+            return None
+        self.site.metrics.old_weights.labels(lag.grace).inc()
+        return {**lag._asdict(), "age_s": round(lag.age_s, 3)}
+
     def summaries(self) -> list[str]:
         """Returns what was seen of the targets looked at, in words."""
         return [_summary(view) for view in self.views[:_MAX_SUMMARIES]]
@@ -163,6 +171,7 @@
             store_age_s=self.site.told_age_s(look.now),
             candidates=look.summaries(),
             targets=len(members),
+            old_weights=look.lag_fields(choice.name),
         )
         if pool is None or choice.name is None:
             raise no_target()
--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -40,6 +40,17 @@
             "store_calls", "Calls to the store.", ["call", "outcome"]
         )
         self.orders = self.counter("orders", "Orders given.", ["outcome"])
+        self.loads = self.counter(
+            "loads", "Loads of weights, by how they ended.", ["outcome"]
+        )
+        self.old_weights = self.counter(
+            "old_weights_choices",
+            "Targets chosen with older weights than named, by grace.",
+            ["grace"],
+        )
+        self.behind = self.gauge(
+            "targets_behind", "Targets with older weights than named."
+        )
         self.connections = self.gauge(
             "target_connections_opened", "Connections opened to targets."
         )
--- a/hillthread/coordination/gateway/rollout_keeper.py
+++ b/hillthread/coordination/gateway/rollout_keeper.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import logging
 import random
 import time
@@ -20,7 +21,7 @@
 from hillthread.state import target_list
 from hillthread.transport import http1_client
 
-__all__ = ["RolloutKeeper"]
+__all__ = ["LoadEnd", "RolloutKeeper"]
 
 STRATEGY = "retain"
 _TICK_S = 0.1
@@ -45,6 +46,18 @@
 _logger = logging.getLogger("hillthread.orders")
 
 
+class LoadEnd(enum.StrEnum):
+    """How the load of one target ended."""
+
+    HELD = "held"
+    NO_REPORT = "no_report"
+    NO_LEASE = "no_lease"
+    NOT_TAKEN = "not_taken"
+    TARGET_GONE = "target_gone"
+    TOO_LONG = "too_long"
+    FAILED = "failed"
+
+
 class _Job(NamedTuple):
     """A load to be ordered."""
 
@@ -185,40 +198,52 @@
     async def _load(self, job: _Job) -> None:
         """Moves one target; ends when it holds the weights or time is up."""
         target = job.entry.target
+        started = time.monotonic()
+        end = LoadEnd.TOO_LONG
+        reason = ""
         try:
             with anyio.move_on_after(_LOAD_LIMIT_S):
-                await self._order_until_held(job)
+                end = await self._order_until_held(job)
         except errors.HillthreadError as error:
-            _logger.warning(
-                "order held up",
-                extra={
-                    "event": "order_failed",
-                    "target": target.name,
-                    "reason": str(error),
-                },
-            )
+            end = LoadEnd.FAILED
+            reason = str(error)
         finally:
             self.loading.discard(target.name)
+        self.metrics.loads.labels(end).inc()
+        _logger.info(
+            "load ended",
+            extra={
+                "event": "load_ended",
+                "target": target.name,
+                "model": job.model,
+                "version": job.version,
+                "outcome": end,
+                "reason": reason,
+                "seconds": round(time.monotonic() - started, 3),
+            },
+        )
 
-    async def _order_until_held(self, job: _Job) -> None:
+    async def _order_until_held(self, job: _Job) -> LoadEnd:
+        """Returns how the load ended."""
         target = job.entry.target
         ordered_at = float("-inf")
         while target.name in self.site.targets.entries:
             report = await orders.read_report(self.pool, target)
             if report is None:
-                return
+                return LoadEnd.NO_REPORT
             held = report.weights.get(job.model, 0)
             self.site.weights.report(target.name, job.model, held)
             if held >= job.version:
-                return
+                return LoadEnd.HELD
             now = time.monotonic()
             if not report.busy and now - ordered_at > _UNANSWERED_S:
                 if not await self.lease.ensure():
-                    return
+                    return LoadEnd.NO_LEASE
                 ordered_at = now
                 if not await self._order(job, report):
-                    return
+                    return LoadEnd.NOT_TAKEN
             await anyio.sleep(_POLL_S)
+        return LoadEnd.TARGET_GONE
 
     async def _order(self, job: _Job, report: targets_lib.EngineReport) -> bool:
         """Gives an order; returns whether to wait for its effect."""
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -220,6 +220,21 @@
                 },
             )
 
+    def weights_status(self, now: float) -> dict[str, object]:
+        """Returns what is known of weights, for a log line."""
+        lags = self.weights.lags(now)
+        self.metrics.behind.set(len(lags))
+        return {
+            "weights_named": {
+                model: {
+                    "version": named.version,
+                    "age_s": round(now - named.known_at, 3),
+                }
+                for model, named in self.weights.named.items()
+            },
+            "weights_behind": {name: lag.held for name, lag in lags.items()},
+        }
+
     def state(self, target: str) -> target_state.TargetState:
         """Returns what own attempts found of a target."""
         found = self.states.get(target)
--- a/hillthread/state/weights.py
+++ b/hillthread/state/weights.py
@@ -5,7 +5,7 @@
 import enum
 from typing import NamedTuple
 
-__all__ = ["NamedWeights", "WeightsBoard", "WeightsGrace"]
+__all__ = ["NamedWeights", "WeightsBoard", "WeightsGrace", "WeightsLag"]
 
 # Starts on older weights cost nothing for 1.5 s, and must end after 10 s
 # (pages); a margin is left for the way of the request.
@@ -38,6 +38,22 @@
     seen_named: bool
 
 
+class WeightsLag(NamedTuple):
+    """How a target's weights lag behind what was named.
+
+    Attributes:
+        held: The version it holds; None when not known.
+        newer: The version that it should hold.
+        age_s: Seconds since this host learned of that version.
+        grace: How a start there is looked at.
+    """
+
+    held: int | None
+    newer: int
+    age_s: float
+    grace: WeightsGrace
+
+
 class _Key(NamedTuple):
     target: str
     model: str
@@ -108,6 +124,23 @@
         held = self.held(target, model)
         return named is not None and held is not None and held < named.version
 
+    def lag(self, target: str, model: str, now: float) -> WeightsLag | None:
+        """Returns how a target lags behind; None when it does not."""
+        if not self.is_behind(target, model):
+            return None
+        named = self.named[model]
+        return WeightsLag(
+            self.held(target, model),
+            named.version,
+            now - named.known_at,
+            self.grace(model, now),
+        )
+
+    def lags(self, now: float) -> dict[str, WeightsLag]:
+        """Returns the targets that lag behind, by name."""
+        lags = {key.target: self.lag(*key, now) for key in self._held}
+        return {name: lag for name, lag in lags.items() if lag is not None}
+
     def refute(self, target: str, model: str, version: int) -> None:
         """Takes in that a target does not hold the version it was thought to.
 
--- a/tests/coordination/gateway/test_explaining.py
+++ b/tests/coordination/gateway/test_explaining.py
@@ -72,6 +72,50 @@
 
         scene_lib.play(story)
 
+    def test_start_on_old_weights_tells_what_was_named_since_when(self):
+        async def story(scene):
+            scene.engines[0].order_status = 409
+            scene.name_weights(3)
+            await scene.until(lambda: "m" in scene.site.weights.named)
+            request = scene.prompt("/stream/x", x_deadline_ms="500")
+            scene.engines[0].behave(standin.Fail())
+            await scene.call(request)
+            self.handler.flush()
+            lines = map(json.loads, self.path.read_text().splitlines())
+            (told,) = [
+                line["old_weights"]
+                for line in lines
+                if line.get("event") == "target_chosen"
+            ]
+            self.assertEqual((told["held"], told["newer"]), (1, 3))
+            self.assertEqual(told["grace"], "free")
+            self.assertLess(told["age_s"], 1.3)
+            self.assertIn(
+                b'old_weights_choices_total{grace="free"} 1.0',
+                scene.program.metrics.page(),
+            )
+            status = scene.site.weights_status(anyio.current_time())
+            self.assertEqual(status["weights_behind"], {"e0": 1})
+            self.assertEqual(status["weights_named"]["m"]["version"], 3)
+
+        scene_lib.play(story, engines=1)
+
+    def test_end_of_a_load_is_told(self):
+        async def story(scene):
+            scene.name_weights(2)
+            await scene.until(lambda: scene.engines[0].weights == 2)
+            await scene.until(lambda: not scene.program.rollout.loading)
+            self.handler.flush()
+            lines = map(json.loads, self.path.read_text().splitlines())
+            ends = [
+                (line["target"], line["version"], line["outcome"])
+                for line in lines
+                if line.get("event") == "load_ended"
+            ]
+            self.assertEqual(ends, [("e0", 2, "held")])
+
+        scene_lib.play(story, engines=1)
+
     def test_failure_of_the_targets_themselves(self):
         async def story(scene):
             for target in scene.plain:
