Judge old weights by the first version they missed, from its own time

Cause: the board kept one time for each model, and a newer name replaced it; when weights 3 were named 7.8 s after weights 2, starts on weights 1 were free again and allowed for 8.5 s more. Class: a deadline that starts again when what it guards is replaced by something newer. Found beside it: the time counted from when a host learned of the name, not from when it was named (a frozen or cut off host, or one that found the name when it started; seen_named was always true because it was asked after the copy had been replaced); unknown weights counted as the newest; the wait in an engine's queue was not counted; 10 s was a constant though the platform tells it.

Now each version has its own time, counted from the last read that proved that it was not named yet; the newest expired version stands for all before it; the limit is the setting version_ms.

Ruled out: a wait in the engine (36 ms in the report).

--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -26,6 +26,8 @@
 # First-token time that old weights, and a prefix from elsewhere, are worth.
 _BEHIND_S = 0.3
 _AWAY_S = 0.25
+# A request waits in an engine's queue up to this long, as far as is foreseen.
+_LONGEST_WAIT_S = 2.0
 _NO_TARGET_RETRY_S = 0.3
 _MAX_SUMMARIES = 8
 
@@ -55,6 +57,7 @@
         now: Seconds.
         entries: The targets, by name.
         views: Those that were looked at.
+        lags: How the weights of these lag behind, where they do.
     """
 
     def __init__(
@@ -71,19 +74,23 @@
         self.now = time.monotonic()
         self.entries = {entry.target.name: entry for entry in members}
         self.views: list[target_choice.TargetView] = []
+        self.lags: dict[str, weights_lib.WeightsLag] = {}
 
     def view(self, name: str) -> target_choice.TargetView:
         """Returns how one target looks."""
         target = self.entries[name].target
         state = self.site.state(name)
-        behind = self.site.weights.is_behind(name, self.model)
+        queued = state.queued_tokens(self.now, self.site.hosts)
+        lag = self._lag(name, state, queued)
+        if lag is not None:
+            self.lags[name] = lag
         view = target_choice.TargetView(
             name,
             target.data_centre,
-            self._exclusion(name, state, behind),
+            self._exclusion(name, state, lag),
             state.running,
-            state.queued_tokens(self.now, self.site.hosts),
-            behind,
+            queued,
+            lag is not None and lag.grace is not weights_lib.WeightsGrace.FREE,
             self.pool.has_idle(target.address),
             state.seconds,
         )
@@ -92,8 +99,8 @@
 
     def lag_fields(self, name: str | None) -> dict[str, object] | None:
         """Returns how the chosen target's weights lag, for a log line."""
-        lag = name and self.site.weights.lag(name, self.model, self.now)
-        if not lag:
+        lag = self.lags.get(name) if name else None
+        if lag is None:
             return None
         self.site.metrics.old_weights.labels(lag.grace).inc()
         return {**lag._asdict(), "age_s": round(lag.age_s, 3)}
@@ -102,8 +109,19 @@
         """Returns what was seen of the targets looked at, in words."""
         return [_summary(view) for view in self.views[:_MAX_SUMMARIES]]
 
+    def _lag(
+        self, name: str, state: target_state.TargetState, queued_tokens: float
+    ) -> weights_lib.WeightsLag | None:
+        """Returns how a target's weights lag when a request starts there."""
+        waits_s = max(state.seconds, queued_tokens / _PREFILL_TOKENS_PER_S)
+        starts_at = self.now + min(waits_s, _LONGEST_WAIT_S)
+        return self.site.weights.lag(name, self.model, starts_at)
+
     def _exclusion(
-        self, name: str, state: target_state.TargetState, behind: bool
+        self,
+        name: str,
+        state: target_state.TargetState,
+        lag: weights_lib.WeightsLag | None,
     ) -> target_choice.Exclusion | None:
         """Returns why a target cannot be taken, or None."""
         if name in self.tried:
@@ -112,17 +130,12 @@
             return target_choice.Exclusion.UNREACHABLE
         if self.now < state.refused_until:
             return target_choice.Exclusion.REFUSING
-        if behind and self._is_forbidden():
+        if lag and lag.grace is weights_lib.WeightsGrace.FORBIDDEN:
             return target_choice.Exclusion.OLD_WEIGHTS
         if state.breaker.state(self.now) is health.BreakerState.OPEN:
             return target_choice.Exclusion.EJECTED
         return None
 
-    def _is_forbidden(self) -> bool:
-        """Returns whether nothing may start on old weights any more."""
-        grace = self.site.weights.grace(self.model, self.now)
-        return grace is weights_lib.WeightsGrace.FORBIDDEN
-
 
 class Chooser:
     """Chooses targets from what the host believes.
@@ -202,12 +215,8 @@
             return target_choice.choose_plain(
                 request.request_id, views, self.site.settings.data_centre
             )
-        grace = self.site.weights.grace(request.prompt.model, look.now)
-        is_free = grace is weights_lib.WeightsGrace.FREE
         weights = target_choice.EngineWeights(
-            _PREFILL_TOKENS_PER_S,
-            0.0 if is_free else _BEHIND_S,
-            _AWAY_S,
+            _PREFILL_TOKENS_PER_S, _BEHIND_S, _AWAY_S
         )
         return target_choice.choose_engine(
             cache_source.affinity_key(request),
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -233,9 +233,7 @@
         if record.key == configuration.CONFIGURATION_KEY:
             self.site.adopt_configuration(record.value)
         elif record.key.startswith(configuration.WEIGHTS_KEY_PREFIX):
-            operator = self.followers[configuration.OPERATOR_TOPIC]
-            seen_named = operator.copy.position is not None
-            self.site.name_weights(record.value, seen_named)
+            self.site.name_weights(record.value)
 
     def _take_target(self, record: topic_copy.TopicRecord) -> None:
         if record.value:
--- a/hillthread/coordination/gateway/settings.py
+++ b/hillthread/coordination/gateway/settings.py
@@ -32,6 +32,8 @@
         fail_closed: Whether requests with keys are refused when what is known
             of keys is older than that.
         lease_ms: Pause between the orders of two holders.
+        version_ms: Nothing may start on older weights later than this after
+            newer ones were named.
         retry_ratio: Retries, as a share of requests, of all hosts together.
         retry_extra: Retries beyond that in a window, of all hosts together.
         retry_window_s: Length of that window.
@@ -52,6 +54,7 @@
     revoke_ms: Milliseconds = 5_000
     fail_closed: bool = True
     lease_ms: Milliseconds = 3_000
+    version_ms: Milliseconds = 10_000
     retry_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.2
     retry_extra: Annotated[float, msgspec.Meta(ge=0)] = 50
     retry_window_s: settings_lib.Seconds = 10.0
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -76,7 +76,7 @@
         self.started_at = time.monotonic()
         self.known = anyio.Event()
         self.states: dict[str, target_state.TargetState] = {}
-        self.weights = weights.WeightsBoard()
+        self.weights = weights.WeightsBoard(settings.version_ms / 1000.0)
         self.freshness = freshness.Freshness()
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.hosts = DEFAULT_HOSTS
@@ -116,19 +116,19 @@
             },
         )
 
-    def name_weights(self, payload: bytes, seen_named: bool) -> None:
+    def name_weights(self, payload: bytes) -> None:
         """Takes in newly named weights.
 
-        Args:
-            payload: The record.
-            seen_named: It was read when it was written.
+        They were named after the last read that proves something: this host
+        may learn of them late, or find them when it starts.
 
         Raises:
             ConfigurationError: The record is unreadable.
         """
         named = configuration_lib.decode_weights(payload)
         now = time.monotonic()
-        if self.weights.name(named.model, named.version, now, seen_named):
+        not_before = self.freshness.proven_at
+        if self.weights.name(named.model, named.version, now, not_before):
             self.weights_named.set()
             self.weights_named = anyio.Event()
             _logger.info(
@@ -137,6 +137,7 @@
                     "event": "weights_named",
                     "model": named.model,
                     "version": named.version,
+                    "store_age_s": self.told_age_s(now),
                 },
             )
 
--- a/hillthread/state/target_choice.py
+++ b/hillthread/state/target_choice.py
@@ -45,7 +45,7 @@
         running: This host's unfinished attempts on it.
         queued_tokens: Tokens expected to be computed before a new request,
             those of other hosts included.
-        behind: It holds older weights than named.
+        behind: A start there is on older weights than named, and costs.
         has_connection: A kept connection is there.
         seconds: Smoothed time to its first byte.
     """
--- a/hillthread/state/weights.py
+++ b/hillthread/state/weights.py
@@ -7,12 +7,18 @@
 
 __all__ = ["NamedWeights", "WeightsBoard", "WeightsGrace", "WeightsLag"]
 
-# Starts on older weights cost nothing for 1.5 s, and must end after 10 s
+# Starts on older weights cost nothing for 1.5 s after newer ones were named
 # (pages); a margin is left for the way of the request.
 _FREE_S = 1.3
-_LAST_S = 8.5
-# A host that has just started does not know since when they were named.
-_LAST_UNSEEN_S = 2.5
+# While the store answers, a read proves something at least so often, seconds.
+_LONGEST_UNPROVEN_S = 3.0
+# From the choice of a target to the start there, beyond what is expected.
+_START_MARGIN_S = 1.0
+# Who learned late was out of reach, and is judged again only 3 s after that
+# (pages); until then old weights may serve while the newer ones are loaded.
+_LATE_S = 1.5
+# Seconds from naming in which older weights must be gone, unless told.
+_DEFAULT_LIMIT_S = 10.0
 
 
 class WeightsGrace(enum.StrEnum):
@@ -24,18 +30,18 @@
 
 
 class NamedWeights(NamedTuple):
-    """The newest weights of a model.
+    """Weights of a model that were named.
 
     Attributes:
         version: Its number; versions rise.
         known_at: Seconds, when this host learned of it.
-        seen_named: It was learned when it was named, and not found in the
-            store by a host that has just started.
+        not_before: Seconds, when it surely was not named yet; minus infinity
+            for weights that were found when this host started.
     """
 
     version: int
     known_at: float
-    seen_named: bool
+    not_before: float
 
 
 class WeightsLag(NamedTuple):
@@ -43,7 +49,7 @@
 
     Attributes:
         held: The version it holds; None when not known.
-        newer: The version that it should hold.
+        newer: The first version named after it, whose age decides.
         age_s: Seconds since this host learned of that version.
         grace: How a start there is looked at.
     """
@@ -62,25 +68,61 @@
 class WeightsBoard:
     """What one host knows of weights.
 
+    Each version has a time of its own: a target that missed several is judged
+    by the first of them, however many have been named since.
+
     Attributes:
+        limit_s: So long after newer weights were named nothing may start on
+            older ones.
         named: The newest weights, by model.
     """
 
-    def __init__(self):
+    def __init__(self, limit_s: float = _DEFAULT_LIMIT_S):
+        self.limit_s = limit_s
         self.named: dict[str, NamedWeights] = {}
+        self._series: dict[str, list[NamedWeights]] = {}
         self._held: dict[_Key, int] = {}
         self._listed: dict[_Key, int] = {}
 
     def name(
-        self, model: str, version: int, now: float, seen_named: bool = True
+        self,
+        model: str,
+        version: int,
+        now: float,
+        not_before: float = float("-inf"),
     ) -> bool:
-        """Takes in newly named weights; returns whether they are news."""
+        """Takes in newly named weights; returns whether they are news.
+
+        Args:
+            model: Whose weights.
+            version: Their number.
+            now: Seconds.
+            not_before: Seconds, up to when it is proven that they were not
+                named yet.
+        """
         before = self.named.get(model)
         if before is not None and before.version >= version:
             return False
-        self.named[model] = NamedWeights(version, now, seen_named)
+        named = NamedWeights(version, now, not_before)
+        self.named[model] = named
+        self._series[model] = [*self._unexpired(model, now), named]
         return True
 
+    def _unexpired(self, model: str, now: float) -> list[NamedWeights]:
+        """Returns the versions whose times still differ.
+
+        Of those whose time is over the newest stands for all: whatever is
+        older than it is forbidden.
+        """
+        series = self._series.get(model, [])
+        over = [each for each in series if now >= self._forbidden_at(each)]
+        return over[-1:] + series[len(over) :]
+
+    def _forbidden_at(self, named: NamedWeights) -> float:
+        """Returns from when on nothing may start on weights before these."""
+        proven_at = named.not_before + self.limit_s - _START_MARGIN_S
+        return max(proven_at, named.known_at + _LATE_S)
+
     def list_target(self, target: str, model: str, version: int) -> None:
         """Takes in what the platform lists.
 
@@ -119,21 +161,36 @@
         return self._held.get(_Key(target, model))
 
     def is_behind(self, target: str, model: str) -> bool:
-        """Returns whether a target holds older weights than named."""
+        """Returns whether a target is not known to hold the newest weights."""
         named = self.named.get(model)
+        if named is None:
+            return False
         held = self.held(target, model)
-        return named is not None and held is not None and held < named.version
+        return held is None or held < named.version
+
+    def lag(
+        self, target: str, model: str, starts_at: float
+    ) -> WeightsLag | None:
+        """Returns how a target lags behind; None when it does not.
 
-    def lag(self, target: str, model: str, now: float) -> WeightsLag | None:
-        """Returns how a target lags behind; None when it does not."""
+        Args:
+            target: Its name.
+            model: Whose weights.
+            starts_at: Seconds, when a request is expected to start there.
+        """
         if not self.is_behind(target, model):
             return None
-        named = self.named[model]
+        held = self.held(target, model)
+        first = next(
+            named
+            for named in self._series[model]
+            if held is None or held < named.version
+        )
         return WeightsLag(
-            self.held(target, model),
-            named.version,
-            now - named.known_at,
-            self.grace(model, now),
+            held,
+            first.version,
+            starts_at - first.known_at,
+            self._grace(first, starts_at),
         )
 
     def lags(self, now: float) -> dict[str, WeightsLag]:
@@ -141,27 +198,29 @@
         lags = {key.target: self.lag(*key, now) for key in self._held}
         return {name: lag for name, lag in lags.items() if lag is not None}
 
+    def _grace(self, named: NamedWeights, starts_at: float) -> WeightsGrace:
+        """Returns how starts on weights before these are looked at."""
+        if starts_at >= self._forbidden_at(named):
+            return WeightsGrace.FORBIDDEN
+        if named.known_at - named.not_before > _LONGEST_UNPROVEN_S:
+            return WeightsGrace.COSTLY
+        if starts_at - named.known_at > _FREE_S:
+            return WeightsGrace.COSTLY
+        return WeightsGrace.FREE
+
     def refute(self, target: str, model: str, version: int) -> None:
         """Takes in that a target does not hold the version it was thought to.
 
-        It holds the newest when it was thought to be behind; otherwise it is
-        behind, by how much its own report tells.
+        It holds the newest when it was thought to be behind. When it was not,
+        it is: what it listed last tells by how much, or else its own report.
         """
+        key = _Key(target, model)
         named = self.named.get(model)
         newest = named.version if named is not None else version
-        self._held[_Key(target, model)] = (
-            newest if version < newest else version - 1
-        )
-
-    def grace(self, model: str, now: float) -> WeightsGrace:
-        """Returns how starts on older weights are looked at now."""
-        named = self.named.get(model)
-        if named is None:
-            return WeightsGrace.FREE
-        age_s = now - named.known_at
-        last_s = _LAST_S if named.seen_named else _LAST_UNSEEN_S
-        if age_s > last_s:
-            return WeightsGrace.FORBIDDEN
-        if age_s > _FREE_S or not named.seen_named:
-            return WeightsGrace.COSTLY
-        return WeightsGrace.FREE
+        listed = self._listed.get(key, version)
+        if version < newest:
+            self._held[key] = newest
+        elif listed < version:
+            self._held[key] = listed
+        else:
+            self._held[key] = version - 1
--- a/tests/coordination/gateway/test_lifecycle.py
+++ b/tests/coordination/gateway/test_lifecycle.py
@@ -7,6 +7,7 @@
 import anyio
 
 from hillthread.standin import platform_target as standin
+from hillthread.state import weights
 from tests.coordination.gateway import scene as scene_lib
 
 
@@ -276,10 +277,10 @@
             await scene.until(
                 lambda: all(e.weights == 2 for e in scene.engines)
             )
-            named = scene.site.weights.named["m"]
-            scene.site.weights.named["m"] = named._replace(
-                known_at=named.known_at - 60.0
-            )
+            scene.site.weights = weights.WeightsBoard()
+            scene.site.weights.name("m", 2, time.monotonic() - 60.0)
+            for engine in scene.engines:
+                scene.site.weights.report(engine.name, "m", 2)
             old = scene.engines[0]
             old.weights = 1
             old.name = "e0-again"
--- a/tests/coordination/gateway/test_old_weights.py
+++ b/tests/coordination/gateway/test_old_weights.py
@@ -80,3 +80,28 @@
             self.assertEqual([run.weights for run in engine.runs], [1])
 
         scene_lib.play(story, engines=1)
+
+    def test_wait_in_an_engine_counts_as_far_as_it_is_foreseen(self):
+        async def story(scene):
+            scene.engines[0].order_status = 409
+            board = scene.site.weights
+            now = time.monotonic()
+            board.name("m", 2, now - 8.0, now - 8.0)
+            first = await scene.call(scene.prompt("/stream/x"))
+            self.assertEqual(first.head.status, 200)
+            scene.site.state("e0").seconds = 1.5
+            second = await scene.call(scene.prompt("/stream/x"))
+            self.assertEqual(second.head.status, 503)
+
+        scene_lib.play(story, engines=1)
+
+    def test_limit_is_a_setting(self):
+        async def story(scene):
+            scene.engines[0].order_status = 409
+            scene.name_weights(2)
+            await scene.until(lambda: "m" in scene.site.weights.named)
+            await anyio.sleep(2.0)
+            answer = await scene.call(scene.prompt("/stream/x"))
+            self.assert_refused(answer, scene.engines[0])
+
+        scene_lib.play(story, engines=1, version_ms=2_000)
--- a/tests/state/test_weights.py
+++ b/tests/state/test_weights.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+import hypothesis
+from hypothesis import strategies as st
+
 from hillthread.state import rollout
 from hillthread.state import weights
 
@@ -38,20 +41,95 @@
         board.refute("t", "m", 2)
         self.assertTrue(board.is_behind("t", "m"))
 
-    def test_grace_ends_and_is_short_for_a_host_that_just_started(self):
+    def test_refuted_newest_weights_are_what_was_listed(self):
         board = weights.WeightsBoard()
-        self.assertEqual(board.grace("m", 0.0), weights.WeightsGrace.FREE)
+        board.list_target("t", "m", 1)
         board.name("m", 2, 0.0)
-        self.assertEqual(board.grace("m", 1.0), weights.WeightsGrace.FREE)
-        self.assertEqual(board.grace("m", 5.0), weights.WeightsGrace.COSTLY)
-        self.assertEqual(board.grace("m", 9.0), weights.WeightsGrace.FORBIDDEN)
-        board = weights.WeightsBoard()
-        board.name("m", 2, 0.0, seen_named=False)
-        self.assertEqual(board.grace("m", 0.1), weights.WeightsGrace.COSTLY)
-        self.assertEqual(board.grace("m", 3.0), weights.WeightsGrace.FORBIDDEN)
+        board.name("m", 3, 0.0)
+        board.observe("t", "m", 3)
+        board.refute("t", "m", 3)
+        self.assertEqual(board.held("t", "m"), 1)
 
     def test_loads_at_once(self):
         self.assertEqual(
             [rollout.loads_at_once(n) for n in (1, 4, 5, 45, 70)],
             [1, 2, 2, 18, 28],
         )
+
+
+class GraceTest(unittest.TestCase):
+    """The time in which starts on older weights are allowed."""
+
+    def setUp(self):
+        self.board = weights.WeightsBoard(limit_s=10.0)
+
+    def grace(self, held, at):
+        """Returns how a start on some version is looked at."""
+        self.board.report("t", "m", held)
+        lag = self.board.lag("t", "m", at)
+        return lag and lag.grace
+
+    def test_it_ends_before_the_limit(self):
+        self.assertIsNone(self.grace(1, 0.0))
+        self.board.name("m", 2, 0.0, -0.5)
+        self.assertEqual(self.grace(1, 1.0), weights.WeightsGrace.FREE)
+        self.assertEqual(self.grace(1, 5.0), weights.WeightsGrace.COSTLY)
+        self.assertEqual(self.grace(1, 9.0), weights.WeightsGrace.FORBIDDEN)
+        self.assertIsNone(self.grace(2, 99.0))
+
+    def test_each_version_has_its_own(self):
+        self.board.name("m", 2, 0.0, -0.1)
+        self.board.name("m", 3, 7.0, 6.9)
+        self.assertEqual(self.grace(1, 9.0), weights.WeightsGrace.FORBIDDEN)
+        self.assertEqual(self.grace(2, 9.0), weights.WeightsGrace.COSTLY)
+        self.board.name("m", 4, 9.0, 8.9)
+        self.assertEqual(self.grace(1, 10.0), weights.WeightsGrace.FORBIDDEN)
+        self.assertEqual(self.grace(2, 10.0), weights.WeightsGrace.COSTLY)
+        self.assertEqual(self.grace(3, 10.0), weights.WeightsGrace.FREE)
+
+    def test_what_is_forbidden_stays_so_whatever_is_named(self):
+        self.board.name("m", 2, 0.0, -0.1)
+        for version in range(3, 40):
+            self.board.name("m", version, 3.0 * version, 3.0 * version)
+            self.assertEqual(
+                self.grace(1, 3.0 * version), weights.WeightsGrace.FORBIDDEN
+            )
+
+    def test_it_counts_from_when_weights_were_surely_not_named(self):
+        self.board.name("m", 2, 8.0, 0.0)
+        self.assertEqual(self.grace(1, 8.1), weights.WeightsGrace.COSTLY)
+        self.assertEqual(self.grace(1, 9.6), weights.WeightsGrace.FORBIDDEN)
+
+    def test_weights_found_at_the_start_leave_a_moment(self):
+        self.board.name("m", 2, 0.0)
+        self.assertEqual(self.grace(1, 0.1), weights.WeightsGrace.COSTLY)
+        self.assertEqual(self.grace(1, 1.6), weights.WeightsGrace.FORBIDDEN)
+
+    def test_unknown_weights_may_be_the_oldest(self):
+        self.board.name("m", 2, 0.0, -0.1)
+        self.board.name("m", 3, 8.0, 7.9)
+        self.assertEqual(
+            self.board.lag("new", "m", 9.5).grace,
+            weights.WeightsGrace.FORBIDDEN,
+        )
+
+    @hypothesis.given(
+        st.lists(st.floats(0.05, 12.0), min_size=1, max_size=20),
+        st.data(),
+    )
+    def test_no_series_of_names_prolongs_it(self, gaps, data):
+        self.board = weights.WeightsBoard(limit_s=10.0)
+        named_at = {}
+        now = 0.0
+        for version, gap in enumerate(gaps, start=2):
+            now += gap
+            self.board.name("m", version, now, now - min(gap, 0.05))
+            named_at[version] = now
+        held = data.draw(st.integers(1, len(gaps)))
+        wait = data.draw(st.floats(0.0, 15.0))
+        grace = self.grace(held, now + wait)
+        is_over = now + wait > named_at[held + 1] + 10.0
+        if is_over:
+            self.assertEqual(grace, weights.WeightsGrace.FORBIDDEN)
+        if now + wait < named_at[held + 1] + 8.9:
+            self.assertNotEqual(grace, weights.WeightsGrace.FORBIDDEN)
