Spare bytes in log lines that say nothing new

Lines no longer repeat the event as the message, leave out values that are not known, and have no spaces; msgspec, which the project has, encodes them.

--- a/hillthread/transport/log_writer.py
+++ b/hillthread/transport/log_writer.py
@@ -11,12 +11,40 @@
 import os
 
 import anyio
+import msgspec
 from pythonjsonlogger import json as jsonlogger
 
 __all__ = ["BufferedLogHandler"]
 
 _FLUSH_EVERY_S = 0.2
 _WRITE_BYTES = 65_536
+# Times in lines are told to a tenth of a millisecond.
+_TIME_DIGITS = 4
+
+_encoder = msgspec.json.Encoder(enc_hook=str)
+
+
+class _BriefFormatter(jsonlogger.JsonFormatter):
+    """Leaves out what a line need not say.
+
+    Whoever keeps logs keeps a bounded number of bytes: each one spared makes
+    room for an older line.
+    """
+
+    def __init__(self):
+        super().__init__("%(created)f %(levelname)s %(message)s")
+
+    def process_log_record(self, log_data: dict) -> dict:
+        """Returns a line's fields without repetitions and unknown values."""
+        fields = {k: v for k, v in log_data.items() if v is not None}
+        fields["created"] = round(fields["created"], _TIME_DIGITS)
+        if fields.get("message") == fields.get("event"):
+            del fields["message"]
+        return fields
+
+    def jsonify_log_record(self, log_data: dict) -> str:
+        """Returns a line as JSON without spaces."""
+        return _encoder.encode(log_data).decode()
 
 
 class BufferedLogHandler(logging.Handler):
@@ -40,9 +68,7 @@
         self._waiting: collections.deque[bytes] = collections.deque()
         self._waiting_bytes = 0
         self._dropped_untold = 0
-        self.setFormatter(
-            jsonlogger.JsonFormatter("%(created)f %(levelname)s %(message)s")
-        )
+        self.setFormatter(_BriefFormatter())
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
--- a/tests/transport/test_log_writer.py
+++ b/tests/transport/test_log_writer.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import os
+import time
 import unittest
 
 from hillthread.transport import log_writer
@@ -50,6 +51,21 @@
         self.assertEqual(numbers, sorted(numbers))
         self.assertEqual(len(numbers) + self.handler.dropped, 5000)
 
+    def test_line_says_nothing_twice_and_nothing_unknown(self):
+        fields = {"event": "chosen", "target": None, "seconds": 0.5}
+        self.logger.info("chosen", extra=fields)
+        self.logger.info("words", extra={"event": "chosen", "odd": object})
+        self.handler.flush()
+        first, second = self.read().splitlines()
+        told = json.loads(first)
+        self.assertAlmostEqual(told.pop("created"), time.time(), delta=60.0)
+        self.assertEqual(
+            told, {"levelname": "INFO", "event": "chosen", "seconds": 0.5}
+        )
+        self.assertNotIn(b" ", first)
+        self.assertEqual(json.loads(second)["message"], "words")
+        self.assertEqual(json.loads(second)["odd"], str(object))
+
     def test_reader_that_is_gone_stops_nothing(self):
         os.close(self.reader)
         self.reader = os.open(os.devnull, os.O_RDONLY)
