Let changed settings reach the bounds that were copied from them

A file that changed between the start of the process and the first look of the watch was never read.

--- a/hillthread/coordination/gateway/settings_watch.py
+++ b/hillthread/coordination/gateway/settings_watch.py
@@ -45,7 +45,8 @@
     async def run(self) -> None:
         """Reads the settings again when their file changes."""
         file = pathlib.Path(self.path)  # a look takes microseconds, no thread
-        changed_at = file.stat().st_mtime_ns  # noqa: ASYNC240
+        # The first look reads the file: it may have changed since the start.
+        changed_at = 0
         while True:
             await anyio.sleep(_LOOK_EVERY_S)
             try:
@@ -76,7 +77,7 @@
             for name in _FIXED_SETTINGS
             if getattr(loaded, name) != getattr(before, name)
         ]
-        self.site.settings = loaded
+        self.site.adopt_settings(loaded)
         _logger.info(
             "settings taken over",
             extra={"event": "reload", "need_a_restart": fixed},
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -69,14 +69,12 @@
         self.metrics = metrics
         self.configuration: site_configuration.SiteConfiguration | None = None
         self.table: routing_table.RoutingTable | None = None
-        self.targets = target_list.TargetList(
-            _RETURN_S, settings.drain_ms / 1000.0 * _READY_SHARE
-        )
+        self.targets = target_list.TargetList(_RETURN_S)
         self.targets_known = False
         self.started_at = time.monotonic()
         self.known = anyio.Event()
         self.states: dict[str, target_state.TargetState] = {}
-        self.weights = weights.WeightsBoard(settings.version_ms / 1000.0)
+        self.weights = weights.WeightsBoard()
         self.freshness = freshness.Freshness()
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.hosts = DEFAULT_HOSTS
@@ -84,6 +82,13 @@
         self.closing = False
         self.weights_named = anyio.Event()
         self.target_gone: Callable[[str], None] = _ignore
+        self.adopt_settings(settings)
+
+    def adopt_settings(self, settings: settings_lib.GatewaySettings) -> None:
+        """Puts settings in force, at the start and when they change."""
+        self.settings = settings
+        self.targets.hold_s = settings.drain_ms / 1000.0 * _READY_SHARE
+        self.weights.limit_s = settings.version_ms / 1000.0
 
     @property
     def bounds(self) -> caller_bounds.CallerBounds:
--- a/hillthread/state/target_list.py
+++ b/hillthread/state/target_list.py
@@ -56,7 +56,7 @@
         leaving: Names that were seen leaving; they never come back.
     """
 
-    def __init__(self, return_s: float, hold_s: float):
+    def __init__(self, return_s: float, hold_s: float = _FOREVER):
         self.return_s = return_s
         self.hold_s = hold_s
         self.entries: dict[str, ListedTarget] = {}
