--- a/hillthread/coordination/gateway/attempt.py
+++ b/hillthread/coordination/gateway/attempt.py
@@ -127,7 +127,7 @@
         await connection.send_request(sent)
         if not connection.body_sent:
             self.tasks.start_soon(connection.send_body, sent)
-        head = await connection.read_head()
+        head = await self._read_head(connection)
         self.heard_at = time.monotonic()
         if self.reused:
             self.pool.note_alive()
@@ -145,6 +145,20 @@
             return outcome_lib.Relayed(head.status)
         return await self._collect(connection, head)
 
+    async def _read_head(
+        self, connection: http1_client.ClientConnection
+    ) -> http1_client.AnswerHead:
+        """Returns the head of the answer.
+
+        Raises:
+            CallError: None came, or not before the weights were too old: one
+                that waits in the target's queue must not begin then.
+        """
+        start_by = self.plan.start_by
+        with anyio.CancelScope(deadline=start_by or float("inf")):
+            return await connection.read_head()
+        raise http1_client.CallError(True, "not begun on old weights in time")
+
     async def _collect(
         self,
         connection: http1_client.ClientConnection,
--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -103,7 +103,12 @@
         if lag is None:
             return None
         self.site.metrics.old_weights.labels(lag.grace).inc()
-        return {**lag._asdict(), "age_s": round(lag.age_s, 3)}
+        return {
+            "held": lag.held,
+            "newer": lag.newer,
+            "age_s": round(lag.age_s, 3),
+            "grace": lag.grace,
+        }
 
     def summaries(self) -> list[str]:
         """Returns what was seen of the targets looked at, in words."""
@@ -190,10 +195,12 @@
             raise no_target()
         entry = self.site.targets.entries[choice.name]
         planned = self._planned(request, pool, entry, choice, last_event_id)
+        lag = look.lags.get(choice.name)
         plan = self.caches.complete(
             planned.plan, request, pool.cache_token_bytes
         )
-        return planned._replace(plan=plan)
+        start_by = lag.start_by if lag else None
+        return planned._replace(plan=plan._replace(start_by=start_by))
 
     def _pool(self, route: objects.Route) -> objects.Pool | None:
         """Returns one of the route's pools by their weights."""
--- a/hillthread/coordination/gateway/job.py
+++ b/hillthread/coordination/gateway/job.py
@@ -154,9 +154,12 @@
         finally:
             if result is None and attempt.sent:
                 self.runs += 1
-            first_byte.note()
-            state.end()
+            if isinstance(result, outcome_lib.Whole):
+                first_byte.note()
+            first_byte.note_none()
+            # A trial of an ejected target has to tell before it ends.
             self.tools.learner.learn(attempt, result, now)
+            state.end()
 
     async def _finish(
         self, result: outcome_lib.Outcome, planned: chooser_lib.Planned
--- a/hillthread/coordination/gateway/learning.py
+++ b/hillthread/coordination/gateway/learning.py
@@ -41,20 +41,31 @@
         self.noted = False
 
     def note(self) -> None:
-        """Notes that the answer has begun, or never will; idempotent."""
+        """Notes that the answer has begun; idempotent."""
         if self.noted:
             return
-        self.noted = True
         now = time.monotonic()
-        planned = self.planned
-        state = self.learner.site.state(planned.plan.target.name)
-        state.first_byte(now, planned.prefill_tokens, now - self.started)
+        self._release(now, now - self.started)
         self.learner.metrics.observe_first_byte(
             self.request.tenant_name,
             self.request.route.name,
             now - self.request.caller.arrived,
         )
 
+    def note_none(self) -> None:
+        """Notes that the answer never begins, if it has not.
+
+        How long a refusal took tells nothing of how long an answer takes.
+        """
+        if not self.noted:
+            self._release(time.monotonic(), None)
+
+    def _release(self, now: float, seconds: float | None) -> None:
+        self.noted = True
+        planned = self.planned
+        state = self.learner.site.state(planned.plan.target.name)
+        state.first_byte(now, planned.prefill_tokens, seconds)
+
 
 class Learner:
     """Changes the host's beliefs after each attempt.
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -238,7 +238,10 @@
                 }
                 for model, named in self.weights.named.items()
             },
-            "weights_behind": {name: lag.held for name, lag in lags.items()},
+            "weights_behind": {
+                f"{target} {model}": lag.held
+                for (target, model), lag in lags.items()
+            },
         }
 
     def state(self, target: str) -> target_state.TargetState:
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -243,6 +243,8 @@
         for record in page.records:
             if self.copy.add(record):
                 self._take_all([record])
+        # Records that the other host could not read are not among them.
+        self.copy.advance(page.position)
 
     async def _read_store(self, failures: int) -> int:
         """Reads from the store; returns failures in a row so far."""
@@ -305,6 +307,8 @@
             return
         for record in page.records:
             self._take_raw(record)
+        if (self.copy.position or 0) < page.end:
+            return  # the rest, which may be anything, comes with the next
         took_s = time.monotonic() - started
         held_s = 0.0 if page.records else min(wait_s, took_s)
         self.freshness.prove(started, held_s)
@@ -313,7 +317,7 @@
         try:
             record = store.parse_keyed(raw)
         except errors.LogError as error:
-            self.copy.skip(raw.offset)
+            self.copy.advance(raw.offset + 1)
             self._note_bad(str(raw.offset), error)
             return
         if self.copy.add(record):
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -124,6 +124,7 @@
     if plan.weights_version is not None:
         version = b"%d" % plan.weights_version
         sent.append((names.EXPECT_WEIGHTS, version))
+    if plan.model:
         sent.append((names.CACHE_SALT, plan.cache_scope.encode()))
     if plan.fetch_from:
         sent.append((names.FETCH_CACHE_FROM, plan.fetch_from.encode()))
--- a/hillthread/standin/platform_store.py
+++ b/hillthread/standin/platform_store.py
@@ -32,6 +32,7 @@
         slow_s: Added to every answer.
         lost_answers: So many writes are done and not answered.
         late_s: Lost writes are done so much later.
+        page_records: Reads answer with so many records at most; 0 for all.
     """
 
     status: int = 0
@@ -40,6 +41,7 @@
     slow_s: float = 0.0
     lost_answers: int = 0
     late_s: float = 0.0
+    page_records: int = 0
 
 
 class _Topic:
@@ -186,7 +188,8 @@
         if self.faults.silent:
             await anyio.sleep_forever()
         parts = [struct.pack(">QQ", topic.end, topic.first)]
-        for payload in topic.records[max(0, start - topic.first) :]:
+        records = topic.records[max(0, start - topic.first) :]
+        for payload in records[: self.faults.page_records or None]:
             parts.append(struct.pack(">I", len(payload)) + payload)
         await answer.send_whole(200, [], b"".join(parts))
 
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -46,6 +46,17 @@
     delay_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Queue:
+    """Has the request wait, then runs it and answers as it should.
+
+    Attributes:
+        wait_s: Before it runs.
+    """
+
+    wait_s: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Refuse:
     """Does not run the request and says so."""
@@ -119,6 +130,7 @@
 
 Behaviour = (
     Serve
+    | Queue
     | Refuse
     | Fail
     | Vanish
@@ -330,6 +342,9 @@
         if isinstance(behaviour, Refuse):
             await self._refuse(request, answer, behaviour.status)
             return
+        if isinstance(behaviour, Queue):
+            await anyio.sleep(behaviour.wait_s)
+            behaviour = Serve()
         request_id = request.get(b"x-request-id").decode()
         self.runs.append(
             Run(request_id, request, time.monotonic(), self.weights)
--- a/hillthread/state/target_state.py
+++ b/hillthread/state/target_state.py
@@ -74,11 +74,19 @@
         return self.prefill_tokens + (hosts - 1) * self.mean_prefill
 
     def first_byte(
-        self, now: float, prefill_tokens: int, seconds: float
+        self, now: float, prefill_tokens: int, seconds: float | None
     ) -> None:
-        """Notes that an attempt's answer has begun."""
+        """Notes that an attempt's answer has begun.
+
+        Args:
+            now: Seconds.
+            prefill_tokens: As told to `begin`.
+            seconds: How long it took; None when it never began.
+        """
         self._update_mean(now)
         self.prefill_tokens -= prefill_tokens
+        if seconds is None:
+            return
         step = _LATENCY_STEP if self.seconds else 1.0
         self.seconds += step * (seconds - self.seconds)
 
--- a/hillthread/state/topic_copy.py
+++ b/hillthread/state/topic_copy.py
@@ -73,18 +73,19 @@
     def add(self, record: TopicRecord) -> bool:
         """Takes in the next record; returns whether it is new."""
         self.position = record.offset + 1
-        if not self._is_new(record):
-            return False
-        self._store(record)
+        # Also one that is known already: whoever reads from here may not.
         self._history.append(record)
         if len(self._history) > _MAX_HISTORY:
             dropped = self._history.popleft()
             self._history_from = dropped.offset + 1
+        if not self._is_new(record):
+            return False
+        self._store(record)
         return True
 
-    def skip(self, offset: int) -> None:
-        """Passes over a record that cannot be read."""
-        self.position = offset + 1
+    def advance(self, position: int) -> None:
+        """Passes over records that cannot be read."""
+        self.position = max(self.position or 0, position)
 
     def since(self, start: int) -> list[TopicRecord] | None:
         """Returns the records from `start` on; None when some are not kept."""
--- a/hillthread/state/weights.py
+++ b/hillthread/state/weights.py
@@ -14,9 +14,14 @@
 _LONGEST_UNPROVEN_S = 3.0
 # From the choice of a target to the start there, beyond what is expected.
 _START_MARGIN_S = 1.0
+# An answer that has not begun so long after starts became forbidden is ended;
+# within the margin above.
+_BEGIN_MARGIN_S = 0.7
 # Who learned late was out of reach, and is judged again only 3 s after that
 # (pages); until then old weights may serve while the newer ones are loaded.
 _LATE_S = 1.5
+# The same as a share of the limit, where that is short.
+_LATE_SHARE = 0.25
 # Seconds from naming in which older weights must be gone, unless told.
 _DEFAULT_LIMIT_S = 10.0
 
@@ -52,12 +57,14 @@
         newer: The first version named after it, whose age decides.
         age_s: Seconds since this host learned of that version.
         grace: How a start there is looked at.
+        start_by: Seconds, when a request sent before must have started.
     """
 
     held: int | None
     newer: int
     age_s: float
     grace: WeightsGrace
+    start_by: float
 
 
 class _Key(NamedTuple):
@@ -83,6 +90,7 @@
         self._series: dict[str, list[NamedWeights]] = {}
         self._held: dict[_Key, int] = {}
         self._listed: dict[_Key, int] = {}
+        self._refuted: dict[_Key, set[int]] = {}
 
     def name(
         self,
@@ -121,7 +129,8 @@
     def _forbidden_at(self, named: NamedWeights) -> float:
         """Returns from when on nothing may start on weights before these."""
         proven_at = named.not_before + self.limit_s - _START_MARGIN_S
-        return max(proven_at, named.known_at + _LATE_S)
+        late_s = min(_LATE_S, self.limit_s * _LATE_SHARE)
+        return max(proven_at, named.known_at + late_s)
 
     def list_target(self, target: str, model: str, version: int) -> None:
         """Takes in what the platform lists.
@@ -132,7 +141,7 @@
         if self._listed.get(key) == version:
             return
         self._listed[key] = version
-        self._held[key] = version
+        self._hold(key, version)
 
     def observe(self, target: str, model: str, version: int) -> bool:
         """Takes in the version that an answer told; returns whether it is news.
@@ -143,18 +152,18 @@
         key = _Key(target, model)
         if self._held.get(key, -1) >= version:
             return False
-        self._held[key] = version
+        self._hold(key, version)
         return True
 
     def report(self, target: str, model: str, version: int) -> None:
         """Takes in the version that a target reports of itself."""
-        self._held[_Key(target, model)] = version
+        self._hold(_Key(target, model), version)
 
     def forget(self, target: str) -> None:
         """Forgets a target that is gone."""
-        for held in (self._held, self._listed):
-            for key in [key for key in held if key.target == target]:
-                del held[key]
+        for told in (self._held, self._listed, self._refuted):
+            for key in [key for key in told if key.target == target]:
+                del told[key]
 
     def held(self, target: str, model: str) -> int | None:
         """Returns the version a target holds, or None when not known."""
@@ -191,12 +200,13 @@
             first.version,
             starts_at - first.known_at,
             self._grace(first, starts_at),
+            self._forbidden_at(first) + _BEGIN_MARGIN_S,
         )
 
-    def lags(self, now: float) -> dict[str, WeightsLag]:
-        """Returns the targets that lag behind, by name."""
-        lags = {key.target: self.lag(*key, now) for key in self._held}
-        return {name: lag for name, lag in lags.items() if lag is not None}
+    def lags(self, now: float) -> dict[tuple[str, str], WeightsLag]:
+        """Returns how targets lag behind, by target and model."""
+        lags = {key: self.lag(*key, now) for key in self._listed}
+        return {key: lag for key, lag in lags.items() if lag is not None}
 
     def _grace(self, named: NamedWeights, starts_at: float) -> WeightsGrace:
         """Returns how starts on weights before these are looked at."""
@@ -211,16 +221,24 @@
     def refute(self, target: str, model: str, version: int) -> None:
         """Takes in that a target does not hold the version it was thought to.
 
-        It holds the newest when it was thought to be behind. When it was not,
-        it is: what it listed last tells by how much, or else its own report.
+        It holds what it listed last if that is older than what it was thought
+        to hold, or else the newest. What it refuted already is not guessed
+        again: its weights then count as unknown until something tells them.
         """
         key = _Key(target, model)
+        refuted = self._refuted.setdefault(key, set())
+        refuted.add(version)
         named = self.named.get(model)
         newest = named.version if named is not None else version
-        listed = self._listed.get(key, version)
-        if version < newest:
-            self._held[key] = newest
-        elif listed < version:
-            self._held[key] = listed
+        listed = self._listed.get(key, newest)
+        guesses = [min(listed, version), newest, listed]
+        left = [guess for guess in guesses if guess not in refuted]
+        if left:
+            self._held[key] = left[0]
         else:
-            self._held[key] = version - 1
+            self._held.pop(key, None)
+
+    def _hold(self, key: _Key, version: int) -> None:
+        """Notes what a target told of its weights."""
+        self._held[key] = version
+        self._refuted.pop(key, None)
--- a/tests/coordination/gateway/test_dispatcher.py
+++ b/tests/coordination/gateway/test_dispatcher.py
@@ -1,16 +1,31 @@
 """Tests of attempts, retries, resumes and the truth of refusals."""
 
 import socket
+import time
 import unittest
 
 import anyio
 
 from hillthread.standin import platform_target as standin
+from hillthread.state import health
 from hillthread.transport import http1_client
 from tests.coordination.gateway import scene as scene_lib
 
 
 class PlainServiceTest(unittest.TestCase):
+    def test_trial_of_an_ejected_target_that_fails_ejects_it_again(self):
+        async def story(scene):
+            (target,) = scene.plain
+            breaker = scene.site.state(target.name).breaker
+            breaker.trip(time.monotonic() - 5.0)
+            target.behave(standin.Fail())
+            answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 500)
+            state = breaker.state(time.monotonic())
+            self.assertIs(state, health.BreakerState.OPEN)
+
+        scene_lib.play(story, plain=1)
+
     def test_answer_passes_unchanged_and_key_stays_here(self):
         async def story(scene):
             request = scene.request("/once/x?q=1", x_kept="yes", x_hold="no")
--- a/tests/coordination/gateway/test_explaining.py
+++ b/tests/coordination/gateway/test_explaining.py
@@ -95,7 +95,7 @@
                 scene.program.metrics.page(),
             )
             status = scene.site.weights_status(anyio.current_time())
-            self.assertEqual(status["weights_behind"], {"e0": 1})
+            self.assertEqual(status["weights_behind"], {"e0 m": 1})
             self.assertEqual(status["weights_named"]["m"]["version"], 3)
 
         scene_lib.play(story, engines=1)
--- a/tests/coordination/gateway/test_feed.py
+++ b/tests/coordination/gateway/test_feed.py
@@ -43,6 +43,33 @@
 
 
 class FeedTest(unittest.TestCase):
+    def test_part_of_what_is_new_proves_nothing(self):
+        async def story(scene):
+            scene.store.faults.status = 503
+            await scene.until(lambda: scene.program.readers.watch.lost_at)
+            proven_at = scene.site.freshness.proven_at
+            scene.store.faults.page_records = 1
+            scene.store.put("keyed.op", "other", {})
+            scene.configure(routes=[])
+            scene.store.faults.status = 0
+            follower = scene.program.followers["keyed.op"]
+            end = follower.copy.position + 2
+            ages = []
+
+            def is_read():
+                """Notes how fresh the copy counts until it is complete."""
+                if follower.copy.position < end:
+                    ages.append(scene.site.freshness.proven_at)
+                return follower.copy.position == end
+
+            await scene.until(is_read)
+            self.assertEqual(set(ages), {proven_at})
+            await scene.until(
+                lambda: scene.site.freshness.proven_at > proven_at
+            )
+
+        scene_lib.play(story)
+
     def test_changes_come_through_another_host(self):
         async def story(scene):
             reader = await second_host(scene)
--- a/tests/coordination/gateway/test_old_weights.py
+++ b/tests/coordination/gateway/test_old_weights.py
@@ -9,6 +9,8 @@
 
 import anyio
 
+from hillthread.standin import platform_target as standin
+from hillthread.state import weights
 from tests.coordination.gateway import scene as scene_lib
 
 _FORBIDDEN_S = 10.0
@@ -22,11 +24,17 @@
 
 
 class OldWeightsTest(unittest.TestCase):
-    def assert_refused(self, answer, engine):
-        """Checks that an engine with old weights ran nothing."""
+    async def assert_refused(self, scene):
+        """Checks that a request is refused, for its engine's old weights."""
+        engine = scene.engines[0]
+        answer = await scene.call(scene.prompt("/stream/x"))
         self.assertEqual([run.weights for run in engine.runs], [])
         self.assertEqual(answer.head.status, 503)
         self.assertTrue(answer.head.get(b"retry-after"))
+        chosen = scene.program.metrics.count_choices()
+        self.assertEqual(chosen, {"no target can be taken": 1})
+        lag = scene.site.weights.lag("e0", "m", time.monotonic())
+        self.assertEqual(lag.grace, weights.WeightsGrace.FORBIDDEN)
 
     def test_newer_weights_do_not_prolong_the_time_of_older_ones(self):
         async def story(scene):
@@ -37,8 +45,7 @@
             await _wait_until(named_at + 6.0)
             scene.name_weights(3)
             await _wait_until(named_at + _FORBIDDEN_S + _MARGIN_S)
-            answer = await scene.call(scene.prompt("/stream/x"))
-            self.assert_refused(answer, engine)
+            await self.assert_refused(scene)
 
         scene_lib.play(story, engines=1)
 
@@ -47,8 +54,7 @@
             engine = scene.engines[0]
             engine.order_status = 409
             await _wait_until(scene.site.started_at + _IN_TOUCH_S + _MARGIN_S)
-            answer = await scene.call(scene.prompt("/stream/x"))
-            self.assert_refused(answer, engine)
+            await self.assert_refused(scene)
 
         scene_lib.play(story, engines=1, weights=2)
 
@@ -64,8 +70,7 @@
             scene.store.faults.silent = False
             await scene.until(lambda: "m" in scene.site.weights.named)
             await _wait_until(named_at + _FORBIDDEN_S + _MARGIN_S)
-            answer = await scene.call(scene.prompt("/stream/x"))
-            self.assert_refused(answer, engine)
+            await self.assert_refused(scene)
 
         scene_lib.play(story, engines=1)
 
@@ -81,27 +86,73 @@
 
         scene_lib.play(story, engines=1)
 
-    def test_wait_in_an_engine_counts_as_far_as_it_is_foreseen(self):
+    def test_frozen_host_learns_late_of_what_was_named_meanwhile(self):
         async def story(scene):
             scene.engines[0].order_status = 409
-            board = scene.site.weights
+            await anyio.sleep(0.5)  # a read is held by now
+            named_at = time.monotonic()
+            scene.name_weights(2)
+            time.sleep(6.0)  # noqa: ASYNC251 (nothing runs meanwhile)
+            await scene.until(lambda: "m" in scene.site.weights.named)
+            await _wait_until(named_at + _FORBIDDEN_S + _MARGIN_S)
+            await self.assert_refused(scene)
+
+        scene_lib.play(story, engines=1)
+
+    def test_start_after_a_wait_that_was_foreseen(self):
+        async def story(scene):
+            engine = scene.engines[0]
+            engine.order_status = 409
             now = time.monotonic()
-            board.name("m", 2, now - 8.0, now - 8.0)
+            scene.site.weights.name("m", 2, now - 7.0, now - 7.0)
+            engine.behave(standin.Queue(1.5))
             first = await scene.call(scene.prompt("/stream/x"))
             self.assertEqual(first.head.status, 200)
-            scene.site.state("e0").seconds = 1.5
             second = await scene.call(scene.prompt("/stream/x"))
             self.assertEqual(second.head.status, 503)
 
         scene_lib.play(story, engines=1)
 
+    def test_refusals_do_not_shorten_the_wait_that_is_foreseen(self):
+        async def story(scene):
+            engine = scene.engines[0]
+            engine.behave(standin.Queue(0.6))
+            answer = await scene.call(scene.prompt("/stream/x"))
+            self.assertEqual(answer.head.status, 200)
+            for _ in range(4):
+                engine.behave(standin.Refuse())
+                await scene.call(scene.prompt("/stream/x"))
+                await anyio.sleep(0.2)
+            self.assertGreaterEqual(scene.site.state("e0").seconds, 0.6)
+
+        scene_lib.play(story, engines=1)
+
+    def test_request_still_waiting_when_weights_are_too_old_is_ended(self):
+        for path in ("/resume/x", "/stream/x"):
+            with self.subTest(path=path):
+
+                async def story(scene, path=path):
+                    engine = scene.engines[0]
+                    engine.order_status = 409
+                    named_at = time.monotonic() - 8.9
+                    scene.site.weights.name("m", 2, named_at, named_at)
+                    engine.behave(standin.Queue(1.5))
+                    answer = await scene.call(scene.prompt(path))
+                    self.assertEqual(answer.head.status, 502)
+                    ended_at = time.monotonic()
+                    self.assertLess(ended_at, named_at + _FORBIDDEN_S + 0.3)
+                    await _wait_until(named_at + 11.0)
+                    self.assertEqual(engine.runs, [])
+
+                scene_lib.play(story, engines=1)
+
     def test_limit_is_a_setting(self):
         async def story(scene):
             scene.engines[0].order_status = 409
+            named_at = time.monotonic()
             scene.name_weights(2)
             await scene.until(lambda: "m" in scene.site.weights.named)
-            await anyio.sleep(2.0)
-            answer = await scene.call(scene.prompt("/stream/x"))
-            self.assert_refused(answer, scene.engines[0])
+            await _wait_until(named_at + 4.0)
+            await self.assert_refused(scene)
 
-        scene_lib.play(story, engines=1, version_ms=2_000)
+        scene_lib.play(story, engines=1, version_ms=4_000)
--- a/tests/state/test_topic_copy.py
+++ b/tests/state/test_topic_copy.py
@@ -38,6 +38,20 @@
                     reader.add(each)
                 self.assertEqual(reader.newest, copy.newest)
 
+    def test_record_known_already_is_kept_for_those_who_read_from_here(self):
+        copy = topic_copy.TopicCopy()
+        copy.replace([topic_copy.TopicRecord("a", b"2", 1)], 1)
+        self.assertFalse(copy.add(topic_copy.TopicRecord("a", b"2", 1)))
+        self.assertEqual([r.offset for r in copy.since(1)], [1])
+
+    def test_records_that_cannot_be_read_are_passed_over(self):
+        copy = topic_copy.TopicCopy()
+        copy.replace([], 3)
+        copy.advance(5)
+        self.assertEqual(copy.position, 5)
+        copy.advance(4)
+        self.assertEqual(copy.position, 5)
+
     def test_reader_that_lags_behind_history_is_given_the_whole(self):
         copy = topic_copy.TopicCopy()
         copy.replace([record(4, "a", b"1")], 9)
--- a/tests/state/test_weights.py
+++ b/tests/state/test_weights.py
@@ -41,6 +41,44 @@
         board.refute("t", "m", 2)
         self.assertTrue(board.is_behind("t", "m"))
 
+    def test_what_was_refuted_is_not_guessed_again(self):
+        board = weights.WeightsBoard()
+        board.list_target("t", "m", 1)
+        board.name("m", 2, 0.0)
+        board.name("m", 3, 0.0)
+        held = []
+        for _ in range(2):
+            board.refute("t", "m", board.held("t", "m"))
+            held.append(board.held("t", "m"))
+        self.assertEqual(held, [3, None])
+        board.observe("t", "m", 2)
+        board.refute("t", "m", 2)
+        self.assertEqual(board.held("t", "m"), 1)
+
+    def test_refuted_weights_are_not_taken_for_those_named_since(self):
+        board = weights.WeightsBoard()
+        board.list_target("t", "m", 1)
+        board.name("m", 2, 0.0)
+        board.observe("t", "m", 2)
+        board.name("m", 3, 0.0)
+        board.refute("t", "m", 2)
+        self.assertTrue(board.is_behind("t", "m"))
+
+    def test_target_that_is_gone_leaves_nothing(self):
+        board = weights.WeightsBoard()
+        board.list_target("t", "m", 1)
+        board.forget("t")
+        self.assertIsNone(board.held("t", "m"))
+        board.list_target("t", "m", 1)
+        self.assertEqual(board.held("t", "m"), 1)
+
+    def test_lags_are_told_for_each_model(self):
+        board = weights.WeightsBoard()
+        board.list_target("t", "m", 1)
+        board.list_target("t", "n", 1)
+        board.name("m", 2, 0.0)
+        self.assertEqual(list(board.lags(0.0)), [("t", "m")])
+
     def test_refuted_newest_weights_are_what_was_listed(self):
         board = weights.WeightsBoard()
         board.list_target("t", "m", 1)
@@ -103,7 +141,12 @@
     def test_weights_found_at_the_start_leave_a_moment(self):
         self.board.name("m", 2, 0.0)
         self.assertEqual(self.grace(1, 0.1), weights.WeightsGrace.COSTLY)
+        self.assertEqual(self.grace(1, 1.4), weights.WeightsGrace.COSTLY)
         self.assertEqual(self.grace(1, 1.6), weights.WeightsGrace.FORBIDDEN)
+        self.board = weights.WeightsBoard(limit_s=2.0)
+        self.board.name("m", 2, 0.0)
+        self.assertEqual(self.grace(1, 0.4), weights.WeightsGrace.COSTLY)
+        self.assertEqual(self.grace(1, 0.6), weights.WeightsGrace.FORBIDDEN)
 
     def test_unknown_weights_may_be_the_oldest(self):
         self.board.name("m", 2, 0.0, -0.1)
@@ -120,16 +163,24 @@
     def test_no_series_of_names_prolongs_it(self, gaps, data):
         self.board = weights.WeightsBoard(limit_s=10.0)
         named_at = {}
+        learned_at = {}
         now = 0.0
         for version, gap in enumerate(gaps, start=2):
+            before = now
             now += gap
-            self.board.name("m", version, now, now - min(gap, 0.05))
-            named_at[version] = now
-        held = data.draw(st.integers(1, len(gaps)))
-        wait = data.draw(st.floats(0.0, 15.0))
-        grace = self.grace(held, now + wait)
-        is_over = now + wait > named_at[held + 1] + 10.0
-        if is_over:
+            named_at[version] = before + gap * data.draw(st.floats(0.0, 1.0))
+            learned_at[version] = now
+            share = data.draw(st.floats(0.0, 1.0))
+            not_before = before + (named_at[version] - before) * share
+            self.board.name("m", version, now, not_before)
+        held = data.draw(st.integers(0, len(gaps)))
+        at = now + data.draw(st.floats(0.0, 15.0))
+        if held:
+            self.board.report("t", "m", held)
+        grace = self.board.lag("t", "m", at).grace
+        first = max(2, held + 1)
+        limit = max(named_at[first] + 10.0, learned_at[first] + 3.0)
+        if at > limit:
             self.assertEqual(grace, weights.WeightsGrace.FORBIDDEN)
-        if now + wait < named_at[held + 1] + 8.9:
+        if at < learned_at[first] + 1.4:
             self.assertNotEqual(grace, weights.WeightsGrace.FORBIDDEN)
