Guess refuted weights on among the known ones, never as unknown

Now the versions that were named are guessed in turn, and all again when all were refuted; the scope then names a version in every case where weights are listed.

--- a/hillthread/state/weights.py
+++ b/hillthread/state/weights.py
@@ -222,21 +222,20 @@
         """Takes in that a target does not hold the version it was thought to.
 
         It holds what it listed last if that is older than what it was thought
-        to hold, or else the newest. What it refuted already is not guessed
-        again: its weights then count as unknown until something tells them.
+        to hold, or else the newest, or one between. What it refuted already is
+        guessed again only when all were.
         """
         key = _Key(target, model)
+        series = self._series.get(model, [])
+        known = [named.version for named in reversed(series)]
+        listed = self._listed.get(key, max(0, version - 1))
+        guesses = [min(listed, version), *known, listed]
         refuted = self._refuted.setdefault(key, set())
         refuted.add(version)
-        named = self.named.get(model)
-        newest = named.version if named is not None else version
-        listed = self._listed.get(key, newest)
-        guesses = [min(listed, version), newest, listed]
         left = [guess for guess in guesses if guess not in refuted]
-        if left:
-            self._held[key] = left[0]
-        else:
-            self._held.pop(key, None)
+        if not left:
+            refuted.clear()
+        self._held[key] = left[0] if left else listed
 
     def _hold(self, key: _Key, version: int) -> None:
         """Notes what a target told of its weights."""
