--- a/hillthread/coordination/control_node.py
+++ b/hillthread/coordination/control_node.py
@@ -39,6 +39,7 @@
         positions: Configuration positions of all hosts, as far as known.
         records: Finds decision records.
         epochs: What each target of the data centre was last seen to run.
+        seen_at: Monotonic seconds, when it was seen.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self.positions: dict[str, int] = {}
         self.incarnations: dict[str, str] = {}
         self.epochs: dict[str, warmth.Epoch] = {}
+        self.seen_at: dict[str, float] = {}
         self.beats = 0
         self._engines: list[objects.Target] = []
         self._engines_position = -2
@@ -206,7 +208,9 @@
         self.hub.broadcast(peers, message)
 
     def _note_epochs(self, message: messages.Loads) -> None:
+        now = time.monotonic()
         for each in message.loads:
+            self.seen_at[each.target] = now
             self.epochs[each.target] = warmth.Epoch(
                 each.incarnation, each.weights_version
             )
