Bound what a host's own lateness excuses of others' silence

Cause: a tick that came later than half of suspect_s moved the last sign of life of every other host on by the whole time between the ticks. A host whose ticks are all late by a little judged nobody lost, ever (0.6 s apart, suspect_s 1.0: still alive at 30 s); one that was heard right after a pause, before the tick, was excused for the whole pause once more, a minute for a pause of a minute.

Now only what a tick is late by is forgiven, never beyond the present: half of suspect_s counts between two ticks. Ruled out: forgiving once since the last sign of life (a second pause would lose all).

With ticks 0.6 s apart and suspect_s 1.0 a host silent since 0 is lost at 1.8 s.

--- a/hillthread/state/membership.py
+++ b/hillthread/state/membership.py
@@ -1,7 +1,9 @@
 """Which hosts are alive, as one host judges by what it hears.
 
 A host that was itself paused has heard nobody for a while and must not take
-that for the others' loss: `tick` notices its own lateness and starts anew.
+that for the others' loss: `tick` notices its own lateness and counts little of
+it as silence. Some of it always counts, or a host that is late at each tick
+would never judge another lost.
 """
 
 from __future__ import annotations
@@ -10,6 +12,10 @@
 
 __all__ = ["Member", "Membership"]
 
+# Of the silence that is allowed: no more than this counts between two ticks.
+# So who is silent is lost with the third tick of its silence at the latest.
+_TICK_SHARE = 0.5
+
 
 class Member(NamedTuple):
     """One other host.
@@ -68,11 +74,10 @@
 
         Must be called at intervals well below `suspect_s`.
         """
-        late = self._ticked_at is not None and (
-            now - self._ticked_at > self.suspect_s / 2
-        )
-        if late:
-            self._forgive(now - (self._ticked_at or now))
+        if self._ticked_at is not None:
+            late_s = now - self._ticked_at - self.suspect_s * _TICK_SHARE
+            if late_s > 0:
+                self._forgive(late_s, now)
         self._ticked_at = now
         alive = frozenset(
             member.host
@@ -92,9 +97,12 @@
             if data_centre in (None, self.members[host].data_centre)
         )
 
-    def _forgive(self, pause_s: float) -> None:
-        """Counts a pause of our own as time in which nobody could be heard."""
+    def _forgive(self, late_s: float, now: float) -> None:
+        """Counts a pause of our own as time in which nobody could be heard.
+
+        Who was heard after the pause, and before this tick, gets no more.
+        """
         for host, member in self.members.items():
             self.members[host] = member._replace(
-                heard_at=member.heard_at + pause_s
+                heard_at=min(now, member.heard_at + late_s)
             )
--- a/tests/state/test_membership.py
+++ b/tests/state/test_membership.py
@@ -42,3 +42,36 @@
         self.assertEqual(self.members.changes, 2)
         self.run_until(61.5, 65.0)
         self.assertEqual(self.members.alive(), [])
+
+    def test_lateness_of_each_tick_keeps_nobody_alive_for_good(self):
+        """Each tick is late, as on a busy host, and one host is silent."""
+        for period in (1.6, 2.0, 5.0, 60.0):
+            with self.subTest(period=period):
+                members = membership.Membership(3.0)
+                members.hear("a", "dc1", "i", 5, 1.0)
+                for number in range(5):
+                    members.tick(1.0 + number * period)
+                self.assertEqual(members.alive(), [])
+
+    def test_two_pauses_in_a_row_lose_nobody(self):
+        self.run_until(0.0, 1.0, heard=["a", "b"])
+        self.members.tick(61.0)
+        self.hear("a", 61.2)
+        self.hear("b", 61.2)
+        self.members.tick(121.0)
+        self.assertEqual(self.members.alive(), ["a", "b"])
+        self.assertEqual(self.members.changes, 2)
+
+    def test_who_was_heard_after_a_pause_is_not_excused_for_it(self):
+        """What came in during the pause is heard before the tick."""
+        self.run_until(0.0, 1.0, heard=["a", "b"])
+        self.hear("a", 61.0)
+        self.members.tick(61.0)
+        self.run_until(61.5, 65.0)
+        self.assertEqual(self.members.alive(), [])
+
+    def test_silence_before_a_pause_still_counts(self):
+        self.run_until(0.0, 1.0, heard=["a", "b"])
+        self.run_until(1.5, 3.0, heard=["b"])
+        self.members.tick(61.0)
+        self.assertEqual(self.members.alive(), ["b"])
