Count the age of claims by each reader's own steady clock

Cause: claims were forgotten by the time their records named, which the appending host's clock gives. One batch dated an hour ahead forgot all claims of the window at every reader, and their keys would run twice; it also kept all that came after it for an hour too long (the first in line holds up the rest), and a batch dated behind was forgotten with the claim before it.

Now a claim counts from when the reader read it, by its steady clock. Readers forget at different moments then: a claim of a key that is still held prolongs the holding, so a key that another host has granted anew is not granted a third time here.

Ruled out: bounding made_at by the reader's wall clock (two clocks that step together, or the reader's own, forget all again), and shortening the age of what is read at the start by made_at (a clock behind would forget early). Price: what a host reads at its start it keeps for a whole window, up to twice the memory in its first hour.

test_old_claims_are_forgotten_by_log_time asserted the fault, that another host's clock decides; it stands again with the same figures by own time. With the third argument passed over, 6 of the 9 tests fail on the code before (one for want of `forget`); all 9 pass now.

--- a/hillthread/bench/slopes.py
+++ b/hillthread/bench/slopes.py
@@ -353,7 +353,7 @@
                 for n in range(50)
             ]
             batch = claim_index.ClaimBatch(0.0, claims)
-            index.apply(offset, claim_index.encode_batch(batch))
+            index.apply(offset, claim_index.encode_batch(batch), 0.0)
         return index
 
     started = time.process_time()
--- a/hillthread/coordination/claim_keeper.py
+++ b/hillthread/coordination/claim_keeper.py
@@ -108,8 +108,9 @@
                 self.current = False
                 await anyio.sleep(_RETRY_S)
                 continue
+            now = time.monotonic()
             for record in page.records:
-                self.index.apply(record.offset, record.payload)
+                self.index.apply(record.offset, record.payload, now)
             self.current = self.index.position + 1 >= page.next_offset
             self._decide()
 
@@ -163,10 +164,12 @@
         self._appended = waiting
 
     async def _expire(self) -> None:
-        """Gives up on claims whose record does not come back."""
+        """Gives up on claims whose record does not come back; forgets old."""
         while True:
             await anyio.sleep(_RETRY_S)
-            due = time.monotonic() - _DECIDE_S
+            now = time.monotonic()
+            self.index.forget(now)
+            due = now - _DECIDE_S
             expired = [p for p in self._appended if p.asked_at < due]
             self._appended = [p for p in self._appended if p.asked_at >= due]
             for pending in expired:
--- a/hillthread/state/claim_index.py
+++ b/hillthread/state/claim_index.py
@@ -1,8 +1,16 @@
-"""Claims in log order: the first holder of a key has it, for every reader."""
+"""Claims in log order: the first holder of a key has it, for every reader.
+
+How old a claim is, each reader tells by its own steady clock, from when it read
+it: the clocks of the hosts that append may be wrong by any time, and a claim
+that is forgotten early lets its request run twice. Readers forget a claim at
+different moments. One that still keeps it when another has granted the key anew
+keeps it as long again, so that nobody grants it a second time.
+"""
 
 from __future__ import annotations
 
 import collections
+from typing import NamedTuple
 
 import msgspec
 
@@ -28,7 +36,8 @@
     """One record of the claims stream.
 
     Attributes:
-        made_at: Seconds since 1970, by the appending host's clock.
+        made_at: Seconds since 1970, by the appending host's clock; for people
+            who read the log, nothing is decided by it.
         claims: In the order of asking.
         releases: Claims given back before, since their requests surely did
             not run; they count before the new claims.
@@ -39,6 +48,18 @@
     releases: list[Claim] = []
 
 
+class _Held(NamedTuple):
+    """A key that is taken.
+
+    Attributes:
+        holder: The request that has it.
+        read_at: Steady seconds, when its last claim was read.
+    """
+
+    holder: str
+    read_at: float
+
+
 _decoder = msgspec.json.Decoder(ClaimBatch)
 
 
@@ -61,23 +82,29 @@
 
     Attributes:
         position: Offset of the last record taken in; -1 before the first.
-        window_s: Claims older than this are forgotten.
+        window_s: Claims read longer ago than this are forgotten.
     """
 
     def __init__(self, window_s: float):
         self.window_s = window_s
         self.position = -1
         self.unreadable = 0
-        self._holders: dict[str, str] = {}
-        self._order: collections.deque[tuple[float, Claim]] = (
-            collections.deque()
+        # The key whose last claim was read longest ago comes first.
+        self._held: collections.OrderedDict[str, _Held] = (
+            collections.OrderedDict()
         )
 
     def __len__(self) -> int:
-        return len(self._holders)
+        return len(self._held)
+
+    def apply(self, offset: int, payload: bytes, now: float) -> None:
+        """Takes in a record; records of an offset taken in are passed over.
 
-    def apply(self, offset: int, payload: bytes) -> None:
-        """Takes in a record; records of an offset taken in are passed over."""
+        Args:
+            offset: Of the record.
+            payload: Its bytes.
+            now: Steady seconds, when it was read.
+        """
         if offset <= self.position:
             return
         self.position = offset
@@ -86,23 +113,32 @@
         except errors.ConfigurationError:
             self.unreadable += 1
             return
+        self.forget(now)
         for claim in batch.releases:
             self._drop(claim)
         for claim in batch.claims:
-            if claim.digest not in self._holders:
-                self._holders[claim.digest] = claim.holder
-                self._order.append((batch.made_at, claim))
-        self._forget(batch.made_at - self.window_s)
+            self._take(claim, now)
 
     def holder(self, digest: str) -> str | None:
         """Returns who has a key, or None."""
-        return self._holders.get(digest)
-
-    def _forget(self, before: float) -> None:
-        while self._order and self._order[0][0] < before:
-            _, claim = self._order.popleft()
-            self._drop(claim)
+        held = self._held.get(digest)
+        return None if held is None else held.holder
+
+    def forget(self, now: float) -> None:
+        """Forgets the claims that were read longer ago than the window."""
+        due = now - self.window_s
+        while self._held:
+            digest, held = next(iter(self._held.items()))
+            if held.read_at >= due:
+                return
+            del self._held[digest]
+
+    def _take(self, claim: Claim, now: float) -> None:
+        """Notes a claim; one of a key that is held only prolongs that."""
+        held = self._held.pop(claim.digest, None)
+        holder = claim.holder if held is None else held.holder
+        self._held[claim.digest] = _Held(holder, now)
 
     def _drop(self, claim: Claim) -> None:
-        if self._holders.get(claim.digest) == claim.holder:
-            del self._holders[claim.digest]
+        if self.holder(claim.digest) == claim.holder:
+            del self._held[claim.digest]
