Expire peers' work that is done behind work that is not

Cause: what other routers had sent to a target was dropped from the front only. One entry that was to take long, told while much own work was ahead that then ended early, kept all told after it, and each further one was reckoned behind them: the target looked ever busier than it was.

The new test of load fails on the code before (500 tokens queued, 100 expected) and passes now, with the others of load, fleet, warmth and decision (31). What is left: the long entry itself is not reckoned anew when the own work ahead of it ends.

--- a/hillthread/state/load.py
+++ b/hillthread/state/load.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 from typing import NamedTuple
 
 __all__ = ["LoadReport", "OwnWork", "TargetLoad"]
@@ -72,7 +71,7 @@
         self.streaming: set[str] = set()
         self.own_at_report = 0
         self.mean_prefill = 0.0
-        self.peers: collections.deque[PeerWork] = collections.deque()
+        self.peers: list[PeerWork] = []
         self._head_since = 0.0
 
     @property
@@ -163,8 +162,9 @@
         return self.inflight + max(0, reported - self.own_at_report)
 
     def _expire_peers(self, now: float) -> None:
-        while self.peers and self.peers[0].done_at <= now:
-            self.peers.popleft()
+        """Drops what is done, also behind work that was to take longer."""
+        if any(work.done_at <= now for work in self.peers):
+            self.peers = [work for work in self.peers if work.done_at > now]
 
     def _others_waiting(self) -> int:
         if self.report is None:
--- a/tests/state/test_load.py
+++ b/tests/state/test_load.py
@@ -51,3 +51,12 @@
         self.assertAlmostEqual(self.load.prefill_rate, 4000.0, delta=1.0)
         self.load.learn_rate(10, 1.0)
         self.assertAlmostEqual(self.load.prefill_rate, 4000.0, delta=1.0)
+
+    def test_peer_work_that_takes_long_holds_up_no_other(self):
+        """What is done goes, though what was told before it is not."""
+        self.load.start("a", load.OwnWork(0.0, 50_000.0))
+        self.load.add_peer_work(100.0, 0.0)
+        self.load.finish("a")
+        self.load.add_peer_work(400.0, 0.0)
+        self.assertEqual(self.load.queued_tokens(0.0), 500.0)
+        self.assertEqual(self.load.queued_tokens(1.0), 100.0)
