Neither renew the retry budget nor keep a dead count when something newer comes

Cause: two of the same class in what a router knows of targets. A changed retry_ratio made a new budget, so each change gave six retries and forgot those of the last 10 s. And the count of tokens inserted into a target's cache went on from the former incarnation: an engine that restarted counts from zero, so insertions by other routers stayed unseen until it had passed the old count, and what they had evicted was believed to be warm.

Now the budget takes over the ratio and keeps what was spent; another incarnation starts the count at zero, new weights in the same process keep it.

Tests of fleet: two of the three new ones fail on the code before, all 11 pass now; that on new weights passed before, and guards the mend.

--- a/hillthread/coordination/fleet.py
+++ b/hillthread/coordination/fleet.py
@@ -282,11 +282,15 @@
         beliefs.clock = max(beliefs.clock, report.inserted_tokens)
 
     def retry_budget(self, pool: objects.Pool) -> retry_budget.RetryBudget:
-        """Returns the retry budget of a pool."""
+        """Returns the retry budget of a pool.
+
+        A changed ratio keeps what was spent: it must not give a new burst.
+        """
         budget = self.budgets.get(pool.name)
-        if budget is None or budget.ratio != pool.retry_ratio:
+        if budget is None:
             budget = retry_budget.RetryBudget(pool.retry_ratio, _RETRY_EXTRA)
             self.budgets[pool.name] = budget
+        budget.ratio = pool.retry_ratio
         return budget
 
     def retain(self, targets: Sequence[objects.Target]) -> None:
--- a/hillthread/state/warmth.py
+++ b/hillthread/state/warmth.py
@@ -224,11 +224,15 @@
         found = self.targets.get(name)
         if found is None or found.epoch == epoch:
             return False
-        changed = found.epoch is not None
+        former = found.epoch
         found.epoch = epoch
-        if changed:
-            found.clear()
-        return changed
+        if former is None:
+            return False
+        found.clear()
+        if former.incarnation != epoch.incarnation:
+            # The new process counts what it inserts from zero.
+            found.clock = 0.0
+        return True
 
     def retain(self, names: frozenset[str]) -> None:
         """Forgets all targets but `names`."""
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -2,8 +2,11 @@
 
 import unittest
 
+import msgspec
+
 from hillthread.coordination import fleet as fleet_lib
 from hillthread.state import decision
+from hillthread.state import load
 from hillthread.state import objects
 from hillthread.state import prompt
 from hillthread.state import warmth
@@ -100,6 +103,43 @@
         for score in self.choose().scores:
             self.assertEqual(score.warm_tokens, 0)
 
+    def test_changed_ratio_keeps_the_retries_already_made(self):
+        """Each change would give a new burst of retries."""
+        budget = self.fleet.retry_budget(POOL)
+        while budget.withdraw(0.0):
+            pass
+        changed = msgspec.structs.replace(POOL, retry_ratio=0.3)
+        self.assertFalse(self.fleet.retry_budget(changed).withdraw(1.0))
+        self.assertEqual(self.fleet.retry_budget(changed).ratio, 0.3)
+
+    def test_count_of_a_former_incarnation_hides_no_insertions(self):
+        """A restarted engine counts from zero; others fill its cache, too."""
+        target = self.targets[0]
+        self.fleet.track(target)
+        self.fleet.observe_epoch("t0", EPOCH)
+        self.report("t0", 5_000_000.0)
+        self.fleet.observe_epoch("t0", warmth.Epoch("i2", "w1"))
+        self.report("t0", 1_000.0)
+        beliefs = self.fleet.warmth.targets["t0"]
+        beliefs.confirm(QUERY.levels, 0.0)
+        self.report("t0", 1_000.0 + 2 * 10_000)
+        self.assertEqual(beliefs.lookup(QUERY.levels, 1.0).tokens, 0)
+
+    def test_new_weights_keep_the_count_of_the_incarnation(self):
+        self.fleet.track(self.targets[0])
+        self.fleet.observe_epoch("t0", EPOCH)
+        self.report("t0", 5_000_000.0)
+        self.fleet.observe_epoch("t0", warmth.Epoch("i1", "w2"))
+        beliefs = self.fleet.warmth.targets["t0"]
+        beliefs.confirm(QUERY.levels, 0.0)
+        self.report("t0", 5_000_000.0)
+        self.assertGreater(beliefs.lookup(QUERY.levels, 1.0).tokens, 0)
+
+    def report(self, name, inserted):
+        self.fleet.report(
+            name, load.LoadReport(0.0, 0, 0, inserted, cache_tokens=10_000)
+        )
+
 
 class ShareTest(unittest.TestCase):
     def setUp(self):
