Let no target that is slow or silent hold up the loads of others

Cause: a round of the watch was told when the last target had answered or failed, and httpx counts its time limit for each part of an answer. One silent target made the loads of all others come each second instead of each load_poll_s; one that sent its page in drips stopped them for good, and a host list that did so stopped the news on who leaves.

Now a round is told after 0.1 s at the latest, what comes later by itself, and a read ends after 1 s as a whole. Ruled out: telling each load by itself (docs/CAPACITY.md: 3.9% of a core), and cutting reads off at the round's end (slow targets would never be told).

Tests of the watch: 4 of 5 fail on the code before, all pass now; that of a calm round passed before, too.

--- a/hillthread/coordination/target_watch.py
+++ b/hillthread/coordination/target_watch.py
@@ -1,4 +1,8 @@
-"""Watches the data centre's targets: their load and who leaves."""
+"""Watches the data centre's targets: their load and who leaves.
+
+The loads of one round are told together, as that costs least, but nobody waits
+for a target that is slow or silent: its load is told when it comes.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +10,7 @@
 import time
 
 import anyio
+import anyio.abc
 import httpx
 import msgspec
 
@@ -17,7 +22,10 @@
 
 __all__ = ["TargetWatch"]
 
+# For a whole answer, however its parts come.
 _TIMEOUT_S = 1.0
+# Wait for the loads that are told together; a target takes milliseconds.
+_ROUND_S = 0.1
 _LIST_POLL_S = 1.0
 
 _logger = logging.getLogger(__name__)
@@ -35,11 +43,37 @@
     targets: list[_Listed]
 
 
+class _Round:
+    """Reads begun at the same time.
+
+    Attributes:
+        loads: What came in so far.
+        reading: Targets whose load has not come.
+        told: Whether `loads` were told.
+        complete: Set when no target is left.
+    """
+
+    def __init__(self, targets: list[objects.Target]):
+        self.loads: list[messages.TargetLoad] = []
+        self.reading = {target.name for target in targets}
+        self.told = False
+        self.complete = anyio.Event()
+        if not targets:
+            self.complete.set()
+
+    def end(self, target: objects.Target) -> None:
+        """Notes that a target's read has ended in any way."""
+        self.reading.discard(target.name)
+        if not self.reading:
+            self.complete.set()
+
+
 class TargetWatch:
     """Reads loads of the targets assigned to this host, and the host list.
 
     Attributes:
         failures: Reads that failed.
+        reading: Targets whose load is being read.
     """
 
     def __init__(
@@ -50,20 +84,34 @@
         self.settings = settings
         self.node = node
         self.failures = 0
+        self.reading: set[str] = set()
         self.client = httpx.AsyncClient(trust_env=False, timeout=_TIMEOUT_S)
 
     async def run_loads(self) -> None:
         """Reads the loads of assigned targets until cancelled."""
-        while True:
-            started = time.monotonic()
-            loads: list[messages.TargetLoad] = []
-            async with anyio.create_task_group() as group:
-                for target in self.node.watched_engines():
-                    group.start_soon(self._read_load, target, loads)
-            if loads:
-                self.node.tell_loads(messages.Loads(loads))
-            passed = time.monotonic() - started
-            await anyio.sleep(max(0.0, self.settings.load_poll_s - passed))
+        async with anyio.create_task_group() as group:
+            while True:
+                started = time.monotonic()
+                await self._run_round(group)
+                passed = time.monotonic() - started
+                await anyio.sleep(max(0.0, self.settings.load_poll_s - passed))
+
+    async def _run_round(self, group: anyio.abc.TaskGroup) -> None:
+        """Reads all targets that are not being read; tells what comes soon."""
+        targets = [
+            target
+            for target in self.node.watched_engines()
+            if target.name not in self.reading
+        ]
+        reads = _Round(targets)
+        for target in targets:
+            self.reading.add(target.name)
+            group.start_soon(self._read, target, reads)
+        with anyio.move_on_after(_ROUND_S):
+            await reads.complete.wait()
+        reads.told = True
+        if reads.loads:
+            self.node.tell_loads(messages.Loads(reads.loads))
 
     async def run_host_list(self) -> None:
         """Reads the platform's host list until cancelled."""
@@ -72,37 +120,61 @@
         url = f"http://{self.settings.host_list}/targets"
         while True:
             try:
-                response = await self.client.get(url)
+                response = await self._get(url)
                 listed = msgspec.json.decode(response.content, type=_HostList)
                 self._take_list(listed)
-            except (httpx.HTTPError, msgspec.DecodeError):
+            except (httpx.HTTPError, TimeoutError, msgspec.DecodeError):
                 self.failures += 1
             await anyio.sleep(_LIST_POLL_S)
 
+    async def _get(self, url: str) -> httpx.Response:
+        """Returns an answer that came whole in time.
+
+        Raises:
+            httpx.HTTPError: There is none.
+            TimeoutError: It took too long; the client's own limit is for each
+                part of it.
+        """
+        with anyio.fail_after(_TIMEOUT_S):
+            return await self.client.get(url)
+
+    async def _read(self, target: objects.Target, reads: _Round) -> None:
+        """Reads one target; tells its load if the round is told already."""
+        try:
+            load = await self._read_load(target)
+            if load is None:
+                return
+            if reads.told:
+                self.node.tell_loads(messages.Loads([load]))
+            else:
+                reads.loads.append(load)
+        finally:
+            self.reading.discard(target.name)
+            reads.end(target)
+
     async def _read_load(
-        self, target: objects.Target, loads: list[messages.TargetLoad]
-    ) -> None:
+        self, target: objects.Target
+    ) -> messages.TargetLoad | None:
+        """Returns a target's load, or None when it cannot be read."""
         try:
-            response = await self.client.get(f"http://{target.address}/metrics")
+            response = await self._get(f"http://{target.address}/metrics")
             report = engine.parse_metrics(response.text, 0.0)
-        except (httpx.HTTPError, ValueError):
+        except (httpx.HTTPError, TimeoutError, ValueError):
             self.failures += 1
-            return
+            return None
         epoch = engine.epoch_of(response.headers)
         if engine.LEAVING in response.headers:
             self.node.tell_target_state(
                 messages.TargetState(target.name, epoch.incarnation, True)
             )
-        loads.append(
-            messages.TargetLoad(
-                target.name,
-                report.running,
-                report.waiting,
-                int(report.inserted_tokens),
-                report.cache_tokens,
-                epoch.incarnation,
-                epoch.weights_version,
-            )
+        return messages.TargetLoad(
+            target.name,
+            report.running,
+            report.waiting,
+            int(report.inserted_tokens),
+            report.cache_tokens,
+            epoch.incarnation,
+            epoch.weights_version,
         )
 
     def _take_list(self, listed: _HostList) -> None:
--- /dev/null
+++ b/tests/coordination/test_target_watch.py
@@ -0,0 +1,117 @@
+"""Tests of reading targets of which some do not answer."""
+
+import itertools
+import time
+import types
+import unittest
+
+import anyio
+import httpx
+
+from hillthread.coordination import target_watch
+from hillthread.protocol import engine
+from hillthread.state import objects
+
+POLL_S = 0.2
+
+
+def make_target(name):
+    return objects.Target(
+        name=name, address=f"{name}:1", data_centre="dc1", models=["m"]
+    )
+
+
+class Node:
+    """As much of a control node as the watch needs."""
+
+    def __init__(self, targets):
+        self.targets = targets
+        self.told = {}
+        self.states = []
+
+    def watched_engines(self):
+        return self.targets
+
+    def tell_loads(self, message):
+        for each in message.loads:
+            self.told.setdefault(each.target, []).append(time.monotonic())
+
+    def tell_target_state(self, state):
+        self.states.append(state)
+
+
+async def drip():
+    """A page whose parts come too often for a timeout between two."""
+    while True:
+        yield b"#\n"
+        await anyio.sleep(0.1)
+
+
+class TargetWatchTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.node = Node([make_target("t0"), make_target("t1")])
+        self.list_calls = 0
+        self.answers = {}
+
+    async def answer(self, request):
+        self.list_calls += request.url.host == "list"
+        match self.answers.get(request.url.host):
+            case "hang":
+                await anyio.sleep(1.0)
+                raise httpx.ReadTimeout("silent")
+            case "drip":
+                return httpx.Response(200, content=drip())
+            case "slow":
+                await anyio.sleep(2.5 * POLL_S)
+        headers = {engine.INCARNATION: "i1", engine.WEIGHTS_VERSION: "w1"}
+        page = f"# TYPE {engine.METRIC_RUNNING} gauge\n"
+        page += f"{engine.METRIC_RUNNING} 1.0\n"
+        return httpx.Response(200, headers=headers, text=page)
+
+    async def watch(self, run_s, list_too=False):
+        settings = types.SimpleNamespace(
+            load_poll_s=POLL_S, host_list="list:1" if list_too else None
+        )
+        watch = target_watch.TargetWatch(settings, self.node)
+        watch.client = httpx.AsyncClient(
+            transport=httpx.MockTransport(self.answer)
+        )
+        with anyio.move_on_after(run_s):
+            if list_too:
+                await watch.run_host_list()
+            await watch.run_loads()
+        return watch
+
+    def longest_gap_s(self, name):
+        told = self.node.told[name]
+        return max(b - a for a, b in itertools.pairwise(told))
+
+    async def test_all_are_told_each_round(self):
+        await self.watch(2.0)
+        for name in ("t0", "t1"):
+            self.assertGreater(len(self.node.told[name]), 6)
+
+    async def test_silent_target_holds_up_no_other(self):
+        self.answers = {"t0": "hang"}
+        watch = await self.watch(3.0)
+        self.assertGreater(len(self.node.told["t1"]), 8)
+        self.assertLess(self.longest_gap_s("t1"), 0.8)
+        self.assertGreater(watch.failures, 1)
+
+    async def test_dripping_target_holds_up_no_other(self):
+        self.answers = {"t0": "drip"}
+        watch = await self.watch(3.0)
+        self.assertGreater(len(self.node.told["t1"]), 8)
+        self.assertGreater(watch.failures, 1)
+
+    async def test_slow_target_is_told_with_a_later_round(self):
+        self.answers = {"t0": "slow"}
+        await self.watch(3.0)
+        self.assertGreater(len(self.node.told["t0"]), 2)
+        self.assertGreater(len(self.node.told["t1"]), 8)
+
+    async def test_dripping_host_list_is_given_up(self):
+        self.answers = {"list": "drip"}
+        watch = await self.watch(5.0, list_too=True)
+        self.assertGreater(self.list_calls, 1)
+        self.assertGreater(watch.failures, 0)
