Let a waiting request hold up none that needs other targets

Cause: a pool has one queue for all its models, and places were given to its first only. When all targets of the first one's model were taken, requests for other models waited behind it until its deadline, or were refused, though their targets were free; so did those that came after a target had joined, behind one that does not know it.

Now each pass offers places in the same order to all, trying each combination of model, weights and route's targets once, and who comes later waits behind those of its own model only. The targets of a route are made once for all tenants, which makes their identity a cheap part of that. Ruled out: a queue for each model (the bound and the shedding of lower classes are the pool's).

--- a/hillthread/coordination/gate.py
+++ b/hillthread/coordination/gate.py
@@ -1,9 +1,15 @@
-"""Admission: a request gets a target at once, waits its turn, or is refused."""
+"""Admission: a request gets a target at once, waits its turn, or is refused.
+
+A pool has one queue for all its models. Turns are kept among requests that need
+the same targets: one that finds none of its own free holds up no other.
+"""
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import time
+from typing import NamedTuple
 
 import anyio
 
@@ -23,6 +29,21 @@
 _SATURATED = decision_lib.Exclusion.SATURATED
 
 
+class _Need(NamedTuple):
+    """What makes two waiting requests need the same targets.
+
+    Attributes:
+        model: The model asked for.
+        weights_version: Weights an answer must continue with, or empty.
+        targets: Identity of the route's targets, which all its requests share
+            until a newer configuration has others.
+    """
+
+    model: str
+    weights_version: str
+    targets: int
+
+
 @dataclasses.dataclass(slots=True)
 class _Waiter:
     """A request that waits for a target."""
@@ -46,6 +67,10 @@
         self.fleet = fleet
         self.queues: dict[str, admission.AdmissionQueue] = {}
         self._waiters: dict[admission.Ticket, _Waiter] = {}
+        # By pool and model: whoever comes later waits behind these.
+        self._waiting: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
 
     async def reserve(
         self,
@@ -58,7 +83,7 @@
             RefusalError: There is no target, or no place before the deadline.
         """
         queue = self._queue(placement)
-        if len(queue) == 0:
+        if self._waiting[_line_of(placement)] == 0:
             attempt = self._try(exchange, placement)
             if attempt is not None:
                 return attempt
@@ -120,11 +145,14 @@
             raise _overloaded(exchange)
         waiter = _Waiter(exchange, placement, anyio.Event())
         self._waiters[offer.ticket] = waiter
+        line = _line_of(placement)
+        self._waiting[line] += 1
         try:
             await self._wait_turn(queue, offer.ticket, waiter)
         finally:
             queue.withdraw(offer.ticket)
             self._waiters.pop(offer.ticket, None)
+            self._waiting -= {line: 1}
             exchange.record.queued_s += time.monotonic() - started
         if waiter.attempt is None:
             raise waiter.refusal or _overloaded(exchange)
@@ -159,14 +187,20 @@
             self.release(waiter.attempt.attempt_id)
 
     def _serve_waiters(self, queue: admission.AdmissionQueue) -> None:
-        while (ticket := queue.first()) is not None:
+        """Gives free places to those who can use them, in their order."""
+        in_vain: set[_Need] = set()
+        for ticket in queue.in_order():
             waiter = self._waiters[ticket]
+            need = _need_of(waiter.placement)
+            if need in in_vain:
+                continue
             try:
                 waiter.attempt = self._try(waiter.exchange, waiter.placement)
             except errors.RefusalError as refusal:
                 waiter.refusal = refusal
             if waiter.attempt is None and waiter.refusal is None:
-                return
+                in_vain.add(need)
+                continue
             queue.serve(ticket, time.monotonic())
             waiter.event.set()
 
@@ -176,6 +210,16 @@
         waiter.event.set()
 
 
+def _need_of(placement: fleet_lib.Placement) -> _Need:
+    return _Need(
+        placement.model, placement.weights_version, id(placement.targets)
+    )
+
+
+def _line_of(placement: fleet_lib.Placement) -> tuple[str, str]:
+    return placement.pool.name, placement.model
+
+
 def _some_excluded(
     decision: decision_lib.Decision, why: decision_lib.Exclusion
 ) -> bool:
--- a/hillthread/state/admission.py
+++ b/hillthread/state/admission.py
@@ -88,6 +88,10 @@
         """Returns the ticket to be served next, or None."""
         return self._waiting[0] if self._waiting else None
 
+    def in_order(self) -> list[Ticket]:
+        """Returns all tickets, the one to be served next first."""
+        return list(self._waiting)
+
     def serve(self, ticket: Ticket, now: float) -> None:
         """Takes out a ticket because its request can be sent."""
         self._waiting.remove(ticket)
--- a/hillthread/state/routing_table.py
+++ b/hillthread/state/routing_table.py
@@ -80,6 +80,7 @@
         self._policies.sort(key=lambda policy: (policy.order, policy.name))
         self.index = route_index.RouteIndex(self._routes)
         self._shares: cachetools.LRUCache = cachetools.LRUCache(_MAX_RESOLVED)
+        self._targets_of: dict[str, tuple[objects.Target, ...]] = {}
 
     def tenant_of_key(self, key: str) -> objects.Tenant | None:
         """Returns the tenant whose bearer key this is, or None."""
@@ -169,12 +170,6 @@
         ]
         if not pools:
             return None
-        targets = {
-            target.name: target
-            for pool in pools
-            for target in self.targets.values()
-            if _selects(pool.target_selector, target)
-        }
         policy = next(
             (
                 each
@@ -183,8 +178,21 @@
             ),
             _DEFAULT_POLICY,
         )
-        ordered = tuple(targets[name] for name in sorted(targets))
-        return Resolved(route, policy, pools[0], ordered)
+        if route.name not in self._targets_of:
+            self._targets_of[route.name] = self._select_targets(pools)
+        return Resolved(route, policy, pools[0], self._targets_of[route.name])
+
+    def _select_targets(
+        self, pools: list[objects.Pool]
+    ) -> tuple[objects.Target, ...]:
+        """Returns the targets of some pools in the order of their names."""
+        targets = {
+            target.name: target
+            for pool in pools
+            for target in self.targets.values()
+            if _selects(pool.target_selector, target)
+        }
+        return tuple(targets[name] for name in sorted(targets))
 
 
 def _selects(selector: str, value: objects.ConfigurationObject) -> bool:
--- a/tests/coordination/test_gate.py
+++ b/tests/coordination/test_gate.py
@@ -5,6 +5,7 @@
 import unittest
 
 import anyio
+import msgspec
 
 from hillthread import errors
 from hillthread.coordination import fleet as fleet_lib
@@ -81,3 +82,90 @@
             self.fleet.departures.mark_leaving("t", "i")
             self.gate.release("a")
         self.assertEqual(self.outcomes["b"], "no_target")
+
+
+class ModelsTest(unittest.IsolatedAsyncioTestCase):
+    """Requests of one pool that need different targets."""
+
+    def setUp(self):
+        self.gate = gate_lib.Gate(fleet_lib.Fleet("dc1"))
+        self.served = []
+        self.targets = [
+            objects.Target(
+                name=name,
+                address="127.0.0.1:1",
+                data_centre="dc1",
+                models=[model],
+            )
+            for name, model in (("t", "m"), ("u", "n"))
+        ]
+        self.pool = msgspec.structs.replace(POOL, queue_size=4)
+
+    async def reserve(self, name, model, priority=0):
+        placement = fleet_lib.Placement(self.targets, self.pool, model)
+        await self.gate.reserve(Exchange(name, priority), placement)
+        self.served.append(name)
+
+    async def test_waiter_without_a_place_holds_up_no_other_model(self):
+        await self.reserve("a", "m")
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.reserve, "b", "m")
+            await anyio.wait_all_tasks_blocked()
+            group.start_soon(self.reserve, "c", "n")
+            with anyio.move_on_after(0.1):
+                await anyio.wait_all_tasks_blocked()
+            self.assertEqual(self.served, ["a", "c"])
+            self.gate.release("a")
+        self.assertEqual(self.served, ["a", "c", "b"])
+
+    async def test_freed_place_goes_past_who_cannot_use_it(self):
+        await self.reserve("a", "m")
+        await self.reserve("c", "n")
+        async with anyio.create_task_group() as group:
+            for name, model in (("b", "m"), ("d", "n")):
+                group.start_soon(self.reserve, name, model)
+                await anyio.wait_all_tasks_blocked()
+            self.gate.release("c")
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(self.served, ["a", "c", "d"])
+            self.gate.release("a")
+
+    async def test_order_within_a_model_is_kept(self):
+        await self.reserve("a", "m")
+        async with anyio.create_task_group() as group:
+            for name, priority in (("b", 1), ("d", 1), ("e", 0)):
+                group.start_soon(self.reserve, name, "m", priority)
+                await anyio.wait_all_tasks_blocked()
+            for name in ("a", "e", "b"):
+                self.gate.release(name)
+                await anyio.wait_all_tasks_blocked()
+        self.assertEqual(self.served, ["a", "e", "b", "d"])
+
+    async def test_newcomer_waits_behind_others_of_its_model(self):
+        """Also when a place has come free that nobody was told of."""
+        await self.reserve("a", "m")
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.reserve, "b", "m")
+            await anyio.wait_all_tasks_blocked()
+            self.gate.fleet.finish("a")
+            group.start_soon(self.reserve, "d", "m")
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(self.served, ["a"])
+            await anyio.sleep(0.4)
+            self.assertEqual(self.served, ["a", "b"])
+            self.gate.release("b")
+        self.assertEqual(self.served, ["a", "b", "d"])
+
+    async def test_old_targets_of_a_waiter_hold_up_no_newer_ones(self):
+        """A target has joined since; who came before does not know it."""
+        await self.reserve("a", "m")
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.reserve, "b", "m")
+            await anyio.wait_all_tasks_blocked()
+            joined = msgspec.structs.replace(self.targets[0], name="v")
+            self.targets = [*self.targets, joined]
+            group.start_soon(self.reserve, "d", "m")
+            await anyio.sleep(0.6)
+            self.assertEqual(self.served, ["a", "d"])
+            self.gate.release("a")
+        self.assertEqual(self.served, ["a", "d", "b"])
