Adopt the lease from the first record kept when older ones are gone

Cause: after the log had dropped records a host had not read, it moved its position on and kept the holder from before the gap, or nobody if it had just started. The renewals of the true holder did not fit that and were passed over; its own acquisition named the last record from before the gap, so it counted for this host and for no other. Two hosts gave orders at once. LeaseState can adopt the first record kept, but only if it has read nothing, and the moved position hid that.

Now the state starts anew at the first record kept, and the host does not contend before it has read from there. Ruled out: a new contender (its count of records would start again, and an old renewal would then seem newly begun).

Left in state/lease.py, only read: the first record kept is adopted as one that counted, though it may be an acquisition that lost.

--- a/hillthread/coordination/lease_keeper.py
+++ b/hillthread/coordination/lease_keeper.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 
 import anyio
@@ -16,6 +17,8 @@
 _LONG_POLL_S = 5.0
 _RETRY_S = 1.0
 
+_logger = logging.getLogger(__name__)
+
 
 class LeaseKeeper:
     """Follows a lease's stream, renews it and contends for it.
@@ -39,6 +42,8 @@
         self.acquired_at: float | None = None
         self.appends = 0
         self.failures = 0
+        self._first_kept = 0
+        self._read_since_gap = False
 
     @property
     def fencing(self) -> int:
@@ -58,11 +63,12 @@
     async def _follow(self) -> None:
         wait_s = 0.0
         while True:
-            start = self.contender.state.position + 1
+            position = self.contender.state.position
+            start = max(self._first_kept, position + 1)
             try:
                 page = await self.client.read(self.stream, start, wait_s=wait_s)
             except log_client.TruncatedError as error:
-                self.contender.state.position = error.first_offset - 1
+                self._start_anew(error.first_offset)
                 continue
             except errors.LogError:
                 self.failures += 1
@@ -74,12 +80,31 @@
             for record in page.records:
                 self.contender.read(record.offset, record.payload, now)
             self.contender.start_waiting(now)
+            self._read_since_gap = True
             if not held and self.contender.state.holder == self.contender.name:
                 self.acquired_at = now
 
+    def _start_anew(self, first_offset: int) -> None:
+        """Forgets the lease as read so far, for records after it are gone.
+
+        The first one kept tells who holds it. On what was known before the gap,
+        an acquisition of this host would count for this host alone.
+        """
+        _logger.warning(
+            "lease records before %d are gone; %d was read last",
+            first_offset,
+            self.contender.state.position,
+            extra={"code": "lease_gap"},
+        )
+        self.contender.state = lease.LeaseState()
+        self._first_kept = first_offset
+        self._read_since_gap = False
+
     async def _contend(self) -> None:
         while True:
             await anyio.sleep(_CHECK_S)
+            if not self._read_since_gap:
+                continue
             now = time.monotonic()
             contender = self.contender
             if not (contender.should_renew(now) or contender.may_contend(now)):
