Let no decision record that the log refuses hold up the others

Cause: a batch that failed went back to the front of the line and was sent again as it was. One record that the log would never take kept all behind it from the log, until the line was full and the oldest were dropped.

Now the batch goes to the end and the next ones are half as large, down to one; each that is kept doubles the size. Ruled out: dropping a refused record (the log client does not tell a refusal from an unreachable log).

--- a/hillthread/coordination/record_archive.py
+++ b/hillthread/coordination/record_archive.py
@@ -2,12 +2,15 @@
 
 Only records worth asking about are kept there: all that were not plainly
 answered, and a sample of the rest, as the log takes few appends. During an
-outage they wait in bounded memory; what could not be kept is counted.
+outage they wait in bounded memory; what could not be kept is counted. A batch
+that fails goes to the end of the line, and the next ones are smaller, so that a
+record which the log does not take holds up no other.
 """
 
 from __future__ import annotations
 
 import collections
+import logging
 from typing import Any
 
 import anyio
@@ -25,6 +28,8 @@
 _MAX_BATCH = 100
 _MAX_SEARCHED = 5000
 
+_logger = logging.getLogger(__name__)
+
 
 def stream_of(data_centre: str) -> str:
     """Returns the stream of a data centre's records."""
@@ -49,6 +54,7 @@
         self.data_centre = data_centre
         self.data_centres = data_centres
         self.waiting: collections.deque[bytes] = collections.deque()
+        self._batch_size = _MAX_BATCH
         self.outcomes = prometheus_client.Counter(
             "hillthread_archived_records",
             "Decision records by what became of them.",
@@ -99,17 +105,31 @@
         """
         batch = [
             self.waiting.popleft()
-            for _ in range(min(_MAX_BATCH, len(self.waiting)))
+            for _ in range(min(self._batch_size, len(self.waiting)))
         ]
         payload = b"[" + b",".join(batch) + b"]"
         try:
             await self.client.append(stream_of(self.data_centre), [payload])
-        except errors.HillthreadError:
-            self.waiting.extendleft(reversed(batch))
+        except errors.HillthreadError as error:
+            self._put_back(batch, error)
             return False
+        self._batch_size = min(_MAX_BATCH, self._batch_size * 2)
         self.outcomes.labels("kept").inc(len(batch))
         return True
 
+    def _put_back(
+        self, batch: list[bytes], error: errors.HillthreadError
+    ) -> None:
+        self.waiting.extend(batch)
+        self._batch_size = max(1, self._batch_size // 2)
+        _logger.warning(
+            "%d records were not kept yet, %d wait: %s",
+            len(batch),
+            len(self.waiting),
+            error,
+            extra={"code": "records_put_back"},
+        )
+
     async def _search(
         self, data_centre: str, request_id: str
     ) -> list[dict[str, Any]]:
