Let no question for records hold up the messages behind it on a link

Cause: a control process acts on a link's messages one by one, and a question from another host waits up to 0.5 s for the own router. While that was paused, a few questions in a row held up heartbeats, departures and configuration from that host, which counted as lost after suspect_s of them.

Now questions are answered beside the link, 16 at a time; further ones are passed over with a log line, and the asker counts them as unanswered. A question that is cancelled leaves nothing behind.

--- a/hillthread/coordination/control_node.py
+++ b/hillthread/coordination/control_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import Any
 
@@ -27,6 +28,8 @@
 _FULL_POSITIONS_EVERY = 20
 _AWAIT_PEERS_S = 1.0
 
+_logger = logging.getLogger(__name__)
+
 
 class ControlNode:
     """Passes configuration, departures, loads, shares and questions.
@@ -168,7 +171,7 @@
             case messages.Shares() | messages.Demand():
                 self._pass_between_routers(link, message)
             case messages.RecordQuery():
-                await self.records.answer(link, message)
+                self._answer_query(link, message)
             case messages.RecordReply():
                 self.records.take(message)
             case _:
@@ -376,6 +379,18 @@
             return found
         return await self.archive.find(query.request_id, query.tenant)
 
+    def _answer_query(
+        self, link: hub_lib.OpenLink, query: messages.RecordQuery
+    ) -> None:
+        """Asks the own router, which may take long or be paused."""
+        if not link.start_task(self.records.answer, link, query):
+            _logger.warning(
+                "question of %s for records passed over: %d are under way",
+                link.peer.host,
+                link.running,
+                extra={"code": "query_passed_over"},
+            )
+
     def _claim(
         self, link: hub_lib.OpenLink, request: messages.ClaimRequest
     ) -> None:
--- a/hillthread/coordination/hub.py
+++ b/hillthread/coordination/hub.py
@@ -18,6 +18,8 @@
 __all__ = ["Hub", "OpenLink"]
 
 _QUEUE = 256
+# An operator asks one question at a time; more than this is a fault.
+MAX_TASKS = 16
 
 _logger = logging.getLogger(__name__)
 
@@ -31,12 +33,15 @@
         link: The link.
         told: Positions of hosts already told over it.
         served: Whether a router at its end was given the configuration.
+        running: Tasks begun with `start_task` that have not ended.
     """
 
     def __init__(self, link: link_lib.Link):
         self.link = link
         self.told: dict[str, int] = {}
         self.served = False
+        self.running = 0
+        self._tasks: anyio.abc.TaskGroup | None = None
         self._send, self._receive = anyio.create_memory_object_stream[bytes](
             _QUEUE
         )
@@ -56,6 +61,37 @@
             return True
         return True
 
+    def start_task(
+        self, function: Callable[..., Awaitable[None]], *arguments: object
+    ) -> bool:
+        """Acts on a message that takes long, without holding up the next.
+
+        Returns:
+            False if there is no room for another task; it is not begun.
+        """
+        if self._tasks is None or self.running >= MAX_TASKS:
+            return False
+        self.running += 1
+        self._tasks.start_soon(self._run_task, function, *arguments)
+        return True
+
+    async def _run_task(
+        self, function: Callable[..., Awaitable[None]], *arguments: object
+    ) -> None:
+        try:
+            await function(*arguments)
+        finally:
+            self.running -= 1
+
+    async def serve(self, read: Callable[[], Awaitable[None]]) -> None:
+        """Writes and runs tasks until `read` returns."""
+        async with anyio.create_task_group() as group:
+            self._tasks = group
+            group.start_soon(self.write)
+            await read()
+            self._tasks = None
+            group.cancel_scope.cancel()
+
     async def write(self) -> None:
         """Sends queued messages until the link is closed."""
         try:
@@ -108,10 +144,7 @@
         if self.opened is not None:
             self.opened(open_link)
         try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(open_link.write)
-                await self._read(open_link)
-                group.cancel_scope.cancel()
+            await open_link.serve(lambda: self._read(open_link))
         finally:
             del self.links[number]
             self.events.labels("closed", link.peer.role).inc()
--- a/hillthread/coordination/record_finder.py
+++ b/hillthread/coordination/record_finder.py
@@ -80,8 +80,10 @@
         self._gatherings[own_id] = gathering
         query = msgspec.structs.replace(query, query_id=own_id)
         self.hub.broadcast(asked, query)
-        with anyio.move_on_after(timeout_s):
-            await gathering.complete.wait()
-        del self._gatherings[own_id]
+        try:
+            with anyio.move_on_after(timeout_s):
+                await gathering.complete.wait()
+        finally:
+            del self._gatherings[own_id]
         self.unanswered += gathering.wanted - len(gathering.replies)
         return gathering.replies
