Let changed bounds of a pool reach the breakers of its targets

The new test of the fleet fails on the code before and passes now. A target in two pools with different bounds follows the pool of the latest request.

--- a/hillthread/coordination/fleet.py
+++ b/hillthread/coordination/fleet.py
@@ -341,10 +341,7 @@
         self, target: objects.Target, placement: Placement, now: float
     ) -> decision_lib.Candidate:
         self.track(target)
-        if target.name not in self.breakers:
-            self.breakers[target.name] = health.Breaker(
-                placement.pool.eject_after, placement.pool.eject_s
-            )
+        self._bound_breaker(target.name, placement.pool)
         return decision_lib.Candidate(
             target.name,
             target.max_running,
@@ -353,6 +350,15 @@
             self._exclusion(target, placement, now),
         )
 
+    def _bound_breaker(self, name: str, pool: objects.Pool) -> None:
+        """Has a target's breaker follow the bounds now in force."""
+        breaker = self.breakers.get(name)
+        if breaker is None:
+            breaker = health.Breaker(pool.eject_after, pool.eject_s)
+            self.breakers[name] = breaker
+        breaker.eject_after = pool.eject_after
+        breaker.eject_s = pool.eject_s
+
     def _exclusion(
         self, target: objects.Target, placement: Placement, now: float
     ) -> decision_lib.Exclusion | None:
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -112,6 +112,16 @@
         self.assertFalse(self.fleet.retry_budget(changed).withdraw(1.0))
         self.assertEqual(self.fleet.retry_budget(changed).ratio, 0.3)
 
+    def test_changed_bounds_of_a_pool_reach_breakers(self):
+        self.choose()
+        breaker = self.fleet.breakers["t0"]
+        changed = msgspec.structs.replace(POOL, eject_after=3, eject_s=7.0)
+        self.fleet.choose(
+            QUERY, fleet_lib.Placement(self.targets, changed, "m"), 0.0
+        )
+        self.assertIs(self.fleet.breakers["t0"], breaker)
+        self.assertEqual((breaker.eject_after, breaker.eject_s), (3, 7.0))
+
     def test_count_of_a_former_incarnation_hides_no_insertions(self):
         """A restarted engine counts from zero; others fill its cache, too."""
         target = self.targets[0]
