--- a/hillthread/coordination/control_node.py
+++ b/hillthread/coordination/control_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from typing import Any
 
@@ -27,6 +28,8 @@
 _FULL_POSITIONS_EVERY = 20
 _AWAIT_PEERS_S = 1.0
 
+_logger = logging.getLogger(__name__)
+
 
 class ControlNode:
     """Passes configuration, departures, loads, shares and questions.
@@ -39,6 +42,7 @@
         positions: Configuration positions of all hosts, as far as known.
         records: Finds decision records.
         epochs: What each target of the data centre was last seen to run.
+        seen_at: Monotonic seconds, when it was seen.
     """
 
     def __init__(
@@ -61,6 +65,7 @@
         self.positions: dict[str, int] = {}
         self.incarnations: dict[str, str] = {}
         self.epochs: dict[str, warmth.Epoch] = {}
+        self.seen_at: dict[str, float] = {}
         self.beats = 0
         self._engines: list[objects.Target] = []
         self._engines_position = -2
@@ -166,7 +171,7 @@
             case messages.Shares() | messages.Demand():
                 self._pass_between_routers(link, message)
             case messages.RecordQuery():
-                await self.records.answer(link, message)
+                self._answer_query(link, message)
             case messages.RecordReply():
                 self.records.take(message)
             case _:
@@ -206,7 +211,9 @@
         self.hub.broadcast(peers, message)
 
     def _note_epochs(self, message: messages.Loads) -> None:
+        now = time.monotonic()
         for each in message.loads:
+            self.seen_at[each.target] = now
             self.epochs[each.target] = warmth.Epoch(
                 each.incarnation, each.weights_version
             )
@@ -372,6 +379,18 @@
             return found
         return await self.archive.find(query.request_id, query.tenant)
 
+    def _answer_query(
+        self, link: hub_lib.OpenLink, query: messages.RecordQuery
+    ) -> None:
+        """Asks the own router, which may take long or be paused."""
+        if not link.start_task(self.records.answer, link, query):
+            _logger.warning(
+                "question of %s for records passed over: %d are under way",
+                link.peer.host,
+                link.running,
+                extra={"code": "query_passed_over"},
+            )
+
     def _claim(
         self, link: hub_lib.OpenLink, request: messages.ClaimRequest
     ) -> None:
