Reproduce the stalled rollout of new weights, failing

The stand-in of an engine can now be silent and leave orders unanswered, which it carries out later or never.

--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 import time
 from typing import Any
 from typing import NamedTuple
@@ -174,6 +175,10 @@
         left: Requests whose caller left while they ran.
         orders: Orders taken, as they came.
         order_log: The same with their times.
+        orders_seen: Orders that reached it, whatever became of them.
+        lost_orders: The next orders get no answer, and are carried out so
+            many seconds later if they then still fit; never if infinite.
+        silent: It takes requests of any kind and never answers.
         names_requests: Answers hold the id of their request, so that no two
             are alike.
         load_s: How long it loads weights.
@@ -199,6 +204,9 @@
         self.order_log: list[Order] = []
         self.names_requests = False
         self.order_status = 0
+        self.orders_seen = 0
+        self.lost_orders: collections.deque[float] = collections.deque()
+        self.silent = False
         self.load_s = 0.05
         self.busy = False
         self.cache_events: list[tuple[int, str, str, str, int, str]] = []
@@ -235,6 +243,8 @@
         request: http1_server.CallerRequest,
         answer: http1_server.CallerAnswer,
     ) -> None:
+        if self.silent:
+            await anyio.sleep_forever()
         expected = request.get(b"x-expect-instance").decode()
         if expected and expected != self.name:
             await self._misdirect(request, answer)
@@ -276,16 +286,37 @@
         answer: http1_server.CallerAnswer,
     ) -> None:
         order = msgspec.json.decode(request.body)
+        self.orders_seen += 1
+        if self.lost_orders:
+            await self._take_late(order, self.lost_orders.popleft())
         if self.order_status:
             await answer.send_whole(self.order_status, [], b"")
             return
-        if order["expectedRevision"] != len(self.orders) or self.busy:
+        if not self._fits(order):
             await answer.send_whole(409, [], b"")
             return
+        self._take(order)
+        await answer.send_whole(202, [], b"")
+        await self._load(order)
+
+    async def _take_late(self, order: dict[str, Any], late_s: float) -> None:
+        """Never returns: the order is not answered, and may be done late."""
+        with anyio.CancelScope(shield=math.isfinite(late_s)):
+            await anyio.sleep(late_s)
+            if self._fits(order):
+                self._take(order)
+                await self._load(order)
+        await anyio.sleep_forever()
+
+    def _fits(self, order: dict[str, Any]) -> bool:
+        return not self.busy and order["expectedRevision"] == len(self.orders)
+
+    def _take(self, order: dict[str, Any]) -> None:
         self.orders.append(order)
         self.order_log.append(Order(order, time.monotonic()))
         self.busy = True
-        await answer.send_whole(202, [], b"")
+
+    async def _load(self, order: dict[str, Any]) -> None:
         with anyio.CancelScope(shield=True):
             await anyio.sleep(self.load_s)
         self.weights = order["version"]
--- /dev/null
+++ b/tests/coordination/gateway/test_rollout.py
@@ -0,0 +1,203 @@
+"""Tests that new weights reach all engines, whatever single ones do."""
+
+import math
+import time
+import unittest
+
+import anyio
+
+from hillthread.coordination.gateway import order_lease
+from hillthread.state import rollout
+from tests.coordination.gateway import scene as scene_lib
+
+_ENGINES = 5  # two of five load at a time
+_LEASE_MS = 300
+# Nobody listens there.
+_NOWHERE = "127.0.0.1:1"
+
+
+def _in_wave(scene, version):
+    """Returns the engines in the order of their loads."""
+    engines = {engine.name: engine for engine in scene.engines}
+    return [engines[name] for name in rollout.wave_order("m", version, engines)]
+
+
+def _first_in_wave(scene, version, count):
+    """Returns names that come before those of all engines."""
+    engines = {engine.name for engine in scene.engines}
+    names = [f"lost{number}" for number in range(1000)]
+    first = rollout.wave_order("m", version, names)[:count]
+    order = rollout.wave_order("m", version, [*engines, *first])
+    assert order[:count] == first, "an engine comes before them"
+    return first
+
+
+async def _rest_holds(scene, engines, version, within_s):
+    """Waits until engines hold a version; fails when it takes longer."""
+    with anyio.fail_after(within_s):
+        await scene.until(lambda: all(e.weights == version for e in engines))
+
+
+class StalledRolloutTest(unittest.TestCase):
+    def test_lost_targets_do_not_hold_up_the_others(self):
+        async def story(scene):
+            for name in _first_in_wave(scene, 2, 2):
+                entry = scene.engines[0].entry() | {"address": _NOWHERE}
+                scene.store.put("keyed.servers", name, entry)
+            entries = scene.site.targets.entries
+            await scene.until(lambda: len(entries) == _ENGINES)
+            scene.name_weights(2)
+            await _rest_holds(scene, scene.engines, 2, 2.0)
+
+        scene_lib.play(story, engines=_ENGINES - 2, plain=0)
+
+    def test_silent_targets_do_not_hold_up_the_others(self):
+        async def story(scene):
+            first, second, *rest = _in_wave(scene, 2)
+            first.silent = second.silent = True
+            scene.name_weights(2)
+            await _rest_holds(scene, rest, 2, 2.0)
+
+        scene_lib.play(story, engines=_ENGINES, plain=0)
+
+    def test_unanswered_orders_do_not_hold_up_the_others(self):
+        async def story(scene):
+            first, second, *rest = _in_wave(scene, 2)
+            for engine in (first, second):
+                engine.lost_orders.extend([math.inf] * 50)
+            scene.name_weights(2)
+            await _rest_holds(scene, rest, 2, 3.0)
+
+        scene_lib.play(story, engines=_ENGINES, plain=0)
+
+    def test_unanswered_order_is_repeated_once_others_had_their_turn(self):
+        async def story(scene):
+            first, second, *_ = _in_wave(scene, 2)
+            for engine in (first, second):
+                engine.lost_orders.append(math.inf)
+            scene.name_weights(2)
+            await _rest_holds(scene, scene.engines, 2, 4.0)
+            seen = sum(engine.orders_seen for engine in scene.engines)
+            self.assertEqual(seen, _ENGINES + 2)
+
+        scene_lib.play(story, engines=_ENGINES, plain=0)
+
+    def test_order_carried_out_late_is_not_given_twice(self):
+        async def story(scene):
+            (engine,) = scene.engines
+            engine.lost_orders.append(0.3)
+            scene.name_weights(2)
+            await _rest_holds(scene, [engine], 2, 3.0)
+            await anyio.sleep(1.0)
+            self.assertEqual(engine.orders_seen, 1)
+
+        scene_lib.play(story, engines=1, plain=0)
+
+    def test_repeated_order_makes_the_late_one_fail(self):
+        async def story(scene):
+            (engine,) = scene.engines
+            engine.lost_orders.append(2.0)
+            scene.name_weights(2)
+            await _rest_holds(scene, [engine], 2, 2.0)
+            await anyio.sleep(1.5)
+            self.assertEqual(len(engine.orders), 1)
+            self.assertEqual(engine.orders[0]["expectedRevision"], 0)
+
+        scene_lib.play(story, engines=1, plain=0)
+
+    def test_overtaken_versions_are_skipped(self):
+        async def story(scene):
+            (engine,) = scene.engines
+            engine.lost_orders.append(math.inf)
+            scene.name_weights(2)
+            await scene.until(lambda: engine.orders_seen == 1)
+            scene.name_weights(3)
+            await _rest_holds(scene, [engine], 3, 4.0)
+            versions = [order["version"] for order in engine.orders]
+            self.assertEqual(versions, [3])
+
+        scene_lib.play(story, engines=1, plain=0)
+
+    def test_oldest_weights_are_replaced_first(self):
+        async def story(scene):
+            *newer, oldest = _in_wave(scene, 3)
+            for engine in newer:
+                engine.weights = 2
+                scene.list_target(engine)
+            held = scene.site.weights.held
+            await scene.until(
+                lambda: all(held(e.name, "m") == 2 for e in newer)
+            )
+            for engine in scene.engines:
+                engine.load_s = 0.5
+            scene.name_weights(3)
+            await scene.until(
+                lambda: sum(len(e.orders) for e in scene.engines) == 2
+            )
+            self.assertEqual(len(oldest.orders), 1)
+
+        scene_lib.play(story, engines=_ENGINES, plain=0)
+
+    def test_no_more_loads_at_once_than_planned(self):
+        async def story(scene):
+            for engine in scene.engines:
+                engine.load_s = 0.5
+            scene.name_weights(2)
+            most = 0
+            with anyio.fail_after(5.0):
+                while any(e.weights < 2 for e in scene.engines):
+                    busy = sum(engine.busy for engine in scene.engines)
+                    most = max(most, busy)
+                    await anyio.sleep(0.005)
+            self.assertEqual(most, rollout.loads_at_once(_ENGINES))
+
+        scene_lib.play(story, engines=_ENGINES, plain=0)
+
+    def test_incarnation_that_is_gone_is_ordered_once(self):
+        async def story(scene):
+            (engine,) = scene.engines
+            engine.order_status = 421
+            scene.name_weights(2)
+            await scene.until(lambda: engine.orders_seen > 0)
+            await anyio.sleep(1.0)
+            self.assertEqual(engine.orders_seen, 1)
+
+        scene_lib.play(story, engines=1, plain=0)
+
+
+class SuccessionTest(unittest.TestCase):
+    """A holder that gives no orders is followed when its lease is over."""
+
+    def test_holder_killed_when_it_had_taken_the_lease(self):
+        async def story(scene):
+            other = order_lease.OrderLease(
+                scene.program.store, "h0", _LEASE_MS / 1000.0
+            )
+            self.assertTrue(await other.ensure())
+            await scene.program.rollout.lease.catch_up()
+            await anyio.sleep(other.contender.act_s * 0.6)
+            taken_at = time.monotonic()
+            self.assertTrue(await other.ensure())
+            self.assertEqual(other.contender.state.position, 1)
+            scene.name_weights(2)
+            (engine,) = scene.engines
+            await scene.until(lambda: engine.order_log)
+            waited_s = engine.order_log[0].at - taken_at
+            self.assertGreater(waited_s, other.contender.ttl_s)
+            self.assertLess(waited_s, other.contender.ttl_s + 1.2)
+
+        scene_lib.play(story, engines=1, plain=0, lease_ms=_LEASE_MS)
+
+    def test_host_about_to_end_takes_no_lease(self):
+        async def story(scene):
+            (engine,) = scene.engines
+            engine.lost_orders.extend([math.inf] * 50)
+            scene.name_weights(2)
+            await scene.until(lambda: engine.orders_seen == 1)
+            scene.site.draining = scene.site.closing = True
+            await scene.program.rollout.lease.release()
+            await anyio.sleep(2.5)
+            self.assertEqual(engine.orders_seen, 1)
+            self.assertFalse(scene.program.rollout.lease.is_holder)
+
+        scene_lib.play(story, engines=1, plain=0)
