Plan which loads of new weights begin, and which count as under way

The keeper took the first targets of the wave that were behind, again and again, and counted each towards the two of five until its load ended: a lost one, or one that left an order unanswered, for up to 4 s.

The plan is pure. Who was not reached is tried again after 0.3 s, doubled up to 2.4 s; who left an order unanswered goes behind all others that long, and is repeated at once when nobody else waits. The oldest weights go first.

Ruled out: a plain limit on the time of a load. It frees the place, but the same target is then first again.

--- a/hillthread/state/rollout.py
+++ b/hillthread/state/rollout.py
@@ -1,16 +1,28 @@
-"""Which targets are to load new weights next."""
+"""Which targets are to load new weights next.
+
+A load takes its target out of service, and too many at once slow each other
+down, so only a share of a pool loads at the same time. What counts towards that
+share is what may be loading: a target whose order was just sent, and one that
+has confirmed it. A target that is lost or leaves orders unanswered counts for a
+moment only, and is tried again later, so that it does not hold up the others.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Collection
 from collections.abc import Sequence
+import enum
 import math
+from typing import NamedTuple
 
 from hillthread.state import placement
 from hillthread.state import target_list
 from hillthread.state import weights as weights_lib
 
 __all__ = [
+    "LoadEnd",
+    "LoadStage",
+    "RolloutPlan",
     "loads_at_once",
     "targets_behind",
     "wave_order",
@@ -19,6 +31,213 @@
 # More loads than this share of a pool at once slow each other down: 2 of 5,
 # 18 of 45 and 28 of 70 on the users' sheets.
 _AT_ONCE_SHARE = 0.4
+# A target that was not reached is asked again after this time, which doubles.
+_BACK_OFF_S = 0.3
+_MOST_BACK_OFF_S = 2.4
+
+
+class LoadEnd(enum.StrEnum):
+    """How the load of one target ended."""
+
+    HELD = "held"
+    OVERTAKEN = "overtaken"
+    NO_ROOM = "no_room"
+    NO_LEASE = "no_lease"
+    NO_REPORT = "no_report"
+    UNANSWERED = "unanswered"
+    NOT_TAKEN = "not_taken"
+    OTHER_INCARNATION = "other_incarnation"
+    TARGET_GONE = "target_gone"
+    TOO_LONG = "too_long"
+    FAILED = "failed"
+
+
+class LoadStage(enum.StrEnum):
+    """How far a load has come."""
+
+    ASKED = "asked"
+    ORDERED = "ordered"
+    LOADING = "loading"
+
+
+# How long a load counts towards the share, from the begin of its stage. A
+# sound target reports within some ms; a lost one must not keep others waiting.
+_COUNTS_S = {
+    LoadStage.ASKED: 0.25,
+    LoadStage.ORDERED: 1.0,
+    LoadStage.LOADING: 4.0,
+}
+
+
+class _Load(NamedTuple):
+    """A load under way.
+
+    Attributes:
+        peers: The targets that share the room with it, itself included.
+        stage: How far it has come.
+        since: Seconds, when that stage began.
+    """
+
+    peers: frozenset[str]
+    stage: LoadStage
+    since: float
+
+    def counts(self, now: float) -> bool:
+        """Returns whether the target may be loading."""
+        return now - self.since < _COUNTS_S[self.stage]
+
+
+class _Setback(NamedTuple):
+    """What came of earlier tries.
+
+    Attributes:
+        tries: How many failed in a row.
+        until: Seconds; before that, others go first.
+        lost: The target was not reached: it is not tried at all before that.
+    """
+
+    tries: int
+    until: float
+    lost: bool
+
+
+class RolloutPlan:
+    """Which loads are under way, and which begin next."""
+
+    def __init__(self):
+        self._loads: dict[str, _Load] = {}
+        self._setbacks: dict[str, _Setback] = {}
+        self._gone: set[str] = set()
+
+    @property
+    def loading(self) -> Collection[str]:
+        """The targets whose loads have begun and not ended."""
+        return self._loads.keys()
+
+    def next_targets(
+        self,
+        members: Sequence[target_list.ListedTarget],
+        model: str,
+        board: weights_lib.WeightsBoard,
+        now: float,
+    ) -> list[target_list.ListedTarget]:
+        """Returns the targets whose loads may begin now.
+
+        The oldest weights go first: starts on them are forbidden first.
+
+        Args:
+            members: All targets of a pool.
+            model: The model whose weights they are to hold.
+            board: Which weights are named and held.
+            now: Seconds.
+        """
+        names = frozenset(entry.target.name for entry in members)
+        room = loads_at_once(len(names)) - self._count(names, now)
+        if room <= 0:
+            return []
+        newest = self._newest_at_addresses(members)
+        free = [
+            entry
+            for entry in targets_behind(members, model, board)
+            if entry.target.name in newest
+            and self._may_begin(entry.target.name, now)
+        ]
+        free.sort(key=lambda entry: self._urgency(entry, model, board, now))
+        return free[:room]
+
+    def begin(self, target: str, peers: Collection[str], now: float) -> None:
+        """Notes that the load of a target begins: its report is awaited."""
+        self._loads[target] = _Load(frozenset(peers), LoadStage.ASKED, now)
+
+    def claim(self, target: str, now: float) -> bool:
+        """Returns whether the target may be ordered now.
+
+        Others may have begun while its report was awaited.
+        """
+        load = self._loads[target]
+        others = self._count(load.peers - {target}, now)
+        if others >= loads_at_once(len(load.peers)):
+            return False
+        self.reach(target, LoadStage.ORDERED, now)
+        return True
+
+    def reach(self, target: str, stage: LoadStage, now: float) -> None:
+        """Notes how far a load has come."""
+        load = self._loads[target]
+        if load.stage is not stage:
+            self._loads[target] = load._replace(stage=stage, since=now)
+
+    def end(self, target: str, end: LoadEnd, now: float) -> None:
+        """Notes that a load has ended."""
+        self._loads.pop(target, None)
+        match end:
+            case LoadEnd.HELD | LoadEnd.OVERTAKEN:
+                self._setbacks.pop(target, None)
+            case LoadEnd.TARGET_GONE | LoadEnd.OTHER_INCARNATION:
+                self._setbacks.pop(target, None)
+                self._gone.add(target)
+            case LoadEnd.NO_REPORT | LoadEnd.FAILED:
+                self._set_back(target, now, lost=True)
+            case LoadEnd.UNANSWERED | LoadEnd.NOT_TAKEN | LoadEnd.TOO_LONG:
+                self._set_back(target, now, lost=False)
+            case LoadEnd.NO_ROOM | LoadEnd.NO_LEASE:
+                pass
+
+    def keep_only(self, names: Collection[str]) -> None:
+        """Forgets what is known of targets that are not listed any more."""
+        self._gone &= set(names)
+        for target in [name for name in self._setbacks if name not in names]:
+            del self._setbacks[target]
+
+    def _count(self, names: Collection[str], now: float) -> int:
+        return sum(
+            name in names and load.counts(now)
+            for name, load in self._loads.items()
+        )
+
+    def _newest_at_addresses(
+        self, members: Sequence[target_list.ListedTarget]
+    ) -> Collection[str]:
+        """Returns the targets but those that another one has replaced.
+
+        The entry of a lost target outlives it: its replacement answers at the
+        same address, and its load must not count twice. What comes later in the
+        list replaces what comes before, unless it is known to be gone.
+        """
+        by_address = {
+            entry.target.address: entry.target.name
+            for entry in members
+            if entry.target.name not in self._gone
+        }
+        return set(by_address.values())
+
+    def _may_begin(self, target: str, now: float) -> bool:
+        if target in self._loads:
+            return False
+        setback = self._setbacks.get(target)
+        return setback is None or not setback.lost or now >= setback.until
+
+    def _urgency(
+        self,
+        entry: target_list.ListedTarget,
+        model: str,
+        board: weights_lib.WeightsBoard,
+        now: float,
+    ) -> tuple[bool, int]:
+        """Returns a key that sorts the most urgent first.
+
+        The order among equals is that of the wave, which sorting keeps.
+        """
+        target = entry.target.name
+        setback = self._setbacks.get(target)
+        waits = setback is not None and now < setback.until
+        return waits, board.held(target, model) or 0
+
+    def _set_back(self, target: str, now: float, lost: bool) -> None:
+        before = self._setbacks.get(target)
+        tries = before.tries + 1 if before is not None else 1
+        back_off_s = min(_MOST_BACK_OFF_S, _BACK_OFF_S * 2 ** (tries - 1))
+        self._setbacks[target] = _Setback(tries, now + back_off_s, lost)
 
 
 def loads_at_once(targets: int) -> int:
