Decide in one pure module when a host steps in to give orders

A host that found the lease held waited its patience of 1.5 to 1.8 s and more anew and asked again, until it happened to ask after the lease was over. It now tries first 0.5 s after there is something to do, and then when what it has read says that the lease is over, hosts of lower rank 0.2 s later each.

--- a/hillthread/state/lease.py
+++ b/hillthread/state/lease.py
@@ -225,13 +225,16 @@
 
     def may_contend(self, now: float) -> bool:
         """Returns whether an acquisition may be appended."""
+        return self._read_at is not None and now >= self.contend_at
+
+    @property
+    def contend_at(self) -> float:
+        """From when an acquisition may be appended; of use once it has read."""
         if self.state.holder == self.name:
-            return now >= self._acts_until
-        if self._read_at is None:
-            return False
-        if self.state.holder == NOBODY:
-            return True
-        return now - self._read_at >= self.ttl_s
+            return self._acts_until
+        if self._read_at is None or self.state.holder == NOBODY:
+            return float("-inf")
+        return self._read_at + self.ttl_s
 
     def should_renew(self, now: float) -> bool:
         """Returns whether a renewal is due."""
--- /dev/null
+++ b/hillthread/state/succession.py
@@ -0,0 +1,70 @@
+"""When a host steps in to do what another one holds the lease for.
+
+A holder that lives acts at once when there is something to do, and shows it by
+a renewal. Others look after a short patience, the hosts that rank first for the
+duty first; what they read tells when the lease is over at the latest.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+__all__ = ["Standing", "first_try_at", "next_try_at"]
+
+# A renewal takes some ms, and the news of what is to be done reach all hosts
+# within 0.2 s of each other.
+_HOLDER_PATIENCE_S = 0.5
+_RANK_PATIENCE_S = 0.2
+# Hosts that are equal otherwise do not ask at the same moment.
+_SPREAD_S = 0.1
+# The holder's own next try when its renewal has failed.
+_HOLDER_RETRY_S = 0.3
+
+
+class Standing(NamedTuple):
+    """How a host stands towards a lease.
+
+    Attributes:
+        rank: Its place among the hosts for the duty, 0 first.
+        is_holder: It is the last holder, as far as it has read.
+        has_holder: Anybody is known to hold it.
+        contend_at: Seconds, from when it may be contended; minus infinity when
+            nothing hinders that, or when that is not known.
+    """
+
+    rank: int
+    is_holder: bool
+    has_holder: bool
+    contend_at: float
+
+
+def first_try_at(standing: Standing, now: float, luck: float) -> float:
+    """Returns when to try first, after there has come something to do.
+
+    Args:
+        standing: Of this host.
+        now: Seconds.
+        luck: From 0 to 1, drawn anew by each host each time.
+    """
+    if standing.is_holder:
+        return now
+    patience_s = _HOLDER_PATIENCE_S if standing.has_holder else 0.0
+    return now + patience_s + _turn_s(standing.rank, luck)
+
+
+def next_try_at(standing: Standing, now: float, luck: float) -> float:
+    """Returns when to try again, after a try that did not bring the lease.
+
+    Args:
+        standing: Of this host.
+        now: Seconds.
+        luck: From 0 to 1, drawn anew by each host each time.
+    """
+    if standing.is_holder:
+        return now + _HOLDER_RETRY_S
+    at = max(now + _HOLDER_PATIENCE_S, standing.contend_at)
+    return at + _turn_s(standing.rank, luck)
+
+
+def _turn_s(rank: int, luck: float) -> float:
+    return rank * _RANK_PATIENCE_S + luck * _SPREAD_S
