Split the keeper of the rollout; lost and silent targets hold up nobody

rollout_keeper begins loads, order_duty decides whether this host gives orders, weights_load moves one target: its report, one order, the load that the engine confirmed. The order names the version that is newest when it is sent. An order without an answer within 0.5 s (0.8 s before) is resolved by the report 0.7 s after it was sent; if that shows no order taken, the place is free, and the repetition, with the same count, makes the late one fail.

A host about to end no longer takes back the lease that it has just released.

--- /dev/null
+++ b/hillthread/coordination/gateway/order_duty.py
@@ -0,0 +1,113 @@
+"""Which host gives orders: whether this one does, and when it steps in."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from hillthread.coordination.gateway import order_lease
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.state import feed_source
+from hillthread.state import succession
+
+__all__ = ["OrderDuty"]
+
+_DUTY = "orders"
+# Hosts of lower rank do not read the lease after a rollout.
+_LOOKING_HOSTS = 8
+_LOOK_AFTER_S = 1.0
+_NEVER = float("inf")
+
+
+class OrderDuty:
+    """This host's part in the duty of giving orders.
+
+    Attributes:
+        site: The host's beliefs.
+        lease: On giving orders.
+        hosts: All hosts: those that rank first for orders step in first.
+    """
+
+    def __init__(
+        self,
+        site: site_lib.Site,
+        lease: order_lease.OrderLease,
+        hosts: feed_source.FeedSource,
+    ):
+        self.site = site
+        self.lease = lease
+        self.hosts = hosts
+        self._needed = False
+        self._try_at = -_NEVER
+        self._resigned_until = -_NEVER
+        self._look_at = _NEVER
+
+    async def take(self, now: float) -> bool:
+        """Takes the duty if it is this host's turn; called while it is needed.
+
+        Returns:
+            Whether this host may give orders now.
+        """
+        if not self._needed:
+            self._needed = True
+            first_at = succession.first_try_at(
+                self._standing(), now, random.random()
+            )
+            self._try_at = max(self._resigned_until, first_at)
+        if now < self._try_at:
+            return False
+        if await self.ensure():
+            return True
+        self._try_at = succession.next_try_at(
+            self._standing(), time.monotonic(), random.random()
+        )
+        return False
+
+    async def ensure(self) -> bool:
+        """Returns whether orders may be given now; renews the lease if due.
+
+        A host that is about to end begins none; a holder goes on until then,
+        since another one would have to wait for its lease.
+        """
+        if self.site.closing or time.monotonic() < self._resigned_until:
+            return False
+        if self.site.draining and not self.lease.is_holder:
+            return False
+        return await self.lease.ensure()
+
+    def give_up(self, reason: str) -> None:
+        """Stops giving orders: an engine has seen a newer holder.
+
+        Until that one's lease can be over, this host does not ask for it.
+        """
+        self.lease.give_up(reason)
+        ttl_s = self.lease.contender.ttl_s
+        self._resigned_until = time.monotonic() + ttl_s
+        self._try_at = max(self._try_at, self._resigned_until)
+
+    async def rest(self, now: float) -> None:
+        """Notes that there is nothing to order, and looks at the lease once.
+
+        Who knows since when a holder has been silent can follow it without a
+        wait when the next weights are named.
+
+        Raises:
+            LogError: The store cannot be read.
+        """
+        if self._needed:
+            self._needed = False
+            self._look_at = now + _LOOK_AFTER_S
+        if now < self._look_at:
+            return
+        self._look_at = _NEVER
+        looks = self.hosts.rank_among_all(_DUTY) < _LOOKING_HOSTS
+        if looks and not self.lease.is_holder:
+            await self.lease.catch_up()
+
+    def _standing(self) -> succession.Standing:
+        return succession.Standing(
+            self.hosts.rank_among_all(_DUTY),
+            self.lease.is_holder,
+            self.lease.has_holder,
+            self.lease.contender.contend_at,
+        )
--- /dev/null
+++ b/hillthread/coordination/gateway/weights_load.py
@@ -0,0 +1,243 @@
+"""Moves one target to the newest weights: its report, an order, the load."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import NamedTuple
+
+import anyio
+
+from hillthread import errors
+from hillthread.coordination.gateway import order_duty
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.platform import orders
+from hillthread.platform import targets as targets_lib
+from hillthread.state import objects
+from hillthread.state import rollout
+from hillthread.transport import http1_client
+
+__all__ = ["WeightsLoader"]
+
+STRATEGY = "retain"
+_POLL_S = 0.2
+# A load takes about a second.
+_LOAD_LIMIT_S = 4.0
+# A report tells how an engine stood some hundred ms before. So long after an
+# order it tells whether the engine took it, though it did not answer.
+_SETTLED_S = 0.7
+
+_logger = logging.getLogger("hillthread.orders")
+
+
+class _Given(NamedTuple):
+    """An order that was given.
+
+    Attributes:
+        version: The weights to load.
+        orders_taken: The engine's count before.
+        at: Seconds, when it was sent.
+        answer: What the engine said.
+    """
+
+    version: int
+    orders_taken: int
+    at: float
+    answer: orders.OrderAnswer
+
+
+class WeightsLoader:
+    """Moves single targets; each load ends with a line and a reason.
+
+    Attributes:
+        site: The host's beliefs.
+        duty: Whether this host gives orders.
+        plan: Which loads are under way.
+    """
+
+    def __init__(
+        self,
+        site: site_lib.Site,
+        duty: order_duty.OrderDuty,
+        pool: http1_client.ConnectionPool,
+        plan: rollout.RolloutPlan,
+    ):
+        self.site = site
+        self.duty = duty
+        self.pool = pool
+        self.plan = plan
+        self.metrics = site.metrics
+
+    async def load(self, target: objects.Target, model: str) -> None:
+        """Moves a target whose load the plan has begun, and ends the load."""
+        started = time.monotonic()
+        end = rollout.LoadEnd.TOO_LONG
+        reason = ""
+        try:
+            with anyio.move_on_after(_LOAD_LIMIT_S):
+                end = await self._move(target, model)
+        except errors.HillthreadError as error:
+            end = rollout.LoadEnd.FAILED
+            reason = str(error)
+        finally:
+            self.plan.end(target.name, end, time.monotonic())
+        self.metrics.loads.labels(end).inc()
+        _logger.info(
+            "load ended",
+            extra={
+                "event": "load_ended",
+                "target": target.name,
+                "model": model,
+                "version": self._newest(model),
+                "held": self.site.weights.held(target.name, model),
+                "outcome": end,
+                "reason": reason,
+                "seconds": round(time.monotonic() - started, 3),
+            },
+        )
+
+    async def _move(
+        self, target: objects.Target, model: str
+    ) -> rollout.LoadEnd:
+        report = await self._ask(target, model)
+        if report is None:
+            return self._unreported(target)
+        if report.busy:
+            return await self._watch(target, model, report.orders - 1)
+        if self._holds_newest(target, model):
+            return rollout.LoadEnd.HELD
+        if not self.plan.claim(target.name, time.monotonic()):
+            return rollout.LoadEnd.NO_ROOM
+        if not await self.duty.ensure():
+            return rollout.LoadEnd.NO_LEASE
+        given = await self._order(target, model, report)
+        if given is None:
+            return rollout.LoadEnd.NO_LEASE
+        return await self._follow(target, model, given)
+
+    async def _order(
+        self,
+        target: objects.Target,
+        model: str,
+        report: targets_lib.EngineReport,
+    ) -> _Given | None:
+        """Gives an order; returns None when the lease has run out."""
+        lease = self.duty.lease
+        order = orders.WeightsOrder(
+            model,
+            self._newest(model),
+            STRATEGY,
+            self.site.settings.host,
+            lease.fencing,
+            report.orders,
+        )
+        now = time.monotonic()
+        self.plan.reach(target.name, rollout.LoadStage.ORDERED, now)
+        if not lease.may_act():
+            return None
+        answer = await orders.send_order(self.pool, target, order)
+        self.metrics.orders.labels(answer).inc()
+        _logger.info(
+            "order given",
+            extra={
+                "event": "order",
+                "target": target.name,
+                "model": model,
+                "version": order.version,
+                "held": report.weights.get(model),
+                "fencing": order.fencing,
+                "orders_taken": order.orders_taken,
+                "running": report.running,
+                "answer": answer,
+                "seconds": round(time.monotonic() - now, 3),
+            },
+        )
+        return _Given(order.version, order.orders_taken, now, answer)
+
+    async def _follow(
+        self, target: objects.Target, model: str, given: _Given
+    ) -> rollout.LoadEnd:
+        """Returns what became of a target after an order."""
+        match given.answer:
+            case orders.OrderAnswer.TAKEN:
+                return await self._watch(target, model, given.orders_taken)
+            case orders.OrderAnswer.UNKNOWN | orders.OrderAnswer.CONFLICT:
+                return await self._settle(target, model, given)
+            case orders.OrderAnswer.ALREADY_HOLDS:
+                self.site.observe_weights(target.name, model, given.version)
+                return self._reached(target, model)
+            case orders.OrderAnswer.FENCED:
+                self.duty.give_up("an engine has seen a newer holder")
+                return rollout.LoadEnd.NO_LEASE
+            case orders.OrderAnswer.OTHER_INCARNATION:
+                return rollout.LoadEnd.OTHER_INCARNATION
+            case orders.OrderAnswer.UNSENT:
+                return rollout.LoadEnd.NO_REPORT
+        return rollout.LoadEnd.NOT_TAKEN
+
+    async def _settle(
+        self, target: objects.Target, model: str, given: _Given
+    ) -> rollout.LoadEnd:
+        """Finds out by the report whether an order was taken.
+
+        If it was not, it may still be carried out later. It is left at that:
+        an order that repeats it names the same count and so makes it fail.
+        """
+        left_s = given.at + _SETTLED_S - time.monotonic()
+        await anyio.sleep(max(0.0, left_s))
+        report = await self._ask(target, model)
+        if report is None:
+            return self._unreported(target)
+        if report.busy or report.orders > given.orders_taken:
+            return await self._watch(target, model, given.orders_taken)
+        return rollout.LoadEnd.UNANSWERED
+
+    async def _watch(
+        self, target: objects.Target, model: str, orders_before: int
+    ) -> rollout.LoadEnd:
+        """Waits until a load that the engine has confirmed is over.
+
+        Args:
+            target: Which engine.
+            model: Whose weights it loads.
+            orders_before: Its count of orders before it took this one; a
+                report with this count is from before.
+        """
+        name = target.name
+        self.plan.reach(name, rollout.LoadStage.LOADING, time.monotonic())
+        while name in self.site.targets.entries:
+            await anyio.sleep(_POLL_S)
+            report = await self._ask(target, model)
+            if report is None:
+                return rollout.LoadEnd.NO_REPORT
+            if not report.busy and report.orders > orders_before:
+                return self._reached(target, model)
+        return rollout.LoadEnd.TARGET_GONE
+
+    async def _ask(
+        self, target: objects.Target, model: str
+    ) -> targets_lib.EngineReport | None:
+        """Returns a target's report, and notes what weights it holds."""
+        report = await orders.read_report(self.pool, target)
+        if report is not None:
+            held = report.weights.get(model, 0)
+            self.site.weights.report(target.name, model, held)
+        return report
+
+    def _unreported(self, target: objects.Target) -> rollout.LoadEnd:
+        if target.name in self.site.targets.entries:
+            return rollout.LoadEnd.NO_REPORT
+        return rollout.LoadEnd.TARGET_GONE
+
+    def _reached(self, target: objects.Target, model: str) -> rollout.LoadEnd:
+        """Returns the end of a load that is over."""
+        if self._holds_newest(target, model):
+            return rollout.LoadEnd.HELD
+        return rollout.LoadEnd.OVERTAKEN
+
+    def _holds_newest(self, target: objects.Target, model: str) -> bool:
+        held = self.site.weights.held(target.name, model) or 0
+        return held >= self._newest(model)
+
+    def _newest(self, model: str) -> int:
+        return self.site.weights.named[model].version
--- a/hillthread/platform/orders.py
+++ b/hillthread/platform/orders.py
@@ -14,7 +14,9 @@
 
 __all__ = ["OrderAnswer", "WeightsOrder", "read_report", "send_order"]
 
-_TIMEOUT_S = 0.8
+_REPORT_TIMEOUT_S = 0.8
+# Engines answer orders within some ms or not at all; their report then tells.
+_ORDER_TIMEOUT_S = 0.5
 _MAX_ANSWER_BYTES = 262_144
 
 
@@ -99,7 +101,7 @@
         body,
     )
     try:
-        answer = await _call(pool, target, request)
+        answer = await _call(pool, target, request, _ORDER_TIMEOUT_S)
     except http1_client.CallError as error:
         return OrderAnswer.UNKNOWN if error.sent else OrderAnswer.UNSENT
     return _ANSWERS.get(answer.head.status, OrderAnswer.REFUSED)
@@ -122,7 +124,7 @@
         ],
     )
     try:
-        answer = await _call(pool, target, request)
+        answer = await _call(pool, target, request, _REPORT_TIMEOUT_S)
     except http1_client.CallError:
         return None
     if answer.head.status != 200:
@@ -134,7 +136,8 @@
     pool: http1_client.ConnectionPool,
     target: objects.Target,
     request: http1_client.ClientRequest,
+    timeout_s: float,
 ) -> http1_client.WholeAnswer:
     return await http1_client.call(
-        pool, target.address, request, _TIMEOUT_S, _MAX_ANSWER_BYTES
+        pool, target.address, request, timeout_s, _MAX_ANSWER_BYTES
     )
--- a/tests/coordination/gateway/test_rollout.py
+++ b/tests/coordination/gateway/test_rollout.py
@@ -188,6 +188,17 @@
 
         scene_lib.play(story, engines=1, plain=0, lease_ms=_LEASE_MS)
 
+    def test_host_whose_order_was_fenced_stops(self):
+        async def story(scene):
+            (engine,) = scene.engines
+            engine.order_status = 412
+            scene.name_weights(2)
+            await scene.until(lambda: engine.orders_seen > 0)
+            await anyio.sleep(1.5)
+            self.assertEqual(engine.orders_seen, 1)
+
+        scene_lib.play(story, engines=1, plain=0)
+
     def test_host_about_to_end_takes_no_lease(self):
         async def story(scene):
             (engine,) = scene.engines
