Load fewer targets at once while others are lost, and take turns closer

With nothing held up any more, two of five loaded while two others were down, and one served.

Hosts take turns 0.1 s apart instead of 0.2 s.

--- a/hillthread/coordination/gateway/rollout_keeper.py
+++ b/hillthread/coordination/gateway/rollout_keeper.py
@@ -16,6 +16,7 @@
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway import weights_load
 from hillthread.state import feed_source
+from hillthread.state import health
 from hillthread.state import objects
 from hillthread.state import rollout
 from hillthread.state import target_list
@@ -140,13 +141,23 @@
         ]
 
     def _next(self, wave: _Wave, now: float) -> list[target_list.ListedTarget]:
+        lost = self._out_of_service(now)
         return self.plan.next_targets(
-            wave.members, wave.model, self.site.weights, now
+            wave.members, wave.model, self.site.weights, lost, now
         )
 
+    def _out_of_service(self, now: float) -> set[str]:
+        """Returns the targets that requests of this host do not reach."""
+        return {
+            name
+            for name, state in self.site.states.items()
+            if state.unreachable
+            or state.breaker.state(now) is health.BreakerState.OPEN
+        }
+
     def _begin(self, wave: _Wave, now: float) -> None:
         """Begins the loads for which there is room."""
-        peers = [entry.target.name for entry in wave.members]
+        peers = self.plan.living(wave.members)
         for entry in self._next(wave, now):
             self.plan.begin(entry.target.name, peers, now)
             self.tasks.start_soon(self._load, entry.target, wave.model)
--- a/hillthread/state/rollout.py
+++ b/hillthread/state/rollout.py
@@ -5,6 +5,8 @@
 share is what may be loading: a target whose order was just sent, and one that
 has confirmed it. A target that is lost or leaves orders unanswered counts for a
 moment only, and is tried again later, so that it does not hold up the others.
+While targets are lost fewer load at once, one at least: the pool serves with
+what is left.
 """
 
 from __future__ import annotations
@@ -82,10 +84,6 @@
     stage: LoadStage
     since: float
 
-    def counts(self, now: float) -> bool:
-        """Returns whether the target may be loading."""
-        return now - self.since < _COUNTS_S[self.stage]
-
 
 class _Setback(NamedTuple):
     """What came of earlier tries.
@@ -119,6 +117,7 @@
         members: Sequence[target_list.ListedTarget],
         model: str,
         board: weights_lib.WeightsBoard,
+        lost: Collection[str],
         now: float,
     ) -> list[target_list.ListedTarget]:
         """Returns the targets whose loads may begin now.
@@ -129,22 +128,38 @@
             members: All targets of a pool.
             model: The model whose weights they are to hold.
             board: Which weights are named and held.
+            lost: Targets that serve nobody, as others have found.
             now: Seconds.
         """
-        names = frozenset(entry.target.name for entry in members)
-        room = loads_at_once(len(names)) - self._count(names, now)
+        living = self.living(members)
+        room = self._room(living, lost, now)
         if room <= 0:
             return []
-        newest = self._newest_at_addresses(members)
         free = [
             entry
             for entry in targets_behind(members, model, board)
-            if entry.target.name in newest
+            if entry.target.name in living
             and self._may_begin(entry.target.name, now)
         ]
         free.sort(key=lambda entry: self._urgency(entry, model, board, now))
         return free[:room]
 
+    def living(
+        self, members: Sequence[target_list.ListedTarget]
+    ) -> frozenset[str]:
+        """Returns the targets but those that another one has replaced.
+
+        The entry of a lost target outlives it: its replacement answers at the
+        same address, and its load must not count twice. What comes later in the
+        list replaces what comes before, unless it is known to be gone.
+        """
+        by_address = {
+            entry.target.address: entry.target.name
+            for entry in members
+            if entry.target.name not in self._gone
+        }
+        return frozenset(by_address.values())
+
     def begin(self, target: str, peers: Collection[str], now: float) -> None:
         """Notes that the load of a target begins: its report is awaited."""
         self._loads[target] = _Load(frozenset(peers), LoadStage.ASKED, now)
@@ -189,27 +204,29 @@
         for target in [name for name in self._setbacks if name not in names]:
             del self._setbacks[target]
 
+    def _room(
+        self, names: Collection[str], lost: Collection[str], now: float
+    ) -> int:
+        """Returns how many more loads may begin among some targets."""
+        out = sum(name in lost or self._is_lost(name) for name in names)
+        limit = max(1, loads_at_once(len(names)) - out)
+        return limit - self._count(names, now)
+
     def _count(self, names: Collection[str], now: float) -> int:
+        """Returns how many of some targets may be loading."""
         return sum(
-            name in names and load.counts(now)
+            name in names and self._counts(name, load, now)
             for name, load in self._loads.items()
         )
 
-    def _newest_at_addresses(
-        self, members: Sequence[target_list.ListedTarget]
-    ) -> Collection[str]:
-        """Returns the targets but those that another one has replaced.
+    def _counts(self, name: str, load: _Load, now: float) -> bool:
+        if load.stage is LoadStage.ASKED and self._is_lost(name):
+            return False
+        return now - load.since < _COUNTS_S[load.stage]
 
-        The entry of a lost target outlives it: its replacement answers at the
-        same address, and its load must not count twice. What comes later in the
-        list replaces what comes before, unless it is known to be gone.
-        """
-        by_address = {
-            entry.target.address: entry.target.name
-            for entry in members
-            if entry.target.name not in self._gone
-        }
-        return set(by_address.values())
+    def _is_lost(self, name: str) -> bool:
+        setback = self._setbacks.get(name)
+        return setback is not None and setback.lost
 
     def _may_begin(self, target: str, now: float) -> bool:
         if target in self._loads:
--- a/hillthread/state/succession.py
+++ b/hillthread/state/succession.py
@@ -14,9 +14,9 @@
 # A renewal takes some ms, and the news of what is to be done reach all hosts
 # within 0.2 s of each other.
 _HOLDER_PATIENCE_S = 0.5
-_RANK_PATIENCE_S = 0.2
+_RANK_PATIENCE_S = 0.1
 # Hosts that are equal otherwise do not ask at the same moment.
-_SPREAD_S = 0.1
+_SPREAD_S = 0.05
 # The holder's own next try when its renewal has failed.
 _HOLDER_RETRY_S = 0.3
 
