Watch the lease on orders while it is needed; ask a failing store less often

A lease counts from when its last record was read, and those who follow read it when the one before may have been over, up to 5.3 s late. The first three in rank now read each 0.8 s while orders are needed.

The holder meanwhile asked the store four times in 30 ms, and then every 0.3 s: after a failed call a host now asks again after 0.3 s, and for the lease after 0.5 s. Ensured 20 times in a row it made 20 calls; it makes one (the test).

--- a/hillthread/coordination/gateway/order_lease.py
+++ b/hillthread/coordination/gateway/order_lease.py
@@ -22,6 +22,8 @@
 # After an append a holder acts so long at most; it renews while it works.
 _ACT_S = 2.0
 _MARGIN_S = 0.3
+# After a call has failed; each has its price, and a renewal begins in time.
+_RETRY_S = 0.3
 
 _logger = logging.getLogger("hillthread.lease")
 
@@ -47,6 +49,7 @@
             name, _ACT_S + pause_s + _MARGIN_S, _ACT_S
         )
         self._turn = anyio.Lock()
+        self._retry_at = float("-inf")
 
     @property
     def fencing(self) -> int:
@@ -80,6 +83,8 @@
         now = time.monotonic()
         if self.contender.may_act(now) and not self.contender.should_renew(now):
             return True
+        if now < self._retry_at:
+            return self.may_act()
         try:
             if not self.is_holder:
                 await self.catch_up()
@@ -87,6 +92,7 @@
                     return False
             await self._append()
         except errors.HillthreadError as error:
+            self._retry_at = time.monotonic() + _RETRY_S
             _logger.warning(
                 "lease not taken",
                 extra={"event": "lease_failed", "reason": error.message},
--- a/hillthread/state/succession.py
+++ b/hillthread/state/succession.py
@@ -18,7 +18,11 @@
 # Hosts that are equal otherwise do not ask at the same moment.
 _SPREAD_S = 0.05
 # The holder's own next try when its renewal has failed.
-_HOLDER_RETRY_S = 0.3
+_HOLDER_RETRY_S = 0.5
+# How long a lease still lasts counts from when its last record was read: those
+# who would follow first read it so often, the others when it may be over.
+_WATCHING_HOSTS = 3
+_WATCH_S = 0.8
 
 
 class Standing(NamedTuple):
@@ -63,7 +67,10 @@
     if standing.is_holder:
         return now + _HOLDER_RETRY_S
     at = max(now + _HOLDER_PATIENCE_S, standing.contend_at)
-    return at + _turn_s(standing.rank, luck)
+    at += _turn_s(standing.rank, luck)
+    if standing.rank < _WATCHING_HOSTS:
+        return min(at, now + _WATCH_S)
+    return at
 
 
 def _turn_s(rank: int, luck: float) -> float:
--- /dev/null
+++ b/tests/coordination/gateway/test_order_lease.py
@@ -0,0 +1,81 @@
+"""Tests of this host's part in the lease on orders."""
+
+import unittest
+
+import anyio
+
+from hillthread import errors
+from hillthread.coordination.gateway import order_lease
+from hillthread.platform import store as store_lib
+
+
+class Store:
+    """A topic in memory.
+
+    Attributes:
+        refuses: Whether it refuses all calls.
+        calls: Calls taken, refused ones included.
+    """
+
+    def __init__(self):
+        self.records = []
+        self.refuses = False
+        self.calls = 0
+
+    def _take_call(self):
+        self.calls += 1
+        if self.refuses:
+            raise errors.LogError("The store refuses.", "Ask it later.")
+
+    async def append(self, topic, payload, end):
+        """Appends a record if the topic ends there."""
+        self._take_call()
+        if end != len(self.records):
+            raise errors.ConflictError("It ends elsewhere.", "Read it.")
+        self.records.append(payload)
+        return end
+
+    async def read(self, topic, position, wait_s):
+        """Returns the records from a position on."""
+        self._take_call()
+        records = [
+            store_lib.LogRecord(offset, payload)
+            for offset, payload in enumerate(self.records)
+            if offset >= position
+        ]
+        return store_lib.LogPage(len(self.records), records)
+
+
+class OrderLeaseTest(unittest.TestCase):
+    def test_refused_renewal_is_not_tried_again_at_once(self):
+        """Each call has its price, and several loads ask at the same time."""
+
+        async def story():
+            store = Store()
+            lease = order_lease.OrderLease(store, "h1", 0.1)
+            self.assertTrue(await lease.ensure())
+            await anyio.sleep(lease.contender.act_s * 0.6)
+            store.refuses = True
+            store.calls = 0
+            for _ in range(20):
+                self.assertTrue(await lease.ensure())
+            self.assertEqual(store.calls, 1)
+            store.refuses = False
+            await anyio.sleep(0.4)
+            self.assertTrue(await lease.ensure())
+            self.assertEqual(len(store.records), 2)
+
+        anyio.run(story)
+
+    def test_lease_that_ran_out_in_an_outage_is_not_acted_on(self):
+        async def story():
+            store = Store()
+            lease = order_lease.OrderLease(store, "h1", 0.1)
+            self.assertTrue(await lease.ensure())
+            store.refuses = True
+            await anyio.sleep(lease.contender.act_s + 0.05)
+            for _ in range(20):
+                self.assertFalse(await lease.ensure())
+            self.assertLessEqual(store.calls, 4)
+
+        anyio.run(story)
