Read the lease soon after the start; order only who lists the model

A pool's member that does not list a model got orders for ever since unknown weights count as old; it gets none.

--- a/hillthread/coordination/gateway/order_duty.py
+++ b/hillthread/coordination/gateway/order_duty.py
@@ -40,7 +40,7 @@
         self._needed = False
         self._try_at = -_NEVER
         self._resigned_until = -_NEVER
-        self._look_at = _NEVER
+        self._look_at = time.monotonic() + _LOOK_AFTER_S
 
     async def take(self, now: float) -> bool:
         """Takes the duty if it is this host's turn; called while it is needed.
@@ -88,8 +88,9 @@
     async def rest(self, now: float) -> None:
         """Notes that there is nothing to order, and looks at the lease once.
 
-        Who knows since when a holder has been silent can follow it without a
-        wait when the next weights are named.
+        That is soon after the start and after each rollout: who knows since
+        when a holder has been silent can follow it without a wait when the next
+        weights are named.
 
         Raises:
             LogError: The store cannot be read.
--- a/hillthread/coordination/gateway/rollout_keeper.py
+++ b/hillthread/coordination/gateway/rollout_keeper.py
@@ -134,10 +134,7 @@
         return [
             wave
             for wave in waves
-            if any(
-                board.is_behind(entry.target.name, wave.model)
-                for entry in wave.members
-            )
+            if rollout.targets_behind(wave.members, wave.model, board)
         ]
 
     def _next(self, wave: _Wave, now: float) -> list[target_list.ListedTarget]:
--- a/hillthread/state/rollout.py
+++ b/hillthread/state/rollout.py
@@ -272,14 +272,17 @@
     model: str,
     board: weights_lib.WeightsBoard,
 ) -> list[target_list.ListedTarget]:
-    """Returns the targets that hold older weights than named, in order."""
+    """Returns the targets that hold older weights than named, in order.
+
+    A target of the pool that does not list the model does not serve it.
+    """
     named = board.named.get(model)
     if named is None:
         return []
     behind = {
         entry.target.name: entry
         for entry in entries
-        if board.is_behind(entry.target.name, model)
+        if model in entry.weights and board.is_behind(entry.target.name, model)
     }
     order = wave_order(model, named.version, behind)
     return [behind[name] for name in order]
