Let stand-ins go silent, reset, and take orders late

The link silences the connections that are open; neither side hears of the other's end. It passes a reset on as a reset: so far a reset on one side came out as an orderly end on the other, which made cut answers look whole. The target leaves orders unanswered and carries them out late if their count still fits. An order that was taken is carried out also when its caller is gone before it was told so; so far the target then stayed busy for good.

--- a/hillthread/standin/platform_store.py
+++ b/hillthread/standin/platform_store.py
@@ -99,6 +99,13 @@
         """Removes a key and returns the offset of the removal."""
         return self._append_keyed(topic, key, b"")
 
+    def values(self, topic: str) -> dict[str, Any]:
+        """Returns the newest value of each key, decoded."""
+        return {
+            key: msgspec.json.decode(value)
+            for key, (_, value) in self._topic(topic).newest.items()
+        }
+
     def drop_history(self) -> None:
         """Forgets all records; the newest of each key stay."""
         for topic in self.topics.values():
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -20,6 +20,7 @@
     "Encoded",
     "Fail",
     "Hang",
+    "LOAD_S",
     "Order",
     "OtherAnswer",
     "PlatformTargetStandin",
@@ -31,6 +32,8 @@
     "Vanish",
 ]
 
+# How long a load takes unless a test says otherwise.
+LOAD_S = 0.05
 _JSON = [(b"content-type", b"application/json")]
 _EVENTS = [(b"content-type", b"text/event-stream")]
 
@@ -152,7 +155,7 @@
 
     Attributes:
         fields: Its body.
-        at: Seconds on the steady clock.
+        at: When it came; seconds on the steady clock.
     """
 
     fields: dict[str, Any]
@@ -177,6 +180,8 @@
         names_requests: Answers hold the id of their request, so that no two
             are alike.
         load_s: How long it loads weights.
+        orders_late_s: Leaves orders unanswered, and carries them out so much
+            later if they still fit; 0 to answer at once.
         cache_events: What its cache tells: number, sign, salt, digest,
             tokens, model.
         cache_epoch: Changes when its cache restarts.
@@ -199,7 +204,8 @@
         self.order_log: list[Order] = []
         self.names_requests = False
         self.order_status = 0
-        self.load_s = 0.05
+        self.load_s = LOAD_S
+        self.orders_late_s = 0.0
         self.busy = False
         self.cache_events: list[tuple[int, str, str, str, int, str]] = []
         self.cache_epoch = 1
@@ -275,20 +281,41 @@
         request: http1_server.CallerRequest,
         answer: http1_server.CallerAnswer,
     ) -> None:
-        order = msgspec.json.decode(request.body)
+        order = Order(msgspec.json.decode(request.body), time.monotonic())
         if self.order_status:
             await answer.send_whole(self.order_status, [], b"")
             return
-        if order["expectedRevision"] != len(self.orders) or self.busy:
+        if self.orders_late_s:
+            with anyio.CancelScope(shield=True):
+                await anyio.sleep(self.orders_late_s)
+                if self._take_order(order):
+                    await self._load(order)
+            await anyio.sleep_forever()
+        if not self._take_order(order):
             await answer.send_whole(409, [], b"")
             return
-        self.orders.append(order)
-        self.order_log.append(Order(order, time.monotonic()))
+        try:
+            await answer.send_whole(202, [], b"")
+        finally:  # it was taken, whether or not that could be told
+            with anyio.CancelScope(shield=True):
+                await self._load(order)
+
+    def _take_order(self, order: Order) -> bool:
+        """Returns whether an order fits what the target is doing, and notes it.
+
+        It counts as of the time at which it came.
+        """
+        expected = order.fields["expectedRevision"]
+        if expected != len(self.orders) or self.busy:
+            return False
+        self.orders.append(order.fields)
+        self.order_log.append(order)
         self.busy = True
-        await answer.send_whole(202, [], b"")
-        with anyio.CancelScope(shield=True):
-            await anyio.sleep(self.load_s)
-        self.weights = order["version"]
+        return True
+
+    async def _load(self, order: Order) -> None:
+        await anyio.sleep(self.load_s)
+        self.weights = order.fields["version"]
         self.busy = False
 
     def _has_other_weights(self, request: http1_server.CallerRequest) -> bool:
@@ -425,7 +452,7 @@
     ) -> None:
         await answer.begin(200, [*_EVENTS, *headers])
         first = _first_event(request)
-        for number in range(first, first + events):
+        for number in range(first, min(first + events, self.events)):
             await answer.send(self.event(number, self._mark(request)))
         await answer.send(b"id: 99\nda")
         raise http1_server.BrokenAnswerError
--- a/hillthread/standin/wire_proxy.py
+++ b/hillthread/standin/wire_proxy.py
@@ -1,7 +1,8 @@
 """A proxy that passes bytes on, and treats connections as a bad link does.
 
 It looks at no message: links delay, stop in one direction or both, and reset.
-What a link holds up is delivered when it heals, as retransmission would.
+What a link holds up is delivered when it heals, as retransmission would. What a
+silenced connection holds is never delivered, nor is its end.
 """
 
 from __future__ import annotations
@@ -50,6 +51,7 @@
         self.upstream = upstream
         self.delay_s = 0.0
         self.connections: set[anyio.abc.SocketStream] = set()
+        self._silenced: set[anyio.abc.SocketStream] = set()
         self._open = {direction: anyio.Event() for direction in Direction}
         self.heal()
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -71,14 +73,18 @@
         for event in self._open.values():
             event.set()
 
+    def silence(self) -> None:
+        """Passes nothing on any more for connections that are open now.
+
+        Neither side hears of it, nor of the other's end; new connections work.
+        """
+        self._silenced |= self.connections
+        self.connections.clear()
+
     async def reset(self) -> None:
-        """Resets all open connections."""
+        """Resets all open connections but those that were silenced."""
         for stream in list(self.connections):
-            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-            with contextlib.suppress(OSError):  # it has just been closed
-                raw.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER
-                )
+            _reset_at_close(stream)
             await anyio.aclose_forcefully(stream)
 
     async def serve(self) -> None:
@@ -97,13 +103,25 @@
         ends = {client, server}
         self.connections |= ends
         try:
-            async with client, server, anyio.create_task_group() as tasks:
-                tasks.start_soon(self._pump, client, server, Direction.THERE)
-                tasks.start_soon(self._pump, server, client, Direction.BACK)
+            async with client, server:
+                await self._pump_both(client, server)
         except* _LOST:
             pass  # one side is gone; the other was closed with it
         finally:
             self.connections -= ends
+            self._silenced -= ends
+
+    async def _pump_both(
+        self, client: anyio.abc.SocketStream, server: anyio.abc.SocketStream
+    ) -> None:
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._pump, client, server, Direction.THERE)
+                tasks.start_soon(self._pump, server, client, Direction.BACK)
+        except* _LOST:
+            # A reset on one side is one on the other, not an orderly end.
+            _reset_at_close(client)
+            _reset_at_close(server)
 
     async def _pump(
         self,
@@ -112,13 +130,31 @@
         direction: Direction,
     ) -> None:
         while True:
-            try:
-                data = await source.receive(_READ_BYTES)
-            except anyio.EndOfStream:
-                await self._open[direction].wait()
+            data = await self._receive(source)
+            await self._open[direction].wait()
+            if source in self._silenced:
+                await anyio.sleep_forever()
+            if not data:
                 await sink.send_eof()
                 return
-            await self._open[direction].wait()
             if self.delay_s:
                 await anyio.sleep(self.delay_s)
             await sink.send(data)
+
+    async def _receive(self, source: anyio.abc.SocketStream) -> bytes:
+        """Returns what came; nothing at the end of the connection."""
+        try:
+            return await source.receive(_READ_BYTES)
+        except anyio.EndOfStream:
+            return b""
+        except _LOST:
+            if source in self._silenced:
+                return b""
+            raise
+
+
+def _reset_at_close(stream: anyio.abc.SocketStream) -> None:
+    """Has the coming close of a connection reset it."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    with contextlib.suppress(OSError):  # it has just been closed
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER)
