--- a/hillthread/coordination/gateway/settings.py
+++ b/hillthread/coordination/gateway/settings.py
@@ -29,6 +29,8 @@
         grace_s: After SIGTERM the process is killed this much later.
         revoke_ms: A withdrawn key must not be served later than this, also
             when the store cannot be reached.
+        version_ms: Nothing may start on older weights later than this after
+            newer ones were named.
         fail_closed: Whether requests with keys are refused when what is known
             of keys is older than that.
         lease_ms: Pause between the orders of two holders.
@@ -50,6 +52,7 @@
     drain_ms: Milliseconds = 2_000
     grace_s: settings_lib.Seconds = 8.0
     revoke_ms: Milliseconds = 5_000
+    version_ms: Milliseconds = 10_000
     fail_closed: bool = True
     lease_ms: Milliseconds = 3_000
     retry_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.2
