Judge starts on old weights in the fault soak, and disturb more

No check looked at the weights of a run; the default run lasted 20 s against a bound of 10 s; engines carried out each order at once; weights were named once or twice within 1.2 s; and no target came back at its address with the weights it had.

Now old_weights judges each start from outside: the version that the engine had, when the first newer one was named, whether the host was in touch for 3 s and the link to the target sound. unanswered: a caller is not left without a final answer. lost: also requests sent after SIGTERM over open connections count. Disturbances: weights named in series; engines refuse orders, load slowly, or take orders late and unanswered; targets restart at their address with their weights; connections to the store, targets, other hosts and from callers are silenced for good; reloads in storms, SIGHUP and SIGTERM during a stop or a pause, kills right after kills; faults in series and at once. Some callers keep their host and its connections until the process is gone. Faults stand in modules by subject.

--- a/hillthread/bench/gateway_soak/callers.py
+++ b/hillthread/bench/gateway_soak/callers.py
@@ -18,8 +18,10 @@
 _ROUTES = ("stream", "resume", "once", "again")
 _DEADLINE_MS = 2500
 _TIMEOUT_S = 4.0
-# Requests over one connection at most, and the pause between two.
+# Requests over one connection at most, and the pause between two. Some callers
+# keep a host, and its connections, until its process is gone.
 _MOST_REQUESTS = 25
+_KEEP_SHARE = 0.3
 _PAUSE_S = 0.08
 _GIVE_UP_SHARE = 0.05
 _OLD_KEY_SHARE = 0.1
@@ -65,7 +67,10 @@
             timeout=_TIMEOUT_S,
             limits=limits,
         ) as client:
-            for _ in range(self.random.randint(1, _MOST_REQUESTS)):
+            keeps = self.random.random() < _KEEP_SHARE
+            left = self.random.randint(1, _MOST_REQUESTS)
+            while host.lives == life and (keeps or left > 0):
+                left -= 1
                 exchange = await self.ask(client, host, life)
                 if self.stopped or (exchange.status == 0 and exchange.error):
                     return
--- a/hillthread/bench/gateway_soak/evidence.py
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -14,7 +14,9 @@
     "Evidence",
     "Exchange",
     "KeyLife",
+    "NamedVersion",
     "Violation",
+    "callers_of",
 ]
 
 
@@ -22,6 +24,11 @@
 OBSERVER = "soak"
 
 
+def callers_of(host: str) -> str:
+    """Returns the subject of faults on a host's connections from callers."""
+    return f"{host} callers"
+
+
 class Bounds(NamedTuple):
     """The promises' figures in a soak, seconds.
 
@@ -35,6 +42,11 @@
         contact_s: A host is in touch when undisturbed for so long.
         configuration_s: A change is in force everywhere after this.
         leave_s: A run ends so soon after its caller has left.
+        version_s: Nothing starts on older weights later than this after newer
+            ones were named.
+        weights_contact_s: For that, a host is in touch when undisturbed for
+            so long.
+        answer_s: A request is answered for good so soon after it was sent.
     """
 
     revoke_s: float = 3.0
@@ -44,6 +56,9 @@
     contact_s: float = 2.0
     configuration_s: float = 2.0
     leave_s: float = 0.7
+    version_s: float = 10.0
+    weights_contact_s: float = 3.0
+    answer_s: float = 3.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,7 +102,8 @@
     Attributes:
         kind: Its name.
         subject: A host's or target's name; `store` for the store itself,
-            `soak` for the soak's own process.
+            `soak` for the soak's own process. For the connections that a host
+            took from callers see `callers_of`.
         began_at: Seconds.
         ended_at: Seconds; infinite while it lasts.
     """
@@ -98,6 +114,18 @@
     ended_at: float
 
 
+class NamedVersion(NamedTuple):
+    """Weights that were named.
+
+    Attributes:
+        version: Its number.
+        at: When the record was in the store; seconds.
+    """
+
+    version: int
+    at: float
+
+
 class KeyLife(NamedTuple):
     """From when to when a key held.
 
@@ -139,6 +167,7 @@
         targets: All stand-ins that ever ran, with their runs and orders.
         disturbances: All faults.
         keys: Lives of all keys.
+        weights_named: In the order of their naming.
         leaving: When each leaving target's entry was written; seconds.
         stops: Planned stops of processes: who, and when they were asked.
         isolated: Tenants that share nothing.
@@ -153,6 +182,7 @@
     )
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     keys: dict[str, KeyLife] = dataclasses.field(default_factory=dict)
+    weights_named: list[NamedVersion] = dataclasses.field(default_factory=list)
     leaving: dict[str, float] = dataclasses.field(default_factory=dict)
     stops: list[Disturbance] = dataclasses.field(default_factory=list)
     isolated: frozenset[str] = frozenset()
@@ -168,9 +198,11 @@
             for each in self.disturbances
         )
 
-    def in_touch(self, host: str, begin: float, end: float) -> bool:
+    def in_touch(
+        self, host: str, begin: float, end: float, contact_s: float = 0.0
+    ) -> bool:
         """Returns whether a host and the store were calm for long enough."""
-        begin -= self.bounds.contact_s
+        begin -= contact_s or self.bounds.contact_s
         return not any(
             self.disturbed(subject, begin, end)
             for subject in (host, "store", OBSERVER)
--- a/hillthread/bench/gateway_soak/runner.py
+++ b/hillthread/bench/gateway_soak/runner.py
@@ -45,6 +45,8 @@
             read the store anew, and engines load.
         keep: Folder for the logs of a run that broke promises; empty for
             none.
+        version_s: How long after newer weights were named requests may start
+            on older ones.
     """
 
     seed: int
@@ -57,6 +59,7 @@
     module: str = ""
     calm_s: float = 4.0
     keep: str = ""
+    version_s: float = 10.0
 
 
 class SoakReport(NamedTuple):
@@ -69,6 +72,7 @@
         statuses: Answers by status; 0 for none.
         faults: How many of each kind began.
         violations: Promises broken.
+        excused: Starts on weights that were too old, at hosts out of touch.
     """
 
     seed: int
@@ -77,6 +81,7 @@
     statuses: dict[int, int]
     faults: dict[str, int]
     violations: list[evidence_lib.Violation]
+    excused: int
 
 
 def run_soak(plan: SoakPlan) -> SoakReport:
@@ -103,7 +108,7 @@
             stage = stage_lib.Stage(
                 self.group,
                 tasks,
-                evidence_lib.Bounds(),
+                evidence_lib.Bounds(version_s=self.plan.version_s),
                 self.plan.hosts,
                 self.plan.module,
             )
@@ -124,6 +129,7 @@
             dict(statuses),
             counts,
             self.violations,
+            judge.weights.excused,
         )
 
     async def _disturb(self, stage: stage_lib.Stage) -> dict[str, int]:
--- a/hillthread/bench/gateway_soak/series.py
+++ b/hillthread/bench/gateway_soak/series.py
@@ -22,6 +22,7 @@
         print(
             f"seed {plan.seed}: {report.requests} requests, "
             f"{report.whole} whole, {sum(report.faults.values())} faults, "
+            f"{report.excused} old starts excused, "
             f"{len(report.violations)} promises broken",
             flush=True,
         )
--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -14,6 +14,7 @@
 from hillthread.bench.gateway_soak import balancer as balancer_lib
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import verdict
+from hillthread.coordination.gateway import host_registry
 from hillthread.standin import platform_operator
 from hillthread.standin import platform_store
 from hillthread.standin import platform_target
@@ -45,11 +46,19 @@
         scope: Ends its listening.
     """
 
-    def __init__(self, name: str, service: str, model: str, weights: int):
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        model: str,
+        weights: int,
+        link: wire_proxy.WireProxy,
+    ):
         super().__init__(name, service, model, weights)
         self.names_requests = True
         self.events = verdict.EVENTS
-        self.link = wire_proxy.WireProxy(self.server.address)
+        self.link = link
+        self.link.upstream = self.server.address
         self.scope = anyio.CancelScope()
 
     @property
@@ -59,15 +68,17 @@
 
 
 class SoakHost:
-    """One gateway and its link to the store.
+    """One gateway and the links to and from it.
 
     Attributes:
         name: Its name.
         settings: Of its process.
         store_link: To the store.
+        caller_link: Callers' way to it.
+        feed_link: Other hosts' way to it.
         process: The running process.
         lives: Processes so far.
-        address: Where callers connect.
+        listens: Its process has told where it listens, and takes signals.
         ready_address: Where the balancer asks.
         routable: Whether the balancer sends new callers.
         busy: Held while a fault acts on the process.
@@ -77,14 +88,32 @@
         self.name = name
         self.settings = settings
         self.store_link = wire_proxy.WireProxy(store)
+        self.caller_link = wire_proxy.WireProxy()
+        self.feed_link = wire_proxy.WireProxy()
         self.settings["store"] = self.store_link.address
         self.process: processes.Process | None = None
         self.lives = 0
-        self.address = ""
+        self.listens = False
         self.ready_address = ""
         self.routable = False
         self.busy = anyio.Lock()
 
+    @property
+    def address(self) -> str:
+        """Where callers connect."""
+        return self.caller_link.address
+
+    def note_ended(self) -> None:
+        """Notes that its process is gone: its ports may go to others."""
+        self.listens = False
+        self.caller_link.upstream = ""
+        self.feed_link.upstream = ""
+
+    @property
+    def links(self) -> tuple[wire_proxy.WireProxy, ...]:
+        """All links to and from it."""
+        return self.store_link, self.caller_link, self.feed_link
+
 
 class Stage:
     """Everything a soak acts on.
@@ -142,6 +171,7 @@
             "listen": "127.0.0.1:0",
             "ready_listen": "127.0.0.1:0",
             "revoke_ms": bounds.revoke_s * 1000,
+            "version_ms": bounds.version_s * 1000,
             "drain_ms": bounds.drain_s * 1000,
             "grace_s": bounds.grace_s,
             "lease_ms": bounds.lease_s * 1000,
@@ -158,15 +188,35 @@
             self.issue_key(tenant)
         self.operator.configure()
         for host in self.hosts:
-            self.tasks.start_soon(host.store_link.serve)
+            for link in host.links:
+                self.tasks.start_soon(link.serve)
             self.start_process(host)
         for host in self.hosts:
             await self.wait_started(host)
+        self.tasks.start_soon(self._link_feeds)
         self.tasks.start_soon(self.balancer.run)
         with anyio.fail_after(_START_S):
             while not all(host.routable for host in self.hosts):  # noqa: ASYNC110
                 await anyio.sleep(_CHECK_S)
 
+    async def _link_feeds(self) -> None:
+        """Has hosts find each other over links.
+
+        Each writes into the store where it answers others; that is replaced by
+        the address of the link to it.
+        """
+        hosts = {host.name: host for host in self.hosts}
+        while True:
+            changed = self.store.changed
+            entries = self.store.values(host_registry.HOSTS_TOPIC)
+            for name, entry in entries.items():
+                link = hosts[name].feed_link
+                if entry["feed"] != link.address:
+                    link.upstream = entry["feed"]
+                    entry["feed"] = link.address
+                    self.store.put(host_registry.HOSTS_TOPIC, name, entry)
+            await changed.wait()
+
     # The operator.
 
     def issue_key(self, tenant: platform_operator.OperatorTenant) -> str:
@@ -191,19 +241,35 @@
     def name_weights(self) -> None:
         """Names newer weights."""
         self.operator.name_weights(_MODEL)
+        self.evidence.weights_named.append(
+            evidence_lib.NamedVersion(self.operator.weights, time.monotonic())
+        )
 
     # Targets.
 
-    def add_target(self, service: str, weights: int = 0) -> LinkedTarget:
-        """Starts a target and lists it."""
+    def add_target(
+        self,
+        service: str,
+        weights: int = 0,
+        link: wire_proxy.WireProxy | None = None,
+    ) -> LinkedTarget:
+        """Starts a target and lists it.
+
+        Args:
+            service: The service it belongs to.
+            weights: The version it has; the newest for 0.
+            link: The way to it, and so its address; a new one for None.
+        """
         model = _MODEL if service == _ENGINES else ""
         name = f"i-{next(self._numbers)}"
         version = weights or self.operator.weights
-        target = LinkedTarget(name, service, model, version)
+        if link is None:
+            link = wire_proxy.WireProxy()
+            self.tasks.start_soon(link.serve)
+        target = LinkedTarget(name, service, model, version, link)
         self.targets[name] = target
         self.evidence.targets.append(target)
         self.tasks.start_soon(self._listen, target)
-        self.tasks.start_soon(target.link.serve)
         self.list_target(target)
         return target
 
@@ -236,6 +302,7 @@
         """Starts a gateway's process without waiting for it."""
         host.lives += 1
         host.routable = False
+        host.note_ended()
         host.process = self.group.start_later(
             "gateway", host.settings, module=self.module, logs_to_output=True
         )
@@ -247,8 +314,9 @@
             while True:
                 for event in host.process.events():
                     if event.get("event") == "start":
-                        host.address = event["listen"]
+                        host.caller_link.upstream = event["listen"]
                         host.ready_address = event["ready_listen"]
+                        host.listens = True
                         return
                 await anyio.sleep(_CHECK_S)
 
@@ -260,6 +328,8 @@
     def kill(self, host: SoakHost) -> None:
         """Kills a host's process; its last lines may be lost."""
         assert host.process is not None
+        self._check_alive(host)
+        host.note_ended()
         self.evidence.unheard.add((host.name, host.lives))
         host.process.kill()
 
@@ -267,6 +337,7 @@
         """Stops a process as planned, and kills it when its time is over."""
         process = host.process
         assert process is not None
+        self._check_alive(host)
         began_at = time.monotonic()
         process.send_signal(signal.SIGTERM)
         limit_s = self.evidence.bounds.grace_s + _EXIT_MARGIN_S
@@ -278,6 +349,8 @@
             self.kill(host)
         if code != 0:
             self._note(host, f"a planned stop ended with {code}")
+            self.evidence.unheard.add((host.name, host.lives))
+        host.note_ended()
         self.evidence.stops.append(
             evidence_lib.Disturbance(
                 "host_stops", host.name, began_at, time.monotonic()
@@ -287,11 +360,14 @@
     def check_alive(self) -> None:
         """Notes processes that have ended by themselves."""
         for host in self.hosts:
-            if host.process is None or host.busy.locked():
-                continue
-            code = host.process.popen.poll()
-            if code is not None:
-                self._note(host, f"ended by itself with {code}")
+            if not host.busy.locked():
+                self._check_alive(host)
+
+    def _check_alive(self, host: SoakHost) -> None:
+        assert host.process is not None
+        code = host.process.popen.poll()
+        if code is not None:
+            self._note(host, f"ended by itself with {code}")
 
     def read_logs(self) -> None:
         """Collects what the hosts' logs tell of refusals."""
--- /dev/null
+++ b/hillthread/bench/gateway_soak/target_faults.py
@@ -0,0 +1,155 @@
+"""Faults of targets: what they answer, how they end, which orders they obey."""
+
+from __future__ import annotations
+
+import anyio
+
+from hillthread.bench.gateway_soak import injector as injector_lib
+from hillthread.bench.gateway_soak import stage as stage_lib
+from hillthread.standin import platform_target
+
+__all__ = ["TargetFaults"]
+
+_ENGINES = "engines"
+_RESTART_S = (0.0, 1.0)
+_CONFLICT = 409
+_ORDERS_LATE_S = (0.5, 5.0)
+_SLOW_LOAD_S = (0.3, 2.5)
+# Some outlast the bound on starts on older weights.
+_DISOBEDIENT_S = (2.0, 14.0)
+_BEHAVIOURS: tuple[platform_target.Behaviour, ...] = (
+    platform_target.Refuse(),
+    platform_target.Fail(),
+    platform_target.Vanish(),
+    platform_target.Hang(),
+    platform_target.Cut(0),
+    platform_target.Cut(2),
+    platform_target.OtherAnswer(),
+    platform_target.Encoded(),
+    platform_target.Surplus(),
+    platform_target.Unframed(),
+    platform_target.Unframed(reset=True),
+    platform_target.Serve(0.05),
+)
+
+
+class TargetFaults:
+    """Faults of targets.
+
+    Attributes:
+        injector: Chooses and notes.
+        stage: What they act on.
+    """
+
+    def __init__(self, injector: injector_lib.Injector):
+        self.injector = injector
+        self.stage = injector.stage
+
+    @property
+    def kinds(self) -> tuple[injector_lib.Fault, ...]:
+        """All of them."""
+        return (
+            self.target_misbehaves,
+            self.target_cuts_streams,
+            self.target_crashes,
+            self.target_restarts,
+            self.target_leaves,
+            self.address_reused,
+            self.engine_disobeys,
+            self.engines_disobey,
+        )
+
+    async def target_misbehaves(self) -> None:
+        """A target treats its next requests badly."""
+        target = self.injector.target()
+        if target is not None:
+            with self.injector.noted("target_misbehaves", target.name):
+                count = self.injector.random.randint(1, 4)
+                target.behave(
+                    *self.injector.random.choices(_BEHAVIOURS, k=count)
+                )
+                await anyio.sleep(self.injector.between(injector_lib.FAULT_S))
+
+    async def target_cuts_streams(self) -> None:
+        """An engine breaks off its next streams within an event."""
+        target = self.injector.target(_ENGINES)
+        if target is not None:
+            with self.injector.noted("target_cuts_streams", target.name):
+                cut = platform_target.Cut(self.injector.random.randint(0, 4))
+                target.behave(*[cut] * self.injector.random.randint(1, 4))
+                await anyio.sleep(self.injector.between(injector_lib.FAULT_S))
+
+    async def target_crashes(self) -> None:
+        """A target is gone; its entry lapses and another one comes."""
+        target = self.injector.target()
+        if target is not None:
+            with self.injector.noted("target_crashes", target.name):
+                await self.stage.end_target(target)
+                await anyio.sleep(injector_lib.LAPSE_S)
+                self.stage.unlist_target(target)
+            weights = self.injector.random.choice((0, target.weights))
+            self.stage.add_target(target.service, weights)
+
+    async def target_restarts(self) -> None:
+        """A target is gone, and is back at its address with its weights."""
+        target = self.injector.target()
+        if target is None:
+            return
+        with self.injector.noted("target_restarts", target.name):
+            await self.stage.end_target(target)
+            await anyio.sleep(self.injector.between(_RESTART_S))
+            self.stage.add_target(target.service, target.weights, target.link)
+            await anyio.sleep(injector_lib.LAPSE_S)
+            self.stage.unlist_target(target)
+
+    async def target_leaves(self) -> None:
+        """A target says that it leaves, serves on, and is replaced."""
+        target = self.injector.target()
+        if target is None:
+            return
+        self.stage.list_target(target, "draining")
+        self.stage.add_target(target.service)
+        await anyio.sleep(
+            self.stage.evidence.bounds.drain_s + injector_lib.LAPSE_S
+        )
+        self.stage.unlist_target(target)
+        await self.stage.end_target(target)
+
+    async def address_reused(self) -> None:
+        """A target is gone, and its address goes to one of another service."""
+        target = self.injector.target(_ENGINES)
+        if target is None:
+            return
+        with self.injector.noted("address_reused", target.name):
+            await self.stage.end_target(target)
+            self.stage.add_target("plain", link=target.link)
+            await anyio.sleep(injector_lib.LAPSE_S)
+            self.stage.unlist_target(target)
+        self.stage.add_target(_ENGINES)
+
+    async def engine_disobeys(self) -> None:
+        """An engine refuses orders, carries them out late, or loads slowly."""
+        engine = self.injector.target(_ENGINES)
+        if engine is not None:
+            await self._disobey(engine)
+
+    async def engines_disobey(self) -> None:
+        """All engines do so, for longer."""
+        async with anyio.create_task_group() as tasks:
+            for target in list(self.stage.targets.values()):
+                if target.service == _ENGINES:
+                    tasks.start_soon(self._disobey, target)
+
+    async def _disobey(self, engine: stage_lib.LinkedTarget) -> None:
+        match self.injector.random.choice(("refuse", "late", "slow")):
+            case "refuse":
+                engine.order_status = _CONFLICT
+            case "late":
+                late_s = self.injector.between(_ORDERS_LATE_S)
+                engine.orders_late_s = late_s
+            case "slow":
+                engine.load_s = self.injector.between(_SLOW_LOAD_S)
+        await anyio.sleep(self.injector.between(_DISOBEDIENT_S))
+        engine.order_status = 0
+        engine.orders_late_s = 0.0
+        engine.load_s = platform_target.LOAD_S
--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from hillthread.bench.gateway_soak import evidence as evidence_lib
+from hillthread.bench.gateway_soak import weights_verdict
 from hillthread.platform import names
 from hillthread.standin import platform_target
 
@@ -25,6 +26,8 @@
 # These statuses say that a request has not run and never will.
 _NOT_RUN = frozenset([408, 421, 429, 503])
 _DENIED = frozenset([401, 403, 404])
+# A request from before a stop may be cut in the last sixth of its time.
+_GRACE_USED_SHARE = 5 / 6
 # Of the holder's own margin; a stand-in sees orders a little later.
 _LEASE_SLACK_S = 0.1
 
@@ -41,6 +44,7 @@
 
     Attributes:
         evidence: What was seen.
+        weights: Judges starts on old weights.
         runs: All runs by request id.
         strict_time: Whether bounds in seconds are judged too; a machine that
             is busy with other work may break those by itself.
@@ -51,6 +55,7 @@
     ):
         self.evidence = evidence
         self.strict_time = strict_time
+        self.weights = weights_verdict.WeightsJudge(evidence)
         self.runs: dict[str, list[_Seen]] = collections.defaultdict(list)
         for target in evidence.targets:
             for run in target.runs:
@@ -70,7 +75,13 @@
             self._explained,
         ]
         if self.strict_time:
-            checks += [self._keys, self._leaving, self._left]
+            checks += [
+                self._keys,
+                self._leaving,
+                self._left,
+                self._old_weights,
+                self._unanswered,
+            ]
         found = [
             violation
             for exchange in self.evidence.exchanges
@@ -170,17 +181,21 @@
                 yield self._of(exchange, "wall", f"{salt} for {tenant}")
 
     def _stops(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
-        """A planned stop cuts no request that was taken in time."""
+        """A planned stop cuts no request that a process took."""
         if exchange.whole or exchange.left or not exchange.sent_at:
             return
         for stop in self.evidence.stops:
-            if stop.subject != exchange.host or not (
-                exchange.sent_at <= stop.began_at <= exchange.ended_at
+            if (
+                stop.subject != exchange.host
+                or exchange.ended_at < stop.began_at
+                or exchange.sent_at > stop.ended_at
+                or self._runs_out(exchange, stop)
             ):
                 continue
             begin = exchange.sent_at - self.evidence.bounds.contact_s
             names = {s.target.name for s in self.runs[exchange.request_id]}
-            subjects = {exchange.host, "store", *names}
+            callers = evidence_lib.callers_of(exchange.host)
+            subjects = {exchange.host, callers, "store", *names}
             others = [
                 each
                 for each in self.evidence.disturbances
@@ -192,6 +207,15 @@
             if names and not others and exchange.status in (0, 200):
                 yield self._of(exchange, "lost", f"cut: {exchange.error}")
 
+    def _runs_out(
+        self, exchange: evidence_lib.Exchange, stop: evidence_lib.Disturbance
+    ) -> bool:
+        """Returns whether it came early and lasted until the time was over."""
+        last_at = (
+            stop.began_at + self.evidence.bounds.grace_s * _GRACE_USED_SHARE
+        )
+        return exchange.sent_at <= stop.began_at and exchange.ended_at > last_at
+
     def _explained(
         self, exchange: evidence_lib.Exchange
     ) -> Iterator[Violation]:
@@ -236,9 +260,42 @@
                 self.evidence.disturbed(subject, begin, run.at)
                 for subject in subjects
             )
-            if is_calm and run.at > limit:
+            hears = not self.evidence.disturbed(
+                evidence_lib.callers_of(exchange.host),
+                exchange.sent_at,
+                run.at,
+            )
+            if is_calm and hears and run.at > limit:
                 yield self._of(exchange, "gone", f"sent on to {target.name}")
 
+    def _old_weights(
+        self, exchange: evidence_lib.Exchange
+    ) -> Iterator[Violation]:
+        """Nothing starts on weights older than some named too long ago."""
+        for target, run in self.runs[exchange.request_id]:
+            old = self.weights.old_start(exchange, target, run)
+            if old is not None:
+                yield self._of(exchange, "old_weights", f"{target.name}: {old}")
+
+    def _unanswered(
+        self, exchange: evidence_lib.Exchange
+    ) -> Iterator[Violation]:
+        """A host that runs answers every request for good, or breaks it off."""
+        lasted_s = exchange.ended_at - exchange.sent_at
+        if exchange.left or lasted_s <= self.evidence.bounds.answer_s:
+            return
+        subjects = (
+            exchange.host,
+            evidence_lib.callers_of(exchange.host),
+            evidence_lib.OBSERVER,
+        )
+        begin = exchange.sent_at - self.evidence.bounds.contact_s
+        if not any(
+            self.evidence.disturbed(subject, begin, exchange.ended_at)
+            for subject in subjects
+        ):
+            yield self._of(exchange, "unanswered", f"for {lasted_s:.2f} s")
+
     def _orders(self) -> Iterator[Violation]:
         """Orders come from one holder at a time, with rising fences."""
         for target in self.evidence.targets:
--- a/hillthread/standin/wire_proxy.py
+++ b/hillthread/standin/wire_proxy.py
@@ -41,7 +41,8 @@
     """Stands on the link between clients and one server.
 
     Attributes:
-        upstream: `IP:port` of the server; may be changed at any time.
+        upstream: `IP:port` of the server; may be changed at any time. Empty
+            while there is none: connections are then reset.
         address: `IP:port` where clients connect.
         delay_s: Added to each piece of data.
         connections: Connections that are open.
@@ -94,10 +95,9 @@
             await listener.serve(self._pass_on)
 
     async def _pass_on(self, client: anyio.abc.SocketStream) -> None:
-        ip, port = settings_lib.split_address(self.upstream)
-        try:
-            server = await anyio.connect_tcp(ip, port)
-        except OSError:
+        server = await self._connect()
+        if server is None:
+            _reset_at_close(client)
             await anyio.aclose_forcefully(client)
             return
         ends = {client, server}
@@ -111,6 +111,16 @@
             self.connections -= ends
             self._silenced -= ends
 
+    async def _connect(self) -> anyio.abc.SocketStream | None:
+        """Returns a connection to the server, or None when it is not there."""
+        if not self.upstream:
+            return None
+        ip, port = settings_lib.split_address(self.upstream)
+        try:
+            return await anyio.connect_tcp(ip, port)
+        except OSError:
+            return None
+
     async def _pump_both(
         self, client: anyio.abc.SocketStream, server: anyio.abc.SocketStream
     ) -> None:
--- /dev/null
+++ b/tests/bench/gateway_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that mirror the package."""
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -10,6 +10,7 @@
 from hillthread.programs import gateway
 from hillthread.state import attempt_plan
 from hillthread.state import routing_table
+from hillthread.state import weights
 from hillthread.transport import http1_client
 
 VARIABLE = "HILLTHREAD_MUTANT"
@@ -91,6 +92,13 @@
     return encode_with_key
 
 
+def starts_on_any_weights():
+    def grace(self, *_):
+        return weights.WeightsGrace.FREE
+
+    weights.WeightsBoard.grace = grace
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -102,6 +110,7 @@
         orders_without_the_lease,
         says_not_run_always,
         passes_keys_on,
+        starts_on_any_weights,
     )
 }
 
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -1,7 +1,7 @@
 """A short soak of the gateway, and broken gateways it must find out.
 
-Bounds in seconds are not judged here but for the keys: a machine that is busy
-with other work may break them by itself.
+Bounds in seconds are judged here only for two broken gateways: a machine that
+is busy with other work may break them by itself.
 """
 
 from concurrent import futures
@@ -22,10 +22,15 @@
 WORKERS = 4
 
 
+# Bounds in seconds that are judged here, as broken gateways break them by far.
+BOUNDS = ("key_kept", "old_weights")
+VERSION_S = 2.0
+
+
 class Case(NamedTuple):
     """What a mutant needs to show itself, and the promise it breaks."""
 
-    fault: str
+    faults: str
     promise: str
     seconds: float = 6.0
 
@@ -39,6 +44,9 @@
     "orders_without_the_lease": Case("weights_named", "one"),
     "says_not_run_always": Case("target_misbehaves", "refused"),
     "passes_keys_on": Case("host_reloads", "key_passed_on"),
+    "starts_on_any_weights": Case(
+        "weights_named,engines_disobey", "old_weights", 10.0
+    ),
 }
 
 
@@ -51,9 +59,25 @@
         self.assertGreater(report.whole, 0)
 
     def test_unknown_fault_is_refused_with_those_there_are(self):
-        disturber = disturbances.Disturber(None, random.Random(1), None)
         with self.assertRaisesRegex(errors.HillthreadError, "host_killed"):
-            disturber._fault("no_such_fault")
+            disturber(1, ("no_such_fault",))
+
+
+class DisturberTest(unittest.TestCase):
+    def test_some_seeds_do_without_some_kinds(self):
+        counts = {len(disturber(seed).faults) for seed in range(20)}
+        whole = max(counts)
+        self.assertEqual(counts, {whole, whole // 2})
+
+    def test_chosen_kinds_are_all_there(self):
+        only = ("host_killed", "weights_named")
+        for seed in range(20):
+            faults = disturber(seed, only).faults
+            self.assertEqual(tuple(faults), only)
+
+
+def disturber(seed, only=()):
+    return disturbances.Disturber(None, random.Random(seed), None, only)
 
 
 class MutantTest(unittest.TestCase):
@@ -78,9 +102,10 @@
         SEED,
         seconds=case.seconds,
         hosts=2,
-        faults=(case.fault,),
-        strict_time=case.promise == "key_kept",
+        faults=tuple(case.faults.split(",")),
+        strict_time=case.promise in BOUNDS,
         module="tests.bench.mutant_gateway",
         calm_s=0.5,
+        version_s=VERSION_S,
     )
     return {each.promise for each in runner.run_soak(plan).violations}
--- a/tests/standin/test_wire_proxy.py
+++ b/tests/standin/test_wire_proxy.py
@@ -130,3 +130,14 @@
                 await _hears(client)
 
         _play(story)
+
+    def test_connection_is_reset_while_there_is_no_upstream(self):
+        async def story(site):
+            site.link.upstream = ""
+            ip, port = site.link.address.split(":")
+            client = await anyio.connect_tcp(ip, int(port))
+            site.clients.append(client)
+            with self.assertRaises(anyio.BrokenResourceError):
+                await _hears(client)
+
+        _play(story)
