--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -148,7 +148,7 @@
     hosts: int = 3,
     engines: int = 3,
     callers: int = 8,
-    faults: str = "",
+    faults: str | tuple[str, ...] = "",
     keep: str = "",
 ) -> None:
     """Runs gateways as processes under random faults, promises judged.
@@ -163,10 +163,11 @@
         faults: Kinds of faults, separated by commas; all when left out.
         keep: Folder for the logs of seeds that broke promises.
     """
-    kinds = tuple(faults.split(",")) if faults else ()
+    if isinstance(faults, str):  # the command line splits more than one itself
+        faults = (faults,) if faults else ()
     series.run_series(
         gateway_soak_lib.SoakPlan(
-            each, seconds, hosts, engines, callers, kinds, keep=keep
+            each, seconds, hosts, engines, callers, faults, keep=keep
         )
         for each in range(seed, seed + seeds)
     )
