Ask no port of a process that is gone, and tell what ran for nobody

The balancer went on asking the ready port of a process that had ended; ports go to others, here perhaps to a target. Suspected only: the finding did not tell the path, now it does.

--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -106,6 +106,7 @@
     def note_ended(self) -> None:
         """Notes that its process is gone: its ports may go to others."""
         self.listens = False
+        self.ready_address = ""
         self.caller_link.upstream = ""
         self.feed_link.upstream = ""
 
--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -90,11 +90,16 @@
         ]
         known = {each.request_id for each in self.evidence.exchanges}
         found += [
-            Violation("unasked", request_id, "ran, and nobody sent it")
+            Violation("unasked", request_id, self._unknown(request_id))
             for request_id in self.runs.keys() - known
         ]
         return found + list(self._orders())
 
+    def _unknown(self, request_id: str) -> str:
+        """Tells of a run that no caller asked for."""
+        seen = self.runs[request_id][0]
+        return f"{seen.run.request.path} ran at {seen.target.name} for nobody"
+
     def _answers(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
         """A success is the whole answer of a run, or shows that it is not."""
         if exchange.status // 100 != 2:
