--- a/hillthread/bench/gateway_soak/regressions.py
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -49,6 +49,14 @@
     "a second SIGTERM, or a SIGHUP, ended a gateway in its planned stop: its "
     "signal handlers were gone before the stop began"
 )
+_RECORDS_GONE = (
+    "hosts whose place in the lease's topic had been dropped by the store went "
+    "on with what they knew: a former holder and a newer one gave orders"
+)
+_READS_FROM_LOST = (
+    "hosts learned 1.5 s late that a target left: they read from a host that "
+    "had lost the store and held their question; also seen here: "
+)
 
 REGRESSIONS = (
     Regression(3, 12.0, _PLAIN_ANSWER),
@@ -81,4 +89,13 @@
         _SIGNALS_WHILE_STOPPING,
         faults=("host_stops_under_signals",),
     ),
+    Regression(
+        4001,
+        40.0,
+        _READS_FROM_LOST + _RECORDS_GONE,
+        hosts=8,
+        engines=5,
+        callers=16,
+    ),
+    Regression(4004, 40.0, _RECORDS_GONE, hosts=8, engines=5, callers=16),
 )
