--- a/hillthread/coordination/gateway/order_lease.py
+++ b/hillthread/coordination/gateway/order_lease.py
@@ -46,7 +46,7 @@
         """
         self.store = store
         self.contender = lease.Contender(
-            name, _ACT_S + pause_s + _MARGIN_S, _ACT_S
+            name, _ACT_S + pause_s + _MARGIN_S, _ACT_S, ordered=True
         )
         self._turn = anyio.Lock()
         self._retry_at = float("-inf")
@@ -110,6 +110,16 @@
         try:
             page = await self.store.read(LEASE_TOPIC, start, 0.0)
         except store_lib.TruncatedError as error:
+            _logger.warning(
+                "records of the lease are gone",
+                extra={
+                    "event": "lease_gap",
+                    "read_to": state.position,
+                    "first": error.first,
+                    "holder": state.holder,
+                },
+            )
+            self.contender.start_anew(error.first)
             page = await self.store.read(LEASE_TOPIC, error.first, 0.0)
         now = time.monotonic()
         before = state.holder
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -21,6 +21,7 @@
     "Encoded",
     "Fail",
     "Hang",
+    "LOAD_S",
     "Order",
     "OtherAnswer",
     "PlatformTargetStandin",
@@ -32,6 +33,8 @@
     "Vanish",
 ]
 
+# How long a load takes unless a test says otherwise.
+LOAD_S = 0.05
 _JSON = [(b"content-type", b"application/json")]
 _EVENTS = [(b"content-type", b"text/event-stream")]
 
@@ -165,7 +168,7 @@
 
     Attributes:
         fields: Its body.
-        at: Seconds on the steady clock.
+        at: When it came; seconds on the steady clock.
     """
 
     fields: dict[str, Any]
@@ -194,6 +197,8 @@
         names_requests: Answers hold the id of their request, so that no two
             are alike.
         load_s: How long it loads weights.
+        orders_late_s: Leaves orders unanswered, and carries them out so much
+            later if they still fit; 0 to answer at once.
         cache_events: What its cache tells: number, sign, salt, digest,
             tokens, model.
         cache_epoch: Changes when its cache restarts.
@@ -219,7 +224,8 @@
         self.orders_seen = 0
         self.lost_orders: collections.deque[float] = collections.deque()
         self.silent = False
-        self.load_s = 0.05
+        self.load_s = LOAD_S
+        self.orders_late_s = 0.0
         self.busy = False
         self.cache_events: list[tuple[int, str, str, str, int, str]] = []
         self.cache_epoch = 1
@@ -297,41 +303,49 @@
         request: http1_server.CallerRequest,
         answer: http1_server.CallerAnswer,
     ) -> None:
-        order = msgspec.json.decode(request.body)
+        order = Order(msgspec.json.decode(request.body), time.monotonic())
         self.orders_seen += 1
+        late_s = self.orders_late_s
         if self.lost_orders:
-            await self._take_late(order, self.lost_orders.popleft())
+            late_s = self.lost_orders.popleft()
+        if late_s:
+            await self._take_late(order, late_s)
         if self.order_status:
             await answer.send_whole(self.order_status, [], b"")
             return
-        if not self._fits(order):
+        if not self._take_order(order):
             await answer.send_whole(409, [], b"")
             return
-        self._take(order)
-        await answer.send_whole(202, [], b"")
-        await self._load(order)
+        try:
+            await answer.send_whole(202, [], b"")
+        finally:  # it was taken, whether or not that could be told
+            with anyio.CancelScope(shield=True):
+                await self._load(order)
 
-    async def _take_late(self, order: dict[str, Any], late_s: float) -> None:
+    async def _take_late(self, order: Order, late_s: float) -> None:
         """Never returns: the order is not answered, and may be done late."""
         with anyio.CancelScope(shield=math.isfinite(late_s)):
             await anyio.sleep(late_s)
-            if self._fits(order):
-                self._take(order)
+            if self._take_order(order):
                 await self._load(order)
         await anyio.sleep_forever()
 
-    def _fits(self, order: dict[str, Any]) -> bool:
-        return not self.busy and order["expectedRevision"] == len(self.orders)
+    def _take_order(self, order: Order) -> bool:
+        """Returns whether an order fits what the target is doing, and notes it.
 
-    def _take(self, order: dict[str, Any]) -> None:
-        self.orders.append(order)
-        self.order_log.append(Order(order, time.monotonic()))
+        It counts as of the time at which it came.
+        """
+        expected = order.fields["expectedRevision"]
+        if expected != len(self.orders) or self.busy:
+            return False
+        self.orders.append(order.fields)
+        self.order_log.append(order)
         self.busy = True
+        return True
 
-    async def _load(self, order: dict[str, Any]) -> None:
-        with anyio.CancelScope(shield=True):
-            await anyio.sleep(self.load_s)
-        self.weights = order["version"]
+    async def _load(self, order: Order) -> None:
+        await anyio.sleep(self.load_s)
+        self.weights = order.fields["version"]
         self.busy = False
 
     def _has_other_weights(self, request: http1_server.CallerRequest) -> bool:
@@ -471,7 +485,7 @@
     ) -> None:
         await answer.begin(200, [*_EVENTS, *headers])
         first = _first_event(request)
-        for number in range(first, first + events):
+        for number in range(first, min(first + events, self.events)):
             await answer.send(self.event(number, self._mark(request)))
         await answer.send(b"id: 99\nda")
         raise http1_server.BrokenAnswerError
--- a/hillthread/state/lease.py
+++ b/hillthread/state/lease.py
@@ -29,6 +29,8 @@
 _ACT_SHARE = 0.75
 _MAX_UNREAD = 64
 NOBODY = ""
+# Somebody may hold it: the records that told were not read.
+UNKNOWN = "?"
 
 
 class Acquire(
@@ -100,13 +102,16 @@
     """The lease as replayed from the log, the same for every reader.
 
     Attributes:
+        ordered: Each record was appended only where its author had read all
+            before it, so that every acquisition counts.
         position: Offset of the last record read; -1 before the first.
         holder: Who holds it, or empty.
         fencing: Offset of the acquisition; -1 for none.
         last: Offset of the last record that counted; -1 for none.
     """
 
-    def __init__(self):
+    def __init__(self, ordered: bool = False):
+        self.ordered = ordered
         self.position = -1
         self.holder = NOBODY
         self.fencing = -1
@@ -117,6 +122,7 @@
         if offset <= self.position:
             return False
         starts_late = self.position < 0 and offset > 0
+        starts_late = starts_late or self.holder == UNKNOWN
         self.position = offset
         try:
             record = decode_lease(payload)
@@ -127,7 +133,7 @@
             self._adopt(offset, record)
             return True
         match record:
-            case Acquire() if record.after == self.last:
+            case Acquire() if self.ordered or record.after == self.last:
                 self.holder = record.holder
                 self.fencing = offset
             case Renew() if (record.holder, record.fencing) == (
@@ -145,6 +151,17 @@
         self.last = offset
         return True
 
+    def start_anew(self, first: int) -> None:
+        """Forgets what was read, for the records that follow it are gone.
+
+        Args:
+            first: Offset of the first record kept.
+        """
+        self.position = first - 1
+        self.holder = UNKNOWN
+        self.fencing = -1
+        self.last = -1
+
     def _adopt(self, offset: int, record: LeaseRecord) -> None:
         self.holder = record.holder
         self.last = offset
@@ -169,11 +186,17 @@
         state: As read from the log.
     """
 
-    def __init__(self, name: str, ttl_s: float, act_s: float | None = None):
+    def __init__(
+        self,
+        name: str,
+        ttl_s: float,
+        act_s: float | None = None,
+        ordered: bool = False,
+    ):
         self.name = name
         self.ttl_s = ttl_s
         self.act_s = ttl_s * _ACT_SHARE if act_s is None else act_s
-        self.state = LeaseState()
+        self.state = LeaseState(ordered)
         self._read_at: float | None = None
         self._number = 0
         self._began_at: dict[int, float] = {}
@@ -211,6 +234,15 @@
         if self._read_at is None:
             self._read_at = now
 
+    def start_anew(self, first: int) -> None:
+        """Forgets what was read, for the records that follow it are gone.
+
+        Whoever holds the lease by them may act until it is over.
+        """
+        self.state.start_anew(first)
+        self._acts_until = float("-inf")
+        self._read_at = None
+
     def resign(self) -> None:
         """Stops acting; the lease is not contended before its time is over."""
         self._acts_until = float("-inf")
