--- a/hillthread/standin/engine.py
+++ b/hillthread/standin/engine.py
@@ -11,20 +11,22 @@
 from typing import Any
 
 import anyio
+import anyio.abc
 import msgspec
 
 from hillthread import settings as settings_lib
 from hillthread.protocol import engine as engine_protocol
-from hillthread.protocol import event_stream
 from hillthread.protocol import openai
+from hillthread.standin import engine_answer
 from hillthread.standin import engine_model
 from hillthread.standin import engine_telemetry
 from hillthread.standin import language
+from hillthread.standin import run_journal
 from hillthread.transport import http_server
 
 __all__ = ["EngineSettings", "EngineStandin"]
 
-_KEPT_STREAMS = 4096
+_KEPT_ANSWERS = 4096
 _DEFAULT_MAX_TOKENS = 64
 _MAX_BODY = 16_777_216
 
@@ -63,40 +65,20 @@
     honours_fencing: bool = True
 
 
-class _Stream:
-    """One answer, kept while it may be resumed."""
-
-    def __init__(self, job: engine_model.Job, request: dict[str, Any]):
-        self.job = job
-        self.model = request["model"]
-        self.events: list[bytes] = []
-        self.text: list[str] = []
-        self.done = False
-        self.cancelled = False
-        self.readers = 0
-        self.changed = anyio.Event()
-        self.first_index = 0
-        self.words = iter(())
-
-    def publish(self, event: bytes) -> None:
-        """Adds an event and wakes readers."""
-        self.events.append(event)
-        self.changed.set()
-        self.changed = anyio.Event()
-
-
 class EngineStandin:
     """One engine process.
 
     Attributes:
         incarnation: New with each start and each crash.
         journal: Every run, for checkers: what callers cannot see.
+        answers: Those that callers may still read or resume, by attempt.
+        orders: Every order that was carried out, with when.
     """
 
     def __init__(self, settings: EngineSettings):
         self.settings = settings
         self.server = http_server.Server(settings.listen, self.handle)
-        self.journal: list[dict[str, Any]] = []
+        self.journal = run_journal.RunJournal()
         self.orders: list[dict[str, Any]] = []
         self.highest_fencing = 0
         self.leaving = False
@@ -105,6 +87,9 @@
         self.lose_orders = 0
         self.work = anyio.Event()
         self.weights_version = settings.weights_version
+        self.answers: collections.OrderedDict[str, engine_answer.Answer] = (
+            collections.OrderedDict()
+        )
         self._restart()
 
     async def run(self, stop: anyio.Event) -> None:
@@ -140,7 +125,7 @@
             case "GET", "/health":
                 await self._send(send, 200, {"incarnation": self.incarnation})
             case "GET", "/journal":
-                await self._send(send, 200, self.journal)
+                await self._send(send, 200, self.journal.entries)
             case "GET", "/orders":
                 await self._send(send, 200, self.orders)
             case "POST", engine_protocol.ORDERS_PATH:
@@ -160,12 +145,9 @@
                 max_running=self.settings.max_running,
             )
         )
-        for stream in getattr(self, "streams", {}).values():
-            stream.cancelled = True
-            stream.changed.set()
-        self.streams: collections.OrderedDict[str, _Stream] = (
-            collections.OrderedDict()
-        )
+        for answer in self.answers.values():
+            answer.cancel()
+        self.answers = collections.OrderedDict()
         self.telemetry = engine_telemetry.Telemetry(
             self.model,
             self.settings.load_lag_s,
@@ -184,49 +166,12 @@
                 continue
             result = model.end_step()
             for job in result.emitted:
-                self._emit(self.streams[job.job_id])
+                self.answers[job.job_id].add_word()
+                if job.finished:
+                    self.journal.end(job, "finished")
             self.telemetry.note_load()
             self.telemetry.note_events()
 
-    def _emit(self, stream: _Stream) -> None:
-        word = next(stream.words)
-        stream.text.append(word)
-        job = stream.job
-        choice: dict[str, Any] = {
-            "index": 0,
-            "delta": {"content": word},
-            "finish_reason": "length" if job.finished else None,
-        }
-        self._publish(stream, {"choices": [choice]})
-        if not job.finished:
-            return
-        usage = self._usage(stream)
-        self._publish(stream, {"choices": [], "usage": usage})
-        stream.publish(event_stream.encode_event(None, engine_protocol.DONE))
-        stream.done = True
-        stream.changed.set()
-        self._close_journal(stream, "finished")
-
-    def _publish(self, stream: _Stream, fields: dict[str, Any]) -> None:
-        chunk = {
-            "id": f"chatcmpl-{stream.job.job_id}",
-            "object": "chat.completion.chunk",
-            "model": stream.model,
-            **fields,
-        }
-        index = stream.first_index + len(stream.events)
-        data = msgspec.json.encode(chunk)
-        stream.publish(event_stream.encode_event(index, data))
-
-    def _usage(self, stream: _Stream) -> dict[str, Any]:
-        job = stream.job
-        return {
-            "prompt_tokens": job.prompt_tokens,
-            "completion_tokens": job.generated,
-            "total_tokens": job.prompt_tokens + job.generated,
-            "prompt_tokens_details": {"cached_tokens": job.cached_tokens},
-        }
-
     async def _complete(
         self, request: http_server.Request, send: http_server.Send
     ) -> None:
@@ -238,11 +183,11 @@
         if refusal:
             await self._send(send, 409, {"error": refusal}, attempt_id)
             return
-        stream = self._start(request, body, attempt_id)
+        answer = self._start(request, body, attempt_id)
         if body.get("stream"):
-            await self._send_stream(stream, 0, request, send)
+            await self._send_stream(answer, 0, request, send)
         else:
-            await self._send_whole(stream, request, send)
+            await self._send_whole(answer, request, send)
 
     def _refusal(
         self, request: http_server.Request, body: dict[str, Any]
@@ -263,7 +208,7 @@
         request: http_server.Request,
         body: dict[str, Any],
         attempt_id: str,
-    ) -> _Stream:
+    ) -> engine_answer.Answer:
         if request.path == openai.CHAT_PATH:
             continued = bool(body.get("continue_final_message"))
             text = language.chat_text(body["messages"], continued)
@@ -278,142 +223,93 @@
             body.get("max_tokens") or _DEFAULT_MAX_TOKENS,
             body.get("priority", 0),
         )
-        stream = _Stream(job, body)
         last = request.headers.get(engine_protocol.LAST_EVENT_ID)
-        stream.first_index = int(last) + 1 if last else 0
-        stream.words = language.words(text, self.weights_version)
-        self.streams[attempt_id] = stream
-        if len(self.streams) > _KEPT_STREAMS:
-            self.streams.popitem(last=False)
-        self.journal.append(
-            {
-                "attempt_id": attempt_id,
-                "incarnation": self.incarnation,
-                "prompt_tokens": tokens,
-                "end": "running",
-            }
+        answer = engine_answer.Answer(
+            job,
+            body["model"],
+            language.words(text, self.weights_version),
+            first_index=int(last) + 1 if last else 0,
         )
+        self.answers[attempt_id] = answer
+        if len(self.answers) > _KEPT_ANSWERS:
+            self.answers.popitem(last=False)
+        self.journal.begin(job, self.incarnation)
         self.model.submit(job)
         self.work.set()
         self.telemetry.note_load()
-        return stream
+        return answer
 
     async def _send_stream(
         self,
-        stream: _Stream,
+        answer: engine_answer.Answer,
         position: int,
         request: http_server.Request,
         send: http_server.Send,
     ) -> None:
-        headers = self._headers(stream.job.job_id)
+        headers = self._headers(answer.job.job_id)
         headers.append((b"content-type", b"text/event-stream"))
-        left = anyio.Event()
-        stream.readers += 1
+        answer.readers += 1
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(_watch, request, left, group.cancel_scope)
-                await self._pump(stream, position, headers, send)
+                group.start_soon(_cancel_at_leaving, request, group)
+                await engine_answer.send_events(answer, position, headers, send)
                 group.cancel_scope.cancel()
         finally:
-            stream.readers -= 1
-            if not stream.done:
-                self.tasks.start_soon(self._expire, stream)
-
-    async def _pump(
-        self,
-        stream: _Stream,
-        position: int,
-        headers: list[tuple[bytes, bytes]],
-        send: http_server.Send,
-    ) -> None:
-        started = False
-        while not (stream.done and position >= len(stream.events)):
-            if position >= len(stream.events):
-                if stream.cancelled:
-                    return
-                await stream.changed.wait()
-                continue
-            if not started:
-                started = True
-                await _send_head(send, 200, headers)
-            data = b"".join(stream.events[position:])
-            position = len(stream.events)
-            await send(
-                {"type": "http.response.body", "body": data, "more_body": True}
-            )
-        await send({"type": "http.response.body", "body": b""})
+            answer.readers -= 1
+            if not answer.done:
+                self.tasks.start_soon(self._expire, answer)
 
     async def _send_whole(
         self,
-        stream: _Stream,
+        answer: engine_answer.Answer,
         request: http_server.Request,
         send: http_server.Send,
     ) -> None:
-        left = anyio.Event()
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(_watch, request, left, group.cancel_scope)
-                while not stream.done and not stream.cancelled:
-                    await stream.changed.wait()
+                group.start_soon(_cancel_at_leaving, request, group)
+                while not answer.done and not answer.cancelled:
+                    await answer.wait_change()
                 group.cancel_scope.cancel()
         finally:
-            if not stream.done:
-                self._cancel(stream)
-        if not stream.done:
-            return
-        message = {"role": "assistant", "content": "".join(stream.text)}
-        answer = {
-            "id": f"chatcmpl-{stream.job.job_id}",
-            "object": "chat.completion",
-            "model": stream.model,
-            "choices": [
-                {"index": 0, "message": message, "finish_reason": "length"}
-            ],
-            "usage": self._usage(stream),
-        }
-        await self._send(send, 200, answer, stream.job.job_id)
+            if not answer.done:
+                self._cancel(answer)
+        if answer.done:
+            document = answer.document()
+            await self._send(send, 200, document, answer.job.job_id)
 
     async def _stream_request(
         self, request: http_server.Request, send: http_server.Send
     ) -> None:
         attempt_id = request.path.removeprefix(engine_protocol.STREAMS_PATH)
-        stream = self.streams.get(attempt_id)
+        answer = self.answers.get(attempt_id)
         if request.method == "DELETE":
-            if stream is not None and not stream.done:
-                self._cancel(stream)
-            await self._send(send, 200, {"cancelled": stream is not None})
+            if answer is not None and not answer.done:
+                self._cancel(answer)
+            await self._send(send, 200, {"cancelled": answer is not None})
             return
         wanted = request.headers.get(engine_protocol.EXPECT_INCARNATION)
         known = wanted in (None, self.incarnation)
-        if stream is None or stream.cancelled or not known:
+        if answer is None or answer.cancelled or not known:
             await self._send(send, 404, {"error": "no such stream"})
             return
         last = request.headers.get(engine_protocol.LAST_EVENT_ID)
-        position = int(last) + 1 - stream.first_index if last else 0
-        await self._send_stream(stream, max(0, position), request, send)
+        position = int(last) + 1 - answer.first_index if last else 0
+        await self._send_stream(answer, max(0, position), request, send)
 
-    async def _expire(self, stream: _Stream) -> None:
+    async def _expire(self, answer: engine_answer.Answer) -> None:
         await anyio.sleep(self.settings.resume_s)
-        if stream.readers == 0 and not stream.done:
-            self._cancel(stream)
+        if answer.readers == 0 and not answer.done:
+            self._cancel(answer)
 
-    def _cancel(self, stream: _Stream) -> None:
-        if stream.cancelled:
+    def _cancel(self, answer: engine_answer.Answer) -> None:
+        if answer.cancelled:
             return
-        stream.cancelled = True
-        stream.changed.set()
-        self.model.cancel(stream.job.job_id)
-        self._close_journal(stream, "cancelled")
+        answer.cancel()
+        self.model.cancel(answer.job.job_id)
+        self.journal.end(answer.job, "cancelled")
         self.telemetry.note_load()
 
-    def _close_journal(self, stream: _Stream, end: str) -> None:
-        for entry in reversed(self.journal):
-            if entry["attempt_id"] == stream.job.job_id:
-                entry["end"] = end
-                entry["generated"] = stream.job.generated
-                entry["cached_tokens"] = stream.job.cached_tokens
-                return
-
     async def _order(
         self, request: http_server.Request, send: http_server.Send
     ) -> None:
@@ -481,19 +377,9 @@
         )
 
 
-async def _watch(
-    request: http_server.Request,
-    left: anyio.Event,
-    scope: anyio.CancelScope,
+async def _cancel_at_leaving(
+    request: http_server.Request, group: anyio.abc.TaskGroup
 ) -> None:
+    """Cancels the tasks that serve a caller once it has left."""
     await request.wait_disconnect()
-    left.set()
-    scope.cancel()
-
-
-async def _send_head(
-    send: http_server.Send, status: int, headers: list[tuple[bytes, bytes]]
-) -> None:
-    await send(
-        {"type": "http.response.start", "status": status, "headers": headers}
-    )
+    group.cancel_scope.cancel()
