--- a/hillthread/bench/control_times.py
+++ b/hillthread/bench/control_times.py
@@ -8,8 +8,8 @@
 import anyio
 
 from hillthread.bench import caller as caller_lib
-from hillthread.bench import compare
 from hillthread.bench import deployment
+from hillthread.bench import percentiles
 from hillthread.bench import processes
 from hillthread.bench import site as site_lib
 
@@ -81,11 +81,11 @@
     herd_down = await _restart(site, site.hosts[:_HOSTS_EACH])
     await site.close()
     return ControlTimes(
-        compare.percentile(calm, 0.5),
+        percentiles.percentile(calm, 0.5),
         calm[-1],
-        compare.percentile(slow, 0.5),
+        percentiles.percentile(slow, 0.5),
         slow[-1],
-        compare.percentile(lossy, 0.5),
+        percentiles.percentile(lossy, 0.5),
         lossy[-1],
         _CHANGES - len(lossy),
         restart,
@@ -117,9 +117,7 @@
 async def _restart(site: site_lib.Site, hosts: list[site_lib.Host]) -> float:
     """Returns seconds from starting hosts to the last one's first answer."""
     for host in hosts:
-        assert host.router is not None and host.control is not None
-        host.router.kill()
-        host.control.kill()
+        host.kill()
     started = time.monotonic()
     for host in hosts:
         site.start_control_later(host)
--- a/hillthread/bench/site.py
+++ b/hillthread/bench/site.py
@@ -89,6 +89,12 @@
         assert self.router is not None
         return self.router.addresses["status"]
 
+    def kill(self) -> None:
+        """Ends both of its processes at once, as a crash would."""
+        assert self.router is not None and self.control is not None
+        self.router.kill()
+        self.control.kill()
+
 
 class Site:
     """All processes of a small deployment.
@@ -138,13 +144,7 @@
             process.wait_listening()
         for host in self.hosts:
             self.prepare(host)
-            self.start_control_later(host)
-        for host in self.hosts:
-            assert host.control is not None
-            host.control.wait_listening()
-        if routers:
-            for host in self.hosts:
-                self.start_router(host)
+        self.start_hosts(self.hosts, routers)
 
     def prepare(self, host: Host) -> None:
         """Writes a host's settings."""
@@ -184,15 +184,29 @@
             **self.router_fields,
         }
 
+    def start_hosts(self, hosts: list[Host], routers: bool = True) -> None:
+        """Starts hosts together: all control processes, then the routers.
+
+        Args:
+            hosts: Whose settings are written.
+            routers: Whether their routers are started too.
+        """
+        for host in hosts:
+            self.start_control_later(host)
+        for host in hosts:
+            assert host.control is not None
+            host.control.wait_listening()
+        if routers:
+            for host in hosts:
+                self.start_router(host)
+
     def start_control_later(self, host: Host) -> None:
         """Starts a host's control process without waiting for it."""
         host.control = self.group.start_later("control", host.control_settings)
 
     def start_control(self, host: Host) -> None:
         """Starts a host's control process."""
-        self.start_control_later(host)
-        assert host.control is not None
-        host.control.wait_listening()
+        self.start_hosts([host], routers=False)
 
     def start_router(self, host: Host) -> None:
         """Starts a host's router."""
--- a/tests/programs/test_control.py
+++ b/tests/programs/test_control.py
@@ -113,8 +113,7 @@
         await self.log(down=True)
         host = self.site.hosts[1]
         before = await self.site.position(host)
-        host.router.kill()
-        host.control.kill()
+        host.kill()
         self.site.start_control(host)
         self.site.start_router(host)
         await self.site.wait_position(before, [host])
@@ -325,8 +324,7 @@
         await site_lib.wait_until(snapshot_written)
         offset = await self.covering_snapshot()
         for host in self.site.hosts:
-            host.router.kill()
-            host.control.kill()
+            host.kill()
         await self.site.control_standin(
             self.site.log, {"truncate": {"configuration": offset}}
         )
@@ -351,8 +349,7 @@
 
         await site_lib.wait_until(noticed)
         host = self.site.hosts[0]
-        host.router.kill()
-        host.control.kill()
+        host.kill()
         self.site.start_control(host)
         self.site.start_router(host)
         await self.site.wait_position(self.last)
