--- a/hillthread/bench/slopes.py
+++ b/hillthread/bench/slopes.py
@@ -9,11 +9,7 @@
 from typing import Any
 from typing import NamedTuple
 
-import anyio
-
 from hillthread import settings as settings_lib
-from hillthread.bench import processes
-from hillthread.bench import site as site_lib
 from hillthread.coordination import dialer
 from hillthread.coordination import fleet as fleet_lib
 from hillthread.coordination import metrics as metrics_lib
@@ -29,13 +25,12 @@
 from hillthread.state import routing_table
 from hillthread.state import warmth
 
-__all__ = ["Slope", "measure_control", "measure_slopes"]
+__all__ = ["Slope", "measure_slopes"]
 
 _TARGETS = 95
 _REPEATS = 200
 _POOL = objects.Pool(name="p", target_selector="", max_inflight=10_000)
 _MANY_LEVELS = 20_000
-_LINK_BYTES = "hillthread_link_bytes_total"
 
 
 class Slope(NamedTuple):
@@ -52,24 +47,6 @@
     wire_bytes: float = 0.0
 
 
-class ControlCost(NamedTuple):
-    """What control costs one host of a running site.
-
-    Attributes:
-        hosts: Hosts of the site.
-        processor_share: Of a core, by the control process.
-        resident_bytes: Memory of the control process.
-        sent_bytes_per_s: Messages sent over its links.
-        received_bytes_per_s: Messages received over its links.
-    """
-
-    hosts: int
-    processor_share: float
-    resident_bytes: float
-    sent_bytes_per_s: float
-    received_bytes_per_s: float
-
-
 def measure_slopes() -> dict[str, Slope]:
     """Returns the slope of each thing that grows."""
     return {
@@ -90,56 +67,6 @@
     }
 
 
-def measure_control(hosts_each: int, seconds: float) -> ControlCost:
-    """Returns the mean cost of control on a host of an idle site.
-
-    Args:
-        hosts_each: Hosts in each of two data centres.
-        seconds: How long to measure.
-    """
-    with processes.ProcessGroup() as group:
-        return anyio.run(_measure_control, group, hosts_each, seconds)
-
-
-async def _measure_control(
-    group: processes.ProcessGroup, hosts_each: int, seconds: float
-) -> ControlCost:
-    site = site_lib.Site(group, 2, hosts_each, 2)
-    await site.start(routers=False)
-    await site.publish(site.objects(["o1"]))
-    await anyio.sleep(2.0)
-    controls = [host.control for host in site.hosts if host.control]
-    before = sum(each.processor_s() for each in controls)
-    bytes_before = [await _link_bytes(site, host) for host in site.hosts]
-    await anyio.sleep(seconds)
-    used = sum(each.processor_s() for each in controls) - before
-    bytes_after = [await _link_bytes(site, host) for host in site.hosts]
-    await site.close()
-    count = len(controls)
-    moved = [
-        _sum_of(bytes_after, way) - _sum_of(bytes_before, way) for way in (0, 1)
-    ]
-    resident = sum(each.resident_bytes() for each in controls) / count
-    sent, received = (total / count / seconds for total in moved)
-    return ControlCost(count, used / count / seconds, resident, sent, received)
-
-
-def _sum_of(pairs: list[tuple[float, float]], way: int) -> float:
-    return sum(pair[way] for pair in pairs)
-
-
-async def _link_bytes(
-    site: site_lib.Site, host: site_lib.Host
-) -> tuple[float, float]:
-    page = await site.client.get(f"http://{host.admin}/metrics")
-    found = {"sent": 0.0, "received": 0.0}
-    for line in page.text.splitlines():
-        for way in found:
-            if line.startswith(f'{_LINK_BYTES}{{direction="{way}"'):
-                found[way] = float(line.split()[1])
-    return found["sent"], found["received"]
-
-
 def _time_us(action: Callable[[], Any], repeats: int = _REPEATS) -> float:
     """Returns the mean processor time of an action, microseconds."""
     action()
--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -8,6 +8,7 @@
 
 from hillthread import errors
 from hillthread.bench import compare as compare_lib
+from hillthread.bench import control_cost
 from hillthread.bench import control_times
 from hillthread.bench import demo as demo_lib
 from hillthread.bench import gateway_demo as gateway_demo_lib
@@ -203,7 +204,7 @@
         for name, slope in slopes_lib.measure_slopes().items()
     }
     for hosts_each in (1, 4):
-        cost = slopes_lib.measure_control(hosts_each, seconds)
+        cost = control_cost.measure_control(hosts_each, seconds)
         result[f"control_of_{cost.hosts}_hosts"] = cost._asdict()
     if json:
         _print_json(result)
