Give shares, the virtual clock and percentiles modules of their own

Fleet also kept what is to be told to other routers; that is ShareOutbox now, and its figures have a unit and a reason. compare.py had the driver, an event queue, the talk of virtual routers and a percentile that four other modules imported from there; each has its place now.

--- a/hillthread/bench/compare.py
+++ b/hillthread/bench/compare.py
@@ -6,15 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Sequence
-import functools
-import heapq
-import itertools
 from typing import Any
 from typing import NamedTuple
 
+from hillthread.bench import percentiles
 from hillthread.bench import policies
+from hillthread.bench import router_talk
+from hillthread.bench import virtual_clock
 from hillthread.bench import workload as workload_lib
 from hillthread.coordination import fleet as fleet_lib
 from hillthread.standin import engine_model
@@ -38,7 +37,6 @@
 _REPORT_LAG_S = 0.3
 _MEMORY_SHARE = 1.0 / 3.0
 _TAIL_S = 120.0
-_TALK_DELAY_S = 0.005
 
 
 class Setup(NamedTuple):
@@ -158,20 +156,15 @@
             fleet_lib.Fleet("dc", self._decide(policy))
             for _ in range(setup.routers)
         ]
-        self.talk_planned = [False] * setup.routers
-        self.talked_at = [-1.0] * setup.routers
-        for number, fleet in enumerate(self.fleets):
-            if setup.talk_s > 0:
-                fleet.heard_routers = setup.routers - 1
-                fleet.share_ready = functools.partial(self._share_later, number)
-            else:
+        self.clock = virtual_clock.VirtualClock()
+        if setup.talk_s > 0:
+            router_talk.connect(self.fleets, self.clock, setup.talk_s)
+        else:
+            for fleet in self.fleets:
                 fleet.silent_routers = setup.routers - 1
         self.requests: dict[str, _Request] = {}
         self.recomputed = 0
         self.stepping: set[str] = set()
-        self.queue: list[tuple[float, int, Callable[[], None]]] = []
-        self.order = itertools.count()
-        self.now = 0.0
 
     def run(self) -> PolicyResult:
         """Returns the result of the whole trace."""
@@ -181,21 +174,16 @@
         for number, arrival in enumerate(trace):
             request = _Request(number, arrival)
             self.requests[str(number)] = request
-            self._at(arrival.at_s, lambda each=request: self._arrive(each))
-        self._at(0.0, self._report)
+            self.clock.at(arrival.at_s, lambda each=request: self._arrive(each))
+        self.clock.at(0.0, self._report)
         for number in range(self.setup.crashes):
             share = (number + 1) / (self.setup.crashes + 1)
             at_s = share * self.setup.duration_s
-            self._at(at_s, lambda each=number: self._crash(each))
+            self.clock.at(at_s, lambda each=number: self._crash(each))
         end = self.setup.duration_s + _TAIL_S
-        while self.queue and self.now <= end:
-            self.now, _, action = heapq.heappop(self.queue)
-            action()
+        self.clock.run(end)
         return self._result()
 
-    def _at(self, when: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self.queue, (when, next(self.order), action))
-
     def _arrive(self, request: _Request) -> None:
         request.router = request.number % len(self.fleets)
         fleet = self.fleets[request.router]
@@ -207,12 +195,14 @@
         )
         self.oracle.blocks = request.blocks
         decision = fleet.choose(
-            query, fleet_lib.Placement(self.targets, self.pool, "m"), self.now
+            query,
+            fleet_lib.Placement(self.targets, self.pool, "m"),
+            self.clock.now,
         )
         assert decision.target is not None
         request.target = decision.target
         attempt_id = str(request.number)
-        fleet.start(attempt_id, query, decision, self.now)
+        fleet.start(attempt_id, query, decision, self.clock.now)
         self._submit(request)
 
     def _submit(self, request: _Request) -> None:
@@ -233,7 +223,9 @@
         duration = engine.begin_step()
         for job in engine.admitted:
             self._count_recomputed(name, job)
-        self._at(self.now + duration, lambda: self._end_step(name, engine))
+        self.clock.at(
+            self.clock.now + duration, lambda: self._end_step(name, engine)
+        )
 
     def _count_recomputed(self, name: str, job: engine_model.Job) -> None:
         best = max(
@@ -262,25 +254,25 @@
         if job.generated != 1:
             return
         if request.first_token_at is None:
-            request.first_token_at = self.now
+            request.first_token_at = self.clock.now
         fleet = self.fleets[request.router]
         epoch = warmth.Epoch(str(self.incarnations[name]), "w")
         fleet.observe_epoch(name, epoch)
-        fleet.first_token(job.job_id, self.now)
+        fleet.first_token(job.job_id, self.clock.now)
 
     def _finished(self, job: engine_model.Job) -> None:
         fleet = self.fleets[self.requests[job.job_id].router]
         usage = fleet_lib.Usage(
             job.prompt_tokens, job.cached_tokens, job.generated
         )
-        fleet.learn_usage(job.job_id, usage, self.now)
+        fleet.learn_usage(job.job_id, usage, self.clock.now)
         fleet.finish(job.job_id)
 
     def _report(self) -> None:
         """Reads each engine's load now; routers get it after a lag."""
         for name, engine in self.engines.items():
             report = load.LoadReport(
-                self.now,
+                self.clock.now,
                 len(engine.running),
                 len(engine.waiting),
                 engine.prompt_tokens
@@ -288,33 +280,12 @@
                 + engine.generated_tokens,
                 self.engine_shape.cache_blocks * _BLOCK,
             )
-            self._at(
-                self.now + _REPORT_LAG_S,
+            self.clock.at(
+                self.clock.now + _REPORT_LAG_S,
                 lambda name=name, report=report: self._deliver(name, report),
             )
-        if self.now < self.setup.duration_s + _TAIL_S / 2:
-            self._at(self.now + _REPORT_EVERY_S, self._report)
-
-    def _share_later(self, number: int) -> None:
-        """Plans to tell what a router has placed: soon, but not too often."""
-        if self.talk_planned[number]:
-            return
-        self.talk_planned[number] = True
-        due = max(self.now, self.talked_at[number] + self.setup.talk_s)
-        self._at(due, lambda: self._take_shares(number))
-
-    def _take_shares(self, number: int) -> None:
-        self.talk_planned[number] = False
-        self.talked_at[number] = self.now
-        shares = self.fleets[number].take_outbox()
-        self._at(self.now + _TALK_DELAY_S, lambda: self._adopt(number, shares))
-
-    def _adopt(self, number: int, shares: list[fleet_lib.Share]) -> None:
-        for other, fleet in enumerate(self.fleets):
-            if other == number:
-                continue
-            for share in shares:
-                fleet.adopt_share(share, self.now)
+        if self.clock.now < self.setup.duration_s + _TAIL_S / 2:
+            self.clock.at(self.clock.now + _REPORT_EVERY_S, self._report)
 
     def _deliver(self, name: str, report: load.LoadReport) -> None:
         for fleet in self.fleets:
@@ -360,8 +331,8 @@
         hits = sum(job.cached_tokens for job in jobs)
         return PolicyResult(
             hits / total,
-            percentile(times, 0.5),
-            percentile(times, 0.99),
+            percentiles.percentile(times, 0.5),
+            percentiles.percentile(times, 0.99),
             self.recomputed,
             total - hits,
             len(self.requests) - len(times),
@@ -378,10 +349,3 @@
 def run_policy(setup: Setup, policy: str) -> PolicyResult:
     """Returns the result of one policy."""
     return Driver(setup, policy).run()
-
-
-def percentile(ordered: Sequence[float], share: float) -> float:
-    """Returns the value below which a share of `ordered` lies."""
-    if not ordered:
-        return float("nan")
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- a/hillthread/bench/demo.py
+++ b/hillthread/bench/demo.py
@@ -11,8 +11,8 @@
 
 from hillthread import errors
 from hillthread.bench import caller as caller_lib
-from hillthread.bench import compare
 from hillthread.bench import deployment
+from hillthread.bench import percentiles
 from hillthread.bench import processes
 from hillthread.bench import workload as workload_lib
 from hillthread.protocol import engine as engine_protocol
@@ -46,8 +46,8 @@
         return (
             f"{self.workload:<11}{self.policy:<13}{len(self.answers):>8}"
             f"{self.wrong:>7}{cached / max(1, prompt):>10.3f}"
-            f"{compare.percentile(times, 0.5):>10.3f}"
-            f"{compare.percentile(times, 0.99):>10.3f}"
+            f"{percentiles.percentile(times, 0.5):>10.3f}"
+            f"{percentiles.percentile(times, 0.99):>10.3f}"
             f"{prompt - cached:>12}"
         )
 
--- a/hillthread/bench/overhead.py
+++ b/hillthread/bench/overhead.py
@@ -9,8 +9,8 @@
 import anyio
 
 from hillthread.bench import caller as caller_lib
-from hillthread.bench import compare
 from hillthread.bench import deployment
+from hillthread.bench import percentiles
 from hillthread.bench import processes
 
 __all__ = ["PathCost", "measure_overhead"]
@@ -93,14 +93,14 @@
     costs = {}
     for way in ways:
         ordered = sorted(times[way.name])
-        p50 = compare.percentile(ordered, 0.5)
-        p99 = compare.percentile(ordered, 0.99)
+        p50 = percentiles.percentile(ordered, 0.5)
+        p99 = percentiles.percentile(ordered, 0.99)
         rate, failed = await _stream(way)
         costs[way.name] = PathCost(
             p50,
             p99,
-            p50 - compare.percentile(direct, 0.5),
-            p99 - compare.percentile(direct, 0.99),
+            p50 - percentiles.percentile(direct, 0.5),
+            p99 - percentiles.percentile(direct, 0.99),
             rate,
             failed,
         )
--- a/hillthread/coordination/control_client.py
+++ b/hillthread/coordination/control_client.py
@@ -13,9 +13,9 @@
 from hillthread import errors
 from hillthread.coordination import claims
 from hillthread.coordination import configuration_keeper
-from hillthread.coordination import fleet as fleet_lib
 from hillthread.coordination import record_pages
 from hillthread.coordination import router as router_lib
+from hillthread.coordination import share_outbox
 from hillthread.protocol import documents
 from hillthread.protocol import messages
 from hillthread.state import load
@@ -165,10 +165,10 @@
         fleet = self.router.fleet
         while True:
             ready = anyio.Event()
-            fleet.share_ready = ready.set
-            if not fleet.outbox:
+            fleet.outbox.ready = ready.set
+            if not fleet.outbox.shares:
                 await ready.wait()
-            shares = fleet.take_outbox()
+            shares = fleet.outbox.take()
             placements = [_as_placement(share) for share in shares]
             try:
                 await link.send(messages.Shares(placements))
@@ -286,7 +286,7 @@
     return hashlib.blake2b(text, digest_size=16).digest()
 
 
-def _as_placement(share: fleet_lib.Share) -> messages.SharedPlacement:
+def _as_placement(share: share_outbox.Share) -> messages.SharedPlacement:
     return messages.SharedPlacement(
         share.target,
         share.incarnation,
@@ -297,9 +297,9 @@
     )
 
 
-def _as_share(placement: messages.SharedPlacement) -> fleet_lib.Share:
+def _as_share(placement: messages.SharedPlacement) -> share_outbox.Share:
     pairs = zip(placement.digests, placement.tokens, strict=False)
-    return fleet_lib.Share(
+    return share_outbox.Share(
         placement.target,
         placement.incarnation,
         placement.weights_version,
--- a/hillthread/coordination/fleet.py
+++ b/hillthread/coordination/fleet.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import collections
-from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 from typing import NamedTuple
 
-import cachetools
-
+from hillthread.coordination import share_outbox
 from hillthread.state import decision as decision_lib
 from hillthread.state import departures
 from hillthread.state import health
@@ -21,6 +18,14 @@
 
 __all__ = ["Fleet", "Placement", "Usage", "affinity_key", "make_query"]
 
+# How far rank alone is trusted to tell where a prefix is warm: while a router
+# is not heard, and while all are heard.
+_PRIOR = 0.7
+_HEARD_PRIOR = 0.1
+# Retries in 10 s beyond what requests earn: a router with few requests still
+# gets over the loss of a target or two.
+_RETRY_EXTRA = 6.0
+
 
 class Placement(NamedTuple):
     """Which targets one attempt may go to.
@@ -40,36 +45,6 @@
     weights_version: str = ""
 
 
-_PRIOR = 0.7
-# Retries in 10 s beyond what requests earn: a router with few requests still
-# gets over the loss of a target or two.
-_RETRY_EXTRA = 6.0
-_HEARD_PRIOR = 0.1
-
-
-_SHARE_AGAIN_S = 2.0
-_MAX_OUTBOX = 1024
-_MAX_SHARED = 8192
-
-
-class Share(NamedTuple):
-    """What one router tells others of a request it has placed.
-
-    Attributes:
-        target: Where it was sent.
-        incarnation: The target's incarnation it holds for.
-        weights_version: The target's weights version it holds for.
-        prefill_tokens: Expected uncached tokens.
-        levels: Its shared levels that were not told a moment ago.
-    """
-
-    target: str
-    incarnation: str
-    weights_version: str
-    prefill_tokens: int
-    levels: tuple[prompt.PrefixLevel, ...]
-
-
 class Usage(NamedTuple):
     """Tokens of one answer, as the engine told them."""
 
@@ -91,10 +66,6 @@
     first_token_at: float | None = None
 
 
-def _do_nothing() -> None:
-    """Stands for nobody who wants to know."""
-
-
 def affinity_key(
     levels: Sequence[prompt.PrefixLevel], fallback: bytes
 ) -> bytes:
@@ -130,7 +101,6 @@
         decide: The policy; baselines for comparison have their own.
         departures: Targets that leave.
         outbox: What is still to be told to other routers.
-        share_ready: Called when something comes into the outbox.
         heard_routers: Other routers of the data centre whose shares come in.
         silent_routers: Other routers of the data centre that are not heard.
             With any, a prefix unknown here is expected where they place it.
@@ -151,11 +121,7 @@
         self.work: dict[str, _Work] = {}
         self.heard_routers = 0
         self.silent_routers = 0
-        self.outbox: collections.deque[Share] = collections.deque(
-            maxlen=_MAX_OUTBOX
-        )
-        self.share_ready: Callable[[], None] = _do_nothing
-        self.shared_at: cachetools.LRUCache = cachetools.LRUCache(_MAX_SHARED)
+        self.outbox = share_outbox.ShareOutbox()
 
     def choose(
         self, query: decision_lib.Query, placement: Placement, now: float
@@ -198,13 +164,7 @@
             alone,
         )
 
-    def take_outbox(self) -> list[Share]:
-        """Returns what is to be told to other routers, once."""
-        shares = list(self.outbox)
-        self.outbox.clear()
-        return shares
-
-    def adopt_share(self, share: Share, now: float) -> None:
+    def adopt_share(self, share: share_outbox.Share, now: float) -> None:
         """Takes in what another router told.
 
         A target unknown here, or told of under another epoch than the one
@@ -322,15 +282,12 @@
         epoch = self.warmth.targets[name].epoch
         if self.heard_routers == 0 or epoch is None or not query.levels:
             return
-        fresh = []
-        for level in query.levels[:-1]:
-            key = (name, level.digest)
-            if now - self.shared_at.get(key, -_SHARE_AGAIN_S) >= _SHARE_AGAIN_S:
-                self.shared_at[key] = now
-                fresh.append(level)
-        self.share_ready()
-        self.outbox.append(
-            Share(name, *epoch, int(decision.expected_prefill), tuple(fresh))
+        self.outbox.offer(
+            name,
+            epoch,
+            int(decision.expected_prefill),
+            query.levels[:-1],
+            now,
         )
 
     def _candidate(
--- /dev/null
+++ b/hillthread/coordination/share_outbox.py
@@ -0,0 +1,97 @@
+"""What a router is still to tell the others of requests it has placed."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import cachetools
+
+from hillthread.state import prompt
+from hillthread.state import warmth
+
+__all__ = ["Share", "ShareOutbox"]
+
+# A level that was told of a target is not told again for so long, seconds.
+_TELL_AGAIN_S = 2.0
+# Shares kept for a reader that is slow; the oldest give way.
+_MAX_SHARES = 1024
+# Levels whose last telling is remembered.
+_MAX_TOLD = 8192
+
+
+class Share(NamedTuple):
+    """What one router tells others of a request it has placed.
+
+    Attributes:
+        target: Where it was sent.
+        incarnation: The target's incarnation it holds for.
+        weights_version: The target's weights version it holds for.
+        prefill_tokens: Expected uncached tokens.
+        levels: Its shared levels that were not told a moment ago.
+    """
+
+    target: str
+    incarnation: str
+    weights_version: str
+    prefill_tokens: int
+    levels: tuple[prompt.PrefixLevel, ...]
+
+
+def _do_nothing() -> None:
+    """Stands for nobody who wants to know."""
+
+
+class ShareOutbox:
+    """Shares in the order in which they came up.
+
+    Attributes:
+        shares: Not yet taken, oldest first.
+        ready: Called when something comes in.
+    """
+
+    def __init__(self):
+        self.shares: collections.deque[Share] = collections.deque(
+            maxlen=_MAX_SHARES
+        )
+        self.ready: Callable[[], None] = _do_nothing
+        self._told_at: cachetools.LRUCache = cachetools.LRUCache(_MAX_TOLD)
+
+    def offer(
+        self,
+        target: str,
+        epoch: warmth.Epoch,
+        prefill_tokens: int,
+        levels: Sequence[prompt.PrefixLevel],
+        now: float,
+    ) -> None:
+        """Puts in a placement, without the levels told a moment ago.
+
+        Args:
+            target: Where the request was sent.
+            epoch: Of the target.
+            prefill_tokens: Expected uncached tokens.
+            levels: Those that other prompts may share.
+            now: Steady time, seconds.
+        """
+        fresh = tuple(
+            level for level in levels if self._note(target, level, now)
+        )
+        self.shares.append(Share(target, *epoch, prefill_tokens, fresh))
+        self.ready()
+
+    def take(self) -> list[Share]:
+        """Returns what is to be told to other routers, once."""
+        shares = list(self.shares)
+        self.shares.clear()
+        return shares
+
+    def _note(self, target: str, level: prompt.PrefixLevel, now: float) -> bool:
+        """Returns whether a level is to be told, and notes that it is."""
+        key = (target, level.digest)
+        if now - self._told_at.get(key, -_TELL_AGAIN_S) < _TELL_AGAIN_S:
+            return False
+        self._told_at[key] = now
+        return True
--- a/hillthread/protocol/messages.py
+++ b/hillthread/protocol/messages.py
@@ -161,7 +161,7 @@
 
 
 class SharedPlacement(msgspec.Struct, frozen=True, array_like=True):
-    """A placement as told to other routers; fields as in `fleet.Share`."""
+    """A placement told to other routers, as in `share_outbox.Share`."""
 
     target: str
     incarnation: str
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -117,7 +117,7 @@
         fleet = self.fleets[0]
         found = fleet.choose(QUERY, self.placement, 0.0)
         fleet.start("a", QUERY, found, 0.0)
-        return found.target, fleet.take_outbox()
+        return found.target, fleet.outbox.take()
 
     def test_others_learn_warmth_and_load(self):
         name, shares = self.place()
