--- a/hillthread/coordination/control_node.py
+++ b/hillthread/coordination/control_node.py
@@ -12,15 +12,14 @@
 from hillthread import settings as settings_lib
 from hillthread.coordination import claim_keeper as claim_keeper_lib
 from hillthread.coordination import configuration_keeper
+from hillthread.coordination import engine_roster
 from hillthread.coordination import hub as hub_lib
 from hillthread.coordination import record_archive
 from hillthread.coordination import record_finder
 from hillthread.protocol import messages
 from hillthread.state import departures
 from hillthread.state import membership as membership_lib
-from hillthread.state import objects
 from hillthread.state import placement
-from hillthread.state import warmth
 
 __all__ = ["ControlNode"]
 
@@ -38,7 +37,7 @@
         hub: All links.
         positions: Configuration positions of all hosts, as far as known.
         records: Finds decision records.
-        epochs: What each target of the data centre was last seen to run.
+        engines: The data centre's engines, and what they were seen to run.
     """
 
     def __init__(
@@ -59,13 +58,10 @@
         self.claims: claim_keeper_lib.ClaimKeeper | None = None
         self.archive: record_archive.RecordArchive | None = None
         self.positions: dict[str, int] = {}
-        self.incarnations: dict[str, str] = {}
-        self.epochs: dict[str, warmth.Epoch] = {}
         self.beats = 0
-        self._engines: list[objects.Target] = []
-        self._engines_position = -2
-        self._watched: list[objects.Target] = []
-        self._watched_key: tuple[int, tuple[str, ...]] | None = None
+        self.engines = engine_roster.EngineRoster(
+            settings.host, settings.data_centre, self.keeper, self.members
+        )
         self.records = record_finder.RecordFinder(self.hub)
         for peer in settings.peers:
             self.members.know(peer.host, peer.data_centre)
@@ -86,50 +82,11 @@
         """Returns why this host has no configuration in force, or nothing."""
         return "" if self.keeper.in_force() else "no configuration in force"
 
-    def data_centre_hosts(self) -> list[str]:
-        """Returns the live hosts of the data centre, this one included."""
-        alive = self.members.alive(self.settings.data_centre)
-        return sorted([*alive, self.settings.host])
-
-    def rank_for(self, key: str, hosts: list[str]) -> int:
-        """Returns this host's rank for a duty among `hosts`."""
-        order = placement.rank_by_rendezvous(key.encode(), hosts)
-        return order.index(self.settings.host)
-
     def snapshot_rank(self) -> int:
         """Returns this host's turn to write a snapshot."""
-        hosts = [*self.members.alive(), self.settings.host]
-        return self.rank_for("snapshot", hosts)
-
-    def watched_engines(self) -> list[objects.Target]:
-        """Returns the data centre's engines that this host watches.
-
-        They change with the configuration and the live hosts only; ranking
-        all targets at each poll would cost more than reading them.
-        """
-        hosts = self.data_centre_hosts()
-        key = (self.keeper.position, tuple(hosts))
-        if self._watched_key != key:
-            self._watched_key = key
-            self._watched = [
-                target
-                for target in self.engines()
-                if self.rank_for(target.name, hosts) == 0
-            ]
-        return self._watched
-
-    def engines(self) -> list[objects.Target]:
-        """Returns all engines of the data centre."""
-        if self._engines_position != self.keeper.position:
-            self._engines_position = self.keeper.position
-            self._engines = [
-                value
-                for value in self.keeper.configuration.decoded.values()
-                if isinstance(value, objects.Target)
-                and value.service == "engine"
-                and value.data_centre == self.settings.data_centre
-            ]
-        return self._engines
+        own = self.settings.host
+        hosts = [*self.members.alive(), own]
+        return placement.rank_by_rendezvous(b"snapshot", hosts).index(own)
 
     async def run_heartbeats(self) -> None:
         """Sends heartbeats and judges who is alive, until cancelled."""
@@ -161,7 +118,7 @@
             case messages.TargetState():
                 self.tell_target_state(message, link)
             case messages.Loads():
-                self._note_epochs(message)
+                self.engines.note_loads(message)
                 self.hub.broadcast(self.hub.routers(), message)
             case messages.Shares() | messages.Demand():
                 self._pass_between_routers(link, message)
@@ -200,17 +157,11 @@
 
     def tell_loads(self, message: messages.Loads) -> None:
         """Tells loads read here to the data centre's routers."""
-        self._note_epochs(message)
+        self.engines.note_loads(message)
         self.hub.broadcast(self.hub.routers(), message)
         peers = self.hub.peers(self.settings.data_centre)
         self.hub.broadcast(peers, message)
 
-    def _note_epochs(self, message: messages.Loads) -> None:
-        for each in message.loads:
-            self.epochs[each.target] = warmth.Epoch(
-                each.incarnation, each.weights_version
-            )
-
     def _greet(self, link: hub_lib.OpenLink) -> None:
         if link.peer.role == "router":
             self._serve_router(link)
@@ -302,8 +253,6 @@
             if host != self.settings.host:
                 known = self.positions.get(host, -1)
                 self.positions[host] = max(position, known)
-        if self.incarnations.get(peer.host) != peer.incarnation:
-            self.incarnations[peer.host] = peer.incarnation
         self.positions[peer.host] = message.position
         link.told[peer.host] = message.position
         self.keeper.note_told(message.position)
--- /dev/null
+++ b/hillthread/coordination/engine_roster.py
@@ -0,0 +1,82 @@
+"""The engines of one data centre, and those that one host watches."""
+
+from __future__ import annotations
+
+from hillthread.coordination import configuration_keeper
+from hillthread.protocol import messages
+from hillthread.state import membership as membership_lib
+from hillthread.state import objects
+from hillthread.state import placement
+from hillthread.state import warmth
+
+__all__ = ["EngineRoster"]
+
+# Below any position of a configuration, so that the first look finds it newer.
+_NEVER = -2
+
+
+class EngineRoster:
+    """The engines that the configuration names, shared out among live hosts.
+
+    Attributes:
+        epochs: What each engine was last seen to run, by name.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        data_centre: str,
+        keeper: configuration_keeper.ConfigurationKeeper,
+        members: membership_lib.Membership,
+    ):
+        self.host = host
+        self.data_centre = data_centre
+        self.keeper = keeper
+        self.members = members
+        self.epochs: dict[str, warmth.Epoch] = {}
+        self._all: list[objects.Target] = []
+        self._all_position = _NEVER
+        self._watched: list[objects.Target] = []
+        self._watched_key: tuple[int, tuple[str, ...]] | None = None
+
+    def all(self) -> list[objects.Target]:
+        """Returns all engines of the data centre."""
+        if self._all_position != self.keeper.position:
+            self._all_position = self.keeper.position
+            self._all = [
+                value
+                for value in self.keeper.configuration.decoded.values()
+                if isinstance(value, objects.Target)
+                and value.service == "engine"
+                and value.data_centre == self.data_centre
+            ]
+        return self._all
+
+    def watched(self) -> list[objects.Target]:
+        """Returns the engines that this host watches.
+
+        They change with the configuration and the live hosts only; ranking
+        all targets at each poll would cost more than reading them.
+        """
+        alive = self.members.alive(self.data_centre)
+        hosts = sorted([*alive, self.host])
+        key = (self.keeper.position, tuple(hosts))
+        if self._watched_key != key:
+            self._watched_key = key
+            self._watched = [
+                target
+                for target in self.all()
+                if self._ranks_first(target, hosts)
+            ]
+        return self._watched
+
+    def note_loads(self, message: messages.Loads) -> None:
+        """Notes the epochs that came with loads."""
+        for load in message.loads:
+            self.epochs[load.target] = warmth.Epoch(
+                load.incarnation, load.weights_version
+            )
+
+    def _ranks_first(self, target: objects.Target, hosts: list[str]) -> bool:
+        order = placement.rank_by_rendezvous(target.name.encode(), hosts)
+        return order[0] == self.host
--- a/hillthread/coordination/order_keeper.py
+++ b/hillthread/coordination/order_keeper.py
@@ -93,7 +93,7 @@
         return time.monotonic() - acquired_at >= _DEADLINE_S
 
     def _reconcile(self, group: anyio.abc.TaskGroup) -> None:
-        engines = self.node.engines()
+        engines = self.node.engines.all()
         for target in self._wanting(engines):
             if len(self.loading) >= self._most_loads(target, engines):
                 continue
@@ -108,8 +108,8 @@
             if target.weights_version
             and self._may_order(target)
             and target.name not in self.loading
-            and target.name in self.node.epochs
-            and self.node.epochs[target.name].weights_version
+            and target.name in self.node.engines.epochs
+            and self.node.engines.epochs[target.name].weights_version
             != target.weights_version
         ]
 
@@ -148,5 +148,5 @@
         if response.status_code != 200:
             return "refused"
         epoch = engine.epoch_of(response.headers)
-        self.node.epochs[target.name] = epoch
+        self.node.engines.epochs[target.name] = epoch
         return "done"
--- a/hillthread/coordination/target_watch.py
+++ b/hillthread/coordination/target_watch.py
@@ -58,7 +58,7 @@
             started = time.monotonic()
             loads: list[messages.TargetLoad] = []
             async with anyio.create_task_group() as group:
-                for target in self.node.watched_engines():
+                for target in self.node.engines.watched():
                     group.start_soon(self._read_load, target, loads)
             if loads:
                 self.node.tell_loads(messages.Loads(loads))
