Merge logic that stood twice

- reading a bearer key (router's intake and admin API): Request.bearer_key;
- whether engines run some weights (fault matrix and a test): Site.runs_weights;
- the five ways to run a stand-in: one function with its settings and class;
- the answer of a platform stand-in that is down, which the plain service now gives as well;
- the headers that reach one incarnation of an engine (orders, reports);
- a level that was adopted is noted as one that was confirmed.

errors.BusyError was missing in __all__. Comments on the constants of these files come along.

--- a/hillthread/bench/faults/engine_faults.py
+++ b/hillthread/bench/faults/engine_faults.py
@@ -155,7 +155,8 @@
         await path.site.publish(values)
         try:
             await site_lib.wait_until(
-                lambda version=version: path.runs_weights(names, version), 30.0
+                lambda version=version: path.site.runs_weights(version, names),
+                30.0,
             )
         except TimeoutError:
             violations.append(f"weights {version} were not loaded")
--- a/hillthread/bench/faults/site_path.py
+++ b/hillthread/bench/faults/site_path.py
@@ -142,15 +142,6 @@
                     return process
         raise TimeoutError("no engine runs a stream")
 
-    async def runs_weights(self, names: list[str], version: str) -> bool:
-        """Returns whether all named engines run a weights version."""
-        for name in names:
-            address = self.site.engines[name].addresses["standin"]
-            page = await self.site.client.get(f"http://{address}/health")
-            if page.headers["x-weights-version"] != version:
-                return False
-        return True
-
     async def restart_engine(self, process: processes.Process) -> None:
         """Starts an engine again at the address of a killed one."""
         for name, each in self.site.engines.items():
--- a/hillthread/bench/site.py
+++ b/hillthread/bench/site.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import hashlib
 import socket
 import time
@@ -267,6 +268,22 @@
         )
         return response.json()
 
+    async def runs_weights(
+        self, version: str, names: Iterable[str] | None = None
+    ) -> bool:
+        """Returns whether engines run a weights version.
+
+        Args:
+            version: Of the weights.
+            names: Of the engines; all when left out.
+        """
+        for name in self.engines if names is None else names:
+            address = self.engines[name].addresses["standin"]
+            page = await self.client.get(f"http://{address}/health")
+            if page.headers["x-weights-version"] != version:
+                return False
+        return True
+
     async def position(self, host: Host) -> int:
         """Returns the position in force on a host's router; -2 if not ready.
 
--- a/hillthread/coordination/admin.py
+++ b/hillthread/coordination/admin.py
@@ -143,9 +143,9 @@
         raise _not_found(f"There is no {request.method} {request.path}.")
 
     def _authenticate(self, request: http_server.Request) -> Principal:
-        scheme, _, key = request.headers.get("authorization", "").partition(" ")
-        digest = hashlib.sha256(key.strip().encode()).hexdigest()
-        if scheme.lower() == "bearer":
+        key = request.bearer_key()
+        if key is not None:
+            digest = hashlib.sha256(key.encode()).hexdigest()
             for operator in self.settings.operators:
                 if hmac.compare_digest(operator.key_digest, digest):
                     return Principal(operator.name, Role(operator.role))
--- a/hillthread/coordination/intake.py
+++ b/hillthread/coordination/intake.py
@@ -22,8 +22,11 @@
 
 REPEATABLE_HEADER = "x-hillthread-repeatable"
 _SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+# Tokens for each character of a prompt, before any answer of the model told.
 _FIRST_RATIO = 0.25
+# Weight of a new answer in the learned ratio.
 _RATIO_STEP = 0.05
+# Models whose ratio is remembered; callers may name any.
 _MAX_MODELS = 64
 
 
@@ -51,10 +54,8 @@
     Raises:
         RefusalError: The key is missing or unknown.
     """
-    scheme, _, key = request.headers.get("authorization", "").partition(" ")
-    tenant = None
-    if scheme.lower() == "bearer":
-        tenant = table.tenant_of_key(key.strip())
+    key = request.bearer_key()
+    tenant = None if key is None else table.tenant_of_key(key)
     if tenant is None:
         raise errors.RefusalError(
             "invalid_key",
--- a/hillthread/errors.py
+++ b/hillthread/errors.py
@@ -5,6 +5,7 @@
 import enum
 
 __all__ = [
+    "BusyError",
     "ConfigurationError",
     "ConflictError",
     "HillthreadError",
--- a/hillthread/platform/orders.py
+++ b/hillthread/platform/orders.py
@@ -14,7 +14,9 @@
 
 __all__ = ["OrderAnswer", "WeightsOrder", "read_report", "send_order"]
 
+# Engines answer in milliseconds; longer counts as no answer.
 _TIMEOUT_S = 0.8
+# A report is a few hundred bytes.
 _MAX_ANSWER_BYTES = 262_144
 
 
@@ -88,16 +90,9 @@
             order.orders_taken,
         )
     )
-    request = http1_client.ClientRequest(
-        b"POST",
-        b"/api/order",
-        [
-            (b"host", target.address.encode()),
-            (b"content-type", b"application/json"),
-            (names.EXPECT_INCARNATION, target.name.encode()),
-        ],
-        body,
-    )
+    headers = _headers(target)
+    headers.append((b"content-type", b"application/json"))
+    request = http1_client.ClientRequest(b"POST", b"/api/order", headers, body)
     try:
         answer = await _call(pool, target, request)
     except http1_client.CallError as error:
@@ -114,12 +109,7 @@
         ConfigurationError: The report is unreadable.
     """
     request = http1_client.ClientRequest(
-        b"GET",
-        b"/api/report",
-        [
-            (b"host", target.address.encode()),
-            (names.EXPECT_INCARNATION, target.name.encode()),
-        ],
+        b"GET", b"/api/report", _headers(target)
     )
     try:
         answer = await _call(pool, target, request)
@@ -138,3 +128,11 @@
     return await http1_client.call(
         pool, target.address, request, _TIMEOUT_S, _MAX_ANSWER_BYTES
     )
+
+
+def _headers(target: objects.Target) -> list[tuple[bytes, bytes]]:
+    """Returns the headers that reach one incarnation of a target only."""
+    return [
+        (b"host", target.address.encode()),
+        (names.EXPECT_INCARNATION, target.name.encode()),
+    ]
--- a/hillthread/programs/standin.py
+++ b/hillthread/programs/standin.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
+from typing import TypeVar
 
 import anyio
 
@@ -17,6 +19,9 @@
 __all__ = ["main"]
 
 
+_Settings = TypeVar("_Settings", bound=settings_lib.SettingsStruct)
+
+
 class _Runnable(Protocol):
     """A stand-in that can be run."""
 
@@ -26,48 +31,53 @@
         """Serves until `stop`."""
 
 
-async def _serve(standin: _Runnable) -> None:
-    stop = anyio.Event()
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(standin.run, stop)
-        service.announce(standin=standin.server.address)
-        await service.wait_for_signal()
-        stop.set()
-
-
 def engine(settings: str) -> None:
     """Runs an engine stand-in; see examples/standin-engine.json."""
-    loaded = settings_lib.load_settings(settings, engine_lib.EngineSettings)
-    service.configure_logging()
-    anyio.run(lambda: _serve(engine_lib.EngineStandin(loaded)))
+    _run(settings, engine_lib.EngineSettings, engine_lib.EngineStandin)
 
 
 def log(settings: str) -> None:
     """Runs a stand-in of the platform's log."""
-    loaded = settings_lib.load_settings(settings, services.StandinSettings)
-    service.configure_logging()
-    anyio.run(lambda: _serve(services.LogStandin(loaded)))
+    _run(settings, services.StandinSettings, services.LogStandin)
 
 
 def hosts(settings: str) -> None:
     """Runs a stand-in of the platform's host list."""
-    loaded = settings_lib.load_settings(settings, services.StandinSettings)
-    service.configure_logging()
-    anyio.run(lambda: _serve(services.HostListStandin(loaded)))
+    _run(settings, services.StandinSettings, services.HostListStandin)
 
 
 def plain(settings: str) -> None:
     """Runs a stand-in of a plain service."""
-    loaded = settings_lib.load_settings(settings, services.StandinSettings)
-    service.configure_logging()
-    anyio.run(lambda: _serve(services.PlainStandin(loaded)))
+    _run(settings, services.StandinSettings, services.PlainStandin)
 
 
 def proxy(settings: str) -> None:
     """Runs the fault-injecting proxy."""
-    loaded = settings_lib.load_settings(settings, fault_proxy.ProxySettings)
+    _run(settings, fault_proxy.ProxySettings, fault_proxy.FaultProxy)
+
+
+def _run(
+    path: str, kind: type[_Settings], make: Callable[[_Settings], _Runnable]
+) -> None:
+    """Runs a stand-in until it is asked to stop.
+
+    Args:
+        path: Of its settings file.
+        kind: Of its settings.
+        make: Makes the stand-in of them.
+    """
+    settings = settings_lib.load_settings(path, kind)
     service.configure_logging()
-    anyio.run(lambda: _serve(fault_proxy.FaultProxy(loaded)))
+    anyio.run(lambda: _serve(make(settings)))
+
+
+async def _serve(standin: _Runnable) -> None:
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(standin.run, stop)
+        service.announce(standin=standin.server.address)
+        await service.wait_for_signal()
+        stop.set()
 
 
 def main() -> None:
--- a/hillthread/standin/services.py
+++ b/hillthread/standin/services.py
@@ -52,6 +52,9 @@
             self.control()
             await http_server.send_json(send, 200, {})
             return
+        if self.faults.get("down"):
+            await http_server.send_json(send, 503, {"error": "down"})
+            return
         await self.answer(request, body, send)
 
     def control(self) -> None:
@@ -94,9 +97,6 @@
         self, request: http_server.Request, body: bytes, send
     ) -> None:
         """Serves `/streams/NAME/records`."""
-        if self.faults.get("down"):
-            await http_server.send_json(send, 503, {"error": "down"})
-            return
         if self.random.random() < self.faults.get("loss", 0.0):
             await http_server.send_json(send, 500, {"error": "lost"})
             return
@@ -174,9 +174,6 @@
         self, request: http_server.Request, body: bytes, send
     ) -> None:
         """Serves `/targets`."""
-        if self.faults.get("down"):
-            await http_server.send_json(send, 503, {"error": "down"})
-            return
         lag = self.faults.get("lag_s", self.settings.lag_s)
         due = time.monotonic() - lag
         listed = [each for at, each in self.versions if at <= due][-1]
--- a/hillthread/state/warmth.py
+++ b/hillthread/state/warmth.py
@@ -16,12 +16,20 @@
 
 __all__ = ["Epoch", "TargetWarmth", "WarmPrefix", "WarmthTable"]
 
+# Bound on memory; docs/CAPACITY.md has 158 bytes a level.
 _MAX_LEVELS_PER_TARGET = 4096
+# A level is surely cached up to this part of the horizon, and surely gone past
+# the second; in between its probability falls evenly.
 _SURE_SHARE = 0.8
 _GONE_SHARE = 1.2
+# Weight of one tested prediction in the horizon.
 _HORIZON_STEP = 0.15
+# A prediction held when this part of its tokens was cached; blocks cut the
+# rest.
 _HIT_SHARE = 0.9
+# Levels that no answer has confirmed count for half.
 _UNCONFIRMED_FACTOR = 0.5
+# A prefix that is being computed now may yet fail to be.
 _PENDING_PROBABILITY = 0.95
 
 
@@ -142,11 +150,7 @@
 
     def adopt(self, level: prompt.PrefixLevel, now: float) -> None:
         """Notes a level that another router has put into the cache."""
-        entry = self._entry(level, now)
-        entry.clock = self.clock
-        entry.seen_at = now
-        entry.confirmed = True
-        self._bound()
+        self.confirm((level,), now)
 
     def learn(self, predicted: WarmPrefix, cached_tokens: int) -> None:
         """Learns how long entries live, from a prediction that was tested.
--- a/hillthread/transport/http_server.py
+++ b/hillthread/transport/http_server.py
@@ -57,6 +57,11 @@
         text = self.parameter(name)
         return int(text) if text.isdigit() else default
 
+    def bearer_key(self) -> str | None:
+        """Returns the bearer key the request carries; None without one."""
+        scheme, _, key = self.headers.get("authorization", "").partition(" ")
+        return key.strip() if scheme.lower() == "bearer" else None
+
     def has_bearer(self, key: str) -> bool:
         """Returns whether the request carries a certain bearer key."""
         expected = f"Bearer {key}".encode()
--- a/tests/programs/test_orders.py
+++ b/tests/programs/test_orders.py
@@ -34,14 +34,6 @@
             found += page.json()
         return sorted(found, key=lambda order: order["began_at"])
 
-    async def all_run(self, version):
-        for process in self.site.engines.values():
-            address = process.addresses["standin"]
-            page = await self.site.client.get(f"http://{address}/health")
-            if page.headers["x-weights-version"] != version:
-                return False
-        return True
-
     async def test_roll_out_keeps_serving_and_loads_two_at_once(self):
         engine = self.site.engines["dc1-runner0"]
         await self.site.control_standin(engine, {"lose_orders": 1})
@@ -61,7 +53,7 @@
             ]
             self.assertIn(answer.text, texts, answer)
             asked += 1
-            return await self.all_run("w2")
+            return await self.site.runs_weights("w2")
 
         await site_lib.wait_until(rolled_out, 40.0)
         self.assertGreater(asked, 5)
@@ -77,16 +69,16 @@
 
     async def test_paused_holder_is_replaced_and_gives_no_old_orders(self):
         await self.want("w2")
-        await site_lib.wait_until(lambda: self.all_run("w2"), 40.0)
+        await site_lib.wait_until(lambda: self.site.runs_weights("w2"), 40.0)
         first = (await self.orders())[-1]["fencing"]
         holder = await self.holder()
         holder.control.send_signal(signal.SIGSTOP)
         other = next(h for h in self.site.hosts if h is not holder)
         await self.want("w3", self.site.hosts.index(other))
-        await site_lib.wait_until(lambda: self.all_run("w3"), 40.0)
+        await site_lib.wait_until(lambda: self.site.runs_weights("w3"), 40.0)
         holder.control.send_signal(signal.SIGCONT)
         await self.want("w4", self.site.hosts.index(other))
-        await site_lib.wait_until(lambda: self.all_run("w4"), 40.0)
+        await site_lib.wait_until(lambda: self.site.runs_weights("w4"), 40.0)
         orders = await self.orders()
         fencings = [order["fencing"] for order in orders]
         self.assertEqual(fencings, sorted(fencings))
