Say of each constant what it bounds, and where its figure comes from

About 90 constants of state, platform and the router's coordination had a figure only. Two texts used the users' words for the caller who left and for the health check.

Not touched: the constants of the gateway, the stand-ins of the platform and the soak, where others work.

--- a/hillthread/coordination/change_author.py
+++ b/hillthread/coordination/change_author.py
@@ -19,7 +19,9 @@
 
 __all__ = ["ChangeAuthor", "ChangeResult"]
 
+# How long an operator waits for an accepted change to be read back.
 _READ_BACK_S = 10.0
+# The same when the answer to the append was lost: it may not be there.
 _READ_BACK_LOST_S = 3.0
 _SELECTED_KINDS = {
     "target_selector": "target",
--- a/hillthread/coordination/claim_keeper.py
+++ b/hillthread/coordination/claim_keeper.py
@@ -21,11 +21,17 @@
 __all__ = ["ClaimKeeper"]
 
 STREAM = "claims"
+# Claims of this time share an append; it is the delay they add.
 _BATCH_S = 0.01
+# Claims in one append at most.
 _MAX_BATCH = 500
+# A key is remembered for so long; docs/DESIGN.md, "Claims".
 _WINDOW_S = 3600.0
+# A claim whose record is not read back by then is answered as not known.
 _DECIDE_S = 2.0
+# Pause after a read that failed, and between looks for claims not decided.
 _RETRY_S = 0.5
+# The log holds a read for so long when there is nothing new.
 _LONG_POLL_S = 10.0
 
 Reply = Callable[[str], None]
--- a/hillthread/coordination/claims.py
+++ b/hillthread/coordination/claims.py
@@ -9,7 +9,9 @@
 
 __all__ = ["ClaimStore", "ClaimVerdict", "LocalClaims"]
 
+# Bound on memory where a router runs without a log.
 _MAX_CLAIMS = 100_000
+# As long as the claims on the log; see claim_keeper.
 _CLAIM_S = 3_600.0
 
 
--- a/hillthread/coordination/control_client.py
+++ b/hillthread/coordination/control_client.py
@@ -27,11 +27,17 @@
 
 __all__ = ["ControlClient"]
 
+# Demand and finished records are told this often.
 _DEMAND_EVERY_S = 1.0
+# One in so many records of plainly answered requests goes to the log.
 _SAMPLE_EVERY = 100
+# Bound on handing over records at a stop.
 _FLUSH_S = 2.0
+# Records that wait for the link; the oldest are dropped and counted.
 _MAX_FINISHED = 500
+# Pause before the control process is dialled again.
 _RECONNECT_S = 0.2
+# Bound on waiting for the verdict on a claim.
 _CLAIM_S = 4.0
 
 _logger = logging.getLogger(__name__)
--- a/hillthread/coordination/control_node.py
+++ b/hillthread/coordination/control_node.py
@@ -23,7 +23,10 @@
 
 __all__ = ["ControlNode"]
 
+# Every so many heartbeats all positions are told anew, in case one was lost.
 _FULL_POSITIONS_EVERY = 20
+# A starting host gives peers this time to tell a higher position; see
+# docs/DESIGN.md, "Never reverts".
 _AWAIT_PEERS_S = 1.0
 
 
--- a/hillthread/coordination/dialer.py
+++ b/hillthread/coordination/dialer.py
@@ -23,8 +23,11 @@
 
 __all__ = ["Dialer", "gateways", "wanted_peers"]
 
+# Hosts of a data centre that have links to another one: one may be lost.
 _GATEWAYS = 2
+# How often missing links are looked for, and the first pause after a failure.
 _CHECK_S = 0.25
+# The pause doubles up to this.
 _MAX_BACKOFF_S = 5.0
 
 
--- a/hillthread/coordination/forwarder.py
+++ b/hillthread/coordination/forwarder.py
@@ -27,7 +27,9 @@
 
 __all__ = ["Forwarder"]
 
+# Before a retry a random time up to this is waited, doubled with each attempt.
 _BACKOFF_S = 0.02
+# Bound on telling an engine that an answer is not wanted any more.
 _CANCEL_S = 1.0
 
 
--- a/hillthread/coordination/gate.py
+++ b/hillthread/coordination/gate.py
@@ -16,8 +16,11 @@
 
 __all__ = ["Gate"]
 
+# `Retry-After`: a target that is ejected or starting may be back by then.
 _NO_TARGET_RETRY_S = 2.0
+# `Retry-After` when only places are missing, which come back sooner.
 _OVERLOAD_RETRY_S = 1.0
+# Those that wait look again this often, also if nothing woke them.
 _CHECK_S = 0.25
 _TRIED = decision_lib.Exclusion.ALREADY_TRIED
 _SATURATED = decision_lib.Exclusion.SATURATED
--- a/hillthread/coordination/lease_keeper.py
+++ b/hillthread/coordination/lease_keeper.py
@@ -12,8 +12,11 @@
 
 __all__ = ["LeaseKeeper"]
 
+# How often this host looks whether it is to renew or to contend.
 _CHECK_S = 0.1
+# The log holds a read for so long when there is nothing new.
 _LONG_POLL_S = 5.0
+# Pause after a read that failed.
 _RETRY_S = 1.0
 
 
--- a/hillthread/coordination/log_follower.py
+++ b/hillthread/coordination/log_follower.py
@@ -23,9 +23,13 @@
 
 __all__ = ["LogFollower", "LogState"]
 
+# How often the log is compared with what was applied.
 _VERIFY_EVERY_S = 5.0
+# The pause after failures doubles up to this.
 _MAX_PAUSE_S = 5.0
+# Each host waits this time for each rank before it appends a snapshot.
 _SNAPSHOT_STAGGER_S = 2.0
+# The log holds a read for so long when there is nothing new.
 _LONG_POLL_S = 5.0
 
 _logger = logging.getLogger(__name__)
--- a/hillthread/coordination/order_keeper.py
+++ b/hillthread/coordination/order_keeper.py
@@ -25,8 +25,12 @@
 
 __all__ = ["OrderKeeper"]
 
+# How often wanted weights are compared with those that run.
 _CHECK_S = 0.2
+# Engines of a data centre that load at once; docs/DESIGN.md, "Orders".
 _MAX_LOADS = 2
+# Orders carry this deadline, and a new holder waits it out before engines that
+# ignore fencing numbers.
 _DEADLINE_S = 3.0
 
 _logger = logging.getLogger(__name__)
--- a/hillthread/coordination/record_archive.py
+++ b/hillthread/coordination/record_archive.py
@@ -19,10 +19,15 @@
 
 __all__ = ["RecordArchive", "stream_of"]
 
+# Records of this time share an append.
 _FLUSH_S = 1.0
+# Bound on appending what waits at a stop.
 _STOP_S = 2.0
+# Records that wait for the log; the oldest are dropped and counted.
 _MAX_WAITING = 2000
+# Records in one append: about 290 KB.
 _MAX_BATCH = 100
+# Pages of a stream that one question reads at most.
 _MAX_SEARCHED = 5000
 
 
--- a/hillthread/coordination/record_finder.py
+++ b/hillthread/coordination/record_finder.py
@@ -13,6 +13,7 @@
 
 __all__ = ["RecordFinder"]
 
+# Replies that come later are left out.
 _QUERY_S = 1.0
 
 
--- a/hillthread/coordination/record_pages.py
+++ b/hillthread/coordination/record_pages.py
@@ -10,6 +10,7 @@
 
 __all__ = ["RecordFilter", "select_records"]
 
+# Records in one answer at most.
 _MAX_LISTED = 200
 
 
--- a/hillthread/coordination/stream_relay.py
+++ b/hillthread/coordination/stream_relay.py
@@ -30,8 +30,11 @@
     (b"content-type", b"text/event-stream; charset=utf-8"),
     (b"cache-control", b"no-store"),
 ]
+# How often a broken stream is asked for again on the same incarnation.
 _RESUMES = 2
+# Pause before the first of them; each further one waits as much longer.
 _RESUME_PAUSE_S = 0.05
+# Bound on reading to the end of an answer, so that its connection can be kept.
 _DRAIN_S = 0.5
 
 
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -33,7 +33,9 @@
     ]
 )
 _FRAMING = frozenset([b"content-length", b"expect"])
+# A deadline of 0 would be none.
 _LEAST_DEADLINE_MS = 1
+# Engines know 0 to 9, the most urgent first.
 _HIGHEST_PRIORITY = 9
 
 
--- a/hillthread/platform/cache_events.py
+++ b/hillthread/platform/cache_events.py
@@ -12,7 +12,9 @@
 
 __all__ = ["CachePage", "read_events"]
 
+# Far above the events of a few seconds.
 _MAX_ANSWER_BYTES = 4_194_304
+# Answers may take so much longer than the time they are held.
 _MARGIN_S = 0.8
 
 
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -25,10 +25,13 @@
     "parse_page",
 ]
 
+# A connection that does not come up by then is tried anew.
 _CONNECT_TIMEOUT_S = 0.5
 # The store answers in 4 ms; slow days are 60 times slower.
 _CALL_TIMEOUT_S = 1.0
+# Far above a page of the store, which is 1 MB.
 _MAX_ANSWER_BYTES = 16_777_216
+# Keyed topics have this one only, and the others here use no more.
 _PARTITION = 0
 _POSITIONS = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -255,7 +255,7 @@
         rest = f"; it did not go on because {why.fields['why']}" if why else ""
         return f"its stream broke off: {failed}{rest}."
     if "requester_left" in last:
-        return "the requester left before the answer was whole."
+        return "the caller left before the answer was whole."
     if "answered" in last:
         return _answer_cause(last["answered"], own)
     return "the log of the host ends before the request did."
--- a/hillthread/state/decision.py
+++ b/hillthread/state/decision.py
@@ -28,10 +28,15 @@
     "decide",
 ]
 
+# How far the second in rank is trusted to hold a prefix, against the first.
 _SECOND_RANK_SHARE = 0.5
+# Seconds for each rank: less than any real difference, so it breaks ties only.
 _RANK_COST_S = 0.002
+# Seconds for a target with twice the requests it has places for; assumed.
 _CROWDED_COST_S = 1.0
+# From this part of the shared prefix on, the reason is told as warmth.
 _SHARE_CALLED_WARM = 0.5
+# Shorter prefixes cost too little to be placed by rank.
 _MIN_SHARED_TOKENS = 64
 
 
--- a/hillthread/state/departures.py
+++ b/hillthread/state/departures.py
@@ -11,6 +11,7 @@
 
 __all__ = ["Departures"]
 
+# Incarnations seen leaving that are remembered, the newest.
 _MAX_GONE = 8192
 
 
--- a/hillthread/state/feed_source.py
+++ b/hillthread/state/feed_source.py
@@ -17,6 +17,7 @@
 # Below this number each host reads the store: a reader for many reads more
 # often than one for itself.
 _LEAST_HOSTS = 4
+# A host that did not help is not asked for so long.
 _AVOID_S = 2.0
 # Only so many are tried before the store is read.
 _SOURCES = 2
--- a/hillthread/state/health.py
+++ b/hillthread/state/health.py
@@ -6,6 +6,7 @@
 
 __all__ = ["Breaker", "BreakerState"]
 
+# Ejections last at most this many times the first one.
 _MAX_EJECT_FACTOR = 8
 
 
--- a/hillthread/state/lease.py
+++ b/hillthread/state/lease.py
@@ -26,8 +26,12 @@
     "decode_lease",
 ]
 
+# A holder acts for this part of the time to live; the rest covers clocks that
+# run at different rates.
 _ACT_SHARE = 0.75
+# Own appends whose time of sending is remembered until they are read back.
 _MAX_UNREAD = 64
+# The holder of a lease that nobody holds.
 NOBODY = ""
 
 
--- a/hillthread/state/limits.py
+++ b/hillthread/state/limits.py
@@ -6,6 +6,7 @@
 
 __all__ = ["TenantUsage", "TokenBucket"]
 
+# A bucket holds what is earned in this time, and one request at least.
 _BURST_S = 0.5
 
 
--- a/hillthread/state/load.py
+++ b/hillthread/state/load.py
@@ -7,10 +7,16 @@
 
 __all__ = ["LoadReport", "OwnWork", "TargetLoad"]
 
+# Weight of a new measurement in the learned prefill rate.
 _RATE_STEP = 0.1
+# Weight of a new request in the mean prefill of a request.
 _MEAN_STEP = 0.05
+# At most this part of the first waiting prefill counts as done before its first
+# token shows it.
 _HEAD_SHARE = 0.7
+# The learned rate stays within this factor of the configured one.
 _RATE_RANGE = 4.0
+# Shorter prefills take too little time to measure a rate by.
 _MIN_WORK_TOKENS = 256
 
 
--- a/hillthread/state/objects.py
+++ b/hillthread/state/objects.py
@@ -110,7 +110,7 @@
         cache_token_bytes: Bytes of KV cache for each token; 0 when not told.
         max_connections: Connections one target takes from all hosts
             together; 0 when not told.
-        status_path: Path of the targets' status check.
+        status_path: Path of the targets' health check.
     """
 
     target_selector: str
--- a/hillthread/state/prompt.py
+++ b/hillthread/state/prompt.py
@@ -14,9 +14,13 @@
 
 __all__ = ["MAX_LEVELS", "PrefixLevel", "prefix_levels", "split_text"]
 
+# Levels kept of a prompt; records and shares grow with them.
 MAX_LEVELS = 12
+# Of them, those kept from the start of a long prompt.
 _FIRST_LEVELS = 4
+# At 20,000 levels two digests of 64 bits are alike in 1 of 10^11 sites.
 _DIGEST_BYTES = 8
+# Distance of the cuts in a prompt without messages: about 1,000 tokens.
 _TEXT_CUT_CHARACTERS = 4096
 
 
--- a/hillthread/state/records.py
+++ b/hillthread/state/records.py
@@ -20,6 +20,7 @@
     "trim_decision",
 ]
 
+# Scores kept of a decision; see `trim_decision`.
 _MAX_SCORES = 8
 
 
--- a/hillthread/state/retry_budget.py
+++ b/hillthread/state/retry_budget.py
@@ -6,7 +6,9 @@
 
 __all__ = ["RetryBudget"]
 
+# Window over which requests earn retries.
 _WINDOW_S = 10.0
+# Retries in a window beyond what requests earn, unless the caller sets another.
 _EXTRA = 3.0
 
 
--- a/hillthread/state/shares.py
+++ b/hillthread/state/shares.py
@@ -11,9 +11,13 @@
 
 __all__ = ["DemandShares"]
 
+# Weight of the last interval in the demand that is told.
 _SMOOTHING = 0.5
+# What others told counts for so long: four of the intervals of 1 s.
 _FORGET_S = 4.0
+# Least share, as a part of an equal one, so that new callers get a start.
 _FLOOR = 0.1
+# Requests a second below which a tenant is told no more.
 _IDLE_RATE = 0.01
 
 
--- a/hillthread/state/target_state.py
+++ b/hillthread/state/target_state.py
@@ -11,13 +11,18 @@
 
 # Outcomes remembered to tell a target that fails some of its requests.
 _RECENT = 10
+# So many failures among the recent outcomes eject a target.
 _EJECT_FAILURES = 4
+# So many in a row do as well.
 _EJECT_AFTER = 2
+# First time out; it doubles with each further one.
 _EJECT_S = 1.0
+# Weight of a new answer in the mean time to the first byte.
 _LATENCY_STEP = 0.2
 # Over this time for each host the mean of unfinished prefill is taken. It
 # stands for what the others have: the more they are, the more its noise counts.
 _MEAN_S = 0.125
+# The mean is taken over this time at least, also with few hosts.
 _LEAST_MEAN_S = 1.0
 
 
