Give sites of the bench ports that the system gives to nobody else

LogHistoryTest failed once in a run of test_control: a control process could not listen, "Address already in use". Its port had been chosen by the system for a socket that was closed again; until the process listens, and whenever it restarts, the system may give that port to any connection or listener of any process. Ruled out: a former process of the same test (a fresh group, and the first start). Six users share this machine now, so it shows.

Ports are now drawn from those outside the system's own range and tried.

--- a/hillthread/bench/site.py
+++ b/hillthread/bench/site.py
@@ -6,6 +6,9 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import hashlib
+import itertools
+import pathlib
+import random
 import socket
 import time
 from typing import Any
@@ -19,20 +22,39 @@
 __all__ = ["OPERATOR_KEY", "Host", "Site", "free_addresses", "wait_until"]
 
 OPERATOR_KEY = "operator-key-for-tests"
+# Ports to listen on: above those of well-known services.
+_LISTEN_PORTS = frozenset(range(10_000, 65_536))
+_SYSTEM_PORTS = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
 _WAIT_S = 20.0
 _CHECK_S = 0.02
 
 
 def free_addresses(count: int) -> list[str]:
-    """Returns loopback addresses with ports that the system chose."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Returns loopback addresses on which nobody listens.
+
+    Their ports are none that the system gives to connections and to listeners
+    that ask for any port: one of these could take them before the process
+    listens that they are meant for, or while it restarts.
+    """
+    ports = list(_LISTEN_PORTS - _system_ports())
+    random.shuffle(ports)
+    free = itertools.islice(filter(_is_free, ports), count)
+    return [f"127.0.0.1:{port}" for port in free]
+
+
+def _system_ports() -> frozenset[int]:
+    """Returns the ports that the system gives to who asks for any."""
+    first, last = map(int, _SYSTEM_PORTS.read_text().split())
+    return frozenset(range(first, last + 1))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as trial:
+        try:
+            trial.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 async def wait_until(
