Start what may start together, in the bench's sites and in two tests

- A site starts its log with its engines, and all routers at once.

No assertion is changed. Looked at and left, for what they wait for is what they test: lease times and the 3 s for engines that ignore fencing (paused holder), pauses of 3 s over `suspect_s` and claims (fault sample), comparing the log each 5 s (older log).

--- a/hillthread/bench/control_times.py
+++ b/hillthread/bench/control_times.py
@@ -121,7 +121,7 @@
     started = time.monotonic()
     for host in hosts:
         site.start_control_later(host)
-        host.router = site.group.start_later("router", host.router_settings)
+        site.start_router_later(host)
     for host in hosts:
         assert host.router is not None and host.control is not None
         host.control.wait_listening()
--- a/hillthread/bench/site.py
+++ b/hillthread/bench/site.py
@@ -154,7 +154,7 @@
             Host(name, centre, link)
             for (name, centre), link in zip(names, links, strict=True)
         ]
-        self.log = group.start("standin", {}, "log")
+        self.log = group.start_later("standin", {}, "log")
         self.client = httpx.AsyncClient(trust_env=False, timeout=15.0)
 
     async def start(self, routers: bool = True) -> None:
@@ -163,7 +163,7 @@
             for number in range(self.engines_each):
                 process = self.group.start_later("standin", {}, "engine")
                 self.engines[f"{centre}-runner{number}"] = process
-        for process in self.engines.values():
+        for process in (self.log, *self.engines.values()):
             process.wait_listening()
         for host in self.hosts:
             self.prepare(host)
@@ -219,9 +219,13 @@
         for host in hosts:
             assert host.control is not None
             host.control.wait_listening()
-        if routers:
-            for host in hosts:
-                self.start_router(host)
+        if not routers:
+            return
+        for host in hosts:
+            self.start_router_later(host)
+        for host in hosts:
+            assert host.router is not None
+            host.router.wait_listening()
 
     def start_control_later(self, host: Host) -> None:
         """Starts a host's control process without waiting for it."""
@@ -231,9 +235,15 @@
         """Starts a host's control process."""
         self.start_hosts([host], routers=False)
 
+    def start_router_later(self, host: Host) -> None:
+        """Starts a host's router without waiting for it."""
+        host.router = self.group.start_later("router", host.router_settings)
+
     def start_router(self, host: Host) -> None:
         """Starts a host's router."""
-        host.router = self.group.start("router", host.router_settings)
+        self.start_router_later(host)
+        assert host.router is not None
+        host.router.wait_listening()
 
     def objects(self, organisations: list[str]) -> list[dict[str, Any]]:
         """Returns the objects of the deployment."""
--- a/tests/bench/test_faults.py
+++ b/tests/bench/test_faults.py
@@ -1,8 +1,12 @@
 """A seeded part of the fault matrix, and broken routers it must find out."""
 
+from concurrent import futures
+import contextlib
+import io
+import multiprocessing
+import os
 import pathlib
 import unittest
-from unittest import mock
 
 from hillthread.bench import caller
 from hillthread.bench.faults import checker
@@ -13,6 +17,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 SEED = 20261202
+WORKERS = 5
 CELLS = {
     "retry_ignores_the_mark": "lose_answer/whole_once/once",
     "terminal_marker_not_checked": "truncate_clean/stream/once",
@@ -26,6 +31,17 @@
     return next(each for each in matrix.data_cells() if each.name == name)
 
 
+def violations(mutant):
+    """Returns what the checker finds of a mutant; runs in its own process."""
+    os.environ[mutant_router.VARIABLE] = mutant
+    os.environ["PYTHONPATH"] = str(ROOT)
+    with contextlib.redirect_stdout(io.StringIO()):
+        (result,) = runner.run_data_cells(
+            [cell(CELLS[mutant])], "tests.bench.mutant_router"
+        )
+    return result.violations
+
+
 class FaultMatrixTest(unittest.TestCase):
     def test_sample_holds(self):
         report = runner.run_matrix(SEED, sample=10)
@@ -43,22 +59,13 @@
 class MutantTest(unittest.TestCase):
     def test_checker_finds_out_broken_routers(self):
         self.assertEqual(set(CELLS), set(mutant_router.MUTANTS))
-        for mutant, name in CELLS.items():
-            environment = {
-                mutant_router.VARIABLE: mutant,
-                "PYTHONPATH": str(ROOT),
-            }
-            with (
-                self.subTest(mutant),
-                mock.patch.dict("os.environ", environment),
-            ):
-                results = runner.run_data_cells(
-                    [cell(name)], "tests.bench.mutant_router"
-                )
-                self.assertTrue(results[0].violations)
-                self.assertNotIn(
-                    "the fault did not happen", results[0].violations
-                )
+        context = multiprocessing.get_context("spawn")
+        with futures.ProcessPoolExecutor(WORKERS, context) as pool:
+            found = dict(zip(CELLS, pool.map(violations, CELLS), strict=True))
+        for mutant in CELLS:
+            with self.subTest(mutant):
+                self.assertTrue(found[mutant])
+                self.assertNotIn("the fault did not happen", found[mutant])
 
     def test_sound_router_passes_the_same_cells(self):
         cells = [cell(name) for name in CELLS.values()]
--- a/tests/programs/test_ctl.py
+++ b/tests/programs/test_ctl.py
@@ -1,11 +1,15 @@
 """Tests of the command lines as operators use them."""
 
+from concurrent import futures
 import json
 import os
 import subprocess
 import sys
 import unittest
 
+import anyio
+import httpx
+
 from hillthread.bench import caller as caller_lib
 from hillthread.bench import deployment
 from hillthread.bench import processes
@@ -27,12 +31,22 @@
 
 
 class CtlTest(unittest.IsolatedAsyncioTestCase):
+    """One host and one engine; only one test changes objects."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.group = cls.enterClassContext(processes.ProcessGroup())
+        cls.site = site_lib.Site(cls.group, 1, 1, 1)
+        anyio.run(cls._start)
+
+    @classmethod
+    async def _start(cls):
+        await cls.site.start()
+        await cls.site.close()
+
     async def asyncSetUp(self):
-        group = self.enterContext(processes.ProcessGroup())
-        self.group = group
-        self.site = site_lib.Site(group, 1, 1, 1)
+        self.site.client = httpx.AsyncClient(trust_env=False, timeout=15.0)
         self.addAsyncCleanup(self.site.close)
-        await self.site.start()
 
     def ctl(self, *words, **options):
         admin = self.site.hosts[0].admin
@@ -88,9 +102,10 @@
 
 class CommandLineTest(unittest.TestCase):
     def test_help(self):
-        for program in PROGRAMS:
+        with futures.ThreadPoolExecutor() as pool:
+            pages = list(pool.map(lambda name: run(name, "--help"), PROGRAMS))
+        for program, shown in zip(PROGRAMS, pages, strict=True):
             with self.subTest(program):
-                shown = run(program, "--help")
                 self.assertEqual(shown.returncode, 0)
                 self.assertIn("SYNOPSIS", shown.stdout + shown.stderr)
 
