--- a/hillthread/bench/site.py
+++ b/hillthread/bench/site.py
@@ -4,7 +4,11 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import hashlib
+import itertools
+import pathlib
+import random
 import socket
 import time
 from typing import Any
@@ -18,20 +22,39 @@
 __all__ = ["OPERATOR_KEY", "Host", "Site", "free_addresses", "wait_until"]
 
 OPERATOR_KEY = "operator-key-for-tests"
+# Ports to listen on: above those of well-known services.
+_LISTEN_PORTS = frozenset(range(10_000, 65_536))
+_SYSTEM_PORTS = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
 _WAIT_S = 20.0
 _CHECK_S = 0.02
 
 
 def free_addresses(count: int) -> list[str]:
-    """Returns loopback addresses with ports that the system chose."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Returns loopback addresses on which nobody listens.
+
+    Their ports are none that the system gives to connections and to listeners
+    that ask for any port: one of these could take them before the process
+    listens that they are meant for, or while it restarts.
+    """
+    ports = list(_LISTEN_PORTS - _system_ports())
+    random.shuffle(ports)
+    free = itertools.islice(filter(_is_free, ports), count)
+    return [f"127.0.0.1:{port}" for port in free]
+
+
+def _system_ports() -> frozenset[int]:
+    """Returns the ports that the system gives to who asks for any."""
+    first, last = map(int, _SYSTEM_PORTS.read_text().split())
+    return frozenset(range(first, last + 1))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as trial:
+        try:
+            trial.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 async def wait_until(
@@ -89,6 +112,12 @@
         assert self.router is not None
         return self.router.addresses["status"]
 
+    def kill(self) -> None:
+        """Ends both of its processes at once, as a crash would."""
+        assert self.router is not None and self.control is not None
+        self.router.kill()
+        self.control.kill()
+
 
 class Site:
     """All processes of a small deployment.
@@ -125,7 +154,7 @@
             Host(name, centre, link)
             for (name, centre), link in zip(names, links, strict=True)
         ]
-        self.log = group.start("standin", {}, "log")
+        self.log = group.start_later("standin", {}, "log")
         self.client = httpx.AsyncClient(trust_env=False, timeout=15.0)
 
     async def start(self, routers: bool = True) -> None:
@@ -134,17 +163,11 @@
             for number in range(self.engines_each):
                 process = self.group.start_later("standin", {}, "engine")
                 self.engines[f"{centre}-runner{number}"] = process
-        for process in self.engines.values():
+        for process in (self.log, *self.engines.values()):
             process.wait_listening()
         for host in self.hosts:
             self.prepare(host)
-            self.start_control_later(host)
-        for host in self.hosts:
-            assert host.control is not None
-            host.control.wait_listening()
-        if routers:
-            for host in self.hosts:
-                self.start_router(host)
+        self.start_hosts(self.hosts, routers)
 
     def prepare(self, host: Host) -> None:
         """Writes a host's settings."""
@@ -184,19 +207,43 @@
             **self.router_fields,
         }
 
+    def start_hosts(self, hosts: list[Host], routers: bool = True) -> None:
+        """Starts hosts together: all control processes, then the routers.
+
+        Args:
+            hosts: Whose settings are written.
+            routers: Whether their routers are started too.
+        """
+        for host in hosts:
+            self.start_control_later(host)
+        for host in hosts:
+            assert host.control is not None
+            host.control.wait_listening()
+        if not routers:
+            return
+        for host in hosts:
+            self.start_router_later(host)
+        for host in hosts:
+            assert host.router is not None
+            host.router.wait_listening()
+
     def start_control_later(self, host: Host) -> None:
         """Starts a host's control process without waiting for it."""
         host.control = self.group.start_later("control", host.control_settings)
 
     def start_control(self, host: Host) -> None:
         """Starts a host's control process."""
-        self.start_control_later(host)
-        assert host.control is not None
-        host.control.wait_listening()
+        self.start_hosts([host], routers=False)
+
+    def start_router_later(self, host: Host) -> None:
+        """Starts a host's router without waiting for it."""
+        host.router = self.group.start_later("router", host.router_settings)
 
     def start_router(self, host: Host) -> None:
         """Starts a host's router."""
-        host.router = self.group.start("router", host.router_settings)
+        self.start_router_later(host)
+        assert host.router is not None
+        host.router.wait_listening()
 
     def objects(self, organisations: list[str]) -> list[dict[str, Any]]:
         """Returns the objects of the deployment."""
@@ -253,6 +300,22 @@
         )
         return response.json()
 
+    async def runs_weights(
+        self, version: str, names: Iterable[str] | None = None
+    ) -> bool:
+        """Returns whether engines run a weights version.
+
+        Args:
+            version: Of the weights.
+            names: Of the engines; all when left out.
+        """
+        for name in self.engines if names is None else names:
+            address = self.engines[name].addresses["standin"]
+            page = await self.client.get(f"http://{address}/health")
+            if page.headers["x-weights-version"] != version:
+                return False
+        return True
+
     async def position(self, host: Host) -> int:
         """Returns the position in force on a host's router; -2 if not ready.
 
--- a/hillthread/coordination/control_client.py
+++ b/hillthread/coordination/control_client.py
@@ -13,9 +13,9 @@
 from hillthread import errors
 from hillthread.coordination import claims
 from hillthread.coordination import configuration_keeper
-from hillthread.coordination import fleet as fleet_lib
 from hillthread.coordination import record_pages
 from hillthread.coordination import router as router_lib
+from hillthread.coordination import share_outbox
 from hillthread.protocol import documents
 from hillthread.protocol import messages
 from hillthread.state import load
@@ -27,11 +27,17 @@
 
 __all__ = ["ControlClient"]
 
+# Demand and finished records are told this often.
 _DEMAND_EVERY_S = 1.0
+# One in so many records of plainly answered requests goes to the log.
 _SAMPLE_EVERY = 100
+# Bound on handing over records at a stop.
 _FLUSH_S = 2.0
+# Records that wait for the link; the oldest are dropped and counted.
 _MAX_FINISHED = 500
+# Pause before the control process is dialled again.
 _RECONNECT_S = 0.2
+# Bound on waiting for the verdict on a claim.
 _CLAIM_S = 4.0
 
 _logger = logging.getLogger(__name__)
@@ -165,10 +171,10 @@
         fleet = self.router.fleet
         while True:
             ready = anyio.Event()
-            fleet.share_ready = ready.set
-            if not fleet.outbox:
+            fleet.outbox.ready = ready.set
+            if not fleet.outbox.shares:
                 await ready.wait()
-            shares = fleet.take_outbox()
+            shares = fleet.outbox.take()
             placements = [_as_placement(share) for share in shares]
             try:
                 await link.send(messages.Shares(placements))
@@ -286,7 +292,7 @@
     return hashlib.blake2b(text, digest_size=16).digest()
 
 
-def _as_placement(share: fleet_lib.Share) -> messages.SharedPlacement:
+def _as_placement(share: share_outbox.Share) -> messages.SharedPlacement:
     return messages.SharedPlacement(
         share.target,
         share.incarnation,
@@ -297,9 +303,9 @@
     )
 
 
-def _as_share(placement: messages.SharedPlacement) -> fleet_lib.Share:
+def _as_share(placement: messages.SharedPlacement) -> share_outbox.Share:
     pairs = zip(placement.digests, placement.tokens, strict=False)
-    return fleet_lib.Share(
+    return share_outbox.Share(
         placement.target,
         placement.incarnation,
         placement.weights_version,
--- a/hillthread/coordination/order_keeper.py
+++ b/hillthread/coordination/order_keeper.py
@@ -28,8 +28,12 @@
 
 __all__ = ["OrderKeeper"]
 
+# How often wanted weights are compared with those that run.
 _CHECK_S = 0.2
+# Engines of a data centre that load at once; docs/DESIGN.md, "Orders".
 _MAX_LOADS = 2
+# Orders carry this deadline, and a new holder waits it out before engines that
+# ignore fencing numbers.
 _DEADLINE_S = 3.0
 # An engine of the own data centre takes a connection within milliseconds.
 _CONNECT_S = 1.0
@@ -123,7 +127,7 @@
         return time.monotonic() - acquired_at >= _DEADLINE_S
 
     def _reconcile(self, group: anyio.abc.TaskGroup) -> None:
-        engines = self.node.engines()
+        engines = self.node.engines.all()
         wanting = self._wanting(engines)
         self._forget_retries(wanting)
         for target in self._in_order(wanting):
@@ -140,8 +144,8 @@
             if target.weights_version
             and self._may_order(target)
             and target.name not in self.loading
-            and target.name in self.node.epochs
-            and self.node.epochs[target.name].weights_version
+            and target.name in self.node.engines.epochs
+            and self.node.engines.epochs[target.name].weights_version
             != target.weights_version
         ]
 
@@ -161,7 +165,7 @@
             due,
             key=lambda target: (
                 self._retry_of(target).failures,
-                -self.node.seen_at.get(target.name, float("-inf")),
+                -self.node.engines.seen_at.get(target.name, float("-inf")),
             ),
         )
 
@@ -226,7 +230,7 @@
         if response.status_code != 200:
             return "refused"
         epoch = engine.epoch_of(response.headers)
-        self.node.epochs[target.name] = epoch
+        self.node.engines.epochs[target.name] = epoch
         if epoch.weights_version != order.weights_version:
             return "unheeded"
         return "done"
--- a/tests/coordination/test_order_keeper.py
+++ b/tests/coordination/test_order_keeper.py
@@ -34,10 +34,11 @@
 
     def __init__(self, targets):
         self.targets = targets
+        self.engines = self
         self.epochs = {each.name: warmth.Epoch("i1", HELD) for each in targets}
         self.seen_at = {each.name: 0.0 for each in targets}
 
-    def engines(self):
+    def all(self):
         return self.targets
 
 
--- a/tests/coordination/test_target_watch.py
+++ b/tests/coordination/test_target_watch.py
@@ -28,8 +28,9 @@
         self.targets = targets
         self.told = {}
         self.states = []
+        self.engines = self
 
-    def watched_engines(self):
+    def watched(self):
         return self.targets
 
     def tell_loads(self, message):
