Have the stand-in of links silence open connections for good

WireProxy.silence() swallows what comes over the connections open now; the kernel still acknowledges on loopback, so tests on it show what the product finds out by its own timeouts.

--- a/hillthread/standin/wire_proxy.py
+++ b/hillthread/standin/wire_proxy.py
@@ -1,7 +1,9 @@
 """A proxy that passes bytes on, and treats connections as a bad link does.
 
 It looks at no message: links delay, stop in one direction or both, and reset.
-What a link holds up is delivered when it heals, as retransmission would.
+What a link holds up is delivered when it heals, as retransmission would. Open
+connections may also fall silent for good while new ones work, as behind a box
+that forgot them; the kernel still sees acknowledgements, unlike on a real link.
 """
 
 from __future__ import annotations
@@ -50,6 +52,7 @@
         self.upstream = upstream
         self.delay_s = 0.0
         self.connections: set[anyio.abc.SocketStream] = set()
+        self._silent: set[anyio.abc.SocketStream] = set()
         self._open = {direction: anyio.Event() for direction in Direction}
         self.heal()
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -71,6 +74,10 @@
         for event in self._open.values():
             event.set()
 
+    def silence(self) -> None:
+        """Swallows for good what is sent over connections open now."""
+        self._silent |= self.connections
+
     async def reset(self) -> None:
         """Resets all open connections."""
         for stream in list(self.connections):
@@ -104,6 +111,7 @@
             pass  # one side is gone; the other was closed with it
         finally:
             self.connections -= ends
+            self._silent -= ends
 
     async def _pump(
         self,
@@ -115,10 +123,15 @@
             try:
                 data = await source.receive(_READ_BYTES)
             except anyio.EndOfStream:
-                await self._open[direction].wait()
-                await sink.send_eof()
-                return
+                data = b""
             await self._open[direction].wait()
             if self.delay_s:
                 await anyio.sleep(self.delay_s)
+            if source in self._silent:
+                if not data:
+                    return
+                continue
+            if not data:
+                await sink.send_eof()
+                return
             await sink.send(data)
