Find connections to the store that fell silent, all of them at once

Cause: a read held on a connection that went silent for good was found by the host's own timeout (wait plus 1 s) or by two unanswered probes of the kernel (3 s). The store was then declared lost, a pause followed, and only the answer after it had the other held reads (targets 20 s, hosts 30 s) sent anew.

Mend: a read that was sent and not answered says something of its connection first: it is sent again at once over a new one, idle connections that have rested since are closed (in http1_client.call, so for reports, orders, cache events and reads between hosts too), and if the new one works, the reads that were held before are sent anew. Only a second failure means that the store is lost. One unanswered probe ends connections to the store and between hosts (a read lost by mistake costs a call), and a held read is waited for 0.6 s beyond its hold instead of 1 s. An interrupted read no longer counts as an answer.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -43,6 +43,9 @@
 _IDLE_CHECK_S = 0.05
 # Connections come up within 10 ms; a lost packet is sent again after a second.
 _CONNECT_TIMEOUT_S = 0.2
+# Unanswered probes that end a connection to another host: a read that is lost
+# by mistake is soon sent again.
+_READ_PROBES = 1
 # How long the store holds a read at most.
 _OPERATOR_WAIT_S = 2.5
 _TARGETS_WAIT_S = 20.0
@@ -88,9 +91,11 @@
         )
         self.readers = store_follower.Readers(
             self.store,
-            store_follower.StoreWatch(self.site.store_lost, self._store_back),
+            store_follower.StoreWatch(
+                self.site.store_lost, self._store_back, self._suspect_reads
+            ),
             self.source,
-            http1_client.ConnectionPool(_CONNECT_TIMEOUT_S),
+            http1_client.ConnectionPool(_CONNECT_TIMEOUT_S, _READ_PROBES),
             self.metrics,
         )
         self.followers = self._followers()
@@ -253,6 +258,11 @@
             if follower.plan.topic != configuration.OPERATOR_TOPIC:
                 follower.interrupt()
 
+    def _suspect_reads(self, since: float) -> None:
+        """Has reads sent anew that are held since before one was lost."""
+        for follower in self.followers.values():
+            follower.interrupt(since)
+
     def _close_idle(self, address: str) -> None:
         self.tasks.start_soon(self.pool.drop, address)
 
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -52,6 +52,8 @@
     Attributes:
         lost: Called with a reason when it stops answering.
         back: Called with the time now and the seconds it was lost.
+        suspect: Called with the time since which connections are suspect:
+            one was lost or silent, and a new one works.
         answers: Set while the store answers; replaced when it stops.
     """
 
@@ -59,9 +61,11 @@
         self,
         lost: Callable[[str], None],
         back: Callable[[float, float], None],
+        suspect: Callable[[float], None],
     ):
         self.lost = lost
         self.back = back
+        self.suspect = suspect
         self.lost_at: float | None = None
         self.answers = anyio.Event()
 
@@ -148,10 +152,12 @@
         self.changed = anyio.Event()
         self._brought = False
         self._held: anyio.CancelScope | None = None
+        self._held_since = 0.0
+        self._lost_at: float | None = None
 
-    def interrupt(self) -> None:
-        """Has a read that is held sent anew."""
-        if self._held is not None:
+    def interrupt(self, before: float = float("inf")) -> None:
+        """Has a read that is held, and was sent before then, sent anew."""
+        if self._held is not None and self._held_since < before:
             self._held.cancel()
 
     async def run(self) -> None:
@@ -250,22 +256,61 @@
         try:
             if self.copy.position is None:
                 await self._read_newest(started)
-            else:
-                # After a failure an answer at once is wanted.
-                await self._read_changes(0.0 if failures else self._wait_s())
+            # After a failure an answer at once is wanted.
+            elif not await self._read_changes(
+                0.0 if failures else self._wait_s()
+            ):
+                return 0  # interrupted: it says nothing of the store
         except store.TruncatedError:
             self.copy.position = None
             self._count("truncated", started)
             return 0
+        except store.LostReadError as error:
+            if not failures and self.readers.watch.lost_at is None:
+                self._note_lost_read(error)
+                self._count("lost", started)
+                return 1
+            return await self._note_failure(failures, error, started)
         except errors.LogError as error:
-            self.readers.watch.note_failure(error.message)
-            self._count("failed", started)
-            await self._pause(failures + 1)
-            return failures + 1
+            return await self._note_failure(failures, error, started)
         self.readers.watch.note_success()
         self._count("answered", started)
+        self._note_answer()
         return 0
 
+    def _note_lost_read(self, error: errors.LogError) -> None:
+        """Notes a read that was not answered; the next one tells more.
+
+        It goes over a new connection at once: an open one may have died, or
+        have fallen silent for good, while the store is well.
+        """
+        self._lost_at = time.monotonic()
+        _logger.info(
+            "read lost",
+            extra={
+                "event": "read_lost",
+                "topic": self.plan.topic,
+                "reason": error.message,
+            },
+        )
+
+    def _note_answer(self) -> None:
+        """Makes other reads suspect if this one follows one that was lost."""
+        if self._lost_at is None:
+            return
+        lost_at, self._lost_at = self._lost_at, None
+        self.readers.watch.suspect(lost_at)
+
+    async def _note_failure(
+        self, failures: int, error: errors.LogError, started: float
+    ) -> int:
+        """Notes that the store fails and waits; returns failures so far."""
+        self._lost_at = None
+        self.readers.watch.note_failure(error.message)
+        self._count("failed", started)
+        await self._pause(failures + 1)
+        return failures + 1
+
     async def _pause(self, failures: int) -> None:
         """Returns when a store that failed may be asked again.
 
@@ -293,21 +338,24 @@
         self.freshness.prove(started)
         self.plan.caught_up()
 
-    async def _read_changes(self, wait_s: float) -> None:
+    async def _read_changes(self, wait_s: float) -> bool:
+        """Reads what came since; returns false if that was interrupted."""
         started = time.monotonic()
         page = None
+        self._held_since = started
         with anyio.CancelScope() as self._held:
             page = await self.readers.client.read(
                 self.plan.topic, self.copy.position or 0, wait_s
             )
         self._held = None
         if page is None:
-            return
+            return False
         for record in page.records:
             self._take_raw(record)
         took_s = time.monotonic() - started
         held_s = 0.0 if page.records else min(wait_s, took_s)
         self.freshness.prove(started, held_s)
+        return True
 
     def _take_raw(self, raw: store.LogRecord) -> None:
         try:
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -19,6 +19,7 @@
     "KeyedPage",
     "LogPage",
     "LogRecord",
+    "LostReadError",
     "StoreClient",
     "TruncatedError",
     "parse_keyed",
@@ -28,6 +29,12 @@
 _CONNECT_TIMEOUT_S = 0.5
 # The store answers in 4 ms; slow days are 60 times slower.
 _CALL_TIMEOUT_S = 1.0
+# The same after a read was held: what the host believes ages meanwhile, and
+# asking again costs one call.
+_HELD_TIMEOUT_S = 0.6
+# A read that is lost by mistake costs one call more; one that is held on a
+# silent connection hides changes.
+_PROBES = 1
 _MAX_ANSWER_BYTES = 16_777_216
 _PARTITION = 0
 _POSITIONS = struct.Struct(">QQ")
@@ -101,6 +108,15 @@
         self.end = end
 
 
+class LostReadError(errors.LogError):
+    """A read was sent and not answered.
+
+    The connection may have died or fallen silent while the store is well.
+    """
+
+    code = "log_read_lost"
+
+
 class _Item(msgspec.Struct):
     key: str
     value: str = ""
@@ -133,7 +149,7 @@
 
     def __init__(self, address: str):
         self.address = address
-        self.pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S)
+        self.pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S, _PROBES)
         self.calls = 0
 
     async def close(self) -> None:
@@ -178,6 +194,7 @@
 
         Raises:
             TruncatedError: Records from `start` on are no longer kept.
+            LostReadError: The read was sent and not answered.
             LogError: The store cannot be read.
         """
         query = {
@@ -255,7 +272,7 @@
                 self.pool,
                 self.address,
                 request,
-                wait_s + _CALL_TIMEOUT_S,
+                wait_s + _HELD_TIMEOUT_S if wait_s else _CALL_TIMEOUT_S,
                 _MAX_ANSWER_BYTES,
             )
         except http1_client.CallError as error:
@@ -264,7 +281,8 @@
                     f"The store's answer was lost: {error.reason}.",
                     "Read the topic to find out whether it was done.",
                 ) from error
-            raise errors.LogError(
+            kind = LostReadError if error.sent else errors.LogError
+            raise kind(
                 f"The store cannot be reached: {error.reason}.",
                 "Check the platform; what is known stays in force.",
             ) from error
--- a/hillthread/transport/http1.py
+++ b/hillthread/transport/http1.py
@@ -16,7 +16,15 @@
 import anyio.abc
 import h11
 
-__all__ = ["ConnectionLostError", "Headers", "Http1Connection", "tune_socket"]
+__all__ = [
+    "CALLER_SILENCE_MS",
+    "ConnectionLostError",
+    "Headers",
+    "Http1Connection",
+    "PROBES",
+    "TARGET_SILENCE_MS",
+    "tune_socket",
+]
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -28,7 +36,8 @@
 CALLER_SILENCE_MS = 5_000
 _PROBE_IDLE_S = 1
 _PROBE_EVERY_S = 1
-_PROBES = 2
+# A single probe may be lost on a bad link, seldom two in a row.
+PROBES = 2
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _STREAM_ERRORS = (
     anyio.BrokenResourceError,
@@ -41,12 +50,15 @@
     """The connection was reset or timed out."""
 
 
-def tune_socket(stream: anyio.abc.SocketStream, silence_ms: int) -> None:
+def tune_socket(
+    stream: anyio.abc.SocketStream, silence_ms: int, probes: int = PROBES
+) -> None:
     """Has the kernel find out that a peer is dead.
 
     Args:
         stream: The connection.
         silence_ms: How long sent bytes may stay unacknowledged.
+        probes: Probes in a row that must go unanswered on a quiet connection.
     """
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     tcp = socket.IPPROTO_TCP
@@ -55,7 +67,7 @@
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     raw.setsockopt(tcp, socket.TCP_KEEPIDLE, _PROBE_IDLE_S)
     raw.setsockopt(tcp, socket.TCP_KEEPINTVL, _PROBE_EVERY_S)
-    raw.setsockopt(tcp, socket.TCP_KEEPCNT, _PROBES)
+    raw.setsockopt(tcp, socket.TCP_KEEPCNT, probes)
 
 
 class Http1Connection:
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -237,6 +237,7 @@
 
     Attributes:
         connect_timeout_s: For a new connection to come up.
+        probes: How many unanswered probes of the kernel end a connection.
         opened: Connections opened so far, by why no kept one was used.
         idle: Connections not in use, by address, the last used last.
         keep_told: How long peers said they keep connections, counted.
@@ -244,8 +245,9 @@
             only if it rested less; falls when kept connections turn out dead.
     """
 
-    def __init__(self, connect_timeout_s: float):
+    def __init__(self, connect_timeout_s: float, probes: int = http1.PROBES):
         self.connect_timeout_s = connect_timeout_s
+        self.probes = probes
         self.trust_s = _LONGEST_TRUST_S
         self.opened: collections.Counter[str] = collections.Counter()
         self.idle: dict[str, collections.deque[ClientConnection]] = {}
@@ -308,6 +310,18 @@
         for connection in self.idle.pop(address, ()):
             await connection.close()
 
+    async def drop_rested(self, address: str, since: float) -> None:
+        """Closes idle connections to an address that have rested since then.
+
+        Connections seldom die alone: one that was lost makes suspect those
+        that have carried nothing since, not those that proved alive.
+        """
+        kept = self.idle.get(address, collections.deque())
+        rested = [each for each in kept if each.used_at < since]
+        for connection in rested:
+            kept.remove(connection)
+            await connection.close()
+
     async def close(self) -> None:
         """Closes all idle connections."""
         for address in list(self.idle):
@@ -330,7 +344,7 @@
         except OSError as error:
             raise CallError(False, f"cannot connect: {error}") from error
         self.opened[reason] += 1
-        http1.tune_socket(stream, http1.TARGET_SILENCE_MS)
+        http1.tune_socket(stream, http1.TARGET_SILENCE_MS, self.probes)
         return ClientConnection(stream, address)
 
     async def _connect(self, address: str) -> anyio.abc.SocketStream:
@@ -361,10 +375,14 @@
 ) -> WholeAnswer:
     """Returns the whole answer of a short call.
 
+    After one that was lost, the next call takes a new connection, or one that
+    has carried an answer meanwhile.
+
     Raises:
         CallError: There is none; `sent` tells whether it may have been done.
     """
     connection = None
+    began_at = anyio.current_time()
     try:
         with anyio.fail_after(timeout_s):
             connection = await pool.take(address)
@@ -374,7 +392,11 @@
             head = await connection.read_head()
             body = await connection.read_body(max_bytes)
     except TimeoutError as error:
+        await pool.drop_rested(address, began_at)
         raise CallError(connection is not None, "timed out") from error
+    except CallError:
+        await pool.drop_rested(address, began_at)
+        raise
     finally:
         if connection is not None:
             await pool.give_back(connection)
--- a/tests/coordination/gateway/scene.py
+++ b/tests/coordination/gateway/scene.py
@@ -12,6 +12,7 @@
 from hillthread.coordination.gateway import settings as settings_lib
 from hillthread.standin import platform_store
 from hillthread.standin import platform_target
+from hillthread.standin import wire_proxy
 from hillthread.transport import http1_client
 from hillthread.transport import log_writer
 
@@ -41,6 +42,7 @@
 
     Attributes:
         store: The stand-in of the store.
+        store_link: The link to it of a gateway that is started `linked`.
         engines: Targets of the service `engines`, model `m`.
         plain: Targets of the service `plain`.
         program: The gateway.
@@ -49,6 +51,7 @@
     def __init__(self, tasks, engines: int, plain: int):
         self.tasks = tasks
         self.store = platform_store.PlatformStoreStandin()
+        self.store_link = wire_proxy.WireProxy(self.store.address)
         self.engines = [
             platform_target.PlatformTargetStandin(f"e{n}", "engines", "m")
             for n in range(engines)
@@ -117,9 +120,10 @@
         """Has a target write its entry."""
         self.store.put("keyed.servers", target.name, target.entry(state))
 
-    async def start(self, ready=True, **settings) -> None:
+    async def start(self, ready=True, linked=False, **settings) -> None:
         """Starts everything and, if asked, waits until the gateway is ready."""
         self.tasks.start_soon(self.store.server.serve)
+        self.tasks.start_soon(self.store_link.serve)
         for target in self.targets:
             self.tasks.start_soon(self.listen, target)
             self.list_target(target)
@@ -129,7 +133,7 @@
             "data_centre": "here",
             "listen": "127.0.0.1:0",
             "ready_listen": "127.0.0.1:0",
-            "store": self.store.address,
+            "store": (self.store_link if linked else self.store).address,
             **settings,
         }
         self.program = host_lib.GatewayHost(
@@ -237,7 +241,8 @@
         plain: How many targets of the plain service.
         slow_s: Added to every answer of the store.
         weights: Named before the gateway starts; 0 for none.
-        **settings: Of the gateway; `ready` tells whether to wait for it.
+        **settings: Of the gateway; `ready` tells whether to wait for it,
+            `linked` whether it calls the store over the scene's link.
     """
     failure = None
     async with anyio.create_task_group() as tasks:
--- a/tests/transport/test_http1_client.py
+++ b/tests/transport/test_http1_client.py
@@ -7,6 +7,7 @@
 import anyio
 import anyio.lowlevel
 
+from hillthread.standin import wire_proxy
 from hillthread.state import caller_bounds
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
@@ -17,6 +18,74 @@
     await answer.send_whole(204, [], b"")
 
 
+async def serve_slowly(caller, answer):
+    del caller
+    await anyio.sleep(0.05)
+    await answer.send_whole(204, [], b"")
+
+
+class LostCallTest(unittest.TestCase):
+    def test_call_after_one_that_was_lost_takes_a_new_connection(self):
+        """Kept connections seldom fall silent alone."""
+
+        async def story():
+            server = http1_server.Server(
+                ("127.0.0.1", 0),
+                serve_slowly,
+                caller_bounds.CallerBounds,
+                lambda status, reason: None,
+            )
+            proxy = wire_proxy.WireProxy(server.address)
+            pool = http1_client.ConnectionPool(0.5)
+            request = http1_client.ClientRequest(
+                b"GET", b"/", [(b"host", b"any")]
+            )
+
+            async def call():
+                return await http1_client.call(
+                    pool, proxy.address, request, 0.3, 100
+                )
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.serve)
+                tasks.start_soon(proxy.serve)
+                async with anyio.create_task_group() as both:
+                    both.start_soon(call)
+                    both.start_soon(call)
+                self.assertEqual(len(pool.idle[proxy.address]), 2)
+                proxy.silence()
+                with self.assertRaises(http1_client.CallError):
+                    await call()
+                self.assertEqual((await call()).head.status, 204)
+                await pool.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(story)
+
+    def test_connection_that_carried_an_answer_since_is_kept(self):
+        async def story():
+            server = http1_server.Server(
+                ("127.0.0.1", 0),
+                serve_nothing,
+                caller_bounds.CallerBounds,
+                lambda status, reason: None,
+            )
+            pool = http1_client.ConnectionPool(0.5)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.serve)
+                rested = await pool.open(server.address, "test")
+                proven = await pool.open(server.address, "test")
+                await pool.give_back(rested)
+                since = anyio.current_time()
+                await pool.give_back(proven)
+                await pool.drop_rested(server.address, since)
+                self.assertEqual(list(pool.idle[server.address]), [proven])
+                await pool.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(story)
+
+
 class ConnectionPoolTest(unittest.TestCase):
     def test_own_standstill_is_not_taken_for_an_unreachable_peer(self):
         """A process that gets no processor finds that its time is over."""
