Tell a silent connection to a target from a slow target

Cause: a request written to a kept connection that fell silent hung until the kernel gave up after 1 s, longer than some requests have. The trial of a new connection, started after 0.4 s, came up and was read as "the target is well", and the next requests went over the other silent connections.

Mend: after 0.25 s the kernel is asked how many sent bytes are unacknowledged (TIOCOUTQ). A slow target acknowledges within a round trip; if nothing of a request was acknowledged, a new connection is tried at once, and if it comes up the old one is silent: the attempt is given up if another may follow within the retry budget, and connections that have rested since before are used no more. Requests that may not be repeated are left to the kernel's 1 s, but no further ones follow them. Dark targets are noticed 0.15 s earlier by the same trial.

Tests: with the kernel's answer replaced (loopback acknowledges everything), a repeatable request is answered elsewhere within 0.8 s (before: 504 at its deadline) and further requests take new connections (before: they hung); a request that may have run is not repeated and a slow target is left alone (both held before); the kernel's figure itself on a real socket; options of accepted connections (held before).

--- a/hillthread/coordination/gateway/attempt.py
+++ b/hillthread/coordination/gateway/attempt.py
@@ -43,6 +43,7 @@
         connected_at: Seconds, when its connection came up.
         connection: To the target, once there is one.
         given_up: Why the monitor ended it, or nothing.
+        found_silent: Whether the monitor found its connection silent.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.connected_at = 0.0
         self.connection: http1_client.ClientConnection | None = None
         self.given_up = ""
+        self.found_silent = False
 
     async def run(self) -> outcome_lib.Outcome:
         """Returns how it ended."""
@@ -114,6 +116,12 @@
             self.tasks.start_soon(self.connection.close)
         return True
 
+    def is_unacknowledged(self) -> bool:
+        """Returns whether nothing shows that the request has arrived."""
+        if self.connection is None or self.meaning is not None:
+            return False
+        return self.connection.is_request_unacknowledged()
+
     async def _exchange(
         self, connection: http1_client.ClientConnection
     ) -> outcome_lib.Outcome:
--- a/hillthread/coordination/gateway/reach_monitor.py
+++ b/hillthread/coordination/gateway/reach_monitor.py
@@ -5,6 +5,10 @@
 while, a connection to its target is tried; if none comes up, the target gets
 no new requests until one does, attempts on it that another can follow are given
 up, and the other targets are tried too, because cuts seldom come alone.
+
+A connection may also fall silent for good while new ones work. What a slow
+target never does tells it: the request stays unacknowledged although a new
+connection to the target comes up.
 """
 
 from __future__ import annotations
@@ -28,6 +32,9 @@
 _IDLE_TICK_S = 0.3
 # Nine in ten first bytes come sooner; a trial costs one new connection.
 _SILENCE_S = 0.4
+# A path that works acknowledges within its round trip, a few ms, and a packet
+# that was lost when it is sent again, after 0.2 s.
+_UNACKNOWLEDGED_S = 0.25
 # A connection that came up so lately is as good as a trial.
 _FRESH_S = 1.0
 # Between two trials for the same attempts.
@@ -48,6 +55,10 @@
     target: objects.Target
     heard_at: float
     connected_at: float
+    found_silent: bool
+
+    def is_unacknowledged(self) -> bool:
+        """Returns whether nothing shows that the request has arrived."""
 
     def give_up(self, reason: str) -> bool:
         """Ends the attempt as lost if another can follow; returns whether."""
@@ -107,14 +118,19 @@
 
     def _look_at_attempts(self, now: float) -> None:
         for attempt in self.attempts:
-            if now - attempt.heard_at < _SILENCE_S:
-                continue
-            if now - attempt.connected_at < _FRESH_S:
+            quiet_s = now - attempt.heard_at
+            if quiet_s < _UNACKNOWLEDGED_S or attempt.found_silent:
                 continue
             name = attempt.target.name
-            if now - self._tried_at.get(name, float("-inf")) < _AGAIN_S:
+            tried_s = now - self._tried_at.get(name, float("-inf"))
+            if attempt.is_unacknowledged():
+                if tried_s >= _UNACKNOWLEDGED_S:
+                    self._start_trial(attempt.target, now)
                 continue
-            self._start_trial(attempt.target, now)
+            if quiet_s < _SILENCE_S or tried_s < _AGAIN_S:
+                continue
+            if now - attempt.connected_at >= _FRESH_S:
+                self._start_trial(attempt.target, now)
 
     def _look_at_unreachable(self, now: float) -> None:
         for name in list(self._retry_at):
@@ -139,6 +155,7 @@
             return
         finally:
             self._trying.discard(target.name)
+        self._find_silent(target)
         await self.pool.give_back(connection)
         if target.name in self._retry_at:
             self._forget(target.name)
@@ -148,6 +165,29 @@
                 extra={"event": "target_reachable", "target": target.name},
             )
 
+    def _find_silent(self, target: objects.Target) -> None:
+        """Acts on attempts whose connection is silent while a new one works."""
+        now = time.monotonic()
+        for attempt in list(self.attempts):
+            if attempt.target.name != target.name or attempt.found_silent:
+                continue
+            if now - attempt.heard_at < _UNACKNOWLEDGED_S:
+                continue
+            if not attempt.is_unacknowledged():
+                continue
+            attempt.found_silent = True
+            self.pool.suspect(attempt.heard_at)
+            given_up = attempt.give_up("its connection is silent")
+            _logger.warning(
+                "connection is silent",
+                extra={
+                    "event": "connection_silent",
+                    "target": target.name,
+                    "silent_s": round(now - attempt.heard_at, 3),
+                    "given_up": given_up,
+                },
+            )
+
     def _failed(self, target: objects.Target, reason: str) -> None:
         now = time.monotonic()
         self.note_unreachable(target, reason)
--- a/hillthread/transport/http1.py
+++ b/hillthread/transport/http1.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+import fcntl
 import select
 import socket
 import struct
+import termios
 
 import anyio
 import anyio.abc
@@ -38,6 +40,7 @@
 _PROBE_EVERY_S = 1
 # A single probe may be lost on a bad link, seldom two in a row.
 PROBES = 2
+_COUNT = struct.Struct("i")
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _STREAM_ERRORS = (
     anyio.BrokenResourceError,
@@ -141,6 +144,19 @@
         poller.register(raw.fileno(), select.POLLIN | select.POLLHUP)
         return bool(poller.poll(0))
 
+    def unacknowledged_bytes(self) -> int:
+        """Returns how many sent bytes the peer's kernel has not acknowledged.
+
+        A peer that is slow acknowledges all the same; one that lies behind a
+        dead path, or whose connection fell silent, does not.
+        """
+        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        if raw.fileno() < 0:
+            return 0
+        room = bytes(_COUNT.size)
+        told = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, room)
+        return _COUNT.unpack(told)[0]
+
     async def close(self) -> None:
         """Closes at once; bytes already handed over are still sent."""
         await anyio.aclose_forcefully(self.stream)
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -105,6 +105,7 @@
         keep_s: Seconds it may rest before it is used again.
         requests: Requests sent over it.
         body_sent: Whether the whole request was handed to the kernel.
+        sent_before: Bytes that were sent before the last request.
     """
 
     def __init__(self, stream, address: str):
@@ -115,6 +116,7 @@
         self.keep_s = _DEFAULT_KEEP_S
         self.requests = 0
         self.body_sent = True
+        self.sent_before = 0
         self.told_close = False
 
     async def send_request(self, request: ClientRequest) -> None:
@@ -124,6 +126,7 @@
             CallError: The connection was lost.
         """
         self.requests += 1
+        self.sent_before = self.sent_bytes
         head = h11.Request(
             method=request.method,
             target=request.target,
@@ -210,6 +213,17 @@
                 raise CallError(True, f"answer larger than {limit} bytes")
         return b"".join(parts)
 
+    def is_request_unacknowledged(self) -> bool:
+        """Returns whether the peer's kernel has seen nothing of the request.
+
+        Tells only of requests that were handed to the kernel whole: a peer
+        that reads a long body slowly leaves a part of it unacknowledged.
+        """
+        sent = self.sent_bytes - self.sent_before
+        if not sent or not self.body_sent:
+            return False
+        return self.unacknowledged_bytes() >= sent
+
     def can_be_kept(self) -> bool:
         """Returns whether another request may follow on the connection."""
         if self.requests == 0:
@@ -243,6 +257,8 @@
         keep_told: How long peers said they keep connections, counted.
         trust_s: A request that may not be repeated takes a kept connection
             only if it rested less; falls when kept connections turn out dead.
+        suspect_before: Seconds; connections that have rested since before
+            then may have fallen silent, and are used no more.
     """
 
     def __init__(self, connect_timeout_s: float, probes: int = http1.PROBES):
@@ -252,12 +268,15 @@
         self.opened: collections.Counter[str] = collections.Counter()
         self.idle: dict[str, collections.deque[ClientConnection]] = {}
         self.keep_told: collections.Counter[str] = collections.Counter()
+        self.suspect_before = float("-inf")
 
     def has_idle(self, address: str) -> bool:
         """Returns whether a kept connection is likely to be there."""
         now = anyio.current_time()
         kept = self.idle.get(address)
-        return bool(kept) and now - kept[-1].used_at < kept[-1].keep_s
+        if not kept or kept[-1].used_at < self.suspect_before:
+            return False
+        return now - kept[-1].used_at < kept[-1].keep_s
 
     async def take(
         self, address: str, max_idle_s: float = float("inf")
@@ -274,6 +293,8 @@
             rested_s = anyio.current_time() - connection.used_at
             if rested_s >= connection.keep_s:
                 reason = "rested_too_long"
+            elif connection.used_at < self.suspect_before:
+                reason = "suspect"
             elif connection.is_readable():
                 reason = "closed_by_peer"
             elif rested_s > max_idle_s:
@@ -291,6 +312,14 @@
         """Notes that a kept connection had died while it rested."""
         self.trust_s = max(_LEAST_TRUST_S, min(self.trust_s, rested_s / 2.0))
 
+    def suspect(self, since: float) -> None:
+        """Notes that a connection that rested until then was silent.
+
+        Connections seldom fall silent alone, and each one costs a request
+        that waits in vain.
+        """
+        self.suspect_before = max(self.suspect_before, since)
+
     def note_alive(self) -> None:
         """Notes that a kept connection carried a request."""
         self.trust_s = min(_LONGEST_TRUST_S, self.trust_s * _TRUST_GAIN)
--- a/tests/coordination/gateway/test_silent_connections.py
+++ b/tests/coordination/gateway/test_silent_connections.py
@@ -1,11 +1,16 @@
 """Tests of connections that fall silent for good while new ones work."""
 
+import contextlib
 import socket
 import time
 import unittest
+from unittest import mock
 
 import anyio
 
+from hillthread.standin import platform_target
+from hillthread.standin import wire_proxy
+from hillthread.transport import http1
 from tests.coordination.gateway import scene as scene_lib
 
 
@@ -61,3 +66,115 @@
                 await connection.close()
 
         scene_lib.play(story)
+
+
+class TargetConnectionsTest(unittest.TestCase):
+    """The kernel acknowledges on loopback: what it would tell is replaced."""
+
+    def test_request_on_a_silent_connection_is_repeated_over_new_ones(self):
+        async def story(scene):
+            links = await link_targets(scene)
+            await warm_up(scene, links)
+            runs = len(scene.runs())
+            with silenced(links):
+                began_at = time.monotonic()
+                answer = await scene.call(scene.request("/again/x"))
+                self.assertEqual(answer.head.status, 200)
+                self.assertLess(time.monotonic() - began_at, 0.8)
+            self.assertEqual(len(scene.runs()), runs + 1)
+
+        scene_lib.play(story)
+
+    def test_request_that_may_have_run_is_not_repeated(self):
+        async def story(scene):
+            links = await link_targets(scene)
+            await warm_up(scene, links)
+            runs = len(scene.runs())
+            with silenced(links):
+                first = scene.request("/once/x", x_deadline_ms="1200")
+                answer = await scene.call(first)
+                self.assertIn(answer.head.status, (502, 504))
+                self.assertEqual(len(scene.runs()), runs)
+
+        scene_lib.play(story)
+
+    def test_one_silent_connection_makes_those_that_rested_suspect(self):
+        async def story(scene):
+            links = await link_targets(scene)
+            await warm_up(scene, links)
+            with silenced(links):
+                first = scene.request("/once/x", x_deadline_ms="900")
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(scene.call, first)
+                    await anyio.sleep(0.6)
+                    for _ in range(3):
+                        request = scene.request("/once/x")
+                        answer = await scene.call(request)
+                        self.assertEqual(answer.head.status, 200)
+
+        scene_lib.play(story)
+
+    def test_target_that_acknowledged_and_is_slow_is_left_alone(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.always = platform_target.Serve(0.9)
+            links = await link_targets(scene)
+            await warm_up(scene, links)
+            runs = len(scene.runs())
+            opened = scene.program.pool.opened["suspect"]
+            answer = await scene.call(scene.request("/again/x"))
+            self.assertEqual(answer.head.status, 200)
+            self.assertEqual(len(scene.runs()), runs + 1)
+            self.assertEqual(scene.program.pool.opened["suspect"], opened)
+
+        scene_lib.play(story)
+
+
+async def link_targets(scene):
+    """Puts a link between the gateway and each plain target; returns them."""
+    links = []
+    for target in scene.plain:
+        link = wire_proxy.WireProxy(target.address)
+        scene.tasks.start_soon(link.serve)
+        entry = {**target.entry(), "address": link.address}
+        scene.store.put("keyed.servers", target.name, entry)
+        links.append(link)
+    addresses = {link.address for link in links}
+    await scene.until(
+        lambda: (
+            addresses
+            <= {e.target.address for e in scene.site.targets.entries.values()}
+        )
+    )
+    return links
+
+
+async def warm_up(scene, links):
+    """Has kept connections to all plain targets, two or more each."""
+    idle = scene.program.pool.idle
+    while any(len(idle.get(link.address, ())) < 2 for link in links):
+        async with anyio.create_task_group() as tasks:
+            for _ in range(4):
+                tasks.start_soon(scene.call, scene.request("/again/x"))
+
+
+@contextlib.contextmanager
+def silenced(links):
+    """Silences open connections, and has the kernel tell what it then would."""
+    ports = set()
+    for link in links:
+        for stream in link.connections:
+            address = anyio.abc.SocketAttribute.remote_address
+            ports.add(stream.extra(address)[1])
+        link.silence()
+
+    def unacknowledged(connection):
+        """Returns what was sent since, for connections that are silent."""
+        raw = connection.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        is_silent = raw.fileno() >= 0 and raw.getsockname()[1] in ports
+        return connection.sent_bytes if is_silent else 0
+
+    with mock.patch.object(
+        http1.Http1Connection, "unacknowledged_bytes", unacknowledged
+    ):
+        yield
--- a/tests/transport/test_http1_client.py
+++ b/tests/transport/test_http1_client.py
@@ -6,9 +6,11 @@
 
 import anyio
 import anyio.lowlevel
+import h11
 
 from hillthread.standin import wire_proxy
 from hillthread.state import caller_bounds
+from hillthread.transport import http1
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
@@ -86,6 +88,69 @@
         anyio.run(story)
 
 
+class UnacknowledgedTest(unittest.TestCase):
+    def test_kernel_tells_what_the_peer_has_not_acknowledged(self):
+        """A peer that reads nothing acknowledges what it has room for."""
+
+        async def story():
+            told = []
+            with socket.socket() as peer:
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                peer.bind(("127.0.0.1", 0))
+                peer.listen()
+                ip, port = peer.getsockname()
+                pool = http1_client.ConnectionPool(0.5)
+                connection = await pool.open(f"{ip}:{port}", "test")
+                for size in (4, 16_000):
+                    request = http1_client.ClientRequest(
+                        b"POST", b"/", [(b"host", b"any")], bytes(size)
+                    )
+                    connection.machine = h11.Connection(h11.CLIENT)
+                    await connection.send_request(request)
+                    await anyio.sleep(0.05)
+                    told.append(connection.unacknowledged_bytes())
+                    # The peer has seen some: it is slow, and not silent.
+                    self.assertFalse(connection.is_request_unacknowledged())
+                await connection.close()
+            self.assertEqual(told[0], 0)
+            self.assertGreater(told[1], 0)
+
+        anyio.run(story)
+
+
+class AcceptedConnectionTest(unittest.TestCase):
+    def test_kernel_finds_callers_that_fell_silent(self):
+        async def story():
+            server = http1_server.Server(
+                ("127.0.0.1", 0),
+                serve_nothing,
+                caller_bounds.CallerBounds,
+                lambda status, reason: None,
+            )
+            pool = http1_client.ConnectionPool(0.5)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.serve)
+                connection = await pool.open(server.address, "test")
+                while not server.connections:  # noqa: ASYNC110
+                    await anyio.sleep(0.01)
+                accepted = next(iter(server.connections)).http.stream
+                raw = accepted.extra(anyio.abc.SocketAttribute.raw_socket)
+                tcp = socket.IPPROTO_TCP
+                self.assertTrue(
+                    raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+                )
+                idle_s = raw.getsockopt(tcp, socket.TCP_KEEPIDLE)
+                every_s = raw.getsockopt(tcp, socket.TCP_KEEPINTVL)
+                probes = raw.getsockopt(tcp, socket.TCP_KEEPCNT)
+                self.assertLessEqual(idle_s + every_s * probes, 3)
+                silence_ms = raw.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
+                self.assertEqual(silence_ms, http1.CALLER_SILENCE_MS)
+                await connection.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(story)
+
+
 class ConnectionPoolTest(unittest.TestCase):
     def test_own_standstill_is_not_taken_for_an_unreachable_peer(self):
         """A process that gets no processor finds that its time is over."""
