Find connections to a host that reads for others silent, all at once

Cause: in a data centre with many hosts, a read held by another host over a connection that fell silent was found per topic: 1.5 s for the operator's topic, 4.5 s for targets and hosts, while a leaving target may get no new work after 2 s.

Mend: a read of another host that was sent and not answered is treated like one of the store: the next read, answered at once, tells whether the connection was at fault, and then the other held reads are sent anew. So the topic that is read most often tells of all.

--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -200,10 +200,18 @@
     async def _read_peer(self, peer: feed_source.HostEntry) -> bool:
         """Reads from another host; returns whether that helped."""
         started = time.monotonic()
+        page = None
+        self._held_since = started
         try:
-            page = await self._call_peer(peer)
-        except (errors.PeerError, http1_client.CallError):
-            page = None
+            with anyio.CancelScope() as self._held:
+                page = await self._call_peer(peer)
+            if self._held.cancelled_caught:
+                return True  # it says nothing of the peer
+        except http1_client.CallError as error:
+            if error.sent:
+                self._note_lost_read(error.reason)
+        except errors.PeerError:
+            pass  # it was answered, and is counted below
         now = time.monotonic()
         outcome = "peer_failed"
         oldest_s = _PEER_AGE_S + self.plan.peer_wait_s
@@ -213,6 +221,7 @@
             held_s = 0.0 if page.records else waited_s
             self.freshness.prove(started - page.age_s, held_s)
             self.readers.watch.note_success()
+            self._note_answer()
             outcome = "peer_answered"
         else:
             self.readers.source.avoid(peer.name, now)
@@ -256,10 +265,7 @@
         try:
             if self.copy.position is None:
                 await self._read_newest(started)
-            # After a failure an answer at once is wanted.
-            elif not await self._read_changes(
-                0.0 if failures else self._wait_s()
-            ):
+            elif not await self._read_changes(self._wait_s(failures)):
                 return 0  # interrupted: it says nothing of the store
         except store.TruncatedError:
             self.copy.position = None
@@ -267,7 +273,7 @@
             return 0
         except store.LostReadError as error:
             if not failures and self.readers.watch.lost_at is None:
-                self._note_lost_read(error)
+                self._note_lost_read(error.message)
                 self._count("lost", started)
                 return 1
             return await self._note_failure(failures, error, started)
@@ -278,11 +284,11 @@
         self._note_answer()
         return 0
 
-    def _note_lost_read(self, error: errors.LogError) -> None:
+    def _note_lost_read(self, reason: str) -> None:
         """Notes a read that was not answered; the next one tells more.
 
         It goes over a new connection at once: an open one may have died, or
-        have fallen silent for good, while the store is well.
+        have fallen silent for good, while the store or the peer is well.
         """
         self._lost_at = time.monotonic()
         _logger.info(
@@ -290,7 +296,7 @@
             extra={
                 "event": "read_lost",
                 "topic": self.plan.topic,
-                "reason": error.message,
+                "reason": reason,
             },
         )
 
@@ -326,7 +332,13 @@
             with anyio.move_on_after(_LONGEST_WAIT_S):
                 await self.readers.watch.answers.wait()
 
-    def _wait_s(self) -> float:
+    def _wait_s(self, failures: int) -> float:
+        """Returns how long the store is to hold the next read, seconds.
+
+        After a failure or a lost read an answer at once is wanted.
+        """
+        if failures or self._lost_at is not None:
+            return 0.0
         wait_s = self.plan.wait_s()
         if self.readers.source.reads_for_many():
             return min(wait_s, self.plan.peer_wait_s)
--- a/tests/coordination/gateway/test_feed.py
+++ b/tests/coordination/gateway/test_feed.py
@@ -6,6 +6,7 @@
 
 from hillthread.coordination.gateway import host as host_lib
 from hillthread.coordination.gateway import settings as settings_lib
+from hillthread.standin import wire_proxy
 from hillthread.transport import log_writer
 from tests.coordination.gateway import scene as scene_lib
 
@@ -77,6 +78,27 @@
 
         scene_lib.play(story, revoke_ms=1800)
 
+    def test_silent_connections_to_the_source_are_found_together(self):
+        """The topic that is read most often tells of the others."""
+
+        async def story(scene):
+            reader = await second_host(scene)
+            await scene.until(lambda: "h1" in reader.source.hosts)
+            source = reader.source.hosts["h1"]
+            link = wire_proxy.WireProxy(source.feed)
+            scene.tasks.start_soon(link.serve)
+            reader.source.put(source._replace(feed=link.address))
+            read_from(reader, "h1")
+            await scene.until(lambda: len(link.connections) >= 6)
+            await anyio.sleep(0.5)
+            link.silence()
+            silent_at = anyio.current_time()
+            scene.store.remove("keyed.servers", "p0")
+            await scene.until(lambda: "p0" not in reader.site.targets.entries)
+            self.assertLess(anyio.current_time() - silent_at, 2.0)
+
+        scene_lib.play(story)
+
     def test_host_reads_the_store_when_its_source_is_gone(self):
         async def story(scene):
             reader = await second_host(scene)
