Keep what a store of KV cache holds when one read of its events is lost

Cause: one read that was not answered, as on a connection that fell silent, had the host forget what the store holds; prefixes were then saved again, and KV cache moved, although the store was well and its events could be read on.

Mend: after one lost read the next one goes at once, over a new connection and from where the last answer ended; only the second in a row means that the store cannot be asked.

--- a/hillthread/coordination/gateway/cache_watch.py
+++ b/hillthread/coordination/gateway/cache_watch.py
@@ -83,8 +83,8 @@
                     self.pool, address, contents.position, _WAIT_S
                 )
             except errors.LogError as error:
-                self._note_failure(address, error)
-                await anyio.sleep(_PAUSE_S * random.uniform(1.0, 2.0))
+                if self._take_failure(address, error):
+                    await anyio.sleep(_PAUSE_S * random.uniform(1.0, 2.0))
                 continue
             if not contents.reachable:
                 self._log("cache_back", address, "answers again")
@@ -96,13 +96,22 @@
             await anyio.sleep(max(0.0, every_s - passed))
         del self.contents[address]
 
-    def _note_failure(self, address: str, error: errors.LogError) -> None:
+    def _take_failure(self, address: str, error: errors.LogError) -> bool:
+        """Notes a failed read; returns whether to pause before the next one.
+
+        One that was lost says little of the cache: its connection may have
+        died or fallen silent. The next one takes a new connection, and goes on
+        where the last answer ended.
+        """
         contents = self.contents[address]
         was_reachable = contents.reachable
         if isinstance(error, errors.BusyError):
             contents.note_answer()
         else:
             contents.note_failure()
+            if was_reachable and contents.reachable:
+                self._log("cache_read_lost", address, error.message)
+                return False
         if contents.known or was_reachable != contents.reachable:
             self._log(
                 "cache_lost",
@@ -111,6 +120,7 @@
                 reachable=contents.reachable,
             )
         contents.forget()
+        return True
 
     def _log(self, event: str, address: str, reason: str, **fields) -> None:
         _logger.info(
--- a/tests/coordination/gateway/test_silent_connections.py
+++ b/tests/coordination/gateway/test_silent_connections.py
@@ -130,6 +130,45 @@
         scene_lib.play(story)
 
 
+class CacheConnectionsTest(unittest.TestCase):
+    def test_contents_are_kept_while_a_new_connection_goes_on(self):
+        async def story(scene):
+            cache = platform_target.PlatformTargetStandin("k0", "keep0")
+            cache.cache_events = [
+                (0, "+", "salt", "aa", 288, "m"),
+                (1, "+", "salt", "bb", 496, "m"),
+            ]
+            link = wire_proxy.WireProxy(cache.address)
+            scene.tasks.start_soon(cache.server.serve)
+            scene.tasks.start_soon(link.serve)
+            keep = {"name": cache.service, "kvStoreAddr": link.address}
+            scene.configure(services=[*scene.configuration["services"], keep])
+            caches = scene.program.gateway.dispatcher.chooser.caches.watch
+            await scene.until(
+                lambda: len(caches.contents.get(link.address, ())) == 2
+            )
+            contents = caches.contents[link.address]
+            link.silence()
+            cache.cache_events += [(2, "+", "salt", "cc", 96, "m")]
+            least = 2
+            with anyio.fail_after(4.0):
+                while len(contents) < 3:
+                    least = min(least, len(contents))
+                    await anyio.sleep(0.01)
+            self.assertEqual(least, 2)
+
+        scene_lib.play(story, engines=1)
+
+    def test_cache_that_is_gone_is_forgotten(self):
+        async def story(scene):
+            (cache,) = await scene_lib.keep_caches(scene, 1)
+            caches = scene.program.gateway.dispatcher.chooser.caches.watch
+            scene.scopes[cache.name].cancel()
+            await scene.until(lambda: not caches.contents[cache.address].known)
+
+        scene_lib.play(story, engines=1)
+
+
 async def link_targets(scene):
     """Puts a link between the gateway and each plain target; returns them."""
     links = []
