--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -105,6 +105,7 @@
         keep_s: Seconds it may rest before it is used again.
         requests: Requests sent over it.
         body_sent: Whether the whole request was handed to the kernel.
+        sent_before: Bytes that were sent before the last request.
     """
 
     def __init__(self, stream, address: str):
@@ -115,6 +116,7 @@
         self.keep_s = _DEFAULT_KEEP_S
         self.requests = 0
         self.body_sent = True
+        self.sent_before = 0
         self.told_close = False
 
     async def send_request(self, request: ClientRequest) -> None:
@@ -124,6 +126,7 @@
             CallError: The connection was lost.
         """
         self.requests += 1
+        self.sent_before = self.sent_bytes
         head = h11.Request(
             method=request.method,
             target=request.target,
@@ -210,6 +213,17 @@
                 raise CallError(True, f"answer larger than {limit} bytes")
         return b"".join(parts)
 
+    def is_request_unacknowledged(self) -> bool:
+        """Returns whether the peer's kernel has seen nothing of the request.
+
+        Tells only of requests that were handed to the kernel whole: a peer
+        that reads a long body slowly leaves a part of it unacknowledged.
+        """
+        sent = self.sent_bytes - self.sent_before
+        if not sent or not self.body_sent:
+            return False
+        return self.unacknowledged_bytes() >= sent
+
     def can_be_kept(self) -> bool:
         """Returns whether another request may follow on the connection."""
         if self.requests == 0:
@@ -237,25 +251,32 @@
 
     Attributes:
         connect_timeout_s: For a new connection to come up.
+        probes: How many unanswered probes of the kernel end a connection.
         opened: Connections opened so far, by why no kept one was used.
         idle: Connections not in use, by address, the last used last.
         keep_told: How long peers said they keep connections, counted.
         trust_s: A request that may not be repeated takes a kept connection
             only if it rested less; falls when kept connections turn out dead.
+        suspect_before: Seconds; connections that have rested since before
+            then may have fallen silent, and are used no more.
     """
 
-    def __init__(self, connect_timeout_s: float):
+    def __init__(self, connect_timeout_s: float, probes: int = http1.PROBES):
         self.connect_timeout_s = connect_timeout_s
+        self.probes = probes
         self.trust_s = _LONGEST_TRUST_S
         self.opened: collections.Counter[str] = collections.Counter()
         self.idle: dict[str, collections.deque[ClientConnection]] = {}
         self.keep_told: collections.Counter[str] = collections.Counter()
+        self.suspect_before = float("-inf")
 
     def has_idle(self, address: str) -> bool:
         """Returns whether a kept connection is likely to be there."""
         now = anyio.current_time()
         kept = self.idle.get(address)
-        return bool(kept) and now - kept[-1].used_at < kept[-1].keep_s
+        if not kept or kept[-1].used_at < self.suspect_before:
+            return False
+        return now - kept[-1].used_at < kept[-1].keep_s
 
     async def take(
         self, address: str, max_idle_s: float = float("inf")
@@ -272,6 +293,8 @@
             rested_s = anyio.current_time() - connection.used_at
             if rested_s >= connection.keep_s:
                 reason = "rested_too_long"
+            elif connection.used_at < self.suspect_before:
+                reason = "suspect"
             elif connection.is_readable():
                 reason = "closed_by_peer"
             elif rested_s > max_idle_s:
@@ -289,6 +312,14 @@
         """Notes that a kept connection had died while it rested."""
         self.trust_s = max(_LEAST_TRUST_S, min(self.trust_s, rested_s / 2.0))
 
+    def suspect(self, since: float) -> None:
+        """Notes that a connection that rested until then was silent.
+
+        Connections seldom fall silent alone, and each one costs a request
+        that waits in vain.
+        """
+        self.suspect_before = max(self.suspect_before, since)
+
     def note_alive(self) -> None:
         """Notes that a kept connection carried a request."""
         self.trust_s = min(_LONGEST_TRUST_S, self.trust_s * _TRUST_GAIN)
@@ -308,6 +339,18 @@
         for connection in self.idle.pop(address, ()):
             await connection.close()
 
+    async def drop_rested(self, address: str, since: float) -> None:
+        """Closes idle connections to an address that have rested since then.
+
+        Connections seldom die alone: one that was lost makes suspect those
+        that have carried nothing since, not those that proved alive.
+        """
+        kept = self.idle.get(address, collections.deque())
+        rested = [each for each in kept if each.used_at < since]
+        for connection in rested:
+            kept.remove(connection)
+            await connection.close()
+
     async def close(self) -> None:
         """Closes all idle connections."""
         for address in list(self.idle):
@@ -330,7 +373,7 @@
         except OSError as error:
             raise CallError(False, f"cannot connect: {error}") from error
         self.opened[reason] += 1
-        http1.tune_socket(stream, http1.TARGET_SILENCE_MS)
+        http1.tune_socket(stream, http1.TARGET_SILENCE_MS, self.probes)
         return ClientConnection(stream, address)
 
     async def _connect(self, address: str) -> anyio.abc.SocketStream:
@@ -361,10 +404,14 @@
 ) -> WholeAnswer:
     """Returns the whole answer of a short call.
 
+    After one that was lost, the next call takes a new connection, or one that
+    has carried an answer meanwhile.
+
     Raises:
         CallError: There is none; `sent` tells whether it may have been done.
     """
     connection = None
+    began_at = anyio.current_time()
     try:
         with anyio.fail_after(timeout_s):
             connection = await pool.take(address)
@@ -374,7 +421,11 @@
             head = await connection.read_head()
             body = await connection.read_body(max_bytes)
     except TimeoutError as error:
+        await pool.drop_rested(address, began_at)
         raise CallError(connection is not None, "timed out") from error
+    except CallError:
+        await pool.drop_rested(address, began_at)
+        raise
     finally:
         if connection is not None:
             await pool.give_back(connection)
