Read every request that callers send, and none that they have given up

Cause: an error in accepting, such as the limit of descriptors, left the task group and ended the program; a request whose caller had closed before it was read went to a target; a stopping server closed new connections that sent nothing for 50 ms, and a longer time to rest held only for connections opened after it. Ruled out: a race between the end of a rest and bytes that just came in; anyio hands those over before it cancels.

Now accepting goes on after an error, and the connection that rests longest makes room. Before a request is served its connection is looked at once; one that was closed is told to `departed`. New connections of a stopping server wait as others do, and bounds are asked at each request. `unfinished` counts requests that are being read, too.

--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -23,8 +23,13 @@
 
 _BACKLOG = 1024
 _MAX_AHEAD_BYTES = 65_536
-# A connection that rests is closed after this time once the server stops.
-_STOPPING_IDLE_S = 0.05
+# A connection that has rested too long is closed after this time more: what has
+# just come in is still served.
+_LAST_CHANCE_S = 0.05
+# After an error in accepting, until descriptors may be free again.
+_ACCEPT_PAUSE_S = 0.02
+# Between two lines on such errors.
+_ACCEPT_TELL_S = 1.0
 _CLOSE = (b"connection", b"close")
 
 _logger = logging.getLogger(__name__)
@@ -140,7 +145,20 @@
 
 
 class _CallerConnection:
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    Attributes:
+        server: The server that accepted it.
+        bounds: On the request being read.
+        http: The connection.
+        ahead: Bytes that came in while a request was served.
+        requests: Requests read so far.
+        reading: Whether a request has begun to come in and is not yet read.
+        serving: Whether a request is being served.
+        idle_since: Seconds, since when it waits for a request, or None.
+        idle_scope: Ends that wait, or None.
+        unwanted: It is closed as soon as it waits for a request.
+    """
 
     def __init__(self, stream: anyio.abc.SocketStream, server: Server):
         self.server = server
@@ -149,8 +167,12 @@
             stream, h11.SERVER, self.bounds.max_head_bytes
         )
         self.ahead: list[bytes] = []
+        self.requests = 0
+        self.reading = False
         self.serving = False
+        self.idle_since: float | None = None
         self.idle_scope: anyio.CancelScope | None = None
+        self.unwanted = False
 
     async def run(self) -> None:
         """Serves requests until the connection ends."""
@@ -167,9 +189,16 @@
 
     async def _serve_next(self) -> bool:
         """Serves one request; returns whether another may follow."""
-        request = await self._read_request()
+        try:
+            request = await self._read_request()
+        finally:
+            self.reading = False
         if request is None:
             return False
+        self.requests += 1
+        if await self._has_left():
+            self.server.departed(request)
+            return False
         answer = CallerAnswer(self.http, self.server.is_stopping)
         self.serving = True
         try:
@@ -204,6 +233,24 @@
         if broken is not None:
             raise broken
 
+    async def _has_left(self) -> bool:
+        """Returns whether the caller closed before its request is served.
+
+        Callers give up requests that are not read for long; no target should
+        run those.
+        """
+        size = 0
+        while size <= _MAX_AHEAD_BYTES and self.http.is_readable():
+            try:
+                data = await self.http.receive()
+            except http1.ConnectionLostError:
+                return True
+            if not data:
+                return True
+            self.ahead.append(data)
+            size += len(data)
+        return False
+
     async def _watch_departure(self, scope: anyio.CancelScope) -> None:
         """Cancels `scope` when the caller closes; keeps bytes sent ahead."""
         size = 0
@@ -221,6 +268,7 @@
 
     async def _read_request(self) -> CallerRequest | None:
         """Returns the next request, or None when there is none."""
+        self.bounds = self.server.bounds()
         while self.ahead:
             self.http.machine.receive_data(self.ahead.pop(0))
         try:
@@ -253,6 +301,7 @@
             if not data:
                 return None
             machine.receive_data(data)
+        self.reading = True
         with anyio.move_on_after(self.bounds.head_timeout_s):
             event = await self.http.next_event()
             if isinstance(event, h11.Request):
@@ -263,16 +312,33 @@
 
     async def _receive_first(self) -> bytes:
         """Returns the first bytes of a request; none when there are none."""
-        idle_s = self.bounds.idle_timeout_s
-        if not self.server.closes_idle:
-            with anyio.move_on_after(idle_s) as self.idle_scope:
+        self.idle_since = anyio.current_time()
+        try:
+            while (left_s := self._idle_left_s(self.idle_since)) > 0.0:
+                with anyio.move_on_after(left_s) as self.idle_scope:
+                    return await self.http.receive()
+            with anyio.move_on_after(_LAST_CHANCE_S):
                 return await self.http.receive()
-            if not self.server.closes_idle:
-                return b""
-        # What has just come in is still served.
-        with anyio.move_on_after(_STOPPING_IDLE_S):
-            return await self.http.receive()
-        return b""
+            return b""
+        finally:
+            self.idle_since = None
+            self.idle_scope = None
+
+    def _idle_left_s(self, idle_since: float) -> float:
+        """Returns how long it may still wait for a request.
+
+        A connection that has not carried any is about to: a server that stops
+        leaves it open, so that its caller is answered.
+        """
+        if self.unwanted or (self.server.closes_idle and self.requests):
+            return 0.0
+        idle_s = anyio.current_time() - idle_since
+        return self.server.bounds().idle_timeout_s - idle_s
+
+    def stop_waiting(self) -> None:
+        """Looks again whether it may wait for a request any longer."""
+        if self.idle_scope is not None:
+            self.idle_scope.cancel()
 
     async def _read_body(self, head: h11.Request) -> bytes:
         parts = []
@@ -314,8 +380,11 @@
         handler: Serves one request.
         bounds: Returns the bounds on callers in force.
         refused: Told of each request that could not be read.
+        departed: Told of each request whose caller left before it was served.
         stopping: Whether connections close after their current answer.
-        closes_idle: Whether connections without a request are closed.
+        closes_idle: Whether kept connections without a request are closed.
+        connections: All that are open.
+        accept_failures: Connections that could not be accepted.
         address: `IP:port` it listens on.
     """
 
@@ -325,13 +394,17 @@
         handler: Handler,
         bounds: Callable[[], caller_bounds.CallerBounds],
         refused: Callable[[int, str], None],
+        departed: Callable[[CallerRequest], None] | None = None,
     ):
         self.handler = handler
         self.bounds = bounds
         self.refused = refused
+        self.departed = departed or _ignore
         self.stopping = False
         self.closes_idle = False
         self.connections: set[_CallerConnection] = set()
+        self.accept_failures = 0
+        self._told_accept_at = float("-inf")
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.bind(listen)
@@ -345,16 +418,20 @@
         """Requests being served."""
         return sum(each.serving for each in self.connections)
 
+    @property
+    def unfinished(self) -> int:
+        """Requests that have begun to come in and are not yet answered."""
+        return sum(each.serving or each.reading for each in self.connections)
+
     def is_stopping(self) -> bool:
         """Returns whether connections close after their current answer."""
         return self.stopping
 
     def close_idle(self) -> None:
-        """Closes connections that carry no request, now and from now on."""
+        """Closes kept connections without a request, now and from now on."""
         self.closes_idle = True
         for connection in self.connections:
-            if connection.idle_scope is not None and not connection.serving:
-                connection.idle_scope.cancel()
+            connection.stop_waiting()
 
     async def serve(self, tasks: anyio.abc.TaskGroup | None = None) -> None:
         """Accepts connections until cancelled.
@@ -365,17 +442,60 @@
         """
         self.socket.setblocking(False)
         listener = await anyio.abc.SocketListener.from_socket(self.socket)
-        async with listener:
-            await listener.serve(self._accept, tasks)
+        async with listener, anyio.create_task_group() as own_tasks:
+            await self._accept_all(listener, tasks or own_tasks)
+
+    async def _accept_all(
+        self, listener: anyio.abc.SocketListener, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        """Accepts connections; an error never ends the server."""
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                self._tell_accept_failed(error)
+                self._drop_longest_idle()
+                await anyio.sleep(_ACCEPT_PAUSE_S)
+                continue
+            tasks.start_soon(self._serve_connection, stream)
+
+    def _tell_accept_failed(self, error: OSError) -> None:
+        now = anyio.current_time()
+        self.accept_failures += 1
+        if now - self._told_accept_at < _ACCEPT_TELL_S:
+            return
+        self._told_accept_at = now
+        _logger.warning(
+            "cannot accept connections",
+            extra={
+                "event": "accept_failed",
+                "reason": str(error),
+                "failures": self.accept_failures,
+                "connections": len(self.connections),
+            },
+        )
 
-    async def _accept(self, stream: anyio.abc.SocketStream) -> None:
-        http1.tune_socket(stream, http1.CALLER_SILENCE_MS)
+    def _drop_longest_idle(self) -> None:
+        """Closes the connection that rests longest: its place is needed."""
+        idle = {
+            each: each.idle_since
+            for each in self.connections
+            if each.idle_since is not None
+        }
+        if idle:
+            longest = min(idle, key=idle.__getitem__)
+            longest.unwanted = True
+            longest.stop_waiting()
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         connection = _CallerConnection(stream, self)
         self.connections.add(connection)
         try:
+            http1.tune_socket(stream, http1.CALLER_SILENCE_MS)
             await connection.run()
         except Exception:
             _logger.exception("connection failed", extra={"code": "internal"})
+            await connection.http.close()
         finally:
             self.connections.discard(connection)
 
@@ -385,6 +505,11 @@
     return True
 
 
+def _ignore(request: CallerRequest) -> None:
+    """Stands for nobody who wants to know of callers that left."""
+    del request
+
+
 def _check_framing(head: h11.Request) -> None:
     """Refuses a body with two lengths: targets may read it another way."""
     names = [bytes(name) for name, _ in head.headers]
--- /dev/null
+++ b/tests/transport/test_http1_server.py
@@ -0,0 +1,196 @@
+"""Tests of the gateway's server: which requests are read, and what is sent."""
+
+import contextlib
+import resource
+import socket
+import time
+import unittest
+
+import anyio
+
+from hillthread.state import caller_bounds
+from hillthread.transport import http1_server
+
+_REQUEST = b"GET /x HTTP/1.1\r\nhost: callers.example\r\n\r\n"
+_WAIT_S = 3.0
+
+
+class ServerCase(unittest.TestCase):
+    """Has a server whose handler a test sets."""
+
+    def setUp(self):
+        self.calls = []
+        self.bounds = caller_bounds.CallerBounds()
+        self.handler = self.serve_nothing
+        self.server = http1_server.Server(
+            ("127.0.0.1", 0),
+            self.handle,
+            lambda: self.bounds,
+            lambda status, reason: None,
+        )
+        self.addCleanup(self.server.socket.close)
+
+    async def handle(self, caller, answer):
+        self.calls.append(caller.path)
+        await self.handler(caller, answer)
+
+    async def serve_nothing(self, caller, answer):
+        del caller
+        await answer.send_whole(204, [], b"")
+
+    def connect(self):
+        """Returns a caller's connection, as a plain socket."""
+        ip, port = self.server.address.split(":")
+        caller = socket.create_connection((ip, int(port)), timeout=_WAIT_S)
+        return self.enterContext(contextlib.closing(caller))
+
+    async def open(self):
+        """Returns a caller's connection, as a stream."""
+        ip, port = self.server.address.split(":")
+        return await anyio.connect_tcp(ip, int(port))
+
+    def play(self, story):
+        """Runs a story beside the server."""
+
+        async def run():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.server.serve)
+                with anyio.fail_after(_WAIT_S):
+                    await story()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+
+class AnswerTest(ServerCase):
+    def test_caller_that_reads_slowly_gets_a_long_answer_whole(self):
+        body = b"x" * 8_000_000
+
+        async def long(caller, answer):
+            del caller
+            await answer.send_whole(200, [], body)
+
+        async def story():
+            self.handler = long
+            async with await self.open() as caller:
+                await caller.send(_REQUEST)
+                await anyio.sleep(0.6)
+                size = 0
+                while size < len(body):
+                    size += len(await caller.receive())
+
+        self.play(story)
+
+
+class DepartureTest(ServerCase):
+    def test_request_whose_caller_left_before_it_was_read_is_not_served(self):
+        for is_reset in (False, True):
+            with self.subTest(is_reset=is_reset):
+                caller = self.connect()
+                caller.sendall(_REQUEST)
+                if is_reset:
+                    linger = b"\1\0\0\0\0\0\0\0"
+                    caller.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, linger
+                    )
+                caller.close()
+
+        async def story():
+            await anyio.sleep(0.1)
+            self.assertEqual(self.calls, [])
+
+        self.play(story)
+
+    def test_request_sent_ahead_is_served_after_the_first(self):
+        async def story():
+            async with await self.open() as caller:
+                await caller.send(_REQUEST + _REQUEST)
+                await caller.send(_REQUEST)
+                answers = b""
+                while answers.count(b" 204 ") < 3:
+                    answers += await caller.receive()
+            self.assertEqual(len(self.calls), 3)
+
+        self.play(story)
+
+
+class AcceptTest(ServerCase):
+    def test_server_that_ran_out_of_descriptors_accepts_again(self):
+        async def story():
+            callers = [self.connect() for _ in range(3)]
+            soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+            used = callers[-1].fileno() + 1
+            resource.setrlimit(resource.RLIMIT_NOFILE, (used, hard))
+            try:
+                await anyio.sleep(0.2)
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            for caller in callers:
+                caller.sendall(_REQUEST)
+            while len(self.calls) < 3:  # noqa: ASYNC110
+                await anyio.sleep(0.01)
+
+        self.play(story)
+
+
+class StoppingTest(ServerCase):
+    def test_new_connection_of_a_stopping_server_may_send_its_request(self):
+        async def story():
+            self.server.stopping = True
+            self.server.close_idle()
+            async with await self.open() as caller:
+                await anyio.sleep(0.2)
+                await caller.send(_REQUEST)
+                answer = await caller.receive()
+            self.assertIn(b" 204 ", answer)
+            self.assertIn(b"connection: close", answer.lower())
+
+        self.play(story)
+
+    def test_connection_that_has_not_sent_yet_is_not_taken_for_idle(self):
+        async def story():
+            async with await self.open() as caller:
+                await anyio.sleep(0.05)
+                self.server.stopping = True
+                self.server.close_idle()
+                await anyio.sleep(0.2)
+                await caller.send(_REQUEST)
+                self.assertIn(b" 204 ", await caller.receive())
+
+        self.play(story)
+
+    def test_request_that_is_being_read_counts_as_unfinished(self):
+        async def story():
+            async with await self.open() as caller:
+                await caller.send(
+                    b"POST /x HTTP/1.1\r\nhost: callers.example\r\n"
+                    b"content-length: 5\r\n\r\n"
+                )
+                while not self.server.unfinished:  # noqa: ASYNC110
+                    await anyio.sleep(0.01)
+                self.assertEqual(self.server.serving, 0)
+                await caller.send(b"hello")
+                self.assertIn(b" 204 ", await caller.receive())
+                while self.server.unfinished:  # noqa: ASYNC110
+                    await anyio.sleep(0.01)
+
+        self.play(story)
+
+
+class IdleTest(ServerCase):
+    def test_longer_time_to_rest_holds_for_open_connections(self):
+        async def story():
+            self.bounds = self.bounds._replace(idle_timeout_s=0.2)
+            async with await self.open() as caller:
+                await caller.send(_REQUEST)
+                await caller.receive()
+                self.bounds = self.bounds._replace(idle_timeout_s=1.0)
+                await anyio.sleep(0.5)
+                await caller.send(_REQUEST)
+                self.assertIn(b" 204 ", await caller.receive())
+                started = time.monotonic()
+                with self.assertRaises(anyio.EndOfStream):
+                    await caller.receive()
+                self.assertGreater(time.monotonic() - started, 0.8)
+
+        self.play(story)
