Let no signal cut a planned stop or a start

Cause: the program left the signal receiver before it drained, which put the default actions back: a SIGHUP or a second SIGTERM while it answered its last requests killed it (exit -1), and so did a SIGHUP before the receiver was there.

Now the receiver stays open until the last request is answered, and SIGHUP is passed over from before the settings are read.

Measured: both new tests failed on the code before and pass now.

--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -57,7 +57,9 @@
                 if number is not signal.SIGHUP:
                     break
                 watch.reload()
-        await host.drain(time.monotonic())
+            # Further signals are still caught here: they must not end a
+            # process that is answering its last requests.
+            await host.drain(time.monotonic())
         tasks.cancel_scope.cancel()
 
 
@@ -68,6 +70,8 @@
         settings: Path of the JSON settings file; when it is left out, the
             platform's variable names it.
     """
+    # The settings may change at once; they are read after this.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = settings or os.environ.get(names.SETTINGS_VARIABLE, "")
     loaded = settings_lib.load_settings(path, gateway_settings.GatewaySettings)
     anyio.run(serve, loaded, path)
--- a/tests/programs/test_gateway.py
+++ b/tests/programs/test_gateway.py
@@ -31,15 +31,16 @@
         text = settings if isinstance(settings, str) else json.dumps(settings)
         self.path.write_text(text)
 
-    def start(self):
+    def start(self, *arguments):
+        """Returns the program, or what `arguments` of Python start."""
+        program = [
+            "-m",
+            "hillthread.programs.gateway",
+            f"--settings={self.path}",
+        ]
         output = self.enterContext(self.log.open("wb"))
         process = subprocess.Popen(
-            [
-                sys.executable,
-                "-m",
-                "hillthread.programs.gateway",
-                f"--settings={self.path}",
-            ],
+            [sys.executable, *(arguments or program)],
             stdout=output,
             stderr=subprocess.DEVNULL,
         )
@@ -87,6 +88,36 @@
         self.assertIn("stop_notice", names)
         self.assertEqual(names[-1], "stop_drained")
 
+    def test_signals_during_a_stop_cut_nothing(self):
+        self.write({**self.settings, "grace_s": 2.0})
+        process = self.start()
+        self.wait_event("readiness")
+        process.send_signal(signal.SIGTERM)
+        self.wait_event("stop_notice")
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            process.send_signal(number)
+            time.sleep(0.05)
+        self.assertEqual(process.wait(_WAIT_S), 0)
+        self.wait_event("stop_drained")
+
+    def test_hangup_before_the_settings_are_read_ends_nothing(self):
+        """The settings may change as soon as the process has started."""
+        program = (
+            "import os, signal\n"
+            "from hillthread import settings\n"
+            "from hillthread.programs import gateway\n"
+            "load = settings.load_settings\n"
+            "def load_and_hang_up(*arguments):\n"
+            "    os.kill(os.getpid(), signal.SIGHUP)\n"
+            "    return load(*arguments)\n"
+            "settings.load_settings = load_and_hang_up\n"
+            f"gateway.run({str(self.path)!r})\n"
+        )
+        process = self.start("-c", program)
+        self.wait_event("readiness")
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(_WAIT_S), 0)
+
     def test_wrong_settings_end_it_with_the_field_named(self):
         self.write({**self.settings, "listen": 7})
         result = subprocess.run(
