Deliver answers that are ready, and tell truly what has not run

Now a job leaves its whole answer to the dispatcher, which relays it outside of the request's time; attempts may end 0.1 s after it. What has surely not run is told with 503 and Retry-After, else 502 or 504.

The cut itself could not be forced by a standstill of the loop, since anyio's timer came after the write; the test makes the write slow instead.

--- a/hillthread/coordination/gateway/attempt.py
+++ b/hillthread/coordination/gateway/attempt.py
@@ -98,7 +98,9 @@
             return self._failed(http1_client.CallError(error.sent, reason))
         finally:
             self.monitor.attempts.discard(self)
-            await self.pool.give_back(connection)
+            # Closing takes no time, and must not lose an answer that is here.
+            with anyio.CancelScope(shield=True):
+                await self.pool.give_back(connection)
 
     def give_up(self, reason: str) -> bool:
         """Ends the attempt as lost if another can follow; returns whether.
@@ -118,10 +120,12 @@
         self, connection: http1_client.ClientConnection
     ) -> outcome_lib.Outcome:
         caller = self.request.caller
+        # Connecting may have taken a part of the time that the plan had.
+        plan = self.plan._replace(seconds_left=self.request.seconds_left())
         sent = http1_client.ClientRequest(
             caller.method,
             caller.target,
-            attempts.encode_attempt(caller.headers, self.plan),
+            attempts.encode_attempt(caller.headers, plan),
             caller.body,
         )
         await connection.send_request(sent)
@@ -137,7 +141,7 @@
             connection.told_close = True
             return outcome_lib.Lost(wrong)
         if self.meaning.not_run:
-            await connection.read_body(_WHOLE_BYTES)
+            await self._pass_over_body(connection)
             return outcome_lib.NotRun(head.status, self.meaning)
         if self.request.route.streaming and head.status == 200:
             self.relay.heard = self._note_heard
@@ -145,6 +149,18 @@
             return outcome_lib.Relayed(head.status)
         return await self._collect(connection, head)
 
+    async def _pass_over_body(
+        self, connection: http1_client.ClientConnection
+    ) -> None:
+        """Reads the body of a refusal, whose head has said all.
+
+        If it breaks off, its connection is not kept.
+        """
+        try:
+            await connection.read_body(_WHOLE_BYTES)
+        except http1_client.CallError as error:
+            self.request.story.warn("refusal_cut", reason=error.reason)
+
     async def _collect(
         self,
         connection: http1_client.ClientConnection,
--- a/hillthread/coordination/gateway/dispatcher.py
+++ b/hillthread/coordination/gateway/dispatcher.py
@@ -18,6 +18,13 @@
 
 __all__ = ["Dispatcher"]
 
+# Targets count a request's time from when they got it, and their last answers
+# are on the way when it is over: 20 ms between data centres, both ways, and the
+# opening of a connection. Callers whose own time is over have left by then.
+_LAST_ANSWER_S = 0.1
+# For a request that found no target within its time.
+_RETRY_S = 0.25
+
 
 class Dispatcher:
     """Carries requests to targets and answers back.
@@ -26,6 +33,8 @@
         chooser: Chooses targets.
         monitor: Finds out which targets can be reached.
         tools: What all jobs share.
+        scopes: Of the jobs being served; cancelling one ends its attempts.
+        stopped: Whether all jobs were ended because the process ends.
     """
 
     def __init__(
@@ -46,30 +55,78 @@
             self.monitor,
             learning.Learner(site, metrics, self.monitor),
         )
+        self.scopes: set[anyio.CancelScope] = set()
+        self.stopped = False
 
-    async def serve(
+    def job(
         self,
         request: intake.GatewayRequest,
         answer: http1_server.CallerAnswer,
-    ) -> None:
+    ) -> job_lib.Job:
+        """Returns the job of a request, to be served."""
+        return job_lib.Job(self.tools, request, answer)
+
+    async def serve(self, job: job_lib.Job) -> None:
         """Answers a request.
 
         Raises:
             RefusalError: It cannot be served; its run state is true.
             BrokenAnswerError: Its answer has begun and cannot be completed.
         """
-        job = job_lib.Job(self.tools, request, answer)
-        with anyio.move_on_at(request.deadline) as scope:
-            await job.run()
-        if not scope.cancelled_caught or answer.ended:
+        answer_by = job.request.deadline + _LAST_ANSWER_S
+        with anyio.CancelScope(deadline=answer_by) as scope:
+            self.scopes.add(scope)
+            try:
+                await job.run()
+            finally:
+                self.scopes.discard(scope)
+        if scope.cancelled_caught:
+            self._note_cut(job)
+        if job.answer.ended:
             return
-        request.story.warn("deadline_passed", run=str(job.run_state()))
-        if answer.started:
+        if job.answer.started:
             raise http1_server.BrokenAnswerError
-        raise errors.RefusalError(
+        if job.last_answer is None:
+            raise self._unanswered(job.run_state())
+        # What is ready is delivered, also after the time.
+        await job.relay_last(job.last_answer)
+
+    def give_up(self) -> None:
+        """Ends all jobs: their callers get final answers.
+
+        The process is about to be killed; after that nobody could tell them
+        whether their requests have run.
+        """
+        self.stopped = True
+        for scope in self.scopes:
+            scope.cancel()
+
+    def _note_cut(self, job: job_lib.Job) -> None:
+        event = "stop_cut" if self.stopped else "deadline_passed"
+        job.request.story.warn(event, run=str(job.run_state()))
+
+    def _unanswered(self, run: errors.RunState) -> errors.RefusalError:
+        """Returns the answer to a request that was cut before one came."""
+        code, message, status = (
             "deadline",
-            504,
             "The request's deadline passed.",
-            "Allow more time, or ask for a shorter answer.",
-            job.run_state(),
+            504,
+        )
+        if self.stopped:
+            code, message, status = "stopping", "The host ends now.", 502
+        if run is errors.RunState.NOT_RUN:
+            return errors.RefusalError(
+                code,
+                503,
+                f"{message} No target had taken the request.",
+                "Try again after the time in Retry-After.",
+                run,
+                _RETRY_S,
+            )
+        return errors.RefusalError(
+            code,
+            status,
+            message,
+            "Allow more time; it may have run: find out before repeating it.",
+            run,
         )
--- a/hillthread/coordination/gateway/gateway.py
+++ b/hillthread/coordination/gateway/gateway.py
@@ -12,6 +12,7 @@
 from hillthread import errors
 from hillthread.coordination.gateway import dispatcher as dispatcher_lib
 from hillthread.coordination.gateway import intake
+from hillthread.coordination.gateway import job as job_lib
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway import story as story_lib
@@ -23,6 +24,8 @@
 __all__ = ["Gateway"]
 
 _JSON = (b"content-type", b"application/json")
+# Another host may do better with what met a fault here.
+_INTERNAL_RETRY_S = 0.1
 
 _logger = logging.getLogger("hillthread.request")
 
@@ -60,17 +63,19 @@
         Raises:
             BrokenAnswerError: Its answer has begun and cannot be completed.
         """
-        request_id = caller.get(names.REQUEST_ID).decode("latin-1")
+        request_id = _request_id(caller)
         story = story_lib.Story(request_id, self.samples)
         self.inflight += 1
         self.metrics.inflight.set(self.inflight)
         outcome = "left"
         code = ""
+        job: job_lib.Job | None = None
         try:
             await self.site.wait_known(caller.arrived)
             request = intake.admit(self.site, caller, story)
             self._note_admitted(request)
-            await self.dispatcher.serve(request, answer)
+            job = self.dispatcher.job(request, answer)
+            await self.dispatcher.serve(job)
             outcome = "answered"
             self._note_answered(request, answer)
         except errors.RefusalError as refusal:
@@ -85,7 +90,8 @@
         except Exception:
             outcome, code = "refused", "internal"
             _logger.exception("internal error", extra={"request": request_id})
-            await self._refuse(_internal(), answer, story)
+            run = job.run_state() if job else errors.RunState.NOT_RUN
+            await self._refuse(_internal(run), answer, story)
         finally:
             self.inflight -= 1
             self.metrics.inflight.set(self.inflight)
@@ -97,6 +103,12 @@
                 )
             story.close()
 
+    def left_unserved(self, caller: http1_server.CallerRequest) -> None:
+        """Notes a request whose caller left before it was served."""
+        self.metrics.requests.labels("left", "").inc()
+        story = story_lib.Story(_request_id(caller), self.samples)
+        story.warn("requester_left", seconds=0.0, served=False)
+
     def refused_unread(self, status: int, reason: str) -> None:
         """Notes a request that could not be read."""
         self.metrics.bad_requests.labels(str(status)).inc()
@@ -165,7 +177,21 @@
         )
 
 
-def _internal() -> errors.RefusalError:
+def _request_id(caller: http1_server.CallerRequest) -> str:
+    return caller.get(names.REQUEST_ID).decode("latin-1")
+
+
+def _internal(run: errors.RunState) -> errors.RefusalError:
+    """Returns the answer to a request that met a fault of the gateway."""
+    if run is errors.RunState.NOT_RUN:
+        return errors.RefusalError(
+            "internal",
+            503,
+            "The gateway failed before any target had the request.",
+            "Try again; if it fails again, report it with the request id.",
+            run,
+            _INTERNAL_RETRY_S,
+        )
     return errors.RefusalError(
         "internal",
         502,
--- a/hillthread/coordination/gateway/intake.py
+++ b/hillthread/coordination/gateway/intake.py
@@ -14,9 +14,20 @@
 from hillthread.state import routing_table
 from hillthread.transport import http1_server
 
-__all__ = ["GatewayRequest", "admit", "authorise"]
+__all__ = [
+    "GatewayRequest",
+    "admit",
+    "authorise",
+    "check_time",
+    "current_route",
+    "not_ready",
+]
 
 _SOON_S = 0.5
+# With less than this share of its objective left a request cannot be served:
+# targets take longer for anything, and would work on it in vain.
+_LEAST_SHARE = 0.1
+_HOPELESS_RETRY_S = 0.1
 _BEARER = "bearer"
 
 
@@ -135,6 +146,24 @@
     return tenant
 
 
+def check_time(request: GatewayRequest) -> None:
+    """Refuses a request whose time is too short for any target.
+
+    Raises:
+        RefusalError: It is.
+    """
+    least_s = request.route.first_byte_aim_s * _LEAST_SHARE
+    if request.seconds_left() >= least_s:
+        return
+    raise errors.RefusalError(
+        "no_time",
+        503,
+        "Too little time is left for any target.",
+        "Allow more time.",
+        retry_after_s=_HOPELESS_RETRY_S,
+    )
+
+
 def not_ready(message: str) -> errors.RefusalError:
     """Returns the refusal of a host that cannot serve yet or any more."""
     return errors.RefusalError(
--- a/hillthread/coordination/gateway/job.py
+++ b/hillthread/coordination/gateway/job.py
@@ -29,6 +29,8 @@
 # A target that refuses for its weights twice is not what it is taken for.
 _MAX_MISMATCHES = 2
 _OVERLOAD_RETRY_S = 0.25
+# Ends of attempts that have surely not run.
+_NOT_RUN = (outcome_lib.NotRun, outcome_lib.Unsent)
 # Statuses that promise that a request has not run.
 _PROMISES = (408, 421, 429, 503)
 
@@ -63,7 +65,8 @@
         runs: Attempts that may have run.
         tried: Targets not to be taken again.
         mismatches: How often each target refused for its weights.
-        last_answer: A target's failure, relayed when no retry does better.
+        last_answer: A target's whole answer, to be relayed: the one wanted,
+            or a failure that no later attempt has improved.
         retry_claimed: The budget was charged for an attempt not yet planned.
     """
 
@@ -95,28 +98,24 @@
         return errors.RunState.UNKNOWN
 
     async def run(self) -> None:
-        """Makes attempts until the request is answered.
+        """Makes attempts until the request is answered, or `last_answer` is.
 
         Raises:
             RefusalError: It cannot be answered.
             BrokenAnswerError: Its answer cannot be completed.
         """
-        while True:
-            planned = self._plan()
-            if planned is None:
-                return await self._relay_last()
+        while (planned := self._plan()) is not None:
             result = await self._attempt(planned)
-            if await self._finish(result, planned):
-                return None
+            if not self._goes_on(result, planned):
+                return
 
     def _plan(self) -> chooser_lib.Planned | None:
         """Returns the next attempt; None when the last failure is relayed."""
         request = self.request
-        if self.sends:
-            intake.authorise(self.site, request.caller, request.route)
-            route = intake.current_route(self.site, request.caller)
-            request.route = route or request.route
         try:
+            if self.sends:
+                self._look_again()
+            intake.check_time(request)
             return self.tools.chooser.plan(
                 request, frozenset(self.tried), self.relay.last_id
             )
@@ -125,6 +124,13 @@
                 return None
             raise self._refusal(refusal) from refusal
 
+    def _look_again(self) -> None:
+        """Checks the request against what is in force before a retry."""
+        request = self.request
+        intake.authorise(self.site, request.caller, request.route)
+        route = intake.current_route(self.site, request.caller)
+        request.route = route or request.route
+
     async def _attempt(
         self, planned: chooser_lib.Planned
     ) -> outcome_lib.Outcome:
@@ -152,49 +158,44 @@
             result = await attempt.run()
             return result
         finally:
-            if result is None and attempt.sent:
-                self.runs += 1
+            self.runs += attempt.sent and not isinstance(result, _NOT_RUN)
             first_byte.note()
             state.end()
             self.tools.learner.learn(attempt, result, now)
 
-    async def _finish(
+    def _goes_on(
         self, result: outcome_lib.Outcome, planned: chooser_lib.Planned
     ) -> bool:
-        """Acts on the end of an attempt; returns whether all is done."""
+        """Acts on the end of an attempt; returns whether another follows."""
         name = planned.plan.target.name
         match result:
             case outcome_lib.Relayed():
-                return True
+                return False
             case outcome_lib.Unsent(reason):
                 self.tried.add(name)
-                self._retry_or_refuse(planned, reason)
-            case outcome_lib.NotRun(status, meaning):
-                is_other = meaning.incarnation not in ("", name)
-                self.mismatches[name] += status == 421
-                if (
-                    status != 421
-                    or is_other
-                    or self.mismatches[name] >= _MAX_MISMATCHES
-                ):
-                    self.tried.add(name)
-                self._retry_or_refuse(planned, f"refused with {status}")
+                return self._retry_or_refuse(planned, reason)
+            case outcome_lib.NotRun(status):
+                self._note_refusal(name, result)
+                return self._retry_or_refuse(planned, f"refused with {status}")
+        self.tried.add(name)
+        match result:
             case outcome_lib.Lost(reason):
-                self.runs += 1
-                self.tried.add(name)
-                self._repeat_or_refuse(planned, reason)
+                return self._repeat_or_refuse(planned, reason)
             case outcome_lib.Broken(reason):
-                self.runs += 1
-                self.tried.add(name)
                 self._resume_or_break(planned, reason)
+                return True
             case outcome_lib.Whole(whole):
-                self.runs += 1
-                self.tried.add(name)
                 self.last_answer = whole
-                if not self._may_improve(planned, whole):
-                    await self._relay_last()
-                    return True
-        return False
+                return self._may_improve(planned, whole)
+
+    def _note_refusal(self, name: str, refusal: outcome_lib.NotRun) -> None:
+        """Notes whether a target that refused may be taken again."""
+        is_other = refusal.meaning.incarnation not in ("", name)
+        is_mismatch = refusal.status == 421
+        self.mismatches[name] += is_mismatch
+        is_repeated = self.mismatches[name] >= _MAX_MISMATCHES
+        if not is_mismatch or is_other or is_repeated:
+            self.tried.add(name)
 
     def _may_improve(
         self,
@@ -230,14 +231,20 @@
 
     def _retry_or_refuse(
         self, planned: chooser_lib.Planned, reason: str
-    ) -> None:
-        """Allows another attempt after one that surely did not run."""
+    ) -> bool:
+        """Returns whether another attempt follows one that has not run.
+
+        Raises:
+            RefusalError: None may, and no answer is there to be relayed.
+            BrokenAnswerError: None may, and a stream has begun.
+        """
         if self.answer.started:
-            return self._resume_or_break(planned, reason)
+            self._resume_or_break(planned, reason)
+            return True
         if self.sends < _MAX_SENDS and self._withdraw(planned, reason):
-            return None
+            return True
         if self.last_answer is not None:
-            return None
+            return False
         raise self._refusal(
             errors.RefusalError(
                 "overloaded",
@@ -250,10 +257,16 @@
 
     def _repeat_or_refuse(
         self, planned: chooser_lib.Planned, reason: str
-    ) -> None:
-        """Allows another attempt after one that may have run."""
+    ) -> bool:
+        """Returns whether another attempt follows one that may have run.
+
+        Raises:
+            RefusalError: None may, and no answer is there to be relayed.
+        """
         if self._may_run_again() and self._withdraw(planned, reason):
-            return
+            return True
+        if self.last_answer is not None:
+            return False
         remedy = "Send the request again."
         if not self.request.repeatable:
             remedy = "It may have run: find out before sending it again."
@@ -312,14 +325,19 @@
             self.metrics.retries.labels(reason[:32]).inc()
         return allowed
 
-    async def _relay_last(self) -> None:
+    async def relay_last(self, whole: http1_client.WholeAnswer) -> None:
         """Passes on a target's whole answer.
 
         A status that promises that the request has not run must not be passed
         on for one that may have run.
+
+        Raises:
+            RefusalError: The answer's status may not be passed on.
+            BrokenAnswerError: A stream has begun, which it cannot end.
         """
-        assert self.last_answer is not None
-        head, body = self.last_answer
+        if self.answer.started:
+            raise http1_server.BrokenAnswerError
+        head, body = whole
         if head.status in _PROMISES:
             raise errors.RefusalError(
                 "target_failed",
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -293,6 +293,8 @@
             return f"{_last_failure(own)}, and it may not run again."
         case "deadline":
             return f"its time was over: {_last_failure(own)}."
+        case "stopping":
+            return f"its host ended: {_last_failure(own)}."
     return str(fields.get("reason"))
 
 
@@ -345,7 +347,7 @@
     ends = {"refused", "answered", "answer_broken", "requester_left"}
     if not events & ends:
         missing.append("the end of the request; its host may have ended")
-    if "admitted" not in events and "refused" not in events:
+    if not events & {"admitted", "refused", "requester_left"}:
         missing.append("its admission")
     if any(line.event == "log_dropped" for line in context):
         missing.append("lines that the host dropped at that time")
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -48,9 +48,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Refuse:
-    """Does not run the request and says so."""
+    """Does not run the request and says so.
+
+    Attributes:
+        status: Of its answer.
+        cut: The body of its answer is cut off.
+    """
 
     status: int = 503
+    cut: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -311,12 +317,16 @@
         request: http1_server.CallerRequest,
         answer: http1_server.CallerAnswer,
         status: int,
+        cut: bool = False,
     ) -> None:
         headers = [
             (b"x-request-id", request.get(b"x-request-id")),
             (b"x-not-run", b"1"),
             (b"x-instance-id", self.name.encode()),
         ]
+        if cut:
+            await answer.begin(status, [*headers, (b"content-length", b"9")])
+            raise http1_server.BrokenAnswerError
         await answer.send_whole(status, headers, b"")
 
     async def _serve(
@@ -328,7 +338,7 @@
         if self.behaviours:
             behaviour = self.behaviours.popleft()
         if isinstance(behaviour, Refuse):
-            await self._refuse(request, answer, behaviour.status)
+            await self._refuse(request, answer, behaviour.status, behaviour.cut)
             return
         request_id = request.get(b"x-request-id").decode()
         self.runs.append(
--- a/tests/coordination/gateway/test_dispatcher.py
+++ b/tests/coordination/gateway/test_dispatcher.py
@@ -1,12 +1,17 @@
 """Tests of attempts, retries, resumes and the truth of refusals."""
 
+import collections
 import socket
 import unittest
+from unittest import mock
 
 import anyio
+import msgspec
 
+from hillthread.coordination.gateway import job as job_lib
 from hillthread.standin import platform_target as standin
 from hillthread.transport import http1_client
+from hillthread.transport import http1_server
 from tests.coordination.gateway import scene as scene_lib
 
 
@@ -152,6 +157,193 @@
 
         scene_lib.play(story)
 
+    def test_answer_that_is_whole_when_the_time_is_over_is_passed_on(self):
+        """The time ends while a whole answer is written to the caller."""
+        send_whole = http1_server.CallerAnswer.send_whole
+
+        async def write_slowly(answer, status, headers, body):
+            if body.startswith(b"answer of") and answer.is_closing():
+                await anyio.sleep(0.6)
+            await send_whole(answer, status, headers, body)
+
+        async def story(scene):
+            # Tells the gateway's answer from the target's, which is the same.
+            scene.program.server.stopping = True
+            with mock.patch.object(
+                http1_server.CallerAnswer, "send_whole", write_slowly
+            ):
+                answer = await scene.call(
+                    scene.request("/once/x", x_deadline_ms="300")
+                )
+            self.assertEqual(answer.head.status, 200)
+            self.assertTrue(answer.head.get(b"x-response-stamp"))
+
+        scene_lib.play(story)
+
+    def test_target_that_ends_on_time_may_still_say_so(self):
+        """Its time began later than the gateway's, by the way to it."""
+
+        async def story(scene):
+            for target in scene.plain:
+                target.always = standin.Serve(0.34)
+            answer = await scene.call(
+                scene.request("/once/x", x_deadline_ms="300")
+            )
+            self.assertEqual(answer.head.status, 200)
+
+        scene_lib.play(story)
+
+    def test_failure_is_passed_on_when_a_later_run_brings_nothing(self):
+        for later in (standin.Hang(), standin.Vanish(), standin.Refuse()):
+            with self.subTest(later=later):
+
+                async def story(scene, later=later):
+                    shared = collections.deque([standin.Fail(500), later])
+                    for target in scene.plain:
+                        target.behaviours = shared
+                    answer = await scene.call(
+                        scene.request("/again/x", x_deadline_ms="400")
+                    )
+                    self.assertEqual(answer.head.status, 500)
+                    self.assertTrue(answer.head.get(b"x-response-stamp"))
+
+                scene_lib.play(story)
+
+    def test_failure_is_passed_on_when_keys_can_no_longer_be_checked(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.always = standin.Fail(500)
+                whole = target._run
+
+                async def lose_store(*arguments, whole=whole):
+                    scene.site.freshness.proven_at -= 60.0
+                    await whole(*arguments)
+
+                target._run = lose_store
+            answer = await scene.call(scene.request("/again/x"))
+            self.assertEqual(answer.head.status, 500)
+            self.assertTrue(answer.head.get(b"x-response-stamp"))
+
+        scene_lib.play(story)
+
+    def test_run_that_was_lost_is_not_told_as_not_run(self):
+        """The store is lost after the first run: that run stays unknown."""
+
+        async def story(scene):
+            for target in scene.plain:
+                target.always = standin.Vanish()
+                run = target._run
+
+                async def lose_store(*arguments, run=run):
+                    scene.site.freshness.proven_at -= 60.0
+                    await run(*arguments)
+
+                target._run = lose_store
+            answer = await scene.call(scene.request("/again/x"))
+            self.assertEqual(answer.head.status, 502)
+            self.assertIn(b'"run":"unknown"', answer.body)
+
+        scene_lib.play(story)
+
+    def test_failure_ends_the_request_when_the_budget_is_spent(self):
+        async def story(scene):
+            shared = collections.deque([standin.Fail(500), standin.Refuse()])
+            for target in scene.plain:
+                target.behaviours = shared
+            scene.site.settings = msgspec.structs.replace(
+                scene.site.settings, retry_extra=1.0, retry_ratio=0.0
+            )
+            scene.site.hosts = 1
+            answer = await scene.call(scene.request("/again/x"))
+            self.assertEqual(answer.head.status, 500)
+            self.assertEqual(len(scene.runs()), 1)
+
+        scene_lib.play(story, plain=3)
+
+    def test_request_that_no_target_was_offered_is_refused_as_not_run(self):
+        async def story(scene):
+            with socket.socket() as peer:
+                peer.bind(("127.0.0.1", 0))
+                peer.listen(0)
+                ip, port = peer.getsockname()
+                with socket.create_connection((ip, port)):
+                    await self.list_only(scene, f"{ip}:{port}")
+                    answer = await scene.call(
+                        scene.request("/once/x", x_deadline_ms="60")
+                    )
+            self.assertEqual(answer.head.status, 503)
+            self.assertIn(b'"run":"not_run"', answer.body)
+            self.assertTrue(answer.head.get(b"retry-after"))
+
+        scene_lib.play(story)
+
+    async def list_only(self, scene, address):
+        """Leaves one target of the plain service, at an address."""
+        entry = {**scene.plain[0].entry(), "address": address}
+        scene.store.put("keyed.servers", "only", entry)
+        for target in scene.plain:
+            scene.store.remove("keyed.servers", target.name)
+        known = scene.site.targets.entries
+        await scene.until(
+            lambda: "only" in known and not {"p0", "p1"} & set(known)
+        )
+
+    def test_fault_of_the_gateway_tells_whether_the_request_has_run(self):
+        async def story(scene):
+            dispatcher = scene.program.gateway.dispatcher
+            fault = RuntimeError("a fault")
+            with mock.patch.object(
+                dispatcher.chooser, "plan", side_effect=fault
+            ):
+                answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 503)
+            self.assertIn(b'"run":"not_run"', answer.body)
+            self.assertTrue(answer.head.get(b"retry-after"))
+            with mock.patch.object(job_lib.Job, "_goes_on", side_effect=fault):
+                answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 502)
+            self.assertIn(b'"run":"unknown"', answer.body)
+
+        scene_lib.play(story)
+
+    def test_refusal_that_breaks_off_is_still_one(self):
+        async def story(scene):
+            scene.plain[0].always = standin.Refuse(cut=True)
+            scene.plain[1].always = standin.Refuse(cut=True)
+            answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 503)
+            self.assertIn(b'"run":"not_run"', answer.body)
+
+        scene_lib.play(story)
+
+    def test_request_without_time_to_be_served_is_refused_at_once(self):
+        async def story(scene):
+            answer = await scene.call(
+                scene.request("/once/x", x_deadline_ms="40")
+            )
+            self.assertEqual(answer.head.status, 503)
+            self.assertIn(b'"run":"not_run"', answer.body)
+            self.assertEqual(scene.runs(), [])
+
+        scene_lib.play(story)
+
+    def test_target_is_told_the_time_that_is_left_when_it_is_sent(self):
+        async def story(scene):
+            pool = scene.program.pool
+            take = pool.take
+
+            async def take_slowly(*arguments):
+                await anyio.sleep(0.3)
+                return await take(*arguments)
+
+            pool.take = take_slowly
+            await scene.call(scene.request("/once/x", x_deadline_ms="1000"))
+            (run,) = [r for t in scene.plain for r in t.runs]
+            told_ms = int(run.request.get(b"x-deadline-ms"))
+            self.assertLessEqual(told_ms, 700)
+
+        scene_lib.play(story)
+
     def test_target_is_told_at_once_when_the_caller_leaves(self):
         async def story(scene):
             for target in scene.plain:
