Give requests final answers when a host stops or its store fails at the start

Cause: what still ran at the end of a stop lost its connection without an answer; a request that was still coming in was not waited for; a host that had just started held requests for 0.5 s although its store had refused the first read.

Now the jobs left 0.3 s before the kill are ended with a final answer (502, or 503 if they have not run), a stop waits for requests that are being read, and requests of the first moments are refused as soon as the store fails.

Measured: four new tests in test_lifecycle.py failed on the code before and pass now.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -41,6 +41,8 @@
 # Before the process is killed, what still runs is broken off.
 _STOP_MARGIN_S = 0.3
 _IDLE_CHECK_S = 0.05
+# For the final answers to what was broken off, within that margin.
+_LAST_ANSWERS_S = 0.15
 # Connections come up within 10 ms; a lost packet is sent again after a second.
 _CONNECT_TIMEOUT_S = 0.2
 # How long the store holds a read at most.
@@ -118,6 +120,7 @@
             self.gateway.handle,
             lambda: self.site.bounds,
             self.gateway.refused_unread,
+            self.gateway.left_unserved,
         )
         self.ready_server = self._status_server(settings.ready_listen)
         self.metrics_server = self._status_server(
@@ -153,13 +156,24 @@
         await anyio.sleep(max(0.0, closing_at - time.monotonic()))
         self.site.closing = True
         await self.rollout.lease.release()
-        while time.monotonic() < give_up_at and self.server.serving:  # noqa: ASYNC110
-            await anyio.sleep(_IDLE_CHECK_S)
+        await self._wait_finished(give_up_at)
+        cut = self.server.serving
+        self.gateway.dispatcher.give_up()
+        await self._wait_finished(time.monotonic() + _LAST_ANSWERS_S)
         _logger.info(
             "stopped",
-            extra={"event": "stop_drained", "open": self.server.serving},
+            extra={
+                "event": "stop_drained",
+                "cut": cut,
+                "open": self.server.unfinished,
+            },
         )
 
+    async def _wait_finished(self, until: float) -> None:
+        """Waits until no request is unfinished, or the time is over."""
+        while time.monotonic() < until and self.server.unfinished:  # noqa: ASYNC110
+            await anyio.sleep(_IDLE_CHECK_S)
+
     async def answer_status(
         self,
         caller: http1_server.CallerRequest,
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -52,7 +52,9 @@
         weights: Versions of weights.
         freshness: Age of what is known from the operator.
         started_at: Seconds, when this process began to serve.
-        known: Set once the first configuration and the targets are known.
+        wait_over: Set, and replaced, when requests need not wait any longer
+            for the first configuration and targets.
+        is_store_lost: The store was not read since a read failed.
         hosts: Hosts that share the budgets, this one included.
         draining: The process is stopping.
         closing: It is about to end: a new request could not be finished.
@@ -74,7 +76,8 @@
         )
         self.targets_known = False
         self.started_at = time.monotonic()
-        self.known = anyio.Event()
+        self.wait_over = anyio.Event()
+        self.is_store_lost = False
         self.states: dict[str, target_state.TargetState] = {}
         self.weights = weights.WeightsBoard()
         self.freshness = freshness.Freshness()
@@ -147,7 +150,12 @@
 
     def _note_known(self) -> None:
         if self.knows_enough:
-            self.known.set()
+            self.release_waiting()
+
+    def release_waiting(self) -> None:
+        """Has requests that wait for the configuration served or refused."""
+        self.wait_over.set()
+        self.wait_over = anyio.Event()
 
     @property
     def knows_enough(self) -> bool:
@@ -155,18 +163,19 @@
         return self.table is not None and self.targets_known
 
     async def wait_known(self, now: float) -> None:
-        """Returns when requests can be routed, or the first moments are over.
+        """Returns when requests can be routed, or soon will not be.
 
         A host that cannot reach the store must not hold up its callers: only
-        a process that has just started lets them wait.
+        a process that has just started lets them wait, until the store fails
+        or the first moments are over.
         """
         if self.knows_enough:
             return
         left_s = self.started_at + _FIRST_MOMENTS_S - now
-        if left_s <= 0.0:
+        if left_s <= 0.0 or self.is_store_lost:
             return
         with anyio.move_on_after(left_s):
-            await self.known.wait()
+            await self.wait_over.wait()
 
     def put_target(self, incarnation: str, payload: bytes) -> None:
         """Takes in an entry of the list of targets.
@@ -257,13 +266,17 @@
 
     def store_lost(self, reason: str) -> None:
         """Notes that the store cannot be read."""
+        self.is_store_lost = True
         self.targets.store_lost()
+        if not self.knows_enough:
+            self.release_waiting()
         _logger.warning(
             "store lost", extra={"event": "store_lost", "reason": reason}
         )
 
     def store_back(self, now: float, lost_s: float) -> None:
         """Notes that the store can be read again."""
+        self.is_store_lost = False
         self.targets.store_back(now)
         _logger.info(
             "store back",
--- a/tests/coordination/gateway/test_lifecycle.py
+++ b/tests/coordination/gateway/test_lifecycle.py
@@ -34,12 +34,31 @@
             first = await scene.call(scene.request("/once/x"))
             self.assertEqual(first.head.status, 503)
             scene.site.started_at -= 1.0
-            scene.site.known = None  # whoever waits for it now fails
+            scene.site.wait_over = None  # whoever waits for it now fails
             again = await scene.call(scene.request("/once/x"))
             self.assertEqual(again.head.status, 503)
 
         scene_lib.play(story, ready=False, slow_s=5.0)
 
+    def test_host_whose_store_fails_refuses_at_once(self):
+        async def story(scene):
+            await scene.until(lambda: scene.program.readers.watch.lost_at)
+            started = time.monotonic()
+            answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 503)
+            self.assertLess(time.monotonic() - started, 0.2)
+
+        scene_lib.play(story, ready=False, store="127.0.0.1:1")
+
+    def test_request_that_waits_is_refused_as_soon_as_the_store_fails(self):
+        async def story(scene):
+            started = time.monotonic()
+            answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 503)
+            self.assertLess(time.monotonic() - started, 0.3)
+
+        scene_lib.play(story, ready=False, store="127.0.0.1:1")
+
     def test_targets_count_as_known_as_soon_as_they_are_read(self):
         async def story(scene):
             site = scene.site
@@ -361,6 +380,47 @@
 
         scene_lib.play(story)
 
+    def test_what_still_runs_at_the_end_gets_a_final_answer(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.always = standin.Hang()
+            connection = await scene.pool.take(scene.program.server.address)
+            await connection.send_request(scene.request("/once/x"))
+            await scene.until(scene.runs)
+            await scene.program.drain(time.monotonic())
+            with anyio.fail_after(0.1):
+                head = await connection.read_head()
+                body = await connection.read_body(10_000)
+            self.assertEqual(head.status, 502)
+            self.assertIn(b'"run":"unknown"', body)
+
+        scene_lib.play(story, grace_s=0.8)
+
+    def test_request_that_comes_in_slowly_is_answered_before_the_end(self):
+        async def story(scene):
+            stopped = anyio.Event()
+
+            async def stop():
+                await scene.program.drain(time.monotonic())
+                stopped.set()
+
+            connection = await scene.pool.take(scene.program.server.address)
+            await connection.stream.send(
+                b"POST /once/x HTTP/1.1\r\nhost: callers.example\r\n"
+                b"x-request-id: slow\r\ncontent-length: 5\r\n\r\n"
+            )
+            scene.tasks.start_soon(stop)
+            await scene.until(lambda: scene.site.closing)
+            await anyio.sleep(0.2)
+            self.assertFalse(stopped.is_set())
+            await connection.stream.send(b"hello")
+            answer = await connection.receive()
+            self.assertIn(b" 503 ", answer)
+            with anyio.fail_after(0.3):
+                await stopped.wait()
+
+        scene_lib.play(story, grace_s=1.6)
+
 
 class DoorTest(unittest.TestCase):
     def test_bad_requests_are_refused_and_counted(self):
