Send callers where they are served, the urgent ones first

Now a host that is not ready closes the connection with its refusal. It tells 0.1 s while the balancer may still find others, and 1 s once the balancer knows and sends callers all the same: the others are out, too. Every class comes back within a span of its own, the most urgent first, each caller at a moment drawn within it (state/return_time.py).

Ruled out: times taken from bounds of the price of holding; nothing is held here.

Measured: the three tests of ReturnTest failed on the code before and pass now.

--- a/hillthread/coordination/gateway/gateway.py
+++ b/hillthread/coordination/gateway/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import time
 
 import anyio
@@ -17,6 +18,7 @@
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway import story as story_lib
 from hillthread.platform import names
+from hillthread.state import return_time
 from hillthread.transport import http1
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
@@ -80,7 +82,8 @@
             self._note_answered(request, answer)
         except errors.RefusalError as refusal:
             outcome, code = "refused", refusal.code
-            await self._refuse(refusal, answer, story)
+            priority = job.request.priority if job else 0
+            await self._refuse(refusal, answer, story, priority)
         except http1_server.BrokenAnswerError:
             outcome = "broken"
             story.warn("answer_broken")
@@ -144,13 +147,19 @@
         refusal: errors.RefusalError,
         answer: http1_server.CallerAnswer,
         story: story_lib.Story,
+        priority: int = 0,
     ) -> None:
+        after_s = refusal.retry_after_s
+        if after_s is not None:
+            draw = random.random()
+            after_s = return_time.return_after_s(after_s, priority, draw)
+            after_s = round(after_s, 3)
         story.warn(
             "refused",
             code=refusal.code,
             status=refusal.status,
             run=str(refusal.run),
-            retry_after_s=refusal.retry_after_s,
+            retry_after_s=after_s,
             reason=refusal.message,
             started=answer.started,
             store_age_s=self.site.told_age_s(time.monotonic()),
@@ -161,9 +170,10 @@
             _JSON,
             (names.REQUEST_ID, story.request_id.encode("latin-1")),
         ]
-        if refusal.retry_after_s is not None:
-            after = b"%.3f" % refusal.retry_after_s
-            headers.append((names.RETRY_AFTER, after))
+        if after_s is not None:
+            headers.append((names.RETRY_AFTER, b"%.3f" % after_s))
+        # On a new connection the balancer chooses a host that is ready.
+        answer.closes = refusal.code == intake.NOT_READY
         body = {
             "error": {
                 "code": refusal.code,
--- a/hillthread/coordination/gateway/intake.py
+++ b/hillthread/coordination/gateway/intake.py
@@ -15,6 +15,7 @@
 from hillthread.transport import http1_server
 
 __all__ = [
+    "NOT_READY",
     "GatewayRequest",
     "admit",
     "authorise",
@@ -23,7 +24,18 @@
     "not_ready",
 ]
 
+# Code of the refusals of a host that cannot serve; others may.
+NOT_READY = "not_ready"
+# A host that has just started knows enough by then.
 _SOON_S = 0.5
+# The balancer sends a caller that comes back to another host, at once.
+_ELSEWHERE_S = 0.1
+# It asks once a second and takes a host out after two misses. If it still sends
+# callers here, the other hosts are not ready either, as in an outage of the
+# store, and an early return is a try lost. Outages last for seconds; callers
+# heed a third of the time they have.
+_BALANCER_KNOWS_S = 2.6
+_OUTAGE_S = 1.0
 # With less than this share of its objective left a request cannot be served:
 # targets take longer for anything, and would work on it in vain.
 _LEAST_SHARE = 0.1
@@ -93,9 +105,11 @@
         RefusalError: It cannot be served; it has not run.
     """
     if site.closing:
-        raise not_ready("The host is about to end.")
+        raise not_ready("The host is about to end.", _ELSEWHERE_S)
     if not site.knows_enough:
-        raise not_ready("The host does not know the configuration yet.")
+        raise not_ready(
+            "The host does not know the configuration yet.", _SOON_S
+        )
     route = _route(site, caller)
     tenant = authorise(site, caller, route)
     timeout_s = route.timeout_s
@@ -131,7 +145,7 @@
     if route.public or configuration is None or not configuration.has_tenants:
         return None
     if not site.may_serve_keys(time.monotonic()):
-        raise not_ready("The host has lost the store and cannot check keys.")
+        raise _store_lost(site, "cannot check keys")
     scheme, _, key = caller.get(b"authorization").partition(b" ")
     tenant = None
     if scheme.decode("latin-1").lower() == _BEARER and site.table is not None:
@@ -164,14 +178,23 @@
     )
 
 
-def not_ready(message: str) -> errors.RefusalError:
+def not_ready(message: str, retry_after_s: float) -> errors.RefusalError:
     """Returns the refusal of a host that cannot serve yet or any more."""
     return errors.RefusalError(
-        "not_ready",
+        NOT_READY,
         503,
         message,
         "Try again; the balancer knows hosts that are ready.",
-        retry_after_s=_SOON_S,
+        retry_after_s=retry_after_s,
+    )
+
+
+def _store_lost(site: site_lib.Site, effect: str) -> errors.RefusalError:
+    unready_s = site.unready_s(time.monotonic())
+    is_outage = unready_s >= _BALANCER_KNOWS_S
+    return not_ready(
+        f"The host has lost the store and {effect}.",
+        _OUTAGE_S if is_outage else _ELSEWHERE_S,
     )
 
 
@@ -193,7 +216,7 @@
     if route is not None:
         return route
     if not site.may_serve_keys(time.monotonic()):
-        raise not_ready("The host has lost the store and may miss a route.")
+        raise _store_lost(site, "may miss a route")
     raise errors.RefusalError(
         "no_route",
         404,
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -310,11 +310,17 @@
             return "no configuration known"
         if not self.targets_known:
             return "targets not known"
-        limit = self.settings.revoke_ms / 1000.0 * _READY_SHARE
-        if self.settings.fail_closed and self.freshness.age(now) > limit:
+        if self.unready_s(now) > 0.0:
             return "store not reached"
         return ""
 
+    def unready_s(self, now: float) -> float:
+        """Returns for how long the store has been away for too long."""
+        if not self.settings.fail_closed:
+            return 0.0
+        limit_s = self.settings.revoke_ms / 1000.0 * _READY_SHARE
+        return max(0.0, self.freshness.age(now) - limit_s)
+
     def _note_target(
         self,
         name: str,
--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -88,7 +88,9 @@
         started: Whether its head was sent.
         status: Of the answer; 0 before its head was sent.
         ended: Whether it was sent whole.
-        is_closing: Returns whether the connection closes after it.
+        is_closing: Returns whether the server's connections close after
+            their answers.
+        closes: Whether this connection does.
     """
 
     def __init__(
@@ -99,12 +101,13 @@
         self.started = False
         self.status = 0
         self.ended = False
+        self.closes = False
 
     async def begin(
         self, status: int, headers: http1.Headers, data: bytes = b""
     ) -> None:
         """Sends the head, and the first part of the body with it."""
-        extra = [_CLOSE] if self.is_closing() else []
+        extra = [_CLOSE] if self.closes or self.is_closing() else []
         events: list[h11.Event] = [
             h11.Response(status_code=status, headers=[*headers, *extra])
         ]
@@ -127,7 +130,7 @@
         self, status: int, headers: http1.Headers, body: bytes
     ) -> None:
         """Sends a whole answer with one write."""
-        extra = [_CLOSE] if self.is_closing() else []
+        extra = [_CLOSE] if self.closes or self.is_closing() else []
         framed = [*headers, (b"content-length", b"%d" % len(body)), *extra]
         events: list[h11.Event] = [
             h11.Response(status_code=status, headers=framed)
--- a/tests/coordination/gateway/test_lifecycle.py
+++ b/tests/coordination/gateway/test_lifecycle.py
@@ -193,6 +193,68 @@
         scene_lib.play(story)
 
 
+class ReturnTest(unittest.TestCase):
+    """Where and when callers come back that were refused."""
+
+    async def refused(self, scene):
+        """Returns the head of a refusal for want of the store."""
+        answer = await scene.call(scene.request("/once/x"))
+        self.assertEqual(answer.head.status, 503)
+        return answer.head
+
+    def test_host_without_the_store_sends_callers_elsewhere(self):
+        async def story(scene):
+            age_s = scene.site.greatest_age_s + 0.1
+            scene.store.faults.silent = True
+            scene.site.freshness.proven_at = time.monotonic() - age_s
+            head = await self.refused(scene)
+            self.assertEqual(head.get(b"connection"), b"close")
+            self.assertLess(float(head.get(b"retry-after")), 0.2)
+
+        scene_lib.play(story)
+
+    def test_callers_that_the_balancer_still_sends_come_back_later(self):
+        """It would use other hosts by then, if there were any."""
+
+        async def story(scene):
+            scene.store.faults.silent = True
+            scene.site.freshness.proven_at = time.monotonic() - 60.0
+            head = await self.refused(scene)
+            self.assertGreaterEqual(float(head.get(b"retry-after")), 1.0)
+
+        scene_lib.play(story)
+
+    def test_urgent_callers_come_back_before_others(self):
+        async def story(scene):
+            routes = [
+                scene_lib.route(
+                    f"p{n}", f"/p{n}/", "idempotent", "plain", priority=n
+                )
+                for n in range(3)
+            ]
+            scene.configure(routes=routes)
+            await scene.until(lambda: scene.site.table.position == 2)
+            for target in scene.plain:
+                target.always = standin.Refuse()
+            spans = []
+            for n in range(3):
+                answers = [
+                    await scene.call(scene.request(f"/p{n}/x"))
+                    for _ in range(4)
+                ]
+                times = {
+                    float(each.head.get(b"retry-after"))
+                    for each in answers
+                    if b"no_target" in each.body
+                }
+                self.assertGreater(len(times), 1)
+                spans.append(times)
+            self.assertLessEqual(max(spans[0]), min(spans[1]))
+            self.assertLessEqual(max(spans[1]), min(spans[2]))
+
+        scene_lib.play(story)
+
+
 class HostsTest(unittest.TestCase):
     def test_hosts_are_counted_in_the_store(self):
         async def story(scene):
