Let callers of a lone host wait until the balancer knows of others

Ruled out: the same for hosts with neighbours.

Measured: the new test failed on the code before and passes now.

--- a/hillthread/coordination/gateway/host_registry.py
+++ b/hillthread/coordination/gateway/host_registry.py
@@ -44,7 +44,7 @@
 
     Attributes:
         store: The platform's store.
-        site: Whose `hosts` is set.
+        site: Whose `hosts` and `neighbours` are set.
         source: Whose hosts are kept.
         feed: `IP:port` where this host answers others.
     """
@@ -91,6 +91,7 @@
         else:
             self.source.remove(record.key)
         self.site.hosts = max(1, len(self.source.hosts))
+        self.site.neighbours = self.source.count_neighbours()
         _logger.info(
             "hosts changed",
             extra={
--- a/hillthread/coordination/gateway/intake.py
+++ b/hillthread/coordination/gateway/intake.py
@@ -28,13 +28,16 @@
 NOT_READY = "not_ready"
 # A host that has just started knows enough by then.
 _SOON_S = 0.5
-# The balancer sends a caller that comes back to another host, at once.
+# The balancer sends a caller that comes back to another host of its data
+# centre, at once.
 _ELSEWHERE_S = 0.1
-# It asks once a second and takes a host out after two misses. If it still sends
-# callers here, the other hosts are not ready either, as in an outage of the
+# The balancer asks once a second and takes a host out after two misses: by then
+# it sends callers to hosts that are ready, in other data centres if need be.
+_BALANCER_KNOWS_S = 2.0
+# If it sends callers here later still, no host is ready, as in an outage of the
 # store, and an early return is a try lost. Outages last for seconds; callers
 # heed a third of the time they have.
-_BALANCER_KNOWS_S = 2.6
+_BALANCER_DONE_S = 2.6
 _OUTAGE_S = 1.0
 # With less than this share of its objective left a request cannot be served:
 # targets take longer for anything, and would work on it in vain.
@@ -190,14 +193,21 @@
 
 
 def _store_lost(site: site_lib.Site, effect: str) -> errors.RefusalError:
-    unready_s = site.unready_s(time.monotonic())
-    is_outage = unready_s >= _BALANCER_KNOWS_S
     return not_ready(
-        f"The host has lost the store and {effect}.",
-        _OUTAGE_S if is_outage else _ELSEWHERE_S,
+        f"The host has lost the store and {effect}.", _back_s(site)
     )
 
 
+def _back_s(site: site_lib.Site) -> float:
+    """Returns after how long callers find a host that has the store."""
+    unready_s = site.unready_s(time.monotonic())
+    if unready_s >= _BALANCER_DONE_S:
+        return _OUTAGE_S
+    if site.neighbours:
+        return _ELSEWHERE_S
+    return max(_ELSEWHERE_S, _BALANCER_KNOWS_S - unready_s)
+
+
 def current_route(
     site: site_lib.Site, caller: http1_server.CallerRequest
 ) -> objects.Route | None:
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -56,6 +56,7 @@
             for the first configuration and targets.
         is_store_lost: The store was not read since a read failed.
         hosts: Hosts that share the budgets, this one included.
+        neighbours: Other hosts in this host's data centre.
         draining: The process is stopping.
         closing: It is about to end: a new request could not be finished.
         weights_named: Set, and replaced, when new weights are named.
@@ -83,6 +84,7 @@
         self.freshness = freshness.Freshness()
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.hosts = DEFAULT_HOSTS
+        self.neighbours = 0
         self.draining = False
         self.closing = False
         self.weights_named = anyio.Event()
--- a/hillthread/state/feed_source.py
+++ b/hillthread/state/feed_source.py
@@ -75,6 +75,11 @@
         """Notes that a host did not help."""
         self._avoided_until[name] = now + _AVOID_S
 
+    def count_neighbours(self) -> int:
+        """Returns how many other hosts are in this host's data centre."""
+        own = self._own_data_centre(self.hosts.values())
+        return len(own.keys() - {self.name})
+
     def is_shared(self) -> bool:
         """Returns whether one host of the data centre reads for the others."""
         return bool(self._ranked)
--- a/tests/coordination/gateway/test_lifecycle.py
+++ b/tests/coordination/gateway/test_lifecycle.py
@@ -204,6 +204,7 @@
 
     def test_host_without_the_store_sends_callers_elsewhere(self):
         async def story(scene):
+            scene.site.neighbours = 2
             age_s = scene.site.greatest_age_s + 0.1
             scene.store.faults.silent = True
             scene.site.freshness.proven_at = time.monotonic() - age_s
@@ -213,6 +214,24 @@
 
         scene_lib.play(story)
 
+    def test_callers_of_a_lone_host_wait_until_the_balancer_knows(self):
+        """Those that come back at once would come back to the same host."""
+
+        async def story(scene):
+            entry = {"data_centre": "there", "feed": "127.0.0.1:1"}
+            scene.store.put("keyed.hosts", "h2", entry)
+            await scene.until(lambda: scene.site.hosts == 2)
+            age_s = scene.site.greatest_age_s + 0.1
+            scene.store.faults.silent = True
+            scene.site.freshness.proven_at = time.monotonic() - age_s
+            waits_s = 2.0 - scene.site.unready_s(time.monotonic())
+            head = await self.refused(scene)
+            after_s = float(head.get(b"retry-after"))
+            self.assertGreaterEqual(after_s, waits_s - 0.1)
+            self.assertLess(after_s, 2.0)
+
+        scene_lib.play(story)
+
     def test_callers_that_the_balancer_still_sends_come_back_later(self):
         """It would use other hosts by then, if there were any."""
 
