Count a request as unfinished until it is answered, and tidy its ends

From reading the changes as a newcomer: a request counted neither as read nor as served while its connection was looked at; a connection that was already to be closed could be chosen again to make room; the two texts for requests that were cut, and the time to come back, stand in types and functions of their own now.

--- a/hillthread/coordination/gateway/dispatcher.py
+++ b/hillthread/coordination/gateway/dispatcher.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 import anyio
 import anyio.abc
 
@@ -26,6 +28,36 @@
 _RETRY_S = 0.25
 
 
+class _Cut(NamedTuple):
+    """What is told of a request that was cut and may have run.
+
+    Attributes:
+        code: The refusal's code.
+        status: The HTTP status.
+        message: What happened.
+        remedy: What the caller can do.
+    """
+
+    code: str
+    status: int
+    message: str
+    remedy: str
+
+
+_LATE = _Cut(
+    "deadline",
+    504,
+    "The request's deadline passed.",
+    "Allow more time, or ask for a shorter answer.",
+)
+_STOPPED = _Cut(
+    "stopping",
+    502,
+    "The host ended before an answer came.",
+    "It may have run: find out before sending it again.",
+)
+
+
 class Dispatcher:
     """Carries requests to targets and answers back.
 
@@ -107,26 +139,14 @@
 
     def _unanswered(self, run: errors.RunState) -> errors.RefusalError:
         """Returns the answer to a request that was cut before one came."""
-        code, message, status = (
-            "deadline",
-            "The request's deadline passed.",
-            504,
-        )
-        if self.stopped:
-            code, message, status = "stopping", "The host ends now.", 502
-        if run is errors.RunState.NOT_RUN:
-            return errors.RefusalError(
-                code,
-                503,
-                f"{message} No target had taken the request.",
-                "Try again after the time in Retry-After.",
-                run,
-                _RETRY_S,
-            )
+        cut = _STOPPED if self.stopped else _LATE
+        if run is not errors.RunState.NOT_RUN:
+            return errors.RefusalError(*cut, run)
         return errors.RefusalError(
-            code,
-            status,
-            message,
-            "Allow more time; it may have run: find out before repeating it.",
+            cut.code,
+            503,
+            f"{cut.message} No target had taken the request.",
+            "Try again after the time in Retry-After.",
             run,
+            _RETRY_S,
         )
--- a/hillthread/coordination/gateway/gateway.py
+++ b/hillthread/coordination/gateway/gateway.py
@@ -149,11 +149,7 @@
         story: story_lib.Story,
         priority: int = 0,
     ) -> None:
-        after_s = refusal.retry_after_s
-        if after_s is not None:
-            draw = random.random()
-            after_s = return_time.return_after_s(after_s, priority, draw)
-            after_s = round(after_s, 3)
+        after_s = _return_after_s(refusal, priority)
         story.warn(
             "refused",
             code=refusal.code,
@@ -191,6 +187,17 @@
     return caller.get(names.REQUEST_ID).decode("latin-1")
 
 
+def _return_after_s(
+    refusal: errors.RefusalError, priority: int
+) -> float | None:
+    """Returns after how long the caller should come back, if it helps."""
+    least_s = refusal.retry_after_s
+    if least_s is None:
+        return None
+    after_s = return_time.return_after_s(least_s, priority, random.random())
+    return round(after_s, 3)
+
+
 def _internal(run: errors.RunState) -> errors.RefusalError:
     """Returns the answer to a request that met a fault of the gateway."""
     if run is errors.RunState.NOT_RUN:
--- a/hillthread/coordination/gateway/job.py
+++ b/hillthread/coordination/gateway/job.py
@@ -333,10 +333,7 @@
 
         Raises:
             RefusalError: The answer's status may not be passed on.
-            BrokenAnswerError: A stream has begun, which it cannot end.
         """
-        if self.answer.started:
-            raise http1_server.BrokenAnswerError
         head, body = whole
         if head.status in _PROMISES:
             raise errors.RefusalError(
--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -26,8 +26,8 @@
 # A connection that has rested too long is closed after this time more: what has
 # just come in is still served.
 _LAST_CHANCE_S = 0.05
-# After an error in accepting, until descriptors may be free again.
-_ACCEPT_PAUSE_S = 0.02
+# After an error in accepting, until the connection dropped for it is closed.
+_ACCEPT_PAUSE_S = 0.1
 # Between two lines on such errors.
 _ACCEPT_TELL_S = 1.0
 _CLOSE = (b"connection", b"close")
@@ -156,7 +156,8 @@
         http: The connection.
         ahead: Bytes that came in while a request was served.
         requests: Requests read so far.
-        reading: Whether a request has begun to come in and is not yet read.
+        unfinished: Whether a request has begun to come in that is not yet
+            answered.
         serving: Whether a request is being served.
         idle_since: Seconds, since when it waits for a request, or None.
         idle_scope: Ends that wait, or None.
@@ -171,7 +172,7 @@
         )
         self.ahead: list[bytes] = []
         self.requests = 0
-        self.reading = False
+        self.unfinished = False
         self.serving = False
         self.idle_since: float | None = None
         self.idle_scope: anyio.CancelScope | None = None
@@ -193,9 +194,12 @@
     async def _serve_next(self) -> bool:
         """Serves one request; returns whether another may follow."""
         try:
-            request = await self._read_request()
+            return await self._read_and_serve()
         finally:
-            self.reading = False
+            self.unfinished = False
+
+    async def _read_and_serve(self) -> bool:
+        request = await self._read_request()
         if request is None:
             return False
         self.requests += 1
@@ -211,6 +215,7 @@
             return False
         finally:
             self.serving = False
+            self.unfinished = False
         if not answer.ended:
             return False
         if self.http.machine.our_state is not h11.DONE:
@@ -304,7 +309,7 @@
             if not data:
                 return None
             machine.receive_data(data)
-        self.reading = True
+        self.unfinished = True
         with anyio.move_on_after(self.bounds.head_timeout_s):
             event = await self.http.next_event()
             if isinstance(event, h11.Request):
@@ -424,7 +429,7 @@
     @property
     def unfinished(self) -> int:
         """Requests that have begun to come in and are not yet answered."""
-        return sum(each.serving or each.reading for each in self.connections)
+        return sum(each.unfinished for each in self.connections)
 
     def is_stopping(self) -> bool:
         """Returns whether connections close after their current answer."""
@@ -483,7 +488,7 @@
         idle = {
             each: each.idle_since
             for each in self.connections
-            if each.idle_since is not None
+            if each.idle_since is not None and not each.unwanted
         }
         if idle:
             longest = min(idle, key=idle.__getitem__)
--- a/tests/transport/test_http1_server.py
+++ b/tests/transport/test_http1_server.py
@@ -1,6 +1,7 @@
 """Tests of the gateway's server: which requests are read, and what is sent."""
 
 import contextlib
+import os
 import resource
 import socket
 import time
@@ -115,16 +116,28 @@
 
 
 class AcceptTest(ServerCase):
+    @contextlib.contextmanager
+    def no_descriptors_left(self):
+        """Takes all descriptors up to the highest in use."""
+        highest = max(int(name) for name in os.listdir("/proc/self/fd"))
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (highest + 1, hard))
+        taken = []
+        try:
+            with contextlib.suppress(OSError):
+                while True:
+                    taken.append(os.dup(0))
+            yield
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            for descriptor in taken:
+                os.close(descriptor)
+
     def test_server_that_ran_out_of_descriptors_accepts_again(self):
         async def story():
             callers = [self.connect() for _ in range(3)]
-            soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-            used = callers[-1].fileno() + 1
-            resource.setrlimit(resource.RLIMIT_NOFILE, (used, hard))
-            try:
+            with self.no_descriptors_left():
                 await anyio.sleep(0.2)
-            finally:
-                resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
             for caller in callers:
                 caller.sendall(_REQUEST)
             while len(self.calls) < 3:  # noqa: ASYNC110
@@ -132,6 +145,25 @@
 
         self.play(story)
 
+    def test_connection_that_rests_longest_makes_room_for_a_new_one(self):
+        async def story():
+            resting = [self.connect() for _ in range(2)]
+            while len(self.server.connections) < 2:  # noqa: ASYNC110
+                await anyio.sleep(0.01)
+            caller = self.connect()
+            caller.sendall(_REQUEST)
+            with self.no_descriptors_left():
+                while not self.calls:  # noqa: ASYNC110
+                    await anyio.sleep(0.01)
+            first, second = resting
+            first.setblocking(False)
+            second.setblocking(False)
+            self.assertEqual(first.recv(1), b"")
+            with self.assertRaises(BlockingIOError):
+                second.recv(1)
+
+        self.play(story)
+
 
 class StoppingTest(ServerCase):
     def test_new_connection_of_a_stopping_server_may_send_its_request(self):
