--- a/hillthread/coordination/gateway/intake.py
+++ b/hillthread/coordination/gateway/intake.py
@@ -14,9 +14,35 @@
 from hillthread.state import routing_table
 from hillthread.transport import http1_server
 
-__all__ = ["GatewayRequest", "admit", "authorise"]
-
+__all__ = [
+    "NOT_READY",
+    "GatewayRequest",
+    "admit",
+    "authorise",
+    "check_time",
+    "current_route",
+    "not_ready",
+]
+
+# Code of the refusals of a host that cannot serve; others may.
+NOT_READY = "not_ready"
+# A host that has just started knows enough by then.
 _SOON_S = 0.5
+# The balancer sends a caller that comes back to another host of its data
+# centre, at once.
+_ELSEWHERE_S = 0.1
+# The balancer asks once a second and takes a host out after two misses: by then
+# it sends callers to hosts that are ready, in other data centres if need be.
+_BALANCER_KNOWS_S = 2.0
+# If it sends callers here later still, no host is ready, as in an outage of the
+# store, and an early return is a try lost. Outages last for seconds; callers
+# heed a third of the time they have.
+_BALANCER_DONE_S = 2.6
+_OUTAGE_S = 1.0
+# With less than this share of its objective left a request cannot be served:
+# targets take longer for anything, and would work on it in vain.
+_LEAST_SHARE = 0.1
+_HOPELESS_RETRY_S = 0.1
 _BEARER = "bearer"
 
 
@@ -82,9 +108,11 @@
         RefusalError: It cannot be served; it has not run.
     """
     if site.closing:
-        raise not_ready("The host is about to end.")
+        raise not_ready("The host is about to end.", _ELSEWHERE_S)
     if not site.knows_enough:
-        raise not_ready("The host does not know the configuration yet.")
+        raise not_ready(
+            "The host does not know the configuration yet.", _SOON_S
+        )
     route = _route(site, caller)
     tenant = authorise(site, caller, route)
     timeout_s = route.timeout_s
@@ -120,7 +148,7 @@
     if route.public or configuration is None or not configuration.has_tenants:
         return None
     if not site.may_serve_keys(time.monotonic()):
-        raise not_ready("The host has lost the store and cannot check keys.")
+        raise _store_lost(site, "cannot check keys")
     scheme, _, key = caller.get(b"authorization").partition(b" ")
     tenant = None
     if scheme.decode("latin-1").lower() == _BEARER and site.table is not None:
@@ -135,17 +163,51 @@
     return tenant
 
 
-def not_ready(message: str) -> errors.RefusalError:
+def check_time(request: GatewayRequest) -> None:
+    """Refuses a request whose time is too short for any target.
+
+    Raises:
+        RefusalError: It is.
+    """
+    least_s = request.route.first_byte_aim_s * _LEAST_SHARE
+    if request.seconds_left() >= least_s:
+        return
+    raise errors.RefusalError(
+        "no_time",
+        503,
+        "Too little time is left for any target.",
+        "Allow more time.",
+        retry_after_s=_HOPELESS_RETRY_S,
+    )
+
+
+def not_ready(message: str, retry_after_s: float) -> errors.RefusalError:
     """Returns the refusal of a host that cannot serve yet or any more."""
     return errors.RefusalError(
-        "not_ready",
+        NOT_READY,
         503,
         message,
         "Try again; the balancer knows hosts that are ready.",
-        retry_after_s=_SOON_S,
+        retry_after_s=retry_after_s,
     )
 
 
+def _store_lost(site: site_lib.Site, effect: str) -> errors.RefusalError:
+    return not_ready(
+        f"The host has lost the store and {effect}.", _back_s(site)
+    )
+
+
+def _back_s(site: site_lib.Site) -> float:
+    """Returns after how long callers find a host that has the store."""
+    unready_s = site.unready_s(time.monotonic())
+    if unready_s >= _BALANCER_DONE_S:
+        return _OUTAGE_S
+    if site.neighbours:
+        return _ELSEWHERE_S
+    return max(_ELSEWHERE_S, _BALANCER_KNOWS_S - unready_s)
+
+
 def current_route(
     site: site_lib.Site, caller: http1_server.CallerRequest
 ) -> objects.Route | None:
@@ -164,7 +226,7 @@
     if route is not None:
         return route
     if not site.may_serve_keys(time.monotonic()):
-        raise not_ready("The host has lost the store and may miss a route.")
+        raise _store_lost(site, "may miss a route")
     raise errors.RefusalError(
         "no_route",
         404,
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -63,9 +63,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Refuse:
-    """Does not run the request and says so."""
+    """Does not run the request and says so.
+
+    Attributes:
+        status: Of its answer.
+        cut: The body of its answer is cut off.
+    """
 
     status: int = 503
+    cut: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -368,12 +374,16 @@
         request: http1_server.CallerRequest,
         answer: http1_server.CallerAnswer,
         status: int,
+        cut: bool = False,
     ) -> None:
         headers = [
             (b"x-request-id", request.get(b"x-request-id")),
             (b"x-not-run", b"1"),
             (b"x-instance-id", self.name.encode()),
         ]
+        if cut:
+            await answer.begin(status, [*headers, (b"content-length", b"9")])
+            raise http1_server.BrokenAnswerError
         await answer.send_whole(status, headers, b"")
 
     async def _serve(
@@ -385,7 +395,7 @@
         if self.behaviours:
             behaviour = self.behaviours.popleft()
         if isinstance(behaviour, Refuse):
-            await self._refuse(request, answer, behaviour.status)
+            await self._refuse(request, answer, behaviour.status, behaviour.cut)
             return
         if isinstance(behaviour, Queue):
             await anyio.sleep(behaviour.wait_s)
