Have the soak's targets tell in their entries that they have loaded

Cause: after a load the stand-ins' entries told the old version for ever; targets of the platform rewrite their entry within a heartbeat when something changes. A host that does not give the orders, and that sends nothing on old weights any more, then never learned that all engines had loaded, and refused for good (promise recover, 503).

Left: whether a host should find out by itself when all entries stay old, as in an outage of the store.

--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -36,6 +36,8 @@
 _CHECK_S = 0.02
 _START_S = 20.0
 _EXIT_MARGIN_S = 2.0
+# A target rewrites its entry about so often when something has changed.
+_HEARTBEAT_S = 1.0
 
 
 class LinkedTarget(platform_target.PlatformTargetStandin):
@@ -44,6 +46,8 @@
     Attributes:
         link: The link.
         scope: Ends its listening.
+        state: As its entry tells.
+        listed_weights: Version that its entry tells.
     """
 
     def __init__(
@@ -60,6 +64,8 @@
         self.link = link
         self.link.upstream = self.server.address
         self.scope = anyio.CancelScope()
+        self.state = "ready"
+        self.listed_weights = weights
 
     @property
     def address(self) -> str:
@@ -195,6 +201,7 @@
         for host in self.hosts:
             await self.wait_started(host)
         self.tasks.start_soon(self._link_feeds)
+        self.tasks.start_soon(self._rewrite_entries)
         self.tasks.start_soon(self.balancer.run)
         with anyio.fail_after(_START_S):
             while not all(host.routable for host in self.hosts):  # noqa: ASYNC110
@@ -280,11 +287,23 @@
 
     def list_target(self, target: LinkedTarget, state: str = "ready") -> None:
         """Writes a target's entry."""
+        target.state = state
+        target.listed_weights = target.weights
         self.operator.list_target(target, state)
         if state == "draining":
             now = time.monotonic()
             self.evidence.leaving.setdefault(target.name, now)
 
+    async def _rewrite_entries(self) -> None:
+        """Has targets that have loaded tell so, as the store allows."""
+        while True:
+            await anyio.sleep(_HEARTBEAT_S)
+            if not self.store.faults.answers:
+                continue
+            for target in list(self.targets.values()):
+                if target.listed_weights != target.weights:
+                    self.list_target(target, target.state)
+
     def unlist_target(self, target: LinkedTarget) -> None:
         """Removes a target's entry."""
         self.operator.unlist_target(target)
--- a/hillthread/standin/platform_store.py
+++ b/hillthread/standin/platform_store.py
@@ -44,6 +44,11 @@
     lost_answers: int = 0
     late_s: float = 0.0
 
+    @property
+    def answers(self) -> bool:
+        """Whether calls are answered as they should, if slowly."""
+        return not (self.status or self.silent or self.reset)
+
 
 class _Topic:
     """The records of one topic.
