--- a/hillthread/standin/platform_store.py
+++ b/hillthread/standin/platform_store.py
@@ -46,6 +46,11 @@
     late_s: float = 0.0
     page_records: int = 0
 
+    @property
+    def answers(self) -> bool:
+        """Whether calls are answered as they should, if slowly."""
+        return not (self.status or self.silent or self.reset)
+
 
 class _Topic:
     """The records of one topic.
