Let a host that hears no more tell its readers at once

Now such reads are ended when the store is lost or the host stops, and the others read elsewhere; the test fails on the code before (both cases) and passes.

--- a/hillthread/coordination/gateway/feed_server.py
+++ b/hillthread/coordination/gateway/feed_server.py
@@ -44,15 +44,21 @@
             await answer.send_whole(400, [], b"")
             return
         follower = self.followers.get(query.topic)
-        if (
-            follower is None
-            or follower.copy.position is None
-            or self.site.draining
-        ):
+        if follower is None or follower.copy.position is None:
             await answer.send_whole(503, [], b"")
             return
         with anyio.move_on_after(min(query.wait_s, _LONGEST_WAIT_S)):
-            while follower.copy.position <= query.start:
+            while self._learns() and follower.copy.position <= query.start:
                 await follower.changed.wait()
+        if not self._learns():
+            await answer.send_whole(503, [], b"")
+            return
         page = feed.encode_page(follower.page(query.start))
         await answer.send_whole(200, _CBOR, page)
+
+    def _learns(self) -> bool:
+        """Returns whether this host hears of changes, and goes on doing so.
+
+        Others must not wait for one that does not.
+        """
+        return not (self.site.draining or self.site.is_store_lost)
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -94,7 +94,7 @@
         self.readers = store_follower.Readers(
             self.store,
             store_follower.StoreWatch(
-                self.site.store_lost, self._store_back, self._suspect_reads
+                self._store_lost, self._store_back, self._suspect_reads
             ),
             self.source,
             http1_client.ConnectionPool(_CONNECT_TIMEOUT_S, _READ_PROBES),
@@ -152,6 +152,7 @@
         """Stops as planned: not ready, serve on, then wait for requests."""
         self.site.draining = True
         self.server.stopping = True
+        self._wake_readers()
         _logger.info("stopping", extra={"event": "stop_notice"})
         give_up_at = asked_at + self.site.settings.grace_s - _STOP_MARGIN_S
         await anyio.sleep(min(_NOTICE_S, self.site.settings.grace_s / 2))
@@ -270,6 +271,15 @@
             if follower.plan.topic != configuration.OPERATOR_TOPIC:
                 follower.interrupt()
 
+    def _store_lost(self, reason: str) -> None:
+        self.site.store_lost(reason)
+        self._wake_readers()
+
+    def _wake_readers(self) -> None:
+        """Has hosts that read from this one told that it hears no more."""
+        for follower in self.followers.values():
+            follower.wake()
+
     def _suspect_reads(self, since: float) -> None:
         """Has reads sent anew that are held since before one was lost."""
         for follower in self.followers.values():
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -136,7 +136,7 @@
         readers: What all followers share.
         copy: What is known of the topic.
         freshness: How old that is.
-        changed: Set, and replaced, when a record came.
+        changed: Set, and replaced, when a record came, or none will for now.
     """
 
     def __init__(
@@ -391,8 +391,12 @@
                 self._note_bad(record.key, error)
         if changes:
             self._brought = True
-            self.changed.set()
-            self.changed = anyio.Event()
+            self.wake()
+
+    def wake(self) -> None:
+        """Has those who wait for a change look again."""
+        self.changed.set()
+        self.changed = anyio.Event()
 
     def _count(self, outcome: str, started: float) -> None:
         metrics = self.readers.metrics
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -20,6 +20,8 @@
 
 __all__ = ["main", "run"]
 
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 _logger = logging.getLogger("hillthread.program")
 
 
@@ -47,9 +49,7 @@
                 "store": settings.store,
             },
         )
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
+        with anyio.open_signal_receiver(*_SIGNALS) as signals:
             await host.run()
             watch = settings_watch.SettingsWatch(host.site, path)
             tasks.start_soon(watch.run)
@@ -60,6 +60,8 @@
             # Further signals are still caught here: they must not end a
             # process that is answering its last requests.
             await host.drain(time.monotonic())
+            # Nor may they end the process otherwise than with its own code.
+            signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
         tasks.cancel_scope.cancel()
 
 
--- a/tests/coordination/gateway/test_feed.py
+++ b/tests/coordination/gateway/test_feed.py
@@ -6,7 +6,9 @@
 
 from hillthread.coordination.gateway import host as host_lib
 from hillthread.coordination.gateway import settings as settings_lib
+from hillthread.protocol import feed
 from hillthread.standin import wire_proxy
+from hillthread.transport import http1_client
 from hillthread.transport import log_writer
 from tests.coordination.gateway import scene as scene_lib
 
@@ -89,6 +91,43 @@
 
         scene_lib.play(story)
 
+    def test_host_that_lost_the_store_keeps_no_reader_waiting(self):
+        for event in ("lost", "stops"):
+            with self.subTest(event=event):
+
+                async def story(scene, event=event):
+                    program = scene.program
+                    query = feed.FeedQuery("keyed.servers", 1 << 20, 4.0)
+                    held = http1_client.ClientRequest(
+                        b"GET", feed.encode_query(query), [(b"host", b"h1")]
+                    )
+                    answers = []
+
+                    async def ask():
+                        answer = await http1_client.call(
+                            scene.pool,
+                            program.feed_server.address,
+                            held,
+                            6.0,
+                            1 << 20,
+                        )
+                        answers.append(answer.head.status)
+
+                    scene.tasks.start_soon(ask)
+                    await anyio.sleep(0.2)
+                    self.assertEqual(answers, [])
+                    if event == "lost":
+                        scene.store.faults.status = 503
+                        program.readers.watch.note_failure("a test")
+                    else:
+                        scene.tasks.start_soon(
+                            program.drain, anyio.current_time()
+                        )
+                    await scene.until(lambda: answers)
+                    self.assertEqual(answers, [503])
+
+                scene_lib.play(story)
+
     def test_host_whose_source_lost_the_store_does_not_trust_its_age(self):
         async def story(scene):
             reader = await second_host(scene, revoke_ms=1800)
