--- a/hillthread/bench/gateway_soak/evidence.py
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -56,7 +56,7 @@
     contact_s: float = 2.0
     configuration_s: float = 2.0
     leave_s: float = 0.7
-    version_s: float = 10.0
+    version_s: float = 3.0
     weights_contact_s: float = 3.0
     answer_s: float = 3.5
 
--- a/hillthread/coordination/forwarder.py
+++ b/hillthread/coordination/forwarder.py
@@ -29,6 +29,9 @@
 
 # Before a retry a random time up to this is waited, doubled with each attempt.
 _BACKOFF_S = 0.02
+# Targets that change weights at the same time refuse what they do not expect;
+# more than these few refusals in a row count as failures.
+_MOST_NEWS = 4
 # Bound on telling an engine that an answer is not wanted any more.
 _CANCEL_S = 1.0
 
@@ -70,17 +73,17 @@
         job = _Job(self, exchange)
         budget = self.fleet.retry_budget(exchange.resolved.pool)
         budget.deposit(time.monotonic())
-        failure = None
-        for number in range(exchange.resolved.policy.max_attempts):
-            if number and not self._may_retry(exchange, job, failure):
+        failure = await job.attempt()
+        while failure is not None:
+            if job.failures >= exchange.resolved.policy.max_attempts:
                 break
-            if number:
-                await self._back_off(number)
-                self.metrics.retries.inc()
+            if not self._may_retry(exchange, job, failure):
+                break
+            await self._back_off(job.failures)
+            self.metrics.retries.inc()
             failure = await job.attempt()
-            if failure is None:
-                return
-        raise _refusal(exchange, failure)
+        if failure is not None:
+            raise _refusal(exchange, failure)
 
     def cancel(self, target: objects.Target, attempt_id: str) -> None:
         """Has an engine stop computing an answer nobody waits for."""
@@ -119,13 +122,22 @@
 
 
 class _Job:
-    """All attempts at one request."""
+    """All attempts at one request.
+
+    Attributes:
+        tried: Targets that must not be taken again.
+        failures: Attempts that failed, but for refusals that told something
+            new of their target: it may be taken again at once.
+        weights_version: What the answer has begun with.
+    """
 
     def __init__(self, forwarder: Forwarder, exchange: exchange_lib.Exchange):
         self.forwarder = forwarder
         self.exchange = exchange
         self.fleet = forwarder.fleet
         self.tried: set[str] = set()
+        self.failures = 0
+        self._news = 0
         self.weights_version = ""
         self.stream = self._stream_relay() if exchange.streamed else None
         self.whole = whole_relay.WholeRelay(
@@ -278,7 +290,10 @@
         if error.state is records.AttemptState.REFUSED and (
             epoch != expected.epoch
         ):
+            self._news += 1
+            self.failures += self._news > _MOST_NEWS
             return
+        self.failures += 1
         self.tried.add(name)
 
     def _end(self, expected: attempt_checks.Expectation) -> None:
--- a/hillthread/coordination/gateway/attempt.py
+++ b/hillthread/coordination/gateway/attempt.py
@@ -42,7 +42,8 @@
         heard_at: Seconds, when the target last sent anything of its answer.
         connected_at: Seconds, when its connection came up.
         connection: To the target, once there is one.
-        given_up: Why the monitor ended it, or nothing.
+        given_up: Why it was ended here, or nothing: its target cannot be
+            reached, its connection is silent, or its weights became too old.
         found_silent: Whether the monitor found its connection silent.
     """
 
@@ -94,7 +95,8 @@
         try:
             return await self._exchange(connection)
         except http1_client.CallError as error:
-            if self.reused and self.meaning is None:
+            was_ours = self.given_up and not self.found_silent
+            if self.reused and self.meaning is None and not was_ours:
                 self.pool.note_dead(rested_s)
             reason = self.given_up or error.reason
             return self._failed(http1_client.CallError(error.sent, reason))
@@ -169,7 +171,8 @@
         start_by = self.plan.start_by
         with anyio.CancelScope(deadline=start_by or float("inf")):
             return await connection.read_head()
-        raise http1_client.CallError(True, "not begun on old weights in time")
+        self.given_up = "not begun on old weights in time"
+        raise http1_client.CallError(True, self.given_up)
 
     async def _pass_over_body(
         self, connection: http1_client.ClientConnection
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -41,6 +41,8 @@
 # Before the process is killed, what still runs is broken off.
 _STOP_MARGIN_S = 0.3
 _IDLE_CHECK_S = 0.05
+# The lease is given back within this time, or lapses.
+_RELEASE_S = 0.5
 # For the final answers to what was broken off, within that margin.
 _LAST_ANSWERS_S = 0.15
 # Connections come up within 10 ms; a lost packet is sent again after a second.
@@ -161,7 +163,8 @@
         closing_at = asked_at + closing_s
         await anyio.sleep(max(0.0, closing_at - time.monotonic()))
         self.site.closing = True
-        await self.rollout.lease.release()
+        with anyio.move_on_after(_RELEASE_S):
+            await self.rollout.lease.release()
         await self._wait_finished(give_up_at)
         cut = self.server.serving
         self.gateway.dispatcher.give_up()
@@ -274,6 +277,8 @@
     def _store_lost(self, reason: str) -> None:
         self.site.store_lost(reason)
         self._wake_readers()
+        # It may have been one call only: the others wait until this one knows.
+        self.followers[configuration.OPERATOR_TOPIC].interrupt()
 
     def _wake_readers(self) -> None:
         """Has hosts that read from this one told that it hears no more."""
--- a/hillthread/coordination/gateway/job.py
+++ b/hillthread/coordination/gateway/job.py
@@ -130,6 +130,14 @@
         intake.authorise(self.site, request.caller, request.route)
         route = intake.current_route(self.site, request.caller)
         request.route = route or request.route
+        if self.runs and not request.repeatable:
+            raise errors.RefusalError(
+                "target_failed",
+                502,
+                "The request may have run, and may not be repeated any more.",
+                "Find out whether it has run before sending it again.",
+                self.run_state(),
+            )
 
     async def _attempt(
         self, planned: chooser_lib.Planned
--- a/hillthread/coordination/gateway/learning.py
+++ b/hillthread/coordination/gateway/learning.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import logging
 import time
 
+import anyio
+
+from hillthread import errors
 from hillthread.coordination.gateway import attempt as attempt_lib
 from hillthread.coordination.gateway import chooser as chooser_lib
 from hillthread.coordination.gateway import intake
@@ -11,13 +15,19 @@
 from hillthread.coordination.gateway import outcome as outcome_lib
 from hillthread.coordination.gateway import reach_monitor
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.platform import orders
 from hillthread.state import attempt_plan
+from hillthread.state import objects
 
 __all__ = ["FirstByte", "Learner"]
 
 # A target that refused work is spared this long.
 _SPARE_S = 0.15
 _MAX_REASON = 32
+# Reports tell how a target stood some hundred ms before; twice that.
+_REPORT_LAG_S = 0.5
+
+_logger = logging.getLogger("hillthread.targets")
 
 
 class FirstByte:
@@ -85,6 +95,7 @@
         self.site = site
         self.metrics = metrics
         self.monitor = monitor
+        self._asked: set[str] = set()
 
     def first_byte(
         self,
@@ -120,7 +131,8 @@
                 self.monitor.note_unreachable(attempt.plan.target, reason)
                 story.warn("attempt", reason=reason, **fields)
             case outcome_lib.Lost(reason) | outcome_lib.Broken(reason):
-                ejected = state.fail(now)
+                # What was ended here tells nothing of the target.
+                ejected = not attempt.given_up and state.fail(now)
                 self.metrics.mismatches.labels(reason[:_MAX_REASON]).inc()
                 story.warn("attempt", reason=reason, ejected=ejected, **fields)
             case outcome_lib.NotRun(status):
@@ -161,8 +173,42 @@
             # Another target has the address: this one is gone.
             state.lose(now)
             return
-        if plan.weights_version is not None:
-            self.site.weights.refute(name, plan.model, plan.weights_version)
+        if plan.weights_version is None:
+            return
+        board = self.site.weights
+        is_guess = board.refute(name, plan.model, plan.weights_version)
+        if is_guess and board.is_behind(name, plan.model):
+            self.monitor.tasks.start_soon(
+                self._ask_weights, plan.target, plan.model
+            )
+
+    async def _ask_weights(self, target: objects.Target, model: str) -> None:
+        """Asks a target which weights it holds, after a guess.
+
+        Nobody else would tell a host that guessed weights which are too old:
+        it sends no requests there. Reports lag some hundred ms.
+        """
+        if target.name in self._asked:
+            return
+        self._asked.add(target.name)
+        try:
+            await anyio.sleep(_REPORT_LAG_S)
+            report = await orders.read_report(self.monitor.pool, target)
+        except errors.ConfigurationError as error:
+            report = None
+            _logger.warning(
+                "report not readable",
+                extra={
+                    "event": "bad_report",
+                    "target": target.name,
+                    "reason": str(error),
+                },
+            )
+        finally:
+            self._asked.discard(target.name)
+        if report is not None and model in report.weights:
+            held = report.weights[model]
+            self.site.weights.report(target.name, model, held)
 
 
 def _log_fields(
--- a/hillthread/coordination/gateway/order_duty.py
+++ b/hillthread/coordination/gateway/order_duty.py
@@ -100,10 +100,11 @@
             self._look_at = now + _LOOK_AFTER_S
         if now < self._look_at:
             return
-        self._look_at = _NEVER
+        self._look_at = now + _LOOK_AFTER_S  # again if it cannot be read
         looks = self.hosts.rank_among_all(_DUTY) < _LOOKING_HOSTS
         if looks and not self.lease.is_holder:
             await self.lease.catch_up()
+        self._look_at = _NEVER
 
     def _standing(self) -> succession.Standing:
         return succession.Standing(
--- a/hillthread/coordination/gateway/order_lease.py
+++ b/hillthread/coordination/gateway/order_lease.py
@@ -147,6 +147,10 @@
 
     async def release(self) -> None:
         """Gives the lease back at a planned stop, if this host holds it."""
+        async with self._turn:  # an acquisition may be under way
+            await self._release()
+
+    async def _release(self) -> None:
         if not self.is_holder:
             return
         state = self.contender.state
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -337,9 +337,11 @@
     def _wait_s(self, failures: int) -> float:
         """Returns how long the store is to hold the next read, seconds.
 
-        After a failure or a lost read an answer at once is wanted.
+        After a failure or a lost read, also of another follower, an answer at
+        once is wanted.
         """
-        if failures or self._lost_at is not None:
+        is_lost = self.readers.watch.lost_at is not None
+        if failures or is_lost or self._lost_at is not None:
             return 0.0
         wait_s = self.plan.wait_s()
         if self.readers.source.reads_for_many():
--- a/hillthread/coordination/lease_keeper.py
+++ b/hillthread/coordination/lease_keeper.py
@@ -99,7 +99,7 @@
             self.contender.state.position,
             extra={"code": "lease_gap"},
         )
-        self.contender.state = lease.LeaseState()
+        self.contender.start_anew(first_offset)
         self._first_kept = first_offset
         self._read_since_gap = False
 
--- a/hillthread/standin/platform_store.py
+++ b/hillthread/standin/platform_store.py
@@ -35,6 +35,7 @@
         slow_s: Added to every answer.
         lost_answers: So many writes are done and not answered.
         late_s: Lost writes are done so much later.
+        busy_topic: Calls of this topic are refused with 429.
         page_records: Reads answer with so many records at most; 0 for all.
     """
 
@@ -45,6 +46,7 @@
     lost_answers: int = 0
     late_s: float = 0.0
     page_records: int = 0
+    busy_topic: str = ""
 
     @property
     def answers(self) -> bool:
@@ -174,8 +176,11 @@
         if self.faults.silent:
             await anyio.sleep_forever()
         await anyio.sleep(self.faults.slow_s)
-        if self.faults.status:
-            await answer.send_whole(self.faults.status, [], b"")
+        status = self.faults.status
+        if query.get("topic") == self.faults.busy_topic:
+            status = 429
+        if status:
+            await answer.send_whole(status, [], b"")
             return
         match name:
             case "log-newest":
--- a/hillthread/state/lease.py
+++ b/hillthread/state/lease.py
@@ -248,7 +248,11 @@
         self._read_at = None
 
     def resign(self) -> None:
-        """Stops acting; the lease is not contended before its time is over."""
+        """Stops acting.
+
+        Whoever resigns because another one holds the lease must not contend
+        before that one's can be over; this does not keep it from that.
+        """
         self._acts_until = float("-inf")
         self.state.holder = NOBODY
 
--- a/hillthread/state/weights.py
+++ b/hillthread/state/weights.py
@@ -138,7 +138,7 @@
         The list lags behind answers: only a changed entry counts.
         """
         key = _Key(target, model)
-        if self._listed.get(key) == version:
+        if self._listed.get(key) == version and key not in self._refuted:
             return
         self._listed[key] = version
         self._hold(key, version)
@@ -218,14 +218,20 @@
             return WeightsGrace.COSTLY
         return WeightsGrace.FREE
 
-    def refute(self, target: str, model: str, version: int) -> None:
+    def refute(self, target: str, model: str, version: int) -> bool:
         """Takes in that a target does not hold the version it was thought to.
 
         It holds what it listed last if that is older than what it was thought
         to hold, or else the newest, or one between. What it refuted already is
         guessed again only when all were.
+
+        Returns:
+            Whether another version is guessed now; it is not when the target
+            has told of another one since.
         """
         key = _Key(target, model)
+        if self._held.get(key) != version:
+            return False
         series = self._series.get(model, [])
         known = [named.version for named in reversed(series)]
         listed = self._listed.get(key, max(0, version - 1))
@@ -236,6 +242,7 @@
         if not left:
             refuted.clear()
         self._held[key] = left[0] if left else listed
+        return True
 
     def _hold(self, key: _Key, version: int) -> None:
         """Notes what a target told of its weights."""
--- a/tests/coordination/gateway/test_feed.py
+++ b/tests/coordination/gateway/test_feed.py
@@ -1,11 +1,13 @@
 """Tests of hosts that read the store's topics from another host."""
 
 import unittest
+from unittest import mock
 
 import anyio
 
 from hillthread.coordination.gateway import host as host_lib
 from hillthread.coordination.gateway import settings as settings_lib
+from hillthread.coordination.gateway import store_follower
 from hillthread.protocol import feed
 from hillthread.standin import wire_proxy
 from hillthread.transport import http1_client
@@ -91,6 +93,23 @@
 
         scene_lib.play(story)
 
+    def test_one_refused_read_holds_up_no_other(self):
+        async def story(scene):
+            faults = scene.store.faults
+            site = scene.site
+            faults.busy_topic = "keyed.servers"
+            scene.program.followers["keyed.servers"].interrupt()
+            await scene.until(lambda: scene.program.readers.watch.lost_at)
+            faults.busy_topic = ""
+            scene.store.remove("keyed.servers", "p0")
+            await scene.until(lambda: "p0" not in site.targets.entries)
+
+        with (
+            mock.patch.object(host_lib, "_OPERATOR_WAIT_S", 60.0),
+            mock.patch.object(store_follower, "_LONGEST_WAIT_S", 60.0),
+        ):
+            scene_lib.play(story, revoke_ms=200_000)
+
     def test_host_that_lost_the_store_keeps_no_reader_waiting(self):
         for event in ("lost", "stops"):
             with self.subTest(event=event):
--- a/tests/coordination/gateway/test_old_weights.py
+++ b/tests/coordination/gateway/test_old_weights.py
@@ -6,6 +6,7 @@
 
 import time
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -146,6 +147,48 @@
 
                 scene_lib.play(story, engines=1)
 
+    def test_ends_of_waits_are_no_fault_of_the_target(self):
+        async def story(scene):
+            engine = scene.engines[0]
+            engine.order_status = 409
+            connections = 2
+            for _ in range(2):
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(connections):
+                        tasks.start_soon(scene.call, scene.prompt("/stream/x"))
+            named_at = time.monotonic() - 8.9
+            scene.site.weights.name("m", 2, named_at, named_at)
+            scene.site.state("e0").seconds = 0.0
+            engine.behave(*[standin.Queue(1.5)] * connections)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(connections):
+                    tasks.start_soon(scene.call, scene.prompt("/stream/x"))
+            state = scene.site.state("e0")
+            self.assertTrue(state.accepts(time.monotonic()))
+            self.assertGreater(scene.program.pool.trust_s, 1.0)
+
+        scene_lib.play(story, engines=1)
+
+    def test_guess_that_forbids_a_target_is_checked_with_it(self):
+        async def story(scene):
+            (engine,) = scene.engines
+            # Another host has the duty of orders, and asks for reports.
+            scene.program.rollout.duty.take = mock.AsyncMock(return_value=False)
+            engine.weights = 2
+            held = scene.site.weights.held
+            scene.site.weights.observe("e0", "m", 2)
+            long_ago = time.monotonic() - 60.0
+            scene.site.weights.name("m", 2, long_ago, long_ago)
+            engine.behave(standin.Refuse(421))
+            first = await scene.call(scene.prompt("/stream/x"))
+            self.assertEqual(first.head.status, 503)
+            self.assertEqual(held("e0", "m"), 1)
+            await scene.until(lambda: held("e0", "m") == 2)
+            second = await scene.call(scene.prompt("/stream/x"))
+            self.assertEqual(second.head.status, 200)
+
+        scene_lib.play(story, engines=1)
+
     def test_limit_is_a_setting(self):
         async def story(scene):
             scene.engines[0].order_status = 409
--- a/tests/coordination/gateway/test_silent_connections.py
+++ b/tests/coordination/gateway/test_silent_connections.py
@@ -114,6 +114,25 @@
 
         scene_lib.play(story)
 
+    def test_silent_connections_eject_no_target(self):
+        async def story(scene):
+            links = await link_targets(scene)
+            await warm_up(scene, links)
+            scene.site.budget("plain").extra = 50.0
+            statuses = []
+
+            async def ask():
+                answer = await scene.call(scene.request("/again/x"))
+                statuses.append(answer.head.status)
+
+            with silenced(links):
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(4):
+                        tasks.start_soon(ask)
+            self.assertEqual(statuses, [200] * 4)
+
+        scene_lib.play(story)
+
     def test_target_that_acknowledged_and_is_slow_is_left_alone(self):
         async def story(scene):
             for target in scene.plain:
--- a/tests/state/test_weights.py
+++ b/tests/state/test_weights.py
@@ -63,6 +63,23 @@
         board.refute("t", "m", 2)
         self.assertTrue(board.is_behind("t", "m"))
 
+    def test_late_refusal_does_not_replace_what_was_told_since(self):
+        board = weights.WeightsBoard()
+        board.list_target("t", "m", 3)
+        board.name("m", 3, 0.0)
+        board.list_target("t", "m", 4)
+        self.assertFalse(board.refute("t", "m", 3))
+        self.assertEqual(board.held("t", "m"), 4)
+
+    def test_listing_ends_a_guess_also_when_it_is_the_same(self):
+        board = weights.WeightsBoard()
+        board.name("m", 2, 0.0)
+        board.list_target("t", "m", 1)
+        self.assertTrue(board.refute("t", "m", 1))
+        self.assertEqual(board.held("t", "m"), 2)
+        board.list_target("t", "m", 1)
+        self.assertEqual(board.held("t", "m"), 1)
+
     def test_target_that_is_gone_leaves_nothing(self):
         board = weights.WeightsBoard()
         board.list_target("t", "m", 1)
