--- a/tests/coordination/gateway/test_reach.py
+++ b/tests/coordination/gateway/test_reach.py
@@ -91,10 +91,11 @@
     def test_host_that_reaches_nobody_gives_no_attempt_up(self):
         async def story(scene):
             for target in scene.plain:
-                target.always = standin.Serve(1.2)
+                target.always = standin.Serve(1.9)
             scene.site.budget("plain").extra = 50.0
+            request = scene.request("/again/x", x_deadline_ms="2900")
             with unheard_trials():
-                answer = await scene.call(scene.request("/again/x"))
+                answer = await scene.call(request)
             self.assertEqual(answer.head.status, 200)
             self.assertEqual(len(scene.runs()), 1)
 
