--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -28,7 +28,7 @@
 # one, which is read again later.
 _COPY_S = 1.0 / 50_000.0
 # The same for an engine in another data centre.
-_CROSSING_S = 0.0
+_CROSSING_S = 0.02
 # A request waits in an engine's queue up to this long, as far as is foreseen.
 _LONGEST_WAIT_S = 2.0
 _NO_TARGET_RETRY_S = 0.3
