Refuse a prompt whose queue is as long as its aim, and say when it is over

Hypothesis: under lost engines a prompt that would be late delays those that could be in time; refusing it at once keeps queues short. Ruled out: setting such prompts behind by priority (engines read in the order of coming once a request is admitted). A prompt that is late for its own length is sent; one that has run, or whose answer has begun, is never refused so.

--- a/hillthread/coordination/gateway/job.py
+++ b/hillthread/coordination/gateway/job.py
@@ -22,6 +22,7 @@
 from hillthread.coordination.gateway import work_feed
 from hillthread.platform import attempts
 from hillthread.protocol import work_notice
+from hillthread.state import aim_admission
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
@@ -121,14 +122,35 @@
             if self.sends:
                 self._look_again()
             intake.check_time(request)
-            return self.tools.chooser.plan(
+            planned = self.tools.chooser.plan(
                 request, frozenset(self.tried), self.relay.last_id
             )
+            if not self.runs:
+                self._check_aim(planned)
+            return planned
         except errors.RefusalError as refusal:
             if self.last_answer is not None:
                 return None
             raise self._refusal(refusal) from refusal
 
+    def _check_aim(self, planned: chooser_lib.Planned) -> None:
+        """Refuses a prompt that would wait for longer than its aim.
+
+        Raises:
+            RefusalError: It would; it has not run.
+        """
+        expected = planned.estimate
+        aim_s = self.request.route.first_byte_aim_s
+        if not aim_admission.is_hopeless(expected, aim_s):
+            return
+        raise errors.RefusalError(
+            "queue_too_long",
+            503,
+            f"Prompts ahead take {expected.queue_s:.2f} s everywhere.",
+            "Try again after the time in Retry-After.",
+            retry_after_s=aim_admission.return_s(expected),
+        )
+
     def _look_again(self) -> None:
         """Checks the request against what is in force before a retry."""
         request = self.request
--- a/tests/coordination/gateway/test_dispatcher.py
+++ b/tests/coordination/gateway/test_dispatcher.py
@@ -434,6 +434,29 @@
 
         scene_lib.play(story, engines=3)
 
+    def test_prompt_that_would_wait_longer_than_its_aim_is_refused(self):
+        """It is told to return when what other hosts sent is read."""
+
+        async def story(scene):
+            now = time.monotonic()
+            for engine in scene.engines:
+                load = scene.site.state(engine.name).load
+                load.add_peer_work(load.prefill_rate, now)  # a second's work
+            answer = await scene.call(scene.prompt("/stream/x"))
+            self.assertEqual(answer.head.status, 503)
+            self.assertIn(b"queue_too_long", answer.body)
+            after_s = float(answer.head.get(b"retry-after"))
+            self.assertGreater(after_s, 0.8)
+            self.assertEqual(scene.runs(), [])
+            # Plain requests and prompts that come later are served.
+            plain = await scene.call(scene.request("/again/x"))
+            self.assertEqual(plain.head.status, 200)
+            await anyio.sleep(now + 1.0 - time.monotonic())
+            answer = await scene.call(scene.prompt("/stream/x"))
+            self.assertEqual(answer.head.status, 200)
+
+        scene_lib.play(story)
+
     def test_salt_parts_isolated_tenants(self):
         async def story(scene):
             await scene.call(scene.prompt("/stream/x"))
