--- a/hillthread/coordination/gateway/learning.py
+++ b/hillthread/coordination/gateway/learning.py
@@ -90,8 +90,9 @@
 
         At a rate that is too high queues seem to be over too soon: with 50,000
         tokens a second assumed, long prompts began 0.08 s later than expected
-        in the median, 0.33 s at the 95th of 100. Engines of a pool are alike: what one shows is learned for all, since
-        a host sees a prompt of some length on each only now and then.
+        in the median, 0.33 s at the 95th of 100. Engines of a pool are alike:
+        what one shows is learned for all, since a host sees a prompt of some
+        length on each only now and then.
         """
         estimate = self.planned.estimate
         if estimate.queue_s > 0.0:
