Say truly why a prompt is refused for its queue

Cause: the message said that prompts wait everywhere; known is only the queue of the engine that costs least, whose choice stands in the line before. Measured: the test of that refusal checks the aim in the message.

--- a/hillthread/coordination/gateway/job.py
+++ b/hillthread/coordination/gateway/job.py
@@ -146,7 +146,8 @@
         raise errors.RefusalError(
             "queue_too_long",
             503,
-            f"Prompts ahead take {expected.queue_s:.2f} s everywhere.",
+            f"On the engine that costs least, prompts ahead take "
+            f"{expected.queue_s:.2f} s; the aim is {aim_s:.2f} s.",
             "Try again after the time in Retry-After.",
             retry_after_s=aim_admission.return_s(expected),
         )
--- a/tests/coordination/gateway/test_dispatcher.py
+++ b/tests/coordination/gateway/test_dispatcher.py
@@ -445,6 +445,7 @@
             answer = await scene.call(scene.prompt("/stream/x"))
             self.assertEqual(answer.head.status, 503)
             self.assertIn(b"queue_too_long", answer.body)
+            self.assertIn(b"the aim is 0.50 s", answer.body)
             after_s = float(answer.head.get(b"retry-after"))
             self.assertGreater(after_s, 0.8)
             self.assertEqual(scene.runs(), [])
