Have notices of work start no thread, and take them in from a plain socket

Cause: suspected only. The first run of the feed's socket looked its address up, which starts a thread in a process that had none; an executor's thread is joined at the end of the loop. Ruled out: nothing shown. Change: a plain socket, waited for by the loop; no lookup, no thread. Packets up to 1,400 bytes are taken. Conclusion: kept; whether it was the cause is open until the soak is run.

--- a/hillthread/coordination/gateway/work_feed.py
+++ b/hillthread/coordination/gateway/work_feed.py
@@ -28,6 +28,8 @@
 
 __all__ = ["WorkFeed"]
 
+# Notices taken in before others get their turn.
+_HEARD_AT_ONCE = 16
 # From the failure of a socket until another one is opened.
 _REOPEN_S = 1.0
 # All hosts together tell each host so many in a second. A notice takes about
@@ -85,32 +87,42 @@
         Args:
             address: `IP:port` where other hosts reach this one.
         """
-        ip, port = settings_lib.split_address(address)
         while True:
             try:
-                await self._serve(ip, port)
-            except (OSError, anyio.BrokenResourceError) as error:
+                await self._serve(settings_lib.split_address(address))
+            except OSError as error:
                 _logger.warning(
                     "work feed broken",
                     extra={"event": "work_feed_broken", "reason": str(error)},
                 )
             await anyio.sleep(_REOPEN_S)
 
-    async def _serve(self, ip: str, port: int) -> None:
-        """Tells, and hears, until a socket fails."""
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sending:
-            sending.setblocking(False)
-            sending.bind((ip, 0))
-            self._socket = sending
+    async def _serve(self, address: tuple[str, int]) -> None:
+        """Tells, and hears, until the socket fails.
+
+        The socket is a plain one: nothing is looked up, which would start a
+        thread, and sending never waits.
+        """
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened:
+            opened.setblocking(False)
+            opened.bind(address)
+            self._socket = opened
             try:
-                async with await anyio.create_udp_socket(
-                    local_host=ip, local_port=port
-                ) as hearing:
-                    async for raw, _ in hearing:
-                        self._take(raw)
+                while True:
+                    await anyio.wait_readable(opened)
+                    self._hear(opened)
             finally:
                 self._socket = None
 
+    def _hear(self, opened: socket.socket) -> None:
+        """Takes in what has come, and leaves the rest for the next turn."""
+        for _ in range(_HEARD_AT_ONCE):
+            try:
+                raw = opened.recv(work_notice.MAX_NOTICE_BYTES)
+            except BlockingIOError:
+                return
+            self._take(raw)
+
     def _may_tell(self, now: float) -> bool:
         """Returns whether the other hosts may be told once more."""
         per_s = _HEARD_PER_S / self.site.hosts
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -11,8 +11,8 @@
 
 __all__ = ["MAX_NOTICE_BYTES", "WorkNotice", "decode_notice", "encode_notice"]
 
-# Far below what one datagram carries on any link.
-MAX_NOTICE_BYTES = 512
+# What one packet carries on any link; longer ones are cut off, and passed over.
+MAX_NOTICE_BYTES = 1_400
 
 
 class WorkNotice(NamedTuple):
