--- a/tests/coordination/gateway/test_work_feed.py
+++ b/tests/coordination/gateway/test_work_feed.py
@@ -11,6 +11,9 @@
 from tests.coordination.gateway import scene as scene_lib
 from tests.coordination.gateway import test_feed
 
+# Two hosts tell each other of 30 prompts a second each at most.
+MAY_TELL_S = 0.1
+
 
 def long_prompt(scene):
     """Returns a request with 800 shared tokens and 1,100 of its own."""
@@ -37,6 +40,7 @@
             # Plain requests are no engine's work, and short prompts little.
             await scene.call(scene.request("/again/x"))
             await scene.call(scene.prompt("/stream/x"))
+            await anyio.sleep(MAY_TELL_S)
             await scene.call(long_prompt(scene))
             await scene.until(lambda: other.work.heard == 2)
             self.assertEqual(scene.program.work.told, 2)
@@ -54,6 +58,7 @@
             )
             program.source.put(lost)
             for _ in range(3):
+                await anyio.sleep(MAY_TELL_S)
                 answer = await scene.call(long_prompt(scene))
                 self.assertEqual(answer.head.status, 200)
             await scene.until(lambda: program.work.told == 3)
