Tell starts of a target apart; pass over entries of other writers

Cause: a target may start again under the name it had. What was known under that name held on: one that had left was never used again, ejections, queue and kept parts of the earlier start counted against the new one, and a load waited for a count of orders that had begun anew. Entries of another writer passed as targets with defaults for what they lack; one with an unknown state counted as a departure for good.

Now the time of its start (decoded from entries and reports) tells incarnations apart: late word of an earlier one changes nothing, a later one starts afresh, orders and loads of the one before are void.

Ruled out: giving up attempts that were sent to the earlier start. Its connections are reset when its process ends, and probes find those of a host that lost power; an attempt sent since its next start would be cut.

Tests: tests/coordination/gateway/test_restarts.py (entries drawn by hypothesis, restarts in a scene); the soak's targets start again under their names.

Its port was given back before use, so that any process could take it; it is now held.

--- a/hillthread/bench/gateway_soak/disturbances.py
+++ b/hillthread/bench/gateway_soak/disturbances.py
@@ -48,6 +48,7 @@
         seed: random.Random,
         tasks: anyio.abc.TaskGroup,
         only: tuple[str, ...] = (),
+        without: tuple[str, ...] = (),
     ):
         self.injector = injector_lib.Injector(stage, seed)
         self.tasks = tasks
@@ -59,7 +60,10 @@
             operator_changes.OperatorChanges(self.injector),
         )
         self.faults = {
-            kind.__name__: kind for group in groups for kind in group.kinds
+            kind.__name__: kind
+            for group in groups
+            for kind in group.kinds
+            if kind.__name__ not in without
         }
         self.pace_s = _PACES_S[0]
         if only:
--- a/hillthread/bench/gateway_soak/regressions.py
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -18,6 +18,8 @@
         engines: Engines.
         callers: Callers at the same time.
         faults: Kinds of faults; empty for all.
+        without: Kinds that the soak learned later: with them its seed would
+            bring other faults.
     """
 
     seed: int
@@ -27,6 +29,7 @@
     engines: int = 3
     callers: int = 8
     faults: tuple[str, ...] = ()
+    without: tuple[str, ...] = ("target_starts_again",)
 
 
 _PLAIN_ANSWER = (
--- a/hillthread/bench/gateway_soak/runner.py
+++ b/hillthread/bench/gateway_soak/runner.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 import anyio
+import anyio.abc
 import httpx
 
 from hillthread.bench import processes
@@ -39,6 +40,7 @@
         engines: Engines; three plain targets come with them.
         callers: Callers at the same time.
         faults: Kinds of faults; empty for all.
+        without: Kinds of faults that do not come.
         strict_time: Whether bounds in seconds are judged.
         module: The program run as gateway; empty for the shipped one.
         calm_s: Load goes on so long after the last fault has ended: hosts
@@ -47,6 +49,9 @@
             none.
         version_s: How long after newer weights were named requests may start
             on older ones.
+        until_broken: Faults end as soon as this promise is broken; empty to
+            go on for all seconds.
+        start_s: Within this time gateways are to listen after a start.
     """
 
     seed: int
@@ -60,6 +65,9 @@
     calm_s: float = 4.0
     keep: str = ""
     version_s: float = 10.0
+    until_broken: str = ""
+    start_s: float = stage_lib.START_S
+    without: tuple[str, ...] = ()
 
 
 class SoakReport(NamedTuple):
@@ -111,6 +119,7 @@
                 evidence_lib.Bounds(version_s=self.plan.version_s),
                 self.plan.hosts,
                 self.plan.module,
+                self.plan.start_s,
             )
             await stage.start(self.plan.engines)
             tasks.start_soon(self._watch_itself, stage.evidence)
@@ -142,8 +151,13 @@
                     random.Random(self.plan.seed + 1),
                     faults,
                     self.plan.faults,
+                    self.plan.without,
                 )
-                await disturber.run(self.plan.seconds)
+                async with anyio.create_task_group() as span:
+                    if self.plan.until_broken:
+                        span.start_soon(self._watch_promise, stage, span)
+                    await disturber.run(self.plan.seconds)
+                    span.cancel_scope.cancel()
             stage.check_alive()
             await anyio.sleep(self.plan.calm_s)
             stage.check_alive()
@@ -151,6 +165,18 @@
         await self._check_calm(stage, callers)
         return disturber.counts
 
+    async def _watch_promise(
+        self, stage: stage_lib.Stage, span: anyio.abc.TaskGroup
+    ) -> None:
+        """Begins no more faults once the promise asked for is broken."""
+        while True:
+            await anyio.sleep(_CHECK_S)
+            judge = verdict.Judge(stage.evidence, self.plan.strict_time)
+            broken = {each.promise for each in judge.violations()}
+            if self.plan.until_broken in broken:
+                span.cancel_scope.cancel()
+                return
+
     async def _watch_itself(self, evidence: evidence_lib.Evidence) -> None:
         """Notes when this process itself stood still and saw nothing in time.
 
--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -20,7 +20,7 @@
 from hillthread.standin import platform_target
 from hillthread.standin import wire_proxy
 
-__all__ = ["CALLER_HOST", "LinkedTarget", "SoakHost", "Stage"]
+__all__ = ["CALLER_HOST", "START_S", "LinkedTarget", "SoakHost", "Stage"]
 
 CALLER_HOST = "callers.example"
 _MODEL = "m"
@@ -34,7 +34,8 @@
     platform_operator.OperatorRoute("again", _PLAIN, False, True),
 )
 _CHECK_S = 0.02
-_START_S = 20.0
+# From the start of a process until it listens, unless a soak allows more.
+START_S = 20.0
 _EXIT_MARGIN_S = 2.0
 # A target rewrites its entry about so often when something has changed.
 _HEARTBEAT_S = 1.0
@@ -136,6 +137,8 @@
         module: The program that is run as gateway.
         trouble: What went wrong with processes.
         balancer: Says which hosts get new callers.
+        start_s: Within this time a process is to tell where it listens, and
+            all hosts are to be ready at first.
     """
 
     def __init__(
@@ -145,7 +148,9 @@
         bounds: evidence_lib.Bounds,
         hosts: int,
         module: str = "",
+        start_s: float = START_S,
     ):
+        self.start_s = start_s
         self.group = group
         self.tasks = tasks
         self.module = module
@@ -203,7 +208,7 @@
         self.tasks.start_soon(self._link_feeds)
         self.tasks.start_soon(self._rewrite_entries)
         self.tasks.start_soon(self.balancer.run)
-        with anyio.fail_after(_START_S):
+        with anyio.fail_after(self.start_s):
             while not all(host.routable for host in self.hosts):  # noqa: ASYNC110
                 await anyio.sleep(_CHECK_S)
 
@@ -281,6 +286,15 @@
         self.list_target(target)
         return target
 
+    def start_again(self, target: LinkedTarget) -> None:
+        """Starts a target that has ended, under its name and address."""
+        target.restart()
+        target.link.upstream = target.server.address
+        target.scope = anyio.CancelScope()
+        self.targets[target.name] = target
+        self.tasks.start_soon(self._listen, target)
+        self.list_target(target)
+
     async def _listen(self, target: LinkedTarget) -> None:
         with target.scope:
             await target.server.serve()
@@ -330,7 +344,7 @@
     async def wait_started(self, host: SoakHost) -> None:
         """Returns when a process has told where it listens."""
         assert host.process is not None
-        with anyio.fail_after(_START_S):
+        with anyio.fail_after(self.start_s):
             while True:
                 for event in host.process.events():
                     if event.get("event") == "start":
--- a/hillthread/bench/gateway_soak/target_faults.py
+++ b/hillthread/bench/gateway_soak/target_faults.py
@@ -53,6 +53,7 @@
             self.target_cuts_streams,
             self.target_crashes,
             self.target_restarts,
+            self.target_starts_again,
             self.target_leaves,
             self.address_reused,
             self.engine_disobeys,
@@ -102,6 +103,16 @@
             await anyio.sleep(injector_lib.LAPSE_S)
             self.stage.unlist_target(target)
 
+    async def target_starts_again(self) -> None:
+        """A target ends, and starts again under its name and address."""
+        target = self.injector.target()
+        if target is None:
+            return
+        with self.injector.noted("target_starts_again", target.name):
+            await self.stage.end_target(target)
+            await anyio.sleep(self.injector.between(_RESTART_S))
+            self.stage.start_again(target)
+
     async def target_leaves(self) -> None:
         """A target says that it leaves, serves on, and is replaced."""
         target = self.injector.target()
--- a/hillthread/coordination/gateway/job.py
+++ b/hillthread/coordination/gateway/job.py
@@ -189,7 +189,9 @@
         )
         state.begin(now, planned.attempt, planned.estimate.read_tokens)
         self._tell(planned)
-        first_byte = self.tools.learner.first_byte(request, planned, now)
+        first_byte = learning.FirstByte(
+            self.tools.learner, request, planned, state, now
+        )
         self.relay.begun = first_byte.note
         result: outcome_lib.Outcome | None = None
         try:
@@ -201,7 +203,7 @@
                 first_byte.note()
             first_byte.note_none()
             # A trial of an ejected target has to tell before it ends.
-            self.tools.learner.learn(attempt, result, now)
+            self.tools.learner.learn(attempt, state, result, now)
             state.end(planned.attempt)
 
     def _tell(self, planned: chooser_lib.Planned) -> None:
@@ -209,13 +211,15 @@
         parts = self.request.prompt.parts
         if not parts:
             return
+        target = planned.plan.target.name
         notice = work_notice.WorkNotice(
-            planned.plan.target.name,
+            target,
             planned.estimate.read_tokens,
             planned.plan.cache_scope,
             cache_source.shared_parts(self.request),
             parts[-1].tokens,
             False,
+            self.site.targets.born_ms.get(target, 0),
         )
         self.site.note_prompt(notice)
         self.tools.work.tell(notice)
--- a/hillthread/coordination/gateway/learning.py
+++ b/hillthread/coordination/gateway/learning.py
@@ -18,6 +18,7 @@
 from hillthread.platform import orders
 from hillthread.state import attempt_plan
 from hillthread.state import objects
+from hillthread.state import target_state
 
 __all__ = ["FirstByte", "Learner"]
 
@@ -47,11 +48,13 @@
         learner: Learner,
         request: intake.GatewayRequest,
         planned: chooser_lib.Planned,
+        state: target_state.TargetState,
         started: float,
     ):
         self.learner = learner
         self.request = request
         self.planned = planned
+        self.state = state
         self.started = started
         self.noted = False
 
@@ -107,9 +110,7 @@
 
     def _release(self, now: float, seconds: float | None) -> None:
         self.noted = True
-        planned = self.planned
-        state = self.learner.site.state(planned.plan.target.name)
-        state.first_byte(now, planned.attempt, seconds)
+        self.state.first_byte(now, self.planned.attempt, seconds)
 
 
 class Learner:
@@ -132,18 +133,10 @@
         self.monitor = monitor
         self._asked: set[str] = set()
 
-    def first_byte(
-        self,
-        request: intake.GatewayRequest,
-        planned: chooser_lib.Planned,
-        started: float,
-    ) -> FirstByte:
-        """Returns what notes the first byte of an attempt that starts."""
-        return FirstByte(self, request, planned, started)
-
     def learn(
         self,
         attempt: attempt_lib.Attempt,
+        state: target_state.TargetState,
         result: outcome_lib.Outcome | None,
         started: float,
     ) -> None:
@@ -151,15 +144,18 @@
 
         Args:
             attempt: The attempt.
+            state: Of its target, from when it began: what an incarnation did
+                tells nothing of the one that has taken its name since.
             result: How it ended; None when nobody waited for it any more.
             started: Seconds, when it began.
         """
         now = time.monotonic()
         kind = type(result).__name__.lower() if result else "abandoned"
         self.metrics.attempts.labels(kind).inc()
-        self._learn_weights(attempt)
+        is_current = self.site.states.get(attempt.plan.target.name) is state
+        if is_current:
+            self._learn_weights(attempt)
         story = attempt.request.story
-        state = self.site.state(attempt.plan.target.name)
         fields = _log_fields(attempt, kind, now - started)
         match result:
             case outcome_lib.Unsent(reason):
@@ -171,7 +167,8 @@
                 self.metrics.mismatches.labels(reason[:_MAX_REASON]).inc()
                 story.warn("attempt", reason=reason, ejected=ejected, **fields)
             case outcome_lib.NotRun(status):
-                self._learn_refusal(attempt.plan, result, now)
+                if is_current:
+                    self._learn_refusal(attempt.plan, state, result, now)
                 story.warn("attempt", status=status, **fields)
             case outcome_lib.Whole(whole) if whole.head.status >= 500:
                 state.fail(now)
@@ -195,12 +192,12 @@
     def _learn_refusal(
         self,
         plan: attempt_plan.AttemptPlan,
+        state: target_state.TargetState,
         refusal: outcome_lib.NotRun,
         now: float,
     ) -> None:
         """Takes in why a target did not run a request."""
         name = plan.target.name
-        state = self.site.state(name)
         if refusal.status != 421:
             state.refuse(now + _SPARE_S)
             return
@@ -241,9 +238,8 @@
             )
         finally:
             self._asked.discard(target.name)
-        if report is not None and model in report.weights:
-            held = report.weights[model]
-            self.site.weights.report(target.name, model, held)
+        if report is not None:
+            self.site.take_report(target.name, model, report)
 
 
 def _log_fields(
--- a/hillthread/coordination/gateway/order_lease.py
+++ b/hillthread/coordination/gateway/order_lease.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import logging
 import time
 
@@ -36,15 +37,23 @@
         contender: When this host may act, and when contend.
     """
 
-    def __init__(self, store: store_lib.StoreClient, name: str, pause_s: float):
+    def __init__(
+        self,
+        store: store_lib.StoreClient,
+        name: str,
+        pause_s: float,
+        clock: Callable[[], float] = time.monotonic,
+    ):
         """Makes the lease.
 
         Args:
             store: The platform's store.
             name: This host's name.
             pause_s: Least time between the orders of two holders.
+            clock: Returns the steady time, seconds.
         """
         self.store = store
+        self._clock = clock
         self.contender = lease.Contender(
             name,
             _ACT_S + pause_s + _MARGIN_S,
@@ -72,7 +81,7 @@
 
     def may_act(self) -> bool:
         """Returns whether this host may give orders; ask before each."""
-        return self.contender.may_act(time.monotonic())
+        return self.contender.may_act(self._clock())
 
     async def ensure(self) -> bool:
         """Takes or renews the lease if that is due.
@@ -84,7 +93,7 @@
             return await self._ensure()
 
     async def _ensure(self) -> bool:
-        now = time.monotonic()
+        now = self._clock()
         if self.contender.may_act(now) and not self.contender.should_renew(now):
             return True
         if now < self._retry_at:
@@ -92,11 +101,11 @@
         try:
             if not self.is_holder:
                 await self.catch_up()
-                if not self.contender.may_contend(time.monotonic()):
+                if not self.contender.may_contend(self._clock()):
                     return False
             await self._append()
         except errors.HillthreadError as error:
-            self._retry_at = time.monotonic() + _RETRY_S
+            self._retry_at = self._clock() + _RETRY_S
             _logger.warning(
                 "lease not taken",
                 extra={"event": "lease_failed", "reason": error.message},
@@ -125,7 +134,7 @@
             )
             self.contender.start_anew(error.first)
             page = await self.store.read(LEASE_TOPIC, error.first, 0.0)
-        now = time.monotonic()
+        now = self._clock()
         before = state.holder
         for record in page.records:
             self.contender.read(record.offset, record.payload, now)
@@ -177,7 +186,7 @@
         _logger.info("lease released", extra={"event": "lease_released"})
 
     async def _append(self) -> None:
-        now = time.monotonic()
+        now = self._clock()
         payload = lease.encode_lease(self.contender.begin_append(now))
         state = self.contender.state
         try:
@@ -189,7 +198,7 @@
             await self.catch_up()
             return
         was_holder = self.is_holder
-        self.contender.read(offset, payload, time.monotonic())
+        self.contender.read(offset, payload, self._clock())
         if not was_holder:
             _logger.info(
                 "lease taken",
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from hillthread import errors
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import settings as settings_lib
 from hillthread.platform import configuration as configuration_lib
@@ -190,10 +191,26 @@
         """Takes in an entry of the list of targets.
 
         Raises:
-            ConfigurationError: It is unreadable; the one before it stays.
+            ConfigurationError: It is unreadable, or another writer's; it names
+                no target, also where one was listed.
         """
-        entry = targets_lib.decode_entry(incarnation, payload)
+        before = self.targets.entries.get(incarnation)
+        try:
+            entry = targets_lib.decode_entry(incarnation, payload)
+            if entry.born_ms == 0 and incarnation in self.targets.born_ms:
+                raise errors.ConfigurationError(
+                    f"The entry of target {incarnation!r} tells no start.",
+                    "Check what wrote the entry; it names no target.",
+                )
+        except errors.ConfigurationError:
+            change = self.targets.withdraw(incarnation)
+            self._note_removal(incarnation, change, before)
+            raise
+        if self.targets.is_earlier(incarnation, entry.born_ms):
+            return
         change = self.targets.put(entry)
+        if change is target_list.TargetChange.RESTARTED and before is not None:
+            self._forget(incarnation, before.target.address)
         for model, version in entry.weights.items():
             self.weights.list_target(incarnation, model, version)
         self._note_target(incarnation, change)
@@ -202,19 +219,14 @@
         """Notes that an entry is missing from the list."""
         entry = self.targets.entries.get(incarnation)
         change = self.targets.remove(incarnation, now)
-        self._note_target(incarnation, change)
-        if change is target_list.TargetChange.GONE and entry is not None:
-            self._forget(incarnation, entry.target.address)
+        self._note_removal(incarnation, change, entry)
 
     def expire_targets(self, now: float) -> None:
         """Drops targets whose entries stayed missing after an outage."""
-        addresses = {
-            name: entry.target.address
-            for name, entry in self.targets.entries.items()
-        }
+        before = dict(self.targets.entries)
         for name in self.targets.expire(now):
-            self._note_target(name, target_list.TargetChange.GONE)
-            self._forget(name, addresses[name])
+            gone = target_list.TargetChange.GONE
+            self._note_removal(name, gone, before[name])
 
     def target_leaves(self, incarnation: str, source: str) -> None:
         """Notes that a target said itself that it leaves."""
@@ -239,9 +251,31 @@
                 },
             )
 
+    def take_report(
+        self, name: str, model: str, report: targets_lib.EngineReport
+    ) -> bool:
+        """Takes in the weights that an engine reports of itself.
+
+        Returns:
+            Whether it is word of the engine's last start; if not, it is passed
+            over.
+        """
+        if self.targets.is_earlier(name, report.born_ms):
+            return False
+        entry = self.targets.entries.get(name)
+        if self.targets.note_start(name, report.born_ms) and entry is not None:
+            self._forget(name, entry.target.address)
+            self._note_target(
+                name, target_list.TargetChange.RESTARTED, "report"
+            )
+        if model in report.weights:
+            self.weights.report(name, model, report.weights[model])
+        return True
+
     def take_notice(self, notice: work_notice.WorkNotice, now: float) -> None:
         """Takes in that another host sends work to an engine."""
-        if notice.target not in self.targets.entries:
+        entry = self.targets.entries.get(notice.target)
+        if entry is None or entry.born_ms != notice.born_ms:
             return  # not listed here yet, or gone
         self.state(notice.target).load.add_peer_work(notice.tokens, now)
         self.note_prompt(notice)
@@ -380,6 +414,17 @@
             },
         )
 
+    def _note_removal(
+        self,
+        name: str,
+        change: target_list.TargetChange,
+        entry: target_list.ListedTarget | None,
+    ) -> None:
+        """Notes what became of a target that the list names no more."""
+        self._note_target(name, change)
+        if change is target_list.TargetChange.GONE and entry is not None:
+            self._forget(name, entry.target.address)
+
     def _forget(self, name: str, address: str) -> None:
         self.states.pop(name, None)
         self.weights.forget(name)
--- a/hillthread/coordination/gateway/weights_load.py
+++ b/hillthread/coordination/gateway/weights_load.py
@@ -38,12 +38,14 @@
         orders_taken: The engine's count before.
         at: Seconds, when it was sent.
         answer: What the engine said.
+        born_ms: When the engine that got it started.
     """
 
     version: int
     orders_taken: int
     at: float
     answer: orders.OrderAnswer
+    born_ms: int
 
 
 class WeightsLoader:
@@ -103,7 +105,9 @@
         if report is None:
             return self._unreported(target)
         if report.busy:
-            return await self._watch(target, model, report.orders - 1)
+            return await self._watch(
+                target, model, report.orders - 1, report.born_ms
+            )
         if self._holds_newest(target, model):
             return rollout.LoadEnd.HELD
         if not self.plan.claim(target.name, time.monotonic()):
@@ -152,7 +156,9 @@
                 "seconds": round(time.monotonic() - now, 3),
             },
         )
-        return _Given(order.version, order.orders_taken, now, answer)
+        return _Given(
+            order.version, order.orders_taken, now, answer, report.born_ms
+        )
 
     async def _follow(
         self, target: objects.Target, model: str, given: _Given
@@ -160,7 +166,9 @@
         """Returns what became of a target after an order."""
         match given.answer:
             case orders.OrderAnswer.TAKEN:
-                return await self._watch(target, model, given.orders_taken)
+                return await self._watch(
+                    target, model, given.orders_taken, given.born_ms
+                )
             case orders.OrderAnswer.UNKNOWN | orders.OrderAnswer.CONFLICT:
                 return await self._settle(target, model, given)
             case orders.OrderAnswer.ALREADY_HOLDS:
@@ -188,12 +196,20 @@
         report = await self._ask(target, model)
         if report is None:
             return self._unreported(target)
+        if report.born_ms != given.born_ms:
+            return rollout.LoadEnd.RESTARTED
         if report.busy or report.orders > given.orders_taken:
-            return await self._watch(target, model, given.orders_taken)
+            return await self._watch(
+                target, model, given.orders_taken, given.born_ms
+            )
         return rollout.LoadEnd.UNANSWERED
 
     async def _watch(
-        self, target: objects.Target, model: str, orders_before: int
+        self,
+        target: objects.Target,
+        model: str,
+        orders_before: int,
+        born_ms: int,
     ) -> rollout.LoadEnd:
         """Waits until a load that the engine has confirmed is over.
 
@@ -202,6 +218,8 @@
             model: Whose weights it loads.
             orders_before: Its count of orders before it took this one; a
                 report with this count is from before.
+            born_ms: When the engine started that took it; one that has started
+                again since has lost the order, and counts anew.
         """
         name = target.name
         self.plan.reach(name, rollout.LoadStage.LOADING, time.monotonic())
@@ -210,6 +228,8 @@
             report = await self._ask(target, model)
             if report is None:
                 return rollout.LoadEnd.NO_REPORT
+            if report.born_ms != born_ms:
+                return rollout.LoadEnd.RESTARTED
             if not report.busy and report.orders > orders_before:
                 return self._reached(target, model)
         return rollout.LoadEnd.TARGET_GONE
@@ -219,9 +239,10 @@
     ) -> targets_lib.EngineReport | None:
         """Returns a target's report, and notes what weights it holds."""
         report = await orders.read_report(self.pool, target)
-        if report is not None:
-            held = report.weights.get(model, 0)
-            self.site.weights.report(target.name, model, held)
+        if report is None:
+            return None
+        if not self.site.take_report(target.name, model, report):
+            return None
         return report
 
     def _unreported(self, target: objects.Target) -> rollout.LoadEnd:
--- a/hillthread/platform/targets.py
+++ b/hillthread/platform/targets.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import ipaddress
+from typing import Annotated
+from typing import Literal
 from typing import NamedTuple
 
 import msgspec
 
+from hillthread import errors
 from hillthread.platform import configuration
 from hillthread.state import objects
 from hillthread.state import payloads
@@ -16,6 +20,7 @@
 TARGET_TOPIC = "keyed.servers"
 DATA_CENTRE_LABEL = "data_centre"
 RELEASE_LABEL = "release"
+_HIGHEST_PORT = 65_535
 
 
 class EngineReport(NamedTuple):
@@ -29,6 +34,7 @@
         running: Requests that run.
         used_tokens: Memory that cannot be freed.
         total_tokens: All its memory for KV cache.
+        born_ms: Unix milliseconds of its start; 0 when it does not tell.
     """
 
     weights: dict[str, int]
@@ -38,26 +44,32 @@
     running: int
     used_tokens: int
     total_tokens: int
+    born_ms: int = 0
 
 
 class _Wire(msgspec.Struct, rename="camel"):
     """The base of what targets write: unknown fields are passed over."""
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Model(_Wire):
     name: str
-    version: int = 0
+    version: _Count = 0
 
 
 class _Entry(_Wire):
     service: str
     address: str
-    state: str = "ready"
-    zone: str = ""
+    state: Literal["ready", "draining"]
+    zone: str
     # Version of the target's software, not of weights or configuration.
-    version: str = ""
-    slots: int = 0
+    version: str
+    slots: _Count
+    sequence: _Count
     models: list[_Model] = []
+    born: _Count = 0
 
 
 class _Report(_Wire):
@@ -69,6 +81,7 @@
     running: int = 0
     kv_used: int = 0
     kv_total: int = 0
+    born: _Count = 0
 
 
 _entry_decoder = msgspec.json.Decoder(_Entry)
@@ -83,9 +96,11 @@
         payload: Its bytes.
 
     Raises:
-        ConfigurationError: The entry is unreadable.
+        ConfigurationError: The entry is unreadable, or another writer's: a
+            target writes all fields that the pages name, of their types.
     """
     wire = payloads.decode_payload(_entry_decoder, payload, "target")
+    _check_address(incarnation, wire.address)
     weights = {model.name: model.version for model in wire.models}
     target = objects.Target(
         name=incarnation,
@@ -100,7 +115,8 @@
         models=list(weights),
         max_running=max(1, wire.slots),
     )
-    return target_list.ListedTarget(target, wire.state != "ready", weights)
+    leaving = wire.state == "draining"
+    return target_list.ListedTarget(target, leaving, weights, wire.born)
 
 
 def decode_report(payload: bytes) -> EngineReport:
@@ -118,4 +134,20 @@
         wire.running,
         wire.kv_used,
         wire.kv_total,
+        wire.born,
     )
+
+
+def _check_address(name: str, address: str) -> None:
+    """Raises a ConfigurationError unless an address can be connected to."""
+    ip, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(ip)
+        is_port = port.isdecimal() and 0 < int(port) <= _HIGHEST_PORT
+    except ValueError:
+        is_port = False
+    if not is_port:
+        raise errors.ConfigurationError(
+            f"The address {address!r} of target {name!r} is no IP:PORT.",
+            "Check what wrote the entry; it names no target.",
+        )
--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -189,6 +189,7 @@
             each.callers,
             each.faults,
             keep=keep,
+            without=each.without,
         )
         for each in regressions.REGRESSIONS
     )
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -26,6 +26,7 @@
             order.
         own_tokens: Of the part that is the request's own.
         passes_on: The receiver tells the other hosts of its data centre.
+        born_ms: When the engine started, as the sender knows it.
     """
 
     target: str
@@ -34,6 +35,7 @@
     shared: list[tuple[str, int]]
     own_tokens: int
     passes_on: bool
+    born_ms: int = 0
 
 
 def encode_notice(notice: WorkNotice) -> bytes:
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -21,6 +21,7 @@
     "Encoded",
     "Fail",
     "Hang",
+    "Held",
     "LOAD_S",
     "Order",
     "OtherAnswer",
@@ -61,6 +62,17 @@
     wait_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Held:
+    """Runs the request, and answers when told to.
+
+    Attributes:
+        released: Set when it may answer.
+    """
+
+    released: anyio.Event
+
+
 @dataclasses.dataclass(frozen=True)
 class Refuse:
     """Does not run the request and says so.
@@ -141,6 +153,7 @@
 Behaviour = (
     Serve
     | Queue
+    | Held
     | Refuse
     | Fail
     | Vanish
@@ -208,6 +221,7 @@
         cache_events: What its cache tells: number, sign, salt, digest,
             tokens, model.
         cache_epoch: Changes when its cache restarts.
+        born_ms: Unix milliseconds of its start.
     """
 
     def __init__(
@@ -235,15 +249,37 @@
         self.busy = False
         self.cache_events: list[tuple[int, str, str, str, int, str]] = []
         self.cache_epoch = 1
-        self.server = http1_server.Server(
-            ("127.0.0.1", 0), self._handle, caller_bounds.CallerBounds, _ignore
-        )
+        self.born_ms = int(time.time() * 1000)
+        self._orders_before = 0
+        self.server = self._new_server()
 
     @property
     def address(self) -> str:
         """`IP:port`."""
         return self.server.address
 
+    @property
+    def orders_taken(self) -> int:
+        """Orders taken since its last start."""
+        return len(self.orders) - self._orders_before
+
+    def restart(self) -> None:
+        """Starts again under its name: it knows nothing of before.
+
+        Its server is a new one, to be served; the earlier one must have ended.
+        """
+        self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
+        self._orders_before = len(self.orders)
+        self.busy = False
+        self.cache_epoch += 1
+        self.cache_events.clear()
+        self.server = self._new_server()
+
+    def _new_server(self) -> http1_server.Server:
+        return http1_server.Server(
+            ("127.0.0.1", 0), self._handle, caller_bounds.CallerBounds, _ignore
+        )
+
     def entry(self, state: str = "ready") -> dict[str, Any]:
         """Returns what the target writes into the list."""
         models = [{"name": self.model, "version": self.weights}]
@@ -256,6 +292,7 @@
             "state": state,
             "models": models if self.model else [],
             "sequence": 1,
+            "born": self.born_ms,
         }
 
     def behave(self, *behaviours: Behaviour) -> None:
@@ -289,7 +326,8 @@
             {
                 "models": [{"name": self.model, "version": self.weights}],
                 "busy": self.busy,
-                "sequence": len(self.orders),
+                "sequence": self.orders_taken,
+                "born": self.born_ms,
             }
         )
 
@@ -309,13 +347,14 @@
         request: http1_server.CallerRequest,
         answer: http1_server.CallerAnswer,
     ) -> None:
+        born_ms = self.born_ms
         order = Order(msgspec.json.decode(request.body), time.monotonic())
         self.orders_seen += 1
         late_s = self.orders_late_s
         if self.lost_orders:
             late_s = self.lost_orders.popleft()
         if late_s:
-            await self._take_late(order, late_s)
+            await self._take_late(order, late_s, born_ms)
         if self.order_status:
             await answer.send_whole(self.order_status, [], b"")
             return
@@ -326,14 +365,16 @@
             await answer.send_whole(202, [], b"")
         finally:  # it was taken, whether or not that could be told
             with anyio.CancelScope(shield=True):
-                await self._load(order)
+                await self._load(order, born_ms)
 
-    async def _take_late(self, order: Order, late_s: float) -> None:
+    async def _take_late(
+        self, order: Order, late_s: float, born_ms: int
+    ) -> None:
         """Never returns: the order is not answered, and may be done late."""
         with anyio.CancelScope(shield=math.isfinite(late_s)):
             await anyio.sleep(late_s)
-            if self._take_order(order):
-                await self._load(order)
+            if born_ms == self.born_ms and self._take_order(order):
+                await self._load(order, born_ms)
         await anyio.sleep_forever()
 
     def _take_order(self, order: Order) -> bool:
@@ -342,15 +383,17 @@
         It counts as of the time at which it came.
         """
         expected = order.fields["expectedRevision"]
-        if expected != len(self.orders) or self.busy:
+        if expected != self.orders_taken or self.busy:
             return False
         self.orders.append(order.fields)
         self.order_log.append(order)
         self.busy = True
         return True
 
-    async def _load(self, order: Order) -> None:
+    async def _load(self, order: Order, born_ms: int) -> None:
         await anyio.sleep(self.load_s)
+        if born_ms != self.born_ms:
+            return  # the start that took it has ended
         self.weights = order.fields["version"]
         self.busy = False
 
@@ -405,6 +448,9 @@
             Run(request_id, request, time.monotonic(), self.weights)
         )
         try:
+            if isinstance(behaviour, Held):
+                await behaviour.released.wait()
+                behaviour = Serve()
             await self._run(request, answer, behaviour)
         except (anyio.get_cancelled_exc_class(), http1.ConnectionLostError):
             self.left.append(request_id)
--- a/hillthread/state/rollout.py
+++ b/hillthread/state/rollout.py
@@ -50,6 +50,7 @@
     NOT_TAKEN = "not_taken"
     OTHER_INCARNATION = "other_incarnation"
     TARGET_GONE = "target_gone"
+    RESTARTED = "restarted"
     TOO_LONG = "too_long"
     FAILED = "failed"
 
@@ -186,7 +187,7 @@
         """Notes that a load has ended."""
         self._loads.pop(target, None)
         match end:
-            case LoadEnd.HELD | LoadEnd.OVERTAKEN:
+            case LoadEnd.HELD | LoadEnd.OVERTAKEN | LoadEnd.RESTARTED:
                 self._setbacks.pop(target, None)
             case LoadEnd.TARGET_GONE | LoadEnd.OTHER_INCARNATION:
                 self._setbacks.pop(target, None)
--- a/hillthread/state/target_list.py
+++ b/hillthread/state/target_list.py
@@ -3,8 +3,12 @@
 Entries vanish for two reasons: the target left, or the platform's store was
 away and entries lapsed. After an outage the entries of live targets come back
 within `return_s`; until then a missing one is kept, and its own answers tell
-whether it lives. A target once seen leaving never comes back: each start of a
-target is another incarnation under another name.
+whether it lives.
+
+A target may start again under the name it had. The time of its start tells its
+incarnations apart: a later one holds nothing of what the earlier one held, and
+late word of the earlier one changes nothing. An incarnation once seen leaving
+never comes back.
 """
 
 from __future__ import annotations
@@ -27,6 +31,7 @@
     NONE = "none"
     COME = "come"
     CHANGED = "changed"
+    RESTARTED = "restarted"
     LEAVING = "leaving"
     MISSING = "missing"
     GONE = "gone"
@@ -36,14 +41,16 @@
     """One entry of the platform's list.
 
     Attributes:
-        target: Its name is its incarnation: new with each start.
+        target: What it is, and where.
         leaving: It ends soon and must get no new work.
         weights: Version of the weights it holds, by model.
+        born_ms: Unix milliseconds of its start; 0 when it does not tell.
     """
 
     target: objects.Target
     leaving: bool = False
     weights: Mapping[str, int] = {}
+    born_ms: int = 0
 
 
 class TargetList:
@@ -53,7 +60,8 @@
         return_s: Seconds after an outage in which lapsed entries come back.
         hold_s: Seconds a missing entry is kept at most, also in an outage.
         entries: All targets that are listed or still trusted, by name.
-        leaving: Names that were seen leaving; they never come back.
+        leaving: Names whose incarnation was seen leaving; it stays so.
+        born_ms: The latest start known of each name that told one.
     """
 
     def __init__(self, return_s: float, hold_s: float = _FOREVER):
@@ -61,6 +69,7 @@
         self.hold_s = hold_s
         self.entries: dict[str, ListedTarget] = {}
         self.leaving: set[str] = set()
+        self.born_ms: dict[str, int] = {}
         self._drop_at: dict[str, float] = {}
         self._members: dict[str, list[ListedTarget]] = {}
         self._away = False
@@ -79,6 +88,9 @@
     def put(self, entry: ListedTarget) -> TargetChange:
         """Takes in an entry and returns what it changed."""
         name = entry.target.name
+        if self.is_earlier(name, entry.born_ms):
+            return TargetChange.NONE
+        restarted = self.note_start(name, entry.born_ms)
         self._drop_at.pop(name, None)
         if name in self.leaving:
             entry = entry._replace(leaving=True)
@@ -86,6 +98,8 @@
         self.entries[name] = entry
         if before != entry:
             self._members.clear()
+        if restarted and before is not None:
+            return TargetChange.RESTARTED
         if entry.leaving:
             self.leaving.add(name)
             if before is None or not before.leaving:
@@ -96,6 +110,40 @@
             return TargetChange.NONE
         return TargetChange.CHANGED
 
+    def is_earlier(self, name: str, born_ms: int) -> bool:
+        """Returns whether word is of an incarnation before the one known.
+
+        A target that has told of its start does so in all that it says: word
+        without it is not the target's own.
+        """
+        return born_ms < self.born_ms.get(name, 0)
+
+    def note_start(self, name: str, born_ms: int) -> bool:
+        """Takes in when a target started.
+
+        Returns:
+            Whether it has started again since it was last heard of.
+        """
+        known_ms = self.born_ms.get(name, 0)
+        if born_ms <= known_ms:
+            return False
+        self.born_ms[name] = born_ms
+        if not known_ms:
+            return False
+        self.leaving.discard(name)
+        entry = self.entries.get(name)
+        if entry is not None:
+            self.entries[name] = entry._replace(leaving=False, born_ms=born_ms)
+            self._members.clear()
+        return True
+
+    def withdraw(self, name: str) -> TargetChange:
+        """Drops a target whose entry names none any more."""
+        if name not in self.entries:
+            return TargetChange.NONE
+        self._drop(name)
+        return TargetChange.GONE
+
     def remove(self, name: str, now: float) -> TargetChange:
         """Notes that an entry is missing and returns what that changed."""
         entry = self.entries.get(name)
@@ -136,14 +184,19 @@
         return True
 
     def members(self, pool: objects.Pool) -> list[ListedTarget]:
-        """Returns the targets of a pool that may get new work."""
+        """Returns the targets of a pool that may get new work.
+
+        One that lists no model cannot serve a pool of models.
+        """
         members = self._members.get(pool.target_selector)
         if members is None:
             selector = labels.parse_selector(pool.target_selector)
             members = self._members[pool.target_selector] = [
                 entry
                 for entry in self.entries.values()
-                if not entry.leaving and selector.matches(entry.target.labels)
+                if not entry.leaving
+                and selector.matches(entry.target.labels)
+                and (entry.weights or not pool.models)
             ]
         return members
 
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -27,25 +27,29 @@
 VERSION_S = 2.0
 
 
+# A mutant that shows itself ends its run; beside other work it may take long.
+MUTANT_S = 60.0
+MUTANT_START_S = 90.0
+
+
 class Case(NamedTuple):
     """What a mutant needs to show itself, and the promise it breaks."""
 
     faults: str
     promise: str
-    seconds: float = 6.0
 
 
 MUTANTS = {
     "repeats_what_may_have_run": Case("target_misbehaves", "twice"),
     "ends_cut_streams_cleanly": Case("target_cuts_streams", "mixed"),
-    "keeps_withdrawn_keys": Case("key_changes", "key_kept", 12.0),
+    "keeps_withdrawn_keys": Case("key_changes", "key_kept"),
     "shares_memory_between_weights": Case("weights_named", "stale"),
     "shares_memory_between_tenants": Case("host_reloads", "wall"),
     "orders_without_the_lease": Case("weights_named", "one"),
     "says_not_run_always": Case("target_misbehaves", "refused"),
     "passes_keys_on": Case("host_reloads", "key_passed_on"),
     "starts_on_any_weights": Case(
-        "weights_named,engines_disobey", "old_weights", 10.0
+        "weights_named,engines_disobey", "old_weights"
     ),
 }
 
@@ -100,12 +104,14 @@
     case = MUTANTS[mutant]
     plan = runner.SoakPlan(
         SEED,
-        seconds=case.seconds,
+        seconds=MUTANT_S,
         hosts=2,
         faults=tuple(case.faults.split(",")),
         strict_time=case.promise in BOUNDS,
         module="tests.bench.mutant_gateway",
         calm_s=0.5,
         version_s=VERSION_S,
+        until_broken=case.promise,
+        start_s=MUTANT_START_S,
     )
     return {each.promise for each in runner.run_soak(plan).violations}
--- a/tests/coordination/gateway/test_order_lease.py
+++ b/tests/coordination/gateway/test_order_lease.py
@@ -15,6 +15,20 @@
 _KEPT_S = 1.0
 
 
+class Clock:
+    """A steady clock that the test advances.
+
+    Attributes:
+        now: Seconds.
+    """
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
 class Store:
     """A topic in memory.
 
@@ -58,16 +72,17 @@
 
         async def story():
             store = Store()
-            lease = order_lease.OrderLease(store, "h1", 0.1)
+            clock = Clock()
+            lease = order_lease.OrderLease(store, "h1", 0.1, clock)
             self.assertTrue(await lease.ensure())
-            await anyio.sleep(lease.contender.act_s * 0.6)
+            clock.now += lease.contender.act_s * 0.6
             store.refuses = True
             store.calls = 0
             for _ in range(20):
                 self.assertTrue(await lease.ensure())
             self.assertEqual(store.calls, 1)
             store.refuses = False
-            await anyio.sleep(0.4)
+            clock.now += 0.4
             self.assertTrue(await lease.ensure())
             self.assertEqual(len(store.records), 2)
 
@@ -76,10 +91,11 @@
     def test_lease_that_ran_out_in_an_outage_is_not_acted_on(self):
         async def story():
             store = Store()
-            lease = order_lease.OrderLease(store, "h1", 0.1)
+            clock = Clock()
+            lease = order_lease.OrderLease(store, "h1", 0.1, clock)
             self.assertTrue(await lease.ensure())
             store.refuses = True
-            await anyio.sleep(lease.contender.act_s + 0.05)
+            clock.now += lease.contender.act_s + 0.05
             for _ in range(20):
                 self.assertFalse(await lease.ensure())
             self.assertLessEqual(store.calls, 4)
--- a/tests/coordination/gateway/test_reach.py
+++ b/tests/coordination/gateway/test_reach.py
@@ -9,6 +9,7 @@
 import anyio
 import h11
 
+from hillthread.coordination.gateway import attempt as attempt_lib
 from hillthread.standin import platform_target as standin
 from hillthread.state import caller_bounds
 from hillthread.transport import http1
@@ -17,11 +18,13 @@
 from tests.coordination.gateway import scene as scene_lib
 
 
-def free_port():
-    """Returns a port on which nobody listens."""
-    with socket.socket() as unused:
-        unused.bind(("127.0.0.1", 0))
-        return unused.getsockname()[1]
+@contextlib.contextmanager
+def closed_port():
+    """Yields a port on which nobody listens, nor can any other process."""
+    with socket.socket() as held:
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind(("127.0.0.1", 0))
+        yield held.getsockname()[1]
 
 
 @contextlib.contextmanager
@@ -43,7 +46,7 @@
     def test_target_comes_back_when_it_can_be_reached_again(self):
         async def story(scene):
             target = scene.plain[0]
-            address = ("127.0.0.1", free_port())
+            address = ("127.0.0.1", ports.enter_context(closed_port()))
             entry = {**target.entry(), "address": f"127.0.0.1:{address[1]}"}
             scene.store.put("keyed.servers", "moved", entry)
             scene.store.remove("keyed.servers", "p0")
@@ -64,7 +67,8 @@
             answer = await scene.call(scene.request("/once/x"))
             self.assertEqual(answer.head.status, 200)
 
-        scene_lib.play(story, plain=1)
+        with contextlib.ExitStack() as ports:
+            scene_lib.play(story, plain=1)
 
     def test_attempt_on_a_target_that_fell_silent_goes_elsewhere(self):
         async def story(scene):
@@ -157,23 +161,32 @@
         """Silence is no reason to end an answer that cannot go on."""
 
         async def story(scene):
+            released = anyio.Event()
             for engine in scene.engines:
-                engine.always = standin.Serve(0.3)
+                engine.always = standin.Held(released)
             answers = []
 
             async def call():
                 answers.append(await scene.call(scene.prompt("/resume/x")))
 
-            scene.tasks.start_soon(call)
-            await scene.until(scene.runs)
-            silent = next(e for e in scene.engines if e.runs)
-            scene.stop_listening(silent)
-            state = scene.site.state(silent.name)
-            scene.program.gateway.dispatcher.monitor.note_unreachable(
-                scene.site.targets.entries[silent.name].target, "by the test"
-            )
-            await scene.until(lambda: answers)
+            with mock.patch.object(
+                attempt_lib.Attempt,
+                "give_up",
+                autospec=True,
+                side_effect=attempt_lib.Attempt.give_up,
+            ) as give_up:
+                scene.tasks.start_soon(call)
+                await scene.until(scene.runs)
+                silent = next(e for e in scene.engines if e.runs)
+                scene.stop_listening(silent)
+                state = scene.site.state(silent.name)
+                scene.program.gateway.dispatcher.monitor.note_unreachable(
+                    scene.site.targets.entries[silent.name].target, "the test"
+                )
+                await scene.until(lambda: give_up.called)
             self.assertTrue(state.unreachable)
+            released.set()
+            await scene.until(lambda: answers)
             event = scene.engines[0].event
             whole = b"".join(event(n) for n in range(4))
             self.assertEqual(answers[0].body, whole)
--- /dev/null
+++ b/tests/coordination/gateway/test_restarts.py
@@ -0,0 +1,235 @@
+"""Tests that a target's start, and nothing of before, decides its use."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from hillthread import errors
+from hillthread.coordination.gateway import metrics
+from hillthread.coordination.gateway import settings
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.platform import targets
+from hillthread.protocol import work_notice
+from hillthread.standin import platform_target
+from hillthread.state import health
+from tests.coordination.gateway import scene as scene_lib
+
+_ENTRY = {
+    "service": "engines",
+    "address": "10.0.0.1:80",
+    "zone": "here",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "models": [{"name": "m", "version": 3}],
+    "sequence": 4,
+    "born": 1_000,
+}
+_FOREIGN = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.floats(allow_nan=False),
+    strategies.integers(max_value=-1),
+    strategies.text(max_size=8),
+    strategies.lists(strategies.integers(), max_size=2),
+)
+_seeded = hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+
+
+def _site():
+    values = settings.GatewaySettings(
+        host="h1",
+        data_centre="here",
+        listen="127.0.0.1:1",
+        ready_listen="127.0.0.1:2",
+        store="127.0.0.1:3",
+    )
+    return site_lib.Site(values, metrics.GatewayMetrics())
+
+
+def _encode(**changes):
+    return msgspec.json.encode(_ENTRY | changes)
+
+
+class ForeignEntryTest(unittest.TestCase):
+    """Entries that another writer left where targets are listed."""
+
+    def setUp(self):
+        self.site = _site()
+        self.site.put_target("good", _encode())
+        self.site.put_target("other", _encode(address="10.0.0.2:80"))
+
+    def expect_unused(self, payload):
+        with self.assertRaises(errors.ConfigurationError):
+            self.site.put_target("good", payload)
+        self.assertEqual(set(self.site.targets.entries), {"other"})
+        self.site.put_target("good", _encode())
+        self.assertEqual(set(self.site.targets.entries), {"good", "other"})
+
+    def test_entry_with_a_field_missing_names_no_target(self):
+        for name in _ENTRY.keys() - {"models"}:
+            with self.subTest(name):
+                fields = {k: v for k, v in _ENTRY.items() if k != name}
+                self.expect_unused(msgspec.json.encode(fields))
+
+    def test_engine_without_models_is_not_used(self):
+        fields = {k: v for k, v in _ENTRY.items() if k != "models"}
+        entry = targets.decode_entry("good", msgspec.json.encode(fields))
+        self.assertFalse(entry.weights)
+
+    def test_entry_of_unknown_state_names_no_target_and_is_no_departure(self):
+        self.expect_unused(_encode(state="asleep"))
+
+    @_seeded
+    @hypothesis.given(strategies.sampled_from(sorted(_ENTRY)), _FOREIGN)
+    def test_field_of_another_type_names_no_target(self, name, value):
+        site = _site()
+        site.put_target("good", _encode())
+        is_text = isinstance(value, str) and isinstance(_ENTRY[name], str)
+        if is_text and name not in ("address", "state"):
+            return  # any text may name a service, a data centre, a release
+        if name == "models" and value == []:
+            return
+        with self.assertRaises(errors.ConfigurationError):
+            site.put_target("good", _encode(**{name: value}))
+        self.assertEqual(site.targets.entries, {})
+
+    @_seeded
+    @hypothesis.given(strategies.binary(max_size=60))
+    def test_bytes_that_cannot_be_read_name_no_target(self, payload):
+        site = _site()
+        with self.assertRaises(errors.ConfigurationError):
+            site.put_target("good", payload)
+        self.assertEqual(site.targets.entries, {})
+
+    def test_addresses_that_cannot_be_reached_are_refused(self):
+        for address in ("", "10.0.0.1", "10.0.0.1:0", "host:80", "1.2.3.4:x"):
+            with self.subTest(address):
+                self.expect_unused(_encode(address=address))
+
+    def test_others_hold_behind_entries_of_another_writer(self):
+        async def story(scene):
+            engine = scene.engines[0]
+            for number, raw in enumerate((b"\xff", b"[]", b"{}", b"7")):
+                scene.store.put_raw("keyed.servers", f"bad{number}", raw)
+            scene.store.put_raw("keyed.servers", engine.name, b"\x00{")
+            entries = scene.site.targets.entries
+            await scene.until(lambda: engine.name not in entries)
+            self.assertEqual(set(entries), {"e1", "p0", "p1"})
+            answer = await scene.call(scene.prompt("/resume/x"))
+            self.assertEqual(answer.head.status, 200)
+            scene.list_target(engine)
+            await scene.until(lambda: engine.name in entries)
+
+        scene_lib.play(story)
+
+
+class RestartTest(unittest.TestCase):
+    """Targets that start again under the name they had."""
+
+    def setUp(self):
+        self.site = _site()
+        self.site.put_target("e", _encode())
+
+    def test_what_was_learned_of_the_earlier_start_is_forgotten(self):
+        state = self.site.state("e")
+        state.lose(0.0)
+        state.unreachable = True
+        state.refused_until = 1e9
+        self.site.observe_weights("e", "m", 9)
+        self.site.note_prompt(self.notice(1_000))
+        self.site.put_target("e", _encode(born=2_000))
+        state = self.site.state("e")
+        self.assertIs(state.breaker.state(0.0), health.BreakerState.CLOSED)
+        self.assertTrue(state.accepts(0.0))
+        self.assertEqual(len(state.warm), 0)
+        self.assertEqual(self.site.weights.held("e", "m"), 3)
+
+    def test_notices_meant_for_the_earlier_start_change_nothing(self):
+        self.site.put_target("e", _encode(born=2_000))
+        self.site.take_notice(self.notice(1_000), 0.0)
+        self.assertEqual(self.site.state("e").load.queued_tokens(0.0), 0.0)
+        self.site.take_notice(self.notice(2_000), 0.0)
+        self.assertGreater(self.site.state("e").load.queued_tokens(0.0), 0.0)
+
+    def test_reports_of_the_earlier_start_change_nothing(self):
+        self.site.put_target("e", _encode(born=2_000))
+        late = targets.decode_report(
+            msgspec.json.encode(
+                {"models": [{"name": "m", "version": 8}], "born": 1_000}
+            )
+        )
+        self.assertFalse(self.site.take_report("e", "m", late))
+        self.assertEqual(self.site.weights.held("e", "m"), 3)
+
+    def test_report_of_a_later_start_is_believed_before_the_list(self):
+        self.site.state("e").lose(0.0)
+        report = targets.decode_report(
+            msgspec.json.encode(
+                {"models": [{"name": "m", "version": 5}], "born": 2_000}
+            )
+        )
+        self.assertTrue(self.site.take_report("e", "m", report))
+        self.assertEqual(self.site.weights.held("e", "m"), 5)
+        self.assertTrue(self.site.state("e").accepts(0.0))
+        self.site.put_target("e", _encode(state="draining"))  # late
+        self.assertFalse(self.site.targets.entries["e"].leaving)
+
+    def notice(self, born_ms):
+        return work_notice.WorkNotice(
+            "e", 5_000, "s", [("aa", 4_000)], 1_000, False, born_ms
+        )
+
+
+class RestartedSceneTest(unittest.TestCase):
+    def restart(self, scene, target):
+        scene.stop_listening(target)
+        target.restart()
+        scene.tasks.start_soon(scene.listen, target)
+        scene.list_target(target)
+
+    def test_target_that_left_serves_after_its_next_start(self):
+        async def story(scene):
+            (target,) = scene.plain
+            scene.list_target(target, "draining")
+            entries = scene.site.targets.entries
+            await scene.until(lambda: entries[target.name].leaving)
+            answer = await scene.call(scene.request("/again/x"))
+            self.assertEqual(answer.head.status, 503)
+            self.restart(scene, target)
+            await scene.until(lambda: not entries[target.name].leaving)
+            answer = await scene.call(scene.request("/again/x"))
+            self.assertEqual(answer.head.status, 200)
+
+        scene_lib.play(story, plain=1)
+
+    def test_orders_count_anew_after_a_start(self):
+        async def story(scene):
+            (engine,) = scene.engines
+            scene.name_weights(2)
+            await scene.until(lambda: engine.weights == 2)
+            self.restart(scene, engine)
+            scene.name_weights(3)
+            await scene.until(lambda: engine.weights == 3)
+            counts = [order["expectedRevision"] for order in engine.orders]
+            self.assertEqual(counts, [0, 0])
+
+        scene_lib.play(story, engines=1, plain=0)
+
+    def test_load_of_a_start_that_ended_is_ordered_again_at_once(self):
+        """Its count would never reach that of the start that is over."""
+
+        async def story(scene):
+            (engine,) = scene.engines
+            scene.name_weights(2)
+            await scene.until(lambda: engine.weights == 2)
+            engine.load_s = 60.0
+            scene.name_weights(3)
+            await scene.until(lambda: engine.busy)
+            engine.load_s = platform_target.LOAD_S
+            self.restart(scene, engine)
+            await scene.until(lambda: engine.weights == 3)
+
+        scene_lib.play(story, engines=1, plain=0)
--- a/tests/state/test_target_list.py
+++ b/tests/state/test_target_list.py
@@ -9,7 +9,7 @@
 from hillthread.state import target_list
 
 
-def entry(name, leaving=False):
+def entry(name, leaving=False, born_ms=0):
     """Returns an entry of the list."""
     target = objects.Target(
         name=name,
@@ -17,7 +17,7 @@
         address="10.0.0.1:1",
         data_centre="z",
     )
-    return target_list.ListedTarget(target, leaving)
+    return target_list.ListedTarget(target, leaving, born_ms=born_ms)
 
 
 POOL = objects.Pool(name="s", target_selector="service=s")
@@ -48,6 +48,50 @@
         self.assertEqual(self.names(targets), {"a"})
         self.assertEqual(targets.expire(99.0), [])
 
+    def test_one_that_left_and_started_again_is_used(self):
+        targets = target_list.TargetList(2.0, 1.2)
+        targets.put(entry("a", born_ms=1_000))
+        targets.put(entry("a", leaving=True, born_ms=1_000))
+        self.assertEqual(self.names(targets), set())
+        change = targets.put(entry("a", born_ms=2_000))
+        self.assertEqual(change, target_list.TargetChange.RESTARTED)
+        self.assertEqual(self.names(targets), {"a"})
+
+    def test_late_word_of_an_earlier_start_changes_nothing(self):
+        targets = target_list.TargetList(2.0, 1.2)
+        targets.put(entry("a", born_ms=2_000))
+        for late in (
+            entry("a", leaving=True, born_ms=1_000),
+            entry("a", born_ms=1_999),
+            entry("a"),
+        ):
+            change = targets.put(late)
+            self.assertEqual(change, target_list.TargetChange.NONE)
+            self.assertEqual(targets.entries["a"].born_ms, 2_000)
+        self.assertEqual(self.names(targets), {"a"})
+
+    def test_start_that_a_report_tells_ends_the_departure(self):
+        targets = target_list.TargetList(2.0, 1.2)
+        targets.put(entry("a", leaving=True, born_ms=1_000))
+        self.assertFalse(targets.note_start("a", 1_000))
+        self.assertTrue(targets.note_start("a", 2_000))
+        self.assertEqual(self.names(targets), {"a"})
+        targets.put(entry("a", leaving=True, born_ms=1_000))
+        self.assertEqual(self.names(targets), {"a"})
+
+    def test_departure_of_the_same_start_is_final(self):
+        targets = target_list.TargetList(2.0, 1.2)
+        targets.put(entry("a", leaving=True, born_ms=1_000))
+        targets.remove("a", 5.0)
+        targets.put(entry("a", born_ms=1_000))
+        self.assertEqual(self.names(targets), set())
+
+    def test_engine_that_lists_no_model_is_not_used(self):
+        targets = target_list.TargetList(2.0, 1.2)
+        targets.put(entry("a"))
+        pool = objects.Pool(name="s", target_selector="service=s", models=["m"])
+        self.assertEqual(targets.members(pool), [])
+
     def test_leaving_entry_is_not_kept_in_an_outage(self):
         targets = target_list.TargetList(2.0, 1.2)
         targets.put(entry("a", leaving=True))
