Tell all hosts which engines load weights, before the order is given

Cause: an engine that carries out an order refuses what it has not begun. Hosts other than the one that gave the order learned of it by being refused, each for itself, and of the new weights with the list's next heartbeat.

Now a notice goes to all hosts 0.2 s before the order, so that what waits there has begun, and another one when the load has ended. A lost notice leaves things as they were.

--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -181,6 +181,8 @@
             return target_choice.Exclusion.TRIED
         if state.unreachable:
             return target_choice.Exclusion.UNREACHABLE
+        if self.now < state.loading_until:
+            return target_choice.Exclusion.LOADING
         if self.now < state.refused_until:
             return target_choice.Exclusion.REFUSING
         if lag and lag.grace is weights_lib.WeightsGrace.FORBIDDEN:
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -134,7 +134,7 @@
                 self.store, settings.host, settings.lease_ms / 1000.0
             ),
             self.pool,
-            self.source,
+            self.work,
             tasks,
         )
         self.site.target_gone = self._close_idle
--- a/hillthread/coordination/gateway/rollout_keeper.py
+++ b/hillthread/coordination/gateway/rollout_keeper.py
@@ -15,7 +15,7 @@
 from hillthread.coordination.gateway import order_lease
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway import weights_load
-from hillthread.state import feed_source
+from hillthread.coordination.gateway import work_feed
 from hillthread.state import health
 from hillthread.state import objects
 from hillthread.state import rollout
@@ -58,16 +58,16 @@
         site: site_lib.Site,
         lease: order_lease.OrderLease,
         pool: http1_client.ConnectionPool,
-        hosts: feed_source.FeedSource,
+        work: work_feed.WorkFeed,
         tasks: anyio.abc.TaskGroup,
     ):
         self.site = site
         self.metrics = site.metrics
         self.tasks = tasks
-        self.duty = order_duty.OrderDuty(site, lease, hosts)
+        self.duty = order_duty.OrderDuty(site, lease, work.source)
         self.plan = rollout.RolloutPlan()
         self.loader = weights_load.WeightsLoader(
-            site, self.duty, pool, self.plan
+            site, self.duty, pool, self.plan, work
         )
         self._behind = False
         self._load_ended = anyio.Event()
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -280,6 +280,20 @@
         self.state(notice.target).load.add_peer_work(notice.tokens, now)
         self.note_prompt(notice)
 
+    def take_weights_notice(
+        self, notice: work_notice.WeightsNotice, now: float
+    ) -> None:
+        """Takes in that an engine loads weights, or holds them now."""
+        entry = self.targets.entries.get(notice.target)
+        if entry is None or entry.born_ms != notice.born_ms:
+            return  # not listed here yet, or gone
+        state = self.state(notice.target)
+        if notice.loading:
+            state.begin_load(now)
+            return
+        state.end_load()
+        self.observe_weights(notice.target, notice.model, notice.version)
+
     def note_prompt(self, notice: work_notice.WorkNotice) -> None:
         """Notes that an engine keeps a prompt that is sent to it."""
         self.state(notice.target).warm.note(
--- a/hillthread/coordination/gateway/weights_load.py
+++ b/hillthread/coordination/gateway/weights_load.py
@@ -11,8 +11,10 @@
 from hillthread import errors
 from hillthread.coordination.gateway import order_duty
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway import work_feed
 from hillthread.platform import orders
 from hillthread.platform import targets as targets_lib
+from hillthread.protocol import work_notice
 from hillthread.state import objects
 from hillthread.state import rollout
 from hillthread.transport import http1_client
@@ -26,6 +28,10 @@
 # A report tells how an engine stood some hundred ms before. So long after an
 # order it tells whether the engine took it, though it did not answer.
 _SETTLED_S = 0.7
+# From telling all hosts that an engine is about to load until its order: what
+# waits there has begun by then. Engines refuse what has not: 107 of 1,833
+# prompts on a day with four versions, each of them sent once more.
+_EMPTY_QUEUE_S = 0.2
 
 _logger = logging.getLogger("hillthread.orders")
 
@@ -55,6 +61,7 @@
         site: The host's beliefs.
         duty: Whether this host gives orders.
         plan: Which loads are under way.
+        work: Tells other hosts which engines load.
     """
 
     def __init__(
@@ -63,11 +70,13 @@
         duty: order_duty.OrderDuty,
         pool: http1_client.ConnectionPool,
         plan: rollout.RolloutPlan,
+        work: work_feed.WorkFeed,
     ):
         self.site = site
         self.duty = duty
         self.pool = pool
         self.plan = plan
+        self.work = work
         self.metrics = site.metrics
 
     async def load(self, target: objects.Target, model: str) -> None:
@@ -114,10 +123,28 @@
             return rollout.LoadEnd.NO_ROOM
         if not await self.duty.ensure():
             return rollout.LoadEnd.NO_LEASE
-        given = await self._order(target, model, report)
-        if given is None:
-            return rollout.LoadEnd.NO_LEASE
-        return await self._follow(target, model, given)
+        try:
+            self._tell(target, model, report.born_ms, loading=True)
+            await anyio.sleep(_EMPTY_QUEUE_S)
+            given = await self._order(target, model, report)
+            if given is None:
+                return rollout.LoadEnd.NO_LEASE
+            return await self._follow(target, model, given)
+        finally:
+            self._tell(target, model, report.born_ms, loading=False)
+
+    def _tell(
+        self, target: objects.Target, model: str, born_ms: int, loading: bool
+    ) -> None:
+        """Tells all hosts whether an engine loads, and what it holds."""
+        version = self.site.weights.held(target.name, model) or 0
+        if loading:
+            version = self._newest(model)
+        self.work.tell_weights(
+            work_notice.WeightsNotice(
+                target.name, model, version, loading, False, born_ms
+            )
+        )
 
     async def _order(
         self,
--- a/hillthread/coordination/gateway/work_feed.py
+++ b/hillthread/coordination/gateway/work_feed.py
@@ -69,8 +69,15 @@
         """Has other hosts told of much work, unless they hear too much."""
         if notice.tokens < _LEAST_TOKENS or len(self.source.hosts) < 2:
             return
-        if not self._may_tell(time.monotonic()):
-            return
+        if self._may_tell(time.monotonic()):
+            self._tell_all(notice)
+
+    def tell_weights(self, notice: work_notice.WeightsNotice) -> None:
+        """Notes and tells what becomes of an engine's weights."""
+        self.site.take_weights_notice(notice, time.monotonic())
+        self._tell_all(notice)
+
+    def _tell_all(self, notice: work_notice.Notice) -> None:
         receivers = notice_route.receivers(
             self.source.name,
             self.source.data_centre,
@@ -136,7 +143,7 @@
 
     def _send(
         self,
-        notice: work_notice.WorkNotice,
+        notice: work_notice.Notice,
         hosts: list[feed_source.HostEntry],
     ) -> None:
         """Sends a notice; one that cannot be sent now is of no use later."""
@@ -161,7 +168,11 @@
             )
             return
         self.heard += 1
-        self.site.take_notice(notice, time.monotonic())
+        match notice:
+            case work_notice.WorkNotice():
+                self.site.take_notice(notice, time.monotonic())
+            case work_notice.WeightsNotice():
+                self.site.take_weights_notice(notice, time.monotonic())
         if notice.passes_on:
             hosts = notice_route.pass_on_receivers(
                 self.source.name,
--- a/hillthread/state/target_choice.py
+++ b/hillthread/state/target_choice.py
@@ -34,6 +34,7 @@
     EJECTED = "ejected"
     UNREACHABLE = "unreachable"
     OLD_WEIGHTS = "old_weights"
+    LOADING = "loading"
 
 
 class TargetView(NamedTuple):
--- a/hillthread/state/target_state.py
+++ b/hillthread/state/target_state.py
@@ -23,6 +23,9 @@
 # Tokens an engine reads in a second, until it is known better; the engines of
 # three deployments read 40 to 57 in a ms.
 _FIRST_RATE = 50_000.0
+# A load takes 0.6 to 0.9 s, and longer while many engines load; who does not
+# hear of its end goes on as if it were over.
+_LOAD_S = 1.5
 
 
 class TargetState:
@@ -34,6 +37,7 @@
         load: Prompts that it is still to read, other hosts' included.
         warm: What it keeps of prompts.
         refused_until: Seconds; it refused work and is spared until then.
+        loading_until: Seconds; it loads weights and begins nothing before.
         unreachable: No connection to it comes up.
         seconds: Smoothed time to the first byte.
     """
@@ -44,6 +48,7 @@
         self.load = load.TargetLoad(_FIRST_RATE)
         self.warm = warm_prefixes.WarmPrefixes()
         self.refused_until = float("-inf")
+        self.loading_until = float("-inf")
         self.unreachable = False
         self.seconds = 0.0
         self._recent: collections.deque[bool] = collections.deque(
@@ -93,6 +98,14 @@
         """Notes that it refused work, without fault."""
         self.refused_until = max(self.refused_until, until)
 
+    def begin_load(self, now: float) -> None:
+        """Notes that it is about to load weights."""
+        self.loading_until = now + _LOAD_S
+
+    def end_load(self) -> None:
+        """Notes that it does not load weights any more."""
+        self.loading_until = float("-inf")
+
     def fail(self, now: float) -> bool:
         """Notes a failure that is the target's.
 
