Read the lease only when nobody is heard to order; gather changes of targets longer

Hypothesis: a host that hears of loads need not ask who orders; changes of targets may be gathered for a share of the bound on work that still reaches a leaving target (0.3: 0.6 s at 2,000 ms as before, 1.2 s at 4,000).

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -60,10 +60,10 @@
 # The same between hosts, for what ages without harm while a read is held.
 _PEER_WAIT_S = 4.0
 # Changes that follow each other are read together. Leaving targets serve on for
-# two seconds and more. Where few hosts read, knowing early is worth more than
-# the calls.
+# the time that work may still reach them: this share of it is waited for more.
+# Where few hosts read, knowing early is worth more than the calls.
 _OPERATOR_GATHER_S = 0.2
-_TARGETS_GATHER_S = 0.6
+_TARGETS_GATHER_SHARE = 0.3
 _LONE_GATHER_S = 0.1
 _HOSTS_WAIT_S = 30.0
 # Hosts of a site that start together list themselves within this time.
@@ -230,7 +230,7 @@
                 self._operator_wait_s,
                 lambda: self._feed_holds().reader_s,
                 lambda: self._feed_holds().peer_s,
-                _OPERATOR_GATHER_S,
+                lambda: _OPERATOR_GATHER_S,
                 _LONE_GATHER_S,
                 self._take_operator,
                 asks_for_all=True,
@@ -240,7 +240,7 @@
                 lambda: _TARGETS_WAIT_S,
                 lambda: _TARGETS_WAIT_S,
                 lambda: _PEER_WAIT_S,
-                _TARGETS_GATHER_S,
+                self._targets_gather_s,
                 _LONE_GATHER_S,
                 self._take_target,
                 self.site.note_targets_known,
@@ -250,7 +250,7 @@
                 lambda: _HOSTS_WAIT_S,
                 lambda: _HOSTS_WAIT_S,
                 lambda: _PEER_WAIT_S,
-                _HOSTS_GATHER_S,
+                lambda: _HOSTS_GATHER_S,
                 _HOSTS_GATHER_S,
                 self._take_host,
                 self.hosts_read.set,
@@ -280,6 +280,10 @@
         longest_s = min(_OPERATOR_WAIT_S, held_read.longest_hold_s(bound_s))
         return min(longest_s, max(0.0, left_s))
 
+    def _targets_gather_s(self) -> float:
+        """Returns how long to wait for more changes of targets."""
+        return self.site.settings.drain_ms / 1000.0 * _TARGETS_GATHER_SHARE
+
     def _feed_holds(self) -> held_read.FeedHolds:
         return held_read.feed_holds(
             self.site.ready_age_s, self.site.greatest_age_s
--- a/hillthread/coordination/gateway/order_duty.py
+++ b/hillthread/coordination/gateway/order_duty.py
@@ -16,6 +16,8 @@
 # Hosts of lower rank do not read the lease after a rollout.
 _LOOKING_HOSTS = 8
 _LOOK_AFTER_S = 1.0
+# A holder that orders tells of loads that begin or end so often at least.
+_SILENCE_S = 1.2
 _NEVER = float("inf")
 
 
@@ -54,7 +56,7 @@
                 self._standing(), now, random.random()
             )
             self._try_at = max(self._resigned_until, first_at)
-        if now < self._try_at:
+        if now < self._try_at or self._is_done_elsewhere(now):
             return False
         if await self.ensure():
             return True
@@ -63,6 +65,16 @@
         )
         return False
 
+    def _is_done_elsewhere(self, now: float) -> bool:
+        """Returns whether another host is heard to give orders.
+
+        It tells which engines load, and shows by it that it holds the lease:
+        to read that costs a call of each host.
+        """
+        if self.lease.is_holder:
+            return False
+        return now - self.site.load_told_at < _SILENCE_S
+
     async def ensure(self) -> bool:
         """Returns whether orders may be given now; renews the lease if due.
 
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -2,33 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 import logging
 import math
 import time
 
 import anyio
 
-from hillthread import errors
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import settings as settings_lib
+from hillthread.coordination.gateway import target_beliefs
 from hillthread.platform import configuration as configuration_lib
-from hillthread.platform import targets as targets_lib
-from hillthread.protocol import work_notice
 from hillthread.state import caller_bounds
 from hillthread.state import freshness
-from hillthread.state import health
 from hillthread.state import retry_budget
-from hillthread.state import routing_table
 from hillthread.state import site_configuration
-from hillthread.state import target_list
-from hillthread.state import target_state
-from hillthread.state import weights
 
 __all__ = ["Site"]
 
-# After an outage entries of live targets are back within this time (letter).
-_RETURN_S = 2.0
 # Keyed requests are refused this much before knowledge of keys is too old.
 _REVOKE_MARGIN_S = 0.8
 # Of its full age; the host then asks the balancer to send callers elsewhere.
@@ -42,16 +32,12 @@
 _logger = logging.getLogger("hillthread.site")
 
 
-class Site:
-    """Beliefs of one host.
+class Site(target_beliefs.TargetBeliefs):
+    """Beliefs of one host: of targets, what the operator wrote, and its age.
 
     Attributes:
         settings: Of this host; replaced when the file changes.
         configuration: The configuration in force, or None before the first.
-        table: Its routing table, or None.
-        targets: Which targets there are.
-        states: What own attempts found, by target.
-        weights: Versions of weights.
         freshness: Age of what is known from the operator.
         started_at: Seconds, when this process began to serve.
         wait_over: Set, and replaced, when requests need not wait any longer
@@ -62,7 +48,6 @@
         draining: The process is stopping.
         closing: It is about to end: a new request could not be finished.
         weights_named: Set, and replaced, when new weights are named.
-        target_gone: Called with the address of each target that is gone.
     """
 
     def __init__(
@@ -70,17 +55,13 @@
         settings: settings_lib.GatewaySettings,
         metrics: metrics_lib.GatewayMetrics,
     ):
+        super().__init__(metrics)
         self.settings = settings
-        self.metrics = metrics
         self.configuration: site_configuration.SiteConfiguration | None = None
-        self.table: routing_table.RoutingTable | None = None
-        self.targets = target_list.TargetList(_RETURN_S)
         self.targets_known = False
         self.started_at = time.monotonic()
         self.wait_over = anyio.Event()
         self.is_store_lost = False
-        self.states: dict[str, target_state.TargetState] = {}
-        self.weights = weights.WeightsBoard()
         self.freshness = freshness.Freshness()
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.hosts = DEFAULT_HOSTS
@@ -88,7 +69,6 @@
         self.draining = False
         self.closing = False
         self.weights_named = anyio.Event()
-        self.target_gone: Callable[[str], None] = _ignore
         self.adopt_settings(settings)
 
     def adopt_settings(self, settings: settings_lib.GatewaySettings) -> None:
@@ -187,156 +167,6 @@
         with anyio.move_on_after(left_s):
             await self.wait_over.wait()
 
-    def put_target(self, incarnation: str, payload: bytes) -> None:
-        """Takes in an entry of the list of targets.
-
-        Raises:
-            ConfigurationError: It is unreadable, or another writer's; it names
-                no target, also where one was listed.
-        """
-        before = self.targets.entries.get(incarnation)
-        try:
-            entry = targets_lib.decode_entry(incarnation, payload)
-            if entry.born_ms == 0 and incarnation in self.targets.born_ms:
-                raise errors.ConfigurationError(
-                    f"The entry of target {incarnation!r} tells no start.",
-                    "Check what wrote the entry; it names no target.",
-                )
-        except errors.ConfigurationError:
-            change = self.targets.withdraw(incarnation)
-            self._note_removal(incarnation, change, before)
-            raise
-        if self.targets.is_earlier(incarnation, entry.born_ms):
-            return
-        change = self.targets.put(entry)
-        if change is target_list.TargetChange.RESTARTED and before is not None:
-            self._forget(incarnation, before.target.address)
-        for model, version in entry.weights.items():
-            self.weights.list_target(incarnation, model, version)
-        self._note_target(incarnation, change)
-
-    def remove_target(self, incarnation: str, now: float) -> None:
-        """Notes that an entry is missing from the list."""
-        entry = self.targets.entries.get(incarnation)
-        change = self.targets.remove(incarnation, now)
-        self._note_removal(incarnation, change, entry)
-
-    def expire_targets(self, now: float) -> None:
-        """Drops targets whose entries stayed missing after an outage."""
-        before = dict(self.targets.entries)
-        for name in self.targets.expire(now):
-            gone = target_list.TargetChange.GONE
-            self._note_removal(name, gone, before[name])
-
-    def target_leaves(self, incarnation: str, source: str) -> None:
-        """Notes that a target said itself that it leaves."""
-        if self.targets.mark_leaving(incarnation):
-            self._note_target(
-                incarnation, target_list.TargetChange.LEAVING, source
-            )
-
-    def observe_weights(
-        self, incarnation: str, model: str, version: int
-    ) -> None:
-        """Takes in the weights version that a target said it holds."""
-        if self.weights.observe(incarnation, model, version):
-            self.state(incarnation).warm.clear()
-            _logger.info(
-                "target has weights",
-                extra={
-                    "event": "target_weights",
-                    "target": incarnation,
-                    "model": model,
-                    "version": version,
-                },
-            )
-
-    def take_report(
-        self, name: str, model: str, report: targets_lib.EngineReport
-    ) -> bool:
-        """Takes in the weights that an engine reports of itself.
-
-        Returns:
-            Whether it is word of the engine's last start; if not, it is passed
-            over.
-        """
-        if self.targets.is_earlier(name, report.born_ms):
-            return False
-        entry = self.targets.entries.get(name)
-        if self.targets.note_start(name, report.born_ms) and entry is not None:
-            self._forget(name, entry.target.address)
-            self._note_target(
-                name, target_list.TargetChange.RESTARTED, "report"
-            )
-        if model in report.weights:
-            self.weights.report(name, model, report.weights[model])
-        return True
-
-    def take_notice(self, notice: work_notice.WorkNotice, now: float) -> None:
-        """Takes in that another host sends work to an engine."""
-        name = self.targets.name_of(notice.engine)
-        if name is None:
-            return  # not listed here yet, gone, or of an earlier start
-        self.state(name).load.add_peer_work(notice.tokens, now)
-        self.note_prompt(name, notice)
-
-    def take_weights_notice(
-        self, notice: work_notice.WeightsNotice, now: float
-    ) -> None:
-        """Takes in that an engine loads weights, or holds them now."""
-        name = self.targets.name_of(notice.engine)
-        if name is None:
-            return  # not listed here yet, gone, or of an earlier start
-        state = self.state(name)
-        if notice.loading:
-            state.begin_load(now)
-            return
-        state.end_load()
-        self.observe_weights(name, notice.model, notice.version)
-
-    def note_prompt(self, name: str, notice: work_notice.WorkNotice) -> None:
-        """Notes that an engine keeps a prompt that is sent to it."""
-        self.state(name).warm.note(
-            notice.scope,
-            notice.shared,
-            notice.own_tokens,
-            self._engine_memory(name),
-        )
-
-    def _engine_memory(self, target: str) -> int:
-        """Returns how many tokens an engine keeps; 0 when not known."""
-        entry = self.targets.entries.get(target)
-        if self.table is None or entry is None:
-            return 0
-        service = entry.target.labels.get(configuration_lib.SERVICE_LABEL, "")
-        pool = self.table.pool(service)
-        return pool.cache_tokens if pool else 0
-
-    def weights_status(self, now: float) -> dict[str, object]:
-        """Returns what is known of weights, for a log line."""
-        lags = self.weights.lags(now)
-        self.metrics.behind.set(len(lags))
-        return {
-            "weights_named": {
-                model: {
-                    "version": named.version,
-                    "age_s": round(now - named.known_at, 3),
-                }
-                for model, named in self.weights.named.items()
-            },
-            "weights_behind": {
-                f"{target} {model}": lag.held
-                for (target, model), lag in lags.items()
-            },
-        }
-
-    def state(self, target: str) -> target_state.TargetState:
-        """Returns what own attempts found of a target."""
-        found = self.states.get(target)
-        if found is None:
-            found = self.states[target] = target_state.TargetState()
-        return found
-
     def budget(self, pool: str) -> retry_budget.RetryBudget:
         """Returns this host's part of a pool's retry budget."""
         extra = self.settings.retry_extra / self.hosts
@@ -410,53 +240,3 @@
         if not self.settings.fail_closed:
             return 0.0
         return max(0.0, self.freshness.age(now) - self.ready_age_s)
-
-    def _note_target(
-        self,
-        name: str,
-        change: target_list.TargetChange,
-        source: str = "list",
-    ) -> None:
-        if change is target_list.TargetChange.NONE:
-            return
-        entry = self.targets.entries.get(name)
-        self.metrics.targets.set(len(self.targets.entries))
-        _logger.info(
-            f"target {change}",
-            extra={
-                "event": f"target_{change}",
-                "target": name,
-                "source": source,
-                "address": entry.target.address if entry else None,
-                "labels": dict(entry.target.labels) if entry else None,
-            },
-        )
-
-    def _note_removal(
-        self,
-        name: str,
-        change: target_list.TargetChange,
-        entry: target_list.ListedTarget | None,
-    ) -> None:
-        """Notes what became of a target that the list names no more."""
-        self._note_target(name, change)
-        if change is target_list.TargetChange.GONE and entry is not None:
-            self._forget(name, entry.target.address)
-
-    def _forget(self, name: str, address: str) -> None:
-        self.states.pop(name, None)
-        self.weights.forget(name)
-        self.target_gone(address)
-
-    def ejected(self, now: float) -> list[str]:
-        """Returns the targets that get no requests because they failed."""
-        return [
-            name
-            for name, state in self.states.items()
-            if state.breaker.state(now) is health.BreakerState.OPEN
-        ]
-
-
-def _ignore(address: str) -> None:
-    """Stands for nobody who wants to know of targets that are gone."""
-    del address
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -118,8 +118,9 @@
         reader_wait_s: Returns how long it holds reads of a host that reads for
             others, at most.
         peer_wait_s: Returns how long another host is to hold a read, seconds.
-        gather_s: After a read that brought something the next one is sent so
-            much later: changes often come in numbers, and each read costs.
+        gather_s: Returns how much later the next read is sent after one that
+            brought something, seconds: changes often come in numbers, and each
+            read costs.
         lone_gather_s: The same where each host reads for itself.
         take: Called with each change.
         caught_up: Called when the newest of all keys was read.
@@ -133,7 +134,7 @@
     wait_s: Callable[[], float]
     reader_wait_s: Callable[[], float]
     peer_wait_s: Callable[[], float]
-    gather_s: float
+    gather_s: Callable[[], float]
     lone_gather_s: float
     take: Callable[[topic_copy.TopicRecord], None]
     caught_up: Callable[[], None] = _nobody
@@ -197,7 +198,7 @@
         Where few hosts read, knowing early is worth more than the calls.
         """
         if self.readers.source.is_shared():
-            return self.plan.gather_s
+            return self.plan.gather_s()
         return self.plan.lone_gather_s
 
     async def _wait_settled(self) -> None:
--- a/tests/coordination/gateway/test_restarts.py
+++ b/tests/coordination/gateway/test_restarts.py
@@ -36,6 +36,8 @@
     strategies.text(max_size=8),
     strategies.lists(strategies.integers(), max_size=2),
 )
+# Of no interest here, and slow to make.
+_METRICS = metrics.GatewayMetrics()
 _seeded = hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
 
 
@@ -47,7 +49,7 @@
         ready_listen="127.0.0.1:2",
         store="127.0.0.1:3",
     )
-    return site_lib.Site(values, metrics.GatewayMetrics())
+    return site_lib.Site(values, _METRICS)
 
 
 def _encode(**changes):
--- a/tests/coordination/gateway/test_weights_notices.py
+++ b/tests/coordination/gateway/test_weights_notices.py
@@ -81,6 +81,22 @@
 
         scene_lib.play(story, engines=1, plain=0)
 
+    def test_host_that_hears_of_loads_does_not_ask_who_orders(self):
+        async def story(scene):
+            other = await two_hosts(scene)
+            (engine,) = scene.engines
+            # So long that others would ask, and that loads are told of.
+            engine.load_s = 1.0
+            scene.name_weights(2)
+            await scene.until(lambda: engine.weights == 2)
+            read_to = [
+                program.rollout.lease.contender.state.position
+                for program in (scene.program, other)
+            ]
+            self.assertEqual(sorted(read_to), [-1, 0])
+
+        scene_lib.play(story, engines=1, plain=0)
+
     def test_notice_for_an_earlier_start_changes_nothing(self):
         async def story(scene):
             (engine,) = scene.engines
