Have hosts that would follow the holder read the lease on

How long a lease lasts counts from when its last record was read, and those who heard of loads had not read it.

Now the three hosts that would follow read on; the others still need not.

--- a/hillthread/coordination/gateway/order_duty.py
+++ b/hillthread/coordination/gateway/order_duty.py
@@ -69,9 +69,11 @@
         """Returns whether another host is heard to give orders.
 
         It tells which engines load, and shows by it that it holds the lease:
-        to read that costs a call of each host.
+        to read that costs a call of each host. Those that would follow it read
+        on: how long the lease lasts counts from when its last record was read.
         """
-        if self.lease.is_holder:
+        rank = self.hosts.rank_among_all(_DUTY)
+        if self.lease.is_holder or rank < succession.WATCHING_HOSTS:
             return False
         return now - self.site.load_told_at < _SILENCE_S
 
--- a/hillthread/state/feed_source.py
+++ b/hillthread/state/feed_source.py
@@ -52,6 +52,7 @@
         self.data_centre = data_centre
         self.hosts: dict[str, HostEntry] = {}
         self.revision = 0
+        self._duty_ranks: dict[str, int] = {}
         self._ranked: list[HostEntry] = []
         self._avoided_until: dict[str, float] = {}
 
@@ -93,11 +94,16 @@
 
     def rank_among_all(self, key: str) -> int:
         """Returns this host's place among all hosts for a duty, 0 first."""
-        order = placement.rank_by_rendezvous(key.encode(), self.hosts)
-        return order.index(self.name) if self.name in order else len(order)
+        if key not in self._duty_ranks:
+            order = placement.rank_by_rendezvous(key.encode(), self.hosts)
+            listed = self.name in order
+            rank = order.index(self.name) if listed else len(order)
+            self._duty_ranks[key] = rank
+        return self._duty_ranks[key]
 
     def _rank(self) -> None:
         self.revision += 1
+        self._duty_ranks.clear()
         own = self._own_data_centre(self.hosts.values())
         if len(own) < _LEAST_HOSTS:
             self._ranked = []
--- a/hillthread/state/succession.py
+++ b/hillthread/state/succession.py
@@ -9,7 +9,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["Standing", "first_try_at", "next_try_at"]
+__all__ = ["WATCHING_HOSTS", "Standing", "first_try_at", "next_try_at"]
 
 # A renewal takes some ms, and the news of what is to be done reach all hosts
 # within 0.2 s of each other.
@@ -21,7 +21,7 @@
 _HOLDER_RETRY_S = 0.5
 # How long a lease still lasts counts from when its last record was read: those
 # who would follow first read it so often, the others when it may be over.
-_WATCHING_HOSTS = 3
+WATCHING_HOSTS = 3
 _WATCH_S = 0.8
 
 
@@ -68,7 +68,7 @@
         return now + _HOLDER_RETRY_S
     at = max(now + _HOLDER_PATIENCE_S, standing.contend_at)
     at += _turn_s(standing.rank, luck)
-    if standing.rank < _WATCHING_HOSTS:
+    if standing.rank < WATCHING_HOSTS:
         return min(at, now + _WATCH_S)
     return at
 
