Trust a gatherer that sends anything, not only what was handed to it

Cause, found by reading: a gatherer that is told of more than it may hand on drops notices, whose senders then took it for lost and went on to the next rank, which may hand on as much again: up to four times the bound on what a host hears. Hosts now trust the gatherer when anything comes from it.

--- a/hillthread/coordination/gateway/work_feed.py
+++ b/hillthread/coordination/gateway/work_feed.py
@@ -159,13 +159,14 @@
         """Takes in what has come, and leaves the rest for the next turn."""
         for _ in range(_HEARD_AT_ONCE):
             try:
-                raw = opened.recv(work_notice.MAX_PACKET_BYTES)
+                raw, sender = opened.recvfrom(work_notice.MAX_PACKET_BYTES)
             except BlockingIOError:
                 return
             except OSError as error:
                 if not failed.done():
                     failed.set_exception(error)
                 return
+            self.gatherer.note_heard(f"{sender[0]}:{sender[1]}")
             self._take(raw)
 
     def _may_tell(self, now: float) -> bool:
@@ -286,9 +287,7 @@
     def _take_in(self, packet: work_notice.Packet, now: float) -> None:
         """Has the site take in what a packet tells."""
         for notice in packet.work:
-            if notice.origin == self._origin:
-                self.gatherer.note_back()
-            else:
+            if notice.origin != self._origin:
                 self.site.take_notice(notice, now)
         for notice in packet.weights:
             self.site.take_weights_notice(notice, now)
--- a/hillthread/state/gatherer.py
+++ b/hillthread/state/gatherer.py
@@ -1,8 +1,8 @@
 """Which host of a data centre gathers what all its hosts tell.
 
 All hosts rank the hosts of a data centre alike, and the first one gathers. A
-host that hands something to the gatherer hears it back with the others' within
-some ten ms. If it does not, it goes on to the next rank for a while: the
+host that hands something to the gatherer hears from it within some ten ms, as
+all hosts do. If it does not, it goes on to the next rank for a while: the
 gatherer may be killed, frozen or cut off, and nobody has to find that out for
 all.
 """
@@ -16,9 +16,9 @@
 
 __all__ = ["GathererChoice"]
 
-# What was handed over is back by then unless the gatherer, or the way to it, is
-# lost: it is sent on every 30 ms.
-_BACK_WITHIN_S = 0.3
+# What was handed over is sent on by then unless the gatherer, or the way to it,
+# is lost: it does so every 30 ms.
+_HEARD_WITHIN_S = 0.3
 # A gatherer that failed is tried again after this time, which doubles.
 _AVOID_S = 2.0
 _MOST_AVOID_S = 16.0
@@ -75,16 +75,22 @@
         """Notes that something was handed to a gatherer."""
         self._waits.setdefault(name, now)
 
-    def note_back(self) -> None:
-        """Notes that something handed over came back: the gatherer is well."""
-        for name in self._waits:
-            self._avoided_s.pop(name, None)
-        self._waits.clear()
+    def note_heard(self, feed: str) -> None:
+        """Notes that a host, which answers others at `feed`, sent something.
+
+        It need not be what was handed over: a gatherer that is told of more
+        than it may hand on is well, and its next rank would not hand on more.
+        """
+        for name in list(self._waits):
+            entry = self.source.hosts.get(name)
+            if entry is None or entry.feed == feed:
+                del self._waits[name]
+                self._avoided_s.pop(name, None)
 
     def _is_trusted(self, entry: feed_source.HostEntry, now: float) -> bool:
         """Returns whether a host is not known to be lost."""
         waits_since = self._waits.get(entry.name)
-        if waits_since is not None and now - waits_since > _BACK_WITHIN_S:
+        if waits_since is not None and now - waits_since > _HEARD_WITHIN_S:
             del self._waits[entry.name]
             avoid_s = self._avoided_s.get(entry.name, _AVOID_S)
             self._avoided_s[entry.name] = min(2.0 * avoid_s, _MOST_AVOID_S)
--- a/tests/coordination/gateway/test_work_feed.py
+++ b/tests/coordination/gateway/test_work_feed.py
@@ -134,7 +134,7 @@
         scene_lib.play(story)
 
     def test_hosts_go_on_without_their_gatherer(self):
-        """Its notices come back from the next rank when the first is silent."""
+        """The next rank gathers when the first one is silent."""
 
         async def story(scene):
             program = scene.program
--- a/tests/state/test_gatherer.py
+++ b/tests/state/test_gatherer.py
@@ -46,15 +46,25 @@
         still = now + BACK_LATE_S + 1.5 * AVOIDED_S
         self.assertNotEqual(hands.pick(still).name, first)
 
-    def test_what_comes_back_shows_that_it_is_well(self):
+    def test_what_it_sends_shows_that_it_is_well(self):
         hands = next(
             c for c in (choice(f"a{n}") for n in range(4)) if not c.is_self(0.0)
         )
         first = hands.pick(0.0).name
         hands.note_sent(first, 0.0)
-        hands.note_back()
+        hands.note_heard("another:1")
+        hands.note_heard(f"{first}:1")
         self.assertEqual(hands.pick(9.0).name, first)
 
+    def test_what_others_send_shows_nothing(self):
+        hands = next(
+            c for c in (choice(f"a{n}") for n in range(4)) if not c.is_self(0.0)
+        )
+        first = hands.pick(0.0).name
+        hands.note_sent(first, 0.0)
+        hands.note_heard("another:1")
+        self.assertNotEqual(hands.pick(BACK_LATE_S).name, first)
+
     def test_two_hosts_of_each_other_data_centre_are_told(self):
         names = {host.name[0] for host in choice("a0").elsewhere()}
         self.assertEqual(names, {"b", "c"})
