--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -19,6 +19,8 @@
 from hillthread.coordination.gateway import settings as gateway_settings
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway import store_follower
+from hillthread.coordination.gateway import store_watch
+from hillthread.coordination.gateway import topic_plan
 from hillthread.coordination.gateway import work_feed
 from hillthread.platform import configuration
 from hillthread.platform import store as store_lib
@@ -102,9 +104,9 @@
         )
         self.hosts_read = anyio.Event()
         self.hosts_settled = anyio.Event()
-        self.readers = store_follower.Readers(
+        self.readers = topic_plan.Readers(
             self.store,
-            store_follower.StoreWatch(
+            store_watch.StoreWatch(
                 self._store_lost, self._store_back, self._suspect_reads
             ),
             self.source,
@@ -225,7 +227,7 @@
     def _followers(self) -> dict[str, store_follower.TopicFollower]:
         """Returns the followers of all topics, by topic."""
         plans = [
-            store_follower.TopicPlan(
+            topic_plan.TopicPlan(
                 configuration.OPERATOR_TOPIC,
                 self._operator_wait_s,
                 lambda: self._feed_holds().reader_s,
@@ -235,7 +237,7 @@
                 self._take_operator,
                 asks_for_all=True,
             ),
-            store_follower.TopicPlan(
+            topic_plan.TopicPlan(
                 targets.TARGET_TOPIC,
                 lambda: _TARGETS_WAIT_S,
                 lambda: _TARGETS_WAIT_S,
@@ -245,7 +247,7 @@
                 self._take_target,
                 self.site.note_targets_known,
             ),
-            store_follower.TopicPlan(
+            topic_plan.TopicPlan(
                 host_registry.HOSTS_TOPIC,
                 lambda: _HOSTS_WAIT_S,
                 lambda: _HOSTS_WAIT_S,
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store_follower.py
@@ -7,16 +7,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 import logging
 import random
 import time
-from typing import NamedTuple
 
 import anyio
 
 from hillthread import errors
-from hillthread.coordination.gateway import metrics as metrics_lib
+from hillthread.coordination.gateway import topic_plan
 from hillthread.platform import store
 from hillthread.protocol import feed
 from hillthread.state import feed_source
@@ -25,7 +23,7 @@
 from hillthread.state import topic_copy
 from hillthread.transport import http1_client
 
-__all__ = ["Readers", "StoreWatch", "TopicFollower", "TopicPlan"]
+__all__ = ["TopicFollower"]
 
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 0.5
@@ -43,105 +41,6 @@
 _logger = logging.getLogger("hillthread.store")
 
 
-def _nobody() -> None:
-    """Stands for nobody who wants to know that a topic was read."""
-
-
-class StoreWatch:
-    """Whether the store answers this host, as all its callers find.
-
-    Attributes:
-        lost: Called with a reason when it stops answering.
-        back: Called with the time now and the seconds it was lost.
-        suspect: Called with the time since which connections are suspect:
-            one was lost or silent, and a new one works.
-        answers: Set while the store answers; replaced when it stops.
-    """
-
-    def __init__(
-        self,
-        lost: Callable[[str], None],
-        back: Callable[[float, float], None],
-        suspect: Callable[[float], None],
-    ):
-        self.lost = lost
-        self.back = back
-        self.suspect = suspect
-        self.lost_at: float | None = None
-        self.answers = anyio.Event()
-
-    def note_failure(self, reason: str) -> None:
-        """Notes a call that was not answered."""
-        if self.lost_at is None:
-            self.lost_at = time.monotonic()
-            self.answers = anyio.Event()
-            self.lost(reason)
-
-    def note_success(self) -> None:
-        """Notes a call that was answered."""
-        if self.lost_at is not None:
-            now = time.monotonic()
-            self.back(now, now - self.lost_at)
-            self.lost_at = None
-            self.answers.set()
-
-
-class Readers(NamedTuple):
-    """What all followers of a host share.
-
-    Attributes:
-        client: Calls the store.
-        watch: Whether the store answers.
-        source: Chooses whom to read from.
-        peers: Connections to other hosts.
-        metrics: What is counted.
-        hosts_read: Set when the list of hosts was read once.
-        hosts_settled: Set when the list surely names those that started
-            together with this one.
-    """
-
-    client: store.StoreClient
-    watch: StoreWatch
-    source: feed_source.FeedSource
-    peers: http1_client.ConnectionPool
-    metrics: metrics_lib.GatewayMetrics
-    hosts_read: anyio.Event
-    hosts_settled: anyio.Event
-
-
-class TopicPlan(NamedTuple):
-    """How a topic is followed.
-
-    Attributes:
-        topic: Its name.
-        wait_s: Returns how long the store is to hold the next read, seconds.
-        reader_wait_s: Returns how long it holds reads of a host that reads for
-            others, at most.
-        peer_wait_s: Returns how long another host is to hold a read, seconds.
-        gather_s: Returns how much later the next read is sent after one that
-            brought something, seconds: changes often come in numbers, and each
-            read costs.
-        lone_gather_s: The same where each host reads for itself.
-        take: Called with each change.
-        caught_up: Called when the newest of all keys was read.
-        asks_for_all: While the store fails, this topic's follower finds out
-            when it answers again.
-        lists_hosts: The topic tells which hosts there are: followers of other
-            topics wait for it, to read from one of these.
-    """
-
-    topic: str
-    wait_s: Callable[[], float]
-    reader_wait_s: Callable[[], float]
-    peer_wait_s: Callable[[], float]
-    gather_s: Callable[[], float]
-    lone_gather_s: float
-    take: Callable[[topic_copy.TopicRecord], None]
-    caught_up: Callable[[], None] = _nobody
-    asks_for_all: bool = False
-    lists_hosts: bool = False
-
-
 class TopicFollower:
     """Follows one keyed topic.
 
@@ -155,8 +54,8 @@
 
     def __init__(
         self,
-        plan: TopicPlan,
-        readers: Readers,
+        plan: topic_plan.TopicPlan,
+        readers: topic_plan.Readers,
         freshness_of: freshness.Freshness | None = None,
     ):
         self.plan = plan
--- /dev/null
+++ b/hillthread/coordination/gateway/store_watch.py
@@ -0,0 +1,49 @@
+"""Whether the platform's store answers this host."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import time
+
+import anyio
+
+__all__ = ["StoreWatch"]
+
+
+class StoreWatch:
+    """Whether the store answers this host, as all its callers find.
+
+    Attributes:
+        lost: Called with a reason when it stops answering.
+        back: Called with the time now and the seconds it was lost.
+        suspect: Called with the time since which connections are suspect:
+            one was lost or silent, and a new one works.
+        answers: Set while the store answers; replaced when it stops.
+    """
+
+    def __init__(
+        self,
+        lost: Callable[[str], None],
+        back: Callable[[float, float], None],
+        suspect: Callable[[float], None],
+    ):
+        self.lost = lost
+        self.back = back
+        self.suspect = suspect
+        self.lost_at: float | None = None
+        self.answers = anyio.Event()
+
+    def note_failure(self, reason: str) -> None:
+        """Notes a call that was not answered."""
+        if self.lost_at is None:
+            self.lost_at = time.monotonic()
+            self.answers = anyio.Event()
+            self.lost(reason)
+
+    def note_success(self) -> None:
+        """Notes a call that was answered."""
+        if self.lost_at is not None:
+            now = time.monotonic()
+            self.back(now, now - self.lost_at)
+            self.lost_at = None
+            self.answers.set()
--- /dev/null
+++ b/hillthread/coordination/gateway/topic_plan.py
@@ -0,0 +1,77 @@
+"""How topics are followed, and what their followers share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+
+from hillthread.coordination.gateway import metrics as metrics_lib
+from hillthread.coordination.gateway import store_watch
+from hillthread.platform import store
+from hillthread.state import feed_source
+from hillthread.state import topic_copy
+from hillthread.transport import http1_client
+
+__all__ = ["Readers", "TopicPlan"]
+
+
+def _nobody() -> None:
+    """Stands for nobody who wants to know that a topic was read."""
+
+
+class Readers(NamedTuple):
+    """What all followers of a host share.
+
+    Attributes:
+        client: Calls the store.
+        watch: Whether the store answers.
+        source: Chooses whom to read from.
+        peers: Connections to other hosts.
+        metrics: What is counted.
+        hosts_read: Set when the list of hosts was read once.
+        hosts_settled: Set when the list surely names those that started
+            together with this one.
+    """
+
+    client: store.StoreClient
+    watch: store_watch.StoreWatch
+    source: feed_source.FeedSource
+    peers: http1_client.ConnectionPool
+    metrics: metrics_lib.GatewayMetrics
+    hosts_read: anyio.Event
+    hosts_settled: anyio.Event
+
+
+class TopicPlan(NamedTuple):
+    """How a topic is followed.
+
+    Attributes:
+        topic: Its name.
+        wait_s: Returns how long the store is to hold the next read, seconds.
+        reader_wait_s: Returns how long it holds reads of a host that reads for
+            others, at most.
+        peer_wait_s: Returns how long another host is to hold a read, seconds.
+        gather_s: Returns how much later the next read is sent after one that
+            brought something, seconds: changes often come in numbers, and each
+            read costs.
+        lone_gather_s: The same where each host reads for itself.
+        take: Called with each change.
+        caught_up: Called when the newest of all keys was read.
+        asks_for_all: While the store fails, this topic's follower finds out
+            when it answers again.
+        lists_hosts: The topic tells which hosts there are: followers of other
+            topics wait for it, to read from one of these.
+    """
+
+    topic: str
+    wait_s: Callable[[], float]
+    reader_wait_s: Callable[[], float]
+    peer_wait_s: Callable[[], float]
+    gather_s: Callable[[], float]
+    lone_gather_s: float
+    take: Callable[[topic_copy.TopicRecord], None]
+    caught_up: Callable[[], None] = _nobody
+    asks_for_all: bool = False
+    lists_hosts: bool = False
