Say in three comments what the figures buy

Comments only: why a load waits 0.06 s for its order, why changes of targets are gathered for 0.1 of the drain bound, and what the platform promises after an outage. Read as a newcomer would; no behaviour changes.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -61,9 +61,10 @@
 _TARGETS_WAIT_S = 20.0
 # The same between hosts, for what ages without harm while a read is held.
 _PEER_WAIT_S = 4.0
-# Changes that follow each other are read together. Leaving targets serve on for
-# the time that work may still reach them: this share of it is waited for more.
-# Where few hosts read, knowing early is worth more than the calls.
+# Changes that follow each other are read together; those of targets for a share
+# of the time for which work may still reach one that leaves. At 0.3 of it hosts
+# learn too late of engines that come back. A host that reads for itself only
+# waits less: knowing early is worth more to it than the calls.
 _OPERATOR_GATHER_S = 0.2
 _TARGETS_GATHER_SHARE = 0.1
 _LONE_GATHER_S = 0.1
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -18,7 +18,8 @@
 
 __all__ = ["TargetBeliefs"]
 
-# After an outage entries of live targets are back within this time (letter).
+# After an outage entries of live targets are back within this time, as the
+# platform promises.
 _RETURN_S = 2.0
 
 _logger = logging.getLogger("hillthread.site")
--- a/hillthread/coordination/gateway/weights_load.py
+++ b/hillthread/coordination/gateway/weights_load.py
@@ -29,9 +29,10 @@
 # A report tells how an engine stood some hundred ms before. So long after an
 # order it tells whether the engine took it, though it did not answer.
 _SETTLED_S = 0.7
-# From telling all hosts that an engine is about to load until its order: what
-# waits there has begun by then. Engines refuse what has not: 107 of 1,833
-# prompts on a day with four versions, each of them sent once more.
+# From telling all hosts that an engine is about to load until its order: the
+# notice has reached them, and most of what waits there has begun. Engines
+# refuse what has not: 107 of 1,833 prompts on a day with four versions, each of
+# them sent once more. At 0.2 s engines rested, and other queues grew longer.
 _EMPTY_QUEUE_S = 0.06
 
 _logger = logging.getLogger("hillthread.orders")
