Log what all tries of a request share, and what was open beside an attempt

Cause: lines of different hosts could not be put together by request, since each try has its own id; nor did they tell whether an attempt had begun, or shared its target, when that ended. No change of what is done.

--- a/hillthread/coordination/gateway/gateway.py
+++ b/hillthread/coordination/gateway/gateway.py
@@ -129,6 +129,7 @@
         request.story.note(
             "admitted",
             path=request.caller.path,
+            digest=request.digest,
             route=request.route.name,
             tenant=request.tenant_name,
             repeatable=request.repeatable,
--- a/hillthread/coordination/gateway/intake.py
+++ b/hillthread/coordination/gateway/intake.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import time
 
 from hillthread import errors
@@ -11,6 +12,7 @@
 from hillthread.platform import attempts
 from hillthread.platform import names
 from hillthread.state import objects
+from hillthread.state import request_digest
 from hillthread.state import routing_table
 from hillthread.transport import http1_server
 
@@ -46,7 +48,7 @@
 _BEARER = "bearer"
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass
 class GatewayRequest:
     """A request with everything that applies to it.
 
@@ -92,6 +94,18 @@
             return self.tenant.priority
         return self.route.priority
 
+    @functools.cached_property
+    def digest(self) -> str:
+        """What all tries of the same request have in common."""
+        caller = self.caller
+        return request_digest.request_digest(
+            self.tenant_name,
+            caller.method,
+            caller.get(b"host"),
+            caller.target,
+            caller.body,
+        )
+
     def seconds_left(self) -> float:
         """Seconds until nobody waits any more."""
         return self.deadline - time.monotonic()
--- a/hillthread/coordination/gateway/learning.py
+++ b/hillthread/coordination/gateway/learning.py
@@ -157,6 +157,7 @@
             self._learn_weights(attempt)
         story = attempt.request.story
         fields = _log_fields(attempt, kind, now - started)
+        fields["beside"] = state.running - 1
         match result:
             case outcome_lib.Unsent(reason):
                 self.monitor.note_unreachable(attempt.plan.target, reason)
@@ -252,6 +253,7 @@
         "seconds": round(seconds, 4),
         "weights": attempt.plan.weights_version,
         "reused": attempt.reused,
+        "began": attempt.meaning is not None,
     }
     if attempt.plan.fetch_from:
         fields["cache"] = attempt.plan.fetch_from
