--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import math
 import time
@@ -222,6 +223,9 @@
             tokens, model.
         cache_epoch: Changes when its cache restarts.
         born_ms: Unix milliseconds of its start.
+        deadly: A body that ends it as soon as it has begun to run; none if
+            empty.
+        end: Ends it as a crash does: nobody hears more of it.
     """
 
     def __init__(
@@ -250,6 +254,8 @@
         self.cache_events: list[tuple[int, str, str, str, int, str]] = []
         self.cache_epoch = 1
         self.born_ms = int(time.time() * 1000)
+        self.deadly = b""
+        self.end: Callable[[], None] = _nothing
         self._orders_before = 0
         self.server = self._new_server()
 
@@ -470,6 +476,10 @@
     ) -> None:
         headers = self._headers(request)
         body = self._body(request)
+        if self.deadly and request.body == self.deadly:
+            await answer.begin(200, [*_EVENTS, *headers])
+            self.end()
+            await anyio.sleep_forever()
         match behaviour:
             case Serve(delay_s):
                 await self._whole(request, answer, headers, delay_s)
@@ -577,6 +587,10 @@
     return int(last) + 1 if last else 0
 
 
+def _nothing() -> None:
+    """Stands for nothing that ends a target."""
+
+
 def _ignore(status: int, reason: str) -> None:
     """Stands for nobody who counts unreadable requests."""
     del status, reason
