Let operators see and clear requests that are held; tell tries by digest

The port on which hosts answer each other lists suspects and clears one at all hosts; hillthread-ctl quarantine asks it. explain finds other tries by the digest that all tries share, by path and tenant in logs without one. Checked by the test that holds a request at two hosts, clears it and has it served at both; the record in the store goes too.

--- a/hillthread/coordination/gateway/feed_server.py
+++ b/hillthread/coordination/gateway/feed_server.py
@@ -1,36 +1,47 @@
-"""Answers other hosts of the data centre from this host's copies of topics."""
+"""Answers other hosts from this host's copies of topics, and operators.
+
+Hosts of the data centre read topics here; operators see and clear requests that
+are held because targets ended under them.
+"""
 
 from __future__ import annotations
 
 import anyio
+import msgspec
 
 from hillthread import errors
+from hillthread.coordination.gateway import quarantine_keeper
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway import store_follower
+from hillthread.protocol import documents
 from hillthread.protocol import feed
 from hillthread.transport import http1_server
 
 __all__ = ["FeedServer"]
 
 _LONGEST_WAIT_S = 5.0
+_JSON = [(b"content-type", b"application/json")]
 _CBOR = [(b"content-type", b"application/cbor")]
 
 
 class FeedServer:
-    """Holds the questions of other hosts until there is something to tell.
+    """Answers on the port that hosts and operators reach.
 
     Attributes:
         site: The host's beliefs: a host that stops answers no more.
         followers: By the name of their topic.
+        quarantine: Knows requests under which targets ended.
     """
 
     def __init__(
         self,
         site: site_lib.Site,
         followers: dict[str, store_follower.TopicFollower],
+        quarantine: quarantine_keeper.QuarantineKeeper,
     ):
         self.site = site
         self.followers = followers
+        self.quarantine = quarantine
 
     async def answer(
         self,
@@ -38,6 +49,31 @@
         answer: http1_server.CallerAnswer,
     ) -> None:
         """Answers one question."""
+        if caller.path == feed.QUARANTINE_PATH:
+            await self._answer_operator(caller, answer)
+        else:
+            await self._answer_host(caller, answer)
+
+    async def _answer_operator(
+        self,
+        caller: http1_server.CallerRequest,
+        answer: http1_server.CallerAnswer,
+    ) -> None:
+        """Lists requests that are held, or clears one."""
+        if caller.method == b"GET":
+            value = self.quarantine.suspects()
+        else:
+            digest = caller.body.decode("latin-1")
+            value = {"cleared": self.quarantine.clear(digest)}
+        body = msgspec.json.encode(documents.as_document(value))
+        await answer.send_whole(200, _JSON, body)
+
+    async def _answer_host(
+        self,
+        caller: http1_server.CallerRequest,
+        answer: http1_server.CallerAnswer,
+    ) -> None:
+        """Holds a question until there is something to tell, for a while."""
         try:
             query = feed.parse_query(caller.target)
         except errors.PeerError:
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -128,7 +128,9 @@
         self.followers = self._followers()
         self.feed_server = http1_server.Server(
             (ip, settings.feed_port),
-            feed_server.FeedServer(self.site, self.followers).answer,
+            feed_server.FeedServer(
+                self.site, self.followers, self.quarantine
+            ).answer,
             caller_bounds.CallerBounds,
             self.gateway.refused_unread,
         )
@@ -369,6 +371,7 @@
                     },
                 )
             self.metrics.ready.set(not reason)
+            self.metrics.suspects.set(self.site.quarantine.size)
             self.metrics.age.set(self.site.freshness.age(now))
             self.metrics.connections.set(self.pool.opened.total())
             if now >= status_at:
--- a/hillthread/coordination/gateway/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/quarantine_keeper.py
@@ -240,6 +240,10 @@
 
     # What operators ask.
 
+    def suspects(self) -> list[quarantine.Suspect]:
+        """Returns all requests under which targets ended, the worst first."""
+        return self.site.quarantine.suspects(clock.now())
+
     def clear(self, digest: str) -> bool:
         """Has all hosts forget a suspect; returns whether it was one."""
         was_suspect = self.site.quarantine.note_well(digest, clock.now())
--- a/hillthread/programs/ctl.py
+++ b/hillthread/programs/ctl.py
@@ -13,6 +13,7 @@
 from hillthread import errors
 from hillthread.protocol import documents
 from hillthread.protocol import explanation
+from hillthread.protocol import feed
 from hillthread.protocol import log_story
 from hillthread.transport import command
 
@@ -30,8 +31,9 @@
 class Ctl:
     """Commands on the admin API of any host.
 
-    The address is that of a control's admin_listen; the operator's key is
-    taken from the environment variable HILLTHREAD_KEY.
+    The address is that of a control's admin_listen, or of a gateway's
+    feed_listen for `quarantine`; the operator's key is taken from the
+    environment variable HILLTHREAD_KEY.
     """
 
     def __init__(self, address: str = "127.0.0.1:9080"):
@@ -125,6 +127,26 @@
         """Prints the configuration position in force on every host."""
         _print(self._call("GET", "/v1/status"))
 
+    def quarantine(self, clear: str = "") -> None:
+        """Lists requests that are held because targets ended under them.
+
+        Give --address of a gateway's feed_listen, as its `start` line tells it.
+
+        Args:
+            clear: Digest of one that all hosts are to forget: it was mended,
+                or its targets were.
+        """
+        if clear:
+            found = self._call("POST", feed.QUARANTINE_PATH, text=clear)
+            known = "" if found["cleared"] else "; this host did not know it"
+            print(f"{clear} is cleared{known}")
+            return
+        for each in self._call("GET", feed.QUARANTINE_PATH):
+            print(
+                f"{each['digest']} {each['ends']} ends, {each['age_s']} s ago, "
+                f"held for {each['held_s']} s"
+            )
+
     def explain(
         self, request_id: str, *files: str, logs: str = "", json: bool = False
     ) -> None:
@@ -177,13 +199,19 @@
             )
 
     def _call(
-        self, method: str, path: str, body: Any = None, **parameters: Any
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        text: str | None = None,
+        **parameters: Any,
     ) -> Any:
         try:
             response = httpx.request(
                 method,
                 self._base + path,
                 json=body,
+                content=text,
                 params=parameters,
                 headers={"authorization": f"Bearer {self._key}"},
                 timeout=_TIMEOUT_S,
--- a/hillthread/programs/gateway.py
+++ b/hillthread/programs/gateway.py
@@ -46,6 +46,7 @@
                 "listen": host.server.address,
                 "ready_listen": host.ready_server.address,
                 "metrics_listen": host.metrics_server.address,
+                "feed_listen": host.feed_server.address,
                 "store": settings.store,
             },
         )
--- a/hillthread/protocol/feed.py
+++ b/hillthread/protocol/feed.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "FEED_PATH",
+    "QUARANTINE_PATH",
     "FeedPage",
     "FeedQuery",
     "decode_page",
@@ -22,6 +23,9 @@
 ]
 
 FEED_PATH = "/feed"
+# Where operators see, by GET, and clear, by a POST of their digest, requests
+# under which targets ended.
+QUARANTINE_PATH = "/quarantine"
 
 
 class FeedQuery(NamedTuple):
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -12,7 +12,7 @@
 
 # Lines of the host itself this close to the request may explain it.
 _CONTEXT_S = 5.0
-# Another request for the same path and tenant this close may be another try.
+# The same request this close may be another try.
 _TRY_S = 10.0
 _CONTEXT_EVENTS = frozenset(
     [
@@ -23,6 +23,8 @@
         "store_lost",
         "store_back",
         "target_unreachable",
+        "target_ended",
+        "request_held",
         "target_leaving",
         "target_gone",
         "weights_named",
@@ -335,12 +337,17 @@
         for line in lines
         if line.event == "admitted"
         and line.fields.get("request") != first.fields.get("request")
-        and line.fields.get("path") == first.fields.get("path")
-        and line.fields.get("tenant") == first.fields.get("tenant")
+        and _is_same_request(line.fields, first.fields)
         and abs(line.at - first.at) <= _TRY_S
     ]
 
 
+def _is_same_request(one: dict[str, Any], other: dict[str, Any]) -> bool:
+    """Returns whether two admitted requests ask for the same."""
+    names = ("digest",) if "digest" in one else ("path", "tenant")
+    return all(one.get(name) == other.get(name) for name in names)
+
+
 def _missing(own: list[StoryLine], context: list[StoryLine]) -> list[str]:
     missing = []
     events = {line.event for line in own}
--- a/hillthread/state/quarantine.py
+++ b/hillthread/state/quarantine.py
@@ -124,6 +124,11 @@
         )
         self._expire_at = float("-inf")
 
+    @property
+    def size(self) -> int:
+        """How many suspects are known."""
+        return len(self._records)
+
     def standing(self, digest: str, now: float) -> Standing:
         """Returns whether a request may be sent, and how it is placed."""
         self._expire(now)
--- a/tests/coordination/gateway/test_deadly_requests.py
+++ b/tests/coordination/gateway/test_deadly_requests.py
@@ -17,7 +17,9 @@
 empty queues; so was a budget shared wrongly: each host counted 8 hosts.
 """
 
+import contextlib
 import functools
+import io
 import itertools
 import unittest
 
@@ -25,6 +27,7 @@
 
 from hillthread import clock
 from hillthread.coordination.gateway import host_registry
+from hillthread.programs import ctl
 from hillthread.standin import platform_target
 from hillthread.state import request_digest
 from tests.coordination.gateway import scene as scene_lib
@@ -107,6 +110,15 @@
     return statuses
 
 
+async def ask_operator(address, **options):
+    """Returns what `hillthread-ctl quarantine` prints."""
+    told = io.StringIO()
+    with contextlib.redirect_stdout(told):
+        command = functools.partial(ctl.Ctl(address).quarantine, **options)
+        await anyio.to_thread.run_sync(command)
+    return told.getvalue()
+
+
 def standing(host, request_body):
     """Returns how a host's quarantine takes a body sent to `/resume/one`."""
     digest = request_digest.request_digest(
@@ -164,15 +176,18 @@
             await call_many(scene, hosts, 20, DEADLY)
             for engine in scene.engines:
                 engine.deadly = b""
-            (suspect,) = hosts[0].site.quarantine.suspects(clock.now())
-            self.assertEqual(suspect.ends, 3)
-            self.assertTrue(hosts[0].quarantine.clear(suspect.digest))
+            address = hosts[0].feed_server.address
+            listed = await ask_operator(address)
+            self.assertIn(" 3 ends, ", listed)
+            digest = listed.split()[0]
+            told = await ask_operator(address, clear=digest)
+            self.assertEqual(told, f"{digest} is cleared\n")
             await scene.until(lambda: not standing(hosts[1], DEADLY).ends)
             statuses = await call_many(scene, hosts, 2, DEADLY)
             self.assertEqual(statuses, [200, 200])
             await scene.until(
                 lambda: (
-                    suspect.digest
+                    digest
                     not in str(scene.store.values(host_registry.HOSTS_TOPIC))
                 )
             )
