--- a/hillthread/programs/ctl.py
+++ b/hillthread/programs/ctl.py
@@ -43,7 +43,8 @@
             address: `IP:port` of a host's admin API.
         """
         self._base = f"http://{address}"
-        self._key = os.environ.get("HILLTHREAD_KEY", "")
+        key = os.environ.get("HILLTHREAD_KEY", "")
+        self._headers = {"authorization": f"Bearer {key}"} if key else {}
 
     def apply(self, file: str, dry_run: bool = False) -> None:
         """Creates or replaces the objects in a JSON file, one or a list.
@@ -213,7 +214,7 @@
                 json=body,
                 content=text,
                 params=parameters,
-                headers={"authorization": f"Bearer {self._key}"},
+                headers=self._headers,
                 timeout=_TIMEOUT_S,
                 trust_env=False,
             )
