Soak with requests that end targets; take the list's word for an end, too

The soak's new fault sends one body again and again, at any host; each target that begins it ends and another comes back at its address after 0.5 to 2 s.

--- a/hillthread/bench/gateway_soak/callers.py
+++ b/hillthread/bench/gateway_soak/callers.py
@@ -83,6 +83,7 @@
         life: int,
         route: str = "",
         key: str = "",
+        body: bytes = b"body",
     ) -> evidence_lib.Exchange:
         """Makes one request and notes what came back.
 
@@ -92,6 +93,7 @@
             life: Which process of the host.
             route: Its route; any, and perhaps given up, when left out.
             key: Its key; one that holds when left out.
+            body: What it sends.
         """
         exchange = evidence_lib.Exchange(
             uuid.UUID(int=self.random.getrandbits(128)).hex[:16],
@@ -100,6 +102,7 @@
             host.name,
             life,
             time.monotonic(),
+            sent_body=body,
         )
         self.stage.evidence.exchanges.append(exchange)
         gives_up = not route and self.random.random() < _GIVE_UP_SHARE
@@ -134,7 +137,10 @@
         path = f"/{exchange.route}/x"
         try:
             async with client.stream(
-                "POST", path, headers=_encoded(headers), content=b"body"
+                "POST",
+                path,
+                headers=_encoded(headers),
+                content=exchange.sent_body,
             ) as answer:
                 exchange.status = answer.status_code
                 exchange.receipt = answer.headers.get(
--- a/hillthread/bench/gateway_soak/disturbances.py
+++ b/hillthread/bench/gateway_soak/disturbances.py
@@ -9,6 +9,7 @@
 import anyio.abc
 
 from hillthread import errors
+from hillthread.bench.gateway_soak import deadly_requests
 from hillthread.bench.gateway_soak import host_faults
 from hillthread.bench.gateway_soak import injector as injector_lib
 from hillthread.bench.gateway_soak import link_faults
@@ -58,6 +59,7 @@
             link_faults.LinkFaults(self.injector),
             target_faults.TargetFaults(self.injector),
             operator_changes.OperatorChanges(self.injector),
+            deadly_requests.DeadlyRequests(self.injector),
         )
         self.faults = {
             kind.__name__: kind
--- a/hillthread/bench/gateway_soak/evidence.py
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -79,6 +79,7 @@
         whole: The answer ended as it should.
         left: The caller gave it up.
         error: Why there is no whole answer, in words.
+        sent_body: What it sent.
     """
 
     request_id: str
@@ -94,6 +95,7 @@
     whole: bool = False
     left: bool = False
     error: str = ""
+    sent_body: bytes = b"body"
 
 
 class Disturbance(NamedTuple):
@@ -173,6 +175,7 @@
         isolated: Tenants that share nothing.
         refusal_lines: Request ids that the hosts' logs tell as refused.
         unheard: Lives of processes whose logs may lack their last lines.
+        deadly: Bodies under which targets end.
     """
 
     bounds: Bounds
@@ -188,6 +191,7 @@
     isolated: frozenset[str] = frozenset()
     refusal_lines: set[str] = dataclasses.field(default_factory=set)
     unheard: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    deadly: set[bytes] = dataclasses.field(default_factory=set)
 
     def disturbed(self, subject: str, begin: float, end: float) -> bool:
         """Returns whether any fault touched a subject within a time."""
--- a/hillthread/bench/gateway_soak/regressions.py
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -29,7 +29,7 @@
     engines: int = 3
     callers: int = 8
     faults: tuple[str, ...] = ()
-    without: tuple[str, ...] = ("target_starts_again",)
+    without: tuple[str, ...] = ("target_starts_again", "request_ends_targets")
 
 
 _PLAIN_ANSWER = (
--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import itertools
 import signal
 import time
@@ -137,6 +138,7 @@
         module: The program that is run as gateway.
         trouble: What went wrong with processes.
         balancer: Says which hosts get new callers.
+        deadly_ran: Called with a target that has begun a body which ends it.
         start_s: Within this time a process is to tell where it listens, and
             all hosts are to be ready at first.
     """
@@ -163,6 +165,7 @@
         self.targets: dict[str, LinkedTarget] = {}
         self.trouble: list[evidence_lib.Violation] = []
         self.balancer = balancer_lib.Balancer(self.hosts)
+        self.deadly_ran: Callable[[LinkedTarget], None] = _nobody
         self._numbers = itertools.count()
         tenants = [
             platform_operator.OperatorTenant("t-alone", isolated=True),
@@ -223,6 +226,8 @@
             changed = self.store.changed
             entries = self.store.values(host_registry.HOSTS_TOPIC)
             for name, entry in entries.items():
+                if name not in hosts:
+                    continue  # what hosts tell each other besides
                 link = hosts[name].feed_link
                 if entry["feed"] != link.address:
                     link.upstream = entry["feed"]
@@ -280,6 +285,8 @@
             link = wire_proxy.WireProxy()
             self.tasks.start_soon(link.serve)
         target = LinkedTarget(name, service, model, version, link)
+        target.deadly = self.evidence.deadly
+        target.end = lambda: self.deadly_ran(target)
         self.targets[name] = target
         self.evidence.targets.append(target)
         self.tasks.start_soon(self._listen, target)
@@ -415,3 +422,8 @@
         self.trouble.append(
             evidence_lib.Violation("process", host.name, detail)
         )
+
+
+def _nobody(target: LinkedTarget) -> None:
+    """Stands for nobody who ends targets."""
+    del target
--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -28,6 +28,9 @@
 _DENIED = frozenset([401, 403, 404])
 # A request from before a stop may be cut in the last sixth of its time.
 _GRACE_USED_SHARE = 5 / 6
+# Targets that end until a body is known, and trials of it that are allowed.
+_ENDS_TO_KNOW = 3
+_MOST_LATE_ENDS = 3
 # Of the holder's own margin; a stand-in sees orders a little later.
 _LEASE_SLACK_S = 0.1
 
@@ -93,7 +96,10 @@
             Violation("unasked", request_id, self._unknown(request_id))
             for request_id in self.runs.keys() - known
         ]
-        return found + list(self._orders())
+        found += list(self._orders())
+        if self.strict_time:
+            found += list(self._deadly())
+        return found
 
     def _unknown(self, request_id: str) -> str:
         """Tells of a run that no caller asked for."""
@@ -160,7 +166,7 @@
             request = run.request
             if (
                 request.path != f"/{exchange.route}/x"
-                or request.body != b"body"
+                or request.body != exchange.sent_body
             ):
                 yield self._of(exchange, "unasked", f"changed: {request.path}")
             if request.get(b"authorization"):
@@ -317,6 +323,34 @@
                 if self.strict_time and pause_s < self.evidence.bounds.lease_s:
                     yield Violation("one", target.name, f"turns: {pause_s:.2f}")
 
+    def _deadly(self) -> Iterator[Violation]:
+        """A body under which targets end reaches few more after the third."""
+        hosts = {each.request_id: each.host for each in self.evidence.exchanges}
+        for body in sorted(self.evidence.deadly):
+            runs = sorted(
+                (run for each in self.runs.values() for _, run in each),
+                key=lambda run: run.at,
+            )
+            ends = [run for run in runs if run.request.body == body]
+            if len(ends) < _ENDS_TO_KNOW:
+                continue
+            known_at = ends[_ENDS_TO_KNOW - 1].at
+            known_at += self.evidence.bounds.contact_s
+            late = [
+                run
+                for run in ends
+                if run.at > known_at
+                and self.evidence.in_touch(
+                    hosts[run.request_id], run.at, run.at
+                )
+            ]
+            if len(late) > _MOST_LATE_ENDS:
+                yield Violation(
+                    "budget",
+                    body.decode(),
+                    f"sent {len(late)} times more after {len(ends)} ends",
+                )
+
     def _of(
         self, exchange: evidence_lib.Exchange, promise: str, detail: str
     ) -> Violation:
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -152,9 +152,7 @@
             tasks,
         )
         self.site.target_gone = self._close_idle
-        self.site.target_restarted = functools.partial(
-            self.quarantine.target_ended, evidence="it started again"
-        )
+        self.site.target_ended = self.quarantine.target_ended
         self.server = http1_server.Server(
             settings_lib.split_address(settings.listen),
             self.gateway.handle,
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -36,8 +36,9 @@
         weights: Versions of weights.
         load_told_at: Seconds, when another host last told of a load.
         target_gone: Called with the address of each target that is gone.
-        target_restarted: Called with the name of each target that has started
-            again under it.
+        target_ended: Called with the name of each target that is gone or has
+            started again under it, or whose address another one has, and with
+            what shows it.
     """
 
     def __init__(self, metrics: metrics_lib.GatewayMetrics):
@@ -48,7 +49,7 @@
         self.weights = weights.WeightsBoard()
         self.load_told_at = float("-inf")
         self.target_gone: Callable[[str], None] = _ignore
-        self.target_restarted: Callable[[str], None] = _ignore
+        self.target_ended: Callable[[str, str], None] = _ignore_end
 
     def put_target(self, incarnation: str, payload: bytes) -> None:
         """Takes in an entry of the list of targets.
@@ -74,7 +75,9 @@
         change = self.targets.put(entry)
         if change is target_list.TargetChange.RESTARTED and before is not None:
             self._forget(incarnation, before.target.address)
-            self.target_restarted(incarnation)
+            self.target_ended(incarnation, "it started again")
+        if change is target_list.TargetChange.COME:
+            self._note_successor(entry)
         for model, version in entry.weights.items():
             self.weights.list_target(incarnation, model, version)
         self._note_target(incarnation, change)
@@ -129,7 +132,7 @@
         entry = self.targets.entries.get(name)
         if self.targets.note_start(name, report.born_ms) and entry is not None:
             self._forget(name, entry.target.address)
-            self.target_restarted(name)
+            self.target_ended(name, "it started again")
             self._note_target(
                 name, target_list.TargetChange.RESTARTED, "report"
             )
@@ -234,6 +237,14 @@
         self._note_target(name, change)
         if change is target_list.TargetChange.GONE and entry is not None:
             self._forget(name, entry.target.address)
+            self.target_ended(name, "it is not listed any more")
+
+    def _note_successor(self, entry: target_list.ListedTarget) -> None:
+        """Notes that whoever had the address of a new target has ended."""
+        for name, other in self.targets.entries.items():
+            is_other = name != entry.target.name
+            if is_other and other.target.address == entry.target.address:
+                self.target_ended(name, "another has its address")
 
     def _forget(self, name: str, address: str) -> None:
         self.states.pop(name, None)
@@ -249,6 +260,11 @@
         ]
 
 
-def _ignore(target: str) -> None:
+def _ignore(address: str) -> None:
+    """Stands for nobody who wants to know of targets that are gone."""
+    del address
+
+
+def _ignore_end(target: str, evidence: str) -> None:
     """Stands for nobody who wants to know of targets that end."""
-    del target
+    del target, evidence
--- a/hillthread/state/quarantine.py
+++ b/hillthread/state/quarantine.py
@@ -39,8 +39,9 @@
 # A request that ended well so lately does not end targets: late word of an end
 # before, or ends beside many copies of it, change nothing.
 _WELL_S = 10.0
-# Word that a target has ended may follow a cut by this time.
-_CUT_KEPT_S = 3.0
+# Word that a target has ended may follow a cut by this time: where something
+# before it still accepts connections, its entry lapses after three heartbeats.
+_CUT_KEPT_S = 5.0
 # What is over is dropped so often: a look at all takes up to a millisecond.
 _EXPIRE_S = 0.5
 _MOST_SUSPECTS = 1_024
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -9,6 +9,7 @@
 from hillthread.coordination.gateway import order_lease
 from hillthread.programs import gateway
 from hillthread.state import attempt_plan
+from hillthread.state import quarantine
 from hillthread.state import routing_table
 from hillthread.state import weights
 from hillthread.transport import http1_client
@@ -100,6 +101,11 @@
     weights.WeightsBoard._forbidden_at = never
 
 
+def sends_on_what_ends_targets():
+    free = quarantine.Standing(0)
+    quarantine.Quarantine.standing = lambda self, digest, now: free
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -112,6 +118,7 @@
         says_not_run_always,
         passes_keys_on,
         starts_on_any_weights,
+        sends_on_what_ends_targets,
     )
 }
 
