--- a/hillthread/coordination/gateway/event_relay.py
+++ b/hillthread/coordination/gateway/event_relay.py
@@ -28,7 +28,7 @@
         answer: Where it goes.
         last_id: Of the last event relayed, or None.
         events: Events relayed.
-        first_at: Seconds on the steady clock, of the first event, or None.
+        first_at: Seconds on the clock, of the first event, or None.
         longest_gap_s: Longest pause between two events.
         weights_version: Weights that the last event told, or None.
         begun: Called when the first event of a run is relayed.
--- a/hillthread/coordination/gateway/intake.py
+++ b/hillthread/coordination/gateway/intake.py
@@ -58,7 +58,7 @@
         route: The route that matched.
         tenant: Whose key it carries; None on public routes.
         prompt: What it says of its prompt.
-        deadline: Seconds on the steady clock; nobody waits any longer.
+        deadline: Seconds on the clock; nobody waits any longer.
         last_event_id: Of the last event the caller has, or None.
         story: Its decisions.
     """
--- a/hillthread/coordination/gateway/job.py
+++ b/hillthread/coordination/gateway/job.py
@@ -24,6 +24,7 @@
 from hillthread.platform import attempts
 from hillthread.protocol import work_notice
 from hillthread.state import aim_admission
+from hillthread.state import quarantine
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
@@ -133,7 +134,7 @@
                 request, self.runs, self.tries_suspect
             )
             self.is_suspect = standing.is_suspect
-            self.tries_suspect = standing.ends > 1
+            self.tries_suspect = standing.ends >= quarantine.HELD_ENDS
             planned = self.tools.chooser.plan(
                 request,
                 frozenset(self.tried),
--- a/hillthread/coordination/gateway/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/quarantine_keeper.py
@@ -109,7 +109,7 @@
         """
         now = clock.now()
         standing = self.site.quarantine.standing(request.digest, now)
-        if standing.ends < 2 or (tries_it and not runs):
+        if standing.ends < quarantine.HELD_ENDS or (tries_it and not runs):
             return standing
         if not runs and not standing.held_s:
             self._begin_trial(request.digest, now)
--- a/hillthread/state/attempt_plan.py
+++ b/hillthread/state/attempt_plan.py
@@ -24,7 +24,7 @@
             for none.
         save_to: Address of a store to keep what was computed; empty for none.
         last_event_id: Of the last event relayed, when a stream goes on.
-        start_by: Seconds on the steady clock; an answer that has not begun by
+        start_by: Seconds on the clock; an answer that has not begun by
             then would begin on weights that are too old. None when they are
             not.
     """
--- a/hillthread/state/freshness.py
+++ b/hillthread/state/freshness.py
@@ -1,8 +1,8 @@
 """How old what this host knows of the platform's store may be.
 
 Only a read that came back proves anything, and only for the moment at which
-the store looked. The steady clock is asked, so that a host that was frozen
-finds its knowledge old as soon as it wakes.
+the store looked. Seconds are those of `hillthread.clock`, so that a host that
+was frozen or suspended finds its knowledge old as soon as it wakes.
 """
 
 from __future__ import annotations
--- a/hillthread/state/quarantine.py
+++ b/hillthread/state/quarantine.py
@@ -21,14 +21,22 @@
 import dataclasses
 from typing import NamedTuple
 
-__all__ = ["Quarantine", "Standing", "Suspect"]
+__all__ = [
+    "CONVICTED_ENDS",
+    "HELD_ENDS",
+    "Quarantine",
+    "Standing",
+    "Suspect",
+]
 
 # By ends: how long a request is held, seconds. After two it mostly proves
 # harmless, and the one that is not has ended a third target by then. Later
 # each trial costs all that runs on one target, for what hardly ever changes.
 _HOLDS_S = {2: 1.0, 3: 30.0, 4: 300.0}
 _LONGEST_HOLD_S = 1_800.0
-# From so many ends on a request is the cause where others were open too.
+# With so many ends a request is held, and not sent again in the same try.
+HELD_ENDS = min(_HOLDS_S)
+# From so many on it is the cause where others were open too.
 CONVICTED_ENDS = 3
 # A single end, and two, are forgotten after this time, more after an hour.
 _FORGET_FEW_S = 60.0
@@ -138,7 +146,7 @@
             return Standing(self._pending(digest))
         known = self._count(digest)
         ends = known + self._pending(digest)
-        if known < min(_HOLDS_S):
+        if known < HELD_ENDS:
             return Standing(ends)
         hold_s = _HOLDS_S.get(known, _LONGEST_HOLD_S)
         until = max(record.last_at + hold_s, record.trial_until)
