Place suspects where their prompts are kept, apart from each other

Cause: requests whose engine had ended were placed by a rank of their own, where nothing of them was kept.

--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -240,7 +240,10 @@
         members = self.site.targets.members(pool) if pool else []
         look = _Look(self, request, tried, members)
         look.token_bytes = pool.cache_token_bytes if pool else 0.0
-        choice = self._choose(request, look, apart)
+        names = self._apart(look) if apart else list(look.entries)
+        choice = self._choose(request, look, names)
+        if choice.name is None and len(names) < len(look.entries):
+            choice = self._choose(request, look, list(look.entries))
         self.metrics.choices.labels(choice.reason).inc()
         request.story.note(
             "target_chosen" if choice.name else "no_target",
@@ -284,15 +287,10 @@
         )[0]
 
     def _choose(
-        self, request: intake.GatewayRequest, look: _Look, apart: bool
+        self, request: intake.GatewayRequest, look: _Look, names: list[str]
     ) -> target_choice.Choice:
-        if apart:
-            views = [look.view(name) for name in look.entries]
-            return target_choice.choose_apart(
-                request.digest, views, self.suspects_on
-            )
         if not request.prompt.parts:
-            views = [look.view(name) for name in look.entries]
+            views = [look.view(name) for name in names]
             return target_choice.choose_plain(
                 request.request_id, views, self.site.settings.data_centre
             )
@@ -301,12 +299,23 @@
         )
         return target_choice.choose_engine(
             cache_source.affinity_key(request),
-            list(look.entries),
+            names,
             look.view,
             weights,
             self.site.settings.data_centre,
         )
 
+    def _apart(self, look: _Look) -> list[str]:
+        """Returns the targets where no other suspect of this host runs.
+
+        Those that ran on one target together would go on together to the next
+        one where their prompts are warm, and could never be told apart. Of the
+        others each still goes where it costs least: spread by a rank of their
+        own, all that an engine had left were read anew by engines that kept
+        nothing of them.
+        """
+        return [name for name in look.entries if name not in self.suspects_on]
+
     def _planned(
         self,
         request: intake.GatewayRequest,
--- a/hillthread/state/target_choice.py
+++ b/hillthread/state/target_choice.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from collections.abc import Container
 from collections.abc import Sequence
 import enum
 from typing import NamedTuple
@@ -22,7 +21,6 @@
     "Choice",
     "Exclusion",
     "TargetView",
-    "choose_apart",
     "choose_engine",
     "choose_plain",
 ]
@@ -135,34 +133,6 @@
     return Choice(name, rank, "warm" if rank == 0 else _reason(first))
 
 
-def choose_apart(
-    key: str, views: Sequence[TargetView], crowded: Container[str]
-) -> Choice:
-    """Returns the target of a request under which targets may end.
-
-    Those that ran on one target together would go on together to the next one
-    where their prompts are warm, and could never be told apart. All hosts place
-    copies of one request alike, so that at most one target ends under them.
-
-    Args:
-        key: The same for all tries of the request.
-        views: All targets of the pool.
-        crowded: Targets where others like it run.
-    """
-    open_views = [view for view in views if view.exclusion is None]
-    if not open_views:
-        return _NONE
-
-    def cost(view: TargetView) -> tuple[bool, bool, int]:
-        return (
-            view.name in crowded,
-            view.behind,
-            -placement.rendezvous_score(key.encode(), view.name),
-        )
-
-    return Choice(min(open_views, key=cost).name, 0, "apart")
-
-
 def choose_plain(
     key: str, views: Sequence[TargetView], data_centre: str
 ) -> Choice:
