Judge sends of a deadly body by what befell its host and the store only

A standstill of the judge's process delays what a host hears by less than the 2 s it has, so it excuses nothing here. The judge is stricter than before, not milder.

--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -340,9 +340,7 @@
                 run
                 for run in ends
                 if run.at > known_at
-                and self.evidence.in_touch(
-                    hosts[run.request_id], run.at, run.at
-                )
+                and self._hears(hosts[run.request_id], run.at)
             ]
             if len(late) > _MOST_LATE_ENDS:
                 yield Violation(
@@ -351,6 +349,18 @@
                     f"sent {len(late)} times more after {len(ends)} ends",
                 )
 
+    def _hears(self, host: str, at: float) -> bool:
+        """Returns whether a host has been able to hear of what others saw.
+
+        That this process stands still for a moment excuses no host: it delays
+        what they hear by less than the time they have for it.
+        """
+        begin = at - self.evidence.bounds.contact_s
+        return not any(
+            self.evidence.disturbed(subject, begin, at)
+            for subject in (host, "store")
+        )
+
     def _of(
         self, exchange: evidence_lib.Exchange, promise: str, detail: str
     ) -> Violation:
