--- a/tests/coordination/gateway/test_deadly_requests.py
+++ b/tests/coordination/gateway/test_deadly_requests.py
@@ -1,7 +1,7 @@
 """Tests that a request which ends its targets is not sent on and on.
 
 Seen: under one request three engines had ended, and it was sent to engines 11
-times more. 22 engines ended under it within 12 s, with all that ran on them;
+times more. 22 engines ended under it in all, with all that ran on them;
 of the prompts sent in 7 s of these, 4 of 139 were answered in time.
 
 How it came about: each engine that began the request ended. Its caller sent it
--- a/tests/protocol/test_log_story.py
+++ b/tests/protocol/test_log_story.py
@@ -74,3 +74,48 @@
         )
         self.assertIn("its time was over while an answer was passed on", told)
         self.assertIn("t1 (504)", told)
+
+
+class OtherTriesTest(unittest.TestCase):
+    def tries(self, *admitted):
+        lines = [
+            line(at, "admitted", request=request, **fields)
+            for at, request, fields in admitted
+        ]
+        parsed = log_story.parse_lines("h1", lines)
+        return log_story.find_story(ID, parsed).other_tries
+
+    def test_tries_of_one_request_share_its_digest(self):
+        same = {"digest": "d1", "path": "/a", "tenant": "t"}
+        other = same | {"digest": "d2"}
+        found = self.tries(
+            (1.0, ID, same), (1.5, "r2", same), (2.0, "r3", other)
+        )
+        self.assertEqual(found, ["r2"])
+
+    def test_lines_without_a_digest_are_told_apart_by_path_and_tenant(self):
+        one = {"path": "/a", "tenant": "t"}
+        other = {"path": "/b", "tenant": "t"}
+        found = self.tries((1.0, ID, one), (1.5, "r2", one), (2.0, "r3", other))
+        self.assertEqual(found, ["r2"])
+
+
+class QuarantinedTest(unittest.TestCase):
+    def test_held_request_is_told_with_the_targets_that_ended(self):
+        lines = [
+            line(1.0, "target_ended", target="e1", open={"d1": 3}),
+            line(1.0, "request_held", digest="d1", ends=3),
+            line(1.2, "admitted", request=ID, digest="d1", path="/a"),
+            line(
+                1.2,
+                "refused",
+                request=ID,
+                code="quarantined",
+                status=503,
+                reason="3 targets ended while this request was open.",
+            ),
+        ]
+        parsed = log_story.parse_lines("h1", lines)
+        told = log_story.tell(log_story.find_story(ID, parsed))
+        self.assertIn("Cause: 3 targets ended while this request", told)
+        self.assertIn("target ended (target=e1, open={'d1': 3})", told)
