Have the soak's links between hosts carry datagrams

Traced in its logs: all hosts were killed at 4 s and had forgotten two ends; each end was known 1 to 2 s late, by the list, since links accept connections for a target that is gone; and no host heard of the others' ends but from the store, since links passed TCP only. Such hosts lose all that is told by datagram, which no host in touch does. Ruled out: the quarantine's count (each host held at its own third end).

--- a/hillthread/bench/gateway_soak/regressions.py
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -75,6 +75,12 @@
 )
 
 
+_NO_PACKETS = (
+    "the soak's links between hosts carried no datagrams: after all hosts were "
+    "killed each learned alone, and 2 s late from the store, that a request "
+    "ends targets"
+)
+
 REGRESSIONS = (
     Regression(3, 12.0, _PLAIN_ANSWER),
     Regression(7, 12.0, _PLAIN_ANSWER),
@@ -120,4 +126,5 @@
     Regression(9103, 20.0, _STARVED),
     Regression(9202, 20.0, _STARVED),
     Regression(9408, 20.0, _STARVED),
+    Regression(7207, 20.0, _NO_PACKETS, without=()),
 )
--- a/hillthread/standin/wire_proxy.py
+++ b/hillthread/standin/wire_proxy.py
@@ -94,6 +94,19 @@
         async with listener:
             await listener.serve(self._pass_on)
 
+    async def serve_packets(self) -> None:
+        """Passes datagrams on, too, while nothing is cut; until cancelled."""
+        ip, port = settings_lib.split_address(self.address)
+        opened = await anyio.create_udp_socket(
+            family=socket.AF_INET, local_host=ip, local_port=port
+        )
+        async with opened:
+            async for packet, _ in opened:
+                is_open = all(event.is_set() for event in self._open.values())
+                if self.upstream and is_open:
+                    server = settings_lib.split_address(self.upstream)
+                    await opened.sendto(packet, *server)
+
     async def _pass_on(self, client: anyio.abc.SocketStream) -> None:
         server = await self._connect()
         if server is None:
--- a/tests/standin/test_wire_proxy.py
+++ b/tests/standin/test_wire_proxy.py
@@ -142,3 +142,31 @@
                 await _hears(client)
 
         _play(story)
+
+
+class PacketTest(unittest.TestCase):
+    def test_packets_pass_unless_the_link_is_cut(self):
+        async def run():
+            async with (
+                anyio.create_task_group() as tasks,
+                await anyio.create_udp_socket(local_host="127.0.0.1") as server,
+                await anyio.create_udp_socket(local_host="127.0.0.1") as client,
+            ):
+                ip, port = server.extra(anyio.abc.SocketAttribute.local_address)
+                link = wire_proxy.WireProxy(f"{ip}:{port}")
+                tasks.start_soon(link.serve_packets)
+                await anyio.sleep(_SOON_S)
+                there, number = link.address.split(":")
+                await client.sendto(b"before", there, int(number))
+                with anyio.fail_after(_LONG_S):
+                    self.assertEqual((await server.receive())[0], b"before")
+                link.cut()
+                await client.sendto(b"cut", there, int(number))
+                await anyio.sleep(_SOON_S)
+                link.heal()
+                await client.sendto(b"after", there, int(number))
+                with anyio.fail_after(_LONG_S):
+                    self.assertEqual((await server.receive())[0], b"after")
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
