--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/chooser.py
@@ -310,9 +310,7 @@
 
         Those that ran on one target together would go on together to the next
         one where their prompts are warm, and could never be told apart. Of the
-        others each still goes where it costs least: spread by a rank of their
-        own, all that an engine had left were read anew by engines that kept
-        nothing of them.
+        others each still goes where it costs least.
         """
         return [name for name in look.entries if name not in self.suspects_on]
 
