Soak with quotas that change, judged from what targets ran

Cause: nothing outside the gateway judged quotas. The soak now gives its shared tenant one, changes it with the configurations that came anyway (no seed draws anything more than before), and sums the tokens that targets ran in every window.

Conclusion: bounds are those of the soak itself, a window of 4 s; a lower quota is judged only while no fault kept a host from hearing of it.

--- a/hillthread/bench/gateway_soak/evidence.py
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -9,12 +9,14 @@
 
 __all__ = [
     "OBSERVER",
+    "PLAIN_TOKENS",
     "Bounds",
     "Disturbance",
     "Evidence",
     "Exchange",
     "KeyLife",
     "NamedVersion",
+    "QuotaLife",
     "Violation",
     "callers_of",
 ]
@@ -22,6 +24,8 @@
 
 # The soak itself, which sees nothing while it has no processor.
 OBSERVER = "soak"
+# What a request without a prompt counts in quotas.
+PLAIN_TOKENS = 200
 
 
 def callers_of(host: str) -> str:
@@ -47,6 +51,9 @@
         weights_contact_s: For that, a host is in touch when undisturbed for
             so long.
         answer_s: A request is answered for good so soon after it was sent.
+        quota_window_s: Quotas are judged over any span of this length.
+        quota_over: Allowed beyond that, as a share.
+        quota_slack: The same, in tokens.
     """
 
     revoke_s: float = 3.0
@@ -59,6 +66,9 @@
     version_s: float = 3.0
     weights_contact_s: float = 3.0
     answer_s: float = 3.5
+    quota_window_s: float = 4.0
+    quota_over: float = 0.1
+    quota_slack: float = 10_000.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -142,6 +152,18 @@
     withdrawn_at: float
 
 
+class QuotaLife(NamedTuple):
+    """A quota of tokens, until the next one of its tenant.
+
+    Attributes:
+        at: When it was written; seconds.
+        rate_per_s: Tokens a second, and as many at once.
+    """
+
+    at: float
+    rate_per_s: float
+
+
 class Violation(NamedTuple):
     """A promise that was broken.
 
@@ -176,6 +198,7 @@
         refusal_lines: Request ids that the hosts' logs tell as refused.
         unheard: Lives of processes whose logs may lack their last lines.
         deadly: Bodies under which targets end.
+        quotas: Of tenants that have one, in the order of their writing.
     """
 
     bounds: Bounds
@@ -192,6 +215,7 @@
     refusal_lines: set[str] = dataclasses.field(default_factory=set)
     unheard: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     deadly: set[bytes] = dataclasses.field(default_factory=set)
+    quotas: dict[str, list[QuotaLife]] = dataclasses.field(default_factory=dict)
 
     def disturbed(self, subject: str, begin: float, end: float) -> bool:
         """Returns whether any fault touched a subject within a time."""
--- a/hillthread/bench/gateway_soak/operator_changes.py
+++ b/hillthread/bench/gateway_soak/operator_changes.py
@@ -10,6 +10,8 @@
 
 _VERSIONS = (1, 4)
 _NAMING_PAUSE_S = (0.2, 4.0)
+# Of the quota at the start, with each time that requests may take.
+_QUOTA_SHARES = {2800: 0.5, 3000: 1.0, 3200: 2.0}
 
 
 class OperatorChanges:
@@ -34,9 +36,10 @@
         )
 
     async def configuration_changes(self) -> None:
-        """A version comes that changes how long requests may take."""
+        """A version comes that changes quotas, and the time of requests."""
         operator = self.stage.operator
         operator.timeout_ms = self.injector.random.choice((2800, 3000, 3200))
+        self.stage.set_quotas(_QUOTA_SHARES[operator.timeout_ms])
         operator.configure()
 
     async def key_changes(self) -> None:
--- a/hillthread/bench/gateway_soak/runner.py
+++ b/hillthread/bench/gateway_soak/runner.py
@@ -52,6 +52,7 @@
         until_broken: Faults end as soon as this promise is broken; empty to
             go on for all seconds.
         start_s: Within this time gateways are to listen after a start.
+        quota_per_s: Tokens a second of the tenant with a quota, at first.
     """
 
     seed: int
@@ -68,6 +69,7 @@
     until_broken: str = ""
     start_s: float = stage_lib.START_S
     without: tuple[str, ...] = ()
+    quota_per_s: float = 20_000.0
 
 
 class SoakReport(NamedTuple):
@@ -120,6 +122,7 @@
                 self.plan.hosts,
                 self.plan.module,
                 self.plan.start_s,
+                self.plan.quota_per_s,
             )
             await stage.start(self.plan.engines)
             tasks.start_soon(self._watch_itself, stage.evidence)
--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -141,6 +141,7 @@
         deadly_ran: Called with a target that has begun a body which ends it.
         start_s: Within this time a process is to tell where it listens, and
             all hosts are to be ready at first.
+        quota_per_s: Tokens a second of the tenant with a quota, at first.
     """
 
     def __init__(
@@ -151,8 +152,10 @@
         hosts: int,
         module: str = "",
         start_s: float = START_S,
+        quota_per_s: float = 20_000.0,
     ):
         self.start_s = start_s
+        self.quota_per_s = quota_per_s
         self.group = group
         self.tasks = tasks
         self.module = module
@@ -174,6 +177,7 @@
         self.operator = platform_operator.PlatformOperatorStandin(
             self.store, CALLER_HOST, list(_ROUTES), tenants, {_ENGINES: _MODEL}
         )
+        self.set_quotas(1.0)
         self.evidence.isolated = frozenset(
             tenant.name for tenant in tenants if tenant.isolated
         )
@@ -190,6 +194,9 @@
             "drain_ms": bounds.drain_s * 1000,
             "grace_s": bounds.grace_s,
             "lease_ms": bounds.lease_s * 1000,
+            "quota_window_s": bounds.quota_window_s,
+            "quota_over": bounds.quota_over,
+            "quota_slack": bounds.quota_slack,
         }
 
     async def start(self, engines: int) -> None:
@@ -253,6 +260,16 @@
         life = self.evidence.keys[key]
         self.evidence.keys[key] = life._replace(withdrawn_at=time.monotonic())
 
+    def set_quotas(self, share: float) -> None:
+        """Changes quotas in the configuration, which is not written yet."""
+        rate_per_s = self.quota_per_s * share
+        for tenant in self.operator.tenants:
+            if tenant.isolated:
+                continue
+            tenant.tokens_per_s = rate_per_s
+            life = evidence_lib.QuotaLife(time.monotonic(), rate_per_s)
+            self.evidence.quotas.setdefault(tenant.name, []).append(life)
+
     def valid_keys(self) -> list[str]:
         """Returns all keys of the newest configuration."""
         return [key for each in self.operator.tenants for key in each.keys]
--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from hillthread.bench.gateway_soak import evidence as evidence_lib
+from hillthread.bench.gateway_soak import quota_verdict
 from hillthread.bench.gateway_soak import weights_verdict
 from hillthread.platform import names
 from hillthread.standin import platform_target
@@ -99,6 +100,7 @@
         found += list(self._orders())
         if self.strict_time:
             found += list(self._deadly())
+            found += list(quota_verdict.violations(self.evidence))
         return found
 
     def _unknown(self, request_id: str) -> str:
--- a/hillthread/standin/platform_operator.py
+++ b/hillthread/standin/platform_operator.py
@@ -16,6 +16,7 @@
 _MAX_ATTEMPTS = 2
 _AIM_MS = 500
 _SLOTS = 8
+_PLAIN_TOKENS = 200
 
 
 class OperatorRoute(NamedTuple):
@@ -43,11 +44,13 @@
         name: Its name.
         isolated: It shares no cached prefixes.
         keys: Keys that hold, the oldest first.
+        tokens_per_s: Its quota, and as much at once; 0 for none.
     """
 
     name: str
     isolated: bool = False
     keys: list[str] = dataclasses.field(default_factory=list)
+    tokens_per_s: float = 0.0
 
 
 class PlatformOperatorStandin:
@@ -88,19 +91,23 @@
             "version": self.version,
             "routes": [self._route(route) for route in self.routes],
             "services": [self._service(name) for name in self._services()],
-            "tenants": [
-                {
-                    "name": tenant.name,
-                    "apiKeys": tenant.keys,
-                    "isolated": tenant.isolated,
-                }
-                for tenant in self.tenants
-            ],
+            "tenants": [self._tenant(tenant) for tenant in self.tenants],
         }
         self.store.put(
             configuration.OPERATOR_TOPIC, configuration.CONFIGURATION_KEY, value
         )
 
+    def _tenant(self, tenant: OperatorTenant) -> dict[str, Any]:
+        return {
+            "name": tenant.name,
+            "apiKeys": tenant.keys,
+            "isolated": tenant.isolated,
+            "ratePerS": tenant.tokens_per_s,
+            "burst": tenant.tokens_per_s,
+            "unit": "token_stream",
+            "plainTokens": _PLAIN_TOKENS,
+        }
+
     def name_weights(self, model: str) -> None:
         """Names newer weights of a model."""
         self.weights += 1
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -10,6 +10,7 @@
 from hillthread.programs import gateway
 from hillthread.state import attempt_plan
 from hillthread.state import quarantine
+from hillthread.state import quota_ledger
 from hillthread.state import routing_table
 from hillthread.state import weights
 from hillthread.transport import http1_client
@@ -106,6 +107,11 @@
     quarantine.Quarantine.standing = lambda self, digest, now: free
 
 
+def keeps_a_quota_on_each_host():
+    quota_ledger.QuotaLedger.part = lambda self, now: 1.0
+    quota_ledger.QuotaLedger.take = lambda self, added, now: None
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -119,6 +125,7 @@
         passes_keys_on,
         starts_on_any_weights,
         sends_on_what_ends_targets,
+        keeps_a_quota_on_each_host,
     )
 }
 
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -23,8 +23,10 @@
 
 
 # Bounds in seconds that are judged here, as broken gateways break them by far.
-BOUNDS = ("key_kept", "old_weights", "budget")
+BOUNDS = ("key_kept", "old_weights", "budget", "quota")
 VERSION_S = 2.0
+# A tenth of what callers ask.
+QUOTA_PER_S = 2_000.0
 
 
 # A mutant that shows itself ends its run; beside other work it may take long.
@@ -52,6 +54,7 @@
         "weights_named,engines_disobey", "old_weights"
     ),
     "sends_on_what_ends_targets": Case("request_ends_targets", "budget"),
+    "keeps_a_quota_on_each_host": Case("key_changes", "quota"),
 }
 
 
@@ -114,5 +117,6 @@
         version_s=VERSION_S,
         until_broken=case.promise,
         start_s=MUTANT_START_S,
+        quota_per_s=QUOTA_PER_S if case.promise == "quota" else 20_000.0,
     )
     return {each.promise for each in runner.run_soak(plan).violations}
