Read connections as their bytes come, and watch callers without a task

Cause: a host's processor time goes to calls to the kernel and turns of the loop more than to anything it decides: under a profiler 24 calls a streamed request of 4 events, of which 6.7 only register a socket for each read and take it off again, 2 look up the peer's address to get at the socket; a task was started and cancelled for each request to watch its caller.

Now asyncio's transport reads on and a small protocol keeps up to 128 KB; the caller's leaving calls back. Listening sockets name their protocol, since asyncio sends small writes at once only then; without it they waited 40 ms for the first to be confirmed (found by the test of a stream that goes on elsewhere).

--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -577,7 +577,7 @@
         if reset:
             await anyio.sleep(0.02)
             raise http1_server.BrokenAnswerError
-        await stream.send_eof()
+        stream.end()
         await anyio.sleep(0.05)
         raise http1_server.BrokenAnswerError
 
--- a/hillthread/transport/http1.py
+++ b/hillthread/transport/http1.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 over one connection: h11's state machine on an anyio stream.
+"""HTTP/1.1 over one connection: h11's state machine on a stream of bytes.
 
 hypercorn and httpcore hide what the gateway's promises rest on: whether bytes
 of a request were sent, whether an answer ended or was cut, surplus bytes after
@@ -9,15 +9,15 @@
 
 from collections.abc import Sequence
 import fcntl
-import select
 import socket
 import struct
 import termios
 
 import anyio
-import anyio.abc
 import h11
 
+from hillthread.transport import byte_stream
+
 __all__ = [
     "CALLER_SILENCE_MS",
     "ConnectionLostError",
@@ -30,7 +30,6 @@
 
 Headers = list[tuple[bytes, bytes]]
 
-_READ_BYTES = 65_536
 _LINGER_S = 0.5
 # Dead peers say nothing: unacknowledged bytes and unanswered probes tell. Two
 # lost packets in a row are sent again within this time.
@@ -42,11 +41,6 @@
 PROBES = 2
 _COUNT = struct.Struct("i")
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-_STREAM_ERRORS = (
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    OSError,
-)
 
 
 class ConnectionLostError(Exception):
@@ -54,7 +48,7 @@
 
 
 def tune_socket(
-    stream: anyio.abc.SocketStream, silence_ms: int, probes: int = PROBES
+    stream: byte_stream.ByteStream, silence_ms: int, probes: int = PROBES
 ) -> None:
     """Has the kernel find out that a peer is dead.
 
@@ -63,9 +57,8 @@
         silence_ms: How long sent bytes may stay unacknowledged.
         probes: Probes in a row that must go unanswered on a quiet connection.
     """
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw = stream.raw
     tcp = socket.IPPROTO_TCP
-    raw.setsockopt(tcp, socket.TCP_NODELAY, 1)
     raw.setsockopt(tcp, socket.TCP_USER_TIMEOUT, silence_ms)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     raw.setsockopt(tcp, socket.TCP_KEEPIDLE, _PROBE_IDLE_S)
@@ -83,7 +76,7 @@
     """
 
     def __init__(
-        self, stream: anyio.abc.SocketStream, role: type, max_head_bytes: int
+        self, stream: byte_stream.ByteStream, role: type, max_head_bytes: int
     ):
         self.stream = stream
         self.machine = h11.Connection(
@@ -111,10 +104,8 @@
             ConnectionLostError: The peer reset the connection.
         """
         try:
-            return await self.stream.receive(_READ_BYTES)
-        except anyio.EndOfStream:
-            return b""
-        except _STREAM_ERRORS as error:
+            return await self.stream.receive()
+        except OSError as error:
             raise ConnectionLostError(_describe(error)) from error
 
     async def send(self, events: Sequence[h11.Event]) -> None:
@@ -128,7 +119,7 @@
             return
         try:
             await self.stream.send(data)
-        except _STREAM_ERRORS as error:
+        except OSError as error:
             raise ConnectionLostError(_describe(error)) from error
         self.sent_bytes += len(data)
 
@@ -137,12 +128,7 @@
 
         Either way it must not carry another request.
         """
-        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        if raw.fileno() < 0:
-            return True
-        poller = select.poll()
-        poller.register(raw.fileno(), select.POLLIN | select.POLLHUP)
-        return bool(poller.poll(0))
+        return self.stream.is_readable()
 
     def unacknowledged_bytes(self) -> int:
         """Returns how many sent bytes the peer's kernel has not acknowledged.
@@ -150,7 +136,7 @@
         A peer that is slow acknowledges all the same; one that lies behind a
         dead path, or whose connection fell silent, does not.
         """
-        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw = self.stream.raw
         if raw.fileno() < 0:
             return 0
         room = bytes(_COUNT.size)
@@ -159,14 +145,14 @@
 
     async def close(self) -> None:
         """Closes at once; bytes already handed over are still sent."""
-        await anyio.aclose_forcefully(self.stream)
+        self.stream.close()
 
     async def reset(self) -> None:
         """Closes so that the peer sees a reset and no clean end."""
-        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw = self.stream.raw
         if raw.fileno() >= 0:
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        await self.close()
+        self.stream.abort()
 
     async def linger(self) -> None:
         """Closes after the peer has had time to read the last answer.
@@ -176,7 +162,7 @@
         """
         with anyio.move_on_after(_LINGER_S):
             try:
-                await self.stream.send_eof()
+                self.stream.end()
                 while await self.receive():
                     pass
             except ConnectionLostError:
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -6,10 +6,10 @@
 from typing import NamedTuple
 
 import anyio
-import anyio.abc
 import h11
 
 from hillthread import settings as settings_lib
+from hillthread.transport import byte_stream
 from hillthread.transport import http1
 
 __all__ = [
@@ -388,7 +388,7 @@
                 False, "connecting timed out", unheard=True
             ) from error
         except OSError as error:
-            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            refused = isinstance(error, ConnectionRefusedError)
             raise CallError(
                 False, f"cannot connect: {error}", refused=refused
             ) from error
@@ -396,7 +396,7 @@
         http1.tune_socket(stream, http1.TARGET_SILENCE_MS, self.probes)
         return ClientConnection(stream, address)
 
-    async def _connect(self, address: str) -> anyio.abc.SocketStream:
+    async def _connect(self, address: str) -> byte_stream.ByteStream:
         """Returns a connected socket.
 
         A time that was over because this process stood still, or had too
@@ -407,7 +407,7 @@
             began_at = anyio.current_time()
             try:
                 with anyio.fail_after(self.connect_timeout_s):
-                    return await anyio.connect_tcp(ip, port)
+                    return await byte_stream.connected(ip, port)
             except TimeoutError:
                 late_s = anyio.current_time() - began_at
                 if last or late_s < self.connect_timeout_s + _STANDSTILL_S:
--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -1,11 +1,12 @@
 """Serves callers over HTTP/1.1 with the outcome of every write known.
 
-One task reads each connection. While a request is served a second one watches
-for the caller to leave; the handler is then cancelled.
+One task reads each connection and serves its requests. When the caller leaves,
+the handler is cancelled.
 """
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
@@ -14,15 +15,16 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import h11
 
 from hillthread.state import caller_bounds
+from hillthread.transport import byte_stream
 from hillthread.transport import http1
 
 __all__ = ["BrokenAnswerError", "CallerAnswer", "CallerRequest", "Server"]
 
 _BACKLOG = 1024
-_MAX_AHEAD_BYTES = 65_536
 # A connection that has rested too long is closed after this time more: what has
 # just come in is still served.
 _LAST_CHANCE_S = 0.05
@@ -30,6 +32,8 @@
 _ACCEPT_PAUSE_S = 0.1
 # Between two lines on such errors.
 _ACCEPT_TELL_S = 1.0
+# The loop has read what has reached this host by the second turn.
+_LOOP_TURNS = 2
 _CLOSE = (b"connection", b"close")
 
 _logger = logging.getLogger(__name__)
@@ -154,7 +158,6 @@
         server: The server that accepted it.
         bounds: On the request being read.
         http: The connection.
-        ahead: Bytes that came in while a request was served.
         requests: Requests read so far.
         unfinished: Whether a request has begun to come in that is not yet
             answered.
@@ -164,13 +167,12 @@
         unwanted: It is closed as soon as it waits for a request.
     """
 
-    def __init__(self, stream: anyio.abc.SocketStream, server: Server):
+    def __init__(self, stream: byte_stream.ByteStream, server: Server):
         self.server = server
         self.bounds = server.bounds()
         self.http = http1.Http1Connection(
             stream, h11.SERVER, self.bounds.max_head_bytes
         )
-        self.ahead: list[bytes] = []
         self.requests = 0
         self.unfinished = False
         self.serving = False
@@ -228,18 +230,16 @@
         self, request: CallerRequest, answer: CallerAnswer
     ) -> None:
         """Calls the handler, and cancels it when the caller leaves."""
-        broken: BrokenAnswerError | None = None
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._watch_departure, group.cancel_scope)
+        stream = self.http.stream
+        with anyio.CancelScope() as scope:
+            stream.when_ended = scope.cancel
             try:
-                await self.server.handler(request, answer)
-            except BrokenAnswerError as error:
-                broken = error
+                if not stream.has_left:
+                    await self.server.handler(request, answer)
             except http1.ConnectionLostError:
                 pass  # the caller left while an answer was being sent
-            group.cancel_scope.cancel()
-        if broken is not None:
-            raise broken
+            finally:
+                stream.when_ended = None
 
     async def _has_left(self) -> bool:
         """Returns whether the caller closed before its request is served.
@@ -247,38 +247,14 @@
         Callers give up requests that are not read for long; no target should
         run those.
         """
-        size = 0
-        while size <= _MAX_AHEAD_BYTES and self.http.is_readable():
-            try:
-                data = await self.http.receive()
-            except http1.ConnectionLostError:
-                return True
-            if not data:
-                return True
-            self.ahead.append(data)
-            size += len(data)
-        return False
-
-    async def _watch_departure(self, scope: anyio.CancelScope) -> None:
-        """Cancels `scope` when the caller closes; keeps bytes sent ahead."""
-        size = 0
-        while size <= _MAX_AHEAD_BYTES:
-            try:
-                data = await self.http.receive()
-            except http1.ConnectionLostError:
-                data = b""
-            if not data:
-                scope.cancel()
-                return
-            self.ahead.append(data)
-            size += len(data)
-        await anyio.sleep_forever()
+        if self.http.is_readable():
+            for _ in range(_LOOP_TURNS):
+                await anyio.lowlevel.checkpoint()
+        return self.http.stream.has_left
 
     async def _read_request(self) -> CallerRequest | None:
         """Returns the next request, or None when there is none."""
         self.bounds = self.server.bounds()
-        while self.ahead:
-            self.http.machine.receive_data(self.ahead.pop(0))
         try:
             head = await self._read_head()
             if head is None:
@@ -413,7 +389,11 @@
         self.connections: set[_CallerConnection] = set()
         self.accept_failures = 0
         self._told_accept_at = float("-inf")
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # With the protocol named, asyncio has small writes sent at once on
+        # what is accepted here.
+        self.socket = socket.socket(
+            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+        )
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.bind(listen)
         # Callers wait in the backlog while the process starts.
@@ -449,23 +429,37 @@
                 listening socket; None ends them with it.
         """
         self.socket.setblocking(False)
-        listener = await anyio.abc.SocketListener.from_socket(self.socket)
-        async with listener, anyio.create_task_group() as own_tasks:
-            await self._accept_all(listener, tasks or own_tasks)
+        with self.socket:
+            async with anyio.create_task_group() as own_tasks:
+                await self._accept_all(tasks or own_tasks)
 
-    async def _accept_all(
-        self, listener: anyio.abc.SocketListener, tasks: anyio.abc.TaskGroup
-    ) -> None:
+    async def _accept_all(self, tasks: anyio.abc.TaskGroup) -> None:
         """Accepts connections; an error never ends the server."""
+        loop = asyncio.get_running_loop()
         while True:
+            failed: asyncio.Future[OSError] = loop.create_future()
+            loop.add_reader(self.socket, self._accept, tasks, failed)
             try:
-                stream = await listener.accept()
-            except OSError as error:
-                self._tell_accept_failed(error)
-                self._drop_longest_idle()
-                await anyio.sleep(_ACCEPT_PAUSE_S)
-                continue
-            tasks.start_soon(self._serve_connection, stream)
+                error = await failed
+            finally:
+                loop.remove_reader(self.socket)
+            self._tell_accept_failed(error)
+            self._drop_longest_idle()
+            await anyio.sleep(_ACCEPT_PAUSE_S)
+
+    def _accept(
+        self, tasks: anyio.abc.TaskGroup, failed: asyncio.Future[OSError]
+    ) -> None:
+        """Accepts one connection; the loop calls again while there are more."""
+        try:
+            raw, _ = self.socket.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return  # its caller has left
+        except OSError as error:
+            if not failed.done():
+                failed.set_result(error)
+            return
+        tasks.start_soon(self._serve_connection, raw)
 
     def _tell_accept_failed(self, error: OSError) -> None:
         now = anyio.current_time()
@@ -495,7 +489,9 @@
             longest.unwanted = True
             longest.stop_waiting()
 
-    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+    async def _serve_connection(self, raw: socket.socket) -> None:
+        raw.setblocking(False)
+        stream = await byte_stream.accepted(raw)
         connection = _CallerConnection(stream, self)
         self.connections.add(connection)
         try:
--- a/tests/coordination/gateway/test_silent_connections.py
+++ b/tests/coordination/gateway/test_silent_connections.py
@@ -53,9 +53,7 @@
             pools = (scene.program.store.pool, scene.program.readers.peers)
             for pool in pools:
                 connection = await pool.open(scene.store.address, "test")
-                raw = connection.stream.extra(
-                    anyio.abc.SocketAttribute.raw_socket
-                )
+                raw = connection.stream.raw
                 tcp = socket.IPPROTO_TCP
                 on = raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
                 self.assertTrue(on)
@@ -228,7 +226,7 @@
 
     def unacknowledged(connection):
         """Returns what was sent since, for connections that are silent."""
-        raw = connection.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw = connection.stream.raw
         is_silent = raw.fileno() >= 0 and raw.getsockname()[1] in ports
         return connection.sent_bytes if is_silent else 0
 
--- a/tests/transport/test_http1_client.py
+++ b/tests/transport/test_http1_client.py
@@ -168,7 +168,7 @@
                 while not server.connections:  # noqa: ASYNC110
                     await anyio.sleep(0.01)
                 accepted = next(iter(server.connections)).http.stream
-                raw = accepted.extra(anyio.abc.SocketAttribute.raw_socket)
+                raw = accepted.raw
                 tcp = socket.IPPROTO_TCP
                 self.assertTrue(
                     raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
