--- a/tests/coordination/gateway/test_explaining.py
+++ b/tests/coordination/gateway/test_explaining.py
@@ -55,6 +55,32 @@
 
         scene_lib.play(story)
 
+    def test_refused_since_a_quota_is_used_up(self):
+        async def story(scene):
+            quota = {"ratePerS": 100, "burst": 100, "unit": "token_stream"}
+            first, second = scene.configuration["tenants"]
+            scene.configure(tenants=[first | quota, second])
+            await scene.until(scene.program.quotas.statuses)
+            tokens = {"x_token_count": "700,40"}
+            answer = None
+            while answer is None or answer.head.status == 200:
+                request = scene.prompt("/stream/x", **tokens)
+                answer = await scene.call(request)
+            self.assertEqual(answer.head.status, 429)
+            told = self.explain(request)
+            self.assertIn("refused with 429 quota_exceeded", told)
+            self.assertIn("run: not_run", told)
+            self.assertIn(
+                "Cause: tenant-one has used its quota of 100 tokens a second",
+                told,
+            )
+            self.handler.flush()
+            self.assertIn('"event":"quota_spent"', self.path.read_text())
+            page = scene.program.metrics.page()
+            self.assertIn(b'quota_refused_total{tenant="tenant-one"}', page)
+
+        scene_lib.play(story)
+
     def test_cut_in_mid_stream_by_a_crash(self):
         async def story(scene):
             for engine in scene.engines:
