Part the gateway's modules by what they do; moves only

They are now in serving (requests of callers), peers (what hosts tell each other), store (what is read from it) and orders; host, site, settings and metrics stay. No line but imports and paths changed.

--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -15,7 +15,7 @@
 from hillthread.bench.gateway_soak import balancer as balancer_lib
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import verdict
-from hillthread.coordination.gateway import host_registry
+from hillthread.coordination.gateway.store import host_registry
 from hillthread.standin import platform_operator
 from hillthread.standin import platform_store
 from hillthread.standin import platform_target
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -10,20 +10,20 @@
 
 from hillthread import clock
 from hillthread import settings as settings_lib
-from hillthread.coordination.gateway import feed_server
-from hillthread.coordination.gateway import gateway as gateway_lib
-from hillthread.coordination.gateway import host_registry
 from hillthread.coordination.gateway import metrics as metrics_lib
-from hillthread.coordination.gateway import order_lease
-from hillthread.coordination.gateway import quarantine_keeper
-from hillthread.coordination.gateway import quota_keeper
-from hillthread.coordination.gateway import rollout_keeper
 from hillthread.coordination.gateway import settings as gateway_settings
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway import store_follower
-from hillthread.coordination.gateway import store_watch
-from hillthread.coordination.gateway import topic_plan
-from hillthread.coordination.gateway import work_feed
+from hillthread.coordination.gateway.orders import order_lease
+from hillthread.coordination.gateway.orders import rollout_keeper
+from hillthread.coordination.gateway.peers import feed_server
+from hillthread.coordination.gateway.peers import work_feed
+from hillthread.coordination.gateway.serving import gateway as gateway_lib
+from hillthread.coordination.gateway.serving import quarantine_keeper
+from hillthread.coordination.gateway.serving import quota_keeper
+from hillthread.coordination.gateway.store import host_registry
+from hillthread.coordination.gateway.store import store_follower
+from hillthread.coordination.gateway.store import store_watch
+from hillthread.coordination.gateway.store import topic_plan
 from hillthread.platform import configuration
 from hillthread.platform import store as store_lib
 from hillthread.platform import targets
--- /dev/null
+++ b/hillthread/coordination/gateway/orders/__init__.py
@@ -0,0 +1,1 @@
+"""The orders that one gateway gives to engines for all."""
--- a/hillthread/coordination/gateway/order_duty.py
+++ b/hillthread/coordination/gateway/orders/order_duty.py
@@ -5,8 +5,8 @@
 import random
 
 from hillthread import clock
-from hillthread.coordination.gateway import order_lease
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.orders import order_lease
 from hillthread.state import feed_source
 from hillthread.state import succession
 
--- a/hillthread/coordination/gateway/rollout_keeper.py
+++ b/hillthread/coordination/gateway/orders/rollout_keeper.py
@@ -11,11 +11,11 @@
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.coordination.gateway import order_duty
-from hillthread.coordination.gateway import order_lease
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway import weights_load
-from hillthread.coordination.gateway import work_feed
+from hillthread.coordination.gateway.orders import order_duty
+from hillthread.coordination.gateway.orders import order_lease
+from hillthread.coordination.gateway.orders import weights_load
+from hillthread.coordination.gateway.peers import work_feed
 from hillthread.state import health
 from hillthread.state import objects
 from hillthread.state import rollout
--- a/hillthread/coordination/gateway/weights_load.py
+++ b/hillthread/coordination/gateway/orders/weights_load.py
@@ -9,9 +9,9 @@
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.coordination.gateway import order_duty
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway import work_feed
+from hillthread.coordination.gateway.orders import order_duty
+from hillthread.coordination.gateway.peers import work_feed
 from hillthread.platform import orders
 from hillthread.platform import targets as targets_lib
 from hillthread.protocol import work_notice
--- /dev/null
+++ b/hillthread/coordination/gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What gateways tell each other."""
--- a/hillthread/coordination/gateway/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -10,10 +10,10 @@
 import msgspec
 
 from hillthread import errors
-from hillthread.coordination.gateway import quarantine_keeper
-from hillthread.coordination.gateway import quota_keeper
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway import store_follower
+from hillthread.coordination.gateway.serving import quarantine_keeper
+from hillthread.coordination.gateway.serving import quota_keeper
+from hillthread.coordination.gateway.store import store_follower
 from hillthread.protocol import documents
 from hillthread.protocol import feed
 from hillthread.transport import http1_server
--- /dev/null
+++ b/hillthread/coordination/gateway/serving/__init__.py
@@ -0,0 +1,1 @@
+"""What a gateway does with the requests of callers."""
--- a/hillthread/coordination/gateway/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -8,10 +8,10 @@
 import anyio.abc
 
 from hillthread import clock
-from hillthread.coordination.gateway import event_relay
-from hillthread.coordination.gateway import intake
-from hillthread.coordination.gateway import outcome as outcome_lib
-from hillthread.coordination.gateway import reach_monitor
+from hillthread.coordination.gateway.serving import event_relay
+from hillthread.coordination.gateway.serving import intake
+from hillthread.coordination.gateway.serving import outcome as outcome_lib
+from hillthread.coordination.gateway.serving import reach_monitor
 from hillthread.platform import attempts
 from hillthread.state import attempt_plan
 from hillthread.transport import http1_client
--- a/hillthread/coordination/gateway/cache_source.py
+++ b/hillthread/coordination/gateway/serving/cache_source.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 from hillthread import clock
-from hillthread.coordination.gateway import cache_watch
-from hillthread.coordination.gateway import intake
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.serving import cache_watch
+from hillthread.coordination.gateway.serving import intake
 from hillthread.state import attempt_plan
 from hillthread.state import cache_contents
 from hillthread.state import objects
--- a/hillthread/coordination/gateway/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -8,9 +8,9 @@
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.coordination.gateway import cache_source
-from hillthread.coordination.gateway import intake
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.serving import cache_source
+from hillthread.coordination.gateway.serving import intake
 from hillthread.protocol import work_notice
 from hillthread.state import attempt_plan
 from hillthread.state import first_byte
--- a/hillthread/coordination/gateway/dispatcher.py
+++ b/hillthread/coordination/gateway/serving/dispatcher.py
@@ -9,16 +9,16 @@
 import anyio.abc
 
 from hillthread import errors
-from hillthread.coordination.gateway import chooser as chooser_lib
-from hillthread.coordination.gateway import intake
-from hillthread.coordination.gateway import job as job_lib
-from hillthread.coordination.gateway import learning
 from hillthread.coordination.gateway import metrics as metrics_lib
-from hillthread.coordination.gateway import quarantine_keeper
-from hillthread.coordination.gateway import quota_keeper
-from hillthread.coordination.gateway import reach_monitor
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway import work_feed
+from hillthread.coordination.gateway.peers import work_feed
+from hillthread.coordination.gateway.serving import chooser as chooser_lib
+from hillthread.coordination.gateway.serving import intake
+from hillthread.coordination.gateway.serving import job as job_lib
+from hillthread.coordination.gateway.serving import learning
+from hillthread.coordination.gateway.serving import quarantine_keeper
+from hillthread.coordination.gateway.serving import quota_keeper
+from hillthread.coordination.gateway.serving import reach_monitor
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
--- a/hillthread/coordination/gateway/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -11,15 +11,15 @@
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.coordination.gateway import dispatcher as dispatcher_lib
-from hillthread.coordination.gateway import intake
-from hillthread.coordination.gateway import job as job_lib
 from hillthread.coordination.gateway import metrics as metrics_lib
-from hillthread.coordination.gateway import quarantine_keeper
-from hillthread.coordination.gateway import quota_keeper
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway import story as story_lib
-from hillthread.coordination.gateway import work_feed
+from hillthread.coordination.gateway.peers import work_feed
+from hillthread.coordination.gateway.serving import dispatcher as dispatcher_lib
+from hillthread.coordination.gateway.serving import intake
+from hillthread.coordination.gateway.serving import job as job_lib
+from hillthread.coordination.gateway.serving import quarantine_keeper
+from hillthread.coordination.gateway.serving import quota_keeper
+from hillthread.coordination.gateway.serving import story as story_lib
 from hillthread.platform import names
 from hillthread.state import return_time
 from hillthread.transport import http1
--- a/hillthread/coordination/gateway/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -8,7 +8,7 @@
 from hillthread import clock
 from hillthread import errors
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway import story as story_lib
+from hillthread.coordination.gateway.serving import story as story_lib
 from hillthread.platform import attempts
 from hillthread.platform import names
 from hillthread.state import objects
--- a/hillthread/coordination/gateway/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -9,19 +9,19 @@
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.coordination.gateway import attempt as attempt_lib
-from hillthread.coordination.gateway import cache_source
-from hillthread.coordination.gateway import chooser as chooser_lib
-from hillthread.coordination.gateway import event_relay
-from hillthread.coordination.gateway import intake
-from hillthread.coordination.gateway import learning
 from hillthread.coordination.gateway import metrics as metrics_lib
-from hillthread.coordination.gateway import outcome as outcome_lib
-from hillthread.coordination.gateway import quarantine_keeper
-from hillthread.coordination.gateway import quota_keeper
-from hillthread.coordination.gateway import reach_monitor
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway import work_feed
+from hillthread.coordination.gateway.peers import work_feed
+from hillthread.coordination.gateway.serving import attempt as attempt_lib
+from hillthread.coordination.gateway.serving import cache_source
+from hillthread.coordination.gateway.serving import chooser as chooser_lib
+from hillthread.coordination.gateway.serving import event_relay
+from hillthread.coordination.gateway.serving import intake
+from hillthread.coordination.gateway.serving import learning
+from hillthread.coordination.gateway.serving import outcome as outcome_lib
+from hillthread.coordination.gateway.serving import quarantine_keeper
+from hillthread.coordination.gateway.serving import quota_keeper
+from hillthread.coordination.gateway.serving import reach_monitor
 from hillthread.platform import attempts
 from hillthread.protocol import work_notice
 from hillthread.state import aim_admission
--- a/hillthread/coordination/gateway/learning.py
+++ b/hillthread/coordination/gateway/serving/learning.py
@@ -8,14 +8,14 @@
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.coordination.gateway import attempt as attempt_lib
-from hillthread.coordination.gateway import chooser as chooser_lib
-from hillthread.coordination.gateway import intake
 from hillthread.coordination.gateway import metrics as metrics_lib
-from hillthread.coordination.gateway import outcome as outcome_lib
-from hillthread.coordination.gateway import quarantine_keeper
-from hillthread.coordination.gateway import reach_monitor
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.serving import attempt as attempt_lib
+from hillthread.coordination.gateway.serving import chooser as chooser_lib
+from hillthread.coordination.gateway.serving import intake
+from hillthread.coordination.gateway.serving import outcome as outcome_lib
+from hillthread.coordination.gateway.serving import quarantine_keeper
+from hillthread.coordination.gateway.serving import reach_monitor
 from hillthread.platform import orders
 from hillthread.state import attempt_plan
 from hillthread.state import objects
--- a/hillthread/coordination/gateway/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -17,11 +17,11 @@
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.coordination.gateway import host_registry
-from hillthread.coordination.gateway import intake
-from hillthread.coordination.gateway import outcome as outcome_lib
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway import work_feed
+from hillthread.coordination.gateway.peers import work_feed
+from hillthread.coordination.gateway.serving import intake
+from hillthread.coordination.gateway.serving import outcome as outcome_lib
+from hillthread.coordination.gateway.store import host_registry
 from hillthread.platform import store as store_lib
 from hillthread.protocol import work_notice
 from hillthread.state import payloads
--- a/hillthread/coordination/gateway/quota_keeper.py
+++ b/hillthread/coordination/gateway/serving/quota_keeper.py
@@ -15,9 +15,9 @@
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.coordination.gateway import intake
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway import work_feed
+from hillthread.coordination.gateway.peers import work_feed
+from hillthread.coordination.gateway.serving import intake
 from hillthread.state import quota as quota_lib
 from hillthread.state import quota_ledger
 from hillthread.state import usage_exchange
--- /dev/null
+++ b/hillthread/coordination/gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""What a gateway reads from the platform's store."""
--- a/hillthread/coordination/gateway/store_follower.py
+++ b/hillthread/coordination/gateway/store/store_follower.py
@@ -14,7 +14,7 @@
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.coordination.gateway import topic_plan
+from hillthread.coordination.gateway.store import topic_plan
 from hillthread.platform import store
 from hillthread.protocol import feed
 from hillthread.state import feed_source
--- a/hillthread/coordination/gateway/topic_plan.py
+++ b/hillthread/coordination/gateway/store/topic_plan.py
@@ -8,7 +8,7 @@
 import anyio
 
 from hillthread.coordination.gateway import metrics as metrics_lib
-from hillthread.coordination.gateway import store_watch
+from hillthread.coordination.gateway.store import store_watch
 from hillthread.platform import store
 from hillthread.state import feed_source
 from hillthread.state import topic_copy
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -4,9 +4,9 @@
 import sys
 
 from hillthread import errors
-from hillthread.coordination.gateway import event_relay
-from hillthread.coordination.gateway import job
-from hillthread.coordination.gateway import order_lease
+from hillthread.coordination.gateway.orders import order_lease
+from hillthread.coordination.gateway.serving import event_relay
+from hillthread.coordination.gateway.serving import job
 from hillthread.programs import gateway
 from hillthread.state import attempt_plan
 from hillthread.state import quarantine
--- /dev/null
+++ b/tests/coordination/gateway/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway."""
--- a/tests/coordination/gateway/test_order_lease.py
+++ b/tests/coordination/gateway/orders/test_order_lease.py
@@ -5,7 +5,7 @@
 import anyio
 
 from hillthread import errors
-from hillthread.coordination.gateway import order_lease
+from hillthread.coordination.gateway.orders import order_lease
 from hillthread.platform import store as store_lib
 from hillthread.standin import platform_store
 
--- a/tests/coordination/gateway/test_rollout.py
+++ b/tests/coordination/gateway/orders/test_rollout.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from hillthread.coordination.gateway import order_lease
+from hillthread.coordination.gateway.orders import order_lease
 from hillthread.platform import store as store_lib
 from hillthread.state import rollout
 from tests.coordination.gateway import scene as scene_lib
--- a/tests/coordination/gateway/test_weights_notices.py
+++ b/tests/coordination/gateway/orders/test_weights_notices.py
@@ -15,7 +15,7 @@
 from hillthread.state import target_list
 from hillthread.state import target_state
 from tests.coordination.gateway import scene as scene_lib
-from tests.coordination.gateway import test_feed
+from tests.coordination.gateway.peers import test_feed
 
 # Long beside the time in which prompts are sent here.
 _LOAD_S = 0.4
--- a/tests/coordination/gateway/test_feed.py
+++ b/tests/coordination/gateway/peers/test_feed.py
@@ -6,9 +6,9 @@
 import anyio
 
 from hillthread.coordination.gateway import host as host_lib
-from hillthread.coordination.gateway import host_registry
 from hillthread.coordination.gateway import settings as settings_lib
-from hillthread.coordination.gateway import store_follower
+from hillthread.coordination.gateway.store import host_registry
+from hillthread.coordination.gateway.store import store_follower
 from hillthread.protocol import feed
 from hillthread.standin import wire_proxy
 from hillthread.state import feed_source
--- a/tests/coordination/gateway/test_work_feed.py
+++ b/tests/coordination/gateway/peers/test_work_feed.py
@@ -6,12 +6,12 @@
 import anyio
 
 from hillthread import settings as settings_lib
-from hillthread.coordination.gateway import work_feed
+from hillthread.coordination.gateway.peers import work_feed
 from hillthread.protocol import work_notice
 from hillthread.state import feed_source
 from hillthread.state import gatherer
 from tests.coordination.gateway import scene as scene_lib
-from tests.coordination.gateway import test_feed
+from tests.coordination.gateway.peers import test_feed
 
 # Two hosts tell each other of 30 prompts a second each at most.
 MAY_TELL_S = 0.1
--- a/tests/coordination/gateway/test_deadly_requests.py
+++ b/tests/coordination/gateway/serving/test_deadly_requests.py
@@ -26,12 +26,12 @@
 import anyio
 
 from hillthread import clock
-from hillthread.coordination.gateway import host_registry
+from hillthread.coordination.gateway.store import host_registry
 from hillthread.programs import ctl
 from hillthread.standin import platform_target
 from hillthread.state import request_digest
 from tests.coordination.gateway import scene as scene_lib
-from tests.coordination.gateway import test_feed
+from tests.coordination.gateway.peers import test_feed
 
 DEADLY = b"ends whoever runs it"
 # Engines are back so soon.
--- a/tests/coordination/gateway/test_dispatcher.py
+++ b/tests/coordination/gateway/serving/test_dispatcher.py
@@ -9,7 +9,7 @@
 import anyio
 import msgspec
 
-from hillthread.coordination.gateway import job as job_lib
+from hillthread.coordination.gateway.serving import job as job_lib
 from hillthread.standin import platform_target as standin
 from hillthread.state import health
 from hillthread.transport import http1_client
--- a/tests/coordination/gateway/test_quota.py
+++ b/tests/coordination/gateway/serving/test_quota.py
@@ -16,7 +16,7 @@
 from hillthread.protocol import feed
 from hillthread.standin import platform_target
 from tests.coordination.gateway import scene as scene_lib
-from tests.coordination.gateway import test_feed
+from tests.coordination.gateway.peers import test_feed
 
 # Tokens of each request: of its prompt and its longest answer.
 TOKENS = 940
--- a/tests/coordination/gateway/test_reach.py
+++ b/tests/coordination/gateway/serving/test_reach.py
@@ -9,7 +9,7 @@
 import anyio
 import h11
 
-from hillthread.coordination.gateway import attempt as attempt_lib
+from hillthread.coordination.gateway.serving import attempt as attempt_lib
 from hillthread.standin import platform_target as standin
 from hillthread.state import caller_bounds
 from hillthread.transport import http1
--- a/tests/coordination/gateway/test_story.py
+++ b/tests/coordination/gateway/serving/test_story.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from hillthread.coordination.gateway import story
+from hillthread.coordination.gateway.serving import story
 
 
 def count_logged(gate, seconds, per_s):
--- a/tests/coordination/gateway/test_bounds_range.py
+++ b/tests/coordination/gateway/test_bounds_range.py
@@ -9,13 +9,13 @@
 
 from hillthread.coordination.gateway import host as host_lib
 from hillthread.coordination.gateway import metrics
-from hillthread.coordination.gateway import order_lease
 from hillthread.coordination.gateway import settings
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.orders import order_lease
 from hillthread.state import retry_budget
 from hillthread.state import target_list
 from hillthread.state import weights
-from tests.coordination.gateway import test_order_lease
+from tests.coordination.gateway.orders import test_order_lease
 from tests.state import test_target_list
 
 _METRICS = metrics.GatewayMetrics()
