Pack what hosts read from each other, once for all who ask

Hosts that start together each ask the one that reads for their data centre for all targets: 75 times 741 KB for 3,001 targets, which its link of 5 to 100 Mbit/s takes seconds to minutes to carry.

Pages are packed (zlib, fastest): 741 KB become 80 KB in 6 ms, once for all who ask for the same. What unpacks to more than 32 MB is refused.

--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -94,8 +94,7 @@
         if not self._learns():
             await answer.send_whole(503, [], b"")
             return
-        page = feed.encode_page(follower.page(query.start))
-        await answer.send_whole(200, _CBOR, page)
+        await answer.send_whole(200, _CBOR, follower.page(query.start))
 
     def _learns(self) -> bool:
         """Returns whether this host hears of changes, and goes on doing so.
--- a/hillthread/coordination/gateway/store/store_follower.py
+++ b/hillthread/coordination/gateway/store/store_follower.py
@@ -67,6 +67,7 @@
         self._held: anyio.CancelScope | None = None
         self._held_since = 0.0
         self._lost_at: float | None = None
+        self._packed: tuple[tuple[int, int | None], bytes] | None = None
 
     def interrupt(self, before: float = float("inf")) -> None:
         """Has a read that is held, and was sent before then, sent anew."""
@@ -112,15 +113,21 @@
         with anyio.move_on_after(self.plan.wait_s()):
             await self.readers.hosts_settled.wait()
 
-    def page(self, start: int) -> feed.FeedPage:
-        """Returns what another host wants to know now."""
+    def page(self, start: int) -> bytes:
+        """Returns what another host wants to know now.
+
+        Hosts that ask together are told the same: it is packed once.
+        """
         position = self.copy.position or 0
         age_s = self.freshness.age(clock.now())
         records = self.copy.since(start)
+        whole = records is None
         if records is None:
-            newest = list(self.copy.newest.values())
-            return feed.FeedPage(position, True, age_s, newest)
-        return feed.FeedPage(position, False, age_s, records)
+            records = list(self.copy.newest.values())
+        key = (position, None if whole else start)
+        if self._packed is None or self._packed[0] != key:
+            self._packed = (key, feed.pack_records(records))
+        return feed.encode_page(position, whole, age_s, self._packed[1])
 
     def _peer(self, failures: int) -> feed_source.HostEntry | None:
         if failures or (self.copy.position is None and self.plan.lists_hosts):
--- a/hillthread/protocol/feed.py
+++ b/hillthread/protocol/feed.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import NamedTuple
 from urllib import parse
+import zlib
 
 import cbor2
 import msgspec
@@ -20,6 +22,7 @@
     "decode_page",
     "encode_page",
     "encode_query",
+    "pack_records",
     "parse_query",
 ]
 
@@ -29,6 +32,11 @@
 QUARANTINE_PATH = "/quarantine"
 # Where operators see how the quotas of organisations stand.
 QUOTAS_PATH = "/quotas"
+# Fast: 3,001 targets take 741 KB, and 80 KB packed within 6 ms. When all of 75
+# hosts of a data centre start together they ask one for that at once.
+_PACKING = 1
+# No topic unpacks to more: a page that does is none.
+_MOST_BYTES = 32 << 20
 
 
 class FeedQuery(NamedTuple):
@@ -61,6 +69,15 @@
     records: list[topic_copy.TopicRecord]
 
 
+class _PackedPage(NamedTuple):
+    """A page on the wire."""
+
+    position: int
+    whole: bool
+    age_s: float
+    packed: bytes
+
+
 def encode_query(query: FeedQuery) -> bytes:
     """Returns the request target that asks for a page."""
     fields = {
@@ -92,16 +109,24 @@
         ) from error
 
 
-def encode_page(page: FeedPage) -> bytes:
-    """Returns a page as CBOR."""
-    return cbor2.dumps(
-        [
-            page.position,
-            page.whole,
-            page.age_s,
-            [list(record) for record in page.records],
-        ]
-    )
+def pack_records(records: Sequence[topic_copy.TopicRecord]) -> bytes:
+    """Returns records as pages hold them; the same for all who ask."""
+    raw = cbor2.dumps([list(record) for record in records])
+    return zlib.compress(raw, _PACKING)
+
+
+def encode_page(
+    position: int, whole: bool, age_s: float, packed: bytes
+) -> bytes:
+    """Returns a page as CBOR.
+
+    Args:
+        position: As in the page.
+        whole: As in the page.
+        age_s: As in the page.
+        packed: Its records.
+    """
+    return cbor2.dumps([position, whole, age_s, packed])
 
 
 def decode_page(raw: bytes) -> FeedPage:
@@ -111,9 +136,30 @@
         PeerError: It is none.
     """
     try:
-        return msgspec.convert(cbor2.loads(raw), FeedPage)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
+        page = msgspec.convert(cbor2.loads(raw), _PackedPage)
+        records = msgspec.convert(
+            cbor2.loads(_unpack(page.packed)), list[topic_copy.TopicRecord]
+        )
+        return FeedPage(page.position, page.whole, page.age_s, records)
+    except (
+        cbor2.CBORDecodeError,
+        msgspec.ValidationError,
+        zlib.error,
+    ) as error:
         raise errors.PeerError(
             f"The page of a feed is not readable: {error}.",
             "Run the same release on all hosts.",
         ) from error
+
+
+def _unpack(packed: bytes) -> bytes:
+    """Returns what was packed.
+
+    Raises:
+        zlib.error: It is cut off, too long, or nothing of the kind.
+    """
+    unpacker = zlib.decompressobj()
+    raw = unpacker.decompress(packed, _MOST_BYTES)
+    if not unpacker.eof:
+        raise zlib.error("cut off, or longer than any topic")
+    return raw
--- a/tests/coordination/gateway/peers/test_feed.py
+++ b/tests/coordination/gateway/peers/test_feed.py
@@ -58,6 +58,27 @@
 
 
 class FeedTest(unittest.TestCase):
+    def test_hosts_that_ask_together_cost_one_packing(self):
+        async def story(scene):
+            follower = scene.program.followers["keyed.servers"]
+            with mock.patch.object(
+                feed, "pack_records", side_effect=feed.pack_records
+            ) as pack:
+                pages = {
+                    feed.decode_page(follower.page(0)).records[0].key
+                    for _ in range(75)
+                }
+                self.assertEqual(pack.call_count, 1)
+                scene.list_target(scene.engines[0], "draining")
+                position = follower.copy.position
+                await scene.until(lambda: follower.copy.position > position)
+                page = feed.decode_page(follower.page(0))
+            self.assertEqual(pack.call_count, 2)
+            self.assertEqual(len(pages), 1)
+            self.assertIn(b"draining", b"".join(r.value for r in page.records))
+
+        scene_lib.play(story)
+
     def test_part_of_what_is_new_proves_nothing(self):
         async def story(scene):
             scene.store.faults.status = 503
--- a/tests/state/test_topic_copy.py
+++ b/tests/state/test_topic_copy.py
@@ -1,6 +1,7 @@
 """Tests of copies of topics and of whom to read them from."""
 
 import unittest
+import zlib
 
 import hypothesis
 from hypothesis import strategies
@@ -67,14 +68,43 @@
             [("a", b""), ("c", b"1")],
         )
 
+    def test_whole_topic_of_a_large_site_takes_little_of_a_link(self):
+        """75 hosts that start together ask one of them for it at once."""
+        records = [
+            record(
+                n,
+                f"i-{n * 2654435761 % 2**40:010x}",
+                b'{"service":"engines","address":"10.%d.%d.%d:8529",'
+                b'"zone":"z","slots":32,"state":"ready","models":[{"name":'
+                b'"m","version":3}],"sequence":%d,"born":%d}'
+                % (n % 4, n // 250, n % 250, n, 1_770_751_483_838 + 37 * n),
+            )
+            for n in range(3_000)
+        ]
+        whole = sum(len(each.value) for each in records)
+        self.assertLess(len(feed.pack_records(records)), whole / 5)
+
     def test_page_survives_the_wire_and_others_are_refused(self):
         page = feed.FeedPage(9, True, 0.5, [record(4, "a", b"\x00")])
-        self.assertEqual(feed.decode_page(feed.encode_page(page)), page)
+        packed = feed.pack_records(page.records)
+        raw = feed.encode_page(page.position, page.whole, page.age_s, packed)
+        self.assertEqual(feed.decode_page(raw), page)
         query = feed.FeedQuery("t", 3, 0.25)
         self.assertEqual(feed.parse_query(feed.encode_query(query)), query)
-        for raw in (b"", b"\x01", b"\xff", b"\x84\x01\x02\x03\x04"):
+        far_too_long = zlib.compress(bytes(64 << 20), 1)
+        for bad in (
+            b"",
+            b"\x01",
+            b"\xff",
+            b"\x84\x01\x02\x03\x04",
+            raw[:-1],
+            feed.encode_page(9, True, 0.5, packed[:-1]),
+            feed.encode_page(9, True, 0.5, b"not packed"),
+            feed.encode_page(9, True, 0.5, zlib.compress(b"\xff")),
+            feed.encode_page(9, True, 0.5, far_too_long),
+        ):
             with self.assertRaises(errors.PeerError):
-                feed.decode_page(raw)
+                feed.decode_page(bad)
         with self.assertRaises(errors.PeerError):
             feed.parse_query(b"/feed?topic=t")
 
