Assume no allowance beyond quotas where none is told

Cause, by reading the template: a bound of 0 is left out of the settings there, and the default of 0.1 took its place: a bucket would have held a part of an allowance that nobody gives. Where figures are given nothing changes, and the windows stay below the limit either way.

--- a/hillthread/coordination/gateway/settings.py
+++ b/hillthread/coordination/gateway/settings.py
@@ -70,7 +70,7 @@
     retry_extra: Annotated[float, msgspec.Meta(ge=0)] = 50
     retry_window_s: settings_lib.Seconds = 10.0
     quota_window_s: settings_lib.Seconds = 8.0
-    quota_over: Annotated[float, msgspec.Meta(ge=0)] = 0.1
+    quota_over: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     memory_mb: float = 150
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
--- a/hillthread/state/quota.py
+++ b/hillthread/state/quota.py
@@ -52,7 +52,7 @@
     """
 
     window_s: float = 8.0
-    over: float = 0.1
+    over: float = 0.0
     slack: float = 0.0
 
 
