Have the quota's mutant show itself beyond what two hosts may send

Two hosts that keep the whole quota each send 20,000 tokens in a window and the overdraft, limit, share and slack come to 21,000: with the smaller capacity the mutant could show itself or not.

--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -25,8 +25,12 @@
 # Bounds in seconds that are judged here, as broken gateways break them by far.
 BOUNDS = ("key_kept", "old_weights", "budget", "quota")
 VERSION_S = 2.0
-# A tenth of what callers ask.
+# A tenth of what callers ask. Two hosts that each keep the whole of it send
+# 20,000 tokens in a window, where limit, share and slack come to 21,000: that
+# may be anything. Four send 40,000.
 QUOTA_PER_S = 2_000.0
+QUOTA_HOSTS = 4
+HOSTS = 2
 
 
 # A mutant that shows itself ends its run; beside other work it may take long.
@@ -109,7 +113,7 @@
     plan = runner.SoakPlan(
         SEED,
         seconds=MUTANT_S,
-        hosts=2,
+        hosts=QUOTA_HOSTS if case.promise == "quota" else HOSTS,
         faults=tuple(case.faults.split(",")),
         strict_time=case.promise in BOUNDS,
         module="tests.bench.mutant_gateway",
