Log the limit that a target's answer names

Of a target that got more than it had named, no line told whether its answers named a limit, which, and to which host. The adapter decodes it now, and the line of an attempt has it where there is one; nothing decides by it yet. What is unreadable, negative or no number counts as none. The stand-in of a target names a limit when told to, and keeps when requests reached it.

--- a/hillthread/coordination/gateway/serving/learning.py
+++ b/hillthread/coordination/gateway/serving/learning.py
@@ -265,4 +265,6 @@
         fields["saves"] = bool(attempt.plan.save_to)
     if attempt.meaning is not None:
         fields["answered_weights"] = attempt.meaning.weights_version
+        if attempt.meaning.limit_per_s is not None:
+            fields["limit_per_s"] = attempt.meaning.limit_per_s
     return fields
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 from hillthread.platform import names
@@ -80,6 +81,8 @@
         weights_version: Weights it ran with; None when not told.
         encoded: The body is not the target's own bytes.
         retry_after_s: When the target wants to be asked again; 0 if not told.
+        limit_per_s: Requests a second that the target takes from all hosts
+            together; None when it names no limit.
     """
 
     request_id: bytes
@@ -89,6 +92,7 @@
     weights_version: int | None
     encoded: bool
     retry_after_s: float
+    limit_per_s: float | None
 
 
 def decode_prompt(headers: http1.Headers) -> PromptHeaders:
@@ -151,6 +155,7 @@
         whole_number(head.get(names.WEIGHTS_VERSION)),
         bool(head.get(b"content-encoding")),
         _seconds(head.get(names.RETRY_AFTER)),
+        _limit(head.get(names.TARGET_LIMIT)),
     )
 
 
@@ -208,6 +213,17 @@
     return int(text)
 
 
+def _limit(text: bytes) -> float | None:
+    """Returns a limit; what is unreadable or no rate counts as none."""
+    if not text or len(text) > _MOST_DIGITS:
+        return None
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0.0 else None
+
+
 def _seconds(text: bytes) -> float:
     try:
         return max(0.0, float(text)) if text else 0.0
--- a/hillthread/platform/names.py
+++ b/hillthread/platform/names.py
@@ -22,6 +22,7 @@
     "SETTINGS_VARIABLE",
     "SET_BY_SYSTEM",
     "SET_BY_SYSTEM_PREFIXES",
+    "TARGET_LIMIT",
     "TENANT",
     "TOKEN_COUNTS",
     "UNCHANGED",
@@ -42,6 +43,7 @@
 RECEIPT = b"x-response-stamp"
 NOT_RUN = b"x-not-run"
 INCARNATION = b"x-instance-id"
+TARGET_LIMIT = b"server-limit"
 WEIGHTS_VERSION = b"x-weight-versions"
 # An event at which the version changes begins with this field.
 WEIGHTS_EVENT_FIELD = b"x-weight-versions:"
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -19,6 +19,7 @@
 from hillthread.transport import http1_server
 
 __all__ = [
+    "Arrival",
     "Cut",
     "Encoded",
     "Fail",
@@ -184,6 +185,18 @@
     weights: int
 
 
+class Arrival(NamedTuple):
+    """A request that reached the target.
+
+    Attributes:
+        at: Seconds on the steady clock.
+        limit_per_s: What the target named then; None for no limit.
+    """
+
+    at: float
+    limit_per_s: float | None
+
+
 class Order(NamedTuple):
     """An order that the target took.
 
@@ -224,6 +237,9 @@
             tokens, model.
         cache_epoch: Changes when its cache restarts.
         born_ms: Unix milliseconds of its start.
+        limit_per_s: Requests a second that its answers say it takes from all
+            hosts together; None to name no limit.
+        arrivals: Requests that reached it, whatever became of them.
         deadly: Bodies that end it as soon as they have begun to run.
         end: Ends it as a crash does: nobody hears more of it.
     """
@@ -254,6 +270,8 @@
         self.cache_events: list[tuple[int, str, str, str, int, str]] = []
         self.cache_epoch = 1
         self.born_ms = int(time.time() * 1000)
+        self.limit_per_s: float | None = None
+        self.arrivals: list[Arrival] = []
         self.deadly: Container[bytes] = frozenset()
         self.end: Callable[[], None] = _nothing
         self._orders_before = 0
@@ -327,7 +345,16 @@
             await answer.send_whole(200, _JSON, self._cache_page(request))
         elif request.path == "/api/order":
             await self._order(request, answer)
-        elif self._has_other_weights(request) or self.busy:
+        else:
+            await self._take_request(request, answer)
+
+    async def _take_request(
+        self,
+        request: http1_server.CallerRequest,
+        answer: http1_server.CallerAnswer,
+    ) -> None:
+        self.arrivals.append(Arrival(time.monotonic(), self.limit_per_s))
+        if self._has_other_weights(request) or self.busy:
             status = 503 if self.busy else 421
             await self._refuse(request, answer, status)
         else:
@@ -435,6 +462,7 @@
             (b"x-request-id", request.get(b"x-request-id")),
             (b"x-not-run", b"1"),
             (b"x-instance-id", self.name.encode()),
+            *self._limit_header(),
         ]
         if cut:
             await answer.begin(status, [*headers, (b"content-length", b"9")])
@@ -508,10 +536,16 @@
             case Unframed(reset):
                 await self._unframed(answer, headers, body, reset)
 
+    def _limit_header(self) -> http1.Headers:
+        if self.limit_per_s is None:
+            return []
+        return [(b"server-limit", str(self.limit_per_s).encode())]
+
     def _headers(self, request: http1_server.CallerRequest) -> http1.Headers:
         headers = [
             (b"x-request-id", request.get(b"x-request-id")),
             (b"x-response-stamp", f"stamp-{self.name}".encode()),
+            *self._limit_header(),
         ]
         if self.model:
             version = str(self.weights).encode()
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -252,12 +252,33 @@
         }
         self.assertEqual(len(salts), 4)
 
+    def test_limit_of_a_target_is_a_rate_or_nothing(self):
+        for text, limit in (
+            (b"1.5", 1.5),
+            (b"0", 0.0),
+            (b" 20 ", 20.0),
+            (b"", None),
+            (b"-1", None),
+            (b"nan", None),
+            (b"inf", None),
+            (b"1e999", None),
+            (b"many", None),
+            (b"9" * 400, None),
+        ):
+            with self.subTest(text=text):
+                head = http1_client.AnswerHead(
+                    200, [(names.TARGET_LIMIT, text)]
+                )
+                meaning = attempts.decode_answer(head)
+                self.assertEqual(meaning.limit_per_s, limit)
+
     @_settings
     @hypothesis.given(
         strategies.lists(
             strategies.tuples(
                 strategies.sampled_from(
                     [
+                        names.TARGET_LIMIT,
                         names.TOKEN_COUNTS,
                         names.PROMPT_PARTS,
                         names.MODEL,
