--- a/hillthread/bench/gateway_soak/evidence.py
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -15,6 +15,7 @@
     "Evidence",
     "Exchange",
     "KeyLife",
+    "LimitLife",
     "NamedVersion",
     "QuotaLife",
     "Violation",
@@ -164,6 +165,18 @@
     rate_per_s: float
 
 
+class LimitLife(NamedTuple):
+    """A limit that a target names, until it names another one or none.
+
+    Attributes:
+        at: From when its answers name it; seconds.
+        per_s: Requests a second; None for no limit.
+    """
+
+    at: float
+    per_s: float | None
+
+
 class Violation(NamedTuple):
     """A promise that was broken.
 
@@ -199,6 +212,7 @@
         unheard: Lives of processes whose logs may lack their last lines.
         deadly: Bodies under which targets end.
         quotas: Of tenants that have one, in the order of their writing.
+        limits: Of targets that named one, in the order of their naming.
     """
 
     bounds: Bounds
@@ -216,6 +230,7 @@
     unheard: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     deadly: set[bytes] = dataclasses.field(default_factory=set)
     quotas: dict[str, list[QuotaLife]] = dataclasses.field(default_factory=dict)
+    limits: dict[str, list[LimitLife]] = dataclasses.field(default_factory=dict)
 
     def disturbed(self, subject: str, begin: float, end: float) -> bool:
         """Returns whether any fault touched a subject within a time."""
--- a/hillthread/bench/gateway_soak/quota_verdict.py
+++ b/hillthread/bench/gateway_soak/quota_verdict.py
@@ -22,7 +22,7 @@
     """Returns each tenant that ran more in some window than it may."""
     runs = _runs(evidence)
     for tenant, quotas in evidence.quotas.items():
-        detail = _worst(evidence, quotas, runs[tenant])
+        detail = _worst(evidence, quotas, runs.get(tenant, []))
         if detail:
             yield evidence_lib.Violation("quota", tenant, detail)
 
--- a/hillthread/bench/gateway_soak/regressions.py
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -29,7 +29,11 @@
     engines: int = 3
     callers: int = 8
     faults: tuple[str, ...] = ()
-    without: tuple[str, ...] = ("target_starts_again", "request_ends_targets")
+    without: tuple[str, ...] = (
+        "target_starts_again",
+        "request_ends_targets",
+        "target_names_limit",
+    )
 
 
 _PLAIN_ANSWER = (
@@ -126,5 +130,5 @@
     Regression(9103, 20.0, _STARVED),
     Regression(9202, 20.0, _STARVED),
     Regression(9408, 20.0, _STARVED),
-    Regression(7207, 20.0, _NO_PACKETS, without=()),
+    Regression(7207, 20.0, _NO_PACKETS, without=("target_names_limit",)),
 )
--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -355,6 +355,12 @@
         target.link.heal()
         await target.link.reset()
 
+    def name_limit(self, target: LinkedTarget, per_s: float | None) -> None:
+        """Has a target's answers name a limit from now on, or none."""
+        target.limit_per_s = per_s
+        life = evidence_lib.LimitLife(time.monotonic(), per_s)
+        self.evidence.limits.setdefault(target.name, []).append(life)
+
     # Processes.
 
     def start_process(self, host: SoakHost) -> None:
--- a/hillthread/bench/gateway_soak/target_faults.py
+++ b/hillthread/bench/gateway_soak/target_faults.py
@@ -17,6 +17,9 @@
 _SLOW_LOAD_S = (0.3, 2.5)
 # Some outlast the bound on starts on older weights.
 _DISOBEDIENT_S = (2.0, 14.0)
+# Some are far below what callers ask of a target, some hardly.
+_LIMITS_PER_S = (0.5, 2.0, 8.0)
+_LIMITED_S = (5.0, 9.0)
 _BEHAVIOURS: tuple[platform_target.Behaviour, ...] = (
     platform_target.Refuse(),
     platform_target.Fail(),
@@ -58,6 +61,7 @@
             self.address_reused,
             self.engine_disobeys,
             self.engines_disobey,
+            self.target_names_limit,
         )
 
     async def target_misbehaves(self) -> None:
@@ -151,6 +155,17 @@
                 if target.service == _ENGINES:
                     tasks.start_soon(self._disobey, target)
 
+    async def target_names_limit(self) -> None:
+        """A target in need names a limit, another one, and none any more."""
+        target = self.injector.target()
+        if target is None or target.limit_per_s is not None:
+            return
+        for _ in range(self.injector.random.randint(1, 2)):
+            limit_per_s = self.injector.random.choice(_LIMITS_PER_S)
+            self.stage.name_limit(target, limit_per_s)
+            await anyio.sleep(self.injector.between(_LIMITED_S))
+        self.stage.name_limit(target, None)
+
     async def _disobey(self, engine: stage_lib.LinkedTarget) -> None:
         match self.injector.random.choice(("refuse", "late", "slow")):
             case "refuse":
--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from hillthread.bench.gateway_soak import evidence as evidence_lib
+from hillthread.bench.gateway_soak import limit_verdict
 from hillthread.bench.gateway_soak import quota_verdict
 from hillthread.bench.gateway_soak import weights_verdict
 from hillthread.platform import names
@@ -101,6 +102,7 @@
         if self.strict_time:
             found += list(self._deadly())
             found += list(quota_verdict.violations(self.evidence))
+            found += list(limit_verdict.violations(self.evidence))
         return found
 
     def _unknown(self, request_id: str) -> str:
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -189,12 +189,12 @@
     """A request that reached the target.
 
     Attributes:
+        request_id: As it came.
         at: Seconds on the steady clock.
-        limit_per_s: What the target named then; None for no limit.
     """
 
+    request_id: str
     at: float
-    limit_per_s: float | None
 
 
 class Order(NamedTuple):
@@ -353,7 +353,8 @@
         request: http1_server.CallerRequest,
         answer: http1_server.CallerAnswer,
     ) -> None:
-        self.arrivals.append(Arrival(time.monotonic(), self.limit_per_s))
+        request_id = request.get(b"x-request-id").decode()
+        self.arrivals.append(Arrival(request_id, time.monotonic()))
         if self._has_other_weights(request) or self.busy:
             status = 503 if self.busy else 421
             await self._refuse(request, answer, status)
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -108,6 +108,14 @@
 
 
 def keeps_a_quota_on_each_host():
+    _hear_nothing_of_use()
+
+
+def keeps_a_limit_on_each_host():
+    _hear_nothing_of_use()
+
+
+def _hear_nothing_of_use():
     quota_ledger.QuotaLedger.part = lambda self, now: 1.0
     quota_ledger.QuotaLedger.take = lambda self, added, now: None
 
@@ -126,6 +134,7 @@
         starts_on_any_weights,
         sends_on_what_ends_targets,
         keeps_a_quota_on_each_host,
+        keeps_a_limit_on_each_host,
     )
 }
 
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -23,13 +23,15 @@
 
 
 # Bounds in seconds that are judged here, as broken gateways break them by far.
-BOUNDS = ("key_kept", "old_weights", "budget", "quota")
+BOUNDS = ("key_kept", "old_weights", "budget", "quota", "limit")
 VERSION_S = 2.0
 # A tenth of what callers ask. Two hosts that each keep the whole of it send
 # 20,000 tokens in a window, where limit, share and slack come to 21,000: that
-# may be anything. Four send 40,000.
+# may be anything. Four send 40,000. Of a target's limit four send as much
+# more than they may.
 QUOTA_PER_S = 2_000.0
-QUOTA_HOSTS = 4
+SHARED = ("quota", "limit")
+SHARING_HOSTS = 4
 HOSTS = 2
 
 
@@ -59,6 +61,7 @@
     ),
     "sends_on_what_ends_targets": Case("request_ends_targets", "budget"),
     "keeps_a_quota_on_each_host": Case("key_changes", "quota"),
+    "keeps_a_limit_on_each_host": Case("target_names_limit", "limit"),
 }
 
 
@@ -113,7 +116,7 @@
     plan = runner.SoakPlan(
         SEED,
         seconds=MUTANT_S,
-        hosts=QUOTA_HOSTS if case.promise == "quota" else HOSTS,
+        hosts=SHARING_HOSTS if case.promise in SHARED else HOSTS,
         faults=tuple(case.faults.split(",")),
         strict_time=case.promise in BOUNDS,
         module="tests.bench.mutant_gateway",
