Keep no more idle connections than a target bears from all hosts

Looking for the cause of the limits elsewhere: `max_connections`, what a target takes from all hosts together, was read from the configuration and kept by nobody. Each host kept up to 64 idle connections to each target, whatever the number of hosts; beyond its number a target resets connections, also those that carry requests.

Three hosts that had sent 8 requests each at once to a target that takes 12 kept 24 connections to it (test failed first); they keep its half now, shared by the hosts listed, one each at least. Where no number is told 64 stay. The other half is for requests under way, which are not refused for it.

Ruled out: a share for each host of all connections, in use too: it would refuse requests that other hosts' unused shares could carry. Callbacks of an attempt stand in one type, so that its constructor stays short.

--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import anyio
 import anyio.abc
@@ -17,12 +18,26 @@
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
-__all__ = ["Attempt"]
+__all__ = ["Attempt", "Callbacks"]
 
 # Answers up to this size are checked whole before any of it is relayed.
 _WHOLE_BYTES = 262_144
 
 
+class Callbacks(NamedTuple):
+    """What an attempt asks and tells whoever makes it.
+
+    Attributes:
+        note_head: Told what the head of the answer said, if it is one to this
+            request.
+        claim_retry: Charges the retry budget for an attempt after this one;
+            returns whether there may be one.
+    """
+
+    note_head: Callable[[attempts.AnswerMeaning], None]
+    claim_retry: Callable[[], bool]
+
+
 class Attempt:
     """Sends a request to a target once.
 
@@ -33,14 +48,12 @@
         request: The caller's request.
         plan: What is asked of the target.
         relay: Where events go.
+        most_idle: Connections to the target that this host keeps.
         meaning: What the head of the answer said; None before it came.
         reused: Whether it went over a kept connection.
         sent: Whether any of it may have reached the target.
         target: Where it goes.
-        note_head: Told what the head of the answer said, if it is one to this
-            request.
-        claim_retry: Charges the retry budget for an attempt after this one;
-            returns whether there may be one.
+        callbacks: What it asks and tells whoever makes it.
         heard_at: Seconds, when the target last sent anything of its answer.
         connected_at: Seconds, when its connection came up.
         connection: To the target, once there is one.
@@ -58,8 +71,8 @@
         request: intake.GatewayRequest,
         plan: attempt_plan.AttemptPlan,
         relay: event_relay.EventRelay,
-        note_head: Callable[[attempts.AnswerMeaning], None],
-        claim_retry: Callable[[], bool],
+        most_idle: int,
+        callbacks: Callbacks,
     ):
         self.pool = pool
         self.tasks = tasks
@@ -67,12 +80,12 @@
         self.request = request
         self.plan = plan
         self.relay = relay
+        self.most_idle = most_idle
         self.meaning: attempts.AnswerMeaning | None = None
         self.reused = False
         self.sent = False
         self.target = plan.target
-        self.note_head = note_head
-        self.claim_retry = claim_retry
+        self.callbacks = callbacks
         self.heard_at = 0.0
         self.connected_at = 0.0
         self.connection: http1_client.ClientConnection | None = None
@@ -111,7 +124,7 @@
             self.monitor.attempts.discard(self)
             # Closing takes no time, and must not lose an answer that is here.
             with anyio.CancelScope(shield=True):
-                await self.pool.give_back(connection)
+                await self.pool.give_back(connection, self.most_idle)
 
     def give_up(self, reason: str) -> bool:
         """Ends the attempt as lost if another can follow; returns whether.
@@ -120,7 +133,7 @@
         Only the target's connection is closed: a write to the caller that is
         under way must not be cut, since another attempt may go on after it.
         """
-        if self.given_up or not self.claim_retry():
+        if self.given_up or not self.callbacks.claim_retry():
             return False
         self.given_up = reason
         if self.connection is not None:
@@ -157,7 +170,7 @@
         if wrong:
             connection.told_close = True
             return outcome_lib.Lost(wrong)
-        self.note_head(self.meaning)
+        self.callbacks.note_head(self.meaning)
         if self.meaning.not_run:
             await self._pass_over_body(connection)
             return outcome_lib.NotRun(head.status, self.meaning)
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -26,6 +26,7 @@
 from hillthread.platform import attempts
 from hillthread.protocol import work_notice
 from hillthread.state import aim_admission
+from hillthread.state import objects
 from hillthread.state import quarantine
 from hillthread.state import target_state
 from hillthread.transport import http1_client
@@ -38,6 +39,9 @@
 # A target that refuses for its weights twice is not what it is taken for.
 _MAX_MISMATCHES = 2
 _OVERLOAD_RETRY_S = 0.25
+# Of the connections that a target takes from all hosts together; it resets
+# further ones, and the rest is for those that carry requests.
+_IDLE_SHARE = 0.5
 # Ends of attempts that have surely not run.
 _NOT_RUN = (outcome_lib.NotRun, outcome_lib.Unsent)
 # Statuses that promise that a request has not run.
@@ -211,8 +215,11 @@
             request,
             planned.plan,
             self.relay,
-            lambda meaning: self._note_head(planned, state, meaning),
-            lambda: self._claim_retry(planned),
+            self._most_idle(planned.pool),
+            attempt_lib.Callbacks(
+                lambda meaning: self._note_head(planned, state, meaning),
+                lambda: self._claim_retry(planned),
+            ),
         )
         state.begin(now, planned.attempt, planned.estimate.read_tokens)
         self.tools.quotas.charge(request)
@@ -246,6 +253,13 @@
             if self.is_suspect:
                 self.tools.chooser.part_suspect(target.name)
 
+    def _most_idle(self, pool: objects.Pool) -> int:
+        """Returns how many connections to a target this host may keep."""
+        if not pool.max_connections:
+            return http1_client.MOST_IDLE
+        part = pool.max_connections * _IDLE_SHARE / self.site.hosts
+        return max(1, min(http1_client.MOST_IDLE, int(part)))
+
     def _note_head(
         self,
         planned: chooser_lib.Planned,
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -18,12 +18,14 @@
     "ClientConnection",
     "ClientRequest",
     "ConnectionPool",
+    "MOST_IDLE",
     "WholeAnswer",
     "call",
 ]
 
 _MAX_HEAD_BYTES = 65_536
-_MAX_IDLE = 64
+# Connections kept to one address, where nothing tells what its peer bears.
+MOST_IDLE = 64
 # How long a kept connection may have rested for a request that may not be
 # repeated; less once one turned out dead, and slowly more again.
 _LONGEST_TRUST_S = 2.5
@@ -334,10 +336,17 @@
         """Notes that a kept connection carried a request."""
         self.trust_s = min(_LONGEST_TRUST_S, self.trust_s * _TRUST_GAIN)
 
-    async def give_back(self, connection: ClientConnection) -> None:
-        """Keeps a connection whose exchange ended cleanly, else closes it."""
+    async def give_back(
+        self, connection: ClientConnection, most_idle: int = MOST_IDLE
+    ) -> None:
+        """Keeps a connection whose exchange ended cleanly, else closes it.
+
+        Args:
+            connection: It.
+            most_idle: Connections kept to its address, this one included.
+        """
         kept = self.idle.setdefault(connection.address, collections.deque())
-        if connection.can_be_kept() and len(kept) < _MAX_IDLE:
+        if connection.can_be_kept() and len(kept) < most_idle:
             connection.used_at = anyio.current_time()
             self.keep_told[f"{connection.keep_s:.1f}"] += 1
             kept.append(connection)
