Tell no more of a trial that has ended

Cause: hosts tell of a trial three times in 0.4 s. When the trial ends its target at once, word of the end goes out before the last two of these; each then counted as a new trial, for which all hosts wait 2 s.

Mend: what is told again is told only while it is still true at the host that tells it.

--- a/hillthread/coordination/gateway/serving/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -294,7 +294,19 @@
     ) -> None:
         for pause_s in _TELL_AGAIN_S:
             await anyio.sleep(pause_s)
-            self.work.tell_suspects(notices)
+            self.work.tell_suspects(
+                [each for each in notices if self._holds_still(each)]
+            )
+
+    def _holds_still(self, notice: work_notice.SuspectNotice) -> bool:
+        """Returns whether a notice is still true.
+
+        Word of a trial that follows the word of its end would have all hosts
+        wait for it once more.
+        """
+        if notice.word is not work_notice.SuspectWord.TRIED:
+            return True
+        return self.site.quarantine.is_tried(notice.digest, clock.now())
 
     async def _store(self, digest: str, value: bytes) -> None:
         """Writes a record, or removes it; hosts that hold it know it anyway."""
--- a/hillthread/state/quarantine.py
+++ b/hillthread/state/quarantine.py
@@ -160,6 +160,11 @@
         if record is not None:
             record.trial_until = now + _TRIAL_S
 
+    def is_tried(self, digest: str, now: float) -> bool:
+        """Returns whether some host tries a suspect at this moment."""
+        record = self._records.get(digest)
+        return record is not None and now < record.trial_until
+
     def note_cut(self, digest: str, incarnation: int, now: float) -> None:
         """Notes a request whose connection to a target was cut.
 
--- a/tests/state/test_quarantine.py
+++ b/tests/state/test_quarantine.py
@@ -58,6 +58,15 @@
         self.assertGreater(known.standing(DEADLY, T0 + 10.1).held_s, 1.0)
         self.assertEqual(known.standing(DEADLY, T0 + 12.1).held_s, 0.0)
 
+    def test_trial_is_over_with_the_next_end(self):
+        known = after_ends([DEADLY], [DEADLY])
+        self.assertFalse(known.is_tried(DEADLY, T0 + 10.0))
+        known.begin_trial(DEADLY, T0 + 10.0)
+        self.assertTrue(known.is_tried(DEADLY, T0 + 10.1))
+        known.note_end(DEADLY, 2, T0 + 10.2)
+        self.assertFalse(known.is_tried(DEADLY, T0 + 10.3))
+        self.assertFalse(known.is_tried(OTHER, T0 + 10.3))
+
     def test_suspects_are_forgotten_with_time(self):
         for ends, kept_s in ((1, 60.0), (2, 60.0), (3, 3600.0)):
             with self.subTest(ends=ends):
