--- a/hillthread/coordination/gateway/peers/work_feed.py
+++ b/hillthread/coordination/gateway/peers/work_feed.py
@@ -27,7 +27,6 @@
 import logging
 import random
 import socket
-from typing import TypeVar
 
 import anyio
 
@@ -61,8 +60,6 @@
 # Prompts with less to read than this, 25 ms, hardly change a queue.
 _LEAST_TOKENS = 1_000
 
-_Notice = TypeVar("_Notice")
-
 _logger = logging.getLogger("hillthread.work")
 
 
@@ -146,7 +143,7 @@
 
     def tell_suspects(self, notices: list[work_notice.SuspectNotice]) -> None:
         """Tells of requests under which targets end, once and at once."""
-        for some in _pages(notices, work_notice.MAX_SUSPECT_NOTICES):
+        for some in work_notice.pages(notices, work_notice.MAX_SUSPECT_NOTICES):
             self._tell_directly(suspects=some)
 
     def tell_usage(self) -> None:
@@ -305,19 +302,19 @@
     def _hand_on(self) -> None:
         """Hands on what hosts have sent, and what is known of targets."""
         weights, self._weights = self._weights, []
-        for some in _pages(weights, work_notice.MAX_WORK_NOTICES):
+        for some in work_notice.pages(weights, work_notice.MAX_WORK_NOTICES):
             self._tell_directly(weights=some)
-        told_limits, self._limits = self._limits, []
-        for some in _pages(told_limits, work_notice.MAX_LIMIT_NOTICES):
+        named, self._limits = self._limits, []
+        for some in work_notice.pages(named, work_notice.MAX_LIMIT_NOTICES):
             self._tell_directly(limits=some)
         own, self._own_part = self._own_part, []
         others, self._others_part = self._others_part, []
         own_usage, others_usage = self._usage_to_hand_on()
         uses = work_notice.PacketUse
-        for packet in _packets(uses.SPREAD, own, own_usage):
+        for packet in work_notice.packets(uses.SPREAD, own, own_usage):
             self._send(packet, self.gatherer.elsewhere())
         usage = own_usage + others_usage
-        for packet in _packets(uses.TAKE, own + others, usage):
+        for packet in work_notice.packets(uses.TAKE, own + others, usage):
             self._send(packet, self.gatherer.neighbours())
 
     def _usage_to_hand_on(
@@ -412,32 +409,3 @@
 def _ignore(told: object) -> None:
     """Stands for nobody who wants to know."""
     del told
-
-
-def _pages(notices: list[_Notice], size: int) -> list[list[_Notice]]:
-    """Returns notices in parts that a packet carries."""
-    return [
-        notices[start : start + size] for start in range(0, len(notices), size)
-    ]
-
-
-def _packets(
-    use: work_notice.PacketUse,
-    notices: list[work_notice.WorkNotice],
-    usage: list[usage_exchange.UsageNotice],
-) -> list[work_notice.Packet]:
-    """Returns notices in packets that any link carries.
-
-    What is told of use goes with the last of the work where there is room.
-    """
-    packets = [
-        work_notice.Packet(use, some, [])
-        for some in _pages(notices, work_notice.MAX_WORK_NOTICES)
-    ]
-    for notice in usage:
-        if packets and work_notice.has_room(packets[-1], notice):
-            told = [*packets[-1].usage, notice]
-            packets[-1] = packets[-1]._replace(usage=told)
-        else:
-            packets.append(work_notice.Packet(use, [], [], usage=[notice]))
-    return packets
--- a/hillthread/coordination/gateway/serving/dispatcher.py
+++ b/hillthread/coordination/gateway/serving/dispatcher.py
@@ -20,6 +20,7 @@
 from hillthread.coordination.gateway.serving import quarantine_keeper
 from hillthread.coordination.gateway.serving import quota_keeper
 from hillthread.coordination.gateway.serving import reach_monitor
+from hillthread.coordination.gateway.serving import sender as sender_lib
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
@@ -91,7 +92,7 @@
             quarantine.target_ended, evidence="nobody listens there"
         )
         self.chooser = chooser_lib.Chooser(site, pool, limits)
-        self.tools = job_lib.JobTools(
+        self.tools = sender_lib.JobTools(
             site,
             metrics,
             pool,
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -3,87 +3,36 @@
 from __future__ import annotations
 
 import collections
-from typing import NamedTuple
-
-import anyio.abc
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.coordination.gateway import metrics as metrics_lib
-from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway.peers import work_feed
-from hillthread.coordination.gateway.serving import attempt as attempt_lib
-from hillthread.coordination.gateway.serving import cache_source
 from hillthread.coordination.gateway.serving import chooser as chooser_lib
 from hillthread.coordination.gateway.serving import event_relay
 from hillthread.coordination.gateway.serving import intake
-from hillthread.coordination.gateway.serving import learning
-from hillthread.coordination.gateway.serving import limit_keeper
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
-from hillthread.coordination.gateway.serving import quarantine_keeper
-from hillthread.coordination.gateway.serving import quota_keeper
-from hillthread.coordination.gateway.serving import reach_monitor
+from hillthread.coordination.gateway.serving import sender as sender_lib
 from hillthread.platform import attempts
-from hillthread.protocol import work_notice
 from hillthread.state import aim_admission
-from hillthread.state import objects
 from hillthread.state import quarantine
-from hillthread.state import target_state
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
-__all__ = ["Job", "JobTools"]
+__all__ = ["Job"]
 
 # Sends of one request at most, those that targets refused included.
 _MAX_SENDS = 5
 # A target that refuses for its weights twice is not what it is taken for.
 _MAX_MISMATCHES = 2
 _OVERLOAD_RETRY_S = 0.25
-# Of the connections that a target takes from all hosts together; it resets
-# further ones, and the rest is for those that carry requests.
-_IDLE_SHARE = 0.5
-# Ends of attempts that have surely not run.
-_NOT_RUN = (outcome_lib.NotRun, outcome_lib.Unsent)
 # Statuses that promise that a request has not run.
 _PROMISES = (408, 421, 429, 503)
 
 
-class JobTools(NamedTuple):
-    """What all jobs share.
-
-    Attributes:
-        site: The host's beliefs.
-        metrics: What is counted.
-        pool: Connections to targets.
-        tasks: Where long bodies are sent.
-        chooser: Chooses targets.
-        monitor: Finds out which targets can be reached.
-        learner: Takes in what attempts tell.
-        work: Tells other hosts of work sent to engines.
-        quarantine: Knows requests under which targets ended.
-        quotas: Counts what is sent for organisations.
-        limits: Counts what is sent to targets.
-    """
-
-    site: site_lib.Site
-    metrics: metrics_lib.GatewayMetrics
-    pool: http1_client.ConnectionPool
-    tasks: anyio.abc.TaskGroup
-    chooser: chooser_lib.Chooser
-    monitor: reach_monitor.ReachMonitor
-    learner: learning.Learner
-    work: work_feed.WorkFeed
-    quarantine: quarantine_keeper.QuarantineKeeper
-    quotas: quota_keeper.QuotaKeeper
-    limits: limit_keeper.LimitKeeper
-
-
 class Job:
     """One request on its way.
 
     Attributes:
-        sends: Attempts so far.
-        runs: Attempts that may have run.
+        sender: Makes the attempts.
         tried: Targets not to be taken again.
         mismatches: How often each target refused for its weights.
         last_answer: A target's whole answer, to be relayed: the one wanted,
@@ -95,7 +44,7 @@
 
     def __init__(
         self,
-        tools: JobTools,
+        tools: sender_lib.JobTools,
         request: intake.GatewayRequest,
         answer: http1_server.CallerAnswer,
     ):
@@ -105,8 +54,9 @@
         self.request = request
         self.answer = answer
         self.relay = event_relay.EventRelay(answer)
-        self.sends = 0
-        self.runs = 0
+        self.sender = sender_lib.Sender(
+            tools, request, self.relay, self._claim_retry
+        )
         self.tried: set[str] = set()
         self.mismatches: collections.Counter[str] = collections.Counter()
         self.last_answer: http1_client.WholeAnswer | None = None
@@ -114,6 +64,16 @@
         self.is_suspect = False
         self.tries_suspect = False
 
+    @property
+    def sends(self) -> int:
+        """Attempts so far."""
+        return self.sender.sends
+
+    @property
+    def runs(self) -> int:
+        """Attempts that may have run."""
+        return self.sender.runs
+
     def run_state(self) -> errors.RunState:
         """Returns whether the request has run, as far as it is known."""
         if self.runs == 0:
@@ -130,7 +90,7 @@
             BrokenAnswerError: Its answer cannot be completed.
         """
         while (planned := self._plan()) is not None:
-            result = await self._attempt(planned)
+            result = await self.sender.send(planned, self.is_suspect)
             if not self._goes_on(result, planned):
                 return
 
@@ -194,101 +154,6 @@
                 self.run_state(),
             )
 
-    async def _attempt(
-        self, planned: chooser_lib.Planned
-    ) -> outcome_lib.Outcome:
-        request = self.request
-        target = planned.plan.target
-        state = self.site.state(target.name)
-        now = clock.now()
-        sent = self.tools.quarantine.sent_to(target.name)
-        if self.is_suspect:
-            self.tools.chooser.suspects_on[target.name] += 1
-        if self.sends == 0:
-            self.site.budget(planned.pool.name).deposit(now)
-        self.sends += 1
-        planned = planned._replace(attempt=f"{request.request_id}/{self.sends}")
-        attempt = attempt_lib.Attempt(
-            self.tools.pool,
-            self.tools.tasks,
-            self.tools.monitor,
-            request,
-            planned.plan,
-            self.relay,
-            self._most_idle(planned.pool),
-            attempt_lib.Callbacks(
-                lambda meaning: self._note_head(planned, state, meaning),
-                lambda: self._claim_retry(planned),
-            ),
-        )
-        state.begin(now, planned.attempt, planned.estimate.read_tokens)
-        self.tools.quotas.charge(request)
-        self.tools.limits.charge(target.name)
-        self._tell(planned)
-        first_byte = learning.FirstByte(
-            self.tools.learner, request, planned, state, now
-        )
-        self.relay.begun = first_byte.note
-        result: outcome_lib.Outcome | None = None
-        try:
-            result = await attempt.run()
-            return result
-        finally:
-            may_have_run = attempt.sent and not isinstance(result, _NOT_RUN)
-            self.runs += may_have_run
-            if not may_have_run:
-                self.tools.quotas.give_back(request)
-            if not attempt.sent:
-                self.tools.limits.give_back(target.name)
-            if isinstance(result, outcome_lib.Whole):
-                first_byte.note()
-            first_byte.note_none()
-            # A trial of an ejected target has to tell before it ends.
-            self.tools.learner.learn(attempt, state, result, now)
-            self.tools.quarantine.learn(request, sent, result, attempt.cut)
-            if attempt.cut:
-                # Whether the target has ended decides what may follow.
-                self.tools.monitor.find_out(target)
-            state.end(planned.attempt)
-            if self.is_suspect:
-                self.tools.chooser.part_suspect(target.name)
-
-    def _most_idle(self, pool: objects.Pool) -> int:
-        """Returns how many connections to a target this host may keep."""
-        if not pool.max_connections:
-            return http1_client.MOST_IDLE
-        part = pool.max_connections * _IDLE_SHARE / self.site.hosts
-        return max(1, min(http1_client.MOST_IDLE, int(part)))
-
-    def _note_head(
-        self,
-        planned: chooser_lib.Planned,
-        state: target_state.TargetState,
-        meaning: attempts.AnswerMeaning,
-    ) -> None:
-        """Takes in what an answer tells of its target before its end."""
-        name = planned.plan.target.name
-        # One that has started again since has told nothing yet.
-        if self.site.states.get(name) is state:
-            self.tools.limits.learn(name, meaning)
-
-    def _tell(self, planned: chooser_lib.Planned) -> None:
-        """Notes and tells other hosts that an engine gets a prompt."""
-        parts = self.request.prompt.parts
-        if not parts:
-            return
-        target = planned.plan.target.name
-        notice = work_notice.WorkNotice(
-            self.site.targets.key_of(target),
-            planned.estimate.read_tokens,
-            work_notice.checksum(planned.plan.cache_scope),
-            cache_source.shared_parts(self.request),
-            parts[-1].tokens,
-            0,
-        )
-        self.site.note_prompt(target, notice)
-        self.tools.work.tell(notice)
-
     def _goes_on(
         self, result: outcome_lib.Outcome, planned: chooser_lib.Planned
     ) -> bool:
--- /dev/null
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -0,0 +1,249 @@
+"""Sends one request's attempts, and tells all who count what is sent."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio.abc
+
+from hillthread import clock
+from hillthread.coordination.gateway import metrics as metrics_lib
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.peers import work_feed
+from hillthread.coordination.gateway.serving import attempt as attempt_lib
+from hillthread.coordination.gateway.serving import cache_source
+from hillthread.coordination.gateway.serving import chooser as chooser_lib
+from hillthread.coordination.gateway.serving import event_relay
+from hillthread.coordination.gateway.serving import intake
+from hillthread.coordination.gateway.serving import learning
+from hillthread.coordination.gateway.serving import limit_keeper
+from hillthread.coordination.gateway.serving import outcome as outcome_lib
+from hillthread.coordination.gateway.serving import quarantine_keeper
+from hillthread.coordination.gateway.serving import quota_keeper
+from hillthread.coordination.gateway.serving import reach_monitor
+from hillthread.platform import attempts
+from hillthread.protocol import work_notice
+from hillthread.state import objects
+from hillthread.state import target_state
+from hillthread.transport import http1_client
+
+__all__ = ["JobTools", "Sender"]
+
+# Of the connections that a target takes from all hosts together; it resets
+# further ones, and the rest is for those that carry requests.
+_IDLE_SHARE = 0.5
+# Ends of attempts that have surely not run.
+_NOT_RUN = (outcome_lib.NotRun, outcome_lib.Unsent)
+
+
+class JobTools(NamedTuple):
+    """What all jobs share.
+
+    Attributes:
+        site: The host's beliefs.
+        metrics: What is counted.
+        pool: Connections to targets.
+        tasks: Where long bodies are sent.
+        chooser: Chooses targets.
+        monitor: Finds out which targets can be reached.
+        learner: Takes in what attempts tell.
+        work: Tells other hosts of work sent to engines.
+        quarantine: Knows requests under which targets ended.
+        quotas: Counts what is sent for organisations.
+        limits: Counts what is sent to targets.
+    """
+
+    site: site_lib.Site
+    metrics: metrics_lib.GatewayMetrics
+    pool: http1_client.ConnectionPool
+    tasks: anyio.abc.TaskGroup
+    chooser: chooser_lib.Chooser
+    monitor: reach_monitor.ReachMonitor
+    learner: learning.Learner
+    work: work_feed.WorkFeed
+    quarantine: quarantine_keeper.QuarantineKeeper
+    quotas: quota_keeper.QuotaKeeper
+    limits: limit_keeper.LimitKeeper
+
+
+class _Sending(NamedTuple):
+    """An attempt while it is under way.
+
+    Attributes:
+        planned: What is sent, and where to.
+        attempt: It.
+        state: Of its target, from when it began.
+        first_byte: Notes its first byte.
+        sent_to: The start of the target that it reaches.
+        is_suspect: Targets may end under it.
+    """
+
+    planned: chooser_lib.Planned
+    attempt: attempt_lib.Attempt
+    state: target_state.TargetState
+    first_byte: learning.FirstByte
+    sent_to: quarantine_keeper.SentTo
+    is_suspect: bool
+
+
+class Sender:
+    """Makes the attempts of one request.
+
+    Attributes:
+        request: The caller's request.
+        relay: Where events of answers go.
+        claim_retry: Charges the retry budget for an attempt after a planned
+            one; returns whether there may be one.
+        sends: Attempts so far.
+        runs: Attempts that may have run.
+    """
+
+    def __init__(
+        self,
+        tools: JobTools,
+        request: intake.GatewayRequest,
+        relay: event_relay.EventRelay,
+        claim_retry: Callable[[chooser_lib.Planned], bool],
+    ):
+        self.tools = tools
+        self.site = tools.site
+        self.request = request
+        self.relay = relay
+        self.claim_retry = claim_retry
+        self.sends = 0
+        self.runs = 0
+
+    async def send(
+        self, planned: chooser_lib.Planned, is_suspect: bool
+    ) -> outcome_lib.Outcome:
+        """Makes an attempt; returns how it ended.
+
+        Args:
+            planned: What is sent, and where to.
+            is_suspect: Targets may end under it.
+        """
+        name = planned.plan.target.name
+        now = clock.now()
+        if self.sends == 0:
+            self.site.budget(planned.pool.name).deposit(now)
+        self.sends += 1
+        number = f"{self.request.request_id}/{self.sends}"
+        planned = planned._replace(attempt=number)
+        state = self.site.state(name)
+        first_byte = learning.FirstByte(
+            self.tools.learner, self.request, planned, state, now
+        )
+        sending = _Sending(
+            planned,
+            self._attempt(planned, state),
+            state,
+            first_byte,
+            self.tools.quarantine.sent_to(name),
+            is_suspect,
+        )
+        self._begin(sending)
+        result: outcome_lib.Outcome | None = None
+        try:
+            result = await sending.attempt.run()
+            return result
+        finally:
+            self._end(sending, result)
+
+    def _attempt(
+        self, planned: chooser_lib.Planned, state: target_state.TargetState
+    ) -> attempt_lib.Attempt:
+        return attempt_lib.Attempt(
+            self.tools.pool,
+            self.tools.tasks,
+            self.tools.monitor,
+            self.request,
+            planned.plan,
+            self.relay,
+            self._most_idle(planned.pool),
+            attempt_lib.Callbacks(
+                lambda meaning: self._note_head(planned, state, meaning),
+                lambda: self.claim_retry(planned),
+            ),
+        )
+
+    def _begin(self, sending: _Sending) -> None:
+        """Counts an attempt that is about to be sent."""
+        planned = sending.planned
+        name = planned.plan.target.name
+        if sending.is_suspect:
+            self.tools.chooser.suspects_on[name] += 1
+        sending.state.begin(
+            sending.first_byte.started,
+            planned.attempt,
+            planned.estimate.read_tokens,
+        )
+        self.tools.quotas.charge(self.request)
+        self.tools.limits.charge(name)
+        self._tell(planned)
+        self.relay.begun = sending.first_byte.note
+
+    def _end(
+        self, sending: _Sending, result: outcome_lib.Outcome | None
+    ) -> None:
+        """Takes in how an attempt ended; None when nobody waited any more."""
+        attempt = sending.attempt
+        target = sending.planned.plan.target
+        may_have_run = attempt.sent and not isinstance(result, _NOT_RUN)
+        self.runs += may_have_run
+        if not may_have_run:
+            self.tools.quotas.give_back(self.request)
+        if not attempt.sent:
+            self.tools.limits.give_back(target.name)
+        if isinstance(result, outcome_lib.Whole):
+            sending.first_byte.note()
+        sending.first_byte.note_none()
+        # A trial of an ejected target has to tell before it ends.
+        self.tools.learner.learn(
+            attempt, sending.state, result, sending.first_byte.started
+        )
+        self.tools.quarantine.learn(
+            self.request, sending.sent_to, result, attempt.cut
+        )
+        if attempt.cut:
+            # Whether the target has ended decides what may follow.
+            self.tools.monitor.find_out(target)
+        sending.state.end(sending.planned.attempt)
+        if sending.is_suspect:
+            self.tools.chooser.part_suspect(target.name)
+
+    def _most_idle(self, pool: objects.Pool) -> int:
+        """Returns how many connections to a target this host may keep."""
+        if not pool.max_connections:
+            return http1_client.MOST_IDLE
+        part = pool.max_connections * _IDLE_SHARE / self.site.hosts
+        return max(1, min(http1_client.MOST_IDLE, int(part)))
+
+    def _note_head(
+        self,
+        planned: chooser_lib.Planned,
+        state: target_state.TargetState,
+        meaning: attempts.AnswerMeaning,
+    ) -> None:
+        """Takes in what an answer tells of its target before its end."""
+        name = planned.plan.target.name
+        # One that has started again since has told nothing yet.
+        if self.site.states.get(name) is state:
+            self.tools.limits.learn(name, meaning)
+
+    def _tell(self, planned: chooser_lib.Planned) -> None:
+        """Notes and tells other hosts that an engine gets a prompt."""
+        parts = self.request.prompt.parts
+        if not parts:
+            return
+        target = planned.plan.target.name
+        notice = work_notice.WorkNotice(
+            self.site.targets.key_of(target),
+            planned.estimate.read_tokens,
+            work_notice.checksum(planned.plan.cache_scope),
+            cache_source.shared_parts(self.request),
+            parts[-1].tokens,
+            0,
+        )
+        self.site.note_prompt(target, notice)
+        self.tools.work.tell(notice)
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -10,6 +10,7 @@
 import enum
 from typing import Any
 from typing import NamedTuple
+from typing import TypeVar
 import zlib
 
 import cbor2
@@ -34,8 +35,12 @@
     "decode_packet",
     "encode_packet",
     "has_room",
+    "packets",
+    "pages",
 ]
 
+_Notice = TypeVar("_Notice")
+
 # What one packet carries on any link; longer ones are cut off, and passed over.
 MAX_PACKET_BYTES = 1_400
 # Notices of prompts with three shared parts that fit into it.
@@ -200,3 +205,31 @@
             f"The packet of notices is not readable: {error}.",
             "Run the same release on all hosts.",
         ) from error
+
+
+def pages(notices: list[_Notice], size: int) -> list[list[_Notice]]:
+    """Returns notices in parts that a packet carries."""
+    return [
+        notices[start : start + size] for start in range(0, len(notices), size)
+    ]
+
+
+def packets(
+    use: PacketUse,
+    notices: list[WorkNotice],
+    usage: list[usage_exchange.UsageNotice],
+) -> list[Packet]:
+    """Returns notices in packets that any link carries.
+
+    What is told of use goes with the last of the work where there is room.
+    """
+    packed = [
+        Packet(use, some, []) for some in pages(notices, MAX_WORK_NOTICES)
+    ]
+    for notice in usage:
+        if packed and has_room(packed[-1], notice):
+            told = [*packed[-1].usage, notice]
+            packed[-1] = packed[-1]._replace(usage=told)
+        else:
+            packed.append(Packet(use, [], [], usage=[notice]))
+    return packed
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -83,7 +83,7 @@
 
 
 def passes_keys_on():
-    encode = gateway.host_lib.gateway_lib.dispatcher_lib.job_lib.attempt_lib
+    encode = gateway.host_lib.gateway_lib.dispatcher_lib.sender_lib.attempt_lib
     encode.attempts.encode_attempt = _with_key(encode.attempts.encode_attempt)
 
 
