--- a/tests/coordination/gateway/serving/test_explaining.py
+++ b/tests/coordination/gateway/serving/test_explaining.py
@@ -55,6 +55,27 @@
 
         scene_lib.play(story)
 
+    def test_refused_since_all_targets_are_limited(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.limit_per_s = 1.0
+            answer = None
+            while answer is None or answer.head.status == 200:
+                request = scene.request("/once/x")
+                answer = await scene.call(request)
+            self.assertEqual(answer.head.status, 503)
+            told = self.explain(request)
+            self.assertIn("refused with 503 targets_limited", told)
+            self.assertIn("run: not_run", told)
+            self.assertIn("Cause: 2 targets could take the request", told)
+            self.assertIn("p0 limited", told)
+            self.handler.flush()
+            lines = self.path.read_text()
+            self.assertIn('"event":"target_limited"', lines)
+            self.assertIn('"limit_per_s":1.0', lines)
+
+        scene_lib.play(story)
+
     def test_refused_since_a_quota_is_used_up(self):
         async def story(scene):
             quota = {"ratePerS": 100, "burst": 100, "unit": "token_stream"}
