Have fewer callers before broken gateways that need no demand

Traced further: eight callers, each as fast as it is answered, keep the soak's own process busy, which then stands still and excuses its hosts. Three callers now, but for the two that need demand (quota, limit).

--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -34,7 +34,10 @@
 QUOTA_PER_S = 2_000.0
 SHARED = ("quota", "limit")
 SHARING_HOSTS = 4
+SHARING_CALLERS = 8
 HOSTS = 2
+# More of them keep the soak's own process busy, which then excuses hosts.
+CALLERS = 3
 
 
 # A mutant that shows itself ends its run; beside other work it may take long.
@@ -119,6 +122,7 @@
         SEED,
         seconds=MUTANT_S,
         hosts=SHARING_HOSTS if case.promise in SHARED else HOSTS,
+        callers=SHARING_CALLERS if case.promise in SHARED else CALLERS,
         faults=tuple(case.faults.split(",")),
         strict_time=case.promise in BOUNDS,
         module="tests.bench.mutant_gateway",
