Log departures and back-offs that targets announce in their answers

The logs of a host could not show whether an answer had announced that its target leaves, or asked for a back-off and for how long: the adapter did not decode either header. It does now, and the line of an attempt has both, as has `explain`. Unreadable, negative and infinite times count as none; the time of a 503 only is a back-off. Nothing acts on them yet.

--- a/hillthread/coordination/gateway/serving/learning.py
+++ b/hillthread/coordination/gateway/serving/learning.py
@@ -267,4 +267,8 @@
         fields["answered_weights"] = attempt.meaning.weights_version
         if attempt.meaning.limit_per_s is not None:
             fields["limit_per_s"] = attempt.meaning.limit_per_s
+        if attempt.meaning.is_leaving:
+            fields["announced_leaving"] = True
+        if attempt.meaning.backoff_s:
+            fields["backoff_s"] = attempt.meaning.backoff_s
     return fields
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 import math
 from typing import NamedTuple
 
@@ -80,7 +81,9 @@
         incarnation: Who answered; empty when not told.
         weights_version: Weights it ran with; None when not told.
         encoded: The body is not the target's own bytes.
-        retry_after_s: When the target wants to be asked again; 0 if not told.
+        is_leaving: The target is about to end and wants no new work.
+        backoff_s: The target wants no further request from this host for so
+            many seconds; 0 when it asks for no back-off.
         limit_per_s: Requests a second that the target takes from all hosts
             together; None when it names no limit.
     """
@@ -91,7 +94,8 @@
     incarnation: str
     weights_version: int | None
     encoded: bool
-    retry_after_s: float
+    is_leaving: bool
+    backoff_s: float
     limit_per_s: float | None
 
 
@@ -154,8 +158,9 @@
         head.get(names.INCARNATION).decode("latin-1"),
         whole_number(head.get(names.WEIGHTS_VERSION)),
         bool(head.get(b"content-encoding")),
-        _seconds(head.get(names.RETRY_AFTER)),
-        _limit(head.get(names.TARGET_LIMIT)),
+        head.get(names.TARGET_LEAVING).strip() not in (b"", b"0"),
+        _backoff(head),
+        _decimal(head.get(names.TARGET_LIMIT)),
     )
 
 
@@ -213,19 +218,19 @@
     return int(text)
 
 
-def _limit(text: bytes) -> float | None:
-    """Returns a limit; what is unreadable or no rate counts as none."""
+def _backoff(head: http1_client.AnswerHead) -> float:
+    """Returns for how long a target that sheds load asks to be left alone."""
+    if head.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return 0.0
+    return _decimal(head.get(names.RETRY_AFTER)) or 0.0
+
+
+def _decimal(text: bytes) -> float | None:
+    """Returns a finite number of at least 0; None for anything else."""
     if not text or len(text) > _MOST_DIGITS:
         return None
     try:
-        limit = float(text)
+        number = float(text)
     except ValueError:
         return None
-    return limit if math.isfinite(limit) and limit >= 0.0 else None
-
-
-def _seconds(text: bytes) -> float:
-    try:
-        return max(0.0, float(text)) if text else 0.0
-    except ValueError:
-        return 0.0
+    return number if math.isfinite(number) and number >= 0.0 else None
--- a/hillthread/platform/names.py
+++ b/hillthread/platform/names.py
@@ -22,6 +22,7 @@
     "SETTINGS_VARIABLE",
     "SET_BY_SYSTEM",
     "SET_BY_SYSTEM_PREFIXES",
+    "TARGET_LEAVING",
     "TARGET_LIMIT",
     "TENANT",
     "TOKEN_COUNTS",
@@ -43,6 +44,7 @@
 RECEIPT = b"x-response-stamp"
 NOT_RUN = b"x-not-run"
 INCARNATION = b"x-instance-id"
+TARGET_LEAVING = b"server-leaving"
 TARGET_LIMIT = b"server-limit"
 WEIGHTS_VERSION = b"x-weight-versions"
 # An event at which the version changes begins with this field.
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -219,6 +219,10 @@
         told.append("on a kept connection")
     if fields.get("ejected"):
         told.append("the target is ejected")
+    if fields.get("announced_leaving"):
+        told.append("the target announced that it leaves")
+    if fields.get("backoff_s"):
+        told.append(f"the target asked for {fields['backoff_s']} s of back-off")
     return f"{', '.join(told)}, after {fields.get('seconds')} s"
 
 
--- a/tests/coordination/gateway/serving/test_explaining.py
+++ b/tests/coordination/gateway/serving/test_explaining.py
@@ -76,6 +76,19 @@
 
         scene_lib.play(story)
 
+    def test_what_a_target_announced_is_told(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.backoff_s = 2.0
+                target.announces_leaving = True
+            request = scene.request("/once/x")
+            await scene.call(request)
+            told = self.explain(request)
+            self.assertIn("the target announced that it leaves", told)
+            self.assertIn("the target asked for 2.0 s of back-off", told)
+
+        scene_lib.play(story)
+
     def test_refused_since_a_quota_is_used_up(self):
         async def story(scene):
             quota = {"ratePerS": 100, "burst": 100, "unit": "token_stream"}
