Count a failed subtest as its test when known failures are passed over

unittest reports a failed subtest under an id of its own, so a test listed in KNOWN-RED.txt that fails in a subtest counted as a new failure, and its entry as one that passes. Found when a listed test with subtests was about to land; a test of the runner fails without the change.

--- a/tests/tools/test_run_tests.py
+++ b/tests/tools/test_run_tests.py
@@ -22,3 +22,20 @@
     def test_missing_file_lists_nothing(self):
         known = run_tests.read_known_red(pathlib.Path("/nonexistent"))
         self.assertEqual(known, run_tests.KnownRed(frozenset(), frozenset()))
+
+
+class FailedTestsTest(unittest.TestCase):
+    # Guards against a listed test that counts as new because it failed in a
+    # subtest, whose id differs.
+    def test_failed_subtest_stands_for_its_test(self):
+        class Inner(unittest.TestCase):
+            def test_it(self):
+                for number in range(3):
+                    with self.subTest(number=number):
+                        self.assertEqual(number, 0)
+
+        inner = Inner("test_it")
+        result = unittest.TestResult()
+        inner.run(result)
+        self.assertEqual(len(result.failures), 2)
+        self.assertEqual(run_tests.failed_tests(result), {inner.id()})
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -47,6 +47,14 @@
     return KnownRed(frozenset(red), frozenset(flaky))
 
 
+def failed_tests(result: unittest.TestResult) -> set[str]:
+    """Returns the ids of tests that failed, also in a subtest only."""
+    return {
+        getattr(test, "test_case", test).id()
+        for test, _ in result.failures + result.errors
+    }
+
+
 def main() -> int:
     """Returns the exit code."""
     sys.path.insert(0, str(ROOT))
@@ -55,7 +63,7 @@
         str(ROOT / "tests"), pattern, top_level_dir=str(ROOT)
     )
     result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
-    failed = {test.id() for test, _ in result.failures + result.errors}
+    failed = failed_tests(result)
     known = read_known_red(KNOWN_RED)
     for name in sorted(failed & known.red):
         print(f"known red: {name}")
