Send nothing to a target whose answers announced its departure

Callers' requests reached a target up to 13.3 s after one of its answers had told the host that it leaves (2 s are allowed): its record with the new state could not be written while the store was down, and nothing read the header of its answers.

Cause: hosts learned of departures from the list of targets only. Ruled out: an announcement that was read and lost again (no line of one), and retries or resumed streams that went round it (the reported requests went there first).

An answer to a request, and a report, now exclude the target at once, as a record does: for all later attempts, retries and resumed streams, until a later start of it is listed. The announcement is tied to the incarnation to which the request was sent, so that a late answer does not exclude a new start, and it outlasts an entry that goes missing.

--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -131,12 +131,13 @@
         number = f"{self.request.request_id}/{self.sends}"
         planned = planned._replace(attempt=number)
         state = self.site.state(name)
+        incarnation = self.site.targets.key_of(name)
         first_byte = learning.FirstByte(
             self.tools.learner, self.request, planned, state, now
         )
         sending = _Sending(
             planned,
-            self._attempt(planned, state),
+            self._attempt(planned, state, incarnation),
             state,
             first_byte,
             self.tools.quarantine.sent_to(name),
@@ -151,7 +152,10 @@
             self._end(sending, result)
 
     def _attempt(
-        self, planned: chooser_lib.Planned, state: target_state.TargetState
+        self,
+        planned: chooser_lib.Planned,
+        state: target_state.TargetState,
+        incarnation: int,
     ) -> attempt_lib.Attempt:
         return attempt_lib.Attempt(
             self.tools.pool,
@@ -162,7 +166,9 @@
             self.relay,
             self._most_idle(planned.pool),
             attempt_lib.Callbacks(
-                lambda meaning: self._note_head(planned, state, meaning),
+                lambda meaning: self._note_head(
+                    planned, state, incarnation, meaning
+                ),
                 lambda: self.claim_retry(planned),
             ),
         )
@@ -223,14 +229,38 @@
         self,
         planned: chooser_lib.Planned,
         state: target_state.TargetState,
+        incarnation: int,
         meaning: attempts.AnswerMeaning,
     ) -> None:
-        """Takes in what an answer tells of its target before its end."""
+        """Applies what an answer says of its target before its end.
+
+        Args:
+            planned: The attempt.
+            state: Of the target, from when the attempt began.
+            incarnation: Key of the target's incarnation at that time.
+            meaning: What the head of the answer says.
+        """
         name = planned.plan.target.name
+        self._apply_announcement(name, incarnation, meaning)
         # One that has started again since has told nothing yet.
         if self.site.states.get(name) is state:
             self.tools.limits.learn(name, meaning)
 
+    def _apply_announcement(
+        self, name: str, incarnation: int, meaning: attempts.AnswerMeaning
+    ) -> None:
+        """Applies what a target announced, unless it has started again.
+
+        An announcement holds also for a target whose entry is missing: it may
+        be listed again.
+        """
+        if meaning.incarnation not in ("", name):
+            return
+        if incarnation != self.site.targets.key_of(name):
+            return
+        if meaning.is_leaving:
+            self.site.mark_leaving(name, "answer")
+
     def _tell(self, planned: chooser_lib.Planned) -> None:
         """Notes and tells other hosts that an engine gets a prompt."""
         parts = self.request.prompt.parts
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -98,12 +98,20 @@
             gone = target_list.TargetChange.GONE
             self._note_removal(name, gone, before[name])
 
-    def target_leaves(self, incarnation: str, source: str) -> None:
-        """Notes that a target said itself that it leaves."""
-        if self.targets.mark_leaving(incarnation):
-            self._note_target(
-                incarnation, target_list.TargetChange.LEAVING, source
-            )
+    def mark_leaving(self, name: str, source: str) -> bool:
+        """Excludes a target that announced its departure from new work.
+
+        Args:
+            name: Its name.
+            source: Who announced it, for the log.
+
+        Returns:
+            Whether that is news.
+        """
+        if not self.targets.mark_leaving(name):
+            return False
+        self._note_target(name, target_list.TargetChange.LEAVING, source)
+        return True
 
     def observe_weights(
         self, incarnation: str, model: str, version: int
@@ -139,6 +147,8 @@
             self._note_target(
                 name, target_list.TargetChange.RESTARTED, "report"
             )
+        if report.is_leaving:
+            self.mark_leaving(name, "report")
         if model in report.weights:
             self.weights.report(name, model, report.weights[model])
         return True
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -18,6 +18,7 @@
     "decode_answer",
     "decode_prompt",
     "encode_attempt",
+    "is_leaving",
     "relayed_headers",
     "whole_number",
 ]
@@ -158,12 +159,17 @@
         head.get(names.INCARNATION).decode("latin-1"),
         whole_number(head.get(names.WEIGHTS_VERSION)),
         bool(head.get(b"content-encoding")),
-        head.get(names.TARGET_LEAVING).strip() not in (b"", b"0"),
+        is_leaving(head),
         _backoff(head),
         _decimal(head.get(names.TARGET_LIMIT)),
     )
 
 
+def is_leaving(head: http1_client.AnswerHead) -> bool:
+    """Returns whether an answer of any kind announces a departure."""
+    return head.get(names.TARGET_LEAVING).strip() not in (b"", b"0")
+
+
 def relayed_headers(head: http1_client.AnswerHead) -> http1.Headers:
     """Returns a target's headers that pass to the caller, without framing."""
     return [
--- a/hillthread/platform/orders.py
+++ b/hillthread/platform/orders.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hillthread.platform import attempts
 from hillthread.platform import names
 from hillthread.platform import targets
 from hillthread.state import objects
@@ -118,7 +119,8 @@
         return None
     if answer.head.status != 200:
         return None
-    return targets.decode_report(answer.body)
+    report = targets.decode_report(answer.body)
+    return report._replace(is_leaving=attempts.is_leaving(answer.head))
 
 
 async def _call(
--- a/hillthread/platform/targets.py
+++ b/hillthread/platform/targets.py
@@ -35,6 +35,7 @@
         used_tokens: Memory that cannot be freed.
         total_tokens: All its memory for KV cache.
         born_ms: Unix milliseconds of its start; 0 when it does not tell.
+        is_leaving: It is about to end and wants no new work.
     """
 
     weights: dict[str, int]
@@ -45,6 +46,7 @@
     used_tokens: int
     total_tokens: int
     born_ms: int = 0
+    is_leaving: bool = False
 
 
 class _Wire(msgspec.Struct, rename="camel"):
--- a/tests/coordination/gateway/serving/test_target_announcements.py
+++ b/tests/coordination/gateway/serving/test_target_announcements.py
@@ -5,6 +5,8 @@
 
 import anyio
 
+from hillthread.platform import orders
+from hillthread.standin import platform_target
 from tests.coordination.gateway import scene as scene_lib
 
 CALLERS = 4
@@ -75,6 +77,103 @@
         # The other targets serve what it would have got.
         self.assertEqual(set(statuses), {200})
 
+    # Guards against a departure that is forgotten when the store, down
+    # meanwhile, comes back without the target's entry, and then with it.
+    def test_departure_outlasts_an_outage_that_drops_the_entry(self):
+        async def story(scene):
+            target = scene.plain[0]
+            target.announces_leaving = True
+            await send_for(scene, 0.3, plain)
+            scene.store.faults.status = 503
+            await scene.until(lambda: scene.site.is_store_lost)
+            scene.store.faults.status = 0
+            scene.store.remove("keyed.servers", target.name)
+            entries = scene.site.targets.entries
+            await scene.until(lambda: target.name not in entries)
+            scene.list_target(target)
+            await scene.until(lambda: target.name in entries)
+            late_at = time.monotonic()
+            statuses = await send_for(scene, 0.5, plain)
+            self.assertEqual(set(statuses), {200})
+            self.assertEqual(arrivals_between(target, late_at, float("inf")), 0)
+
+        scene_lib.play(story)
+
+    def test_departure_ends_with_the_start_that_announced_it(self):
+        async def story(scene):
+            target = scene.plain[0]
+            target.announces_leaving = True
+            await send_for(scene, 0.3, plain)
+            self.assertTrue(scene.site.targets.entries[target.name].leaving)
+            scene.stop_listening(target)
+            target.restart()
+            scene.tasks.start_soon(scene.listen, target)
+            scene.list_target(target)
+            entries = scene.site.targets.entries
+            await scene.until(lambda: not entries[target.name].leaving)
+            began_at = time.monotonic()
+            await send_for(scene, 0.5, plain)
+            self.assertTrue(arrivals_between(target, began_at, float("inf")))
+
+        scene_lib.play(story)
+
+    # Guards against a new start that is excluded for good because an answer
+    # of the start before it came late.
+    def test_late_answer_of_an_earlier_start_announces_nothing(self):
+        async def story(scene):
+            target = scene.plain[0]
+            released = anyio.Event()
+            target.behave(platform_target.Held(released))
+            entries = scene.site.targets.entries
+            other = scene.plain[1].name
+            scene.store.remove("keyed.servers", other)
+            await scene.until(lambda: other not in entries)
+            answers = []
+
+            async def call():
+                answers.append(await scene.call(plain(scene, 0)))
+
+            scene.tasks.start_soon(call)
+            await scene.until(lambda: target.runs)
+            target.announces_leaving = True
+            entry = target.entry()
+            entry["born"] += 1
+            scene.store.put("keyed.servers", target.name, entry)
+            born_ms = scene.site.targets.born_ms
+            await scene.until(lambda: born_ms[target.name] == entry["born"])
+            released.set()
+            await scene.until(lambda: answers)
+            self.assertFalse(entries[target.name].leaving)
+
+        scene_lib.play(story)
+
+    def test_operators_see_who_announced_a_departure(self):
+        async def story(scene):
+            target = scene.plain[0]
+            target.announces_leaving = True
+            with self.assertLogs("hillthread.site", "INFO") as logs:
+                await send_for(scene, 0.3, plain)
+            found = [
+                line
+                for line in logs.records
+                if getattr(line, "event", "") == "target_leaving"
+            ]
+            told = [(line.target, line.source) for line in found]
+            self.assertEqual(told, [(target.name, "answer")])
+
+        scene_lib.play(story)
+
+    def test_report_announces_a_departure(self):
+        async def story(scene):
+            engine = scene.engines[0]
+            engine.announces_leaving = True
+            target = scene.site.targets.entries[engine.name].target
+            report = await orders.read_report(scene.program.pool, target)
+            scene.site.take_report(engine.name, "m", report)
+            self.assertTrue(scene.site.targets.entries[engine.name].leaving)
+
+        scene_lib.play(story)
+
 
 class BackoffTest(unittest.TestCase):
     # Guards against requests to a target that shed load with a 503 and a
