Leave a target alone for the back-off that it asks for

Targets that had turned a host away with 503 and Retry-After: 3 got three requests and more from that host within these 3 s, each refused at once and sent elsewhere: a retry of the budget and a round trip for every one of them.

Cause: hosts read the header of a refusal and used it nowhere; any refusal spared its target for 0.15 s. Ruled out: a back-off that was lost with the target's entry or by a new start (neither happened), and retries (the reported requests went there first).

The chooser now skips a target until its back-off is over, for prompts, plain requests, retries and resumed streams. Back-offs are kept apart from what attempts have taught of a target, which goes with its entry: an entry that lapses in an outage and comes back ends no back-off, a new start does. While all targets of a pool back off, a request is refused at once (503 targets_backing_off, not run) with the time of the first one's return. Operators see them: log event target_backoff, two gauges, hillthread-ctl targets.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -384,6 +384,7 @@
                 )
             self.metrics.ready.set(not reason)
             self.metrics.suspects.set(self.site.quarantine.size)
+            self._count_unavailable(now)
             self.metrics.age.set(self.site.freshness.age(now))
             self.metrics.connections.set(self.pool.opened.total())
             if now >= status_at:
@@ -391,6 +392,14 @@
                 self._tell_status(now)
             await anyio.sleep(_TICK_S)
 
+    def _count_unavailable(self, now: float) -> None:
+        """Notes how many targets leave or back off."""
+        statuses = self.site.unavailable_targets(now)
+        self.metrics.leaving.set(sum(each.is_leaving for each in statuses))
+        self.metrics.backing_off.set(
+            sum(each.backoff_s > 0.0 for each in statuses)
+        )
+
     def _tell_status(self, now: float) -> None:
         """Logs how the host is doing."""
         _logger.info(
--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -83,6 +83,12 @@
             "store_age_seconds", "Seconds since the last proven read."
         )
         self.targets = self.gauge("targets", "Targets that may get work.")
+        self.leaving = self.gauge(
+            "targets_leaving", "Listed targets that announced a departure."
+        )
+        self.backing_off = self.gauge(
+            "targets_backing_off", "Targets that want no request for a while."
+        )
         self.ready = self.gauge("ready", "Whether the host is ready.")
         self.holds_lease = self.gauge(
             "holds_lease", "Whether this host may give orders."
--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -9,6 +9,7 @@
 import anyio
 import msgspec
 
+from hillthread import clock
 from hillthread import errors
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.serving import limit_keeper
@@ -63,6 +64,9 @@
             await self._answer_operator(answer, self.quotas.statuses())
         elif caller.path == feed.LIMITS_PATH:
             await self._answer_operator(answer, self.limits.statuses())
+        elif caller.path == feed.TARGETS_PATH:
+            statuses = self.site.unavailable_targets(clock.now())
+            await self._answer_operator(answer, statuses)
         else:
             await self._answer_host(caller, answer)
 
--- a/hillthread/coordination/gateway/serving/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -225,6 +225,8 @@
             return target_choice.Exclusion.LOADING
         if self.now < state.refused_until:
             return target_choice.Exclusion.REFUSING
+        if self.site.backoffs.is_active(name, self.now):
+            return target_choice.Exclusion.BACKING_OFF
         if lag and lag.grace is weights_lib.WeightsGrace.FORBIDDEN:
             return target_choice.Exclusion.OLD_WEIGHTS
         if state.breaker.state(self.now) is health.BreakerState.OPEN:
@@ -345,9 +347,12 @@
         """Returns why no target can be taken."""
         limited = target_choice.Exclusion.LIMITED
         names = [view.name for view in look.views if view.exclusion is limited]
-        if not names:
-            return no_target()
-        return self.limits.refusal(names, look.now)
+        if names:
+            return self.limits.refusal(names, look.now)
+        ends_at = [self.site.backoffs.ends_at(name) for name in look.entries]
+        if ends_at and min(ends_at) > look.now:
+            return _all_back_off(len(ends_at), min(ends_at) - look.now)
+        return no_target()
 
     def _choose_within_limits(
         self, request: intake.GatewayRequest, look: _Look, names: list[str]
@@ -428,6 +433,19 @@
     )
 
 
+def _all_back_off(count: int, ends_in_s: float) -> errors.RefusalError:
+    """Returns the refusal of a request whose targets all shed load."""
+    return errors.RefusalError(
+        "targets_backing_off",
+        503,
+        f"All {count} targets shed load; the first takes requests again in "
+        f"{ends_in_s:.2f} s.",
+        "Try again after the time in Retry-After; operators see back-offs "
+        "with `hillthread-ctl targets`.",
+        retry_after_s=ends_in_s,
+    )
+
+
 def _summary(view: target_choice.TargetView) -> str:
     state = view.exclusion or ("behind" if view.behind else "open")
     text = f"{view.name} {state} running={view.running}"
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -260,6 +260,8 @@
             return
         if meaning.is_leaving:
             self.site.mark_leaving(name, "answer")
+        if meaning.backoff_s:
+            self.site.request_backoff(name, meaning.backoff_s, clock.now())
 
     def _tell(self, planned: chooser_lib.Planned) -> None:
         """Notes and tells other hosts that an engine gets a prompt."""
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -4,19 +4,21 @@
 
 from collections.abc import Callable
 import logging
+from typing import NamedTuple
 
 from hillthread import errors
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.platform import configuration as configuration_lib
 from hillthread.platform import targets as targets_lib
 from hillthread.protocol import work_notice
+from hillthread.state import backoffs
 from hillthread.state import health
 from hillthread.state import routing_table
 from hillthread.state import target_list
 from hillthread.state import target_state
 from hillthread.state import weights
 
-__all__ = ["TargetBeliefs"]
+__all__ = ["TargetBeliefs", "TargetStatus"]
 
 # After an outage entries of live targets are back within this time, as the
 # platform promises.
@@ -25,6 +27,20 @@
 _logger = logging.getLogger("hillthread.site")
 
 
+class TargetStatus(NamedTuple):
+    """Why a listed target gets no new work, for operators.
+
+    Attributes:
+        target: Its name.
+        is_leaving: It announced its departure.
+        backoff_s: Seconds for which it still wants no request from this host.
+    """
+
+    target: str
+    is_leaving: bool
+    backoff_s: float
+
+
 class TargetBeliefs:
     """Targets, and what was learned of each since it started.
 
@@ -33,6 +49,7 @@
         table: The routing table in force, or None.
         targets: Which targets there are.
         states: What own attempts found, by target.
+        backoffs: Which targets shed load and want no request for a while.
         weights: Versions of weights.
         load_told_at: Seconds, when another host last told of a load.
         target_gone: Called with the address of each target that is gone.
@@ -48,6 +65,7 @@
         self.table: routing_table.RoutingTable | None = None
         self.targets = target_list.TargetList(_RETURN_S)
         self.states: dict[str, target_state.TargetState] = {}
+        self.backoffs = backoffs.Backoffs()
         self.weights = weights.WeightsBoard()
         self.load_told_at = float("-inf")
         self.target_gone: Callable[[str], None] = _ignore
@@ -77,8 +95,7 @@
             return
         change = self.targets.put(entry)
         if change is target_list.TargetChange.RESTARTED and before is not None:
-            self._forget(incarnation, before.target.address)
-            self.target_ended(incarnation, "it started again")
+            self._forget_start(incarnation, before.target.address)
         if change is target_list.TargetChange.COME:
             self._note_successor(entry)
         for model, version in entry.weights.items():
@@ -113,6 +130,29 @@
         self._note_target(name, target_list.TargetChange.LEAVING, source)
         return True
 
+    def request_backoff(self, name: str, seconds: float, now: float) -> None:
+        """Sends a target nothing for the time for which it sheds load."""
+        if not self.backoffs.request(name, seconds, now):
+            return
+        _logger.info(
+            "target backs off",
+            extra={
+                "event": "target_backoff",
+                "target": name,
+                "backoff_s": seconds,
+            },
+        )
+
+    def unavailable_targets(self, now: float) -> list[TargetStatus]:
+        """Returns the listed targets that leave or back off, by name."""
+        active = self.backoffs.active(now)
+        leaving = self.targets.leaving
+        names = self.targets.entries.keys() & (leaving | active.keys())
+        return [
+            TargetStatus(name, name in leaving, round(active.get(name, 0.0), 3))
+            for name in sorted(names)
+        ]
+
     def observe_weights(
         self, incarnation: str, model: str, version: int
     ) -> None:
@@ -142,8 +182,7 @@
             return False
         entry = self.targets.entries.get(name)
         if self.targets.note_start(name, report.born_ms) and entry is not None:
-            self._forget(name, entry.target.address)
-            self.target_ended(name, "it started again")
+            self._forget_start(name, entry.target.address)
             self._note_target(
                 name, target_list.TargetChange.RESTARTED, "report"
             )
@@ -259,6 +298,12 @@
             if is_other and other.target.address == entry.target.address:
                 self.target_ended(name, "another has its address")
 
+    def _forget_start(self, name: str, address: str) -> None:
+        """Forgets what held for the earlier start of a target."""
+        self.backoffs.forget(name)
+        self._forget(name, address)
+        self.target_ended(name, "it started again")
+
     def _forget(self, name: str, address: str) -> None:
         self.states.pop(name, None)
         self.weights.forget(name)
--- a/hillthread/programs/ctl.py
+++ b/hillthread/programs/ctl.py
@@ -174,6 +174,19 @@
                 f"requests passed over here"
             )
 
+    def targets(self) -> None:
+        """Lists the targets that leave or back off, as one host knows them.
+
+        Give --address of a gateway's feed_listen, as its `start` line tells it.
+        """
+        for each in self._call("GET", feed.TARGETS_PATH):
+            reasons = []
+            if each["is_leaving"]:
+                reasons.append("leaves")
+            if each["backoff_s"]:
+                reasons.append(f"backs off for {each['backoff_s']:g} s more")
+            print(f"{each['target']} {', '.join(reasons)}")
+
     def explain(
         self, request_id: str, *files: str, logs: str = "", json: bool = False
     ) -> None:
--- a/hillthread/protocol/feed.py
+++ b/hillthread/protocol/feed.py
@@ -18,6 +18,7 @@
     "LIMITS_PATH",
     "QUARANTINE_PATH",
     "QUOTAS_PATH",
+    "TARGETS_PATH",
     "FeedPage",
     "FeedQuery",
     "decode_page",
@@ -35,6 +36,8 @@
 QUOTAS_PATH = "/quotas"
 # Where operators see the limits that targets have named.
 LIMITS_PATH = "/limits"
+# Where operators see which targets leave or back off.
+TARGETS_PATH = "/targets"
 # Fast: 3,001 targets take 741 KB, and 80 KB packed within 6 ms. Hosts of a data
 # centre that start together all ask one of them for that: among 300 hosts it
 # sends 0.34 MB a second over a day in place of 2.6, in 40 MB of memory in place
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -95,9 +95,11 @@
 
     Attributes:
         status: Of its answer.
+        retry_after_s: Told with it; 0 for nothing.
     """
 
     status: int = 500
+    retry_after_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -524,7 +526,9 @@
         match behaviour:
             case Serve(delay_s):
                 await self._whole(request, answer, headers, delay_s)
-            case Fail(status):
+            case Fail(status, retry_after_s):
+                if retry_after_s:
+                    headers.append((b"retry-after", b"%g" % retry_after_s))
                 await answer.send_whole(status, headers, b"failed")
             case Vanish():
                 raise http1_server.BrokenAnswerError
--- /dev/null
+++ b/hillthread/state/backoffs.py
@@ -0,0 +1,51 @@
+"""Back-offs that targets asked this host for."""
+
+from __future__ import annotations
+
+__all__ = ["Backoffs"]
+
+
+class Backoffs:
+    """Until when targets that shed load want no request from this host."""
+
+    def __init__(self):
+        self._ends_at: dict[str, float] = {}
+
+    def request(self, target: str, seconds: float, now: float) -> bool:
+        """Applies a back-off; one that ends later stays.
+
+        Args:
+            target: Name of the target.
+            seconds: How long it wants no request.
+            now: Seconds.
+
+        Returns:
+            Whether the target was not backing off before.
+        """
+        is_new = not self.is_active(target, now)
+        ends_at = max(self.ends_at(target), now + seconds)
+        self._ends_at[target] = ends_at
+        return is_new
+
+    def ends_at(self, target: str) -> float:
+        """Returns when the last back-off of a target ends, seconds."""
+        return self._ends_at.get(target, float("-inf"))
+
+    def is_active(self, target: str, now: float) -> bool:
+        """Returns whether a target wants no request now."""
+        return now < self.ends_at(target)
+
+    def forget(self, target: str) -> None:
+        """Ends the back-off of a target that has started again."""
+        self._ends_at.pop(target, None)
+
+    def active(self, now: float) -> dict[str, float]:
+        """Returns the seconds left by target, and drops what has ended."""
+        self._ends_at = {
+            target: ends_at
+            for target, ends_at in self._ends_at.items()
+            if now < ends_at
+        }
+        return {
+            target: ends_at - now for target, ends_at in self._ends_at.items()
+        }
--- a/hillthread/state/target_choice.py
+++ b/hillthread/state/target_choice.py
@@ -31,6 +31,7 @@
 
     TRIED = "tried"
     REFUSING = "refusing"
+    BACKING_OFF = "backing_off"
     EJECTED = "ejected"
     UNREACHABLE = "unreachable"
     OLD_WEIGHTS = "old_weights"
--- a/tests/coordination/gateway/serving/test_target_announcements.py
+++ b/tests/coordination/gateway/serving/test_target_announcements.py
@@ -1,11 +1,14 @@
 """Tests that hosts act on what targets announce in their answers."""
 
+import contextlib
+import io
 import time
 import unittest
 
 import anyio
 
 from hillthread.platform import orders
+from hillthread.programs import ctl
 from hillthread.standin import platform_target
 from tests.coordination.gateway import scene as scene_lib
 
@@ -208,6 +211,98 @@
         await send_for(scene, 1.0, make)
         self.assertTrue(arrivals_between(target, ends_at, float("inf")))
 
+    # Guards against a back-off that is forgotten with the entry of its target,
+    # which lapses in an outage of the store and is written again.
+    def test_backoff_outlasts_an_entry_that_lapses(self):
+        async def story(scene):
+            target = scene.plain[0]
+            target.backoff_s = 3.0
+            await send_for(scene, 0.3, plain)
+            entries = scene.site.targets.entries
+            scene.store.remove("keyed.servers", target.name)
+            await scene.until(lambda: target.name not in entries)
+            scene.list_target(target)
+            await scene.until(lambda: target.name in entries)
+            ends_at = target.arrivals[0].at + 3.0
+            began_at = time.monotonic()
+            self.assertLess(began_at, ends_at - 1.0)
+            await send_for(scene, 1.0, plain)
+            count = arrivals_between(target, began_at, ends_at)
+            self.assertEqual(count, 0)
+
+        scene_lib.play(story)
+
+    def test_backoff_of_a_503_that_may_have_run(self):
+        async def story(scene):
+            target = scene.plain[0]
+            target.always = platform_target.Fail(503, retry_after_s=2.0)
+            await send_for(scene, 0.3, plain)
+            began_at = time.monotonic()
+            await send_for(scene, 1.0, plain)
+            count = arrivals_between(target, began_at, float("inf"))
+            self.assertEqual(count, 0)
+
+        scene_lib.play(story)
+
+    def test_new_start_of_a_target_backs_off_no_more(self):
+        async def story(scene):
+            target = scene.plain[0]
+            target.backoff_s = 30.0
+            await send_for(scene, 0.3, plain)
+            scene.stop_listening(target)
+            target.restart()
+            scene.tasks.start_soon(scene.listen, target)
+            scene.list_target(target)
+            born_ms = scene.site.targets.born_ms
+            await scene.until(lambda: born_ms[target.name] == target.born_ms)
+            began_at = time.monotonic()
+            await send_for(scene, 0.5, plain)
+            self.assertTrue(arrivals_between(target, began_at, float("inf")))
+
+        scene_lib.play(story)
+
+    def test_request_is_refused_at_once_while_all_targets_back_off(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.backoff_s = 2.0
+            await scene.call(scene.request("/once/x"))
+            asked_at = time.monotonic()
+            answer = await scene.call(scene.request("/once/x"))
+            self.assertLess(time.monotonic() - asked_at, 0.5)
+            self.assertEqual(answer.head.status, 503)
+            self.assertIn(b"targets_backing_off", answer.body)
+            after_s = float(answer.head.get(b"retry-after"))
+            self.assertGreater(after_s, 1.0)
+            self.assertLess(after_s, 2.0 * 1.75)
+            # The refusal is true: neither attempt reached a target again.
+            self.assertEqual(sum(len(t.arrivals) for t in scene.plain), 2)
+            for target in scene.plain:
+                target.backoff_s = 0.0
+            await anyio.sleep(after_s)
+            answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 200)
+
+        scene_lib.play(story)
+
+    def test_operators_see_departures_and_backoffs(self):
+        async def story(scene):
+            leaving, shedding = scene.plain
+            leaving.announces_leaving = True
+            shedding.backoff_s = 30.0
+            await send_for(scene, 0.5, plain)
+            address = scene.program.feed_server.address
+            out = io.StringIO()
+            with contextlib.redirect_stdout(out):
+                await anyio.to_thread.run_sync(ctl.Ctl(address).targets)
+            self.assertIn("p0 leaves\n", out.getvalue())
+            self.assertRegex(out.getvalue(), r"p1 backs off for [23]\d")
+            await anyio.sleep(0.3)
+            page = scene.program.metrics.page().decode()
+            self.assertIn("hillthread_targets_leaving 1.0", page)
+            self.assertIn("hillthread_targets_backing_off 1.0", page)
+
+        scene_lib.play(story)
+
 
 if __name__ == "__main__":
     unittest.main()
