Notify other hosts of a departure that a target announced

While the list cannot tell of a departure, each host learned of it only from an answer to a request of its own: as many requests go to a leaving target as there are hosts. A host that is told now notifies the others, three times in 0.4 s, as limits are. The notice names the incarnation, so that it does not exclude a later start. Packets without departures are unchanged on the wire. Back-offs are asked of one host and are not spread. A test with three hosts, of which one is sent requests, fails without it.

--- a/hillthread/coordination/gateway/peers/work_feed.py
+++ b/hillthread/coordination/gateway/peers/work_feed.py
@@ -73,6 +73,7 @@
         told: Packets sent so far, one for each receiver.
         heard: Packets taken in so far.
         heard_of_limits: Takes in the limits that targets have named.
+        apply_departure: Applies the departure of a target.
         heard_of_suspects: Takes in what others have seen of requests under
             which targets end.
         usage: What is told and heard of the use of quotas; None before there
@@ -96,6 +97,9 @@
         self.heard_of_limits: Callable[[work_notice.LimitNotice], None] = (
             _ignore
         )
+        self.apply_departure: Callable[[work_notice.DepartureNotice], None] = (
+            _ignore
+        )
         self.usage: usage_exchange.UsageExchange | None = None
         self.heard_of_usage: Callable[[dict[int, float]], None] = _ignore
         self._origin = work_notice.checksum(source.name)
@@ -107,6 +111,7 @@
         self._others_part: list[work_notice.WorkNotice] = []
         self._weights: list[work_notice.WeightsNotice] = []
         self._limits: list[work_notice.LimitNotice] = []
+        self._departures: list[work_notice.DepartureNotice] = []
         self._gathered = anyio.Event()
         self._socket: socket.socket | None = None
 
@@ -141,6 +146,14 @@
             self._limits += notices
             self._gathered.set()
 
+    def notify_departures(
+        self, notices: list[work_notice.DepartureNotice]
+    ) -> None:
+        """Notifies other hosts of targets that announced their departure."""
+        if not self.is_alone():
+            self._departures += notices
+            self._gathered.set()
+
     def tell_suspects(self, notices: list[work_notice.SuspectNotice]) -> None:
         """Tells of requests under which targets end, once and at once."""
         for some in work_notice.pages(notices, work_notice.MAX_SUSPECT_NOTICES):
@@ -234,6 +247,7 @@
         weights: Sequence[work_notice.WeightsNotice] = (),
         suspects: Sequence[work_notice.SuspectNotice] = (),
         limits: Sequence[work_notice.LimitNotice] = (),
+        departures: Sequence[work_notice.DepartureNotice] = (),
     ) -> None:
         """Tells all hosts, those elsewhere through one of their data centre."""
         receivers = notice_route.receivers(
@@ -246,7 +260,12 @@
         for use, passes_on in ((uses.TAKE, False), (uses.PASS_ON, True)):
             hosts = [r.host for r in receivers if r.passes_on is passes_on]
             packet = work_notice.Packet(
-                use, list(work), list(weights), suspects, limits=limits
+                use,
+                list(work),
+                list(weights),
+                suspects,
+                limits=limits,
+                departures=departures,
             )
             self._send(packet, hosts)
 
@@ -307,6 +326,9 @@
         named, self._limits = self._limits, []
         for some in work_notice.pages(named, work_notice.MAX_LIMIT_NOTICES):
             self._tell_directly(limits=some)
+        left, self._departures = self._departures, []
+        for some in work_notice.pages(left, work_notice.MAX_DEPARTURE_NOTICES):
+            self._tell_directly(departures=some)
         own, self._own_part = self._own_part, []
         others, self._others_part = self._others_part, []
         own_usage, others_usage = self._usage_to_hand_on()
@@ -384,6 +406,8 @@
             self.heard_of_suspects(suspect)
         for limit in packet.limits:
             self.heard_of_limits(limit)
+        for departure in packet.departures:
+            self.apply_departure(departure)
         if self.usage is None or packet.use is work_notice.PacketUse.GATHER:
             return
         for group in packet.usage:
--- /dev/null
+++ b/hillthread/coordination/gateway/serving/announcement_keeper.py
@@ -0,0 +1,79 @@
+"""Applies what targets announce in their answers: departures and back-offs.
+
+A departure holds for all hosts, which are notified. A back-off is asked of one
+host and holds for that one.
+"""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+
+from hillthread import clock
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.peers import work_feed
+from hillthread.platform import attempts
+from hillthread.protocol import work_notice
+
+__all__ = ["AnnouncementKeeper"]
+
+# Pauses before a notice is sent again, since packets get lost.
+_RESEND_S = (0.1, 0.3)
+
+
+class AnnouncementKeeper:
+    """Applies announcements of targets and of peers.
+
+    Attributes:
+        site: The host's beliefs.
+        work: Sends notices to other hosts.
+        tasks: Where notices are sent again.
+    """
+
+    def __init__(
+        self,
+        site: site_lib.Site,
+        work: work_feed.WorkFeed,
+        tasks: anyio.abc.TaskGroup,
+    ):
+        self.site = site
+        self.work = work
+        self.tasks = tasks
+        work.apply_departure = self.apply_notice
+
+    def apply_answer(
+        self, target: str, incarnation: int, meaning: attempts.AnswerMeaning
+    ) -> None:
+        """Applies what an answer announced, unless its target has restarted.
+
+        An announcement holds also for a target whose entry is missing: it may
+        be listed again.
+
+        Args:
+            target: To which the request was sent.
+            incarnation: Key of the target's incarnation at that time.
+            meaning: What the head of the answer says.
+        """
+        if meaning.incarnation not in ("", target):
+            return
+        if incarnation != self.site.targets.key_of(target):
+            return
+        if meaning.is_leaving and self.site.mark_leaving(target, "answer"):
+            self._notify(work_notice.DepartureNotice(incarnation))
+        if meaning.backoff_s:
+            self.site.request_backoff(target, meaning.backoff_s, clock.now())
+
+    def apply_notice(self, notice: work_notice.DepartureNotice) -> None:
+        """Applies a departure that another host was told of."""
+        target = self.site.targets.name_of(notice.engine)
+        if target is not None:
+            self.site.mark_leaving(target, "host")
+
+    def _notify(self, notice: work_notice.DepartureNotice) -> None:
+        self.work.notify_departures([notice])
+        self.tasks.start_soon(self._resend, notice)
+
+    async def _resend(self, notice: work_notice.DepartureNotice) -> None:
+        for pause_s in _RESEND_S:
+            await anyio.sleep(pause_s)
+            self.work.notify_departures([notice])
--- a/hillthread/coordination/gateway/serving/dispatcher.py
+++ b/hillthread/coordination/gateway/serving/dispatcher.py
@@ -12,6 +12,7 @@
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.peers import work_feed
+from hillthread.coordination.gateway.serving import announcement_keeper
 from hillthread.coordination.gateway.serving import chooser as chooser_lib
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import job as job_lib
@@ -104,6 +105,7 @@
             quarantine,
             quotas,
             limits,
+            announcement_keeper.AnnouncementKeeper(site, work, tasks),
         )
         self.scopes: set[anyio.CancelScope] = set()
         self.stopped = False
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -11,6 +11,7 @@
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.peers import work_feed
+from hillthread.coordination.gateway.serving import announcement_keeper
 from hillthread.coordination.gateway.serving import attempt as attempt_lib
 from hillthread.coordination.gateway.serving import cache_source
 from hillthread.coordination.gateway.serving import chooser as chooser_lib
@@ -52,6 +53,7 @@
         quarantine: Knows requests under which targets ended.
         quotas: Counts what is sent for organisations.
         limits: Counts what is sent to targets.
+        announcements: Applies what targets announce.
     """
 
     site: site_lib.Site
@@ -65,6 +67,7 @@
     quarantine: quarantine_keeper.QuarantineKeeper
     quotas: quota_keeper.QuotaKeeper
     limits: limit_keeper.LimitKeeper
+    announcements: announcement_keeper.AnnouncementKeeper
 
 
 class _Sending(NamedTuple):
@@ -241,28 +244,11 @@
             meaning: What the head of the answer says.
         """
         name = planned.plan.target.name
-        self._apply_announcement(name, incarnation, meaning)
+        self.tools.announcements.apply_answer(name, incarnation, meaning)
         # One that has started again since has told nothing yet.
         if self.site.states.get(name) is state:
             self.tools.limits.learn(name, meaning)
 
-    def _apply_announcement(
-        self, name: str, incarnation: int, meaning: attempts.AnswerMeaning
-    ) -> None:
-        """Applies what a target announced, unless it has started again.
-
-        An announcement holds also for a target whose entry is missing: it may
-        be listed again.
-        """
-        if meaning.incarnation not in ("", name):
-            return
-        if incarnation != self.site.targets.key_of(name):
-            return
-        if meaning.is_leaving:
-            self.site.mark_leaving(name, "answer")
-        if meaning.backoff_s:
-            self.site.request_backoff(name, meaning.backoff_s, clock.now())
-
     def _tell(self, planned: chooser_lib.Planned) -> None:
         """Notes and tells other hosts that an engine gets a prompt."""
         parts = self.request.prompt.parts
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -20,7 +20,9 @@
 from hillthread.state import usage_exchange
 
 __all__ = [
+    "DepartureNotice",
     "LimitNotice",
+    "MAX_DEPARTURE_NOTICES",
     "MAX_LIMIT_NOTICES",
     "MAX_PACKET_BYTES",
     "MAX_SUSPECT_NOTICES",
@@ -49,6 +51,8 @@
 MAX_SUSPECT_NOTICES = 40
 # Of 15 bytes each.
 MAX_LIMIT_NOTICES = 80
+# Of 6 bytes each.
+MAX_DEPARTURE_NOTICES = 100
 # Of a notice of a prompt, of one total of use, and of what stands around those
 # of one sender.
 _WORK_BYTES = 76
@@ -141,6 +145,16 @@
     per_s: float | None
 
 
+class DepartureNotice(NamedTuple):
+    """A target that announced its departure to a host.
+
+    Attributes:
+        engine: Checksum of the target's incarnation.
+    """
+
+    engine: int
+
+
 class Packet(NamedTuple):
     """What one datagram holds.
 
@@ -152,6 +166,7 @@
         usage: What was sent for organisations with a quota, and to targets
             with a limit.
         limits: Targets that named a limit.
+        departures: Targets that announced their departure.
     """
 
     use: PacketUse
@@ -160,6 +175,7 @@
     suspects: Sequence[SuspectNotice] = ()
     usage: Sequence[usage_exchange.UsageNotice] = ()
     limits: Sequence[LimitNotice] = ()
+    departures: Sequence[DepartureNotice] = ()
 
 
 def checksum(name: str) -> int:
@@ -176,6 +192,7 @@
         packet.suspects,
         packet.usage,
         packet.limits,
+        packet.departures,
     ]
     # An earlier release reads packets without what is last and empty.
     while len(told) > _FIRST_FIELDS and not told[-1]:
--- a/tests/coordination/gateway/serving/test_target_announcements.py
+++ b/tests/coordination/gateway/serving/test_target_announcements.py
@@ -11,6 +11,7 @@
 from hillthread.programs import ctl
 from hillthread.standin import platform_target
 from tests.coordination.gateway import scene as scene_lib
+from tests.coordination.gateway.serving import test_target_limits
 
 CALLERS = 4
 PAUSE_S = 0.04
@@ -166,6 +167,22 @@
 
         scene_lib.play(story)
 
+    # Guards against a departure that each host learns only from an answer to
+    # a request of its own, while the list cannot tell it.
+    def test_departure_reaches_all_hosts(self):
+        async def story(scene):
+            programs = await test_target_limits.hosts_that_list_each_other(
+                scene, 3
+            )
+            target = scene.plain[0]
+            target.announces_leaving = True
+            await send_for(scene, 0.3, plain)  # to the first host only
+            for program in programs:
+                entries = program.site.targets.entries
+                await scene.until(lambda e=entries: e[target.name].leaving)
+
+        scene_lib.play(story)
+
     def test_report_announces_a_departure(self):
         async def story(scene):
             engine = scene.engines[0]
--- a/tests/protocol/test_work_notice.py
+++ b/tests/protocol/test_work_notice.py
@@ -29,6 +29,19 @@
         raw = work_notice.encode_packet(packet)
         self.assertLessEqual(len(raw), work_notice.MAX_PACKET_BYTES)
 
+    def test_as_many_departures_as_are_allowed_fit_into_a_packet(self):
+        notice = work_notice.DepartureNotice(0xFFFF_FFFF)
+        packet = work_notice.Packet(
+            work_notice.PacketUse.PASS_ON,
+            [],
+            [],
+            departures=[notice] * work_notice.MAX_DEPARTURE_NOTICES,
+        )
+        raw = work_notice.encode_packet(packet)
+        self.assertLessEqual(len(raw), work_notice.MAX_PACKET_BYTES)
+        decoded = work_notice.decode_packet(raw)
+        self.assertEqual(decoded.departures, packet.departures)
+
     def test_anything_else_is_refused(self):
         for raw in (
             b"",
