Soak with targets that announce departures and back-offs, and judge both

Two more faults: a target announces its departure in its answers only and serves on, and a target refuses everything and asks for a back-off. What each process of a host sent afterwards is judged from what the target and the callers saw.

--- a/hillthread/bench/gateway_soak/target_faults.py
+++ b/hillthread/bench/gateway_soak/target_faults.py
@@ -20,6 +20,9 @@
 # Some are far below what callers ask of a target, some hardly.
 _LIMITS_PER_S = (0.5, 2.0, 8.0)
 _LIMITED_S = (5.0, 9.0)
+_BACKOFF_S = (0.6, 4.0)
+# A departing target goes on serving for longer than the bound on its departure.
+_DEPARTING_S = (2.0, 5.0)
 _BEHAVIOURS: tuple[platform_target.Behaviour, ...] = (
     platform_target.Refuse(),
     platform_target.Fail(),
@@ -62,6 +65,8 @@
             self.engine_disobeys,
             self.engines_disobey,
             self.target_names_limit,
+            self.target_announces_departure,
+            self.target_sheds_load,
         )
 
     async def target_misbehaves(self) -> None:
@@ -166,6 +171,27 @@
             await anyio.sleep(self.injector.between(_LIMITED_S))
         self.stage.name_limit(target, None)
 
+    async def target_announces_departure(self) -> None:
+        """A target announces that it leaves in its answers, not in the list."""
+        target = self.injector.target()
+        if target is None or target.announces_leaving:
+            return
+        target.announces_leaving = True
+        self.stage.add_target(target.service, target.weights)
+        await anyio.sleep(self.injector.between(_DEPARTING_S))
+        if target.announces_leaving:  # it has not started again
+            await self.stage.end_target(target)
+            self.stage.unlist_target(target)
+
+    async def target_sheds_load(self) -> None:
+        """A target refuses everything and asks for a back-off."""
+        target = self.injector.target()
+        if target is None or target.backoff_s:
+            return
+        target.backoff_s = self.injector.between(_BACKOFF_S)
+        await anyio.sleep(self.injector.between(injector_lib.FAULT_S))
+        target.backoff_s = 0.0
+
     async def _disobey(self, engine: stage_lib.LinkedTarget) -> None:
         match self.injector.random.choice(("refuse", "late", "slow")):
             case "refuse":
--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -8,6 +8,7 @@
 import itertools
 from typing import NamedTuple
 
+from hillthread.bench.gateway_soak import announcement_verdict
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import limit_verdict
 from hillthread.bench.gateway_soak import quota_verdict
@@ -103,6 +104,7 @@
             found += list(self._deadly())
             found += list(quota_verdict.violations(self.evidence))
             found += list(limit_verdict.violations(self.evidence))
+            found += list(announcement_verdict.violations(self.evidence))
         return found
 
     def _unknown(self, request_id: str) -> str:
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -19,6 +19,7 @@
 from hillthread.transport import http1_server
 
 __all__ = [
+    "Announcement",
     "Arrival",
     "Cut",
     "Encoded",
@@ -193,10 +194,30 @@
     Attributes:
         request_id: As it came.
         at: Seconds on the steady clock.
+        start: Starts of the target before it.
     """
 
     request_id: str
     at: float
+    start: int = 0
+
+
+class Announcement(NamedTuple):
+    """What an answer announced.
+
+    Attributes:
+        request_id: Of the request that it answered.
+        at: Seconds on the steady clock.
+        start: Starts of the target before it.
+        is_leaving: The target leaves.
+        backoff_s: How long it wants no request from who sent this one.
+    """
+
+    request_id: str
+    at: float
+    start: int
+    is_leaving: bool
+    backoff_s: float
 
 
 class Order(NamedTuple):
@@ -245,6 +266,7 @@
         backoff_s: It refuses all requests and asks for a back-off of so many
             seconds; 0 to take them.
         arrivals: Requests that reached it, whatever became of them.
+        announcements: Answers that announced something.
         deadly: Bodies that end it as soon as they have begun to run.
         end: Ends it as a crash does: nobody hears more of it.
     """
@@ -279,6 +301,8 @@
         self.announces_leaving = False
         self.backoff_s = 0.0
         self.arrivals: list[Arrival] = []
+        self.announcements: list[Announcement] = []
+        self._starts = 0
         self.deadly: Container[bytes] = frozenset()
         self.end: Callable[[], None] = _nothing
         self._orders_before = 0
@@ -307,6 +331,7 @@
         self.busy = False
         self.announces_leaving = False
         self.backoff_s = 0.0
+        self._starts += 1
         self.cache_epoch += 1
         self.cache_events.clear()
         self.server = self._new_server(port)
@@ -364,7 +389,9 @@
         answer: http1_server.CallerAnswer,
     ) -> None:
         request_id = request.get(b"x-request-id").decode()
-        self.arrivals.append(Arrival(request_id, time.monotonic()))
+        self.arrivals.append(
+            Arrival(request_id, time.monotonic(), self._starts)
+        )
         if self.backoff_s:
             await self._refuse(request, answer, 503)
         elif self._has_other_weights(request) or self.busy:
@@ -475,7 +502,7 @@
             (b"x-request-id", request.get(b"x-request-id")),
             (b"x-not-run", b"1"),
             (b"x-instance-id", self.name.encode()),
-            *self._announcements(),
+            *self._announce(request),
         ]
         if self.backoff_s and status == 503:
             headers.append((b"retry-after", b"%g" % self.backoff_s))
@@ -553,6 +580,20 @@
             case Unframed(reset):
                 await self._unframed(answer, headers, body, reset)
 
+    def _announce(self, request: http1_server.CallerRequest) -> http1.Headers:
+        """Returns the headers of an answer to a request that announce."""
+        if self.announces_leaving or self.backoff_s:
+            self.announcements.append(
+                Announcement(
+                    request.get(b"x-request-id").decode(),
+                    time.monotonic(),
+                    self._starts,
+                    self.announces_leaving,
+                    self.backoff_s,
+                )
+            )
+        return self._announcements()
+
     def _announcements(self) -> http1.Headers:
         """Returns the headers with which every answer tells how it stands."""
         headers = []
@@ -566,7 +607,7 @@
         headers = [
             (b"x-request-id", request.get(b"x-request-id")),
             (b"x-response-stamp", f"stamp-{self.name}".encode()),
-            *self._announcements(),
+            *self._announce(request),
         ]
         if self.model:
             version = str(self.weights).encode()
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -9,9 +9,11 @@
 from hillthread.coordination.gateway.serving import job
 from hillthread.programs import gateway
 from hillthread.state import attempt_plan
+from hillthread.state import backoffs
 from hillthread.state import quarantine
 from hillthread.state import quota_ledger
 from hillthread.state import routing_table
+from hillthread.state import target_list
 from hillthread.state import weights
 from hillthread.transport import http1_client
 
@@ -115,6 +117,14 @@
     _hear_nothing_of_use()
 
 
+def ignores_announced_departures():
+    target_list.TargetList.mark_leaving = lambda self, name: False
+
+
+def ignores_backoffs():
+    backoffs.Backoffs.request = lambda self, target, seconds, now: False
+
+
 def _hear_nothing_of_use():
     quota_ledger.QuotaLedger.part = lambda self, now: 1.0
     quota_ledger.QuotaLedger.take = lambda self, added, now: None
@@ -135,6 +145,8 @@
         sends_on_what_ends_targets,
         keeps_a_quota_on_each_host,
         keeps_a_limit_on_each_host,
+        ignores_announced_departures,
+        ignores_backoffs,
     )
 }
 
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -1,6 +1,6 @@
 """A short soak of the gateway, and broken gateways it must find out.
 
-Bounds in seconds are judged here only for two broken gateways: a machine that
+Bounds in seconds are judged here only for some broken gateways: a machine that
 is busy with other work may break them by itself.
 """
 
@@ -25,7 +25,15 @@
 
 
 # Bounds in seconds that are judged here, as broken gateways break them by far.
-BOUNDS = ("key_kept", "old_weights", "budget", "quota", "limit")
+BOUNDS = (
+    "key_kept",
+    "old_weights",
+    "budget",
+    "quota",
+    "limit",
+    "drain",
+    "backoff",
+)
 VERSION_S = 2.0
 # A tenth of what callers ask. Two hosts that each keep the whole of it send
 # 20,000 tokens in a window, where limit, share and slack come to 21,000: that
@@ -67,6 +75,8 @@
     "sends_on_what_ends_targets": Case("request_ends_targets", "budget"),
     "keeps_a_quota_on_each_host": Case("key_changes", "quota"),
     "keeps_a_limit_on_each_host": Case("target_names_limit", "limit"),
+    "ignores_announced_departures": Case("target_announces_departure", "drain"),
+    "ignores_backoffs": Case("target_sheds_load", "backoff"),
 }
 
 
