Close idle connections to a target that announced its departure

Nothing will use them: a leaving target kept up to eight idle connections from each host until it ended. Found by reading; departures that the list tells close them with the target's entry.

--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -52,7 +52,8 @@
         backoffs: Which targets shed load and want no request for a while.
         weights: Versions of weights.
         load_told_at: Seconds, when another host last told of a load.
-        target_gone: Called with the address of each target that is gone.
+        target_gone: Called with the address of each target that gets no new
+            work any more.
         target_forgotten: Called with the name of each target of which nothing
             holds any more.
         target_ended: Called with the name of each target that is gone or has
@@ -128,6 +129,9 @@
         if not self.targets.mark_leaving(name):
             return False
         self._note_target(name, target_list.TargetChange.LEAVING, source)
+        entry = self.targets.entries.get(name)
+        if entry is not None:
+            self.target_gone(entry.target.address)  # idle connections only
         return True
 
     def request_backoff(self, name: str, seconds: float, now: float) -> None:
