Count and log headers of answers that no host understands

A header that means nothing here is now counted by name, up to 32 of them, and logged once. Retry-After is read as an HTTP date as well; a date that is past or unreadable asks for nothing. Tests: one line for many answers, bounded series, dates.

--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -51,6 +51,11 @@
         self.mismatches = self.counter(
             "mismatches", "Answers of targets refused by a check.", ["check"]
         )
+        self.unknown_headers = self.counter(
+            "unknown_headers",
+            "Headers of targets' answers that mean nothing here.",
+            ["header"],
+        )
         self.bad_requests = self.counter(
             "bad_requests", "Requests that could not be read.", ["status"]
         )
--- a/hillthread/coordination/gateway/serving/announcement_keeper.py
+++ b/hillthread/coordination/gateway/serving/announcement_keeper.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import logging
+
 import anyio
 import anyio.abc
 
@@ -19,6 +21,11 @@
 
 # Pauses before a notice is sent again, since packets get lost.
 _RESEND_S = (0.1, 0.3)
+# Unknown headers that are told apart; targets may send any number.
+_MAX_UNKNOWN = 32
+_OTHER = "other"
+
+_logger = logging.getLogger("hillthread.targets")
 
 
 class AnnouncementKeeper:
@@ -28,6 +35,7 @@
         site: The host's beliefs.
         work: Sends notices to other hosts.
         tasks: Where notices are sent again.
+        unknown: Unknown headers seen so far.
     """
 
     def __init__(
@@ -39,6 +47,7 @@
         self.site = site
         self.work = work
         self.tasks = tasks
+        self.unknown: set[str] = set()
         work.apply_departure = self.apply_notice
 
     def apply_answer(
@@ -54,6 +63,8 @@
             incarnation: Key of the target's incarnation at that time.
             meaning: What the head of the answer says.
         """
+        for header in meaning.unknown_headers:
+            self._count_unknown(target, header)
         if meaning.incarnation not in ("", target):
             return
         if incarnation != self.site.targets.key_of(target):
@@ -69,6 +80,23 @@
         if target is not None:
             self.site.mark_leaving(target, "host")
 
+    def _count_unknown(self, target: str, header: str) -> None:
+        """Counts a header that may announce something, and logs it once."""
+        if header not in self.unknown and len(self.unknown) >= _MAX_UNKNOWN:
+            header = _OTHER
+        self.site.metrics.unknown_headers.labels(header).inc()
+        if header in self.unknown:
+            return
+        self.unknown.add(header)
+        _logger.warning(
+            "unknown header",
+            extra={
+                "event": "unknown_header",
+                "target": target,
+                "header": header,
+            },
+        )
+
     def _notify(self, notice: work_notice.DepartureNotice) -> None:
         self.work.notify_departures([notice])
         self.tasks.start_soon(self._resend, notice)
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import email.utils
 import http
 import math
+import time
 from typing import NamedTuple
 
 from hillthread.platform import names
@@ -36,6 +38,27 @@
         b"upgrade",
     ]
 )
+# Headers of answers that have a meaning here, or that HTTP defines and hosts
+# only relay.
+_KNOWN_HEADERS = _HOP_BY_HOP | frozenset(
+    [
+        names.INCARNATION,
+        names.NOT_RUN,
+        names.RECEIPT,
+        names.REQUEST_ID,
+        names.RETRY_AFTER,
+        names.TARGET_LEAVING,
+        names.TARGET_LIMIT,
+        names.WEIGHTS_VERSION,
+        b"cache-control",
+        b"content-encoding",
+        b"content-length",
+        b"content-type",
+        b"date",
+        b"server",
+        b"vary",
+    ]
+)
 _FRAMING = frozenset([b"content-length", b"expect"])
 # A deadline of 0 would be none.
 _LEAST_DEADLINE_MS = 1
@@ -87,6 +110,7 @@
             many seconds; 0 when it asks for no back-off.
         limit_per_s: Requests a second that the target takes from all hosts
             together; None when it names no limit.
+        unknown_headers: Names of headers that mean nothing here.
     """
 
     request_id: bytes
@@ -98,6 +122,7 @@
     is_leaving: bool
     backoff_s: float
     limit_per_s: float | None
+    unknown_headers: tuple[str, ...]
 
 
 def decode_prompt(headers: http1.Headers) -> PromptHeaders:
@@ -162,6 +187,11 @@
         is_leaving(head),
         _backoff(head),
         _decimal(head.get(names.TARGET_LIMIT)),
+        tuple(
+            name.decode("latin-1")
+            for name, _ in head.headers
+            if name not in _KNOWN_HEADERS
+        ),
     )
 
 
@@ -228,7 +258,18 @@
     """Returns for how long a target that sheds load asks to be left alone."""
     if head.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
         return 0.0
-    return _decimal(head.get(names.RETRY_AFTER)) or 0.0
+    text = head.get(names.RETRY_AFTER)
+    seconds = _decimal(text)
+    return _seconds_until(text) if seconds is None else seconds
+
+
+def _seconds_until(text: bytes) -> float:
+    """Returns the time until an HTTP date; 0 for one that is past or none."""
+    try:
+        date = email.utils.parsedate_to_datetime(text.decode("latin-1"))
+    except (ValueError, IndexError, OverflowError):
+        return 0.0
+    return max(0.0, date.timestamp() - time.time())
 
 
 def _decimal(text: bytes) -> float | None:
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -262,6 +262,7 @@
         born_ms: Unix milliseconds of its start.
         limit_per_s: Requests a second that its answers say it takes from all
             hosts together; None to name no limit.
+        extra_headers: Sent with every answer to a request.
         announces_leaving: Its answers say that it leaves.
         backoff_s: It refuses all requests and asks for a back-off of so many
             seconds; 0 to take them.
@@ -298,6 +299,7 @@
         self.cache_epoch = 1
         self.born_ms = int(time.time() * 1000)
         self.limit_per_s: float | None = None
+        self.extra_headers: http1.Headers = []
         self.announces_leaving = False
         self.backoff_s = 0.0
         self.arrivals: list[Arrival] = []
@@ -596,7 +598,7 @@
 
     def _announcements(self) -> http1.Headers:
         """Returns the headers with which every answer tells how it stands."""
-        headers = []
+        headers = list(self.extra_headers)
         if self.limit_per_s is not None:
             headers.append((b"server-limit", str(self.limit_per_s).encode()))
         if self.announces_leaving:
--- a/tests/coordination/gateway/serving/test_target_announcements.py
+++ b/tests/coordination/gateway/serving/test_target_announcements.py
@@ -195,6 +195,42 @@
         scene_lib.play(story)
 
 
+class UnknownHeaderTest(unittest.TestCase):
+    # Guards against an announcement that no host understands and nobody sees.
+    def test_unknown_header_is_counted_and_logged_once(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.extra_headers = [(b"server-new", b"1")]
+            with self.assertLogs("hillthread.targets", "WARNING") as logs:
+                await send_for(scene, 0.3, plain)
+            found = [
+                line.header
+                for line in logs.records
+                if getattr(line, "event", "") == "unknown_header"
+            ]
+            self.assertEqual(found, ["server-new"])
+            page = scene.program.metrics.page().decode()
+            self.assertRegex(
+                page, r'unknown_headers_total{header="server-new"} [1-9]'
+            )
+
+        scene_lib.play(story)
+
+    def test_series_of_unknown_headers_are_bounded(self):
+        async def story(scene):
+            for target in scene.plain:
+                target.extra_headers = [
+                    (b"server-%d" % number, b"1") for number in range(40)
+                ]
+            await scene.call(plain(scene, 0))
+            page = scene.program.metrics.page().decode()
+            count = page.count("unknown_headers_total{")
+            self.assertLessEqual(count, 33)
+            self.assertIn('unknown_headers_total{header="other"}', page)
+
+        scene_lib.play(story)
+
+
 class BackoffTest(unittest.TestCase):
     # Guards against requests to a target that shed load with a 503 and a
     # Retry-After whose time was not over.
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -1,5 +1,7 @@
 """Tests of what the adapter reads: good records, bad ones, any bytes."""
 
+import email.utils
+import time
 import unittest
 
 import hypothesis
@@ -281,6 +283,8 @@
             (503, b"inf", 0.0),
             (503, b"nan", 0.0),
             (503, b"Fri, 31 Dec 1999 23:59:59 GMT", 0.0),
+            (503, b"Fri, 99 Dec 1999 23:59:59 GMT", 0.0),
+            (503, b"soon", 0.0),
             (503, b"9" * 400, 0.0),
             (429, b"3", 0.0),
             (200, b"3", 0.0),
@@ -292,6 +296,14 @@
                 meaning = attempts.decode_answer(head)
                 self.assertEqual(meaning.backoff_s, backoff_s)
 
+    def test_backoff_until_a_date(self):
+        date = email.utils.formatdate(time.time() + 90.0, usegmt=True)
+        head = http1_client.AnswerHead(
+            503, [(names.RETRY_AFTER, date.encode())]
+        )
+        backoff_s = attempts.decode_answer(head).backoff_s
+        self.assertAlmostEqual(backoff_s, 90.0, delta=5.0)
+
     def test_announced_departure(self):
         for headers, is_leaving in (
             ([], False),
