Log the era of the store and when it rises

Logs and metrics could not show that the store had been restored from an older copy, nor to which offsets a host had read: the adapter did not decode the header. A rise is now a line (store_restored) with the position of each topic, part of the context of explain, and a gauge. Nothing acts on it yet.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -98,6 +98,7 @@
         self.site = site_lib.Site(settings, self.metrics)
         self.pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S)
         self.store = store_lib.StoreClient(settings.store)
+        self.store.restored = self._store_restored
         ip, _ = settings_lib.split_address(settings.listen)
         self.source = feed_source.FeedSource(
             settings.host, settings.data_centre
@@ -351,6 +352,22 @@
         # It may have been one call only: the others wait until this one knows.
         self.followers[configuration.OPERATOR_TOPIC].interrupt()
 
+    def _store_restored(self, before: int, era: int) -> None:
+        """Notes that the store was restored from an older copy."""
+        self.metrics.store_era.set(era)
+        _logger.warning(
+            "store restored",
+            extra={
+                "event": "store_restored",
+                "before": before,
+                "era": era,
+                "positions": {
+                    topic: follower.copy.position
+                    for topic, follower in self.followers.items()
+                },
+            },
+        )
+
     def _wake_readers(self) -> None:
         """Has hosts that read from this one told that it hears no more."""
         for follower in self.followers.values():
--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -87,6 +87,9 @@
         self.age = self.gauge(
             "store_age_seconds", "Seconds since the last proven read."
         )
+        self.store_era = self.gauge(
+            "store_era", "Era of the store, once it has been restored."
+        )
         self.targets = self.gauge("targets", "Targets that may get work.")
         self.leaving = self.gauge(
             "targets_leaving", "Listed targets that announced a departure."
--- a/hillthread/platform/names.py
+++ b/hillthread/platform/names.py
@@ -22,6 +22,7 @@
     "SETTINGS_VARIABLE",
     "SET_BY_SYSTEM",
     "SET_BY_SYSTEM_PREFIXES",
+    "STORE_ERA",
     "TARGET_LEAVING",
     "TARGET_LIMIT",
     "TENANT",
@@ -41,6 +42,8 @@
 LAST_EVENT_ID = b"last-event-id"
 RETRY_AFTER = b"retry-after"
 
+# Rises by one whenever the store is restored from an older copy.
+STORE_ERA = b"store-era"
 RECEIPT = b"x-response-stamp"
 NOT_RUN = b"x-not-run"
 INCARNATION = b"x-instance-id"
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Callable
 from collections.abc import Iterator
 import struct
 from typing import NamedTuple
@@ -11,6 +12,8 @@
 import msgspec
 
 from hillthread import errors
+from hillthread.platform import attempts
+from hillthread.platform import names
 from hillthread.state import held_read
 from hillthread.state import topic_copy
 from hillthread.transport import http1_client
@@ -146,12 +149,16 @@
         address: `IP:port`.
         pool: Connections; one whose answer was lost is never used again.
         calls: Calls made so far.
+        era: Of the store, as its answers tell; None while none has told.
+        restored: Called with the former and the new era when it has risen.
     """
 
     def __init__(self, address: str):
         self.address = address
         self.pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S, _PROBES)
         self.calls = 0
+        self.era: int | None = None
+        self.restored: Callable[[int, int], None] = _ignore
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -269,7 +276,7 @@
             method, target.encode(), [(b"host", self.address.encode())], body
         )
         try:
-            return await http1_client.call(
+            answer = await http1_client.call(
                 self.pool,
                 self.address,
                 request,
@@ -287,6 +294,23 @@
                 f"The store cannot be reached: {error.reason}.",
                 "Check the platform; what is known stays in force.",
             ) from error
+        self._note_era(answer.head)
+        return answer
+
+    def _note_era(self, head: http1_client.AnswerHead) -> None:
+        """Notes the era that an answer tells."""
+        era = attempts.whole_number(head.get(names.STORE_ERA))
+        before = self.era
+        if era is None or (before is not None and era <= before):
+            return
+        self.era = era
+        if before is not None:
+            self.restored(before, era)
+
+
+def _ignore(before: int, era: int) -> None:
+    """Stands for nobody who wants to know that the store was restored."""
+    del before, era
 
 
 def _refused(status: int) -> errors.LogError:
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -22,6 +22,7 @@
         "readiness",
         "store_lost",
         "store_back",
+        "store_restored",
         "target_unreachable",
         "target_ended",
         "request_held",
