--- a/hillthread/standin/platform_store.py
+++ b/hillthread/standin/platform_store.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from hillthread.state import caller_bounds
+from hillthread.transport import http1
 from hillthread.transport import http1_server
 
 __all__ = ["PlatformStoreStandin", "StoreFaults"]
@@ -73,6 +74,15 @@
         self.written_at: list[float] = []
         self.newest: dict[str, tuple[int, bytes]] = {}
 
+    def copied(self) -> _Topic:
+        """Returns a copy that later records do not change."""
+        copy = _Topic()
+        copy.first = self.first
+        copy.records = list(self.records)
+        copy.written_at = list(self.written_at)
+        copy.newest = dict(self.newest)
+        return copy
+
     @property
     def end(self) -> int:
         """One past the newest record."""
@@ -96,6 +106,7 @@
 
     Attributes:
         faults: What it does wrong now.
+        era: Restorations so far, as all answers tell; None to tell nothing.
         calls: Calls taken so far, by name.
         topic_calls: The same by topic.
         server: Where it listens.
@@ -103,6 +114,7 @@
 
     def __init__(self, listen: tuple[str, int] = ("127.0.0.1", 0)):
         self.faults = StoreFaults()
+        self.era: int | None = None
         self.calls: dict[str, int] = {}
         self.topic_calls: collections.Counter[str] = collections.Counter()
         self.topics: dict[str, _Topic] = {}
@@ -135,6 +147,17 @@
             for key, (_, value) in self._topic(topic).newest.items()
         }
 
+    def backup(self) -> dict[str, _Topic]:
+        """Returns a copy of all topics, to be restored later."""
+        return {name: topic.copied() for name, topic in self.topics.items()}
+
+    def restore(self, backup: dict[str, _Topic]) -> None:
+        """Goes back to a backup; what was written since is lost."""
+        self.topics = {name: topic.copied() for name, topic in backup.items()}
+        if self.era is not None:
+            self.era += 1
+        self._wake()
+
     def drop_history(self, kept_s: float = 0.0) -> None:
         """Forgets old records; the newest of each key stay.
 
@@ -183,7 +206,7 @@
         if query.get("topic") == self.faults.busy_topic:
             status = 429
         if status:
-            await answer.send_whole(status, [], b"")
+            await answer.send_whole(status, self._era_header(), b"")
             return
         match name:
             case "log-newest":
@@ -193,7 +216,15 @@
             case "log-append":
                 await self._append(query, request.body, answer)
             case _:
-                await answer.send_whole(404, [], b"")
+                await answer.send_whole(404, self._era_header(), b"")
+
+    def _era_header(self) -> http1.Headers:
+        if self.era is None:
+            return []
+        return [(b"store-era", b"%d" % self.era)]
+
+    def _json_headers(self) -> http1.Headers:
+        return [*_JSON, *self._era_header()]
 
     async def _newest(
         self, query: dict[str, str], answer: http1_server.CallerAnswer
@@ -213,27 +244,29 @@
             "truncated": len(keys) > _PAGE_ITEMS,
             "end": topic.end,
         }
-        await answer.send_whole(200, _JSON, msgspec.json.encode(page))
+        body = msgspec.json.encode(page)
+        await answer.send_whole(200, self._json_headers(), body)
 
     async def _read(
         self, query: dict[str, str], answer: http1_server.CallerAnswer
     ) -> None:
         topic = self._topic(query["topic"])
         start = int(query["from"])
-        if start < topic.first:
+        if not topic.first <= start <= topic.end:
             gone = msgspec.json.encode({"first": topic.first})
-            await answer.send_whole(410, _JSON, gone)
+            await answer.send_whole(410, self._json_headers(), gone)
             return
         with anyio.move_on_after(int(query.get("waitMs", "0")) / 1000.0):
             while topic.end <= start or self.faults.deaf:
                 await self.changed.wait()
+                topic = self._topic(query["topic"])  # it may be restored
         if self.faults.silent:
             await anyio.sleep_forever()
         parts = [struct.pack(">QQ", topic.end, topic.first)]
         records = topic.records[max(0, start - topic.first) :]
         for payload in records[: self.faults.page_records or None]:
             parts.append(struct.pack(">I", len(payload)) + payload)
-        await answer.send_whole(200, [], b"".join(parts))
+        await answer.send_whole(200, self._era_header(), b"".join(parts))
 
     async def _append(
         self,
@@ -250,7 +283,7 @@
         if expected is not None and int(expected) != topic.end:
             told = msgspec.json.encode({"end": topic.end})
             if not lost:
-                await answer.send_whole(412, _JSON, told)
+                await answer.send_whole(412, self._json_headers(), told)
             return
         offset = topic.end
         position = 0
@@ -269,7 +302,7 @@
         if lost:
             await anyio.sleep_forever()
         done = msgspec.json.encode({"offset": offset, "end": topic.end})
-        await answer.send_whole(200, _JSON, done)
+        await answer.send_whole(200, self._json_headers(), done)
 
 
 def _ignore(status: int, reason: str) -> None:
--- /dev/null
+++ b/tests/coordination/gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what a gateway reads from the store."""
--- /dev/null
+++ b/tests/coordination/gateway/store/test_store_restored.py
@@ -0,0 +1,116 @@
+"""Tests that hosts follow a store that was restored from an older copy."""
+
+import unittest
+
+from tests.coordination.gateway import scene as scene_lib
+from tests.coordination.gateway.peers import test_feed
+
+
+async def known(scene):
+    """Waits until the gateway applies the newest configuration."""
+    await scene.until(lambda: scene.site.configuration.version == scene.version)
+
+
+async def restore(scene, backup, written_again=None):
+    """Has the store fail for a moment and come back from a backup.
+
+    Args:
+        scene: The scene.
+        backup: Of the store.
+        written_again: Called when it is restored, before hosts reach it.
+    """
+    scene.store.faults.reset = True
+    await scene.until(lambda: scene.site.is_store_lost)
+    scene.store.restore(backup)
+    if written_again is not None:
+        written_again()
+    scene.store.faults.reset = False
+
+
+def play(story):
+    """Runs a story before a store that tells its era."""
+
+    async def start_era(scene):
+        scene.store.era = 7
+
+    scene_lib.play(story, before=start_era)
+
+
+class RestoredStoreTest(unittest.TestCase):
+    # Guards against a change that hosts take for old because the restored
+    # store gave it a lower offset than what they had read.
+    def test_change_after_a_restoration_is_applied(self):
+        async def story(scene):
+            await known(scene)
+            backup = scene.store.backup()
+            for _ in range(4):
+                scene.configure()
+            await known(scene)
+            await restore(scene, backup)
+            scene.configure()  # the operator writes the newest one again
+            scene.configure()
+            await known(scene)
+
+        play(story)
+
+    # Guards against changes that hosts miss because the restored topic has
+    # grown past the place to which they had read.
+    def test_change_behind_the_former_end_is_applied(self):
+        async def story(scene):
+            await known(scene)
+            backup = scene.store.backup()
+            scene.configure()
+            await known(scene)
+
+            def write_more():
+                scene.configure()
+                for version in range(2, 6):
+                    scene.name_weights(version)
+
+            await restore(scene, backup, write_more)
+            await known(scene)
+
+        play(story)
+
+    # Guards against a host that reads from another one which goes on in the
+    # former era.
+    def test_hosts_that_read_from_others_follow(self):
+        async def story(scene):
+            await known(scene)
+            second = await test_feed.second_host(scene)
+            await scene.until(lambda: "h1" in second.source.hosts)
+            test_feed.read_from(second, "h1")
+            backup = scene.store.backup()
+            for _ in range(4):
+                scene.configure()
+            await known(scene)
+            await restore(scene, backup)
+            scene.configure()
+            await known(scene)
+            await scene.until(
+                lambda: second.site.configuration.version == scene.version
+            )
+
+        play(story)
+
+    def test_operators_see_that_the_store_was_restored(self):
+        async def story(scene):
+            await known(scene)
+            backup = scene.store.backup()
+            with self.assertLogs("hillthread.program", "WARNING") as logs:
+                await restore(scene, backup)
+                await scene.until(lambda: scene.program.store.era == 8)
+            found = [
+                (line.before, line.era)
+                for line in logs.records
+                if getattr(line, "event", "") == "store_restored"
+            ]
+            self.assertEqual(found, [(7, 8)])
+            page = scene.program.metrics.page().decode()
+            self.assertIn("hillthread_store_era 8.0", page)
+
+        play(story)
+
+
+if __name__ == "__main__":
+    unittest.main()
