Follow a store that was restored from an older copy

For up to 2.6 s after a change was acknowledged callers' requests were handled by the configuration before it, a withdrawn key among them, and without a further change it would have stayed so.

Cause: offsets ordered facts. They are given out again when the store goes back to an older copy, while hosts kept the offset of the newest record of each key, skipped whatever was not above it, and went on reading from a place that means other records now. Ruled out: reads that wait behind the end (they were answered), and one reader that misled its data centre (all four missed the same versions).

A position is now an era and an offset, in copies of topics, pages between hosts, held reads and the lease; any answer that tells a new era has all topics read anew, and one of a former era is refused and proves nothing. What writers order themselves is compared by that: an older configuration, name of weights or entry of a target in the copy changes nothing, the next one counts whatever its offset. A target that the copy lacks is trusted for as long as after an outage; departures stay.

The lease on orders starts anew: the holder stops, records that name a former era do not count, nobody contends until an acquisition that was lost must be over, and the fencing number holds the era above the offset, so that it rises.

Hosts of an earlier release cannot read the pages and queries between hosts, and read the store.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -263,6 +263,8 @@
                 lambda: _OPERATOR_GATHER_S,
                 _LONE_GATHER_S,
                 self._take_operator,
+                is_older=configuration.is_older,
+                keeps_missing=True,
                 asks_for_all=True,
             ),
             topic_plan.TopicPlan(
@@ -274,6 +276,7 @@
                 _LONE_GATHER_S,
                 self._take_target,
                 self.site.note_targets_known,
+                is_older=targets.is_older,
             ),
             topic_plan.TopicPlan(
                 host_registry.HOSTS_TOPIC,
@@ -284,6 +287,7 @@
                 _HOSTS_GATHER_S,
                 self._take_host,
                 self.hosts_read.set,
+                keeps_missing=True,
                 lists_hosts=True,
             ),
         ]
@@ -353,7 +357,12 @@
         self.followers[configuration.OPERATOR_TOPIC].interrupt()
 
     def _store_restored(self, before: int, era: int) -> None:
-        """Notes that the store was restored from an older copy."""
+        """Has all topics read anew; what they lack is trusted for a while."""
+        self.site.targets.store_restored(clock.now())
+        self.rollout.lease.store_restored(era)
+        for follower in self.followers.values():
+            follower.wake()
+            follower.interrupt()
         self.metrics.store_era.set(era)
         _logger.warning(
             "store restored",
--- a/hillthread/coordination/gateway/orders/order_lease.py
+++ b/hillthread/coordination/gateway/orders/order_lease.py
@@ -16,6 +16,7 @@
 from hillthread import errors
 from hillthread.platform import store as store_lib
 from hillthread.state import lease
+from hillthread.state import position as position_lib
 
 __all__ = ["OrderLease"]
 
@@ -25,6 +26,8 @@
 _MARGIN_S = 0.3
 # After a call has failed; each has its price, and a renewal begins in time.
 _RETRY_S = 0.3
+# Of a fencing number, those that hold the offset; the era stands above them.
+_OFFSET_BITS = 32
 
 _logger = logging.getLogger("hillthread.lease")
 
@@ -66,8 +69,9 @@
 
     @property
     def fencing(self) -> int:
-        """The fencing number of the holder."""
-        return self.contender.state.fencing
+        """The fencing number of the holder; it rises over restorations too."""
+        state = self.contender.state
+        return ((state.era or 0) << _OFFSET_BITS) + state.fencing
 
     @property
     def is_holder(self) -> bool:
@@ -119,9 +123,10 @@
             LogError: The store cannot be read.
         """
         state = self.contender.state
-        start = state.position + 1
+        if state.era != self.store.era:
+            self.contender.adopt_era(self.store.era)
         try:
-            page = await self.store.read(LEASE_TOPIC, start, 0.0)
+            page = await self.store.read(LEASE_TOPIC, self._next(), 0.0)
         except store_lib.TruncatedError as error:
             _logger.warning(
                 "records of the lease are gone",
@@ -133,12 +138,12 @@
                 },
             )
             self.contender.start_anew(error.first)
-            page = await self.store.read(LEASE_TOPIC, error.first, 0.0)
+            page = await self.store.read(LEASE_TOPIC, self._next(), 0.0)
         now = self._clock()
         before = state.holder
         for record in page.records:
-            self.contender.read(record.offset, record.payload, now)
-        state.position = max(state.position, page.end - 1)
+            self.contender.read(record.position.offset, record.payload, now)
+        state.position = max(state.position, page.end.offset - 1)
         self.contender.start_waiting(now)
         if state.holder != before:
             _logger.info(
@@ -146,10 +151,30 @@
                 extra={
                     "event": "lease_seen",
                     "holder": state.holder,
-                    "fencing": state.fencing,
+                    "fencing": self.fencing,
                 },
             )
 
+    def store_restored(self, era: int) -> None:
+        """Stops acting, since the store may have lost this acquisition."""
+        now = self._clock()
+        was_holder = self.may_act()
+        self.contender.start_era(era, now)
+        _logger.warning(
+            "lease lost with the store's era",
+            extra={
+                "event": "lease_restored",
+                "era": era,
+                "was_holder": was_holder,
+                "contends_in_s": round(self.contender.contend_at - now, 3),
+            },
+        )
+
+    def _next(self) -> position_lib.Position:
+        """Returns the position of the next record."""
+        state = self.contender.state
+        return position_lib.Position(state.era or 0, state.position + 1)
+
     def give_up(self, reason: str) -> None:
         """Stops acting, because an engine has seen a newer holder."""
         self.contender.resign()
@@ -168,9 +193,9 @@
             return
         state = self.contender.state
         record = lease.Release(
-            holder=self.contender.name, fencing=state.fencing
+            holder=self.contender.name, fencing=state.fencing, era=state.era
         )
-        end = state.position + 1
+        end = self._next()
         self.contender.resign()
         try:
             await self.store.append(
@@ -188,19 +213,18 @@
     async def _append(self) -> None:
         now = self._clock()
         payload = lease.encode_lease(self.contender.begin_append(now))
-        state = self.contender.state
         try:
-            offset = await self.store.append(
-                LEASE_TOPIC, payload, state.position + 1
+            position = await self.store.append(
+                LEASE_TOPIC, payload, self._next()
             )
         except (errors.ConflictError, errors.UnknownOutcomeError):
             # Somebody else was first, or the answer was lost: the topic tells.
             await self.catch_up()
             return
         was_holder = self.is_holder
-        self.contender.read(offset, payload, self._clock())
+        self.contender.read(position.offset, payload, self._clock())
         if not was_holder:
             _logger.info(
                 "lease taken",
-                extra={"event": "lease_taken", "fencing": state.fencing},
+                extra={"event": "lease_taken", "fencing": self.fencing},
             )
--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -117,5 +117,8 @@
         one a second later.
         """
         return not (
-            self.site.draining or self.site.is_store_lost or follower.is_suspect
+            self.site.draining
+            or self.site.is_store_lost
+            or follower.is_suspect
+            or follower.is_outdated
         )
--- a/hillthread/coordination/gateway/store/store_follower.py
+++ b/hillthread/coordination/gateway/store/store_follower.py
@@ -20,6 +20,7 @@
 from hillthread.state import feed_source
 from hillthread.state import freshness
 from hillthread.state import held_read
+from hillthread.state import position as position_lib
 from hillthread.state import topic_copy
 from hillthread.transport import http1_client
 
@@ -37,6 +38,8 @@
 # A store that answers lists the hosts within this time.
 _FIRST_HOSTS_S = 0.3
 _MAX_PAGE_BYTES = 16_777_216
+# Before the first read.
+_START = position_lib.Position(0, 0)
 
 _logger = logging.getLogger("hillthread.store")
 
@@ -67,7 +70,13 @@
         self._held: anyio.CancelScope | None = None
         self._held_since = 0.0
         self._lost_at: float | None = None
-        self._packed: tuple[tuple[int, int | None], bytes] | None = None
+        self._packed: (
+            tuple[
+                tuple[position_lib.Position, position_lib.Position | None],
+                bytes,
+            ]
+            | None
+        ) = None
 
     def interrupt(self, before: float = float("inf")) -> None:
         """Has a read that is held, and was sent before then, sent anew."""
@@ -118,12 +127,20 @@
         """Whether a read was lost, and none was answered since."""
         return self._lost_at is not None
 
-    def page(self, start: int) -> bytes:
+    @property
+    def is_outdated(self) -> bool:
+        """Whether the store was restored since this topic was read."""
+        position = self.copy.position
+        if position is None:
+            return False
+        return position.era < self.readers.client.current_era
+
+    def page(self, start: position_lib.Position) -> bytes:
         """Returns what another host wants to know now.
 
         Hosts that ask together are told the same: it is packed once.
         """
-        position = self.copy.position or 0
+        position = self.copy.position or _START
         age_s = self.freshness.age(clock.now())
         records = self.copy.since(start)
         whole = records is None
@@ -157,8 +174,7 @@
             pass  # it was answered, and is counted below
         now = clock.now()
         outcome = "peer_failed"
-        oldest_s = _PEER_AGE_S + self.plan.reader_wait_s()
-        if page is not None and page.age_s <= oldest_s:
+        if page is not None and self._is_current(page):
             is_first = self.copy.position is None
             self._take_page(page)
             if is_first:
@@ -174,10 +190,18 @@
         self._count(outcome, started)
         return outcome == "peer_answered"
 
+    def _is_current(self, page: feed.FeedPage) -> bool:
+        """Returns whether another host knows enough to be followed."""
+        if page.position.era < self.readers.client.current_era:
+            return False
+        oldest_s = _PEER_AGE_S + self.plan.reader_wait_s()
+        return page.age_s <= oldest_s
+
     async def _call_peer(
         self, peer: feed_source.HostEntry, wait_s: float
     ) -> feed.FeedPage:
-        query = feed.FeedQuery(self.plan.topic, self.copy.position or 0, wait_s)
+        start = self.copy.position or _START
+        query = feed.FeedQuery(self.plan.topic, start, wait_s)
         request = http1_client.ClientRequest(
             b"GET", feed.encode_query(query), [(b"host", peer.feed.encode())]
         )
@@ -196,10 +220,12 @@
         return feed.decode_page(answer.body)
 
     def _take_page(self, page: feed.FeedPage) -> None:
+        # The other host may be the first to tell that the store was restored.
+        self.readers.client.note_era(page.position.era)
         if page.whole:
-            if page.position < (self.copy.position or 0):
+            if page.position < (self.copy.position or _START):
                 return  # it knows less than this host
-            self._take_all(self.copy.replace(page.records, page.position))
+            self._take_whole(page.records, page.position)
             return
         for record in page.records:
             if self.copy.add(record):
@@ -211,7 +237,7 @@
         """Reads from the store; returns failures in a row so far."""
         started = clock.now()
         try:
-            if self.copy.position is None:
+            if self.copy.position is None or self.is_outdated:
                 await self._read_newest(started)
             elif not await self._read_changes(self._wait_s(failures)):
                 return 0  # interrupted: it says nothing of the store
@@ -219,6 +245,9 @@
             self.copy.position = None
             self._count("truncated", started)
             return 0
+        except store.RestoredError:
+            self._count("restored", started)
+            return 0
         except store.LostReadError as error:
             if not failures and self.readers.watch.lost_at is None:
                 self._note_lost_read(error.message)
@@ -297,7 +326,7 @@
 
     async def _read_newest(self, started: float) -> None:
         page = await self.readers.client.newest(self.plan.topic)
-        self._take_all(self.copy.replace(page.records, page.end))
+        self._take_whole(page.records, page.end)
         self.freshness.prove(started)
         self.plan.caught_up()
         if self.plan.lists_hosts:
@@ -310,26 +339,53 @@
         self._held_since = started
         with anyio.CancelScope() as self._held:
             page = await self.readers.client.read(
-                self.plan.topic, self.copy.position or 0, wait_s
+                self.plan.topic, self.copy.position or _START, wait_s
             )
         self._held = None
         if page is None:
             return False
         for record in page.records:
             self._take_raw(record)
-        if (self.copy.position or 0) < page.end:
+        if (self.copy.position or _START) < page.end:
             return True  # the rest, which may be anything, comes with the next
         took_s = clock.now() - started
         held_s = 0.0 if page.records else min(wait_s, took_s)
         self.freshness.prove(started, held_s)
         return True
 
+    def _take_whole(
+        self,
+        records: list[topic_copy.TopicRecord],
+        end: position_lib.Position,
+    ) -> None:
+        """Takes over the newest record of every key."""
+        if not self.copy.is_restored_by(end.era):
+            self._take_all(self.copy.replace(records, end))
+            return
+        restored = self.copy.restore(
+            records, end, self.plan.is_older, self.plan.keeps_missing
+        )
+        _logger.warning(
+            "restored topic read",
+            extra={
+                "event": "topic_restored",
+                "topic": self.plan.topic,
+                "era": end.era,
+                "end": end.offset,
+                "changes": len(restored.changes),
+                "lost": len(restored.lost),
+            },
+        )
+        self._take_all(restored.changes)
+        self.plan.lost(restored.lost)
+
     def _take_raw(self, raw: store.LogRecord) -> None:
         try:
             record = store.parse_keyed(raw)
         except errors.LogError as error:
-            self.copy.advance(raw.offset + 1)
-            self._note_bad(str(raw.offset), error)
+            offset = raw.position.offset
+            self.copy.advance(raw.position._replace(offset=offset + 1))
+            self._note_bad(str(offset), error)
             return
         if self.copy.add(record):
             self._take_all([record])
--- a/hillthread/coordination/gateway/store/topic_plan.py
+++ b/hillthread/coordination/gateway/store/topic_plan.py
@@ -21,6 +21,19 @@
     """Stands for nobody who wants to know that a topic was read."""
 
 
+def _ignore_lost(keys: list[str]) -> None:
+    """Stands for nobody who writes again what a restored topic has lost."""
+    del keys
+
+
+def _is_never_older(
+    record: topic_copy.TopicRecord, known: topic_copy.TopicRecord
+) -> bool:
+    """Stands for records that tell nothing of their order."""
+    del record, known
+    return False
+
+
 class Readers(NamedTuple):
     """What all followers of a host share.
 
@@ -59,6 +72,12 @@
         lone_gather_s: The same where each host reads for itself.
         take: Called with each change.
         caught_up: Called when the newest of all keys was read.
+        is_older: Returns whether the first of two records with the same key is
+            older by what its writer says.
+        keeps_missing: Keys that the topic lacks once the store was restored
+            are kept; otherwise they count as removed.
+        lost: Called with the keys that a restored topic lacks or has older
+            values of, and that are kept.
         asks_for_all: While the store fails, this topic's follower finds out
             when it answers again.
         lists_hosts: The topic tells which hosts there are: followers of other
@@ -73,5 +92,10 @@
     lone_gather_s: float
     take: Callable[[topic_copy.TopicRecord], None]
     caught_up: Callable[[], None] = _nobody
+    is_older: Callable[
+        [topic_copy.TopicRecord, topic_copy.TopicRecord], bool
+    ] = _is_never_older
+    keeps_missing: bool = False
+    lost: Callable[[list[str]], None] = _ignore_lost
     asks_for_all: bool = False
     lists_hosts: bool = False
--- a/hillthread/platform/configuration.py
+++ b/hillthread/platform/configuration.py
@@ -13,6 +13,7 @@
 from hillthread.state import objects
 from hillthread.state import payloads
 from hillthread.state import site_configuration
+from hillthread.state import topic_copy
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -21,6 +22,7 @@
     "WeightsName",
     "decode_configuration",
     "decode_weights",
+    "is_older",
 ]
 
 OPERATOR_TOPIC = "keyed.op"
@@ -131,6 +133,13 @@
     version: int
 
 
+class _Versioned(_Wire):
+    """What all records of the operator have."""
+
+    version: int
+
+
+_version_decoder = msgspec.json.Decoder(_Versioned)
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 _weights_decoder = msgspec.json.Decoder(_Weights)
 
@@ -173,6 +182,18 @@
     return WeightsName(wire.model, wire.version)
 
 
+def is_older(
+    record: topic_copy.TopicRecord, known: topic_copy.TopicRecord
+) -> bool:
+    """Returns whether a record precedes the one known under the same key."""
+    try:
+        version = _version_decoder.decode(record.value).version
+        known_version = _version_decoder.decode(known.value).version
+    except msgspec.DecodeError:
+        return False
+    return version < known_version
+
+
 def service_selector(service: str) -> str:
     """Returns the selector of a service's pool and targets."""
     return f"{SERVICE_LABEL}={service}"
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -15,6 +15,7 @@
 from hillthread.platform import attempts
 from hillthread.platform import names
 from hillthread.state import held_read
+from hillthread.state import position as position_lib
 from hillthread.state import topic_copy
 from hillthread.transport import http1_client
 
@@ -24,6 +25,8 @@
     "LogPage",
     "LogRecord",
     "LostReadError",
+    "RestoredError",
+    "StaleAnswerError",
     "StoreClient",
     "TruncatedError",
     "parse_keyed",
@@ -49,11 +52,11 @@
     """One record of a topic.
 
     Attributes:
-        offset: Its place in the topic.
+        position: Its place in the topic.
         payload: Its bytes.
     """
 
-    offset: int
+    position: position_lib.Position
     payload: bytes
 
 
@@ -61,11 +64,11 @@
     """A part of a topic.
 
     Attributes:
-        end: One past the newest record.
+        end: Past the newest record.
         records: In order, without a gap.
     """
 
-    end: int
+    end: position_lib.Position
     records: list[LogRecord]
 
 
@@ -74,11 +77,11 @@
 
     Attributes:
         records: In the order of their keys.
-        end: One past the newest record when the page was made.
+        end: Past the newest record when the page was made.
     """
 
     records: list[topic_copy.TopicRecord]
-    end: int
+    end: position_lib.Position
 
 
 class TruncatedError(errors.LogError):
@@ -112,6 +115,33 @@
         self.end = end
 
 
+class RestoredError(errors.LogError):
+    """The store was restored from an older copy since the last answer.
+
+    Offsets that were read before mean other records now.
+    """
+
+    code = "log_restored"
+
+    def __init__(self):
+        super().__init__(
+            "The store was restored from an older copy.",
+            "Read the newest record of each key.",
+        )
+
+
+class StaleAnswerError(errors.LogError):
+    """An answer came late, from before a restoration that is known."""
+
+    code = "log_answer_stale"
+
+    def __init__(self):
+        super().__init__(
+            "The answer is of the store before it was restored.",
+            "The call is tried again.",
+        )
+
+
 class LostReadError(errors.LogError):
     """A read was sent and not answered.
 
@@ -171,72 +201,90 @@
         be read as well.
 
         Raises:
+            RestoredError: The store was restored while pages were read.
             LogError: The store cannot be read.
         """
         records: list[topic_copy.TopicRecord] = []
         end = None
+        era = None
         after = None
         while True:
             query = {"topic": topic, "part": _PARTITION}
             if after is not None:
                 query["after"] = after
             page = _decode(await self._get("log-newest", query, 0.0), _Newest)
+            era = self.current_era if era is None else era
+            if era != self.current_era:
+                raise RestoredError
             end = page.end if end is None else end
             records += [
                 topic_copy.TopicRecord(
-                    item.key, _unpack_value(item.value), item.offset
+                    item.key,
+                    _unpack_value(item.value),
+                    position_lib.Position(era, item.offset),
                 )
                 for item in page.items
             ]
             if not page.truncated or not page.items:
-                return KeyedPage(records, end)
+                return KeyedPage(records, position_lib.Position(era, end))
             after = page.items[-1].key
 
-    async def read(self, topic: str, start: int, wait_s: float) -> LogPage:
+    async def read(
+        self, topic: str, start: position_lib.Position, wait_s: float
+    ) -> LogPage:
         """Returns the records of a topic from `start` on.
 
         Args:
             topic: Its name.
-            start: Offset of the first wanted record.
+            start: Of the first wanted record.
             wait_s: How long the store holds the call when there is none.
 
         Raises:
+            RestoredError: The store's era is another one than that of `start`.
             TruncatedError: Records from `start` on are no longer kept.
             LostReadError: The read was sent and not answered.
             LogError: The store cannot be read.
         """
+        self._check_position(start)
         query = {
             "topic": topic,
             "part": _PARTITION,
-            "from": start,
+            "from": start.offset,
             "waitMs": int(wait_s * 1000),
         }
         raw = await self._get("log-read", query, wait_s)
+        self._check_position(start)
         return parse_page(raw, start)
 
     async def append(
-        self, topic: str, payload: bytes, expected_end: int
-    ) -> int:
+        self, topic: str, payload: bytes, expected_end: position_lib.Position
+    ) -> position_lib.Position:
         """Appends a record if the topic ends at `expected_end`.
 
         Returns:
-            The record's offset.
+            The record's position.
 
         Raises:
+            RestoredError: The store's era is another one than that of
+                `expected_end`; the record may have been appended, and names
+                an era that is over.
             ChangedError: The topic ends elsewhere; nothing was appended.
             UnknownOutcomeError: It may have been appended, or may be later.
             LogError: It was not appended.
         """
+        self._check_position(expected_end)
         query = {
             "topic": topic,
             "part": _PARTITION,
-            "storeRevision": expected_end,
+            "storeRevision": expected_end.offset,
         }
         body = _LENGTH.pack(len(payload)) + payload
         answer = await self._call(b"POST", "log-append", query, body, 0.0)
+        self._check_position(expected_end)
         match answer.head.status:
             case 200:
-                return _decode(answer.body, _Appended).offset
+                offset = _decode(answer.body, _Appended).offset
+                return expected_end._replace(offset=offset)
             case 412:
                 raise ChangedError(_decode(answer.body, _Appended).end)
             case status:
@@ -294,19 +342,41 @@
                 f"The store cannot be reached: {error.reason}.",
                 "Check the platform; what is known stays in force.",
             ) from error
-        self._note_era(answer.head)
+        self._check_era(answer.head)
         return answer
 
-    def _note_era(self, head: http1_client.AnswerHead) -> None:
-        """Notes the era that an answer tells."""
-        era = attempts.whole_number(head.get(names.STORE_ERA))
+    def _check_position(self, position: position_lib.Position) -> None:
+        """Raises a RestoredError for a position of another era."""
+        if position.era != self.current_era:
+            raise RestoredError
+
+    @property
+    def current_era(self) -> int:
+        """The store's era, as far as it is known; 0 while none was told."""
+        return self.era or 0
+
+    def note_era(self, era: int) -> None:
+        """Applies the store's era that an answer or another host told."""
         before = self.era
-        if era is None or (before is not None and era <= before):
+        if before is not None and era <= before:
             return
         self.era = era
         if before is not None:
             self.restored(before, era)
 
+    def _check_era(self, head: http1_client.AnswerHead) -> None:
+        """Applies the era that an answer tells.
+
+        Raises:
+            StaleAnswerError: It is older than the one known.
+        """
+        era = attempts.whole_number(head.get(names.STORE_ERA))
+        if era is None:
+            return
+        if era < self.current_era:
+            raise StaleAnswerError
+        self.note_era(era)
+
 
 def _ignore(before: int, era: int) -> None:
     """Stands for nobody who wants to know that the store was restored."""
@@ -340,12 +410,12 @@
         ) from error
 
 
-def parse_page(raw: bytes, start: int) -> LogPage:
+def parse_page(raw: bytes, start: position_lib.Position) -> LogPage:
     """Returns the records in an answer to a read.
 
     Args:
         raw: The answer.
-        start: Offset of the first record wanted.
+        start: Of the first record wanted.
 
     Raises:
         LogError: The answer is cut short.
@@ -359,10 +429,10 @@
             "Check whether the platform was upgraded.",
         ) from error
     records = [
-        LogRecord(start + number, payload)
+        LogRecord(start._replace(offset=start.offset + number), payload)
         for number, payload in enumerate(payloads)
     ]
-    return LogPage(end, records)
+    return LogPage(start._replace(offset=end), records)
 
 
 def _split(raw: bytes, position: int) -> Iterator[bytes]:
@@ -386,8 +456,8 @@
     size = payload[0] if payload else 0
     if not payload or len(payload) < 1 + size:
         raise errors.LogError(
-            f"Record {record.offset} of a keyed topic has no key.",
+            f"Record {record.position.offset} of a keyed topic has no key.",
             "Check what wrote it; it is passed over.",
         )
     key = payload[1 : 1 + size].decode("utf-8", "replace")
-    return topic_copy.TopicRecord(key, payload[1 + size :], record.offset)
+    return topic_copy.TopicRecord(key, payload[1 + size :], record.position)
--- a/hillthread/platform/targets.py
+++ b/hillthread/platform/targets.py
@@ -14,8 +14,15 @@
 from hillthread.state import objects
 from hillthread.state import payloads
 from hillthread.state import target_list
+from hillthread.state import topic_copy
 
-__all__ = ["TARGET_TOPIC", "EngineReport", "decode_entry", "decode_report"]
+__all__ = [
+    "TARGET_TOPIC",
+    "EngineReport",
+    "decode_entry",
+    "decode_report",
+    "is_older",
+]
 
 TARGET_TOPIC = "keyed.servers"
 DATA_CENTRE_LABEL = "data_centre"
@@ -121,6 +128,21 @@
     return target_list.ListedTarget(target, leaving, weights, wire.born)
 
 
+def is_older(
+    record: topic_copy.TopicRecord, known: topic_copy.TopicRecord
+) -> bool:
+    """Returns whether an entry precedes the one known of the same target.
+
+    A target counts its writes anew after each start.
+    """
+    try:
+        entry = _entry_decoder.decode(record.value)
+        before = _entry_decoder.decode(known.value)
+    except msgspec.DecodeError:
+        return False
+    return (entry.born, entry.sequence) < (before.born, before.sequence)
+
+
 def decode_report(payload: bytes) -> EngineReport:
     """Returns what an engine reports.
 
--- a/hillthread/protocol/feed.py
+++ b/hillthread/protocol/feed.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from hillthread import errors
+from hillthread.state import position as position_lib
 from hillthread.state import topic_copy
 
 __all__ = [
@@ -52,12 +53,12 @@
 
     Attributes:
         topic: Name of the topic.
-        start: Offset of the first record wanted.
+        start: Of the first record wanted.
         wait_s: How long the answer may be held while there is none.
     """
 
     topic: str
-    start: int
+    start: position_lib.Position
     wait_s: float
 
 
@@ -65,13 +66,13 @@
     """The answer.
 
     Attributes:
-        position: Offset of the next record.
+        position: Of the next record.
         whole: The records are the newest of all keys, not the changes.
         age_s: Age of the answering host's own knowledge when it answered.
         records: In order.
     """
 
-    position: int
+    position: position_lib.Position
     whole: bool
     age_s: float
     records: list[topic_copy.TopicRecord]
@@ -80,7 +81,7 @@
 class _PackedPage(NamedTuple):
     """A page on the wire."""
 
-    position: int
+    position: position_lib.Position
     whole: bool
     age_s: float
     packed: bytes
@@ -90,7 +91,8 @@
     """Returns the request target that asks for a page."""
     fields = {
         "topic": query.topic,
-        "from": query.start,
+        "from": query.start.offset,
+        "era": query.start.era,
         "wait_ms": int(query.wait_s * 1000),
     }
     return f"{FEED_PATH}?{parse.urlencode(fields)}".encode()
@@ -107,7 +109,9 @@
     try:
         return FeedQuery(
             fields["topic"],
-            int(fields["from"]),
+            position_lib.Position(
+                int(fields.get("era", 0)), int(fields["from"])
+            ),
             int(fields["wait_ms"]) / 1000.0,
         )
     except (KeyError, ValueError) as error:
@@ -124,7 +128,7 @@
 
 
 def encode_page(
-    position: int, whole: bool, age_s: float, packed: bytes
+    position: position_lib.Position, whole: bool, age_s: float, packed: bytes
 ) -> bytes:
     """Returns a page as CBOR.
 
--- a/hillthread/state/lease.py
+++ b/hillthread/state/lease.py
@@ -6,6 +6,10 @@
 time to live after it *read* the last record. So a former holder has stopped
 before a new one begins, however late either was. The offset of the acquisition
 is the fencing number.
+
+A log that is restored from an older copy begins an era. What was acquired
+before counts no more, since the copy may lack a later acquisition, and an
+append of the former era that is done late names that era.
 """
 
 from __future__ import annotations
@@ -38,7 +42,12 @@
 
 
 class Acquire(
-    msgspec.Struct, frozen=True, kw_only=True, tag_field="op", tag="acquire"
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    tag_field="op",
+    tag="acquire",
 ):
     """Asks for the lease.
 
@@ -47,15 +56,22 @@
         after: Offset of the last record that counted, as the asker read it;
             -1 for none.
         number: The asker's count of its records.
+        era: Of the log, as the asker knew it; None where it tells none.
     """
 
     holder: str
     after: int
     number: int = 0
+    era: int | None = None
 
 
 class Renew(
-    msgspec.Struct, frozen=True, kw_only=True, tag_field="op", tag="renew"
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    tag_field="op",
+    tag="renew",
 ):
     """Prolongs the lease.
 
@@ -63,25 +79,34 @@
         holder: Host and incarnation.
         fencing: Offset of its acquisition.
         number: The holder's count of its records.
+        era: Of the log, as the holder knew it; None where it tells none.
     """
 
     holder: str
     fencing: int
     number: int = 0
+    era: int | None = None
 
 
 class Release(
-    msgspec.Struct, frozen=True, kw_only=True, tag_field="op", tag="release"
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    tag_field="op",
+    tag="release",
 ):
     """Gives the lease back before its time.
 
     Attributes:
         holder: Host and incarnation.
         fencing: Offset of its acquisition.
+        era: Of the log, as the holder knew it; None where it tells none.
     """
 
     holder: str
     fencing: int
+    era: int | None = None
 
 
 LeaseRecord: TypeAlias = Acquire | Renew | Release
@@ -112,10 +137,15 @@
         holder: Who holds it, or empty.
         fencing: Offset of the acquisition; -1 for none.
         last: Offset of the last record that counted; -1 for none.
+        era: Of the log, or None where it tells none; records that name
+            another one do not count.
+        is_restored: Whether a record of another era was read.
     """
 
     def __init__(self, ordered: bool = False):
         self.ordered = ordered
+        self.era: int | None = None
+        self.is_restored = False
         self.position = -1
         self.holder = NOBODY
         self.fencing = -1
@@ -132,6 +162,9 @@
             record = decode_lease(payload)
         except errors.ConfigurationError:
             return False
+        if None not in (record.era, self.era) and record.era != self.era:
+            self.is_restored = True
+            return False
         if starts_late:
             # Older records are no longer kept; this one followed from them.
             self._adopt(offset, record)
@@ -166,6 +199,14 @@
         self.fencing = -1
         self.last = -1
 
+    def start_era(self, era: int | None) -> None:
+        """Forgets what was read, for the log was restored."""
+        self.era = era
+        self.position = -1
+        self.holder = NOBODY
+        self.fencing = -1
+        self.last = -1
+
     def _adopt(self, offset: int, record: LeaseRecord) -> None:
         self.holder = record.holder
         self.last = offset
@@ -209,6 +250,8 @@
         self._number = 0
         self._began_at: dict[int, float] = {}
         self._acts_until = float("-inf")
+        self._contend_after = float("-inf")
+        self._knows_restoration = False
 
     def begin_append(self, now: float) -> LeaseRecord:
         """Returns the record to append now: a renewal, or an acquisition."""
@@ -218,8 +261,18 @@
         self._began_at.pop(number - _MAX_UNREAD, None)
         if self.state.holder == self.name:
             fencing = self.state.fencing
-            return Renew(holder=self.name, fencing=fencing, number=number)
-        return Acquire(holder=self.name, after=self.state.last, number=number)
+            return Renew(
+                holder=self.name,
+                fencing=fencing,
+                number=number,
+                era=self.state.era,
+            )
+        return Acquire(
+            holder=self.name,
+            after=self.state.last,
+            number=number,
+            era=self.state.era,
+        )
 
     def read(self, offset: int, payload: bytes, now: float) -> None:
         """Takes in a record of the log, read at `now`.
@@ -228,6 +281,11 @@
         still under way must not lengthen it.
         """
         if not self.state.apply(offset, payload):
+            if self.state.is_restored and not self._knows_restoration:
+                # This process began after the restoration: it cannot know who
+                # had acquired the lease in the part that was lost.
+                self._knows_restoration = True
+                self._contend_after = now + self.ttl_s
             return
         self._read_at = now
         if self.state.holder != self.name:
@@ -251,6 +309,23 @@
         self._acts_until = float("-inf")
         self._read_at = None
 
+    def start_era(self, era: int, now: float) -> None:
+        """Begins to follow a log that was restored.
+
+        Nobody contends until an acquisition that was lost must be over, but for
+        the one who holds the lease: nobody else can have acquired it.
+        """
+        holds = self.may_act(now)
+        self.state.start_era(era)
+        self._acts_until = float("-inf")
+        self._read_at = None
+        self._knows_restoration = True
+        self._contend_after = now if holds else now + self.ttl_s
+
+    def adopt_era(self, era: int | None) -> None:
+        """Notes the era of the log before anything of it is read."""
+        self.state.start_era(era)
+
     def resign(self) -> None:
         """Stops acting.
 
@@ -274,6 +349,11 @@
     @property
     def contend_at(self) -> float:
         """From when an acquisition may be appended; of use once it has read."""
+        return max(self._contend_after, self._lapses_at)
+
+    @property
+    def _lapses_at(self) -> float:
+        """When whoever holds the lease by the log has surely stopped acting."""
         if self.state.holder == self.name:
             return self._acts_until
         if self._read_at is None:
--- a/hillthread/state/target_list.py
+++ b/hillthread/state/target_list.py
@@ -92,6 +92,14 @@
             self._away = False
             self._back_at = now
 
+    def store_restored(self, now: float) -> None:
+        """Notes that the list went back to an older copy.
+
+        Entries of live targets that it lacks are written again, as after an
+        outage.
+        """
+        self._back_at = now
+
     def put(self, entry: ListedTarget) -> TargetChange:
         """Takes in an entry and returns what it changed."""
         name = entry.target.name
--- a/tests/coordination/gateway/orders/test_order_lease.py
+++ b/tests/coordination/gateway/orders/test_order_lease.py
@@ -8,6 +8,8 @@
 from hillthread.coordination.gateway.orders import order_lease
 from hillthread.platform import store as store_lib
 from hillthread.standin import platform_store
+from hillthread.state import lease as lease_state
+from hillthread.state import position as position_lib
 
 _PAUSE_S = 0.1
 # A lease is contended so long after its last record was read.
@@ -33,12 +35,14 @@
     """A topic in memory.
 
     Attributes:
+        era: Restorations so far.
         refuses: Whether it refuses all calls.
         calls: Calls taken, refused ones included.
     """
 
     def __init__(self):
         self.records = []
+        self.era = 0
         self.refuses = False
         self.calls = 0
 
@@ -50,20 +54,23 @@
     async def append(self, topic, payload, end):
         """Appends a record if the topic ends there."""
         self._take_call()
-        if end != len(self.records):
+        if end != self._end():
             raise errors.ConflictError("It ends elsewhere.", "Read it.")
         self.records.append(payload)
         return end
 
+    def _end(self):
+        return position_lib.Position(self.era, len(self.records))
+
     async def read(self, topic, position, wait_s):
         """Returns the records from a position on."""
         self._take_call()
         records = [
-            store_lib.LogRecord(offset, payload)
+            store_lib.LogRecord(position._replace(offset=offset), payload)
             for offset, payload in enumerate(self.records)
-            if offset >= position
+            if offset >= position.offset
         ]
-        return store_lib.LogPage(len(self.records), records)
+        return store_lib.LogPage(self._end(), records)
 
 
 class OrderLeaseTest(unittest.TestCase):
@@ -152,6 +159,87 @@
         return order_lease.OrderLease(client, name, _PAUSE_S)
 
 
+class RestoredStoreTest(unittest.IsolatedAsyncioTestCase):
+    """The store comes back from a copy that lacks records of the lease."""
+
+    async def asyncSetUp(self):
+        self.store = Store()
+        self.clock = Clock()
+        self.first = self.lease("h1")
+        self.second = self.lease("h2")
+
+    def lease(self, name):
+        return order_lease.OrderLease(self.store, name, _PAUSE_S, self.clock)
+
+    def restore(self, kept, *leases):
+        """Restores the store with its first records, as hosts learn of it."""
+        del self.store.records[kept:]
+        self.store.era += 1
+        for lease in leases:
+            lease.store_restored(self.store.era)
+
+    # Guards against two holders: one of whom the copy knows nothing.
+    async def test_nobody_contends_while_a_lost_acquisition_may_hold(self):
+        self.assertTrue(await self.first.ensure())
+        self.restore(0, self.second)
+        self.assertFalse(await self.second.ensure())
+        self.clock.now += _LAPSE_S - 0.2
+        self.assertFalse(await self.second.ensure())
+        self.clock.now += 0.4
+        self.assertFalse(self.first.may_act())
+        self.assertTrue(await self.second.ensure())
+
+    async def test_holder_stops_and_may_acquire_at_once(self):
+        self.assertTrue(await self.first.ensure())
+        before = self.first.fencing
+        self.restore(0, self.first)
+        self.assertFalse(self.first.may_act())
+        self.assertTrue(await self.first.ensure())
+        self.assertGreater(self.first.fencing, before)
+
+    async def test_holder_whose_time_is_over_waits_as_others_do(self):
+        self.assertTrue(await self.first.ensure())
+        self.clock.now += _LAPSE_S
+        self.restore(0, self.first)
+        self.assertFalse(await self.first.ensure())
+
+    # Guards against engines that refuse orders, or obey two holders: offsets
+    # are given out again.
+    async def test_fencing_number_rises_over_restorations(self):
+        for _ in range(5):
+            self.assertTrue(await self.first.ensure())
+            self.clock.now += _KEPT_S * 1.5
+        numbers = [self.first.fencing]
+        for kept in (1, 0):
+            self.restore(kept, self.first, self.second)
+            self.clock.now += _LAPSE_S
+            self.assertTrue(await self.second.ensure())
+            numbers.append(self.second.fencing)
+        self.assertEqual(numbers, sorted(set(numbers)))
+
+    # Guards against an append that the store does after its restoration.
+    async def test_append_of_the_former_era_does_not_count(self):
+        late = lease_state.encode_lease(
+            lease_state.Acquire(holder="h3", after=-1, era=1)
+        )
+        self.store.era = 1
+        await self.first.catch_up()
+        self.restore(0, self.first)
+        self.store.records.append(late)
+        await self.first.catch_up()
+        self.assertFalse(self.first.has_holder)
+
+    async def test_process_that_starts_after_the_restoration_waits(self):
+        self.store.era = 1
+        self.assertTrue(await self.first.ensure())
+        await self.first.release()
+        self.restore(2)
+        third = self.lease("h3")
+        self.assertFalse(await third.ensure())
+        self.clock.now += _LAPSE_S
+        self.assertTrue(await third.ensure())
+
+
 class ReleaseTest(unittest.TestCase):
     def test_pause_between_the_orders_of_two_holders_is_kept(self):
         async def run():
--- a/tests/coordination/gateway/peers/test_feed.py
+++ b/tests/coordination/gateway/peers/test_feed.py
@@ -12,6 +12,7 @@
 from hillthread.protocol import feed
 from hillthread.standin import wire_proxy
 from hillthread.state import feed_source
+from hillthread.state import position as position_lib
 from hillthread.transport import http1_client
 from hillthread.transport import log_writer
 from tests.coordination.gateway import scene as scene_lib
@@ -65,14 +66,18 @@
                 feed, "pack_records", side_effect=feed.pack_records
             ) as pack:
                 pages = {
-                    feed.decode_page(follower.page(0)).records[0].key
+                    feed.decode_page(follower.page(position_lib.Position(0, 0)))
+                    .records[0]
+                    .key
                     for _ in range(75)
                 }
                 self.assertEqual(pack.call_count, 1)
                 scene.list_target(scene.engines[0], "draining")
                 position = follower.copy.position
                 await scene.until(lambda: follower.copy.position > position)
-                page = feed.decode_page(follower.page(0))
+                page = feed.decode_page(
+                    follower.page(position_lib.Position(0, 0))
+                )
             self.assertEqual(pack.call_count, 2)
             self.assertEqual(len(pages), 1)
             self.assertIn(b"draining", b"".join(r.value for r in page.records))
@@ -89,7 +94,8 @@
             scene.configure(routes=[])
             scene.store.faults.status = 0
             follower = scene.program.followers["keyed.op"]
-            end = follower.copy.position + 2
+            begin = follower.copy.position
+            end = begin._replace(offset=begin.offset + 2)
             ages = []
 
             def is_read():
@@ -172,7 +178,8 @@
 
                 async def story(scene, event=event):
                     program = scene.program
-                    query = feed.FeedQuery("keyed.servers", 1 << 20, 4.0)
+                    far = position_lib.Position(0, 1 << 20)
+                    query = feed.FeedQuery("keyed.servers", far, 4.0)
                     held = http1_client.ClientRequest(
                         b"GET", feed.encode_query(query), [(b"host", b"h1")]
                     )
--- a/tests/coordination/gateway/store/test_store_restored.py
+++ b/tests/coordination/gateway/store/test_store_restored.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+import anyio
+
+from hillthread.platform import store as store_lib
 from tests.coordination.gateway import scene as scene_lib
 from tests.coordination.gateway.peers import test_feed
 
@@ -11,6 +14,13 @@
     await scene.until(lambda: scene.site.configuration.version == scene.version)
 
 
+async def followed(scene, topic):
+    """Waits until the gateway has read a topic of the restored store."""
+    copy = scene.program.followers[topic].copy
+    era = scene.store.era
+    await scene.until(lambda: copy.position and copy.position.era == era)
+
+
 async def restore(scene, backup, written_again=None):
     """Has the store fail for a moment and come back from a backup.
 
@@ -93,6 +103,90 @@
 
         play(story)
 
+    # Guards against a configuration that goes back within one process.
+    def test_older_configuration_of_the_copy_is_not_applied(self):
+        async def story(scene):
+            await known(scene)
+            backup = scene.store.backup()
+            scene.configure()
+            await known(scene)
+            await restore(scene, backup)
+            await scene.until(lambda: scene.program.store.era == 8)
+            await followed(scene, "keyed.op")
+            self.assertEqual(scene.site.configuration.version, scene.version)
+
+        play(story)
+
+    def test_copy_that_lacks_a_topic_is_followed(self):
+        async def story(scene):
+            await known(scene)
+            backup = scene.store.backup()
+            del backup["keyed.servers"], backup["keyed.op"]
+            await restore(scene, backup)
+            await scene.until(lambda: scene.program.store.era == 8)
+            for target in scene.targets:
+                scene.list_target(target)
+            scene.configure()
+            await known(scene)
+            entries = scene.site.targets.entries
+            self.assertEqual(len(entries), len(scene.targets))
+            answer = await scene.call(scene.request("/once/x"))
+            self.assertEqual(answer.head.status, 200)
+
+        play(story)
+
+    def test_target_that_the_copy_lacks_is_trusted_for_a_while(self):
+        async def story(scene):
+            await known(scene)
+            lives, ended = scene.plain
+            backup = scene.store.backup()
+            for target in scene.plain:
+                del backup["keyed.servers"].newest[target.name]
+            await restore(scene, backup)
+            entries = scene.site.targets.entries
+            await scene.until(lambda: scene.site.targets.is_missing(ended.name))
+            self.assertIn(lives.name, entries)
+            scene.list_target(lives)
+            await scene.until(lambda: ended.name not in entries)
+            self.assertIn(lives.name, entries)
+
+        play(story)
+
+    def test_departure_outlasts_the_restoration(self):
+        async def story(scene):
+            await known(scene)
+            target = scene.plain[0]
+            backup = scene.store.backup()
+            scene.list_target(target, "draining")
+            entries = scene.site.targets.entries
+            await scene.until(lambda: entries[target.name].leaving)
+            await restore(scene, backup)
+            await followed(scene, "keyed.servers")
+            scene.list_target(target)
+            await anyio.sleep(0.3)
+            self.assertTrue(entries[target.name].leaving)
+
+        play(story)
+
+    # Guards against an answer of the former era that proves keys anew.
+    def test_late_answer_of_the_former_era_is_refused(self):
+        async def story(scene):
+            await known(scene)
+            scene.program.store.note_era(9)
+            with self.assertRaises(store_lib.StaleAnswerError):
+                await scene.program.store.newest("keyed.op")
+
+        play(story)
+
+    def test_store_that_tells_no_era_is_followed_as_before(self):
+        async def story(scene):
+            await known(scene)
+            self.assertIsNone(scene.program.store.era)
+            scene.configure()
+            await known(scene)
+
+        scene_lib.play(story)
+
     def test_operators_see_that_the_store_was_restored(self):
         async def story(scene):
             await known(scene)
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -16,6 +16,7 @@
 from hillthread.platform import targets
 from hillthread.state import attempt_plan
 from hillthread.state import objects
+from hillthread.state import position
 from hillthread.transport import http1_client
 from tests.coordination.gateway import scene
 
@@ -178,14 +179,16 @@
         raw = (9).to_bytes(8, "big") + (0).to_bytes(8, "big")
         for payload in payloads:
             raw += len(payload).to_bytes(4, "big") + payload
-        page = store.parse_page(raw, 3)
+        start = position.Position(2, 3)
+        page = store.parse_page(raw, start)
+        self.assertEqual(page.end, position.Position(2, 9))
         self.assertEqual([r.payload for r in page.records], payloads)
         self.assertEqual(
-            [r.offset for r in page.records],
-            list(range(3, 3 + len(payloads))),
+            [r.position for r in page.records],
+            [position.Position(2, 3 + n) for n in range(len(payloads))],
         )
         try:
-            cut_page = store.parse_page(raw[:cut], 3)
+            cut_page = store.parse_page(raw[:cut], start)
         except errors.LogError:
             return
         found = [r.payload for r in cut_page.records]
@@ -194,7 +197,7 @@
     @_settings
     @hypothesis.given(strategies.binary(max_size=20))
     def test_keyed_record_is_read_or_refused(self, payload):
-        record = store.LogRecord(5, payload)
+        record = store.LogRecord(position.Position(0, 5), payload)
         try:
             keyed = store.parse_keyed(record)
         except errors.LogError:
--- a/tests/state/test_topic_copy.py
+++ b/tests/state/test_topic_copy.py
@@ -9,12 +9,18 @@
 from hillthread import errors
 from hillthread.protocol import feed
 from hillthread.state import feed_source
+from hillthread.state import position as position_lib
 from hillthread.state import topic_copy
 
 
-def record(offset, key, value):
+def at(offset, era=0):
+    """Returns a position."""
+    return position_lib.Position(era, offset)
+
+
+def record(offset, key, value, era=0):
     """Returns a record."""
-    return topic_copy.TopicRecord(key, value, offset)
+    return topic_copy.TopicRecord(key, value, at(offset, era))
 
 
 _changes = strategies.lists(
@@ -29,9 +35,9 @@
     @hypothesis.given(_changes, strategies.integers(0, 30))
     def test_reader_of_a_copy_knows_what_the_copy_knows(self, changes, join):
         copy = topic_copy.TopicCopy()
-        copy.replace([], 0)
+        copy.replace([], at(0))
         reader = topic_copy.TopicCopy()
-        reader.replace([], 0)
+        reader.replace([], at(0))
         for offset, (key, value) in enumerate(changes):
             copy.add(record(offset, key, value))
             if offset >= join:
@@ -41,28 +47,30 @@
 
     def test_record_known_already_is_kept_for_those_who_read_from_here(self):
         copy = topic_copy.TopicCopy()
-        copy.replace([topic_copy.TopicRecord("a", b"2", 1)], 1)
-        self.assertFalse(copy.add(topic_copy.TopicRecord("a", b"2", 1)))
-        self.assertEqual([r.offset for r in copy.since(1)], [1])
+        copy.replace([record(1, "a", b"2")], at(1))
+        self.assertFalse(copy.add(record(1, "a", b"2")))
+        self.assertEqual([r.position for r in copy.since(at(1))], [at(1)])
 
     def test_records_that_cannot_be_read_are_passed_over(self):
         copy = topic_copy.TopicCopy()
-        copy.replace([], 3)
-        copy.advance(5)
-        self.assertEqual(copy.position, 5)
-        copy.advance(4)
-        self.assertEqual(copy.position, 5)
+        copy.replace([], at(3))
+        copy.advance(at(5))
+        self.assertEqual(copy.position, at(5))
+        copy.advance(at(4))
+        self.assertEqual(copy.position, at(5))
 
     def test_reader_that_lags_behind_history_is_given_the_whole(self):
         copy = topic_copy.TopicCopy()
-        copy.replace([record(4, "a", b"1")], 9)
-        self.assertIsNone(copy.since(3))
-        self.assertEqual(copy.since(9), [])
+        copy.replace([record(4, "a", b"1")], at(9))
+        self.assertIsNone(copy.since(at(3)))
+        self.assertEqual(copy.since(at(9)), [])
 
     def test_replacing_tells_what_was_removed(self):
         copy = topic_copy.TopicCopy()
-        copy.replace([record(1, "a", b"1"), record(2, "b", b"1")], 3)
-        changes = copy.replace([record(2, "b", b"1"), record(5, "c", b"1")], 6)
+        copy.replace([record(1, "a", b"1"), record(2, "b", b"1")], at(3))
+        changes = copy.replace(
+            [record(2, "b", b"1"), record(5, "c", b"1")], at(6)
+        )
         self.assertEqual(
             [(each.key, each.value) for each in changes],
             [("a", b""), ("c", b"1")],
@@ -85,11 +93,11 @@
         self.assertLess(len(feed.pack_records(records)), whole / 5)
 
     def test_page_survives_the_wire_and_others_are_refused(self):
-        page = feed.FeedPage(9, True, 0.5, [record(4, "a", b"\x00")])
+        page = feed.FeedPage(at(9, 2), True, 0.5, [record(4, "a", b"\x00")])
         packed = feed.pack_records(page.records)
         raw = feed.encode_page(page.position, page.whole, page.age_s, packed)
         self.assertEqual(feed.decode_page(raw), page)
-        query = feed.FeedQuery("t", 3, 0.25)
+        query = feed.FeedQuery("t", at(3, 2), 0.25)
         self.assertEqual(feed.parse_query(feed.encode_query(query)), query)
         far_too_long = zlib.compress(bytes(64 << 20), 1)
         for bad in (
@@ -98,10 +106,10 @@
             b"\xff",
             b"\x84\x01\x02\x03\x04",
             raw[:-1],
-            feed.encode_page(9, True, 0.5, packed[:-1]),
-            feed.encode_page(9, True, 0.5, b"not packed"),
-            feed.encode_page(9, True, 0.5, zlib.compress(b"\xff")),
-            feed.encode_page(9, True, 0.5, far_too_long),
+            feed.encode_page(at(9), True, 0.5, packed[:-1]),
+            feed.encode_page(at(9), True, 0.5, b"not packed"),
+            feed.encode_page(at(9), True, 0.5, zlib.compress(b"\xff")),
+            feed.encode_page(at(9), True, 0.5, far_too_long),
         ):
             with self.assertRaises(errors.PeerError):
                 feed.decode_page(bad)
@@ -109,6 +117,65 @@
             feed.parse_query(b"/feed?topic=t")
 
 
+def is_shorter(one, other):
+    """Stands for records whose values grow with time."""
+    return len(one.value) < len(other.value)
+
+
+class RestoredTopicTest(unittest.TestCase):
+    def copy(self, *records):
+        copy = topic_copy.TopicCopy()
+        copy.replace(list(records), at(9, 1))
+        return copy
+
+    def restore(self, copy, *records, keeps_missing=False):
+        """Restores a copy in the next era; returns what that changed."""
+        return copy.restore(list(records), at(3, 2), is_shorter, keeps_missing)
+
+    # Guards against records that count as old for their lower offsets.
+    def test_change_of_the_new_era_counts_whatever_its_offset(self):
+        copy = self.copy(record(8, "a", b"1", 1))
+        found = self.restore(copy, record(2, "a", b"22", 2))
+        self.assertEqual(found.changes, [record(2, "a", b"22", 2)])
+        self.assertTrue(copy.add(record(3, "a", b"333", 2)))
+        self.assertEqual(copy.newest["a"].value, b"333")
+
+    def test_older_value_changes_nothing_until_it_is_written_again(self):
+        copy = self.copy(record(8, "a", b"22", 1))
+        found = self.restore(copy, record(2, "a", b"1", 2))
+        self.assertEqual(found, topic_copy.Replacement([], ["a"]))
+        self.assertEqual(copy.newest["a"], record(-1, "a", b"22", 2))
+        self.assertTrue(copy.add(record(3, "a", b"22", 2)))
+
+    def test_equal_value_is_no_change(self):
+        copy = self.copy(record(8, "a", b"1", 1))
+        found = self.restore(copy, record(2, "a", b"1", 2))
+        self.assertEqual(found, topic_copy.Replacement([], []))
+        self.assertEqual(copy.newest["a"].position, at(2, 2))
+
+    def test_missing_key_is_removed_or_kept(self):
+        copy = self.copy(record(8, "a", b"1", 1))
+        found = self.restore(copy)
+        self.assertEqual(found.changes, [record(-1, "a", b"", 2)])
+        self.assertNotIn("a", copy.newest)
+        copy = self.copy(record(8, "a", b"1", 1))
+        found = self.restore(copy, keeps_missing=True)
+        self.assertEqual(found, topic_copy.Replacement([], ["a"]))
+        self.assertIn("a", copy.newest)
+
+    def test_reader_of_the_former_era_is_given_the_whole(self):
+        copy = self.copy()
+        self.restore(copy)
+        self.assertIsNone(copy.since(at(3, 1)))
+        self.assertIsNone(copy.since(at(99, 1)))
+        self.assertEqual(copy.since(at(3, 2)), [])
+
+    def test_former_era_is_told_apart(self):
+        copy = self.copy(record(8, "a", b"1", 1))
+        self.assertFalse(copy.is_restored_by(1))
+        self.assertTrue(copy.is_restored_by(2))
+
+
 class FeedSourceTest(unittest.TestCase):
     def sources(self, count):
         names = [f"h{number}" for number in range(count)]
