Write again what hosts had written into a store that was restored

A host whose entry the copy lacks would be unknown to all that start later: they would take its part of quotas and budgets, and neither notify it nor read from it. The same holds for requests that end targets. Hosts keep both in mind, each lists itself again, and the first of three hosts in an order that all agree on writes a lost quarantine, all spread so that 100 writes a second are made. Tests: both are in the store again; they fail without it.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -288,6 +288,7 @@
                 self._take_host,
                 self.hosts_read.set,
                 keeps_missing=True,
+                lost=self._write_again,
                 lists_hosts=True,
             ),
         ]
@@ -377,6 +378,27 @@
             },
         )
 
+    def _write_again(self, keys: list[str]) -> None:
+        """Has hosts write again what a restored store has lost of theirs."""
+        self.tasks.start_soon(self.hosts.list_again, self._is_listed)
+        for key in keys:
+            if key.startswith(host_registry.QUARANTINE_PREFIX):
+                self.quarantine.keep_again(key, self._is_lost)
+
+    def _is_listed(self) -> bool:
+        """Returns whether the store has this host's entry."""
+        name = self.site.settings.host
+        record = self._hosts_copy().newest.get(name)
+        return record is not None and record.position.offset >= 0
+
+    def _is_lost(self, key: str) -> bool:
+        """Returns whether a restored store still lacks a record."""
+        record = self._hosts_copy().newest.get(key)
+        return record is not None and record.position.offset < 0
+
+    def _hosts_copy(self) -> topic_copy.TopicCopy:
+        return self.followers[host_registry.HOSTS_TOPIC].copy
+
     def _wake_readers(self) -> None:
         """Has hosts that read from this one told that it hears no more."""
         for follower in self.followers.values():
--- a/hillthread/coordination/gateway/serving/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import logging
+import random
 import time
 from typing import NamedTuple
 
@@ -25,6 +27,7 @@
 from hillthread.platform import store as store_lib
 from hillthread.protocol import work_notice
 from hillthread.state import payloads
+from hillthread.state import placement
 from hillthread.state import quarantine
 from hillthread.state import topic_copy
 
@@ -36,6 +39,9 @@
 _TELL_AGAIN_S = (0.1, 0.3)
 _STORE_RETRY_S = 1.0
 _STORE_TRIES = 5
+# Hosts that look after a record which a restored store has lost: the first of
+# them may be gone.
+_REWRITING_HOSTS = 3
 
 _logger = logging.getLogger("hillthread.quarantine")
 
@@ -238,6 +244,36 @@
         for incarnation in entry.ended:
             self.site.quarantine.note_end(digest, incarnation, now, ago_s)
 
+    def keep_again(self, key: str, is_lost: Callable[[str], bool]) -> None:
+        """Has a record written again that a restored store has lost.
+
+        Hosts agree on the order in which they look after it, so that mostly
+        the first one writes.
+
+        Args:
+            key: Of the record.
+            is_lost: Returns whether the store still lacks a record.
+        """
+        ranked = placement.rank_by_rendezvous(
+            key.encode(), list(self.work.source.hosts)
+        )[:_REWRITING_HOSTS]
+        name = self.work.source.name
+        if name in ranked:
+            rank = ranked.index(name)
+            self.tasks.start_soon(self._keep_again, key, rank, is_lost)
+
+    async def _keep_again(
+        self, key: str, rank: int, is_lost: Callable[[str], bool]
+    ) -> None:
+        spread_s = host_registry.rewrite_spread_s(self.site.hosts)
+        await anyio.sleep(random.uniform(rank, rank + 1.0) * spread_s)
+        digest = key.removeprefix(host_registry.QUARANTINE_PREFIX)
+        ended = self.site.quarantine.ended_with(digest)
+        if not ended or not is_lost(key):
+            return
+        entry = _Entry(sorted(ended), time.time())
+        await self._store(digest, msgspec.json.encode(entry))
+
     # What operators ask.
 
     def suspects(self) -> list[quarantine.Suspect]:
--- a/hillthread/coordination/gateway/store/host_registry.py
+++ b/hillthread/coordination/gateway/store/host_registry.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import logging
 import random
 
@@ -20,7 +21,12 @@
 from hillthread.state import payloads
 from hillthread.state import topic_copy
 
-__all__ = ["HOSTS_TOPIC", "QUARANTINE_PREFIX", "HostRegistry"]
+__all__ = [
+    "HOSTS_TOPIC",
+    "QUARANTINE_PREFIX",
+    "HostRegistry",
+    "rewrite_spread_s",
+]
 
 # What hosts have to tell each other, for good. All follow it anyway: word of
 # another kind costs the write and one read of each reader, and no topic more.
@@ -28,6 +34,8 @@
 # Begins the keys of requests that end targets; no host is named so.
 QUARANTINE_PREFIX = "quarantine/"
 _RETRY_S = 2.0
+# Of the writes that the store takes from all hosts, a part.
+_REWRITES_PER_S = 100.0
 _SPREAD = 0.5
 
 _logger = logging.getLogger("hillthread.hosts")
@@ -91,9 +99,36 @@
             self.settled.set()
             self._count()
             return
+        await self._put_listed(entry, wanted)
+
+    async def list_again(self, is_listed: Callable[[], bool]) -> None:
+        """Writes this host's entry if the store was restored without it.
+
+        All hosts that joined since the copy was made do so: each waits a
+        moment, the longer the more hosts there are.
+
+        Args:
+            is_listed: Returns whether the store has the entry.
+        """
+        spread_s = rewrite_spread_s(self.site.hosts)
+        await anyio.sleep(random.uniform(0.0, spread_s))
+        wanted = self.source.hosts.get(self.site.settings.host)
+        if is_listed() or wanted is None:
+            return  # or it is being listed for the first time
+        entry = msgspec.json.encode(
+            _Entry(wanted.data_centre, wanted.feed, wanted.link_mbps)
+        )
+        await self._put_listed(entry, wanted)
+
+    async def _put_listed(
+        self, entry: bytes, wanted: feed_source.HostEntry
+    ) -> None:
+        """Writes this host's entry, until that succeeds."""
         while True:
             try:
-                await self.store.put(HOSTS_TOPIC, settings.host, entry)
+                await self.store.put(
+                    HOSTS_TOPIC, self.site.settings.host, entry
+                )
             except errors.HillthreadError as error:
                 _logger.warning(
                     "host not listed",
@@ -145,3 +180,8 @@
         least = 1 if self.settled.is_set() else site_lib.DEFAULT_HOSTS
         self.site.hosts = max(least, len(self.source.hosts))
         self.site.neighbours = self.source.count_neighbours()
+
+
+def rewrite_spread_s(hosts: int) -> float:
+    """Returns within which time hosts write again what the store has lost."""
+    return hosts / _REWRITES_PER_S
--- a/tests/coordination/gateway/store/test_store_restored.py
+++ b/tests/coordination/gateway/store/test_store_restored.py
@@ -4,6 +4,8 @@
 
 import anyio
 
+from hillthread import clock
+from hillthread.coordination.gateway.store import host_registry
 from hillthread.platform import store as store_lib
 from tests.coordination.gateway import scene as scene_lib
 from tests.coordination.gateway.peers import test_feed
@@ -168,6 +170,40 @@
 
         play(story)
 
+    # Guards against hosts that are not listed any more, whose parts of quotas
+    # and budgets others would use.
+    def test_host_lists_itself_again(self):
+        async def story(scene):
+            await known(scene)
+            backup = scene.store.backup()
+            del backup["keyed.hosts"].newest["h1"]
+            await restore(scene, backup)
+            await scene.until(lambda: "h1" in scene.store.values("keyed.hosts"))
+            self.assertIn("h1", scene.program.source.hosts)
+
+        play(story)
+
+    # Guards against requests that end targets and are forgotten by hosts that
+    # start after the restoration.
+    def test_quarantine_is_kept_again(self):
+        async def story(scene):
+            await known(scene)
+            backup = scene.store.backup()
+            quarantine = scene.site.quarantine
+            now = clock.now()
+            for incarnation in range(3):
+                quarantine.note_end("digest", incarnation, now)
+            standing = quarantine.standing("digest", now)
+            scene.program.quarantine._convicted("digest", standing)
+            key = host_registry.QUARANTINE_PREFIX + "digest"
+            copy = scene.program.followers["keyed.hosts"].copy
+            await scene.until(lambda: key in copy.newest)
+            await restore(scene, backup)
+            await scene.until(lambda: key in scene.store.values("keyed.hosts"))
+            self.assertEqual(quarantine.standing("digest", now).ends, 3)
+
+        play(story)
+
     # Guards against an answer of the former era that proves keys anew.
     def test_late_answer_of_the_former_era_is_refused(self):
         async def story(scene):
