Ask two other hosts at a start for newer records than the store has

A process that starts just after the store was restored knows only the copy: a key that had been withdrawn would hold again until the operator's record is written anew. It asks one host of its data centre and one of another, within 0.2 s, and takes what is newer by its writer's own number. When all hosts start together nobody knows more, and a host that reaches none serves what the store tells. A test with a second host fails without it.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -265,6 +265,7 @@
                 self._take_operator,
                 is_older=configuration.is_older,
                 keeps_missing=True,
+                confirms_start=True,
                 asks_for_all=True,
             ),
             topic_plan.TopicPlan(
--- a/hillthread/coordination/gateway/store/store_follower.py
+++ b/hillthread/coordination/gateway/store/store_follower.py
@@ -38,6 +38,8 @@
 # A store that answers lists the hosts within this time.
 _FIRST_HOSTS_S = 0.3
 _MAX_PAGE_BYTES = 16_777_216
+# Within this time another host has told what it knows.
+_CONFIRM_S = 0.2
 # Before the first read.
 _START = position_lib.Position(0, 0)
 
@@ -326,12 +328,40 @@
 
     async def _read_newest(self, started: float) -> None:
         page = await self.readers.client.newest(self.plan.topic)
-        self._take_whole(page.records, page.end)
+        records = page.records
+        if self.plan.confirms_start and not self.copy.newest:
+            records = await self._confirm(records)
+        self._take_whole(records, page.end)
         self.freshness.prove(started)
         self.plan.caught_up()
         if self.plan.lists_hosts:
             self._brought = True  # others that start now are about to come
 
+    async def _confirm(
+        self, records: list[topic_copy.TopicRecord]
+    ) -> list[topic_copy.TopicRecord]:
+        """Returns records of the store, or newer ones that other hosts have."""
+        newest = {each.key: each for each in records}
+        pages: list[feed.FeedPage] = []
+
+        async def ask(peer: feed_source.HostEntry) -> None:
+            try:
+                pages.append(await self._call_peer(peer, 0.0))
+            except (http1_client.CallError, errors.PeerError) as error:
+                # It has just started, too, or is gone.
+                _logger.debug("host %s confirms nothing: %s", peer.name, error)
+
+        with anyio.move_on_after(_CONFIRM_S):
+            async with anyio.create_task_group() as tasks:
+                for peer in self.readers.source.witnesses(random.choice):
+                    tasks.start_soon(ask, peer)
+        for record in (each for page in pages for each in page.records):
+            known = newest.get(record.key)
+            if known is not None and self.plan.is_older(known, record):
+                unwritten = known.position._replace(offset=-1)
+                newest[record.key] = record._replace(position=unwritten)
+        return list(newest.values())
+
     async def _read_changes(self, wait_s: float) -> bool:
         """Reads what came since; returns false if that was interrupted."""
         started = clock.now()
--- a/hillthread/coordination/gateway/store/topic_plan.py
+++ b/hillthread/coordination/gateway/store/topic_plan.py
@@ -78,6 +78,8 @@
             are kept; otherwise they count as removed.
         lost: Called with the keys that a restored topic lacks or has older
             values of, and that are kept.
+        confirms_start: A process that starts asks other hosts for newer records
+            than the store has, which may just have been restored.
         asks_for_all: While the store fails, this topic's follower finds out
             when it answers again.
         lists_hosts: The topic tells which hosts there are: followers of other
@@ -97,5 +99,6 @@
     ] = _is_never_older
     keeps_missing: bool = False
     lost: Callable[[list[str]], None] = _ignore_lost
+    confirms_start: bool = False
     asks_for_all: bool = False
     lists_hosts: bool = False
--- a/hillthread/state/feed_source.py
+++ b/hillthread/state/feed_source.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -91,6 +92,21 @@
         self.hosts.pop(name, None)
         self._rank()
 
+    def witnesses(
+        self, draw: Callable[[list[HostEntry]], HostEntry]
+    ) -> list[HostEntry]:
+        """Returns a host of this data centre and one of another, as there are.
+
+        Args:
+            draw: Chooses one of several.
+        """
+        others = [
+            each for each in self.hosts.values() if each.name != self.name
+        ]
+        here = [e for e in others if e.data_centre == self.data_centre]
+        elsewhere = [e for e in others if e.data_centre != self.data_centre]
+        return [draw(group) for group in (here, elsewhere) if group]
+
     def pick(self, now: float) -> HostEntry | None:
         """Returns the host to read from; None for the store."""
         for entry in self._ranked[:_SOURCES]:
--- a/tests/coordination/gateway/store/test_store_restored.py
+++ b/tests/coordination/gateway/store/test_store_restored.py
@@ -116,6 +116,11 @@
             await scene.until(lambda: scene.program.store.era == 8)
             await followed(scene, "keyed.op")
             self.assertEqual(scene.site.configuration.version, scene.version)
+            # A host that reads from this one is given what it knows.
+            second = await test_feed.second_host(scene)
+            await scene.until(
+                lambda: second.site.configuration.version == scene.version
+            )
 
         play(story)
 
