Soak with a store that is restored from backups

The stand-in takes a backup, goes on for 0.5 to 6 s, is away for up to 1 s and comes back from it, once or twice in a row; the operator's and the targets' records are written again after up to 0.5 s, what hosts wrote is up to them. All other faults go on meanwhile.

--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -161,6 +161,7 @@
         self.module = module
         self.evidence = evidence_lib.Evidence(bounds)
         self.store = platform_store.PlatformStoreStandin()
+        self.store.era = 1
         self.hosts = [
             SoakHost(name, self._settings(name, number), self.store.address)
             for number, name in enumerate(f"h{n}" for n in range(hosts))
--- a/hillthread/bench/gateway_soak/store_faults.py
+++ b/hillthread/bench/gateway_soak/store_faults.py
@@ -5,6 +5,8 @@
 import anyio
 
 from hillthread.bench.gateway_soak import injector as injector_lib
+from hillthread.platform import configuration
+from hillthread.platform import targets
 from hillthread.standin import platform_store
 
 __all__ = ["StoreFaults"]
@@ -13,6 +15,13 @@
 # A store keeps records for minutes, a lease on orders lasts for seconds: one
 # that holds is never forgotten, earlier ones are.
 _KEPT_S = 4.0
+# From a backup until the store goes back to it, and how long it is away then.
+_BACKUP_AGE_S = (0.5, 6.0)
+_AWAY_S = (0.1, 1.0)
+# Whoever wrote what was lost writes it again within this time.
+_REWRITE_S = (0.0, 0.5)
+# Topics whose writers do so; what hosts wrote is up to them.
+_REWRITTEN = (configuration.OPERATOR_TOPIC, targets.TARGET_TOPIC)
 _NO_FAULTS = platform_store.StoreFaults()
 
 
@@ -35,6 +44,7 @@
             self.store_fails,
             self.store_loses_answers,
             self.store_forgets,
+            self.store_restored,
         )
 
     async def store_fails(self) -> None:
@@ -72,3 +82,35 @@
         """All but the newest record of each key, and young ones, go."""
         with self.injector.noted("store_forgets", "store"):
             self.stage.store.drop_history(_KEPT_S)
+
+    async def store_restored(self) -> None:
+        """The store comes back from a backup, once or twice in a row."""
+        for _ in range(self.injector.random.randint(1, 2)):
+            backup = self.stage.store.backup()
+            await anyio.sleep(self.injector.between(_BACKUP_AGE_S))
+            with self.injector.noted("store_restored", "store"):
+                await self._restore(backup)
+
+    async def _restore(self, backup: platform_store.Backup) -> None:
+        store = self.stage.store
+        store.faults.reset = True
+        await anyio.sleep(self.injector.between(_AWAY_S))
+        lost = {topic: store.newest(topic) for topic in _REWRITTEN}
+        store.restore(backup)
+        restored = {topic: store.newest(topic) for topic in _REWRITTEN}
+        store.faults.reset = False
+        await anyio.sleep(self.injector.between(_REWRITE_S))
+        for topic in _REWRITTEN:
+            self._write_again(topic, restored[topic], lost[topic])
+
+    def _write_again(
+        self, topic: str, restored: dict[str, bytes], lost: dict[str, bytes]
+    ) -> None:
+        """Writes what was lost, but for what has been written since."""
+        store = self.stage.store
+        now = store.newest(topic)
+        for key in sorted(restored.keys() | lost.keys()):
+            if now.get(key) != restored.get(key):
+                continue
+            if lost.get(key, b"") != restored.get(key, b""):
+                store.put_raw(topic, key, lost.get(key, b""))
--- a/hillthread/standin/platform_store.py
+++ b/hillthread/standin/platform_store.py
@@ -9,6 +9,7 @@
 import struct
 import time
 from typing import Any
+from typing import TypeAlias
 from urllib import parse
 
 import anyio
@@ -18,7 +19,7 @@
 from hillthread.transport import http1
 from hillthread.transport import http1_server
 
-__all__ = ["PlatformStoreStandin", "StoreFaults"]
+__all__ = ["Backup", "PlatformStoreStandin", "StoreFaults"]
 
 _PAGE_ITEMS = 500
 _KEYED_PREFIX = "keyed."
@@ -101,6 +102,10 @@
         del self.written_at[:count]
 
 
+# Copies of all topics, by name.
+Backup: TypeAlias = dict[str, _Topic]
+
+
 class PlatformStoreStandin:
     """The store, for tests and demonstrations.
 
@@ -128,6 +133,12 @@
         """`IP:port`."""
         return self.server.address
 
+    def newest(self, topic: str) -> dict[str, bytes]:
+        """Returns the newest value of each key as bytes."""
+        return {
+            key: value for key, (_, value) in self._topic(topic).newest.items()
+        }
+
     def put(self, topic: str, key: str, value: Any) -> int:
         """Writes a value as JSON under a key and returns its offset."""
         return self._append_keyed(topic, key, msgspec.json.encode(value))
@@ -147,11 +158,11 @@
             for key, (_, value) in self._topic(topic).newest.items()
         }
 
-    def backup(self) -> dict[str, _Topic]:
+    def backup(self) -> Backup:
         """Returns a copy of all topics, to be restored later."""
         return {name: topic.copied() for name, topic in self.topics.items()}
 
-    def restore(self, backup: dict[str, _Topic]) -> None:
+    def restore(self, backup: Backup) -> None:
         """Goes back to a backup; what was written since is lost."""
         self.topics = {name: topic.copied() for name, topic in backup.items()}
         if self.era is not None:
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -7,6 +7,7 @@
 from hillthread.coordination.gateway.orders import order_lease
 from hillthread.coordination.gateway.serving import event_relay
 from hillthread.coordination.gateway.serving import job
+from hillthread.platform import store
 from hillthread.programs import gateway
 from hillthread.state import attempt_plan
 from hillthread.state import backoffs
@@ -125,6 +126,11 @@
     backoffs.Backoffs.request = lambda self, target, seconds, now: False
 
 
+def ignores_the_era_of_the_store():
+    store.StoreClient.note_era = lambda self, era: None
+    store.StoreClient._check_era = lambda self, head: None
+
+
 def _hear_nothing_of_use():
     quota_ledger.QuotaLedger.part = lambda self, now: 1.0
     quota_ledger.QuotaLedger.take = lambda self, added, now: None
@@ -147,6 +153,7 @@
         keeps_a_limit_on_each_host,
         ignores_announced_departures,
         ignores_backoffs,
+        ignores_the_era_of_the_store,
     )
 }
 
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -77,6 +77,9 @@
     "keeps_a_limit_on_each_host": Case("target_names_limit", "limit"),
     "ignores_announced_departures": Case("target_announces_departure", "drain"),
     "ignores_backoffs": Case("target_sheds_load", "backoff"),
+    "ignores_the_era_of_the_store": Case(
+        "key_changes,store_restored", "denied"
+    ),
 }
 
 
