Name limits of targets in the field's terms

target_limits.py, limit_keeper.py and what they call: announce, apply, notify, refund, probe, demand in place of tell, hear, give back, trial, ask; doc texts that say what a function does. Moves and words only; log events, metrics, the operator's output and the bytes between hosts are unchanged.

--- a/hillthread/coordination/gateway/peers/work_feed.py
+++ b/hillthread/coordination/gateway/peers/work_feed.py
@@ -72,7 +72,7 @@
         gatherer: Chooses who gathers.
         told: Packets sent so far, one for each receiver.
         heard: Packets taken in so far.
-        heard_of_limits: Takes in the limits that targets have named.
+        apply_limit: Applies the limit of a target.
         apply_departure: Applies the departure of a target.
         heard_of_suspects: Takes in what others have seen of requests under
             which targets end.
@@ -94,9 +94,7 @@
         self.heard_of_suspects: Callable[[work_notice.SuspectNotice], None] = (
             _ignore
         )
-        self.heard_of_limits: Callable[[work_notice.LimitNotice], None] = (
-            _ignore
-        )
+        self.apply_limit: Callable[[work_notice.LimitNotice], None] = _ignore
         self.apply_departure: Callable[[work_notice.DepartureNotice], None] = (
             _ignore
         )
@@ -140,8 +138,8 @@
             self._weights.append(notice)
             self._gathered.set()
 
-    def tell_limits(self, notices: list[work_notice.LimitNotice]) -> None:
-        """Tells of targets that named a limit; many do so at once."""
+    def notify_limits(self, notices: list[work_notice.LimitNotice]) -> None:
+        """Notifies other hosts of limits that targets announced."""
         if not self.is_alone():
             self._limits += notices
             self._gathered.set()
@@ -405,7 +403,7 @@
         for suspect in packet.suspects:
             self.heard_of_suspects(suspect)
         for limit in packet.limits:
-            self.heard_of_limits(limit)
+            self.apply_limit(limit)
         for departure in packet.departures:
             self.apply_departure(departure)
         if self.usage is None or packet.use is work_notice.PacketUse.GATHER:
--- a/hillthread/coordination/gateway/serving/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -244,7 +244,7 @@
         """
         if not self.limited:
             return False
-        return name in self.limited or self.limits.is_spent(name, self.now)
+        return name in self.limited or self.limits.is_exhausted(name, self.now)
 
 
 class Chooser:
--- a/hillthread/coordination/gateway/serving/limit_keeper.py
+++ b/hillthread/coordination/gateway/serving/limit_keeper.py
@@ -1,8 +1,7 @@
-"""Keeps what targets get within the limits that they name.
+"""Enforces the rate limits that targets announce.
 
-Takes in what answers tell of limits, tells the other hosts, and says which
-target a request may go to. `state/target_limits.py` tells how a limit is kept
-by all hosts together.
+Applies limits from answers and peers, notifies peers, and decides whether a
+request may go to a target; see `state/target_limits.py`.
 """
 
 from __future__ import annotations
@@ -23,20 +22,20 @@
 
 __all__ = ["LimitKeeper"]
 
-# Packets get lost: a change is told three times in 0.4 s.
-_TELL_AGAIN_S = (0.1, 0.3)
+# Pauses before a notice is sent again, since packets get lost.
+_RESEND_S = (0.1, 0.3)
 
 _logger = logging.getLogger("hillthread.targets")
 
 
 class LimitKeeper:
-    """What a host does about limits of targets.
+    """The limits of targets, and notices of them.
 
     Attributes:
         site: The host's beliefs.
-        work: Tells other hosts.
-        quotas: Tells what is sent, together with the use of quotas.
-        tasks: Where others are told again.
+        work: Sends notices to other hosts.
+        quotas: Reports requests together with the usage of quotas.
+        tasks: Where notices are sent again.
         limits: The limits.
     """
 
@@ -52,28 +51,30 @@
         self.quotas = quotas
         self.tasks = tasks
         self.limits = target_limits.TargetLimits(quotas.ledger)
-        work.heard_of_limits = self.take
+        work.apply_limit = self.apply_notice
 
-    # What attempts tell.
+    # Attempts.
 
-    def learn(self, target: str, meaning: attempts.AnswerMeaning) -> None:
-        """Takes in what the head of an answer says of its target's limit."""
+    def apply_answer(
+        self, target: str, meaning: attempts.AnswerMeaning
+    ) -> None:
+        """Applies the limit that the head of an answer announces."""
         if meaning.incarnation not in ("", target):
             return  # another target has the address
         if meaning.limit_per_s is None and target not in self.limits:
             return
         now = clock.now()
         before = len(self.limits)
-        if not self.limits.learn(target, meaning.limit_per_s, now):
+        if not self.limits.apply_answer(target, meaning.limit_per_s, now):
             return
         is_new = len(self.limits) > before
         self._note(target, meaning.limit_per_s, "answer")
         notice = work_notice.LimitNotice(
             self.site.targets.key_of(target), meaning.limit_per_s
         )
-        self.work.tell_limits([notice])
+        self.work.notify_limits([notice])
         if is_new or meaning.limit_per_s is None:
-            self.tasks.start_soon(self._tell_again, notice)
+            self.tasks.start_soon(self._resend, notice)
             self.quotas.wake()
 
     def charge(self, target: str) -> None:
@@ -81,12 +82,12 @@
         if self.limits.charge(target, clock.now()):
             self.quotas.wake()
 
-    def give_back(self, target: str) -> None:
-        """Counts a request no more, since it has not reached its target."""
-        if self.limits.give_back(target, clock.now()):
+    def refund(self, target: str) -> None:
+        """Refunds a request that never reached its target."""
+        if self.limits.refund(target, clock.now()):
             self.quotas.wake()
 
-    # What the choice of a target asks.
+    # Choice of a target.
 
     def admit(self, target: str, now: float) -> bool:
         """Returns whether a request may be sent to the target chosen for it."""
@@ -96,10 +97,10 @@
         return False
 
     def refusal(self, targets: list[str], now: float) -> errors.RefusalError:
-        """Returns the refusal of a request that only limits keep from targets.
+        """Returns the refusal of a request whose targets are all limited.
 
         Args:
-            targets: Those that could take it but for their limits.
+            targets: Those that could serve it but for their limits.
             now: Seconds.
         """
         return errors.RefusalError(
@@ -109,39 +110,39 @@
             f"get as many a second as they said they take.",
             "Try again after the time in Retry-After; operators see the limits "
             "with `hillthread-ctl limits`.",
-            retry_after_s=self.limits.return_s(targets, now),
+            retry_after_s=self.limits.retry_after_s(targets, now),
         )
 
-    # What others tell, and operators ask.
+    # Peers and operators.
 
-    def take(self, notice: work_notice.LimitNotice) -> None:
-        """Takes in the limit of a target that another host was told."""
+    def apply_notice(self, notice: work_notice.LimitNotice) -> None:
+        """Applies a limit that was announced to another host."""
         target = self.site.targets.name_of(notice.engine)
         if target is None:
             return  # not listed here yet, gone, or of an earlier start
-        if self.limits.hear(target, notice.per_s, clock.now()):
+        if self.limits.apply_peer_limit(target, notice.per_s, clock.now()):
             self._note(target, notice.per_s, "host")
             self.quotas.wake()
 
     def forget(self, target: str) -> None:
-        """Forgets a target that is gone or has started again."""
+        """Forgets a target that is gone or has restarted."""
         self.limits.forget(target)
         self._count()
 
     def statuses(self) -> list[target_limits.LimitStatus]:
-        """Returns how all targets with a limit stand, by name."""
+        """Returns the state of all limits, by target."""
         return self.limits.statuses(clock.now())
 
-    async def _tell_again(self, notice: work_notice.LimitNotice) -> None:
-        for pause_s in _TELL_AGAIN_S:
+    async def _resend(self, notice: work_notice.LimitNotice) -> None:
+        for pause_s in _RESEND_S:
             await anyio.sleep(pause_s)
-            self.work.tell_limits([notice])
+            self.work.notify_limits([notice])
 
     def _count(self) -> None:
         self.site.metrics.limited.set(len(self.limits))
 
     def _note(self, target: str, per_s: float | None, source: str) -> None:
-        """Logs what is now known of a target's limit."""
+        """Logs a target's limit as it is applied."""
         self._count()
         _logger.info(
             "target takes all again" if per_s is None else "target limited",
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -203,7 +203,7 @@
         if not may_have_run:
             self.tools.quotas.give_back(self.request)
         if not attempt.sent:
-            self.tools.limits.give_back(target.name)
+            self.tools.limits.refund(target.name)
         if isinstance(result, outcome_lib.Whole):
             sending.first_byte.note()
         sending.first_byte.note_none()
@@ -247,7 +247,7 @@
         self.tools.announcements.apply_answer(name, incarnation, meaning)
         # One that has started again since has told nothing yet.
         if self.site.states.get(name) is state:
-            self.tools.limits.learn(name, meaning)
+            self.tools.limits.apply_answer(name, meaning)
 
     def _tell(self, planned: chooser_lib.Planned) -> None:
         """Notes and tells other hosts that an engine gets a prompt."""
--- a/tests/state/test_target_limits_at_size.py
+++ b/tests/state/test_target_limits_at_size.py
@@ -96,7 +96,7 @@
         if not host.up or host.lives != life:
             return
         per_s = self.per_s(now)
-        if not host.limits.learn(TARGET, per_s, now):
+        if not host.limits.apply_answer(TARGET, per_s, now):
             return
         self.wake(now, host)
         for pause_s in TELL_AGAIN_S:
@@ -110,7 +110,7 @@
 
     def hear(self, now, host, per_s):
         """Has a host hear of a limit from another."""
-        if host.limits.hear(TARGET, per_s, now):
+        if host.limits.apply_peer_limit(TARGET, per_s, now):
             self.wake(now, host)
 
     def freeze(self, now, host, length_s):
