Describe the readers of the store and the lease in plain technical English

Doc texts and comments of store/, feed_source.py, feed_server.py, lease.py and the client of the store; no name, behaviour or format changes.

--- a/hillthread/coordination/gateway/orders/order_lease.py
+++ b/hillthread/coordination/gateway/orders/order_lease.py
@@ -21,7 +21,7 @@
 __all__ = ["OrderLease"]
 
 LEASE_TOPIC = "order-lease"
-# After an append a holder acts so long at most; it renews while it works.
+# Time after an append for which a holder acts; it renews while it works.
 _ACT_S = 2.0
 _MARGIN_S = 0.3
 # After a call has failed; each has its price, and a renewal begins in time.
@@ -218,7 +218,7 @@
                 LEASE_TOPIC, payload, self._next()
             )
         except (errors.ConflictError, errors.UnknownOutcomeError):
-            # Somebody else was first, or the answer was lost: the topic tells.
+            # Somebody else was first, or the answer was lost; the topic shows.
             await self.catch_up()
             return
         was_holder = self.is_holder
--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -88,7 +88,7 @@
         caller: http1_server.CallerRequest,
         answer: http1_server.CallerAnswer,
     ) -> None:
-        """Holds a question until there is something to tell, for a while."""
+        """Holds a query until there is news, or its time is over."""
         try:
             query = feed.parse_query(caller.target)
         except errors.PeerError:
@@ -107,7 +107,7 @@
         await answer.send_whole(200, _CBOR, follower.page(query.start))
 
     def _learns(self, follower: store_follower.TopicFollower) -> bool:
-        """Returns whether this host hears of changes, and goes on doing so.
+        """Returns whether this host learns of changes, and will go on.
 
         Others must not wait for one that does not. One lost read is enough: it
         is found 1.7 s after a change at most where a configuration must be in
@@ -122,7 +122,7 @@
 def _has_news(
     follower: store_follower.TopicFollower, query: feed.FeedQuery
 ) -> bool:
-    """Returns whether a question can be answered with something new.
+    """Returns whether a query can be answered with something new.
 
     A topic that was restored is about to be read anew: hosts that wait for it
     do not turn to the store.
--- a/hillthread/coordination/gateway/store/host_registry.py
+++ b/hillthread/coordination/gateway/store/host_registry.py
@@ -2,7 +2,7 @@
 
 Each host writes its entry into a keyed topic when it starts. One that is gone
 stays listed: parts of a budget are then smaller than they could be, never
-larger, and whoever is asked in vain is passed over for a while.
+larger, and a peer that does not answer is avoided for a while.
 """
 
 from __future__ import annotations
@@ -28,8 +28,8 @@
     "rewrite_spread_s",
 ]
 
-# What hosts have to tell each other, for good. All follow it anyway: word of
-# another kind costs the write and one read of each reader, and no topic more.
+# What hosts publish for good. Records of other kinds share the topic, since
+# every topic that hosts follow has its price.
 HOSTS_TOPIC = "keyed.hosts"
 # Begins the keys of requests that end targets; no host is named so.
 QUARANTINE_PREFIX = "quarantine/"
@@ -140,7 +140,7 @@
             await anyio.sleep(_RETRY_S * random.uniform(1.0, 1.0 + _SPREAD))
 
     def take(self, record: topic_copy.TopicRecord) -> None:
-        """Takes in a change of the topic.
+        """Applies a change of the topic.
 
         Raises:
             ConfigurationError: The entry is unreadable.
--- a/hillthread/coordination/gateway/store/store_follower.py
+++ b/hillthread/coordination/gateway/store/store_follower.py
@@ -30,7 +30,7 @@
 _LONGEST_PAUSE_S = 0.5
 # The same where a data centre has many hosts, which share the store's rate.
 _LONGEST_SHARED_PAUSE_S = 1.0
-# A follower that waits for another one's success asks itself after this.
+# A follower that waits for another one's success reads after this time.
 _LONGEST_WAIT_S = 3.0
 _JITTER = 0.3
 # How old another host's knowledge may be before the store is read instead.
@@ -38,7 +38,7 @@
 # A store that answers lists the hosts within this time.
 _FIRST_HOSTS_S = 0.3
 _MAX_PAGE_BYTES = 16_777_216
-# Within this time another host has told what it knows.
+# Timeout of a peer that confirms what was read at a start.
 _CONFIRM_S = 0.2
 # Before the first read.
 _START = position_lib.Position(0, 0)
@@ -54,7 +54,7 @@
         readers: What all followers share.
         copy: What is known of the topic.
         freshness: How old that is.
-        changed: Set, and replaced, when a record came, or none will for now.
+        changed: Set, and replaced, when a record came or reading fails.
     """
 
     def __init__(
@@ -82,7 +82,7 @@
         ) = None
 
     def interrupt(self, before: float = float("inf")) -> None:
-        """Has a read that is held, and was sent before then, sent anew."""
+        """Sends a held read again that was sent before a time."""
         if self._held is not None and self._held_since < before:
             self._held.cancel()
 
@@ -146,7 +146,7 @@
     def page(self, start: position_lib.Position) -> bytes:
         """Returns what another host wants to know now.
 
-        Hosts that ask together are told the same: it is packed once.
+        Hosts that ask together get the same bytes, which are packed once.
         """
         position = self.copy.position or _START
         age_s = self.freshness.age(clock.now())
@@ -229,7 +229,7 @@
 
     def _take_page(self, page: feed.FeedPage) -> None:
         self._is_truncated = False
-        # The other host may be the first to tell that the store was restored.
+        # A peer may know of a restoration before the store has answered.
         self.readers.client.note_era(page.position.era)
         if page.whole:
             if page.position < (self.copy.position or _START):
@@ -271,7 +271,7 @@
         return 0
 
     def _note_lost_read(self, reason: str) -> None:
-        """Notes a read that was not answered; the next one tells more.
+        """Notes a read that was not answered; the next one shows more.
 
         It goes over a new connection at once: an open one may have died, or
         have fallen silent for good, while the store or the peer is well.
@@ -305,7 +305,7 @@
         return failures + 1
 
     async def _pause(self, failures: int) -> None:
-        """Returns when a store that failed may be asked again.
+        """Returns when a store that failed may be read again.
 
         Each call has its price: one follower of the host finds out for all
         when the store answers again.
@@ -440,7 +440,7 @@
             self.wake()
 
     def wake(self) -> None:
-        """Has those who wait for a change look again."""
+        """Wakes those who wait for a change."""
         self.changed.set()
         self.changed = anyio.Event()
 
--- a/hillthread/coordination/gateway/store/topic_plan.py
+++ b/hillthread/coordination/gateway/store/topic_plan.py
@@ -18,18 +18,18 @@
 
 
 def _nobody() -> None:
-    """Stands for nobody who wants to know that a topic was read."""
+    """Default of `caught_up`."""
 
 
 def _ignore_lost(keys: list[str]) -> None:
-    """Stands for nobody who writes again what a restored topic has lost."""
+    """Default of `lost`."""
     del keys
 
 
 def _is_never_older(
     record: topic_copy.TopicRecord, known: topic_copy.TopicRecord
 ) -> bool:
-    """Stands for records that tell nothing of their order."""
+    """Default for records without an order of their own."""
     del record, known
     return False
 
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -179,7 +179,7 @@
         address: `IP:port`.
         pool: Connections; one whose answer was lost is never used again.
         calls: Calls made so far.
-        era: Of the store, as its answers tell; None while none has told.
+        era: Of the store, from its answers; None before the first one.
         restored: Called with the former and the new era when it has risen.
     """
 
@@ -352,11 +352,11 @@
 
     @property
     def current_era(self) -> int:
-        """The store's era, as far as it is known; 0 while none was told."""
+        """The store's era; 0 while it is not known."""
         return self.era or 0
 
     def note_era(self, era: int) -> None:
-        """Applies the store's era that an answer or another host told."""
+        """Applies the era from an answer of the store or a page of a peer."""
         before = self.era
         if before is not None and era <= before:
             return
@@ -365,7 +365,7 @@
             self.restored(before, era)
 
     def _check_era(self, head: http1_client.AnswerHead) -> None:
-        """Applies the era that an answer tells.
+        """Applies the era that an answer names.
 
         Raises:
             StaleAnswerError: It is older than the one known.
--- a/hillthread/state/feed_source.py
+++ b/hillthread/state/feed_source.py
@@ -1,8 +1,8 @@
 """From whom a host reads topics: the store, or a host that reads for many.
 
 In a data centre with many hosts the one that ranks first reads the store, and
-the others read from it. Whoever is asked tells how old its knowledge is, so
-that a wrong choice costs calls and never truth.
+the others read from it. Every page names the age of its content, so that a
+wrong choice costs calls and never correctness.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 # keys and configurations, two that read for themselves 0.8 (worked out from
 # how long their reads are held).
 _LEAST_HOSTS = 2
-# A host that did not help is not asked for so long.
+# A host that did not help is avoided for this time.
 _AVOID_S = 2.0
 # Only so many are tried before the store is read.
 _SOURCES = 2
@@ -83,7 +83,7 @@
         self._avoided_until: dict[str, float] = {}
 
     def put(self, entry: HostEntry) -> None:
-        """Takes in a host."""
+        """Adds or replaces a host."""
         self.hosts[entry.name] = entry
         self._rank()
 
@@ -117,7 +117,7 @@
         return None
 
     def avoid(self, name: str, now: float) -> None:
-        """Notes that a host did not help."""
+        """Avoids a host that did not help."""
         self._avoided_until[name] = now + _AVOID_S
 
     def count_neighbours(self) -> int:
--- a/hillthread/state/lease.py
+++ b/hillthread/state/lease.py
@@ -56,7 +56,7 @@
         after: Offset of the last record that counted, as the asker read it;
             -1 for none.
         number: The asker's count of its records.
-        era: Of the log, as the asker knew it; None where it tells none.
+        era: Of the log, as the asker knew it; None for a log without eras.
     """
 
     holder: str
@@ -79,7 +79,7 @@
         holder: Host and incarnation.
         fencing: Offset of its acquisition.
         number: The holder's count of its records.
-        era: Of the log, as the holder knew it; None where it tells none.
+        era: Of the log, as the holder knew it; None for a log without eras.
     """
 
     holder: str
@@ -101,7 +101,7 @@
     Attributes:
         holder: Host and incarnation.
         fencing: Offset of its acquisition.
-        era: Of the log, as the holder knew it; None where it tells none.
+        era: Of the log, as the holder knew it; None for a log without eras.
     """
 
     holder: str
@@ -137,7 +137,7 @@
         holder: Who holds it, or empty.
         fencing: Offset of the acquisition; -1 for none.
         last: Offset of the last record that counted; -1 for none.
-        era: Of the log, or None where it tells none; records that name
+        era: Of the log; None for a log without eras. Records that name
             another one do not count.
         is_restored: Whether a record of another era was read.
     """
@@ -152,7 +152,7 @@
         self.last = -1
 
     def apply(self, offset: int, payload: bytes) -> bool:
-        """Takes in a record; returns whether it counted."""
+        """Applies a record; returns whether it counted."""
         if offset <= self.position:
             return False
         starts_late = self.position < 0 and offset > 0
@@ -275,7 +275,7 @@
         )
 
     def read(self, offset: int, payload: bytes, now: float) -> None:
-        """Takes in a record of the log, read at `now`.
+        """Applies a record of the log, read at `now`.
 
         An own record counts from when *it* was begun; a later one that is
         still under way must not lengthen it.
--- a/hillthread/state/position.py
+++ b/hillthread/state/position.py
@@ -14,7 +14,7 @@
     within one era only; positions compare by era first.
 
     Attributes:
-        era: Restorations of the store before; 0 where it does not tell.
+        era: Restorations of the store so far; 0 for a store that counts none.
         offset: Place in the topic; -1 for what precedes all records of an era.
     """
 
