Test a restored store at half and at twice the bounds

configMs 1, 2, 4 s with revokeMs 2.5, 5, 10 s: a configuration without a key, written just after a restoration, is applied within configMs and the key is denied. leaseMs 1.5, 3, 6 s: nobody acquires the lease before a lost acquisition and the pause are over.

--- a/tests/coordination/gateway/orders/test_order_lease.py
+++ b/tests/coordination/gateway/orders/test_order_lease.py
@@ -189,6 +189,26 @@
         self.assertFalse(self.first.may_act())
         self.assertTrue(await self.second.ensure())
 
+    async def test_wait_for_a_lost_acquisition_follows_the_bound(self):
+        for pause_s in (1.5, 3.0, 6.0):
+            with self.subTest(pause_s=pause_s):
+                self.store = Store()
+                first, second = (
+                    order_lease.OrderLease(
+                        self.store, name, pause_s, self.clock
+                    )
+                    for name in ("h1", "h2")
+                )
+                self.assertTrue(await first.ensure())
+                self.restore(0, second)
+                while first.may_act():
+                    self.assertFalse(await second.ensure())
+                    self.clock.now += 0.1
+                self.clock.now += pause_s
+                self.assertFalse(await second.ensure())
+                self.clock.now += 0.5
+                self.assertTrue(await second.ensure())
+
     async def test_holder_stops_and_may_acquire_at_once(self):
         self.assertTrue(await self.first.ensure())
         before = self.first.fencing
--- a/tests/coordination/gateway/store/test_store_restored.py
+++ b/tests/coordination/gateway/store/test_store_restored.py
@@ -1,5 +1,6 @@
 """Tests that hosts follow a store that was restored from an older copy."""
 
+import time
 import unittest
 
 import anyio
@@ -39,13 +40,13 @@
     scene.store.faults.reset = False
 
 
-def play(story):
+def play(story, **settings):
     """Runs a story before a store that tells its era."""
 
     async def start_era(scene):
         scene.store.era = 7
 
-    scene_lib.play(story, before=start_era)
+    scene_lib.play(story, before=start_era, **settings)
 
 
 class RestoredStoreTest(unittest.TestCase):
@@ -65,6 +66,29 @@
 
         play(story)
 
+    def test_bounds_on_changes_and_keys_hold_over_a_restoration(self):
+        for config_ms, revoke_ms in ((1000, 2500), (2000, 5000), (4000, 10000)):
+            with self.subTest(config_ms=config_ms, revoke_ms=revoke_ms):
+                play(
+                    lambda scene, c=config_ms: self.withdraw_key(scene, c),
+                    config_ms=config_ms,
+                    revoke_ms=revoke_ms,
+                )
+
+    async def withdraw_key(self, scene, config_ms):
+        await known(scene)
+        backup = scene.store.backup()
+        for _ in range(4):
+            scene.configure()
+        await known(scene)
+        scene.store.restore(backup)
+        scene.configure(tenants=scene.configuration["tenants"][1:])
+        written_at = time.monotonic()
+        await known(scene)
+        self.assertLess(time.monotonic() - written_at, config_ms / 1000.0)
+        answer = await scene.call(scene.request("/once/x"))
+        self.assertEqual(answer.head.status, 401)
+
     # Guards against changes that hosts miss because the restored topic has
     # grown past the place to which they had read.
     def test_change_behind_the_former_end_is_applied(self):
