Keep back-offs that targets ask for in the older router, too

The same cause elsewhere: the router of the project's own interface read departures from answers, but sent to a target that had shed load with 503 and Retry-After as before. The target is not eligible until the time is over (backing_off in decisions and explain). The header is parsed in one place for both data planes. A test of the checker and the fleet fails without it.

--- a/hillthread/coordination/attempt_checks.py
+++ b/hillthread/coordination/attempt_checks.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import http
 from typing import NamedTuple
 
+from hillthread import clock
 from hillthread.coordination import fleet as fleet_lib
 from hillthread.coordination import metrics as metrics_lib
 from hillthread.protocol import engine
+from hillthread.protocol import headers as headers_lib
 from hillthread.state import objects
 from hillthread.state import records
 from hillthread.state import warmth
@@ -87,6 +90,7 @@
         self, response: target_client.TargetResponse, expected: Expectation
     ) -> None:
         status = response.status_code
+        self._learn_backoff(response, expected.target.name)
         if status in _REFUSALS and expected.target.truthful_refusals:
             raise target_client.AttemptError(
                 records.AttemptState.REFUSED,
@@ -98,6 +102,17 @@
                 records.AttemptState.SENT, f"status {status}"
             )
 
+    def _learn_backoff(
+        self, response: target_client.TargetResponse, target: str
+    ) -> None:
+        """Applies the back-off that a target which sheds load asks for."""
+        if response.status_code != http.HTTPStatus.SERVICE_UNAVAILABLE:
+            return
+        text = response.headers.get("retry-after", "")
+        seconds = headers_lib.parse_retry_after(text)
+        if seconds:
+            self.fleet.backoffs.request(target, seconds, clock.now())
+
     def _check_epoch(
         self, epoch: warmth.Epoch | None, expected: Expectation
     ) -> None:
--- a/hillthread/coordination/fleet.py
+++ b/hillthread/coordination/fleet.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from hillthread.coordination import share_outbox
+from hillthread.state import backoffs
 from hillthread.state import decision as decision_lib
 from hillthread.state import departures
 from hillthread.state import health
@@ -100,6 +101,7 @@
         data_centre: Only targets of it are eligible.
         decide: The policy; baselines for comparison have their own.
         departures: Targets that leave.
+        backoffs: Targets that shed load and want no request for a while.
         outbox: What is still to be told to other routers.
         heard_routers: Other routers of the data centre whose shares come in.
         silent_routers: Other routers of the data centre that are not heard.
@@ -118,6 +120,7 @@
         self.breakers: dict[str, health.Breaker] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.departures = departures.Departures()
+        self.backoffs = backoffs.Backoffs()
         self.work: dict[str, _Work] = {}
         self.heard_routers = 0
         self.silent_routers = 0
@@ -332,6 +335,8 @@
             return decision_lib.Exclusion.ALREADY_TRIED
         if self.breakers[name].state(now) is health.BreakerState.OPEN:
             return decision_lib.Exclusion.EJECTED
+        if self.backoffs.is_active(name, now):
+            return decision_lib.Exclusion.BACKING_OFF
         if self.loads[name].inflight >= placement.pool.max_inflight:
             return decision_lib.Exclusion.SATURATED
         if placement.weights_version and not self._has_weights(name, placement):
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import email.utils
 import http
-import math
-import time
 from typing import NamedTuple
 
 from hillthread.platform import names
+from hillthread.protocol import headers as headers_lib
 from hillthread.state import attempt_plan
 from hillthread.transport import http1
 from hillthread.transport import http1_client
@@ -186,7 +184,9 @@
         bool(head.get(b"content-encoding")),
         is_leaving(head),
         _backoff(head),
-        _decimal(head.get(names.TARGET_LIMIT)),
+        headers_lib.parse_decimal(
+            head.get(names.TARGET_LIMIT).decode("latin-1")
+        ),
         tuple(
             name.decode("latin-1")
             for name, _ in head.headers
@@ -258,26 +258,5 @@
     """Returns for how long a target that sheds load asks to be left alone."""
     if head.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
         return 0.0
-    text = head.get(names.RETRY_AFTER)
-    seconds = _decimal(text)
-    return _seconds_until(text) if seconds is None else seconds
-
-
-def _seconds_until(text: bytes) -> float:
-    """Returns the time until an HTTP date; 0 for one that is past or none."""
-    try:
-        date = email.utils.parsedate_to_datetime(text.decode("latin-1"))
-    except (ValueError, IndexError, OverflowError):
-        return 0.0
-    return max(0.0, date.timestamp() - time.time())
-
-
-def _decimal(text: bytes) -> float | None:
-    """Returns a finite number of at least 0; None for anything else."""
-    if not text or len(text) > _MOST_DIGITS:
-        return None
-    try:
-        number = float(text)
-    except ValueError:
-        return None
-    return number if math.isfinite(number) and number >= 0.0 else None
+    text = head.get(names.RETRY_AFTER).decode("latin-1")
+    return headers_lib.parse_retry_after(text)
--- a/hillthread/protocol/headers.py
+++ b/hillthread/protocol/headers.py
@@ -1,11 +1,17 @@
-"""Which headers pass between callers and targets."""
+"""Headers that pass between callers and targets, and their values."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import email.utils
+import math
+import time
 
-__all__ = ["answered", "forwarded"]
+__all__ = ["answered", "forwarded", "parse_decimal", "parse_retry_after"]
+
+# No number has more digits: what others write must not take long to read.
+_MAX_DIGITS = 15
 
 _HOP_BY_HOP = frozenset(
     [
@@ -58,6 +64,33 @@
     ]
 
 
+def parse_decimal(text: str) -> float | None:
+    """Returns a finite number of at least 0; None for anything else."""
+    if not text or len(text) > _MAX_DIGITS:
+        return None
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0.0 else None
+
+
+def parse_retry_after(text: str) -> float:
+    """Returns the seconds that `Retry-After` asks for; 0 if unreadable.
+
+    Args:
+        text: Seconds, also fractions, or an HTTP date.
+    """
+    seconds = parse_decimal(text)
+    if seconds is not None:
+        return seconds
+    try:
+        date = email.utils.parsedate_to_datetime(text)
+    except (ValueError, IndexError, OverflowError):
+        return 0.0
+    return max(0.0, date.timestamp() - time.time())
+
+
 def _passes(name: str, connection: str) -> bool:
     if name in _HOP_BY_HOP or name in _OWN:
         return False
--- a/hillthread/state/decision.py
+++ b/hillthread/state/decision.py
@@ -46,6 +46,7 @@
     LEAVING = "leaving"
     CORDONED = "cordoned"
     EJECTED = "ejected"
+    BACKING_OFF = "backing_off"
     SATURATED = "saturated"
     ALREADY_TRIED = "already_tried"
     OTHER_DATA_CENTRE = "other_data_centre"
--- /dev/null
+++ b/tests/coordination/test_attempt_checks.py
@@ -0,0 +1,60 @@
+"""Tests of what a router learns from the head of a target's answer."""
+
+import types
+import unittest
+from unittest import mock
+
+from hillthread import clock
+from hillthread.coordination import attempt_checks
+from hillthread.coordination import fleet as fleet_lib
+from hillthread.coordination import metrics
+from hillthread.state import decision
+from hillthread.state import objects
+from hillthread.transport import target_client
+from tests.coordination import test_fleet
+
+
+class BackoffTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = fleet_lib.Fleet("dc1")
+        self.checker = attempt_checks.HeadChecker(
+            self.fleet, mock.Mock(spec=metrics.RouterMetrics)
+        )
+        self.target = test_fleet.make_target("t0")
+
+    def refuse(self, status, **headers):
+        """Has the target refuse an attempt."""
+        response = types.SimpleNamespace(
+            status_code=status,
+            headers={
+                "x-request-id": "a1",
+                **{k.replace("_", "-"): v for k, v in headers.items()},
+            },
+        )
+        expected = attempt_checks.Expectation(
+            self.target, mock.Mock(attempt_id="a1"), None, False
+        )
+        with self.assertRaises(target_client.AttemptError):
+            self.checker.check(response, expected)
+
+    def exclusion(self, now):
+        """Returns why the target is not eligible."""
+        pool = objects.Pool(name="p", target_selector="")
+        placement = fleet_lib.Placement([self.target], pool, "m")
+        found = self.fleet.choose(test_fleet.QUERY, placement, now)
+        return found.scores[0].exclusion
+
+    # Guards against requests to a target that shed load with a Retry-After
+    # whose time is not over.
+    def test_target_is_left_alone_for_its_backoff(self):
+        self.refuse(503, retry_after="30")
+        now = clock.now()
+        backing_off = decision.Exclusion.BACKING_OFF
+        self.assertEqual(self.exclusion(now), backing_off)
+        self.assertIsNone(self.exclusion(now + 31.0))
+
+    def test_other_refusals_ask_for_no_backoff(self):
+        self.refuse(503)
+        self.refuse(503, retry_after="soon")
+        self.refuse(429, retry_after="30")
+        self.assertIsNone(self.exclusion(clock.now()))
