--- a/hillthread/coordination/gateway/store/store_follower.py
+++ b/hillthread/coordination/gateway/store/store_follower.py
@@ -15,6 +15,7 @@
 from hillthread import clock
 from hillthread import errors
 from hillthread.coordination.gateway.store import topic_plan
+from hillthread.platform import log_pages
 from hillthread.platform import store
 from hillthread.protocol import feed
 from hillthread.state import feed_source
@@ -418,9 +419,9 @@
         self.plan.lost(restored.lost)
         self.wake()
 
-    def _take_raw(self, raw: store.LogRecord) -> None:
+    def _take_raw(self, raw: log_pages.LogRecord) -> None:
         try:
-            record = store.parse_keyed(raw)
+            record = log_pages.parse_keyed(raw)
         except errors.LogError as error:
             offset = raw.position.offset
             self.copy.advance(raw.position._replace(offset=offset + 1))
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -4,15 +4,13 @@
 
 import base64
 from collections.abc import Callable
-from collections.abc import Iterator
-import struct
-from typing import NamedTuple
 from urllib import parse
 
 import msgspec
 
 from hillthread import errors
 from hillthread.platform import attempts
+from hillthread.platform import log_pages
 from hillthread.platform import names
 from hillthread.state import held_read
 from hillthread.state import position as position_lib
@@ -21,16 +19,11 @@
 
 __all__ = [
     "ChangedError",
-    "KeyedPage",
-    "LogPage",
-    "LogRecord",
     "LostReadError",
     "RestoredError",
     "StaleAnswerError",
     "StoreClient",
     "TruncatedError",
-    "parse_keyed",
-    "parse_page",
 ]
 
 # A connection that does not come up by then is tried anew.
@@ -44,44 +37,6 @@
 _MAX_ANSWER_BYTES = 16_777_216
 # Keyed topics have this one only, and the others here use no more.
 _PARTITION = 0
-_POSITIONS = struct.Struct(">QQ")
-_LENGTH = struct.Struct(">I")
-
-
-class LogRecord(NamedTuple):
-    """One record of a topic.
-
-    Attributes:
-        position: Its place in the topic.
-        payload: Its bytes.
-    """
-
-    position: position_lib.Position
-    payload: bytes
-
-
-class LogPage(NamedTuple):
-    """A part of a topic.
-
-    Attributes:
-        end: Past the newest record.
-        records: In order, without a gap.
-    """
-
-    end: position_lib.Position
-    records: list[LogRecord]
-
-
-class KeyedPage(NamedTuple):
-    """The newest record of each key, or of some of them.
-
-    Attributes:
-        records: In the order of their keys.
-        end: Past the newest record when the page was made.
-    """
-
-    records: list[topic_copy.TopicRecord]
-    end: position_lib.Position
 
 
 class TruncatedError(errors.LogError):
@@ -194,7 +149,7 @@
         """Closes all connections."""
         await self.pool.close()
 
-    async def newest(self, topic: str) -> KeyedPage:
+    async def newest(self, topic: str) -> log_pages.KeyedPage:
         """Returns the newest record of every key of a keyed topic.
 
         Pages are not a snapshot: records from the first page's end on are to
@@ -226,12 +181,14 @@
                 for item in page.items
             ]
             if not page.truncated or not page.items:
-                return KeyedPage(records, position_lib.Position(era, end))
+                return log_pages.KeyedPage(
+                    records, position_lib.Position(era, end)
+                )
             after = page.items[-1].key
 
     async def read(
         self, topic: str, start: position_lib.Position, wait_s: float
-    ) -> LogPage:
+    ) -> log_pages.LogPage:
         """Returns the records of a topic from `start` on.
 
         Args:
@@ -254,7 +211,7 @@
         }
         raw = await self._get("log-read", query, wait_s)
         self._check_position(start)
-        return parse_page(raw, start)
+        return log_pages.parse_page(raw, start)
 
     async def append(
         self, topic: str, payload: bytes, expected_end: position_lib.Position
@@ -278,7 +235,7 @@
             "part": _PARTITION,
             "storeRevision": expected_end.offset,
         }
-        body = _LENGTH.pack(len(payload)) + payload
+        body = log_pages.LENGTH.pack(len(payload)) + payload
         answer = await self._call(b"POST", "log-append", query, body, 0.0)
         self._check_position(expected_end)
         match answer.head.status:
@@ -300,7 +257,7 @@
         query = {"topic": topic, "part": _PARTITION}
         name = key.encode()
         payload = bytes([len(name)]) + name + value
-        body = _LENGTH.pack(len(payload)) + payload
+        body = log_pages.LENGTH.pack(len(payload)) + payload
         answer = await self._call(b"POST", "log-append", query, body, 0.0)
         if answer.head.status != 200:
             raise _refused(answer.head.status)
@@ -408,56 +365,3 @@
             f"A value of the store is unreadable: {error}.",
             "Check whether the platform was upgraded.",
         ) from error
-
-
-def parse_page(raw: bytes, start: position_lib.Position) -> LogPage:
-    """Returns the records in an answer to a read.
-
-    Args:
-        raw: The answer.
-        start: Of the first record wanted.
-
-    Raises:
-        LogError: The answer is cut short.
-    """
-    try:
-        end, _ = _POSITIONS.unpack_from(raw, 0)
-        payloads = list(_split(raw, _POSITIONS.size))
-    except struct.error as error:
-        raise errors.LogError(
-            f"The store's answer is cut short: {error}.",
-            "Check whether the platform was upgraded.",
-        ) from error
-    records = [
-        LogRecord(start._replace(offset=start.offset + number), payload)
-        for number, payload in enumerate(payloads)
-    ]
-    return LogPage(start._replace(offset=end), records)
-
-
-def _split(raw: bytes, position: int) -> Iterator[bytes]:
-    while position < len(raw):
-        (length,) = _LENGTH.unpack_from(raw, position)
-        position += _LENGTH.size
-        payload = raw[position : position + length]
-        if len(payload) < length:
-            raise struct.error("a record ends early")
-        yield payload
-        position += length
-
-
-def parse_keyed(record: LogRecord) -> topic_copy.TopicRecord:
-    """Returns the keyed record in a record of a keyed topic.
-
-    Raises:
-        LogError: It is none.
-    """
-    payload = record.payload
-    size = payload[0] if payload else 0
-    if not payload or len(payload) < 1 + size:
-        raise errors.LogError(
-            f"Record {record.position.offset} of a keyed topic has no key.",
-            "Check what wrote it; it is passed over.",
-        )
-    key = payload[1 : 1 + size].decode("utf-8", "replace")
-    return topic_copy.TopicRecord(key, payload[1 + size :], record.position)
--- a/tests/coordination/gateway/orders/test_order_lease.py
+++ b/tests/coordination/gateway/orders/test_order_lease.py
@@ -6,6 +6,7 @@
 
 from hillthread import errors
 from hillthread.coordination.gateway.orders import order_lease
+from hillthread.platform import log_pages
 from hillthread.platform import store as store_lib
 from hillthread.standin import platform_store
 from hillthread.state import lease as lease_state
@@ -66,11 +67,11 @@
         """Returns the records from a position on."""
         self._take_call()
         records = [
-            store_lib.LogRecord(position._replace(offset=offset), payload)
+            log_pages.LogRecord(position._replace(offset=offset), payload)
             for offset, payload in enumerate(self.records)
             if offset >= position.offset
         ]
-        return store_lib.LogPage(self._end(), records)
+        return log_pages.LogPage(self._end(), records)
 
 
 class OrderLeaseTest(unittest.TestCase):
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -11,8 +11,8 @@
 from hillthread import errors
 from hillthread.platform import attempts
 from hillthread.platform import configuration
+from hillthread.platform import log_pages
 from hillthread.platform import names
-from hillthread.platform import store
 from hillthread.platform import targets
 from hillthread.state import attempt_plan
 from hillthread.state import objects
@@ -180,7 +180,7 @@
         for payload in payloads:
             raw += len(payload).to_bytes(4, "big") + payload
         start = position.Position(2, 3)
-        page = store.parse_page(raw, start)
+        page = log_pages.parse_page(raw, start)
         self.assertEqual(page.end, position.Position(2, 9))
         self.assertEqual([r.payload for r in page.records], payloads)
         self.assertEqual(
@@ -188,7 +188,7 @@
             [position.Position(2, 3 + n) for n in range(len(payloads))],
         )
         try:
-            cut_page = store.parse_page(raw[:cut], start)
+            cut_page = log_pages.parse_page(raw[:cut], start)
         except errors.LogError:
             return
         found = [r.payload for r in cut_page.records]
@@ -197,9 +197,9 @@
     @_settings
     @hypothesis.given(strategies.binary(max_size=20))
     def test_keyed_record_is_read_or_refused(self, payload):
-        record = store.LogRecord(position.Position(0, 5), payload)
+        record = log_pages.LogRecord(position.Position(0, 5), payload)
         try:
-            keyed = store.parse_keyed(record)
+            keyed = log_pages.parse_keyed(record)
         except errors.LogError:
             return
         self.assertEqual(len(payload), 1 + payload[0] + len(keyed.value))
