Send notices again in one way

Limits, departures and quarantined requests each had their own loop with the same two pauses; the feed between hosts has it once. What is sent and when is unchanged; tests of the three pass.

--- a/hillthread/coordination/gateway/peers/work_feed.py
+++ b/hillthread/coordination/gateway/peers/work_feed.py
@@ -41,10 +41,13 @@
 from hillthread.state import notice_route
 from hillthread.state import usage_exchange
 
-__all__ = ["WorkFeed"]
+__all__ = ["WorkFeed", "resend"]
 
 # Packets taken in before others get their turn.
 _HEARD_AT_ONCE = 16
+# Pauses before a notice is sent again: packets get lost, and those for another
+# data centre go to one host there, drawn anew each time, which may be down.
+_RESEND_S = (0.1, 0.3)
 # From the failure of a socket until another one is opened.
 _REOPEN_S = 1.0
 # All hosts together tell each host directly so many prompts in a second; beyond
@@ -428,6 +431,17 @@
         self._gathered.set()
 
 
+async def resend(send: Callable[[], None]) -> None:
+    """Sends a notice again that must not be lost.
+
+    Args:
+        send: Sends it once.
+    """
+    for pause_s in _RESEND_S:
+        await anyio.sleep(pause_s)
+        send()
+
+
 def _ignore(told: object) -> None:
     """Stands for nobody who wants to know."""
     del told
--- a/hillthread/coordination/gateway/serving/announcement_keeper.py
+++ b/hillthread/coordination/gateway/serving/announcement_keeper.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 
-import anyio
 import anyio.abc
 
 from hillthread import clock
@@ -19,8 +19,6 @@
 
 __all__ = ["AnnouncementKeeper"]
 
-# Pauses before a notice is sent again, since packets get lost.
-_RESEND_S = (0.1, 0.3)
 # Unknown headers that are told apart; targets may send any number.
 _MAX_UNKNOWN = 32
 _OTHER = "other"
@@ -98,10 +96,6 @@
         )
 
     def _notify(self, notice: work_notice.DepartureNotice) -> None:
-        self.work.notify_departures([notice])
-        self.tasks.start_soon(self._resend, notice)
-
-    async def _resend(self, notice: work_notice.DepartureNotice) -> None:
-        for pause_s in _RESEND_S:
-            await anyio.sleep(pause_s)
-            self.work.notify_departures([notice])
+        send = functools.partial(self.work.notify_departures, [notice])
+        send()
+        self.tasks.start_soon(work_feed.resend, send)
--- a/hillthread/coordination/gateway/serving/limit_keeper.py
+++ b/hillthread/coordination/gateway/serving/limit_keeper.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 
-import anyio
 import anyio.abc
 
 from hillthread import clock
@@ -22,9 +22,6 @@
 
 __all__ = ["LimitKeeper"]
 
-# Pauses before a notice is sent again, since packets get lost.
-_RESEND_S = (0.1, 0.3)
-
 _logger = logging.getLogger("hillthread.targets")
 
 
@@ -72,9 +69,10 @@
         notice = work_notice.LimitNotice(
             self.site.targets.key_of(target), meaning.limit_per_s
         )
-        self.work.notify_limits([notice])
+        send = functools.partial(self.work.notify_limits, [notice])
+        send()
         if is_new or meaning.limit_per_s is None:
-            self.tasks.start_soon(self._resend, notice)
+            self.tasks.start_soon(work_feed.resend, send)
             self.quotas.wake()
 
     def charge(self, target: str) -> None:
@@ -133,11 +131,6 @@
         """Returns the state of all limits, by target."""
         return self.limits.statuses(clock.now())
 
-    async def _resend(self, notice: work_notice.LimitNotice) -> None:
-        for pause_s in _RESEND_S:
-            await anyio.sleep(pause_s)
-            self.work.notify_limits([notice])
-
     def _count(self) -> None:
         self.site.metrics.limited.set(len(self.limits))
 
--- a/hillthread/coordination/gateway/serving/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -33,10 +33,6 @@
 
 __all__ = ["QuarantineKeeper", "SentTo"]
 
-# Packets get lost, and those for another data centre go to one host there,
-# drawn anew each time, which may be down: three times in 0.4 s, of the seconds
-# that hosts have to hear of it.
-_TELL_AGAIN_S = (0.1, 0.3)
 _STORE_RETRY_S = 1.0
 _STORE_TRIES = 5
 # Hosts that look after a record which a restored store has lost: the first of
@@ -201,7 +197,7 @@
             },
         )
         word = work_notice.SuspectWord.ENDED
-        self._tell(
+        self._notify(
             [
                 work_notice.SuspectNotice(digest, incarnation, word)
                 for digest in digests
@@ -291,7 +287,7 @@
         """Tries a suspect, for all hosts."""
         self.site.quarantine.begin_trial(digest, now)
         word = work_notice.SuspectWord.TRIED
-        self._tell([work_notice.SuspectNotice(digest, 0, word)])
+        self._notify([work_notice.SuspectNotice(digest, 0, word)])
 
     def _acquitted(self, digest: str) -> None:
         """Has others know that a request ended well."""
@@ -300,7 +296,7 @@
             extra={"event": "suspect_cleared", "digest": digest},
         )
         word = work_notice.SuspectWord.WELL
-        self._tell([work_notice.SuspectNotice(digest, 0, word)])
+        self._notify([work_notice.SuspectNotice(digest, 0, word)])
         if digest in self._stored:
             self.tasks.start_soon(self._store, digest, b"")
 
@@ -320,25 +316,21 @@
         self._stored.add(digest)
         self.tasks.start_soon(self._store, digest, msgspec.json.encode(entry))
 
-    def _tell(self, notices: list[work_notice.SuspectNotice]) -> None:
-        """Tells all hosts, at once and some times more."""
-        self.work.tell_suspects(notices)
-        self.tasks.start_soon(self._tell_again, notices)
+    def _notify(self, notices: list[work_notice.SuspectNotice]) -> None:
+        """Notifies all hosts, at once and some times more."""
 
-    async def _tell_again(
-        self, notices: list[work_notice.SuspectNotice]
-    ) -> None:
-        for pause_s in _TELL_AGAIN_S:
-            await anyio.sleep(pause_s)
-            self.work.tell_suspects(
-                [each for each in notices if self._holds_still(each)]
-            )
+        def send() -> None:
+            still_true = [each for each in notices if self._is_valid(each)]
+            self.work.tell_suspects(still_true)
+
+        self.work.tell_suspects(notices)
+        self.tasks.start_soon(work_feed.resend, send)
 
-    def _holds_still(self, notice: work_notice.SuspectNotice) -> bool:
+    def _is_valid(self, notice: work_notice.SuspectNotice) -> bool:
         """Returns whether a notice is still true.
 
-        Word of a trial that follows the word of its end would have all hosts
-        wait for it once more.
+        A stale probe notice would make peers wait for a probe that has
+        finished.
         """
         if notice.word is not work_notice.SuspectWord.TRIED:
             return True
