Test the stand-in of the store with positions, backups and reads behind its end

It asserts what it did; two more test what the stand-in learned: a read behind the end is refused, and a backup does not change with what follows.

--- a/tests/standin/test_platform_store.py
+++ b/tests/standin/test_platform_store.py
@@ -6,12 +6,18 @@
 
 from hillthread.platform import store as store_lib
 from hillthread.standin import platform_store
+from hillthread.state import position
 
 _KEPT_S = 0.2
 _LOG = "some-log"
 _KEYED = "keyed.things"
 
 
+def at(offset):
+    """Returns a position in a store that tells no era."""
+    return position.Position(0, offset)
+
+
 class DropHistoryTest(unittest.TestCase):
     def test_young_records_and_the_newest_of_each_key_stay(self):
         async def run():
@@ -19,15 +25,15 @@
             client = store_lib.StoreClient(store.address)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(store.server.serve)
-                await client.append(_LOG, b"old", 0)
+                await client.append(_LOG, b"old", at(0))
                 store.put(_KEYED, "key", 1)
                 await anyio.sleep(_KEPT_S)
-                await client.append(_LOG, b"young", 1)
+                await client.append(_LOG, b"young", at(1))
                 store.put(_KEYED, "key", 2)
                 store.drop_history(_KEPT_S)
                 with self.assertRaises(store_lib.TruncatedError) as caught:
-                    await client.read(_LOG, 0, 0.0)
-                page = await client.read(_LOG, caught.exception.first, 0.0)
+                    await client.read(_LOG, at(0), 0.0)
+                page = await client.read(_LOG, at(caught.exception.first), 0.0)
                 tasks.cancel_scope.cancel()
             self.assertEqual(
                 [each.payload for each in page.records], [b"young"]
@@ -36,6 +42,34 @@
 
         anyio.run(run)
 
+    def test_read_behind_the_end_is_refused(self):
+        async def run():
+            store = platform_store.PlatformStoreStandin()
+            client = store_lib.StoreClient(store.address)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(store.server.serve)
+                store.put(_KEYED, "key", 1)
+                page = await client.read(_KEYED, at(1), 0.0)
+                self.assertEqual(page.records, [])
+                with self.assertRaises(store_lib.TruncatedError):
+                    await client.read(_KEYED, at(2), 0.0)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def test_backup_is_not_changed_by_what_follows(self):
+        store = platform_store.PlatformStoreStandin()
+        store.era = 1
+        store.put(_KEYED, "key", 1)
+        backup = store.backup()
+        for _ in range(2):
+            store.put(_KEYED, "key", 2)
+            store.put(_KEYED, "other", 3)
+            store.restore(backup)
+            self.assertEqual(store.values(_KEYED), {"key": 1})
+            self.assertEqual(store.topics[_KEYED].end, 1)
+        self.assertEqual(store.era, 3)
+
     def test_all_records_go_when_none_are_kept(self):
         store = platform_store.PlatformStoreStandin()
         store.put(_KEYED, "key", 1)
