--- a/hillthread/bench/compare.py
+++ b/hillthread/bench/compare.py
@@ -17,11 +17,11 @@
 from hillthread.bench import workload as workload_lib
 from hillthread.coordination import fleet as fleet_lib
 from hillthread.standin import engine_model
-from hillthread.state import decision as decision_lib
-from hillthread.state import load
-from hillthread.state import objects
-from hillthread.state import prompt
-from hillthread.state import warmth
+from hillthread.state.config import objects
+from hillthread.state.routing import decision as decision_lib
+from hillthread.state.routing import load
+from hillthread.state.routing import prompt
+from hillthread.state.routing import warmth
 
 __all__ = ["POLICIES", "PolicyResult", "Setup", "compare", "run_policy"]
 
--- a/hillthread/bench/limits.py
+++ b/hillthread/bench/limits.py
@@ -5,9 +5,9 @@
 import random
 from typing import NamedTuple
 
-from hillthread.state import limits
-from hillthread.state import objects
-from hillthread.state import shares
+from hillthread.state.config import objects
+from hillthread.state.quotas import limits
+from hillthread.state.quotas import shares
 
 __all__ = ["WAYS", "LimitResult", "measure_limits"]
 
--- a/hillthread/bench/policies.py
+++ b/hillthread/bench/policies.py
@@ -6,8 +6,8 @@
 from collections.abc import Sequence
 
 from hillthread.standin import engine_model
-from hillthread.state import decision as decision_lib
-from hillthread.state import placement
+from hillthread.state.routing import decision as decision_lib
+from hillthread.state.routing import placement
 
 __all__ = ["LeastLoaded", "Oracle", "Policy", "PrefixHash", "RoundRobin"]
 
--- a/hillthread/bench/slopes.py
+++ b/hillthread/bench/slopes.py
@@ -16,14 +16,14 @@
 from hillthread.protocol import documents
 from hillthread.protocol import engine
 from hillthread.protocol import messages
-from hillthread.state import claim_index
-from hillthread.state import configuration
-from hillthread.state import membership
-from hillthread.state import objects
-from hillthread.state import prompt
-from hillthread.state import records
-from hillthread.state import routing_table
-from hillthread.state import warmth
+from hillthread.state.cluster import claim_index
+from hillthread.state.cluster import membership
+from hillthread.state.config import configuration
+from hillthread.state.config import objects
+from hillthread.state.config import routing_table
+from hillthread.state.routing import prompt
+from hillthread.state.routing import records
+from hillthread.state.routing import warmth
 
 __all__ = ["Slope", "measure_slopes"]
 
--- a/hillthread/coordination/admin.py
+++ b/hillthread/coordination/admin.py
@@ -18,8 +18,8 @@
 from hillthread.protocol import admin_schema
 from hillthread.protocol import documents
 from hillthread.protocol import messages
-from hillthread.state import labels
-from hillthread.state import objects
+from hillthread.state.config import labels
+from hillthread.state.config import objects
 from hillthread.transport import http_server
 from hillthread.transport import service
 
--- a/hillthread/coordination/attempt_checks.py
+++ b/hillthread/coordination/attempt_checks.py
@@ -10,9 +10,9 @@
 from hillthread.coordination import metrics as metrics_lib
 from hillthread.protocol import engine
 from hillthread.protocol import headers as headers_lib
-from hillthread.state import objects
-from hillthread.state import records
-from hillthread.state import warmth
+from hillthread.state.config import objects
+from hillthread.state.routing import records
+from hillthread.state.routing import warmth
 from hillthread.transport import target_client
 
 __all__ = ["HeadChecker"]
--- a/hillthread/coordination/change_author.py
+++ b/hillthread/coordination/change_author.py
@@ -12,9 +12,9 @@
 
 from hillthread import errors
 from hillthread.coordination import configuration_keeper
-from hillthread.state import configuration
-from hillthread.state import labels
-from hillthread.state import objects
+from hillthread.state.config import configuration
+from hillthread.state.config import labels
+from hillthread.state.config import objects
 from hillthread.transport import log_client
 
 __all__ = ["ChangeAuthor", "ChangeResult"]
--- a/hillthread/coordination/claim_keeper.py
+++ b/hillthread/coordination/claim_keeper.py
@@ -16,7 +16,7 @@
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.state import claim_index
+from hillthread.state.cluster import claim_index
 from hillthread.transport import log_client
 
 __all__ = ["ClaimKeeper"]
--- a/hillthread/coordination/configuration_file.py
+++ b/hillthread/coordination/configuration_file.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from hillthread import errors
-from hillthread.state import objects
-from hillthread.state import routing_table
+from hillthread.state.config import objects
+from hillthread.state.config import routing_table
 
 __all__ = ["load_objects", "load_table"]
 
--- a/hillthread/coordination/configuration_keeper.py
+++ b/hillthread/coordination/configuration_keeper.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 
 from hillthread import errors
-from hillthread.state import configuration
+from hillthread.state.config import configuration
 
 __all__ = ["ConfigurationKeeper"]
 
--- a/hillthread/coordination/control_client.py
+++ b/hillthread/coordination/control_client.py
@@ -18,11 +18,11 @@
 from hillthread.coordination import share_outbox
 from hillthread.protocol import documents
 from hillthread.protocol import messages
-from hillthread.state import load
-from hillthread.state import prompt
-from hillthread.state import records
-from hillthread.state import routing_table
-from hillthread.state import warmth
+from hillthread.state.config import routing_table
+from hillthread.state.routing import load
+from hillthread.state.routing import prompt
+from hillthread.state.routing import records
+from hillthread.state.routing import warmth
 from hillthread.transport import link as link_lib
 
 __all__ = ["ControlClient"]
--- a/hillthread/coordination/control_node.py
+++ b/hillthread/coordination/control_node.py
@@ -18,9 +18,9 @@
 from hillthread.coordination import record_archive
 from hillthread.coordination import record_finder
 from hillthread.protocol import messages
-from hillthread.state import departures
-from hillthread.state import membership as membership_lib
-from hillthread.state import placement
+from hillthread.state.cluster import membership as membership_lib
+from hillthread.state.routing import placement
+from hillthread.state.targets import departures
 
 __all__ = ["ControlNode"]
 
--- a/hillthread/coordination/dialer.py
+++ b/hillthread/coordination/dialer.py
@@ -17,8 +17,8 @@
 from hillthread import errors
 from hillthread import settings as settings_lib
 from hillthread.coordination import hub as hub_lib
-from hillthread.state import membership as membership_lib
-from hillthread.state import placement
+from hillthread.state.cluster import membership as membership_lib
+from hillthread.state.routing import placement
 from hillthread.transport import link as link_lib
 
 __all__ = ["Dialer", "gateways", "wanted_peers"]
--- a/hillthread/coordination/engine_roster.py
+++ b/hillthread/coordination/engine_roster.py
@@ -5,10 +5,10 @@
 from hillthread import clock
 from hillthread.coordination import configuration_keeper
 from hillthread.protocol import messages
-from hillthread.state import membership as membership_lib
-from hillthread.state import objects
-from hillthread.state import placement
-from hillthread.state import warmth
+from hillthread.state.cluster import membership as membership_lib
+from hillthread.state.config import objects
+from hillthread.state.routing import placement
+from hillthread.state.routing import warmth
 
 __all__ = ["EngineRoster"]
 
--- a/hillthread/coordination/fleet.py
+++ b/hillthread/coordination/fleet.py
@@ -7,15 +7,15 @@
 from typing import NamedTuple
 
 from hillthread.coordination import share_outbox
-from hillthread.state import backoffs
-from hillthread.state import decision as decision_lib
-from hillthread.state import departures
-from hillthread.state import health
-from hillthread.state import load
-from hillthread.state import objects
-from hillthread.state import prompt
-from hillthread.state import retry_budget
-from hillthread.state import warmth
+from hillthread.state.config import objects
+from hillthread.state.quotas import retry_budget
+from hillthread.state.routing import decision as decision_lib
+from hillthread.state.routing import load
+from hillthread.state.routing import prompt
+from hillthread.state.routing import warmth
+from hillthread.state.targets import backoffs
+from hillthread.state.targets import departures
+from hillthread.state.targets import health
 
 __all__ = ["Fleet", "Placement", "Usage", "affinity_key", "make_query"]
 
--- a/hillthread/coordination/forwarder.py
+++ b/hillthread/coordination/forwarder.py
@@ -20,9 +20,9 @@
 from hillthread.protocol import engine
 from hillthread.protocol import headers as headers_lib
 from hillthread.protocol import openai
-from hillthread.state import decision as decision_lib
-from hillthread.state import objects
-from hillthread.state import records
+from hillthread.state.config import objects
+from hillthread.state.routing import decision as decision_lib
+from hillthread.state.routing import records
 from hillthread.transport import target_client
 
 __all__ = ["Forwarder"]
--- a/hillthread/coordination/gate.py
+++ b/hillthread/coordination/gate.py
@@ -16,9 +16,9 @@
 from hillthread import errors
 from hillthread.coordination import exchange as exchange_lib
 from hillthread.coordination import fleet as fleet_lib
-from hillthread.state import admission
-from hillthread.state import decision as decision_lib
-from hillthread.state import records
+from hillthread.state.quotas import admission
+from hillthread.state.routing import decision as decision_lib
+from hillthread.state.routing import records
 
 __all__ = ["Gate"]
 
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -28,10 +28,10 @@
 from hillthread.platform import configuration
 from hillthread.platform import store as store_lib
 from hillthread.platform import targets
-from hillthread.state import caller_bounds
-from hillthread.state import feed_source
-from hillthread.state import held_read
-from hillthread.state import topic_copy
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import held_read
+from hillthread.state.cluster import topic_copy
+from hillthread.state.config import caller_bounds
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 from hillthread.transport import log_writer
--- a/hillthread/coordination/gateway/orders/order_duty.py
+++ b/hillthread/coordination/gateway/orders/order_duty.py
@@ -7,8 +7,8 @@
 from hillthread import clock
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.orders import order_lease
-from hillthread.state import feed_source
-from hillthread.state import succession
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import succession
 
 __all__ = ["OrderDuty"]
 
--- a/hillthread/coordination/gateway/orders/order_lease.py
+++ b/hillthread/coordination/gateway/orders/order_lease.py
@@ -15,8 +15,8 @@
 from hillthread import clock
 from hillthread import errors
 from hillthread.platform import store as store_lib
-from hillthread.state import lease
-from hillthread.state import position as position_lib
+from hillthread.state.cluster import lease
+from hillthread.state.cluster import position as position_lib
 
 __all__ = ["OrderLease"]
 
--- a/hillthread/coordination/gateway/orders/rollout_keeper.py
+++ b/hillthread/coordination/gateway/orders/rollout_keeper.py
@@ -16,10 +16,10 @@
 from hillthread.coordination.gateway.orders import order_lease
 from hillthread.coordination.gateway.orders import weights_load
 from hillthread.coordination.gateway.peers import work_feed
-from hillthread.state import health
-from hillthread.state import objects
-from hillthread.state import rollout
-from hillthread.state import target_list
+from hillthread.state.config import objects
+from hillthread.state.targets import health
+from hillthread.state.targets import rollout
+from hillthread.state.targets import target_list
 from hillthread.transport import http1_client
 
 __all__ = ["RolloutKeeper"]
--- a/hillthread/coordination/gateway/orders/weights_load.py
+++ b/hillthread/coordination/gateway/orders/weights_load.py
@@ -15,9 +15,9 @@
 from hillthread.platform import orders
 from hillthread.platform import targets as targets_lib
 from hillthread.protocol import work_notice
-from hillthread.state import objects
-from hillthread.state import rollout
-from hillthread.state import target_list
+from hillthread.state.config import objects
+from hillthread.state.targets import rollout
+from hillthread.state.targets import target_list
 from hillthread.transport import http1_client
 
 __all__ = ["WeightsLoader"]
--- a/hillthread/coordination/gateway/peers/work_feed.py
+++ b/hillthread/coordination/gateway/peers/work_feed.py
@@ -1,10 +1,8 @@
 """Tells other hosts of work sent to engines and of quotas used, and listens.
 
 Each host places an eighth of the load, or a two hundredth: without the others'
-part it cannot know how long an engine's queue is. In the model of
-`tests/state/test_load_at_size.py` 0.2 of 100 prompts begin late when hosts hear
-of all long prompts at once, 2 when they do 30 ms later, 13 when they hear of 28
-of 100, 16 when of none.
+part it cannot know how long an engine's queue is
+(`tests/state/routing/test_load_at_size.py`).
 
 A few hosts tell each other directly. With many, each hands what it sends to
 the gatherer of its data centre, which hands on what all have sent every 30 ms:
@@ -12,7 +10,7 @@
 0.15 ms of a processor and more, and not one for each prompt.
 
 The use of quotas always goes by way of the gatherers, with the work where there
-is some: `state/usage_exchange.py`.
+is some: `state/quotas/usage_exchange.py`.
 
 Packets are datagrams on the port of the feed between hosts: each is of use for
 a moment, so one that is lost is not sent again, and a host that is silent holds
@@ -35,11 +33,11 @@
 from hillthread import settings as settings_lib
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.protocol import work_notice
-from hillthread.state import feed_source
-from hillthread.state import gatherer
-from hillthread.state import limits
-from hillthread.state import notice_route
-from hillthread.state import usage_exchange
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import gatherer
+from hillthread.state.cluster import notice_route
+from hillthread.state.quotas import limits
+from hillthread.state.quotas import usage_exchange
 
 __all__ = ["WorkFeed", "resend"]
 
--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -14,7 +14,7 @@
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
 from hillthread.coordination.gateway.serving import reach_monitor
 from hillthread.platform import attempts
-from hillthread.state import attempt_plan
+from hillthread.state.routing import attempt_plan
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
--- a/hillthread/coordination/gateway/serving/cache_source.py
+++ b/hillthread/coordination/gateway/serving/cache_source.py
@@ -11,11 +11,11 @@
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.serving import cache_watch
 from hillthread.coordination.gateway.serving import intake
-from hillthread.state import attempt_plan
-from hillthread.state import cache_contents
-from hillthread.state import objects
-from hillthread.state import placement
-from hillthread.state import save_budget
+from hillthread.state.config import objects
+from hillthread.state.quotas import save_budget
+from hillthread.state.routing import attempt_plan
+from hillthread.state.routing import cache_contents
+from hillthread.state.routing import placement
 from hillthread.transport import http1_client
 
 __all__ = ["CachePlanner", "affinity_key", "shared_parts"]
--- a/hillthread/coordination/gateway/serving/cache_watch.py
+++ b/hillthread/coordination/gateway/serving/cache_watch.py
@@ -16,7 +16,7 @@
 from hillthread import errors
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.platform import cache_events
-from hillthread.state import cache_contents
+from hillthread.state.routing import cache_contents
 from hillthread.transport import http1_client
 
 __all__ = ["CacheWatch"]
--- a/hillthread/coordination/gateway/serving/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -13,12 +13,12 @@
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import limit_keeper
 from hillthread.coordination.gateway.serving import pool_view
-from hillthread.state import attempt_plan
-from hillthread.state import first_byte
-from hillthread.state import objects
-from hillthread.state import quarantine
-from hillthread.state import target_choice
-from hillthread.state import target_list
+from hillthread.state.config import objects
+from hillthread.state.routing import attempt_plan
+from hillthread.state.routing import first_byte
+from hillthread.state.routing import target_choice
+from hillthread.state.targets import quarantine
+from hillthread.state.targets import target_list
 from hillthread.transport import http1_client
 
 __all__ = ["Apartness", "Chooser", "Planned"]
--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -22,7 +22,7 @@
 from hillthread.coordination.gateway.serving import quota_keeper
 from hillthread.coordination.gateway.serving import story as story_lib
 from hillthread.platform import names
-from hillthread.state import return_time
+from hillthread.state.quotas import return_time
 from hillthread.transport import http1
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
--- a/hillthread/coordination/gateway/serving/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -11,9 +11,9 @@
 from hillthread.coordination.gateway.serving import story as story_lib
 from hillthread.platform import attempts
 from hillthread.platform import names
-from hillthread.state import objects
-from hillthread.state import request_digest
-from hillthread.state import routing_table
+from hillthread.state.config import objects
+from hillthread.state.config import routing_table
+from hillthread.state.targets import request_digest
 from hillthread.transport import http1_server
 
 __all__ = [
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -12,8 +12,8 @@
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
 from hillthread.coordination.gateway.serving import sender as sender_lib
 from hillthread.platform import attempts
-from hillthread.state import aim_admission
-from hillthread.state import quarantine
+from hillthread.state.quotas import aim_admission
+from hillthread.state.targets import quarantine
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
--- a/hillthread/coordination/gateway/serving/learning.py
+++ b/hillthread/coordination/gateway/serving/learning.py
@@ -17,9 +17,9 @@
 from hillthread.coordination.gateway.serving import quarantine_keeper
 from hillthread.coordination.gateway.serving import reach_monitor
 from hillthread.platform import orders
-from hillthread.state import attempt_plan
-from hillthread.state import objects
-from hillthread.state import target_state
+from hillthread.state.config import objects
+from hillthread.state.routing import attempt_plan
+from hillthread.state.targets import target_state
 
 __all__ = ["FirstByte", "Learner"]
 
--- a/hillthread/coordination/gateway/serving/limit_keeper.py
+++ b/hillthread/coordination/gateway/serving/limit_keeper.py
@@ -1,7 +1,7 @@
 """Enforces the rate limits that targets announce.
 
 Applies limits from answers and peers, notifies peers, and decides whether a
-request may go to a target; see `state/target_limits.py`.
+request may go to a target; see `state/quotas/target_limits.py`.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from hillthread.coordination.gateway.serving import quota_keeper
 from hillthread.platform import attempts
 from hillthread.protocol import work_notice
-from hillthread.state import target_limits
+from hillthread.state.quotas import target_limits
 
 __all__ = ["LimitKeeper"]
 
--- a/hillthread/coordination/gateway/serving/pool_view.py
+++ b/hillthread/coordination/gateway/serving/pool_view.py
@@ -10,13 +10,13 @@
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import limit_keeper
 from hillthread.protocol import work_notice
-from hillthread.state import attempt_plan
-from hillthread.state import first_byte
-from hillthread.state import health
-from hillthread.state import target_choice
-from hillthread.state import target_list
-from hillthread.state import target_state
-from hillthread.state import weights as weights_lib
+from hillthread.state.routing import attempt_plan
+from hillthread.state.routing import first_byte
+from hillthread.state.routing import target_choice
+from hillthread.state.targets import health
+from hillthread.state.targets import target_list
+from hillthread.state.targets import target_state
+from hillthread.state.targets import weights as weights_lib
 from hillthread.transport import http1_client
 
 __all__ = ["PoolKnowledge", "PoolView"]
--- a/hillthread/coordination/gateway/serving/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -1,8 +1,8 @@
 """Keeps requests that end targets away from further targets.
 
-Takes in what attempts of this host show, tells the other hosts, and has what is
-to outlive all hosts kept in the store. `state/quarantine.py` tells who is to
-blame.
+Applies what attempts of this host show, notifies the other hosts, and keeps in
+the store what has to outlive them. `state/targets/quarantine.py` decides who is
+to blame.
 """
 
 from __future__ import annotations
@@ -26,10 +26,10 @@
 from hillthread.coordination.gateway.store import host_registry
 from hillthread.platform import store as store_lib
 from hillthread.protocol import work_notice
-from hillthread.state import payloads
-from hillthread.state import placement
-from hillthread.state import quarantine
-from hillthread.state import topic_copy
+from hillthread.state.cluster import topic_copy
+from hillthread.state.config import payloads
+from hillthread.state.routing import placement
+from hillthread.state.targets import quarantine
 
 __all__ = ["QuarantineKeeper", "SentTo"]
 
--- a/hillthread/coordination/gateway/serving/quota_keeper.py
+++ b/hillthread/coordination/gateway/serving/quota_keeper.py
@@ -1,8 +1,8 @@
 """Keeps organisations within their quotas, over all hosts together.
 
-Decides at intake, counts what is sent to targets, and tells and hears of it
-through the feed between hosts. `state/quota.py` says how a quota is spent,
-`state/usage_exchange.py` what hosts tell each other.
+Decides at intake, counts requests to targets, and exchanges usage over the feed
+between hosts; see `state/quotas/quota.py` for how a quota is spent and
+`state/quotas/usage_exchange.py` for what hosts exchange.
 """
 
 from __future__ import annotations
@@ -18,9 +18,9 @@
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.peers import work_feed
 from hillthread.coordination.gateway.serving import intake
-from hillthread.state import quota as quota_lib
-from hillthread.state import quota_ledger
-from hillthread.state import usage_exchange
+from hillthread.state.quotas import quota as quota_lib
+from hillthread.state.quotas import quota_ledger
+from hillthread.state.quotas import usage_exchange
 
 __all__ = ["QuotaKeeper", "QuotaStatus"]
 
--- a/hillthread/coordination/gateway/serving/reach_monitor.py
+++ b/hillthread/coordination/gateway/serving/reach_monitor.py
@@ -27,7 +27,7 @@
 
 from hillthread import clock
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.state import objects
+from hillthread.state.config import objects
 from hillthread.transport import http1_client
 
 __all__ = ["OpenAttempt", "ReachMonitor"]
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -25,8 +25,8 @@
 from hillthread.coordination.gateway.serving import reach_monitor
 from hillthread.platform import attempts
 from hillthread.protocol import work_notice
-from hillthread.state import objects
-from hillthread.state import target_state
+from hillthread.state.config import objects
+from hillthread.state.targets import target_state
 from hillthread.transport import http1_client
 
 __all__ = ["JobTools", "Sender"]
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -12,11 +12,11 @@
 from hillthread.coordination.gateway import settings as settings_lib
 from hillthread.coordination.gateway import target_beliefs
 from hillthread.platform import configuration as configuration_lib
-from hillthread.state import caller_bounds
-from hillthread.state import freshness
-from hillthread.state import quarantine
-from hillthread.state import retry_budget
-from hillthread.state import site_configuration
+from hillthread.state.cluster import freshness
+from hillthread.state.config import caller_bounds
+from hillthread.state.config import site_configuration
+from hillthread.state.quotas import retry_budget
+from hillthread.state.targets import quarantine
 
 __all__ = ["Site"]
 
--- a/hillthread/coordination/gateway/store/host_registry.py
+++ b/hillthread/coordination/gateway/store/host_registry.py
@@ -17,9 +17,9 @@
 from hillthread import errors
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.platform import store as store_lib
-from hillthread.state import feed_source
-from hillthread.state import payloads
-from hillthread.state import topic_copy
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import topic_copy
+from hillthread.state.config import payloads
 
 __all__ = [
     "HOSTS_TOPIC",
--- a/hillthread/coordination/gateway/store/store_follower.py
+++ b/hillthread/coordination/gateway/store/store_follower.py
@@ -18,11 +18,11 @@
 from hillthread.platform import log_pages
 from hillthread.platform import store
 from hillthread.protocol import feed
-from hillthread.state import feed_source
-from hillthread.state import freshness
-from hillthread.state import held_read
-from hillthread.state import position as position_lib
-from hillthread.state import topic_copy
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import freshness
+from hillthread.state.cluster import held_read
+from hillthread.state.cluster import position as position_lib
+from hillthread.state.cluster import topic_copy
 from hillthread.transport import http1_client
 
 __all__ = ["TopicFollower"]
--- a/hillthread/coordination/gateway/store/topic_plan.py
+++ b/hillthread/coordination/gateway/store/topic_plan.py
@@ -10,8 +10,8 @@
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway.store import store_watch
 from hillthread.platform import store
-from hillthread.state import feed_source
-from hillthread.state import topic_copy
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import topic_copy
 from hillthread.transport import http1_client
 
 __all__ = ["Readers", "TopicPlan"]
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -11,12 +11,12 @@
 from hillthread.platform import configuration as configuration_lib
 from hillthread.platform import targets as targets_lib
 from hillthread.protocol import work_notice
-from hillthread.state import backoffs
-from hillthread.state import health
-from hillthread.state import routing_table
-from hillthread.state import target_list
-from hillthread.state import target_state
-from hillthread.state import weights
+from hillthread.state.config import routing_table
+from hillthread.state.targets import backoffs
+from hillthread.state.targets import health
+from hillthread.state.targets import target_list
+from hillthread.state.targets import target_state
+from hillthread.state.targets import weights
 
 __all__ = ["TargetBeliefs", "TargetStatus"]
 
--- a/hillthread/coordination/intake.py
+++ b/hillthread/coordination/intake.py
@@ -11,11 +11,11 @@
 from hillthread import settings as settings_lib
 from hillthread.coordination import fleet as fleet_lib
 from hillthread.protocol import openai
-from hillthread.state import decision as decision_lib
-from hillthread.state import objects
-from hillthread.state import prompt
-from hillthread.state import records
-from hillthread.state import routing_table
+from hillthread.state.config import objects
+from hillthread.state.config import routing_table
+from hillthread.state.routing import decision as decision_lib
+from hillthread.state.routing import prompt
+from hillthread.state.routing import records
 from hillthread.transport import http_server
 
 __all__ = ["Intake", "Intent", "authenticate"]
--- a/hillthread/coordination/lease_keeper.py
+++ b/hillthread/coordination/lease_keeper.py
@@ -8,7 +8,7 @@
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.state import lease
+from hillthread.state.cluster import lease
 from hillthread.transport import log_client
 
 __all__ = ["LeaseKeeper"]
--- a/hillthread/coordination/log_follower.py
+++ b/hillthread/coordination/log_follower.py
@@ -18,7 +18,7 @@
 from hillthread import errors
 from hillthread import settings as settings_lib
 from hillthread.coordination import configuration_keeper
-from hillthread.state import configuration
+from hillthread.state.config import configuration
 from hillthread.transport import log_client
 
 __all__ = ["LogFollower", "LogState"]
--- a/hillthread/coordination/order_keeper.py
+++ b/hillthread/coordination/order_keeper.py
@@ -24,7 +24,7 @@
 from hillthread.coordination import control_node
 from hillthread.coordination import lease_keeper
 from hillthread.protocol import engine
-from hillthread.state import objects
+from hillthread.state.config import objects
 
 __all__ = ["OrderKeeper"]
 
--- a/hillthread/coordination/record_pages.py
+++ b/hillthread/coordination/record_pages.py
@@ -6,7 +6,7 @@
 import itertools
 from typing import NamedTuple
 
-from hillthread.state import records
+from hillthread.state.routing import records
 
 __all__ = ["RecordFilter", "select_records"]
 
--- a/hillthread/coordination/router.py
+++ b/hillthread/coordination/router.py
@@ -21,11 +21,11 @@
 from hillthread.coordination import metrics as metrics_lib
 from hillthread.coordination import stream_relay
 from hillthread.protocol import openai
-from hillthread.state import limits
-from hillthread.state import objects
-from hillthread.state import records
-from hillthread.state import routing_table
-from hillthread.state import shares
+from hillthread.state.config import objects
+from hillthread.state.config import routing_table
+from hillthread.state.quotas import limits
+from hillthread.state.quotas import shares
+from hillthread.state.routing import records
 from hillthread.transport import http_server
 
 __all__ = ["Router"]
--- a/hillthread/coordination/share_outbox.py
+++ b/hillthread/coordination/share_outbox.py
@@ -9,8 +9,8 @@
 
 import cachetools
 
-from hillthread.state import prompt
-from hillthread.state import warmth
+from hillthread.state.routing import prompt
+from hillthread.state.routing import warmth
 
 __all__ = ["Share", "ShareOutbox"]
 
--- a/hillthread/coordination/stream_relay.py
+++ b/hillthread/coordination/stream_relay.py
@@ -20,8 +20,8 @@
 from hillthread.protocol import engine
 from hillthread.protocol import event_stream
 from hillthread.protocol import openai
-from hillthread.state import records
-from hillthread.state import warmth
+from hillthread.state.routing import records
+from hillthread.state.routing import warmth
 from hillthread.transport import target_client
 
 __all__ = ["StreamRelay"]
--- a/hillthread/coordination/target_watch.py
+++ b/hillthread/coordination/target_watch.py
@@ -18,7 +18,7 @@
 from hillthread.coordination import control_node
 from hillthread.protocol import engine
 from hillthread.protocol import messages
-from hillthread.state import objects
+from hillthread.state.config import objects
 
 __all__ = ["TargetWatch"]
 
--- a/hillthread/coordination/whole_relay.py
+++ b/hillthread/coordination/whole_relay.py
@@ -13,7 +13,7 @@
 from hillthread.coordination import exchange as exchange_lib
 from hillthread.protocol import engine
 from hillthread.protocol import headers as headers_lib
-from hillthread.state import records
+from hillthread.state.routing import records
 from hillthread.transport import target_client
 
 __all__ = ["WholeRelay"]
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -7,7 +7,7 @@
 
 from hillthread.platform import names
 from hillthread.protocol import headers as headers_lib
-from hillthread.state import attempt_plan
+from hillthread.state.routing import attempt_plan
 from hillthread.transport import http1
 from hillthread.transport import http1_client
 
--- a/hillthread/platform/cache_events.py
+++ b/hillthread/platform/cache_events.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from hillthread import errors
-from hillthread.state import cache_contents
+from hillthread.state.routing import cache_contents
 from hillthread.transport import http1_client
 
 __all__ = ["CachePage", "read_events"]
--- a/hillthread/platform/configuration.py
+++ b/hillthread/platform/configuration.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from hillthread.state import caller_bounds
-from hillthread.state import objects
-from hillthread.state import payloads
-from hillthread.state import site_configuration
-from hillthread.state import topic_copy
+from hillthread.state.cluster import topic_copy
+from hillthread.state.config import caller_bounds
+from hillthread.state.config import objects
+from hillthread.state.config import payloads
+from hillthread.state.config import site_configuration
 
 __all__ = [
     "CONFIGURATION_KEY",
--- a/hillthread/platform/journal.py
+++ b/hillthread/platform/journal.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from hillthread import errors
-from hillthread.state import payloads
+from hillthread.state.config import payloads
 
 __all__ = ["JournalEntry", "PlayedDay", "Price", "decode_entry", "read_entries"]
 
--- a/hillthread/platform/log_pages.py
+++ b/hillthread/platform/log_pages.py
@@ -7,8 +7,8 @@
 from typing import NamedTuple
 
 from hillthread import errors
-from hillthread.state import position as position_lib
-from hillthread.state import topic_copy
+from hillthread.state.cluster import position as position_lib
+from hillthread.state.cluster import topic_copy
 
 __all__ = [
     "LENGTH",
--- a/hillthread/platform/orders.py
+++ b/hillthread/platform/orders.py
@@ -10,7 +10,7 @@
 from hillthread.platform import attempts
 from hillthread.platform import names
 from hillthread.platform import targets
-from hillthread.state import objects
+from hillthread.state.config import objects
 from hillthread.transport import http1_client
 
 __all__ = ["OrderAnswer", "WeightsOrder", "read_report", "send_order"]
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -12,9 +12,9 @@
 from hillthread.platform import attempts
 from hillthread.platform import log_pages
 from hillthread.platform import names
-from hillthread.state import held_read
-from hillthread.state import position as position_lib
-from hillthread.state import topic_copy
+from hillthread.state.cluster import held_read
+from hillthread.state.cluster import position as position_lib
+from hillthread.state.cluster import topic_copy
 from hillthread.transport import http1_client
 
 __all__ = [
--- a/hillthread/platform/targets.py
+++ b/hillthread/platform/targets.py
@@ -11,10 +11,10 @@
 
 from hillthread import errors
 from hillthread.platform import configuration
-from hillthread.state import objects
-from hillthread.state import payloads
-from hillthread.state import target_list
-from hillthread.state import topic_copy
+from hillthread.state.cluster import topic_copy
+from hillthread.state.config import objects
+from hillthread.state.config import payloads
+from hillthread.state.targets import target_list
 
 __all__ = [
     "TARGET_TOPIC",
--- a/hillthread/protocol/admin_schema.py
+++ b/hillthread/protocol/admin_schema.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from hillthread.state import objects
+from hillthread.state.config import objects
 
 __all__ = ["OPENAPI"]
 
--- a/hillthread/protocol/engine.py
+++ b/hillthread/protocol/engine.py
@@ -15,8 +15,8 @@
 import msgspec
 from prometheus_client import parser
 
-from hillthread.state import load
-from hillthread.state import warmth
+from hillthread.state.routing import load
+from hillthread.state.routing import warmth
 
 __all__ = [
     "AnswerUsage",
--- a/hillthread/protocol/feed.py
+++ b/hillthread/protocol/feed.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from hillthread import errors
-from hillthread.state import position as position_lib
-from hillthread.state import topic_copy
+from hillthread.state.cluster import position as position_lib
+from hillthread.state.cluster import topic_copy
 
 __all__ = [
     "FEED_PATH",
--- a/hillthread/protocol/openai.py
+++ b/hillthread/protocol/openai.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from hillthread import errors
-from hillthread.state import prompt
+from hillthread.state.routing import prompt
 
 __all__ = [
     "CompletionRequest",
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from hillthread import errors
-from hillthread.state import usage_exchange
+from hillthread.state.quotas import usage_exchange
 
 __all__ = [
     "DepartureNotice",
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -14,7 +14,7 @@
 import anyio
 import msgspec
 
-from hillthread.state import caller_bounds
+from hillthread.state.config import caller_bounds
 from hillthread.transport import http1
 from hillthread.transport import http1_server
 
--- a/hillthread/state/claim_index.py
+++ b/hillthread/state/cluster/claim_index.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from hillthread import errors
-from hillthread.state import payloads
+from hillthread.state.config import payloads
 
 __all__ = ["Claim", "ClaimBatch", "ClaimIndex", "decode_batch", "encode_batch"]
 
--- a/hillthread/state/feed_source.py
+++ b/hillthread/state/cluster/feed_source.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from hillthread.state import placement
+from hillthread.state.routing import placement
 
 __all__ = ["FeedSource", "HostEntry", "rank_hosts"]
 
--- a/hillthread/state/gatherer.py
+++ b/hillthread/state/cluster/gatherer.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Iterable
 
-from hillthread.state import feed_source
+from hillthread.state.cluster import feed_source
 
 __all__ = ["GathererChoice"]
 
--- a/hillthread/state/lease.py
+++ b/hillthread/state/cluster/lease.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from hillthread import errors
-from hillthread.state import payloads
+from hillthread.state.config import payloads
 
 __all__ = [
     "Acquire",
--- a/hillthread/state/notice_route.py
+++ b/hillthread/state/cluster/notice_route.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from hillthread.state import feed_source
+from hillthread.state.cluster import feed_source
 
 __all__ = ["Receiver", "pass_on_receivers", "receivers"]
 
--- a/hillthread/state/topic_copy.py
+++ b/hillthread/state/cluster/topic_copy.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from hillthread.state import position as position_lib
+from hillthread.state.cluster import position as position_lib
 
 __all__ = ["Replacement", "TopicCopy", "TopicRecord"]
 
--- /dev/null
+++ b/hillthread/state/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration objects, their labels and what is looked up in them."""
--- a/hillthread/state/configuration.py
+++ b/hillthread/state/config/configuration.py
@@ -18,8 +18,8 @@
 import msgspec
 
 from hillthread import errors
-from hillthread.state import objects
-from hillthread.state import payloads
+from hillthread.state.config import objects
+from hillthread.state.config import payloads
 
 __all__ = [
     "Applied",
--- a/hillthread/state/objects.py
+++ b/hillthread/state/config/objects.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from hillthread import errors
-from hillthread.state import labels as labels_lib
+from hillthread.state.config import labels as labels_lib
 
 __all__ = [
     "CacheStore",
--- a/hillthread/state/route_index.py
+++ b/hillthread/state/config/route_index.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from hillthread.state import objects
+from hillthread.state.config import objects
 
 __all__ = ["RouteIndex"]
 
--- a/hillthread/state/routing_table.py
+++ b/hillthread/state/config/routing_table.py
@@ -9,9 +9,9 @@
 
 import cachetools
 
-from hillthread.state import labels
-from hillthread.state import objects
-from hillthread.state import route_index
+from hillthread.state.config import labels
+from hillthread.state.config import objects
+from hillthread.state.config import route_index
 
 __all__ = ["PoolPart", "Resolved", "RoutingTable"]
 
--- a/hillthread/state/site_configuration.py
+++ b/hillthread/state/config/site_configuration.py
@@ -5,9 +5,9 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from hillthread.state import caller_bounds
-from hillthread.state import objects
-from hillthread.state import routing_table
+from hillthread.state.config import caller_bounds
+from hillthread.state.config import objects
+from hillthread.state.config import routing_table
 
 __all__ = ["SiteConfiguration"]
 
--- /dev/null
+++ b/hillthread/state/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Limits: quotas, limits of targets, retry budgets, admission."""
--- a/hillthread/state/aim_admission.py
+++ b/hillthread/state/quotas/aim_admission.py
@@ -14,7 +14,7 @@
 
 from __future__ import annotations
 
-from hillthread.state import first_byte
+from hillthread.state.routing import first_byte
 
 __all__ = ["is_hopeless", "return_s"]
 
--- a/hillthread/state/limits.py
+++ b/hillthread/state/quotas/limits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hillthread.state import objects
+from hillthread.state.config import objects
 
 __all__ = ["TenantUsage", "TokenBucket"]
 
--- a/hillthread/state/quota.py
+++ b/hillthread/state/quotas/quota.py
@@ -28,7 +28,7 @@
 import collections
 from typing import NamedTuple
 
-from hillthread.state import objects
+from hillthread.state.config import objects
 
 __all__ = ["QuotaBounds", "QuotaWindow", "cost"]
 
--- a/hillthread/state/quota_ledger.py
+++ b/hillthread/state/quotas/quota_ledger.py
@@ -10,9 +10,9 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from hillthread.state import objects
-from hillthread.state import quota as quota_lib
-from hillthread.state import usage_exchange
+from hillthread.state.config import objects
+from hillthread.state.quotas import quota as quota_lib
+from hillthread.state.quotas import usage_exchange
 
 __all__ = ["QuotaLedger", "Standing"]
 
--- a/hillthread/state/target_limits.py
+++ b/hillthread/state/quotas/target_limits.py
@@ -22,10 +22,10 @@
 import random
 from typing import NamedTuple
 
-from hillthread.state import objects
-from hillthread.state import quota as quota_lib
-from hillthread.state import quota_ledger
-from hillthread.state import usage_exchange
+from hillthread.state.config import objects
+from hillthread.state.quotas import quota as quota_lib
+from hillthread.state.quotas import quota_ledger
+from hillthread.state.quotas import usage_exchange
 
 __all__ = ["LimitStatus", "TargetLimits"]
 
--- a/hillthread/state/attempt_plan.py
+++ b/hillthread/state/routing/attempt_plan.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from hillthread.state import objects
+from hillthread.state.config import objects
 
 __all__ = ["AttemptPlan", "cache_scope"]
 
--- a/hillthread/state/decision.py
+++ b/hillthread/state/routing/decision.py
@@ -13,10 +13,10 @@
 import enum
 from typing import NamedTuple
 
-from hillthread.state import load
-from hillthread.state import placement
-from hillthread.state import prompt
-from hillthread.state import warmth
+from hillthread.state.routing import load
+from hillthread.state.routing import placement
+from hillthread.state.routing import prompt
+from hillthread.state.routing import warmth
 
 __all__ = [
     "Candidate",
--- a/hillthread/state/records.py
+++ b/hillthread/state/routing/records.py
@@ -9,7 +9,7 @@
 import enum
 
 from hillthread import errors
-from hillthread.state import decision as decision_lib
+from hillthread.state.routing import decision as decision_lib
 
 __all__ = [
     "AttemptRecord",
--- a/hillthread/state/target_choice.py
+++ b/hillthread/state/routing/target_choice.py
@@ -14,8 +14,8 @@
 import enum
 from typing import NamedTuple
 
-from hillthread.state import first_byte
-from hillthread.state import placement
+from hillthread.state.routing import first_byte
+from hillthread.state.routing import placement
 
 __all__ = [
     "Choice",
--- a/hillthread/state/warmth.py
+++ b/hillthread/state/routing/warmth.py
@@ -12,7 +12,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from hillthread.state import prompt
+from hillthread.state.routing import prompt
 
 __all__ = ["Epoch", "TargetWarmth", "WarmPrefix", "WarmthTable"]
 
--- a/hillthread/state/rollout.py
+++ b/hillthread/state/targets/rollout.py
@@ -17,9 +17,9 @@
 import math
 from typing import NamedTuple
 
-from hillthread.state import placement
-from hillthread.state import target_list
-from hillthread.state import weights as weights_lib
+from hillthread.state.routing import placement
+from hillthread.state.targets import target_list
+from hillthread.state.targets import weights as weights_lib
 
 __all__ = [
     "LoadEnd",
--- a/hillthread/state/target_list.py
+++ b/hillthread/state/targets/target_list.py
@@ -18,8 +18,8 @@
 from typing import NamedTuple
 import zlib
 
-from hillthread.state import labels
-from hillthread.state import objects
+from hillthread.state.config import labels
+from hillthread.state.config import objects
 
 __all__ = [
     "ListedTarget",
--- a/hillthread/state/target_state.py
+++ b/hillthread/state/targets/target_state.py
@@ -4,9 +4,9 @@
 
 import collections
 
-from hillthread.state import health
-from hillthread.state import load
-from hillthread.state import warm_prefixes
+from hillthread.state.routing import load
+from hillthread.state.routing import warm_prefixes
+from hillthread.state.targets import health
 
 __all__ = ["TargetState"]
 
--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -18,7 +18,7 @@
 import anyio.lowlevel
 import h11
 
-from hillthread.state import caller_bounds
+from hillthread.state.config import caller_bounds
 from hillthread.transport import byte_stream
 from hillthread.transport import http1
 
--- a/hillthread/transport/target_client.py
+++ b/hillthread/transport/target_client.py
@@ -16,7 +16,7 @@
 import httpcore
 
 from hillthread import settings as settings_lib
-from hillthread.state import records
+from hillthread.state.routing import records
 
 __all__ = ["AttemptError", "TargetClient", "TargetResponse"]
 
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -9,13 +9,13 @@
 from hillthread.coordination.gateway.serving import job
 from hillthread.platform import store
 from hillthread.programs import gateway
-from hillthread.state import attempt_plan
-from hillthread.state import backoffs
-from hillthread.state import quarantine
-from hillthread.state import quota_ledger
-from hillthread.state import routing_table
-from hillthread.state import target_list
-from hillthread.state import weights
+from hillthread.state.config import routing_table
+from hillthread.state.quotas import quota_ledger
+from hillthread.state.routing import attempt_plan
+from hillthread.state.targets import backoffs
+from hillthread.state.targets import quarantine
+from hillthread.state.targets import target_list
+from hillthread.state.targets import weights
 from hillthread.transport import http1_client
 
 VARIABLE = "HILLTHREAD_MUTANT"
--- a/tests/coordination/gateway/orders/test_old_weights.py
+++ b/tests/coordination/gateway/orders/test_old_weights.py
@@ -11,7 +11,7 @@
 import anyio
 
 from hillthread.standin import platform_target as standin
-from hillthread.state import weights
+from hillthread.state.targets import weights
 from tests.coordination.gateway import scene as scene_lib
 
 _FORBIDDEN_S = 10.0
--- a/tests/coordination/gateway/orders/test_order_lease.py
+++ b/tests/coordination/gateway/orders/test_order_lease.py
@@ -9,8 +9,8 @@
 from hillthread.platform import log_pages
 from hillthread.platform import store as store_lib
 from hillthread.standin import platform_store
-from hillthread.state import lease as lease_state
-from hillthread.state import position as position_lib
+from hillthread.state.cluster import lease as lease_state
+from hillthread.state.cluster import position as position_lib
 
 _PAUSE_S = 0.1
 # A lease is contended so long after its last record was read.
--- a/tests/coordination/gateway/orders/test_rollout.py
+++ b/tests/coordination/gateway/orders/test_rollout.py
@@ -8,7 +8,7 @@
 
 from hillthread.coordination.gateway.orders import order_lease
 from hillthread.platform import store as store_lib
-from hillthread.state import rollout
+from hillthread.state.targets import rollout
 from tests.coordination.gateway import scene as scene_lib
 
 _ENGINES = 5  # two of five load at a time
--- a/tests/coordination/gateway/orders/test_weights_notices.py
+++ b/tests/coordination/gateway/orders/test_weights_notices.py
@@ -11,9 +11,9 @@
 import anyio
 
 from hillthread.protocol import work_notice
-from hillthread.state import succession
-from hillthread.state import target_list
-from hillthread.state import target_state
+from hillthread.state.cluster import succession
+from hillthread.state.targets import target_list
+from hillthread.state.targets import target_state
 from tests.coordination.gateway import scene as scene_lib
 from tests.coordination.gateway.peers import test_feed
 
--- a/tests/coordination/gateway/peers/test_feed.py
+++ b/tests/coordination/gateway/peers/test_feed.py
@@ -11,8 +11,8 @@
 from hillthread.coordination.gateway.store import store_follower
 from hillthread.protocol import feed
 from hillthread.standin import wire_proxy
-from hillthread.state import feed_source
-from hillthread.state import position as position_lib
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import position as position_lib
 from hillthread.transport import http1_client
 from hillthread.transport import log_writer
 from tests.coordination.gateway import scene as scene_lib
--- a/tests/coordination/gateway/peers/test_work_feed.py
+++ b/tests/coordination/gateway/peers/test_work_feed.py
@@ -8,8 +8,8 @@
 from hillthread import settings as settings_lib
 from hillthread.coordination.gateway.peers import work_feed
 from hillthread.protocol import work_notice
-from hillthread.state import feed_source
-from hillthread.state import gatherer
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import gatherer
 from tests.coordination.gateway import scene as scene_lib
 from tests.coordination.gateway.peers import test_feed
 
--- a/tests/coordination/gateway/serving/test_deadly_requests.py
+++ b/tests/coordination/gateway/serving/test_deadly_requests.py
@@ -29,7 +29,7 @@
 from hillthread.coordination.gateway.store import host_registry
 from hillthread.programs import ctl
 from hillthread.standin import platform_target
-from hillthread.state import request_digest
+from hillthread.state.targets import request_digest
 from tests.coordination.gateway import scene as scene_lib
 from tests.coordination.gateway.peers import test_feed
 
--- a/tests/coordination/gateway/serving/test_dispatcher.py
+++ b/tests/coordination/gateway/serving/test_dispatcher.py
@@ -11,7 +11,7 @@
 
 from hillthread.coordination.gateway.serving import job as job_lib
 from hillthread.standin import platform_target as standin
-from hillthread.state import health
+from hillthread.state.targets import health
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 from tests.coordination.gateway import scene as scene_lib
--- a/tests/coordination/gateway/serving/test_reach.py
+++ b/tests/coordination/gateway/serving/test_reach.py
@@ -11,7 +11,7 @@
 
 from hillthread.coordination.gateway.serving import attempt as attempt_lib
 from hillthread.standin import platform_target as standin
-from hillthread.state import caller_bounds
+from hillthread.state.config import caller_bounds
 from hillthread.transport import http1
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
--- a/tests/coordination/gateway/test_bounds_range.py
+++ b/tests/coordination/gateway/test_bounds_range.py
@@ -12,11 +12,11 @@
 from hillthread.coordination.gateway import settings
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.orders import order_lease
-from hillthread.state import retry_budget
-from hillthread.state import target_list
-from hillthread.state import weights
+from hillthread.state.quotas import retry_budget
+from hillthread.state.targets import target_list
+from hillthread.state.targets import weights
 from tests.coordination.gateway.orders import test_order_lease
-from tests.state import test_target_list
+from tests.state.targets import test_target_list
 
 _METRICS = metrics.GatewayMetrics()
 # A read, the taking in and a look at the clock, together.
--- a/tests/coordination/gateway/test_lifecycle.py
+++ b/tests/coordination/gateway/test_lifecycle.py
@@ -7,7 +7,7 @@
 import anyio
 
 from hillthread.standin import platform_target as standin
-from hillthread.state import weights
+from hillthread.state.targets import weights
 from tests.coordination.gateway import scene as scene_lib
 
 
--- a/tests/coordination/gateway/test_restarts.py
+++ b/tests/coordination/gateway/test_restarts.py
@@ -14,8 +14,8 @@
 from hillthread.platform import targets
 from hillthread.protocol import work_notice
 from hillthread.standin import platform_target
-from hillthread.state import health
-from hillthread.state import target_list
+from hillthread.state.targets import health
+from hillthread.state.targets import target_list
 from tests.coordination.gateway import scene as scene_lib
 
 _ENTRY = {
--- a/tests/coordination/test_attempt_checks.py
+++ b/tests/coordination/test_attempt_checks.py
@@ -8,8 +8,8 @@
 from hillthread.coordination import attempt_checks
 from hillthread.coordination import fleet as fleet_lib
 from hillthread.coordination import metrics
-from hillthread.state import decision
-from hillthread.state import objects
+from hillthread.state.config import objects
+from hillthread.state.routing import decision
 from hillthread.transport import target_client
 from tests.coordination import test_fleet
 
--- a/tests/coordination/test_configuration_keeper.py
+++ b/tests/coordination/test_configuration_keeper.py
@@ -3,7 +3,7 @@
 import unittest
 
 from hillthread.coordination import configuration_keeper
-from hillthread.state import configuration
+from hillthread.state.config import configuration
 
 
 def record(name, organisation="o"):
--- a/tests/coordination/test_fleet.py
+++ b/tests/coordination/test_fleet.py
@@ -5,11 +5,11 @@
 import msgspec
 
 from hillthread.coordination import fleet as fleet_lib
-from hillthread.state import decision
-from hillthread.state import load
-from hillthread.state import objects
-from hillthread.state import prompt
-from hillthread.state import warmth
+from hillthread.state.config import objects
+from hillthread.state.routing import decision
+from hillthread.state.routing import load
+from hillthread.state.routing import prompt
+from hillthread.state.routing import warmth
 
 POOL = objects.Pool(name="p", target_selector="", max_inflight=2, eject_after=1)
 EPOCH = warmth.Epoch("i1", "w1")
--- a/tests/coordination/test_forwarder.py
+++ b/tests/coordination/test_forwarder.py
@@ -6,7 +6,7 @@
 
 from hillthread import errors
 from hillthread.coordination import forwarder
-from hillthread.state import records
+from hillthread.state.routing import records
 from hillthread.transport import target_client
 
 _EPOCH = types.SimpleNamespace(weights_version="w1")
--- a/tests/coordination/test_gate.py
+++ b/tests/coordination/test_gate.py
@@ -10,8 +10,8 @@
 from hillthread import errors
 from hillthread.coordination import fleet as fleet_lib
 from hillthread.coordination import gate as gate_lib
-from hillthread.state import objects
-from hillthread.state import records
+from hillthread.state.config import objects
+from hillthread.state.routing import records
 
 POOL = objects.Pool(name="p", target_selector="", max_inflight=1, queue_size=1)
 TARGET = objects.Target(
--- a/tests/coordination/test_lease_keeper.py
+++ b/tests/coordination/test_lease_keeper.py
@@ -5,7 +5,7 @@
 import anyio
 
 from hillthread.coordination import lease_keeper
-from hillthread.state import lease
+from hillthread.state.cluster import lease
 from hillthread.transport import log_client
 
 TTL_S = 1.2
--- a/tests/coordination/test_order_keeper.py
+++ b/tests/coordination/test_order_keeper.py
@@ -11,8 +11,8 @@
 
 from hillthread.coordination import order_keeper
 from hillthread.protocol import engine
-from hillthread.state import objects
-from hillthread.state import warmth
+from hillthread.state.config import objects
+from hillthread.state.routing import warmth
 
 WANTED = "w2"
 HELD = "w1"
--- a/tests/coordination/test_target_watch.py
+++ b/tests/coordination/test_target_watch.py
@@ -10,7 +10,7 @@
 
 from hillthread.coordination import target_watch
 from hillthread.protocol import engine
-from hillthread.state import objects
+from hillthread.state.config import objects
 
 POLL_S = 0.2
 
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -14,9 +14,9 @@
 from hillthread.platform import log_pages
 from hillthread.platform import names
 from hillthread.platform import targets
-from hillthread.state import attempt_plan
-from hillthread.state import objects
-from hillthread.state import position
+from hillthread.state.cluster import position
+from hillthread.state.config import objects
+from hillthread.state.routing import attempt_plan
 from hillthread.transport import http1_client
 from tests.coordination.gateway import scene
 
--- a/tests/standin/test_platform_store.py
+++ b/tests/standin/test_platform_store.py
@@ -6,7 +6,7 @@
 
 from hillthread.platform import store as store_lib
 from hillthread.standin import platform_store
-from hillthread.state import position
+from hillthread.state.cluster import position
 
 _KEPT_S = 0.2
 _LOG = "some-log"
--- a/tests/state/test_claim_index.py
+++ b/tests/state/cluster/test_claim_index.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from hillthread.state import claim_index
+from hillthread.state.cluster import claim_index
 
 BATCHES = strategies.lists(
     strategies.lists(
--- a/tests/state/test_gatherer.py
+++ b/tests/state/cluster/test_gatherer.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from hillthread.state import feed_source
-from hillthread.state import gatherer
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import gatherer
 
 HOSTS = [
     feed_source.HostEntry(f"{where}{number}", where, f"{where}{number}:1")
--- a/tests/state/test_held_read.py
+++ b/tests/state/cluster/test_held_read.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import held_read
+from hillthread.state.cluster import held_read
 
 
 class LongestHoldTest(unittest.TestCase):
--- a/tests/state/test_lease.py
+++ b/tests/state/cluster/test_lease.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from hillthread.state import lease
+from hillthread.state.cluster import lease
 
 TTL = 3.0
 
--- a/tests/state/test_membership.py
+++ b/tests/state/cluster/test_membership.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import membership
+from hillthread.state.cluster import membership
 
 
 class MembershipTest(unittest.TestCase):
--- a/tests/state/test_notice_route.py
+++ b/tests/state/cluster/test_notice_route.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from hillthread.state import feed_source
-from hillthread.state import notice_route
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import notice_route
 
 HOSTS = [
     feed_source.HostEntry(f"{where}{number}", where, "127.0.0.1:1")
--- a/tests/state/test_restored_topic_at_size.py
+++ b/tests/state/cluster/test_restored_topic_at_size.py
@@ -17,8 +17,8 @@
 import random
 import unittest
 
-from hillthread.state import position
-from hillthread.state import topic_copy
+from hillthread.state.cluster import position
+from hillthread.state.cluster import topic_copy
 
 KEYS = ("config", "version/m")
 TICK_S = 0.25
--- a/tests/state/test_succession.py
+++ b/tests/state/cluster/test_succession.py
@@ -3,8 +3,8 @@
 import random
 import unittest
 
-from hillthread.state import lease
-from hillthread.state import succession
+from hillthread.state.cluster import lease
+from hillthread.state.cluster import succession
 
 _ACT_S = 2.0
 _TTL_S = 5.3  # as the product takes it on the users' sheets
--- a/tests/state/test_topic_copy.py
+++ b/tests/state/cluster/test_topic_copy.py
@@ -8,9 +8,9 @@
 
 from hillthread import errors
 from hillthread.protocol import feed
-from hillthread.state import feed_source
-from hillthread.state import position as position_lib
-from hillthread.state import topic_copy
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import position as position_lib
+from hillthread.state.cluster import topic_copy
 
 
 def at(offset, era=0):
--- a/tests/state/test_configuration.py
+++ b/tests/state/config/test_configuration.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies
 
 from hillthread import errors
-from hillthread.state import configuration
-from hillthread.state import objects
+from hillthread.state.config import configuration
+from hillthread.state.config import objects
 
 
 def put(record_id, name, version, **fields):
--- a/tests/state/test_labels.py
+++ b/tests/state/config/test_labels.py
@@ -3,7 +3,7 @@
 import unittest
 
 from hillthread import errors
-from hillthread.state import labels
+from hillthread.state.config import labels
 
 LABELS = {"zone": "a", "role": "engine"}
 
--- a/tests/state/test_route_index.py
+++ b/tests/state/config/test_route_index.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from hillthread.state import objects
-from hillthread.state import route_index
+from hillthread.state.config import objects
+from hillthread.state.config import route_index
 
 
 def route(prefix, host="h.example"):
--- a/tests/state/test_routing_table.py
+++ b/tests/state/config/test_routing_table.py
@@ -3,8 +3,8 @@
 import hashlib
 import unittest
 
-from hillthread.state import objects
-from hillthread.state import routing_table
+from hillthread.state.config import objects
+from hillthread.state.config import routing_table
 
 
 def table(*values):
--- a/tests/state/test_admission.py
+++ b/tests/state/quotas/test_admission.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import admission
+from hillthread.state.quotas import admission
 
 
 class AdmissionQueueTest(unittest.TestCase):
--- a/tests/state/test_aim_admission.py
+++ b/tests/state/quotas/test_aim_admission.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from hillthread.state import aim_admission
-from hillthread.state import first_byte
+from hillthread.state.quotas import aim_admission
+from hillthread.state.routing import first_byte
 
 
 def expect(queue_s, read_s=0.1):
--- a/tests/state/test_limits.py
+++ b/tests/state/quotas/test_limits.py
@@ -3,9 +3,9 @@
 import unittest
 
 from hillthread.bench import limits as limits_bench
-from hillthread.state import limits
-from hillthread.state import objects
-from hillthread.state import shares
+from hillthread.state.config import objects
+from hillthread.state.quotas import limits
+from hillthread.state.quotas import shares
 
 
 class TenantUsageTest(unittest.TestCase):
--- a/tests/state/test_quota.py
+++ b/tests/state/quotas/test_quota.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from hillthread.state import objects
-from hillthread.state import quota as quota_lib
+from hillthread.state.config import objects
+from hillthread.state.quotas import quota as quota_lib
 
 BOUNDS = quota_lib.QuotaBounds(8.0, 0.1, 1_000.0)
 
--- a/tests/state/test_quota_at_size.py
+++ b/tests/state/quotas/test_quota_at_size.py
@@ -21,10 +21,10 @@
 import random
 import unittest
 
-from hillthread.state import objects
-from hillthread.state import quota
-from hillthread.state import quota_ledger
-from hillthread.state import usage_exchange
+from hillthread.state.config import objects
+from hillthread.state.quotas import quota
+from hillthread.state.quotas import quota_ledger
+from hillthread.state.quotas import usage_exchange
 
 WINDOW_S = 8.0
 RATE = 605_169.0
--- a/tests/state/test_retry_budget.py
+++ b/tests/state/quotas/test_retry_budget.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from hillthread.state import retry_budget
+from hillthread.state.quotas import retry_budget
 
 
 class RetryBudgetTest(unittest.TestCase):
--- a/tests/state/test_return_time.py
+++ b/tests/state/quotas/test_return_time.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import return_time
+from hillthread.state.quotas import return_time
 
 
 class ReturnTimeTest(unittest.TestCase):
--- a/tests/state/test_save_budget.py
+++ b/tests/state/quotas/test_save_budget.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from hillthread.state import save_budget
+from hillthread.state.quotas import save_budget
 
 LINK = 1000.0
 
--- a/tests/state/test_target_limits.py
+++ b/tests/state/quotas/test_target_limits.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from hillthread.state import quota
-from hillthread.state import quota_ledger
-from hillthread.state import target_limits
-from hillthread.state import usage_exchange
+from hillthread.state.quotas import quota
+from hillthread.state.quotas import quota_ledger
+from hillthread.state.quotas import target_limits
+from hillthread.state.quotas import usage_exchange
 
 TARGET = "engine"
 KEY = usage_exchange.name_key(f"target {TARGET}")
--- a/tests/state/test_target_limits_at_size.py
+++ b/tests/state/quotas/test_target_limits_at_size.py
@@ -20,8 +20,8 @@
 import itertools
 import unittest
 
-from hillthread.state import target_limits
-from tests.state import test_quota_at_size as quota_play
+from hillthread.state.quotas import target_limits
+from tests.state.quotas import test_quota_at_size as quota_play
 
 WINDOW_S = 4.0
 TARGET = "engine"
--- a/tests/state/test_usage_exchange.py
+++ b/tests/state/quotas/test_usage_exchange.py
@@ -3,7 +3,7 @@
 import unittest
 
 from hillthread.protocol import work_notice
-from hillthread.state import usage_exchange
+from hillthread.state.quotas import usage_exchange
 
 ORG = usage_exchange.name_key("org")
 
--- a/tests/state/test_decision.py
+++ b/tests/state/routing/test_decision.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from hillthread.state import decision
-from hillthread.state import load
-from hillthread.state import prompt
-from hillthread.state import warmth
+from hillthread.state.routing import decision
+from hillthread.state.routing import load
+from hillthread.state.routing import prompt
+from hillthread.state.routing import warmth
 
 LEVELS = (
     prompt.PrefixLevel(b"a" * 16, 3000),
--- a/tests/state/test_first_byte.py
+++ b/tests/state/routing/test_first_byte.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import first_byte
+from hillthread.state.routing import first_byte
 
 RATE = 40_000.0
 
--- a/tests/state/test_load.py
+++ b/tests/state/routing/test_load.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import load
+from hillthread.state.routing import load
 
 
 class TargetLoadTest(unittest.TestCase):
--- a/tests/state/test_load_at_size.py
+++ b/tests/state/routing/test_load_at_size.py
@@ -19,7 +19,7 @@
 import statistics
 import unittest
 
-from hillthread.state import placement
+from hillthread.state.routing import placement
 
 RATE = 56_900.0
 FETCH_RATE = 678_000.0
--- a/tests/state/test_load_of_others.py
+++ b/tests/state/routing/test_load_of_others.py
@@ -15,9 +15,9 @@
 import statistics
 import unittest
 
-from hillthread.state import first_byte
-from hillthread.state import target_choice
-from hillthread.state import target_state
+from hillthread.state.routing import first_byte
+from hillthread.state.routing import target_choice
+from hillthread.state.targets import target_state
 
 RATE = 40_800.0
 MEMORY = 104_000
--- a/tests/state/test_prompt.py
+++ b/tests/state/routing/test_prompt.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import prompt
+from hillthread.state.routing import prompt
 
 
 class PrefixLevelsTest(unittest.TestCase):
--- a/tests/state/test_target_choice.py
+++ b/tests/state/routing/test_target_choice.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from hillthread.state import first_byte
-from hillthread.state import placement
-from hillthread.state import target_choice
+from hillthread.state.routing import first_byte
+from hillthread.state.routing import placement
+from hillthread.state.routing import target_choice
 
 RATE = 50_000.0
 COPY_S = 1.0 / RATE
--- a/tests/state/test_warm_prefixes.py
+++ b/tests/state/routing/test_warm_prefixes.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import warm_prefixes
+from hillthread.state.routing import warm_prefixes
 
 SHARED = [("aa", 300), ("bb", 500)]
 
--- a/tests/state/test_warmth.py
+++ b/tests/state/routing/test_warmth.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from hillthread.state import prompt
-from hillthread.state import warmth
+from hillthread.state.routing import prompt
+from hillthread.state.routing import warmth
 
 LEVELS = (
     prompt.PrefixLevel(b"a" * 16, 1000),
--- /dev/null
+++ b/tests/state/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of hillthread.state.targets."""
--- a/tests/state/test_announcements_at_size.py
+++ b/tests/state/targets/test_announcements_at_size.py
@@ -16,10 +16,10 @@
 import random
 import unittest
 
-from hillthread.state import backoffs
-from hillthread.state import objects
-from hillthread.state import target_list
-from tests.state import test_target_list
+from hillthread.state.config import objects
+from hillthread.state.targets import backoffs
+from hillthread.state.targets import target_list
+from tests.state.targets import test_target_list
 
 WAY_S = 0.001
 ANSWER_S = 0.1
--- a/tests/state/test_backoffs.py
+++ b/tests/state/targets/test_backoffs.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import backoffs
+from hillthread.state.targets import backoffs
 
 
 class BackoffsTest(unittest.TestCase):
--- a/tests/state/test_departures.py
+++ b/tests/state/targets/test_departures.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import departures
+from hillthread.state.targets import departures
 
 
 class DeparturesTest(unittest.TestCase):
--- a/tests/state/test_health.py
+++ b/tests/state/targets/test_health.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import health
+from hillthread.state.targets import health
 
 
 class BreakerTest(unittest.TestCase):
--- a/tests/state/test_quarantine.py
+++ b/tests/state/targets/test_quarantine.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import quarantine
+from hillthread.state.targets import quarantine
 
 DEADLY = "deadly"
 BESIDE = "beside"
--- a/tests/state/test_request_digest.py
+++ b/tests/state/targets/test_request_digest.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hillthread.state import request_digest
+from hillthread.state.targets import request_digest
 
 REQUEST = ("org", b"POST", b"host", b"/a/b", b"body")
 
--- a/tests/state/test_rollout.py
+++ b/tests/state/targets/test_rollout.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from hillthread.state import objects
-from hillthread.state import rollout
-from hillthread.state import target_list
-from hillthread.state import weights
+from hillthread.state.config import objects
+from hillthread.state.targets import rollout
+from hillthread.state.targets import target_list
+from hillthread.state.targets import weights
 
 _NAMES = ("a", "b", "c", "d", "e")  # two of five load at a time
 
--- a/tests/state/test_target_list.py
+++ b/tests/state/targets/test_target_list.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from hillthread.state import objects
-from hillthread.state import target_list
+from hillthread.state.config import objects
+from hillthread.state.targets import target_list
 
 
 def entry(name, leaving=False, born_ms=0):
--- a/tests/state/test_weights.py
+++ b/tests/state/targets/test_weights.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from hillthread.state import rollout
-from hillthread.state import weights
+from hillthread.state.targets import rollout
+from hillthread.state.targets import weights
 
 
 class WeightsBoardTest(unittest.TestCase):
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -10,8 +10,8 @@
 from hillthread.standin import engine
 from hillthread.standin import fault_proxy
 from hillthread.standin import services
-from hillthread.state import objects
-from hillthread.state import routing_table
+from hillthread.state.config import objects
+from hillthread.state.config import routing_table
 
 EXAMPLES = pathlib.Path(__file__).resolve().parents[1] / "examples"
 KINDS = {
--- a/tests/transport/test_http1_client.py
+++ b/tests/transport/test_http1_client.py
@@ -10,7 +10,7 @@
 import h11
 
 from hillthread.standin import wire_proxy
-from hillthread.state import caller_bounds
+from hillthread.state.config import caller_bounds
 from hillthread.transport import http1
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
--- a/tests/transport/test_http1_server.py
+++ b/tests/transport/test_http1_server.py
@@ -11,7 +11,7 @@
 import anyio
 import anyio.to_thread
 
-from hillthread.state import caller_bounds
+from hillthread.state.config import caller_bounds
 from hillthread.transport import byte_stream
 from hillthread.transport import http1_server
 
