List a host again whose entry in a restored store is of its earlier process

Its process had started and written it; the store went back to a copy that has the entry of the process before, which was taken for its own, so that it was neither written again nor read back. Peers would also have gone on with the former address.

The entry in the store is now compared with what this process would write.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -381,16 +381,17 @@
 
     def _write_again(self, keys: list[str]) -> None:
         """Has hosts write again what a restored store has lost of theirs."""
-        self.tasks.start_soon(self.hosts.list_again, self._is_listed)
+        self.tasks.start_soon(self.hosts.list_again, self._listed_entry)
         for key in keys:
             if key.startswith(host_registry.QUARANTINE_PREFIX):
                 self.quarantine.keep_again(key, self._is_lost)
 
-    def _is_listed(self) -> bool:
-        """Returns whether the store has this host's entry."""
-        name = self.site.settings.host
-        record = self._hosts_copy().newest.get(name)
-        return record is not None and record.position.offset >= 0
+    def _listed_entry(self) -> bytes:
+        """Returns this host's entry in the store; empty if it has none."""
+        record = self._hosts_copy().newest.get(self.site.settings.host)
+        if record is None or record.position.offset < 0:
+            return b""
+        return record.value
 
     def _is_lost(self, key: str) -> bool:
         """Returns whether a restored store still lacks a record."""
--- a/hillthread/coordination/gateway/store/host_registry.py
+++ b/hillthread/coordination/gateway/store/host_registry.py
@@ -86,49 +86,48 @@
         Each write has its price, and has all other hosts read the list: one
         that starts again where it was is listed already.
         """
-        settings = self.site.settings
-        entry = msgspec.json.encode(
-            _Entry(settings.data_centre, self.feed, settings.link_mbps)
-        )
         await self.known.wait()
-        listed = self.source.hosts.get(settings.host)
-        wanted = feed_source.HostEntry(
-            settings.host, settings.data_centre, self.feed, settings.link_mbps
-        )
-        if listed == wanted:
-            self.settled.set()
-            self._count()
+        wanted = self._own_entry()
+        if self.source.hosts.get(wanted.name) == wanted:
+            self._settle()
             return
-        await self._put_listed(entry, wanted)
+        await self._put_listed(wanted)
 
-    async def list_again(self, is_listed: Callable[[], bool]) -> None:
+    async def list_again(self, listed: Callable[[], bytes]) -> None:
         """Writes this host's entry if the store was restored without it.
 
         All hosts that joined since the copy was made do so: each waits a
         moment, the longer the more hosts there are.
 
         Args:
-            is_listed: Returns whether the store has the entry.
+            listed: Returns this host's entry in the store; empty if it has
+                none. It may be that of an earlier process.
         """
         spread_s = rewrite_spread_s(self.site.hosts)
         await anyio.sleep(random.uniform(0.0, spread_s))
-        wanted = self.source.hosts.get(self.site.settings.host)
-        if is_listed() or wanted is None:
-            return  # or it is being listed for the first time
-        entry = msgspec.json.encode(
-            _Entry(wanted.data_centre, wanted.feed, wanted.link_mbps)
+        wanted = self._own_entry()
+        if listed() == _encode(wanted):
+            self._settle()
+            return
+        await self._put_listed(wanted)
+
+    def _own_entry(self) -> feed_source.HostEntry:
+        settings = self.site.settings
+        return feed_source.HostEntry(
+            settings.host, settings.data_centre, self.feed, settings.link_mbps
         )
-        await self._put_listed(entry, wanted)
 
-    async def _put_listed(
-        self, entry: bytes, wanted: feed_source.HostEntry
-    ) -> None:
+    def _settle(self) -> None:
+        """Notes that this host is listed, and so are those it started with."""
+        self.settled.set()
+        self._count()
+
+    async def _put_listed(self, wanted: feed_source.HostEntry) -> None:
         """Writes this host's entry, until that succeeds."""
+        entry = _encode(wanted)
         while True:
             try:
-                await self.store.put(
-                    HOSTS_TOPIC, self.site.settings.host, entry
-                )
+                await self.store.put(HOSTS_TOPIC, wanted.name, entry)
             except errors.HillthreadError as error:
                 _logger.warning(
                     "host not listed",
@@ -182,6 +181,12 @@
         self.site.neighbours = self.source.count_neighbours()
 
 
+def _encode(entry: feed_source.HostEntry) -> bytes:
+    return msgspec.json.encode(
+        _Entry(entry.data_centre, entry.feed, entry.link_mbps)
+    )
+
+
 def rewrite_spread_s(hosts: int) -> float:
     """Returns within which time hosts write again what the store has lost."""
     return hosts / _REWRITES_PER_S
--- a/tests/coordination/gateway/store/test_store_restored.py
+++ b/tests/coordination/gateway/store/test_store_restored.py
@@ -6,6 +6,7 @@
 import anyio
 
 from hillthread import clock
+from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.store import host_registry
 from hillthread.platform import store as store_lib
 from tests.coordination.gateway import scene as scene_lib
@@ -238,6 +239,30 @@
 
         play(story)
 
+    # Guards against a host that goes on with the smallest parts of quotas and
+    # budgets, since the copy has only the entry of its process before.
+    def test_host_replaces_the_entry_of_its_earlier_process(self):
+        async def story(scene):
+            await known(scene)
+            program = scene.program
+            scene.store.put(
+                "keyed.hosts",
+                "h1",
+                {"data_centre": "here", "feed": "127.0.0.1:1"},
+            )
+            backup = scene.store.backup()
+            program.hosts.settled = anyio.Event()  # as before its first entry
+            program.hosts._count()
+            self.assertEqual(scene.site.hosts, site_lib.DEFAULT_HOSTS)
+            await restore(scene, backup)
+            feed = program.feed_server.address
+            await scene.until(
+                lambda: scene.store.values("keyed.hosts")["h1"]["feed"] == feed
+            )
+            await scene.until(lambda: scene.site.hosts == 1)
+
+        play(story)
+
     # Guards against requests that end targets and are forgotten by hosts that
     # start after the restoration.
     def test_quarantine_is_kept_again(self):
