--- a/hillthread/bench/gateway_soak/regressions.py
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -50,6 +50,10 @@
     "they denied until its record was written again: the judge did not excuse "
     "hosts out of touch"
 )
+_ENTRY_OF_BEFORE = (
+    "hosts took the entry of their earlier process, which a restored store had, "
+    "for their own, and themselves for one of 24"
+)
 _PLAIN_ANSWER = (
     "the judge took an engine's own answer that is no stream for a wrong one"
 )
@@ -146,4 +150,5 @@
     Regression(9408, 20.0, _STARVED),
     Regression(7207, 20.0, _NO_PACKETS, without=_AFTER_QUOTAS),
     Regression(9800, 20.0, _COPY_WITHOUT_KEY, without=()),
+    Regression(9828, 20.0, _ENTRY_OF_BEFORE, without=()),
 )
