--- a/hillthread/bench/gateway_soak/regressions.py
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -51,8 +51,8 @@
     "hosts out of touch"
 )
 _ENTRY_OF_BEFORE = (
-    "hosts took the entry of their earlier process, which a restored store had, "
-    "for their own, and themselves for one of 24"
+    "hosts took the entry of their earlier process, which a restored store "
+    "had, for their own, and themselves for one of 24"
 )
 _PLAIN_ANSWER = (
     "the judge took an engine's own answer that is no stream for a wrong one"
