--- a/hillthread/bench/gateway_soak/regressions.py
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -151,4 +151,5 @@
     Regression(7207, 20.0, _NO_PACKETS, without=_AFTER_QUOTAS),
     Regression(9800, 20.0, _COPY_WITHOUT_KEY, without=()),
     Regression(9828, 20.0, _ENTRY_OF_BEFORE, without=()),
+    Regression(9834, 20.0, _ENTRY_OF_BEFORE, without=()),
 )
