Name probes of targets in the field's terms; give packed pages a type

reach_monitor.py: probe, interval, unreachable in place of trial, again, look; doc texts in plain technical English. What stands in the status line is unchanged. The packed page that a host keeps for others is a named tuple. Moves and words only; tests of the module, of silent connections, of the feed and of a restored store pass.

--- a/hillthread/coordination/gateway/serving/reach_monitor.py
+++ b/hillthread/coordination/gateway/serving/reach_monitor.py
@@ -1,18 +1,16 @@
-"""Finds out which targets can be reached, and gives up attempts that cannot.
+"""Probes targets, and gives up attempts on those that cannot be reached.
 
-A target that lost power, or lies behind a cut link, says nothing: attempts on
-it would hang until the kernel gives up. When an attempt hears nothing for a
-while, a connection to its target is tried; if none comes up, the target gets
-no new requests until one does, attempts on it that another can follow are given
-up, and the other targets are tried too, because cuts seldom come alone.
+Attempts on a target that lost power, or lies behind a cut link, would hang
+until the kernel gives up. After some silence a new connection to the target is
+opened. If it fails, the target gets no new requests until one succeeds,
+attempts that can be retried are given up, and other targets are probed too,
+because cuts seldom come alone.
 
-Connections also do not come up in time when this host's own link is full. So
-attempts are given up only if another target can be reached meanwhile: until one
-is, nothing tells whose fault it is.
+Connections also fail when this host's own link is full. Attempts are given up
+only while another target can be reached, which shows that the link is not.
 
-A connection may also fall silent for good while new ones work. What a slow
-target never does tells it: the request stays unacknowledged although a new
-connection to the target comes up.
+An established connection may fall silent for good. Unlike with a slow target,
+the request then stays unacknowledged although a new connection succeeds.
 """
 
 from __future__ import annotations
@@ -33,24 +31,24 @@
 __all__ = ["OpenAttempt", "ReachMonitor"]
 
 _TICK_S = 0.1
-# When nothing waits and all can be reached.
+# Interval while nothing waits and all targets can be reached.
 _IDLE_TICK_S = 0.3
-# Nine in ten first bytes come sooner; a trial costs one new connection.
-_SILENCE_S = 0.4
-# A path that works acknowledges within its round trip, a few ms, and a packet
-# that was lost when it is sent again, after 0.2 s.
+# Silence after which a target is probed.
+_PROBE_AFTER_S = 0.4
+# A working path acknowledges within its round trip, and a lost packet after its
+# retransmission.
 _UNACKNOWLEDGED_S = 0.25
-# A connection that came up so lately is as good as a trial.
+# A connection that is younger counts as a probe.
 _FRESH_S = 1.0
-# Between two trials for the same attempts.
-_AGAIN_S = 1.5
-# Between two trials of a target that could not be reached.
+# Interval of probes for the same attempts.
+_PROBE_INTERVAL_S = 1.5
+# Intervals of probes of an unreachable target: the first, and the longest.
 _RETRY_S = 0.4
-_LONGEST_RETRY_S = 1.6
-# Other targets tried after one could not be reached, and how often at most.
+_MAX_RETRY_S = 1.6
+# Other targets probed after one could not be reached, and the least interval.
 _SWEEP_TARGETS = 10
-_SWEEP_EVERY_S = 2.0
-# Others tried between two sweeps, to find out whether any can be reached.
+_SWEEP_INTERVAL_S = 2.0
+# Others probed between two sweeps, to find one that can be reached.
 _PROOF_TARGETS = 3
 
 _logger = logging.getLogger("hillthread.reach")
@@ -76,9 +74,9 @@
 
     Attributes:
         site: The host's beliefs.
-        pool: Connections to targets; a trial's is kept there.
+        pool: Connections to targets; those of probes are kept there.
         attempts: All that wait.
-        reached: Called with the name of a target that a trial reached.
+        reached: Called with the name of a target that a probe reached.
         refused: Called with the name of one where nobody listens any more.
     """
 
@@ -94,8 +92,8 @@
         self.attempts: set[OpenAttempt] = set()
         self.reached: Callable[[str], None] = _ignore
         self.refused: Callable[[str], None] = _ignore
-        self._trying: set[str] = set()
-        self._tried_at: dict[str, float] = {}
+        self._probing: set[str] = set()
+        self._probed_at: dict[str, float] = {}
         self._retry_at: dict[str, float] = {}
         self._pause_s: dict[str, float] = {}
         self._swept_at = float("-inf")
@@ -108,11 +106,11 @@
             busy = self.attempts or self._retry_at
             await anyio.sleep(_TICK_S if busy else _IDLE_TICK_S)
             now = clock.now()
-            self._look_at_attempts(now)
-            self._look_at_unreachable(now)
+            self._check_attempts(now)
+            self._probe_unreachable(now)
 
     def note_unreachable(self, target: objects.Target, reason: str) -> None:
-        """Notes that no connection to a target came up."""
+        """Excludes a target to which no connection succeeds."""
         state = self.site.state(target.name)
         if state.unreachable:
             return
@@ -130,41 +128,41 @@
         )
 
     def find_out(self, target: objects.Target) -> None:
-        """Tries a target now: a connection to it was cut."""
-        self._start_trial(target, clock.now())
+        """Probes a target now: a connection to it was cut."""
+        self._start_probe(target, clock.now())
 
-    def _look_at_attempts(self, now: float) -> None:
+    def _check_attempts(self, now: float) -> None:
         for attempt in self.attempts:
             quiet_s = now - attempt.heard_at
             if quiet_s < _UNACKNOWLEDGED_S or attempt.found_silent:
                 continue
             name = attempt.target.name
-            tried_s = now - self._tried_at.get(name, float("-inf"))
+            probed_s = now - self._probed_at.get(name, float("-inf"))
             if attempt.is_unacknowledged():
-                if tried_s >= _UNACKNOWLEDGED_S:
-                    self._start_trial(attempt.target, now)
+                if probed_s >= _UNACKNOWLEDGED_S:
+                    self._start_probe(attempt.target, now)
                 continue
-            if quiet_s < _SILENCE_S or tried_s < _AGAIN_S:
+            if quiet_s < _PROBE_AFTER_S or probed_s < _PROBE_INTERVAL_S:
                 continue
             if now - attempt.connected_at >= _FRESH_S:
-                self._start_trial(attempt.target, now)
+                self._start_probe(attempt.target, now)
 
-    def _look_at_unreachable(self, now: float) -> None:
+    def _probe_unreachable(self, now: float) -> None:
         for name in list(self._retry_at):
             entry = self.site.targets.entries.get(name)
             if entry is None:
                 self._forget(name)
             elif now >= self._retry_at[name]:
-                self._start_trial(entry.target, now)
+                self._start_probe(entry.target, now)
 
-    def _start_trial(self, target: objects.Target, now: float) -> None:
-        if target.name in self._trying:
+    def _start_probe(self, target: objects.Target, now: float) -> None:
+        if target.name in self._probing:
             return
-        self._trying.add(target.name)
-        self._tried_at[target.name] = now
-        self.tasks.start_soon(self._try, target)
+        self._probing.add(target.name)
+        self._probed_at[target.name] = now
+        self.tasks.start_soon(self._probe, target)
 
-    async def _try(self, target: objects.Target) -> None:
+    async def _probe(self, target: objects.Target) -> None:
         began_at = clock.now()
         try:
             connection = await self.pool.open(target.address, "trial")
@@ -172,7 +170,7 @@
             self._failed(target, error, began_at)
             return
         finally:
-            self._trying.discard(target.name)
+            self._probing.discard(target.name)
         self._note_reached(target)
         self.reached(target.name)
         self._find_silent(target)
@@ -186,7 +184,7 @@
             )
 
     def _find_silent(self, target: objects.Target) -> None:
-        """Acts on attempts whose connection is silent while a new one works."""
+        """Gives up attempts on silent connections while a new one works."""
         now = clock.now()
         for attempt in list(self.attempts):
             if attempt.target.name != target.name or attempt.found_silent:
@@ -209,12 +207,12 @@
             )
 
     def _note_reached(self, target: objects.Target) -> None:
-        """Notes that this host reaches a target; tries the suspects again."""
+        """Notes that this host reaches a target; probes the suspects again."""
         now = clock.now()
         self._reached_at = now
         self._suspects.pop(target.name, None)
         for suspect in self._suspects.values():
-            self._start_trial(suspect, now)
+            self._start_probe(suspect, now)
 
     def _failed(
         self,
@@ -228,7 +226,7 @@
         self.note_unreachable(target, error.reason)
         pause_s = self._pause_s.get(target.name, _RETRY_S)
         self._retry_at[target.name] = now + pause_s * random.uniform(0.8, 1.2)
-        self._pause_s[target.name] = min(_LONGEST_RETRY_S, pause_s * 1.5)
+        self._pause_s[target.name] = min(_MAX_RETRY_S, pause_s * 1.5)
         if error.unheard and not self._reached_another(began_at):
             self._suspects[target.name] = target
             self._sweep(now, _PROOF_TARGETS)
@@ -240,18 +238,18 @@
         self._sweep(now)
 
     def _reached_another(self, began_at: float) -> bool:
-        """Returns whether a target was reached at about the time of a trial."""
+        """Returns whether a target was reached at about the time of a probe."""
         return self._reached_at >= began_at - self.pool.connect_timeout_s
 
     def _sweep(self, now: float, at_least: int = 0) -> None:
-        """Tries other targets: a link or a data centre may be cut.
+        """Probes other targets: a link or a data centre may be cut.
 
         Args:
             now: Seconds.
-            at_least: How many are tried though the last sweep was lately.
+            at_least: How many are probed although a sweep is not due.
         """
         count = at_least
-        if now - self._swept_at >= _SWEEP_EVERY_S:
+        if now - self._swept_at >= _SWEEP_INTERVAL_S:
             self._swept_at = now
             count = _SWEEP_TARGETS
         others = [
@@ -260,15 +258,15 @@
             if name not in self._retry_at
         ]
         for target in random.sample(others, min(count, len(others))):
-            self._start_trial(target, now)
+            self._start_probe(target, now)
 
     def _forget(self, name: str) -> None:
         self._retry_at.pop(name, None)
         self._pause_s.pop(name, None)
-        self._tried_at.pop(name, None)
+        self._probed_at.pop(name, None)
         self._suspects.pop(name, None)
 
 
 def _ignore(target: str) -> None:
-    """Stands for nobody who wants to know which targets are there."""
+    """Default of `reached` and `refused`."""
     del target
--- a/hillthread/coordination/gateway/store/store_follower.py
+++ b/hillthread/coordination/gateway/store/store_follower.py
@@ -9,6 +9,7 @@
 
 import logging
 import random
+from typing import NamedTuple
 
 import anyio
 
@@ -47,6 +48,20 @@
 _logger = logging.getLogger("hillthread.store")
 
 
+class _PackedPage(NamedTuple):
+    """Records that were packed for one host, for others that want the same.
+
+    Attributes:
+        position: Of the next record after them.
+        since: Of the first of them; None for the newest of all keys.
+        records: Packed.
+    """
+
+    position: position_lib.Position
+    since: position_lib.Position | None
+    records: bytes
+
+
 class TopicFollower:
     """Follows one keyed topic.
 
@@ -74,13 +89,7 @@
         self._held_since = 0.0
         self._lost_at: float | None = None
         self._is_truncated = False
-        self._packed: (
-            tuple[
-                tuple[position_lib.Position, position_lib.Position | None],
-                bytes,
-            ]
-            | None
-        ) = None
+        self._packed: _PackedPage | None = None
 
     def interrupt(self, before: float = float("inf")) -> None:
         """Sends a held read again that was sent before a time."""
@@ -155,10 +164,15 @@
         whole = records is None
         if records is None:
             records = list(self.copy.newest.values())
-        key = (position, None if whole else start)
-        if self._packed is None or self._packed[0] != key:
-            self._packed = (key, feed.pack_records(records))
-        return feed.encode_page(position, whole, age_s, self._packed[1])
+        since = None if whole else start
+        packed = self._packed
+        if packed is None or (packed.position, packed.since) != (
+            position,
+            since,
+        ):
+            packed = _PackedPage(position, since, feed.pack_records(records))
+            self._packed = packed
+        return feed.encode_page(position, whole, age_s, packed.records)
 
     def _peer(self, failures: int) -> feed_source.HostEntry | None:
         if failures or (self.copy.position is None and self.plan.lists_hosts):
