Exclude targets whose address a later listed target has

Cause: an engine that crashed stays listed for 4 s and more while its replacement answers at the same address.

The target listed later is live. In the first read, and around an outage or a restoration of the store, the order is no evidence; start times decide if both targets report them, otherwise both are used. Weights loads and probes skip replaced targets.

A stale entry must not exclude a live target for long. Three rules bound it: an entry that comes back with a start that was listed before replaces nothing; a replaced target whose entry is written twice without a write of the other one is live; and a target that names itself in a 421 from the address is live at once.

--- a/hillthread/coordination/gateway/serving/learning.py
+++ b/hillthread/coordination/gateway/serving/learning.py
@@ -219,6 +219,9 @@
             # Another target has the address, so this one is gone.
             state.record_unreachable(now)
             self.quarantine.record_target_crash(name, "another has its address")
+            self.site.confirm_live(
+                refusal.meaning.incarnation, plan.target.address
+            )
             return
         if plan.weights_version is None:
             return
--- a/hillthread/coordination/gateway/serving/reach_monitor.py
+++ b/hillthread/coordination/gateway/serving/reach_monitor.py
@@ -157,7 +157,7 @@
     def _probe_unreachable(self, now: float) -> None:
         for name in list(self._retry_at):
             entry = self.site.targets.entries.get(name)
-            if entry is None:
+            if entry is None or self.site.targets.is_replaced(name):
                 self._forget_target(name)
             elif now >= self._retry_at[name]:
                 self._start_probe(entry.target, now)
@@ -263,6 +263,7 @@
             entry.target
             for name, entry in self.site.targets.entries.items()
             if name not in self._retry_at
+            and not self.site.targets.is_replaced(name)
         ]
         for target in random.sample(others, min(count, len(others))):
             self._start_probe(target, now)
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -149,6 +149,7 @@
     def mark_targets_known(self) -> None:
         """Records that the whole list of targets was read."""
         self.targets_known = True
+        self.targets.is_read = True
         self._release_if_routable()
 
     def _release_if_routable(self) -> None:
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import logging
 from typing import NamedTuple
 
+from hillthread import clock
 from hillthread import errors
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.platform import configuration as configuration_lib
@@ -99,15 +101,22 @@
             raise
         if self.targets.is_earlier_incarnation(incarnation, entry.born_ms):
             return
-        change = self.targets.put(entry)
+        replaced_before = dict(self.targets.replaced)
+        change = self.targets.put(entry, clock.now())
         if change is target_list.TargetChange.RESTARTED and before is not None:
             self._forget_incarnation(incarnation, before.target.address)
         if change is target_list.TargetChange.ADDED:
             self._record_address_reuse(entry)
-        for model, version in entry.weights.items():
-            self.weights.update_from_list(incarnation, model, version)
+        self._record_replacements(replaced_before)
+        self._apply_listed_weights(entry)
         self._record_change(incarnation, change)
 
+    def confirm_live(self, name: str, address: str) -> None:
+        """Records that a target named itself in an answer from an address."""
+        replaced_before = dict(self.targets.replaced)
+        self.targets.confirm_live(name, address)
+        self._record_replacements(replaced_before)
+
     def remove_target(self, incarnation: str, now: float) -> None:
         """Records that an entry is missing from the list."""
         entry = self.targets.entries.get(incarnation)
@@ -313,6 +322,37 @@
             if is_other and other.target.address == entry.target.address:
                 self.on_target_terminated(name, "another has its address")
 
+    def _apply_listed_weights(self, entry: target_list.ListedTarget) -> None:
+        for model, version in entry.weights.items():
+            self.weights.update_from_list(entry.target.name, model, version)
+
+    def _record_replacements(
+        self, before: Mapping[str, target_list.Replacement]
+    ) -> None:
+        """Records targets that are replaced now, or no longer.
+
+        What is known of such a target may have been found at the other one,
+        and connections to their address may lead to the one that ended.
+        """
+        replaced = self.targets.replaced
+        for name in replaced.keys() ^ before.keys():
+            entry = self.targets.entries[name]
+            address = entry.target.address
+            self._forget(name, address)
+            is_replaced = name in replaced
+            if not is_replaced:
+                self._apply_listed_weights(entry)
+            event = "target_replaced" if is_replaced else "target_live_again"
+            _logger.info(
+                event.replace("_", " "),
+                extra={
+                    "event": event,
+                    "target": name,
+                    "by": replaced[name].by if is_replaced else None,
+                    "address": address,
+                },
+            )
+
     def _forget_incarnation(self, name: str, address: str) -> None:
         """Discards the state of a target's earlier start."""
         self.backoffs.forget(name)
--- a/hillthread/state/targets/target_list.py
+++ b/hillthread/state/targets/target_list.py
@@ -9,6 +9,15 @@
 incarnations: a later one holds nothing of what an earlier one held, and late
 reports about the earlier one are ignored. An incarnation that was seen leaving
 never comes back.
+
+A target that crashed stays listed until its entry lapses, while its replacement
+answers at the same address. Of the targets with one address, the one listed
+last is live, and the others get no work. Where the order of listing is not
+known (in the first read, and around an outage or a restoration of the store,
+when old entries may come back), start times decide if both targets report them;
+otherwise both are used. A wrong decision does not last: only a live target
+writes its entry again, so the target that does so while the other one does not
+is the live one; and a target that answers names itself.
 """
 
 from __future__ import annotations
@@ -23,12 +32,17 @@
 
 __all__ = [
     "ListedTarget",
+    "Replacement",
     "TargetChange",
     "TargetList",
     "incarnation_key",
 ]
 
 _FOREVER = float("inf")
+# Writes of a replaced target's entry, without one of its replacement's, after
+# which it is the live one. A single write may have been delayed and predate the
+# crash of the target.
+_LIVE_WRITES = 2
 
 
 class TargetChange(enum.StrEnum):
@@ -60,6 +74,30 @@
     born_ms: int = 0
 
 
+class Replacement(NamedTuple):
+    """Why a target counts as replaced.
+
+    Attributes:
+        by: Name of the live target at its address.
+        born_ms: Known start time of the replaced target; 0 if none is known.
+    """
+
+    by: str
+    born_ms: int
+
+
+class _Writer(NamedTuple):
+    """The target that last wrote its entry, of those with one address.
+
+    Attributes:
+        name: Its name.
+        writes: Number of its last writes without one of another target.
+    """
+
+    name: str
+    writes: int
+
+
 class TargetList:
     """Tracks the targets that exist.
 
@@ -72,6 +110,9 @@
         leaving: Names whose incarnation was seen leaving; this is final for the
             incarnation.
         born_ms: Latest known start time by name, for targets that reported one.
+        is_read: Whether the whole list was read once. Targets listed from then
+            on are later than those listed before.
+        replaced: Listed targets whose address a live target has, by name.
     """
 
     def __init__(self, relist_grace_s: float, max_missing_s: float = _FOREVER):
@@ -80,6 +121,10 @@
         self.entries: dict[str, ListedTarget] = {}
         self.leaving: set[str] = set()
         self.born_ms: dict[str, int] = {}
+        self.is_read = False
+        self.replaced: dict[str, Replacement] = {}
+        self._writers: dict[str, _Writer] = {}
+        self._listed_starts: dict[str, int] = {}
         self._drop_at: dict[str, float] = {}
         self._pool_members: dict[str, list[ListedTarget]] = {}
         self._names_by_key: dict[int, str] = {}
@@ -104,8 +149,14 @@
         """
         self._store_back_at = now
 
-    def put(self, entry: ListedTarget) -> TargetChange:
-        """Adds or updates an entry and returns what that changed."""
+    def put(self, entry: ListedTarget, now: float = _FOREVER) -> TargetChange:
+        """Adds or updates an entry and returns what that changed.
+
+        Args:
+            entry: The entry, which has been written again even if it is equal.
+            now: Current time, seconds. Entries that are new around an outage
+                or a restoration of the store may be old ones.
+        """
         name = entry.target.name
         if self.is_earlier_incarnation(name, entry.born_ms):
             return TargetChange.UNCHANGED
@@ -117,6 +168,7 @@
         self.entries[name] = entry
         if before != entry:
             self._clear_caches()
+        self._update_replaced(entry, before, restarted, now)
         if restarted and before is not None:
             return TargetChange.RESTARTED
         if entry.leaving:
@@ -200,6 +252,16 @@
         """Returns whether an entry is kept although it is not listed."""
         return name in self._drop_at
 
+    def is_replaced(self, name: str) -> bool:
+        """Returns whether a listed target ended and another has its address."""
+        return name in self.replaced
+
+    def confirm_live(self, name: str, address: str) -> None:
+        """Records that a target named itself in an answer from an address."""
+        entry = self.entries.get(name)
+        if name in self.replaced and entry and entry.target.address == address:
+            self._make_live(entry)
+
     def mark_leaving(self, name: str) -> bool:
         """Records that a target announced its departure itself.
 
@@ -227,6 +289,7 @@
                 entry
                 for entry in self.entries.values()
                 if not entry.leaving
+                and entry.target.name not in self.replaced
                 and selector.matches(entry.target.labels)
                 and (entry.weights or not pool.models)
             ]
@@ -238,13 +301,100 @@
             or now - self._store_back_at <= self.relist_grace_s
         )
 
+    def _update_replaced(
+        self,
+        entry: ListedTarget,
+        before: ListedTarget | None,
+        restarted: bool,
+        now: float,
+    ) -> None:
+        """Updates which targets are replaced after an entry was written."""
+        name = entry.target.name
+        address = entry.target.address
+        came_back = (
+            before is None and self._listed_starts.get(name) == entry.born_ms
+        )
+        self._listed_starts[name] = entry.born_ms
+        if before is not None and before.target.address != address:
+            self._end_replacement(name, before.target.address)
+            before = None
+        if before is not None and not restarted:
+            self._count_write(entry)
+        elif self.is_read and not came_back and not self._may_have_lapsed(now):
+            self._make_live(entry)
+        else:
+            self._compare_starts(entry)
+
+    def _count_write(self, entry: ListedTarget) -> None:
+        """Counts a write; makes a replaced target live that has proven it."""
+        name = entry.target.name
+        address = entry.target.address
+        writer = self._writers.get(address)
+        if writer is None:
+            return
+        writes = writer.writes + 1 if writer.name == name else 1
+        self._writers[address] = _Writer(name, writes)
+        replacement = self.replaced.get(name)
+        if replacement is None:
+            return
+        successor = self.entries.get(replacement.by)
+        if (
+            successor is None
+            or successor.target.address != address
+            or self.is_missing(replacement.by)
+            or writes >= _LIVE_WRITES
+            or 0 < replacement.born_ms < entry.born_ms
+        ):
+            self._make_live(entry)
+
+    def _make_live(self, entry: ListedTarget) -> None:
+        """Makes a target the live one at its address."""
+        if self.replaced.pop(entry.target.name, None) is not None:
+            self._clear_caches()
+        for other in self._others_at_address(entry):
+            self._replace(other, entry)
+
+    def _compare_starts(self, entry: ListedTarget) -> None:
+        """Decides by start times which targets at an address are replaced."""
+        for other in self._others_at_address(entry):
+            if 0 < other.born_ms < entry.born_ms:
+                self._replace(other, entry)
+            elif 0 < entry.born_ms < other.born_ms:
+                self._replace(entry, other)
+
+    def _others_at_address(self, entry: ListedTarget) -> list[ListedTarget]:
+        return [
+            other
+            for other in self.entries.values()
+            if other.target.address == entry.target.address
+            and other.target.name != entry.target.name
+        ]
+
+    def _replace(self, ended: ListedTarget, live: ListedTarget) -> None:
+        self.replaced[ended.target.name] = Replacement(
+            live.target.name, ended.born_ms
+        )
+        self._writers[live.target.address] = _Writer(live.target.name, 1)
+        self._clear_caches()
+
+    def _end_replacement(self, name: str, address: str) -> None:
+        """Discards what is known of a target that is no more at an address."""
+        self.replaced.pop(name, None)
+        if not any(
+            self.entries[other].target.address == address
+            for other in self.replaced
+        ):
+            self._writers.pop(address, None)
+
     def _clear_caches(self) -> None:
         """Clears the data derived from the entries."""
         self._pool_members.clear()
         self._names_by_key.clear()
 
     def _drop(self, name: str) -> None:
-        self.entries.pop(name, None)
+        entry = self.entries.pop(name, None)
+        if entry is not None:
+            self._end_replacement(name, entry.target.address)
         self._drop_at.pop(name, None)
         self._clear_caches()
 
--- a/tests/coordination/gateway/serving/test_reach.py
+++ b/tests/coordination/gateway/serving/test_reach.py
@@ -200,6 +200,25 @@
 
         scene_lib.run_scenario(scenario, retry_extra=0, retry_ratio=0)
 
+    # Guards against probes of a target that ended, which its replacement
+    # answers or which go on until the entry lapses.
+    def test_replaced_target_is_not_probed(self):
+        async def scenario(scene):
+            monitor = scene.program.gateway.dispatcher.monitor
+            old = scene.site.targets.entries["p0"].target
+            scene.store.put("keyed.servers", "next", scene.plain[0].entry())
+            await scene.until(lambda: scene.site.targets.is_replaced("p0"))
+            probed = []
+            monitor._start_probe = lambda target, now: probed.append(
+                target.name
+            )
+            monitor.mark_unreachable(old, "the test")
+            monitor._probe_unreachable(anyio.current_time())
+            monitor._sweep(anyio.current_time())
+            self.assertEqual(sorted(probed), ["next", "p1"])
+
+        scene_lib.run_scenario(scenario, engines=0)
+
     def test_new_connection_is_not_probed(self):
         async def scenario(scene):
             for target in scene.plain:
--- a/tests/coordination/gateway/test_restarts.py
+++ b/tests/coordination/gateway/test_restarts.py
@@ -196,6 +196,25 @@
         self.site.put_target("e", _encode(state="draining"))  # late
         self.assertFalse(self.site.targets.entries["e"].leaving)
 
+    # Guards against a target that is used again with the state found at its
+    # successor, for instance as unreachable without a probe.
+    def test_replacement_discards_what_is_known_of_a_target(self):
+        withdrawn = []
+        self.site.on_target_withdrawn = withdrawn.append
+        self.site.mark_targets_known()
+        self.site.put_target("f", _encode(born=2_000))
+        self.assertEqual(withdrawn, [_ENTRY["address"]])
+        self.site.state("e").is_unreachable = True
+        with self.assertLogs("hillthread.site", "INFO") as logs:
+            for _ in range(2):
+                self.site.put_target("e", _encode())
+        events = {(line.event, line.target) for line in logs.records}
+        self.assertEqual(
+            events, {("target_replaced", "f"), ("target_live_again", "e")}
+        )
+        self.assertTrue(self.site.state("e").is_available(0.0))
+        self.assertEqual(self.site.weights.held_version("e", "m"), 3)
+
     def make_notice(self, born_ms):
         return work_notice.WorkNotice(
             target_list.incarnation_key("e", born_ms),
