Eject targets that answer two requests in a row with 421

Cause: a target whose replacement is not listed yet, or whose weights a host misjudges, answered every request with 421 and used up the pool's retry budget; only a 421 that named another target was acted on.

The second 421 in a row opens the circuit breaker (1 s, doubling), with the log line target_mismatch. The first one stays free. An answer of another kind, or a notice of a load's begin or end, starts the count anew. A 421 to a version that is no longer assumed does not count, since parallel requests share one wrong guess. An ejection also starts the read of the report, even if the guess is not behind: an engine with weights that this host does not know of is recovered in 1 s.

Ruled out: counting requests instead of attempts. A request repeats a mismatch once at the same target, so a request would count twice as much as it costs the budget.

--- a/hillthread/coordination/gateway/serving/learning.py
+++ b/hillthread/coordination/gateway/serving/learning.py
@@ -169,6 +169,8 @@
         log = attempt.request.log
         fields = _build_log_fields(attempt, kind, now - started)
         fields["beside"] = state.open_attempts - 1
+        if attempt.meaning is not None and not _is_mismatch(result):
+            state.mismatches = 0
         match result:
             case outcome_lib.Unsent(reason):
                 self.monitor.mark_unreachable(attempt.plan.target, reason)
@@ -212,7 +214,7 @@
     ) -> None:
         """Records why a target did not run a request."""
         name = plan.target.name
-        if refusal.status != 421:
+        if not _is_mismatch(refusal):
             state.record_refusal(now + _REFUSAL_PAUSE_S)
             return
         if refusal.meaning.incarnation not in ("", name):
@@ -223,11 +225,25 @@
                 refusal.meaning.incarnation, plan.target.address
             )
             return
-        if plan.weights_version is None:
-            return
         board = self.site.weights
-        is_guess = board.reject_version(name, plan.model, plan.weights_version)
-        if is_guess and board.is_behind(name, plan.model):
+        version = plan.weights_version
+        is_guess = version is not None and board.reject_version(
+            name, plan.model, version
+        )
+        if version is not None and not is_guess:
+            return  # another version has been assumed since it was sent
+        is_ejected = state.record_mismatch(now)
+        if is_ejected:
+            _logger.warning(
+                "target ejected after mismatches",
+                extra={
+                    "event": "target_mismatch",
+                    "target": name,
+                    "mismatches": state.mismatches,
+                    "ejected_s": round(state.breaker.open_until - now, 3),
+                },
+            )
+        if is_guess and (is_ejected or board.is_behind(name, plan.model)):
             self.monitor.tasks.start_soon(
                 self._fetch_weights, plan.target, plan.model
             )
@@ -260,6 +276,11 @@
             self.site.apply_report(target.name, model, report)
 
 
+def _is_mismatch(result: outcome_lib.Outcome | None) -> bool:
+    """Returns whether the target or its weights are not the expected ones."""
+    return isinstance(result, outcome_lib.NotRun) and result.status == 421
+
+
 def _build_log_fields(
     attempt: attempt_lib.Attempt, kind: str, seconds: float
 ) -> dict[str, object]:
--- a/hillthread/state/targets/target_state.py
+++ b/hillthread/state/targets/target_state.py
@@ -17,6 +17,9 @@
 _EJECT_FAILURES = 4
 # Number of consecutive failures that also ejects a target.
 _EJECT_AFTER = 2
+# Number of consecutive answers of the kind "another target or other weights"
+# that ejects a target. The first one is free: a host may learn of a load late.
+_EJECT_MISMATCHES = 2
 # Length of the first ejection; it doubles with each further one.
 _EJECT_S = 1.0
 # Weight of a new answer in the moving average of the time to first byte.
@@ -46,6 +49,8 @@
             request, seconds.
         is_unreachable: Whether no connection to the target can be opened.
         first_byte_s: Moving average of the time to first byte, seconds.
+        mismatches: Number of answers in a row that this is another target or
+            holds other weights, without a load of weights in between.
     """
 
     def __init__(self):
@@ -57,6 +62,7 @@
         self.loading_until = float("-inf")
         self.is_unreachable = False
         self.first_byte_s = 0.0
+        self.mismatches = 0
         self._recent_outcomes: collections.deque[bool] = collections.deque(
             maxlen=_RECENT_OUTCOMES
         )
@@ -109,10 +115,24 @@
     def begin_load(self, now: float) -> None:
         """Records that the target is about to load weights."""
         self.loading_until = now + _ASSUMED_LOAD_S
+        self.mismatches = 0
 
     def end_load(self) -> None:
         """Records that the target no longer loads weights."""
         self.loading_until = float("-inf")
+        self.mismatches = 0
+
+    def record_mismatch(self, now: float) -> bool:
+        """Records an answer that this is another target or has other weights.
+
+        Returns:
+            Whether the target is ejected now.
+        """
+        self.mismatches += 1
+        before = self.breaker.ejections
+        if self.mismatches >= _EJECT_MISMATCHES:
+            self.breaker.trip(now)
+        return self.breaker.ejections > before
 
     def record_failure(self, now: float) -> bool:
         """Records a failure caused by the target.
