Log route, tenant, path and digest of requests refused at intake

A request refused after its key was accepted, for instance by a quota, logs all four; an unknown key logs route and path, an unknown route the path. No digest is computed for callers without a key. Refusals after `admitted` and internal errors are unchanged.

--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import logging
 import random
 
@@ -87,6 +88,7 @@
         self.metrics.inflight.set(self.inflight)
         outcome = "left"
         code = ""
+        request: intake.GatewayRequest | None = None
         job: job_lib.Job | None = None
         try:
             await self.site.wait_until_routable(caller.arrived)
@@ -101,7 +103,9 @@
         except errors.RefusalError as refusal:
             outcome, code = "refused", refusal.code
             priority = job.request.priority if job else 0
-            await self._refuse(refusal, answer, log, priority)
+            # The line `admitted` has these fields of other requests.
+            fields = {} if job else self._describe(caller, request)
+            await self._refuse(refusal, answer, log, priority, fields)
         except http1_server.BrokenAnswerError:
             outcome = "broken"
             log.warn("answer_broken")
@@ -150,6 +154,26 @@
             seconds_left=round(request.seconds_left(), 3),
         )
 
+    def _describe(
+        self,
+        caller: http1_server.CallerRequest,
+        request: intake.GatewayRequest | None,
+    ) -> dict[str, object]:
+        """Returns the log fields known of a request refused at intake.
+
+        A digest is computed only of an authenticated request, since callers
+        without a key must not cause work.
+        """
+        if request is not None:
+            return {
+                "path": caller.path,
+                "digest": request.digest,
+                "route": request.route.name,
+                "tenant": request.tenant_name,
+            }
+        route = intake.current_route(self.site, caller)
+        return {"path": caller.path, **({"route": route.name} if route else {})}
+
     def _note_answered(
         self,
         request: intake.GatewayRequest,
@@ -167,6 +191,7 @@
         answer: http1_server.CallerAnswer,
         log: story_lib.RequestLog,
         priority: int = 0,
+        fields: Mapping[str, object] = {},
     ) -> None:
         retry_delay_s = _choose_retry_after_s(refusal, priority)
         log.warn(
@@ -178,6 +203,7 @@
             reason=refusal.message,
             started=answer.started,
             store_age_s=self.site.rounded_age_s(clock.now()),
+            **fields,
         )
         if answer.started:
             raise http1_server.BrokenAnswerError
