Test the report read after an ejection without an announcement

Cause: without the read that an ejection starts, test_learning still passed, because an announced newer version starts one as well.

--- a/tests/coordination/gateway/serving/test_learning.py
+++ b/tests/coordination/gateway/serving/test_learning.py
@@ -1,5 +1,6 @@
 """Tests what a host learns from how its attempts end."""
 
+import functools
 import unittest
 from unittest import mock
 
@@ -49,16 +50,18 @@
             change()
         self.assertIs(state.breaker.state(0.0), health.BreakerState.CLOSED)
 
-    # Guards against a host that never learns which weights an engine holds.
+    # Guards against a host that never learns which weights an engine holds,
+    # whether or not newer ones than the assumed were announced to it.
     def test_wrongly_assumed_weights_are_corrected_by_the_report(self):
-        async def scenario(scene):
+        async def scenario(scene, is_announced):
             (engine,) = scene.engines
             # Another host gives orders and reads reports.
             scene.program.rollout.leadership.try_acquire = mock.AsyncMock(
                 return_value=False
             )
-            scene.announce_weights(2)
-            await scene.until(lambda: "m" in scene.site.weights.newest)
+            if is_announced:
+                scene.announce_weights(2)
+                await scene.until(lambda: "m" in scene.site.weights.newest)
             engine.weights = 3
             answer = await scene.call(scene.prompt("/stream/x"))
             self.assertEqual(answer.head.status, 503)
@@ -69,4 +72,10 @@
             answer = await scene.call(scene.prompt("/stream/x"))
             self.assertEqual(answer.head.status, 200)
 
-        scene_lib.run_scenario(scenario, engines=1, plain=0)
+        for is_announced in (True, False):
+            with self.subTest(is_announced=is_announced):
+                scene_lib.run_scenario(
+                    functools.partial(scenario, is_announced=is_announced),
+                    engines=1,
+                    plain=0,
+                )
