Order prompts by tenant and route priority at engines

Cause: a tenant's priority hid that of the route. On two deployments most tenants have the same one, so engines served short interactive prompts in the order of arrival, behind bursts of long background prompts.

Ruled out: the route's priority alone, which would serve an ordinary tenant's interactive prompts before a premium tenant's background ones.

Conclusion: engines get one urgency from both priorities.

--- a/hillthread/coordination/gateway/serving/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -277,7 +277,7 @@
             target,
             request.tenant_name,
             request.seconds_left(),
-            request.priority if model else None,
+            request.urgency if model else None,
             model,
             version,
             request.organisation,
--- a/hillthread/coordination/gateway/serving/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -13,6 +13,7 @@
 from hillthread.platform import names
 from hillthread.state.config import objects
 from hillthread.state.config import routing_table
+from hillthread.state.scheduling import urgency
 from hillthread.state.targets import request_digest
 from hillthread.transport import http1_server
 
@@ -95,6 +96,11 @@
             return self.tenant.priority
         return self.route.priority
 
+    @property
+    def urgency(self) -> int:
+        """Order in which engines serve it: 0, the most urgent, to 9."""
+        return urgency.compute_urgency(self.priority, self.route.priority)
+
     @functools.cached_property
     def digest(self) -> str:
         """The digest that all retries of the same request share."""
--- a/hillthread/state/config/routing_table.py
+++ b/hillthread/state/config/routing_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import functools
 import hashlib
 import hmac
 from typing import NamedTuple
@@ -87,6 +88,17 @@
         )
         self._targets_by_route: dict[str, tuple[objects.Target, ...]] = {}
 
+    @functools.cached_property
+    def has_urgency_classes(self) -> bool:
+        """Whether prompts differ in urgency by their route or tenant."""
+        route_priorities = {
+            route.priority for route in self._routes if route.streaming
+        }
+        tenant_priorities = {
+            tenant.priority for tenant in self.tenants.values()
+        }
+        return len(route_priorities) > 1 or len(tenant_priorities) > 1
+
     def find_tenant_by_key(self, key: str) -> objects.Tenant | None:
         """Returns the tenant with a bearer key, or None."""
         digest = hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/tests/state/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of hillthread.state.scheduling."""
