Count queues by urgency and announce short prompts

Cause: engines compute the more urgent prompts first, but hosts counted the whole queue of an engine for each prompt, and did not announce prompts under 1,000 tokens. Prompts with short objectives were refused because of less urgent ones that would not have delayed them.

Ruled out: spending the direct notices of long prompts on short ones. Also ruled out: sending the default urgency, which earlier releases cannot decode.

The gatherer's limit counts bytes instead of notices, so that short notices do not displace long ones. Its test now bounds the bytes of full and of short notices; the bound on bytes is the one the count stood for.

Conclusion: `queued_tokens(now, urgency)`, `backlog_tokens`, `Estimate.backlog_s` and `WorkNotice.urgency` are ready for scheduling. Configurations without urgency classes send the same packets as before.

--- a/hillthread/coordination/gateway/peers/work_feed.py
+++ b/hillthread/coordination/gateway/peers/work_feed.py
@@ -57,12 +57,20 @@
 _GATHER_MODE_S = 5.0
 # Interval at which gathered notices are forwarded: queues change within 50 ms.
 _FORWARD_INTERVAL_S = 0.03
-# Notices that a gatherer forwards in a second. A notice takes 49 bytes, and
-# control traffic may use 15 KB a second.
-_MAX_GATHERED_PER_S = 250.0
-# Prompts with fewer tokens to compute, which take an engine less than 25 ms,
-# hardly change its queue and are not reported.
+# Bytes of notices that a gatherer forwards in a second. Control traffic may use
+# 15 KB a second, of which the rest is for other packets.
+_MAX_GATHERED_BYTES_PER_S = 12_250.0
+# Bytes that a notice counts towards this limit, with two shared parts and
+# without any.
+_FULL_NOTICE_BYTES = 49
+_SHORT_NOTICE_BYTES = 22
+# Prompts with fewer tokens to compute take an engine less than 25 ms. They are
+# reported only where prompts differ in urgency, because there many short urgent
+# prompts together delay the long ones.
 _MIN_TOKENS = 1_000
+# Direct notices kept for long prompts, which change an engine's queue the most:
+# two in quick succession.
+_LONG_PROMPT_RESERVE = 2.0
 
 _logger = logging.getLogger("hillthread.work")
 
@@ -110,7 +118,7 @@
         self._direct_bucket = limits.TokenBucket(
             _MAX_DIRECT_PER_S / site.cluster_size, now
         )
-        self._gather_bucket = limits.TokenBucket(_MAX_GATHERED_PER_S, now)
+        self._gather_bucket = limits.TokenBucket(_MAX_GATHERED_BYTES_PER_S, now)
         self._gather_mode_until = float("-inf")
         self._local_work: list[work_notice.WorkNotice] = []
         self._remote_work: list[work_notice.WorkNotice] = []
@@ -125,14 +133,40 @@
         return len(self.source.hosts) < 2
 
     def notify_work(self, notice: work_notice.WorkNotice) -> None:
-        """Notifies other hosts of a prompt; short prompts are skipped."""
-        if notice.tokens < _MIN_TOKENS or self.has_no_peers():
+        """Notifies other hosts of a prompt.
+
+        Short prompts are skipped where prompts do not differ in urgency.
+        """
+        if self.has_no_peers():
             return
         now = clock.now()
         notice = notice._replace(origin=self._origin)
-        if now < self._gather_mode_until or not self._may_notify_directly(now):
+        if notice.tokens < _MIN_TOKENS:
+            if notice.tokens > 0 and self.site.has_urgency_classes:
+                self._notify_short_work(notice, now)
+        elif now < self._gather_mode_until or not self._may_notify_directly(
+            now
+        ):
+            self._submit_work(notice, now)
+        else:
+            self._notify_directly([notice])
+
+    def _notify_short_work(
+        self, notice: work_notice.WorkNotice, now: float
+    ) -> None:
+        """Notifies other hosts of a short prompt, without its shared parts.
+
+        If this host sends many notices, it goes through the gatherer; the
+        notices of long prompts are still sent directly.
+        """
+        notice = notice._replace(scope=0, shared=[], own_tokens=0)
+        self._update_direct_rate(now)
+        bucket = self._direct_bucket
+        is_scarce = bucket.balance < _LONG_PROMPT_RESERVE + 1.0
+        if now < self._gather_mode_until or is_scarce:
             self._submit_work(notice, now)
         else:
+            bucket.spend(1.0)
             self._notify_directly([notice])
 
     def notify_weights(self, notice: work_notice.WeightsNotice) -> None:
@@ -247,13 +281,18 @@
         Returns false if the share is used up; notices are then gathered for a
         while.
         """
-        self._direct_bucket.rate = _MAX_DIRECT_PER_S / self.site.cluster_size
+        self._update_direct_rate(now)
         if self._direct_bucket.wait_s(now) > 0.0:
             self._gather_mode_until = now + _GATHER_MODE_S
             return False
         self._direct_bucket.spend(1.0)
         return True
 
+    def _update_direct_rate(self, now: float) -> None:
+        """Updates this host's share of the direct notices of all hosts."""
+        self._direct_bucket.rate = _MAX_DIRECT_PER_S / self.site.cluster_size
+        self._direct_bucket.refill(now)
+
     def _notify_directly(
         self,
         work: Sequence[work_notice.WorkNotice] = (),
@@ -325,9 +364,13 @@
         now: float,
     ) -> None:
         """Queues notices to be forwarded; drops them above the maximum rate."""
-        if self._gather_bucket.wait_s(now, len(notices)) > 0.0:
+        size = sum(
+            _FULL_NOTICE_BYTES if notice.shared else _SHORT_NOTICE_BYTES
+            for notice in notices
+        )
+        if self._gather_bucket.wait_s(now, size) > 0.0:
             return
-        self._gather_bucket.spend(len(notices))
+        self._gather_bucket.spend(size)
         queue.extend(notices)
         self._forward_due.set()
 
--- a/hillthread/coordination/gateway/serving/pool_view.py
+++ b/hillthread/coordination/gateway/serving/pool_view.py
@@ -175,9 +175,12 @@
             ),
             self._fetch_tokens_per_s(scope),
         )
-        queued = state.load.queued_tokens(self.now)
+        urgency = self.site.effective_urgency(self.request.urgency)
         return first_byte.estimate(
-            needs, queued, state.load.prefill_tokens_per_s
+            needs,
+            state.load.queued_tokens(self.now, urgency),
+            state.load.prefill_tokens_per_s,
+            state.load.backlog_tokens(self.now),
         )
 
     def _cache_scope(self, name: str) -> str:
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -192,6 +192,7 @@
             ongoing.first_byte.started,
             planned.attempt_id,
             planned.estimate.prefill_tokens,
+            self.site.effective_urgency(self.request.urgency),
         )
         self.context.quotas.charge(self.request)
         self.context.limits.charge(name)
@@ -280,6 +281,7 @@
             cache_source.shared_parts(self.request),
             parts[-1].tokens,
             0,
+            self.site.effective_urgency(self.request.urgency),
         )
         self.site.record_prompt(target, notice)
         self.context.work.notify_work(notice)
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -12,6 +12,7 @@
 from hillthread.platform import targets as targets_lib
 from hillthread.protocol import work_notice
 from hillthread.state.config import routing_table
+from hillthread.state.scheduling import urgency as urgency_lib
 from hillthread.state.targets import backoffs
 from hillthread.state.targets import health
 from hillthread.state.targets import target_list
@@ -212,8 +213,21 @@
         name = self.targets.name_of(notice.engine)
         if name is None:
             return  # not listed yet, removed, or of an earlier start
-        self.state(name).load.add_peer_prefill(notice.tokens, now)
-        self.record_prompt(name, notice)
+        urgency = min(max(0, notice.urgency), urgency_lib.LEAST_URGENT)
+        self.state(name).load.add_peer_prefill(notice.tokens, now, urgency)
+        if notice.shared or notice.own_tokens:
+            self.record_prompt(name, notice)
+
+    @property
+    def has_urgency_classes(self) -> bool:
+        """Whether prompts differ in urgency in the configuration in force."""
+        return self.table is not None and self.table.has_urgency_classes
+
+    def effective_urgency(self, urgency: int) -> int:
+        """Returns the urgency by which a prompt is ordered in queues."""
+        if self.has_urgency_classes:
+            return urgency
+        return urgency_lib.LEAST_URGENT
 
     def apply_weights_notice(
         self, notice: work_notice.WeightsNotice, now: float
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -19,6 +19,7 @@
 
 from hillthread import errors
 from hillthread.state.quotas import usage_exchange
+from hillthread.state.scheduling import urgency as urgency_lib
 
 __all__ = [
     "DepartureNotice",
@@ -56,7 +57,7 @@
 MAX_DEPARTURE_NOTICES = 100
 # Sizes used to estimate the size of a packet. A usage notice of one sender has
 # an overhead in addition to its totals.
-_WORK_NOTICE_BYTES = 76
+_WORK_NOTICE_BYTES = 77
 _USAGE_TOTAL_BYTES = 24
 _USAGE_OVERHEAD_BYTES = 24
 # Every packet has the lists of work and weights, also when they are empty.
@@ -84,6 +85,7 @@
             order.
         own_tokens: Tokens of the part that only this request has.
         origin: Checksum of the sender's name.
+        urgency: Order in which engines compute prompts, 0 first, to 9.
     """
 
     engine: int
@@ -92,6 +94,7 @@
     shared: list[tuple[str, int]]
     own_tokens: int
     origin: int
+    urgency: int = urgency_lib.LEAST_URGENT
 
 
 class WeightsNotice(NamedTuple):
@@ -189,7 +192,7 @@
     """Returns a packet as CBOR."""
     fields: list[Any] = [str(packet.action)]
     notice_lists: list[Sequence[Any]] = [
-        packet.work,
+        [_strip_default_urgency(notice) for notice in packet.work],
         packet.weights,
         packet.suspects,
         packet.usage,
@@ -204,6 +207,18 @@
     return cbor2.dumps(fields)
 
 
+def _strip_default_urgency(notice: WorkNotice) -> tuple[Any, ...]:
+    """Returns the fields of a notice that are sent.
+
+    Earlier releases can decode a notice only without its urgency. It is left
+    out where it is the default, as it is where prompts do not differ in
+    urgency.
+    """
+    if notice.urgency == urgency_lib.LEAST_URGENT:
+        return notice[:-1]
+    return notice
+
+
 def has_room(packet: Packet, notice: usage_exchange.UsageNotice) -> bool:
     """Returns whether a packet of work and usage has room for a notice."""
     used = _PACKET_OVERHEAD_BYTES + len(packet.work) * _WORK_NOTICE_BYTES
--- a/hillthread/state/routing/first_byte.py
+++ b/hillthread/state/routing/first_byte.py
@@ -39,6 +39,9 @@
         prefill_tokens: Tokens of those parts.
         missing_tokens: Tokens of the shared parts that the engine has not
             cached.
+        backlog_s: Prefill of all prompts queued there, also of less urgent
+            ones, in seconds.
+        base_s: Time that does not depend on the prompt, in seconds.
     """
 
     queue_s: float
@@ -46,15 +49,21 @@
     prefill_s: float
     prefill_tokens: int
     missing_tokens: int
+    backlog_s: float = 0.0
+    base_s: float = 0.0
 
     @property
     def total_s(self) -> float:
         """Total time to the first byte, in seconds."""
-        return self.queue_s + self.fetch_s + self.prefill_s
+        return self.queue_s + self.fetch_s + self.base_s + self.prefill_s
 
 
 def estimate(
-    needs: PromptNeeds, queued_tokens: float, prefill_tokens_per_s: float
+    needs: PromptNeeds,
+    queued_tokens: float,
+    prefill_tokens_per_s: float,
+    backlog_tokens: float = 0.0,
+    base_s: float = 0.0,
 ) -> Estimate:
     """Returns the expected time to the first byte.
 
@@ -62,6 +71,8 @@
         needs: Work that the prompt causes on the engine.
         queued_tokens: Prefill tokens queued before the prompt.
         prefill_tokens_per_s: Prefill rate of the engine.
+        backlog_tokens: Prefill tokens of all prompts queued there.
+        base_s: Time that does not depend on the prompt, in seconds.
     """
     missing = needs.shared_tokens - needs.cached_tokens
     computed_tokens = needs.unshared_tokens + missing
@@ -75,4 +86,6 @@
         computed_tokens / prefill_tokens_per_s,
         computed_tokens,
         missing,
+        backlog_tokens / prefill_tokens_per_s,
+        base_s,
     )
--- a/hillthread/state/routing/load.py
+++ b/hillthread/state/routing/load.py
@@ -8,7 +8,9 @@
 
 from typing import NamedTuple
 
-__all__ = ["LoadReport", "LocalPrefill", "TargetLoad"]
+from hillthread.state.scheduling import urgency as urgency_lib
+
+__all__ = ["LoadReport", "LocalPrefill", "PeerPrefill", "TargetLoad"]
 
 # Weight of a new sample in the moving average of the prefill rate.
 _RATE_STEP_SHARE = 0.1
@@ -21,6 +23,12 @@
 _RATE_RANGE_FACTOR = 4.0
 # Shorter prefills take too little time for a sample of the rate.
 _MIN_MEASURED_TOKENS = 256
+# Tokens that an engine computes before it turns to a more urgent prompt: one
+# chunk of a chunked prefill.
+_CHUNK_TOKENS = 2_048.0
+# Rounding error allowed when the expected start of a prefill is compared with
+# the current time.
+_TIME_TOLERANCE_S = 1e-6
 
 
 class LoadReport(NamedTuple):
@@ -47,10 +55,12 @@
     Attributes:
         sent_at: Time of sending, in seconds.
         prefill_tokens: Expected uncached tokens of the attempt.
+        urgency: 0, computed first, to 9.
     """
 
     sent_at: float
     prefill_tokens: float
+    urgency: int = urgency_lib.LEAST_URGENT
 
 
 class PeerPrefill(NamedTuple):
@@ -59,10 +69,12 @@
     Attributes:
         done_at: Expected time of completion, in seconds.
         tokens: Expected uncached tokens.
+        urgency: 0, computed first, to 9.
     """
 
     done_at: float
     tokens: float
+    urgency: int = urgency_lib.LEAST_URGENT
 
 
 class TargetLoad:
@@ -90,6 +102,7 @@
         self.inflight_at_report = 0
         self.mean_prefill_tokens = 0.0
         self.peer_prefills: list[PeerPrefill] = []
+        self._head_id = ""
         self._head_started_at = 0.0
 
     @property
@@ -100,13 +113,18 @@
     def start(self, attempt_id: str, prefill: LocalPrefill) -> None:
         """Adds an attempt that is about to be sent."""
         if not self.awaiting_first_token:
+            self._head_id = attempt_id
             self._head_started_at = prefill.sent_at
         self.awaiting_first_token[attempt_id] = prefill
+        self._delay_less_urgent(
+            prefill.prefill_tokens, prefill.urgency, prefill.sent_at
+        )
 
     def note_first_token(self, attempt_id: str, now: float) -> None:
         """Records that the prefill of an attempt is done."""
         if self.awaiting_first_token.pop(attempt_id, None) is not None:
             self.streaming.add(attempt_id)
+            self._head_id = self._pick_head()
             self._head_started_at = now
 
     def learn_prefill_rate(self, computed_tokens: int, seconds: float) -> None:
@@ -135,51 +153,93 @@
         """Removes an attempt that has ended, whatever its outcome."""
         self.awaiting_first_token.pop(attempt_id, None)
         self.streaming.discard(attempt_id)
+        if attempt_id == self._head_id:
+            self._head_id = self._pick_head()
 
     def update(self, report: LoadReport) -> None:
         """Stores a load report."""
         self.report = report
         self.inflight_at_report = self.inflight
 
-    def add_peer_prefill(self, tokens: float, now: float) -> None:
+    def add_peer_prefill(
+        self,
+        tokens: float,
+        now: float,
+        urgency: int = urgency_lib.LEAST_URGENT,
+    ) -> None:
         """Adds prefill that another router has sent to the target."""
         self._expire_peer_prefills(now)
-        ahead = self.local_prefill_tokens(now) + self.peer_prefill_tokens()
+        ahead = (
+            self.local_prefill_tokens(now, urgency)
+            + self.peer_prefill_tokens(urgency)
+            + self._less_urgent_tokens(now, urgency)
+        )
         done_at = now + (ahead + tokens) / self.prefill_tokens_per_s
-        self.peer_prefills.append(PeerPrefill(done_at, tokens))
+        self._delay_less_urgent(tokens, urgency, now)
+        self.peer_prefills.append(PeerPrefill(done_at, tokens, urgency))
 
-    def local_prefill_tokens(self, now: float) -> float:
+    def local_prefill_tokens(
+        self, now: float, urgency: int = urgency_lib.LEAST_URGENT
+    ) -> float:
         """Returns this router's prefill tokens that are still to be computed.
 
-        The first attempt in the queue counts as computing since the one before
-        it was done.
+        The attempt that the engine computes counts as computing since the one
+        before it was done.
+
+        Args:
+            now: Current time, in seconds.
+            urgency: Less urgent prefills do not count.
         """
         total = sum(
             prefill.prefill_tokens
             for prefill in self.awaiting_first_token.values()
+            if prefill.urgency <= urgency
         )
-        head = next(iter(self.awaiting_first_token.values()), None)
-        if head is None:
-            return 0.0
-        done = max(0.0, now - self._head_started_at) * self.prefill_tokens_per_s
-        return total - min(done, head.prefill_tokens * _MAX_HEAD_DONE_SHARE)
-
-    def peer_prefill_tokens(self) -> float:
+        head = self.awaiting_first_token.get(self._head_id)
+        if head is None or head.urgency > urgency:
+            return total
+        return total - head.prefill_tokens + self._head_rest_tokens(head, now)
+
+    def peer_prefill_tokens(
+        self, urgency: int = urgency_lib.LEAST_URGENT
+    ) -> float:
         """Returns the prefill tokens that other routers have announced."""
-        return sum(prefill.tokens for prefill in self.peer_prefills)
+        return sum(
+            prefill.tokens
+            for prefill in self.peer_prefills
+            if prefill.urgency <= urgency
+        )
 
-    def queued_tokens(self, now: float) -> float:
-        """Returns the prefill tokens queued before a request sent now.
+    def queued_tokens(
+        self, now: float, urgency: int = urgency_lib.LEAST_URGENT
+    ) -> float:
+        """Returns the prefill tokens computed before a request sent now.
 
         For the requests of other routers the larger of two figures counts:
         their announcements, or the target's report, which lags behind these.
+        Reports do not state urgencies, so they count only for the least urgent
+        requests.
+
+        Args:
+            now: Current time, in seconds.
+            urgency: Urgency of the request. Of the less urgent prompts only
+                the chunk that is being computed delays it.
         """
         self._expire_peer_prefills(now)
-        reported = self._count_peer_waiting() * self.mean_prefill_tokens
-        return self.local_prefill_tokens(now) + max(
-            self.peer_prefill_tokens(), reported
+        peers = self.peer_prefill_tokens(urgency)
+        if urgency >= urgency_lib.LEAST_URGENT:
+            reported = self._count_peer_waiting() * self.mean_prefill_tokens
+            peers = max(peers, reported)
+        return (
+            self.local_prefill_tokens(now, urgency)
+            + peers
+            + self._less_urgent_tokens(now, urgency)
         )
 
+    def backlog_tokens(self, now: float) -> float:
+        """Returns the prefill tokens of all urgencies that are queued."""
+        return self.queued_tokens(now)
+
     def count_requests(self) -> int:
         """Returns the number of requests of all routers on the target."""
         if self.report is None:
@@ -187,6 +247,57 @@
         reported = self.report.running + self.report.waiting
         return self.inflight + max(0, reported - self.inflight_at_report)
 
+    def _pick_head(self) -> str:
+        """Returns the attempt computed next: the most urgent, then oldest."""
+        return min(
+            self.awaiting_first_token,
+            key=lambda each: self.awaiting_first_token[each].urgency,
+            default="",
+        )
+
+    def _head_rest_tokens(self, head: LocalPrefill, now: float) -> float:
+        """Returns the tokens left of this router's attempt being computed."""
+        done = max(0.0, now - self._head_started_at) * self.prefill_tokens_per_s
+        return head.prefill_tokens - min(
+            done, head.prefill_tokens * _MAX_HEAD_DONE_SHARE
+        )
+
+    def _less_urgent_tokens(self, now: float, urgency: int) -> float:
+        """Returns the tokens that a less urgent prompt computes before others.
+
+        The engine computes one prompt at a time, so the prompts of this router
+        and of others are not added up.
+        """
+        rest_tokens = [
+            (prefill.done_at - now) * self.prefill_tokens_per_s
+            for prefill in self.peer_prefills
+            if prefill.urgency > urgency and self._is_computing(prefill, now)
+        ]
+        head = self.awaiting_first_token.get(self._head_id)
+        if head is not None and head.urgency > urgency:
+            rest_tokens.append(self._head_rest_tokens(head, now))
+        return min(_CHUNK_TOKENS, max(rest_tokens, default=0.0))
+
+    def _is_computing(self, prefill: PeerPrefill, now: float) -> bool:
+        """Returns whether a prefill of another router should have begun."""
+        return (
+            prefill.done_at - now
+            <= prefill.tokens / self.prefill_tokens_per_s + _TIME_TOLERANCE_S
+        )
+
+    def _delay_less_urgent(
+        self, tokens: float, urgency: int, now: float
+    ) -> None:
+        """Moves less urgent prefills of other routers behind a new one."""
+        delay_s = tokens / self.prefill_tokens_per_s
+        self.peer_prefills = [
+            prefill._replace(done_at=prefill.done_at + delay_s)
+            if prefill.urgency > urgency
+            and not self._is_computing(prefill, now)
+            else prefill
+            for prefill in self.peer_prefills
+        ]
+
     def _expire_peer_prefills(self, now: float) -> None:
         """Removes all completed prefills, wherever they are in the list."""
         if any(prefill.done_at <= now for prefill in self.peer_prefills):
--- a/hillthread/state/targets/target_state.py
+++ b/hillthread/state/targets/target_state.py
@@ -6,6 +6,7 @@
 
 from hillthread.state.routing import load
 from hillthread.state.routing import warm_prefixes
+from hillthread.state.scheduling import urgency as urgency_lib
 from hillthread.state.targets import health
 
 __all__ = ["TargetState"]
@@ -68,12 +69,18 @@
         return self.breaker.state(now) is not health.BreakerState.OPEN
 
     def begin_attempt(
-        self, now: float, attempt: str, prefill_tokens: int
+        self,
+        now: float,
+        attempt: str,
+        prefill_tokens: int,
+        urgency: int = urgency_lib.LEAST_URGENT,
     ) -> None:
         """Records an attempt that is about to be sent."""
         self.breaker.admit(now)
         self.open_attempts += 1
-        self.load.start(attempt, load.LocalPrefill(now, prefill_tokens))
+        self.load.start(
+            attempt, load.LocalPrefill(now, prefill_tokens, urgency)
+        )
 
     def record_first_byte(
         self, now: float, attempt: str, seconds: float | None
--- a/tests/coordination/gateway/peers/test_work_feed.py
+++ b/tests/coordination/gateway/peers/test_work_feed.py
@@ -1,7 +1,9 @@
 """Tests that hosts notify each other of work sent to engines."""
 
+import random
 import socket
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -161,39 +163,109 @@
         scene_lib.run_scenario(story)
 
     def test_gathered_notices_are_bounded(self):
+        """Guards against control traffic that grows with the notices sent."""
+
         async def story(scene):
             program = scene.program
-            notice = work_notice.WorkNotice(0, 2_000, 0, [], 2_000, 0)
-            packet = work_notice.Packet(
-                work_notice.PacketAction.GATHER, [notice] * 18, []
-            )
-            for _ in range(100):
-                program.work._handle_packet(work_notice.encode_packet(packet))
-            # A burst may hold as many notices as half a second allows.
-            kept = len(program.work._local_work)
-            self.assertGreater(kept, 0)
-            max_kept = 0.5 * work_feed._MAX_GATHERED_PER_S
-            self.assertLessEqual(kept, max_kept + work_notice.MAX_WORK_NOTICES)
+            full = work_notice.WorkNotice(0, 2_000, 0, [("aa", 9)], 2_000, 0)
+            short = work_notice.WorkNotice(0, 500, 0, [], 0, 0, 1)
+            for notice, size in (
+                (full, work_feed._FULL_NOTICE_BYTES),
+                (short, work_feed._SHORT_NOTICE_BYTES),
+            ):
+                program.work._local_work.clear()
+                packet = work_notice.Packet(
+                    work_notice.PacketAction.GATHER, [notice] * 18, []
+                )
+                raw = work_notice.encode_packet(packet)
+                for _ in range(100):
+                    program.work._handle_packet(raw)
+                # A burst may hold as many notices as half a second allows.
+                kept_bytes = len(program.work._local_work) * size
+                self.assertGreater(kept_bytes, 0)
+                self.assertLessEqual(
+                    kept_bytes,
+                    0.5 * work_feed._MAX_GATHERED_BYTES_PER_S
+                    + work_notice.MAX_WORK_NOTICES * size,
+                )
+                await anyio.sleep(0.5)
 
         scene_lib.run_scenario(story)
 
     def test_gathered_notices_fit_the_control_bandwidth(self):
-        notice = work_notice.WorkNotice(
+        """Guards against notices larger than the gatherer counts for them."""
+        full = work_notice.WorkNotice(
             2**32 - 1,
             2_890,
             2**32 - 1,
             [("5c1e07a2", 2_520), ("91bd3f06", 3_780)],
             2_890,
             2**32 - 1,
+            1,
         )
-        actions = work_notice.PacketAction
-        packet_of_two = work_notice.encode_packet(
-            work_notice.Packet(actions.APPLY, [notice] * 2, [])
-        )
-        packet_of_one = work_notice.encode_packet(
-            work_notice.Packet(actions.APPLY, [notice], [])
-        )
-        notice_bytes = len(packet_of_two) - len(packet_of_one)
+        short = work_notice.WorkNotice(2**32 - 1, 826, 0, [], 0, 2**32 - 1, 1)
+        per_s = work_feed._MAX_GATHERED_BYTES_PER_S
+        full_per_s = per_s / work_feed._FULL_NOTICE_BYTES
+        self.assertLessEqual(full_per_s * measure_bytes(full), 15_000)
         self.assertLessEqual(
-            work_feed._MAX_GATHERED_PER_S * notice_bytes, 15_000
+            measure_bytes(short), work_feed._SHORT_NOTICE_BYTES
+        )
+
+
+class ShortPromptTest(unittest.TestCase):
+    """Tests the notices of 8 hosts on 12 long and 18 short prompts a second."""
+
+    def run_host(self, has_classes):
+        """Returns the notices sent directly and gathered during 120 s."""
+        site = mock.Mock(cluster_size=8, has_urgency_classes=has_classes)
+        source = feed_source.FeedSource("h1", "east")
+        for name in ("h1", "h2"):
+            source.put(feed_source.HostEntry(name, "east", "127.0.0.1:9"))
+        rng = random.Random(5)
+        direct, gathered = [], []
+        with mock.patch.object(work_feed.clock, "now", return_value=0.0) as now:
+            feed = work_feed.WorkFeed(site, source)
+            feed._notify_directly = direct.extend
+            feed._submit_work = lambda notice, _: gathered.append(notice)
+            while now.return_value < 120.0:
+                now.return_value += rng.expovariate(30 / 8)
+                tokens = 2_890 if rng.random() < 0.4 else 826
+                feed.notify_work(
+                    work_notice.WorkNotice(1, tokens, 7, [("aa", 9)], 9, 0, 1)
+                )
+        return direct, gathered
+
+    def test_short_prompts_do_not_delay_notices_of_long_ones(self):
+        """Guards against gathering for 5 s because of short prompts."""
+        direct, gathered = self.run_host(has_classes=True)
+        long_direct = sum(notice.tokens > 1_000 for notice in direct)
+        long_gathered = sum(notice.tokens > 1_000 for notice in gathered)
+        self.assertGreater(long_direct, 150)
+        self.assertLess(long_gathered, 0.05 * long_direct)
+        short_count = len(direct) + len(gathered) - long_direct - long_gathered
+        self.assertGreater(short_count, 200)
+
+    def test_short_prompts_are_announced_without_shared_parts(self):
+        """Guards against cached parts that receivers cannot know exactly."""
+        direct, gathered = self.run_host(has_classes=True)
+        for notice in direct + gathered:
+            is_short = notice.tokens < 1_000
+            self.assertEqual(notice.shared, [] if is_short else [("aa", 9)])
+            self.assertEqual(notice.own_tokens, 0 if is_short else 9)
+
+    def test_short_prompts_are_not_announced_without_urgency_classes(self):
+        """Guards against traffic where prompts do not differ in urgency."""
+        direct, gathered = self.run_host(has_classes=False)
+        self.assertTrue(all(n.tokens > 1_000 for n in direct + gathered))
+
+
+def measure_bytes(notice):
+    """Returns the bytes by which a notice lengthens a packet."""
+    action = work_notice.PacketAction.APPLY
+    one, two = (
+        work_notice.encode_packet(
+            work_notice.Packet(action, [notice] * count, [])
         )
+        for count in (1, 2)
+    )
+    return len(two) - len(one)
--- a/tests/protocol/test_work_notice.py
+++ b/tests/protocol/test_work_notice.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import cbor2
+
 from hillthread import errors
 from hillthread.protocol import work_notice
 
@@ -23,8 +25,24 @@
             raw = work_notice.encode_packet(packet)
             self.assertEqual(work_notice.decode_packet(raw), packet)
 
+    def test_default_urgency_is_not_sent(self):
+        """Guards against packets that an earlier release cannot decode.
+
+        Its work notices have six fields; packets from it have no seventh.
+        """
+        apply = work_notice.PacketAction.APPLY
+        raw = work_notice.encode_packet(work_notice.Packet(apply, [WORK], []))
+        self.assertEqual(len(cbor2.loads(raw)[1][0]), 6)
+        self.assertEqual(work_notice.decode_packet(raw).work[0].urgency, 9)
+
+    def test_urgency_round_trip(self):
+        work = [WORK._replace(urgency=urgency) for urgency in range(10)]
+        packet = work_notice.Packet(work_notice.PacketAction.APPLY, work, [])
+        raw = work_notice.encode_packet(packet)
+        self.assertEqual(work_notice.decode_packet(raw), packet)
+
     def test_max_work_notices_fit_into_a_packet(self):
-        work = [WORK] * work_notice.MAX_WORK_NOTICES
+        work = [WORK._replace(urgency=0)] * work_notice.MAX_WORK_NOTICES
         packet = work_notice.Packet(work_notice.PacketAction.APPLY, work, [])
         raw = work_notice.encode_packet(packet)
         self.assertLessEqual(len(raw), work_notice.MAX_PACKET_BYTES)
--- a/tests/state/routing/test_first_byte.py
+++ b/tests/state/routing/test_first_byte.py
@@ -31,3 +31,12 @@
         slow = estimate_prompt(fetch_rate=10_000.0)
         self.assertEqual(slow.prefill_tokens, 8_000)
         self.assertEqual(slow.fetch_s, 0.0)
+
+    def test_backlog_does_not_delay_the_first_byte(self):
+        """Guards against counting less urgent prompts as waiting time."""
+        needs = first_byte.PromptNeeds(0, 2_000, 0, 0.0)
+        expected = first_byte.estimate(
+            needs, 4_000.0, PREFILL_TOKENS_PER_S, 20_000.0, 0.02
+        )
+        self.assertAlmostEqual(expected.backlog_s, 0.5)
+        self.assertAlmostEqual(expected.total_s, 0.1 + 0.02 + 0.05)
--- a/tests/state/routing/test_load.py
+++ b/tests/state/routing/test_load.py
@@ -67,3 +67,52 @@
         self.load.add_peer_prefill(400.0, 0.0)
         self.assertEqual(self.load.queued_tokens(0.0), 500.0)
         self.assertEqual(self.load.queued_tokens(1.0), 100.0)
+
+
+class UrgencyTest(unittest.TestCase):
+    """Tests queues of an engine that computes 10,000 tokens a second."""
+
+    def setUp(self):
+        self.load = load.TargetLoad(10_000.0)
+
+    def test_less_urgent_prompts_are_not_waited_for(self):
+        """Guards against refusing urgent prompts because of other classes."""
+        self.load.start("a", load.LocalPrefill(0.0, 1_000.0, 1))
+        self.load.start("b", load.LocalPrefill(0.0, 5_000.0, 6))
+        self.load.add_peer_prefill(2_000.0, 0.0, 1)
+        self.load.add_peer_prefill(4_000.0, 0.0, 6)
+        self.assertEqual(self.load.queued_tokens(0.0, 0), 1_000.0)
+        self.assertEqual(self.load.queued_tokens(0.0, 1), 3_000.0)
+        self.assertEqual(self.load.queued_tokens(0.0, 6), 12_000.0)
+        self.assertEqual(self.load.backlog_tokens(0.0), 12_000.0)
+
+    def test_a_chunk_of_the_prompt_being_computed_is_waited_for(self):
+        """Guards against an engine that looks idle to urgent prompts."""
+        self.load.start("a", load.LocalPrefill(0.0, 5_000.0, 6))
+        self.assertEqual(self.load.queued_tokens(0.0, 0), 2_048.0)
+        self.assertEqual(self.load.queued_tokens(0.33, 0), 1_700.0)
+        self.load.finish("a")
+        self.load.add_peer_prefill(5_000.0, 1.0, 6)
+        self.assertEqual(self.load.queued_tokens(1.0, 0), 2_048.0)
+        self.assertAlmostEqual(self.load.queued_tokens(1.4, 0), 1_000.0)
+        self.assertEqual(self.load.queued_tokens(1.5, 0), 0.0)
+
+    def test_urgent_prompts_delay_the_queued_less_urgent_ones(self):
+        """Guards against prefills that expire before they are computed."""
+        self.load.add_peer_prefill(1_000.0, 0.0, 6)  # is being computed
+        self.load.add_peer_prefill(1_000.0, 0.0, 6)
+        self.load.add_peer_prefill(3_000.0, 0.0, 0)
+        self.load.start("a", load.LocalPrefill(0.0, 2_000.0, 0))
+        self.assertEqual(self.load.backlog_tokens(0.15), 4_600.0)
+        self.load.finish("a")
+        self.assertEqual(self.load.backlog_tokens(0.69), 1_000.0)
+        self.assertEqual(self.load.backlog_tokens(0.71), 0.0)
+
+    def test_most_urgent_prompt_is_computed_next(self):
+        """Guards against progress counted for the oldest prompt."""
+        self.load.start("a", load.LocalPrefill(0.0, 1_000.0, 6))
+        self.load.start("b", load.LocalPrefill(0.0, 4_000.0, 6))
+        self.load.start("c", load.LocalPrefill(0.0, 2_000.0, 0))
+        self.load.note_first_token("a", 0.1)
+        self.assertAlmostEqual(self.load.queued_tokens(0.2, 0), 1_000.0)
+        self.assertAlmostEqual(self.load.backlog_tokens(0.2), 5_000.0)
