Share samples of engine speeds between hosts

Cause: with 72 hosts, a host seldom uses the same engine twice within 10 s, so its own samples cannot tell slow engines from fast ones.

Ruled out: sharing all samples up to the limit of 60 a second. Also ruled out: awaiting an answer of the gatherer for speeds, since one of an earlier release cannot read them and would count as silent.

Measured: tests of protocol (folder), routing (folder), peers (folder), dispatcher, restarts and target beliefs pass; a sample reaches the other host once and is not counted twice by its sender.

Conclusion: hosts of a configuration with urgency classes share samples; in other deployments packets are unchanged. `hillthread-ctl targets` lists engines that take less than 0.8 or more than 1.25 times as long as their pool.

--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -66,7 +66,7 @@
         elif caller.path == feed.LIMITS_PATH:
             await self._answer_operator(answer, self.limits.statuses())
         elif caller.path == feed.TARGETS_PATH:
-            statuses = self.site.unavailable_targets(clock.now())
+            statuses = self.site.target_statuses(clock.now())
             await self._answer_operator(answer, statuses)
         else:
             await self._answer_host(caller, answer)
--- a/hillthread/coordination/gateway/peers/work_feed.py
+++ b/hillthread/coordination/gateway/peers/work_feed.py
@@ -21,6 +21,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Sequence
 import logging
@@ -39,6 +40,7 @@
 from hillthread.state.cluster import notice_route
 from hillthread.state.quotas import limits
 from hillthread.state.quotas import usage_exchange
+from hillthread.state.routing import engine_speed
 
 __all__ = ["WorkFeed", "resend"]
 
@@ -64,6 +66,10 @@
 # without any.
 _FULL_NOTICE_BYTES = 49
 _SHORT_NOTICE_BYTES = 22
+_SPEED_NOTICE_BYTES = 15
+# Speed notices remembered after sending, in order not to apply them again when
+# the gatherer returns them: those of some seconds.
+_MAX_SENT_SPEEDS = 64
 # Prompts with fewer tokens to compute take an engine less than 25 ms. They are
 # reported only where prompts differ in urgency, because there many short urgent
 # prompts together delay the long ones.
@@ -122,6 +128,15 @@
         self._gather_mode_until = float("-inf")
         self._local_work: list[work_notice.WorkNotice] = []
         self._remote_work: list[work_notice.WorkNotice] = []
+        self._speed_bucket = limits.TokenBucket(
+            engine_speed.MAX_SHARED_PER_S, now
+        )
+        self._own_speeds: list[work_notice.SpeedNotice] = []
+        self._local_speeds: list[work_notice.SpeedNotice] = []
+        self._remote_speeds: list[work_notice.SpeedNotice] = []
+        self._sent_speeds: collections.deque[work_notice.SpeedNotice] = (
+            collections.deque(maxlen=_MAX_SENT_SPEEDS)
+        )
         self._queued_weights: list[work_notice.WeightsNotice] = []
         self._queued_limits: list[work_notice.LimitNotice] = []
         self._queued_departures: list[work_notice.DepartureNotice] = []
@@ -169,6 +184,15 @@
             bucket.spend(1.0)
             self._notify_directly([notice])
 
+    def notify_speed(self, notice: work_notice.SpeedNotice) -> None:
+        """Notifies other hosts of the speed of an engine, by the gatherer."""
+        if self.has_no_peers():
+            return
+        if len(self._own_speeds) < work_notice.MAX_SPEED_NOTICES:
+            self._own_speeds.append(notice)
+            self._sent_speeds.append(notice)
+            self._forward_due.set()
+
     def notify_weights(self, notice: work_notice.WeightsNotice) -> None:
         """Applies a notice about an engine's weights and notifies other hosts.
 
@@ -374,6 +398,56 @@
         queue.extend(notices)
         self._forward_due.set()
 
+    def _queue_speeds(
+        self,
+        notices: Sequence[work_notice.SpeedNotice],
+        queue: list[work_notice.SpeedNotice],
+        now: float,
+    ) -> None:
+        """Queues speed notices; drops those above the maximum rate."""
+        for notice in notices:
+            if (
+                self._speed_bucket.wait_s(now) > 0.0
+                or self._gather_bucket.wait_s(now, _SPEED_NOTICE_BYTES) > 0.0
+            ):
+                return
+            self._speed_bucket.spend(1.0)
+            self._gather_bucket.spend(_SPEED_NOTICE_BYTES)
+            queue.append(notice)
+            self._forward_due.set()
+
+    def _forward_speeds(self, now: float) -> None:
+        """Sends this host's speed notices and those that it has gathered."""
+        submitted, self._own_speeds = self._own_speeds, []
+        entry = self.gatherer.pick(now) if submitted else None
+        actions = work_notice.PacketAction
+        if entry is not None and entry.name == self.source.name:
+            self._queue_speeds(submitted, self._local_speeds, now)
+        elif entry is not None:
+            # No answer is awaited: a gatherer of an earlier release cannot read
+            # the packet and would count as silent.
+            self._send_speeds(actions.GATHER, submitted, [entry])
+        own, self._local_speeds = self._local_speeds, []
+        others, self._remote_speeds = self._remote_speeds, []
+        self._send_speeds(
+            actions.DISTRIBUTE, own, self.gatherer.list_remote_gatherers()
+        )
+        self._send_speeds(
+            actions.APPLY, own + others, self.gatherer.list_neighbours()
+        )
+
+    def _send_speeds(
+        self,
+        action: work_notice.PacketAction,
+        notices: list[work_notice.SpeedNotice],
+        hosts: list[feed_source.HostEntry],
+    ) -> None:
+        """Sends speed notices in packets without any other notices."""
+        for page in work_notice.split_notices(
+            notices, work_notice.MAX_SPEED_NOTICES
+        ):
+            self._send(work_notice.Packet(action, [], [], speeds=page), hosts)
+
     async def _run_forwarding(self) -> None:
         """Forwards queued notices at a fixed interval, until cancelled."""
         while True:
@@ -399,6 +473,7 @@
             departure_notices, work_notice.MAX_DEPARTURE_NOTICES
         ):
             self._notify_directly(departures=page)
+        self._forward_speeds(clock.now())
         own, self._local_work = self._local_work, []
         others, self._remote_work = self._remote_work, []
         own_usage, others_usage = self._pop_usage_notices()
@@ -456,11 +531,13 @@
         match packet.action:
             case work_notice.PacketAction.GATHER:
                 self._queue_work(packet.work, self._local_work, now)
+                self._queue_speeds(packet.speeds, self._local_speeds, now)
                 self._gather_usage(packet, now)
             case work_notice.PacketAction.DISTRIBUTE:
                 if not self.gatherer.is_gatherer(now):
                     return  # the gatherer forwards the same notices
                 self._queue_work(packet.work, self._remote_work, now)
+                self._queue_speeds(packet.speeds, self._remote_speeds, now)
                 self._queue_remote_usage(packet)
             case work_notice.PacketAction.FORWARD:
                 self._send(
@@ -482,6 +559,11 @@
             self.apply_limit(limit)
         for departure in packet.departures:
             self.apply_departure(departure)
+        for speed in packet.speeds:
+            if speed in self._sent_speeds:
+                self._sent_speeds.remove(speed)
+            else:
+                self.site.apply_speed_notice(speed, now)
         if (
             self.usage is None
             or packet.action is work_notice.PacketAction.GATHER
--- a/hillthread/coordination/gateway/serving/learning.py
+++ b/hillthread/coordination/gateway/serving/learning.py
@@ -10,6 +10,7 @@
 from hillthread import errors
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.peers import work_feed
 from hillthread.coordination.gateway.serving import attempt as attempt_lib
 from hillthread.coordination.gateway.serving import chooser as chooser_lib
 from hillthread.coordination.gateway.serving import intake
@@ -43,6 +44,7 @@
         planned: The plan and the estimate of the attempt.
         state: State of the target when the attempt began.
         started: Seconds, when the attempt began.
+        work: Notifies other hosts of the speed of engines.
         is_recorded: Whether the first byte, or its absence, was recorded.
     """
 
@@ -53,12 +55,14 @@
         planned: chooser_lib.PlannedAttempt,
         state: target_state.TargetState,
         started: float,
+        work: work_feed.WorkFeed,
     ):
         self.outcome_recorder = outcome_recorder
         self.request = request
         self.planned = planned
         self.state = state
         self.started = started
+        self.work = work
         self.is_recorded = False
 
     def record(self) -> None:
@@ -111,7 +115,9 @@
         sample = engine_speed.SpeedSample(
             estimate.prefill_tokens, seconds - estimate.fetch_s
         )
-        site.add_speed_sample(name, sample, now)
+        notice = site.add_speed_sample(name, sample, now)
+        if notice is not None:
+            self.work.notify_speed(notice)
 
     def _mark_recorded(self, now: float, seconds: float | None) -> None:
         self.is_recorded = True
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -142,7 +142,12 @@
         state = self.site.state(name)
         incarnation = self.site.targets.key_of(name)
         first_byte = learning.FirstByteRecorder(
-            self.context.outcome_recorder, self.request, planned, state, now
+            self.context.outcome_recorder,
+            self.request,
+            planned,
+            state,
+            now,
+            self.context.work,
         )
         ongoing = _OngoingAttempt(
             planned,
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -25,22 +25,31 @@
 # The platform guarantees that entries of live targets are back within this time
 # after an outage.
 _ENTRY_RETURN_S = 2.0
+# Samples of other hosts that are this many times later or earlier than expected
+# are not plausible.
+_MAX_SPEED_RATIO = 16.0
+# Engines with a slowdown within this range count as average to operators: most
+# estimates are accurate to 15%.
+_AVERAGE_SLOWDOWNS = (0.8, 1.25)
 
 _logger = logging.getLogger("hillthread.site")
 
 
 class TargetStatus(NamedTuple):
-    """Why a listed target gets no new work, as shown to operators.
+    """State of a listed target that is not normal, as shown to operators.
 
     Attributes:
         target: Name of the target.
         is_leaving: It announced its departure.
         backoff_s: Seconds for which it still wants no request from this host.
+        slowdown: How many times longer than other engines of its pool it takes
+            for a prompt.
     """
 
     target: str
     is_leaving: bool
     backoff_s: float
+    slowdown: float = 1.0
 
 
 class TargetBeliefs:
@@ -167,6 +176,17 @@
             for name in sorted(names)
         ]
 
+    def target_statuses(self, now: float) -> list[TargetStatus]:
+        """Returns unavailable targets, and engines that are slow or fast."""
+        statuses = {each.target: each for each in self.unavailable_targets(now)}
+        low, high = _AVERAGE_SLOWDOWNS
+        for name in self.states.keys() & self.targets.entries.keys():
+            slowdown = self.states[name].speed.slowdown(now)
+            if name in statuses or not low <= slowdown <= high:
+                status = statuses.get(name, TargetStatus(name, False, 0.0))
+                statuses[name] = status._replace(slowdown=round(slowdown, 2))
+        return [statuses[name] for name in sorted(statuses)]
+
     def observe_weights(
         self, incarnation: str, model: str, version: int
     ) -> None:
@@ -244,15 +264,61 @@
 
     def add_speed_sample(
         self, name: str, sample: engine_speed.SpeedSample, now: float
+    ) -> work_notice.SpeedNotice | None:
+        """Learns from a prompt that this host sent to an idle engine.
+
+        Returns:
+            A notice for other hosts, if they benefit from the sample.
+        """
+        if not sample.is_plausible():
+            return None
+        pool = self.pool_speed(name)
+        speed = self.state(name).speed
+        expected_s = pool.expected_s(sample.prefill_tokens)
+        is_due = speed.is_sample_due(now, self._count_engines())
+        speed.add_sample(sample.seconds / expected_s, now)
+        pool.add_sample(sample, now)
+        if not is_due or not self.has_urgency_classes:
+            return None
+        return work_notice.SpeedNotice(
+            self.targets.key_of(name),
+            round(sample.prefill_tokens),
+            max(1, round(sample.seconds * 1000.0)),
+            max(1, round(expected_s * 1000.0)),
+        )
+
+    def apply_speed_notice(
+        self, notice: work_notice.SpeedNotice, now: float
     ) -> None:
-        """Learns from a prompt that this host sent to an idle engine."""
+        """Applies another host's sample of the speed of an engine."""
+        name = self.targets.name_of(notice.engine)
+        if name is None or not self.has_urgency_classes:
+            return
+        max_millis = engine_speed.MAX_FIRST_BYTE_S * 1000.0
+        if not 0 < notice.millis <= max_millis:
+            return
+        if not 0 < notice.pool_millis <= max_millis:
+            return
+        sample = engine_speed.SpeedSample(
+            notice.prefill_tokens, notice.millis / 1000.0
+        )
         if not sample.is_plausible():
             return
         pool = self.pool_speed(name)
-        ratio = sample.seconds / pool.expected_s(sample.prefill_tokens)
+        # A host that has just started does not know the pool yet.
+        expected_s = notice.pool_millis / 1000.0
+        if pool.is_learned:
+            expected_s = pool.expected_s(sample.prefill_tokens)
+        ratio = sample.seconds / expected_s
+        if not 1.0 / _MAX_SPEED_RATIO <= ratio <= _MAX_SPEED_RATIO:
+            return
         self.state(name).speed.add_sample(ratio, now)
         pool.add_sample(sample, now)
 
+    def _count_engines(self) -> int:
+        """Returns the number of listed targets that hold weights."""
+        return sum(bool(each.weights) for each in self.targets.entries.values())
+
     @property
     def has_urgency_classes(self) -> bool:
         """Whether prompts differ in urgency in the configuration in force."""
--- a/hillthread/programs/ctl.py
+++ b/hillthread/programs/ctl.py
@@ -178,7 +178,9 @@
             )
 
     def targets(self) -> None:
-        """Lists targets that leave or back off, as known to one host.
+        """Lists targets that leave, back off, or are slower or faster.
+
+        An engine's speed is compared with its pool's, as known to one host.
 
         Give --address of a gateway's feed_listen, which its log line `start`
         contains.
@@ -189,6 +191,9 @@
                 reasons.append("leaves")
             if each["backoff_s"]:
                 reasons.append(f"backs off for {each['backoff_s']:g} s more")
+            slowdown = each.get("slowdown", 1.0)
+            if slowdown != 1.0:
+                reasons.append(f"takes {slowdown:g} times as long as its pool")
             print(f"{each['target']} {', '.join(reasons)}")
 
     def explain(
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -27,10 +27,12 @@
     "MAX_DEPARTURE_NOTICES",
     "MAX_LIMIT_NOTICES",
     "MAX_PACKET_BYTES",
+    "MAX_SPEED_NOTICES",
     "MAX_SUSPECT_NOTICES",
     "MAX_WORK_NOTICES",
     "Packet",
     "PacketAction",
+    "SpeedNotice",
     "SuspectEvent",
     "SuspectNotice",
     "WeightsNotice",
@@ -55,6 +57,8 @@
 MAX_LIMIT_NOTICES = 80
 # Departure notices have 6 bytes each.
 MAX_DEPARTURE_NOTICES = 100
+# Speed notices have up to 15 bytes each, so that such packets stay short.
+MAX_SPEED_NOTICES = 40
 # Sizes used to estimate the size of a packet. A usage notice of one sender has
 # an overhead in addition to its totals.
 _WORK_NOTICE_BYTES = 77
@@ -160,6 +164,24 @@
     engine: int
 
 
+class SpeedNotice(NamedTuple):
+    """The time to the first byte of a prompt that found no queue.
+
+    Attributes:
+        engine: Checksum of the engine's incarnation.
+        prefill_tokens: Tokens that the engine computed.
+        millis: Time to the first byte without the transfer of cached parts, in
+            ms.
+        pool_millis: The same as the sender expects it of an average engine of
+            the pool.
+    """
+
+    engine: int
+    prefill_tokens: int
+    millis: int
+    pool_millis: int
+
+
 class Packet(NamedTuple):
     """The content of one datagram.
 
@@ -172,6 +194,8 @@
             a limit.
         limits: Targets that have stated or removed a limit.
         departures: Targets that have announced their departure.
+        speeds: Samples of the speed of engines. Earlier releases cannot decode
+            a packet that has some, so these are sent in packets of their own.
     """
 
     action: PacketAction
@@ -181,6 +205,7 @@
     usage: Sequence[usage_exchange.UsageNotice] = ()
     limits: Sequence[LimitNotice] = ()
     departures: Sequence[DepartureNotice] = ()
+    speeds: Sequence[SpeedNotice] = ()
 
 
 def checksum(name: str) -> int:
@@ -198,6 +223,7 @@
         packet.usage,
         packet.limits,
         packet.departures,
+        packet.speeds,
     ]
     # Earlier releases know fewer lists; they can decode a packet if the empty
     # lists at its end are left out.
--- a/hillthread/state/routing/engine_speed.py
+++ b/hillthread/state/routing/engine_speed.py
@@ -39,6 +39,8 @@
 _MIN_EXPECTED_S = 0.001
 # Later first bytes say nothing about the speed of an engine.
 MAX_FIRST_BYTE_S = 10.0
+# Longer prompts than this fit into no engine.
+_MAX_PREFILL_TOKENS = 10_000_000
 # Prompt lengths of the two assumed samples that hold the line at its initial
 # place until enough others are known: a short and a long prompt.
 _PRIOR_TOKENS = (500.0, 5_000.0)
@@ -114,8 +116,7 @@
     def is_plausible(self) -> bool:
         """Returns whether the sample can be used."""
         return (
-            math.isfinite(self.prefill_tokens)
-            and self.prefill_tokens >= 0.0
+            0.0 <= self.prefill_tokens <= _MAX_PREFILL_TOKENS
             and 0.0 < self.seconds <= MAX_FIRST_BYTE_S
         )
 
--- a/tests/coordination/gateway/peers/test_work_feed.py
+++ b/tests/coordination/gateway/peers/test_work_feed.py
@@ -12,6 +12,7 @@
 from hillthread.protocol import work_notice
 from hillthread.state.cluster import feed_source
 from hillthread.state.cluster import gatherer
+from hillthread.state.routing import engine_speed
 from tests.coordination.gateway import scene as scene_lib
 from tests.coordination.gateway.peers import test_feed
 
@@ -192,6 +193,53 @@
 
         scene_lib.run_scenario(story)
 
+    def test_hosts_share_speeds_and_count_own_ones_once(self):
+        """Guards against samples that the gatherer returns to their sender."""
+
+        async def story(scene):
+            other = await test_feed.second_host(scene)
+            await scene.until(
+                lambda: (
+                    "h2" in scene.program.source.hosts
+                    and "h1" in other.source.hosts
+                )
+            )
+            name = scene.engines[0].name
+            for host, seconds in ((scene.program, 0.1), (other, 0.08)):
+                sample = engine_speed.SpeedSample(2_000, seconds)
+                host.site.table.has_urgency_classes = True
+                notice = host.site.add_speed_sample(
+                    name, sample, anyio.current_time()
+                )
+                host.work.notify_speed(notice)
+            for host in (scene.program, other):
+                pool = host.site.pool_speed(name)
+                await scene.until(lambda pool=pool: pool.sample_count == 2)
+            await anyio.sleep(0.1)
+            for host in (scene.program, other):
+                self.assertEqual(host.site.pool_speed(name).sample_count, 2)
+
+        scene_lib.run_scenario(story)
+
+    def test_gathered_speeds_are_bounded(self):
+        """Guards against speeds that displace notices of work."""
+
+        async def story(scene):
+            work = scene.program.work
+            notice = work_notice.SpeedNotice(1, 2_000, 100, 90)
+            actions = work_notice.PacketAction
+            for action in (actions.GATHER, actions.DISTRIBUTE):
+                raw = work_notice.encode_packet(
+                    work_notice.Packet(action, [], [], speeds=[notice] * 40)
+                )
+                for _ in range(20):
+                    work._handle_packet(raw)
+            kept = len(work._local_speeds) + len(work._remote_speeds)
+            self.assertGreater(kept, 0)
+            self.assertLessEqual(kept, 0.5 * engine_speed.MAX_SHARED_PER_S + 1)
+
+        scene_lib.run_scenario(story)
+
     def test_gathered_notices_fit_the_control_bandwidth(self):
         """Guards against notices larger than the gatherer counts for them."""
         full = work_notice.WorkNotice(
--- a/tests/coordination/gateway/test_target_beliefs.py
+++ b/tests/coordination/gateway/test_target_beliefs.py
@@ -1,11 +1,13 @@
 """Tests of what a host knows of the speed of engines."""
 
 import unittest
+from unittest import mock
 
 import msgspec
 
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import target_beliefs
+from hillthread.protocol import work_notice
 from hillthread.state.routing import engine_speed
 
 ENGINES = ("e1", "e2", "e3")
@@ -79,3 +81,94 @@
         self.assertGreater(self.beliefs.state("e2").speed.slowdown(30.0), 1.2)
         self.beliefs.put_target("e2", encode_entry(1, born_ms=2))
         self.assertEqual(self.beliefs.state("e2").speed.slowdown(30.0), 1.0)
+
+    def test_operators_see_engines_that_differ(self):
+        self.add_samples({"e1": 1.0, "e2": 1.6, "e3": 1.0})
+        self.beliefs.mark_leaving("e1", "list")
+        statuses = {
+            each.target: each for each in self.beliefs.target_statuses(30.0)
+        }
+        self.assertEqual(statuses.keys(), {"e1", "e2"})
+        self.assertGreater(statuses["e2"].slowdown, 1.25)
+        self.assertFalse(statuses["e2"].is_leaving)
+
+
+class SpeedNoticeTest(unittest.TestCase):
+    def setUp(self):
+        self.sender = make_beliefs()
+        self.receiver = make_beliefs()
+        for beliefs in (self.sender, self.receiver):
+            beliefs.table = mock.Mock(has_urgency_classes=True)
+
+    def share(self, name, factor, count):
+        """Sends samples of an engine to the receiver; returns the notices."""
+        notices = []
+        for number in range(count):
+            tokens = (500.0, 5_000.0)[number % 2]
+            sample = engine_speed.SpeedSample(
+                tokens, factor * (0.03 + tokens / 80_000.0)
+            )
+            notice = self.sender.add_speed_sample(name, sample, float(number))
+            notices.append(notice)
+            self.receiver.apply_speed_notice(notice, number + 0.06)
+        return notices
+
+    def count_samples(self):
+        return self.receiver.pool_speed("e1").sample_count
+
+    def test_receiver_learns_pool_and_engine(self):
+        """Guards against hosts that learn only from their own prompts."""
+        self.share("e1", 1.0, 20)
+        self.share("e2", 1.8, 5)
+        self.assertGreater(self.receiver.state("e2").speed.slowdown(5.0), 1.3)
+        rate = self.receiver.pool_speed("e1").prefill_tokens_per_s
+        self.assertAlmostEqual(rate / 80_000.0, 1.0, delta=0.3)
+
+    def test_host_that_has_just_started_relies_on_the_sender(self):
+        """Guards against all engines judged by the initial speed."""
+        notice = work_notice.SpeedNotice(
+            self.sender.targets.key_of("e1"), 5_000, 60, 60
+        )
+        for number in range(4):
+            self.receiver.apply_speed_notice(notice, float(number))
+        slowdown = self.receiver.state("e1").speed.slowdown(4.0)
+        self.assertEqual(slowdown, 1.0)
+
+    def test_useless_notices_are_ignored(self):
+        """Guards against values from restarted engines or broken hosts."""
+        key = self.receiver.targets.key_of("e1")
+        good = work_notice.SpeedNotice(key, 5_000, 100, 90)
+        for bad in (
+            good._replace(engine=12345),
+            good._replace(millis=0),
+            good._replace(millis=10**400),
+            good._replace(millis=9_999),
+            good._replace(pool_millis=0),
+            good._replace(pool_millis=-10),
+            good._replace(prefill_tokens=-1),
+            good._replace(prefill_tokens=10**400),
+        ):
+            self.receiver.apply_speed_notice(bad, 0.0)
+        self.receiver.put_target("e1", encode_entry(0, born_ms=2))
+        self.receiver.apply_speed_notice(good, 0.0)
+        self.assertEqual(self.count_samples(), 0)
+
+    def test_speeds_are_not_shared_without_urgency_classes(self):
+        """Guards against packets that deployments do not need."""
+        (notice,) = self.share("e1", 1.0, 1)
+        self.assertIsNotNone(notice)
+        for beliefs in (self.sender, self.receiver):
+            beliefs.table = mock.Mock(has_urgency_classes=False)
+        self.receiver.apply_speed_notice(notice, 1.0)
+        self.assertEqual(self.count_samples(), 1)
+        sample = engine_speed.SpeedSample(500.0, 0.04)
+        self.assertIsNone(self.sender.add_speed_sample("e1", sample, 9.0))
+
+    def test_samples_of_one_moment_are_shared_once(self):
+        """Guards against a busy engine that uses up the shared rate."""
+        sample = engine_speed.SpeedSample(500.0, 0.03)
+        shared = [
+            self.sender.add_speed_sample("e1", sample, 1.0 + 0.01 * number)
+            for number in range(5)
+        ]
+        self.assertEqual(sum(each is not None for each in shared), 1)
--- a/tests/protocol/test_work_notice.py
+++ b/tests/protocol/test_work_notice.py
@@ -60,6 +60,31 @@
         decoded = work_notice.decode_packet(raw)
         self.assertEqual(decoded.departures, packet.departures)
 
+    def test_speed_notices_are_bounded_and_optional(self):
+        """Guards against packets without speeds that earlier releases reject.
+
+        Their packets have seven fields at most.
+        """
+        notice = work_notice.SpeedNotice(0xFFFF_FFFF, 39_600, 2_500, 600)
+        packet = work_notice.Packet(
+            work_notice.PacketAction.GATHER,
+            [],
+            [],
+            departures=[work_notice.DepartureNotice(1)],
+        )
+        raw = work_notice.encode_packet(packet)
+        self.assertEqual(len(cbor2.loads(raw)), 7)
+        packet = packet._replace(
+            speeds=[notice] * work_notice.MAX_SPEED_NOTICES
+        )
+        raw_speeds = work_notice.encode_packet(packet)
+        decoded = work_notice.decode_packet(raw_speeds)
+        self.assertEqual(decoded.speeds, packet.speeds)
+        added_bytes = len(raw_speeds) - len(raw)
+        self.assertLessEqual(
+            added_bytes, 15 * work_notice.MAX_SPEED_NOTICES + 2
+        )
+
     def test_malformed_packets_are_rejected(self):
         for raw in (
             b"",
