--- a/hillthread/coordination/gateway/peers/work_feed.py
+++ b/hillthread/coordination/gateway/peers/work_feed.py
@@ -21,6 +21,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Sequence
 import logging
@@ -39,6 +40,7 @@
 from hillthread.state.cluster import notice_route
 from hillthread.state.quotas import limits
 from hillthread.state.quotas import usage_exchange
+from hillthread.state.routing import engine_speed
 
 __all__ = ["WorkFeed", "resend"]
 
@@ -57,12 +59,24 @@
 _GATHER_MODE_S = 5.0
 # Interval at which gathered notices are forwarded: queues change within 50 ms.
 _FORWARD_INTERVAL_S = 0.03
-# Notices that a gatherer forwards in a second. A notice takes 49 bytes, and
-# control traffic may use 15 KB a second.
-_MAX_GATHERED_PER_S = 250.0
-# Prompts with fewer tokens to compute, which take an engine less than 25 ms,
-# hardly change its queue and are not reported.
+# Bytes of notices that a gatherer forwards in a second. Control traffic may use
+# 15 KB a second, of which the rest is for other packets.
+_MAX_GATHERED_BYTES_PER_S = 12_250.0
+# Bytes that a notice counts towards this limit, with two shared parts and
+# without any.
+_FULL_NOTICE_BYTES = 49
+_SHORT_NOTICE_BYTES = 22
+_SPEED_NOTICE_BYTES = 15
+# Speed notices remembered after sending, in order not to apply them again when
+# the gatherer returns them: those of some seconds.
+_MAX_SENT_SPEEDS = 64
+# Prompts with fewer tokens to compute take an engine less than 25 ms. They are
+# reported only where prompts differ in urgency, because there many short urgent
+# prompts together delay the long ones.
 _MIN_TOKENS = 1_000
+# Direct notices kept for long prompts, which change an engine's queue the most:
+# two in quick succession.
+_LONG_PROMPT_RESERVE = 2.0
 
 _logger = logging.getLogger("hillthread.work")
 
@@ -110,10 +124,19 @@
         self._direct_bucket = limits.TokenBucket(
             _MAX_DIRECT_PER_S / site.cluster_size, now
         )
-        self._gather_bucket = limits.TokenBucket(_MAX_GATHERED_PER_S, now)
+        self._gather_bucket = limits.TokenBucket(_MAX_GATHERED_BYTES_PER_S, now)
         self._gather_mode_until = float("-inf")
         self._local_work: list[work_notice.WorkNotice] = []
         self._remote_work: list[work_notice.WorkNotice] = []
+        self._speed_bucket = limits.TokenBucket(
+            engine_speed.MAX_SHARED_PER_S, now
+        )
+        self._own_speeds: list[work_notice.SpeedNotice] = []
+        self._local_speeds: list[work_notice.SpeedNotice] = []
+        self._remote_speeds: list[work_notice.SpeedNotice] = []
+        self._sent_speeds: collections.deque[work_notice.SpeedNotice] = (
+            collections.deque(maxlen=_MAX_SENT_SPEEDS)
+        )
         self._queued_weights: list[work_notice.WeightsNotice] = []
         self._queued_limits: list[work_notice.LimitNotice] = []
         self._queued_departures: list[work_notice.DepartureNotice] = []
@@ -125,16 +148,51 @@
         return len(self.source.hosts) < 2
 
     def notify_work(self, notice: work_notice.WorkNotice) -> None:
-        """Notifies other hosts of a prompt; short prompts are skipped."""
-        if notice.tokens < _MIN_TOKENS or self.has_no_peers():
+        """Notifies other hosts of a prompt.
+
+        Short prompts are skipped where prompts do not differ in urgency.
+        """
+        if self.has_no_peers():
             return
         now = clock.now()
         notice = notice._replace(origin=self._origin)
-        if now < self._gather_mode_until or not self._may_notify_directly(now):
+        if notice.tokens < _MIN_TOKENS:
+            if notice.tokens > 0 and self.site.has_urgency_classes:
+                self._notify_short_work(notice, now)
+        elif now < self._gather_mode_until or not self._may_notify_directly(
+            now
+        ):
+            self._submit_work(notice, now)
+        else:
+            self._notify_directly([notice])
+
+    def _notify_short_work(
+        self, notice: work_notice.WorkNotice, now: float
+    ) -> None:
+        """Notifies other hosts of a short prompt, without its shared parts.
+
+        If this host sends many notices, it goes through the gatherer; the
+        notices of long prompts are still sent directly.
+        """
+        notice = notice._replace(scope=0, shared=[], own_tokens=0)
+        self._update_direct_rate(now)
+        bucket = self._direct_bucket
+        is_scarce = bucket.balance < _LONG_PROMPT_RESERVE + 1.0
+        if now < self._gather_mode_until or is_scarce:
             self._submit_work(notice, now)
         else:
+            bucket.spend(1.0)
             self._notify_directly([notice])
 
+    def notify_speed(self, notice: work_notice.SpeedNotice) -> None:
+        """Notifies other hosts of the speed of an engine, by the gatherer."""
+        if self.has_no_peers():
+            return
+        if len(self._own_speeds) < work_notice.MAX_SPEED_NOTICES:
+            self._own_speeds.append(notice)
+            self._sent_speeds.append(notice)
+            self._forward_due.set()
+
     def notify_weights(self, notice: work_notice.WeightsNotice) -> None:
         """Applies a notice about an engine's weights and notifies other hosts.
 
@@ -247,13 +305,18 @@
         Returns false if the share is used up; notices are then gathered for a
         while.
         """
-        self._direct_bucket.rate = _MAX_DIRECT_PER_S / self.site.cluster_size
+        self._update_direct_rate(now)
         if self._direct_bucket.wait_s(now) > 0.0:
             self._gather_mode_until = now + _GATHER_MODE_S
             return False
         self._direct_bucket.spend(1.0)
         return True
 
+    def _update_direct_rate(self, now: float) -> None:
+        """Updates this host's share of the direct notices of all hosts."""
+        self._direct_bucket.rate = _MAX_DIRECT_PER_S / self.site.cluster_size
+        self._direct_bucket.refill(now)
+
     def _notify_directly(
         self,
         work: Sequence[work_notice.WorkNotice] = (),
@@ -325,12 +388,66 @@
         now: float,
     ) -> None:
         """Queues notices to be forwarded; drops them above the maximum rate."""
-        if self._gather_bucket.wait_s(now, len(notices)) > 0.0:
+        size = sum(
+            _FULL_NOTICE_BYTES if notice.shared else _SHORT_NOTICE_BYTES
+            for notice in notices
+        )
+        if self._gather_bucket.wait_s(now, size) > 0.0:
             return
-        self._gather_bucket.spend(len(notices))
+        self._gather_bucket.spend(size)
         queue.extend(notices)
         self._forward_due.set()
 
+    def _queue_speeds(
+        self,
+        notices: Sequence[work_notice.SpeedNotice],
+        queue: list[work_notice.SpeedNotice],
+        now: float,
+    ) -> None:
+        """Queues speed notices; drops those above the maximum rate."""
+        for notice in notices:
+            if (
+                self._speed_bucket.wait_s(now) > 0.0
+                or self._gather_bucket.wait_s(now, _SPEED_NOTICE_BYTES) > 0.0
+            ):
+                return
+            self._speed_bucket.spend(1.0)
+            self._gather_bucket.spend(_SPEED_NOTICE_BYTES)
+            queue.append(notice)
+            self._forward_due.set()
+
+    def _forward_speeds(self, now: float) -> None:
+        """Sends this host's speed notices and those that it has gathered."""
+        submitted, self._own_speeds = self._own_speeds, []
+        entry = self.gatherer.pick(now) if submitted else None
+        actions = work_notice.PacketAction
+        if entry is not None and entry.name == self.source.name:
+            self._queue_speeds(submitted, self._local_speeds, now)
+        elif entry is not None:
+            # No answer is awaited: a gatherer of an earlier release cannot read
+            # the packet and would count as silent.
+            self._send_speeds(actions.GATHER, submitted, [entry])
+        own, self._local_speeds = self._local_speeds, []
+        others, self._remote_speeds = self._remote_speeds, []
+        self._send_speeds(
+            actions.DISTRIBUTE, own, self.gatherer.list_remote_gatherers()
+        )
+        self._send_speeds(
+            actions.APPLY, own + others, self.gatherer.list_neighbours()
+        )
+
+    def _send_speeds(
+        self,
+        action: work_notice.PacketAction,
+        notices: list[work_notice.SpeedNotice],
+        hosts: list[feed_source.HostEntry],
+    ) -> None:
+        """Sends speed notices in packets without any other notices."""
+        for page in work_notice.split_notices(
+            notices, work_notice.MAX_SPEED_NOTICES
+        ):
+            self._send(work_notice.Packet(action, [], [], speeds=page), hosts)
+
     async def _run_forwarding(self) -> None:
         """Forwards queued notices at a fixed interval, until cancelled."""
         while True:
@@ -356,6 +473,7 @@
             departure_notices, work_notice.MAX_DEPARTURE_NOTICES
         ):
             self._notify_directly(departures=page)
+        self._forward_speeds(clock.now())
         own, self._local_work = self._local_work, []
         others, self._remote_work = self._remote_work, []
         own_usage, others_usage = self._pop_usage_notices()
@@ -413,11 +531,13 @@
         match packet.action:
             case work_notice.PacketAction.GATHER:
                 self._queue_work(packet.work, self._local_work, now)
+                self._queue_speeds(packet.speeds, self._local_speeds, now)
                 self._gather_usage(packet, now)
             case work_notice.PacketAction.DISTRIBUTE:
                 if not self.gatherer.is_gatherer(now):
                     return  # the gatherer forwards the same notices
                 self._queue_work(packet.work, self._remote_work, now)
+                self._queue_speeds(packet.speeds, self._remote_speeds, now)
                 self._queue_remote_usage(packet)
             case work_notice.PacketAction.FORWARD:
                 self._send(
@@ -439,6 +559,11 @@
             self.apply_limit(limit)
         for departure in packet.departures:
             self.apply_departure(departure)
+        for speed in packet.speeds:
+            if speed in self._sent_speeds:
+                self._sent_speeds.remove(speed)
+            else:
+                self.site.apply_speed_notice(speed, now)
         if (
             self.usage is None
             or packet.action is work_notice.PacketAction.GATHER
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -142,7 +142,12 @@
         state = self.site.state(name)
         incarnation = self.site.targets.key_of(name)
         first_byte = learning.FirstByteRecorder(
-            self.context.outcome_recorder, self.request, planned, state, now
+            self.context.outcome_recorder,
+            self.request,
+            planned,
+            state,
+            now,
+            self.context.work,
         )
         ongoing = _OngoingAttempt(
             planned,
@@ -192,6 +197,7 @@
             ongoing.first_byte.started,
             planned.attempt_id,
             planned.estimate.prefill_tokens,
+            self.site.effective_urgency(self.request.urgency),
         )
         self.context.quotas.charge(self.request)
         self.context.limits.charge(name)
@@ -280,6 +286,7 @@
             cache_source.shared_parts(self.request),
             parts[-1].tokens,
             0,
+            self.site.effective_urgency(self.request.urgency),
         )
         self.site.record_prompt(target, notice)
         self.context.work.notify_work(notice)
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -19,6 +19,7 @@
 
 from hillthread import errors
 from hillthread.state.quotas import usage_exchange
+from hillthread.state.scheduling import urgency as urgency_lib
 
 __all__ = [
     "DepartureNotice",
@@ -26,10 +27,12 @@
     "MAX_DEPARTURE_NOTICES",
     "MAX_LIMIT_NOTICES",
     "MAX_PACKET_BYTES",
+    "MAX_SPEED_NOTICES",
     "MAX_SUSPECT_NOTICES",
     "MAX_WORK_NOTICES",
     "Packet",
     "PacketAction",
+    "SpeedNotice",
     "SuspectEvent",
     "SuspectNotice",
     "WeightsNotice",
@@ -54,9 +57,11 @@
 MAX_LIMIT_NOTICES = 80
 # Departure notices have 6 bytes each.
 MAX_DEPARTURE_NOTICES = 100
+# Speed notices have up to 15 bytes each, so that such packets stay short.
+MAX_SPEED_NOTICES = 40
 # Sizes used to estimate the size of a packet. A usage notice of one sender has
 # an overhead in addition to its totals.
-_WORK_NOTICE_BYTES = 76
+_WORK_NOTICE_BYTES = 77
 _USAGE_TOTAL_BYTES = 24
 _USAGE_OVERHEAD_BYTES = 24
 # Every packet has the lists of work and weights, also when they are empty.
@@ -84,6 +89,7 @@
             order.
         own_tokens: Tokens of the part that only this request has.
         origin: Checksum of the sender's name.
+        urgency: Order in which engines compute prompts, 0 first, to 9.
     """
 
     engine: int
@@ -92,6 +98,7 @@
     shared: list[tuple[str, int]]
     own_tokens: int
     origin: int
+    urgency: int = urgency_lib.LEAST_URGENT
 
 
 class WeightsNotice(NamedTuple):
@@ -157,6 +164,24 @@
     engine: int
 
 
+class SpeedNotice(NamedTuple):
+    """The time to the first byte of a prompt that found no queue.
+
+    Attributes:
+        engine: Checksum of the engine's incarnation.
+        prefill_tokens: Tokens that the engine computed.
+        millis: Time to the first byte without the transfer of cached parts, in
+            ms.
+        pool_millis: The same as the sender expects it of an average engine of
+            the pool.
+    """
+
+    engine: int
+    prefill_tokens: int
+    millis: int
+    pool_millis: int
+
+
 class Packet(NamedTuple):
     """The content of one datagram.
 
@@ -169,6 +194,8 @@
             a limit.
         limits: Targets that have stated or removed a limit.
         departures: Targets that have announced their departure.
+        speeds: Samples of the speed of engines. Earlier releases cannot decode
+            a packet that has some, so these are sent in packets of their own.
     """
 
     action: PacketAction
@@ -178,6 +205,7 @@
     usage: Sequence[usage_exchange.UsageNotice] = ()
     limits: Sequence[LimitNotice] = ()
     departures: Sequence[DepartureNotice] = ()
+    speeds: Sequence[SpeedNotice] = ()
 
 
 def checksum(name: str) -> int:
@@ -189,12 +217,13 @@
     """Returns a packet as CBOR."""
     fields: list[Any] = [str(packet.action)]
     notice_lists: list[Sequence[Any]] = [
-        packet.work,
+        [_strip_default_urgency(notice) for notice in packet.work],
         packet.weights,
         packet.suspects,
         packet.usage,
         packet.limits,
         packet.departures,
+        packet.speeds,
     ]
     # Earlier releases know fewer lists; they can decode a packet if the empty
     # lists at its end are left out.
@@ -204,6 +233,18 @@
     return cbor2.dumps(fields)
 
 
+def _strip_default_urgency(notice: WorkNotice) -> tuple[Any, ...]:
+    """Returns the fields of a notice that are sent.
+
+    Earlier releases can decode a notice only without its urgency. It is left
+    out where it is the default, as it is where prompts do not differ in
+    urgency.
+    """
+    if notice.urgency == urgency_lib.LEAST_URGENT:
+        return notice[:-1]
+    return notice
+
+
 def has_room(packet: Packet, notice: usage_exchange.UsageNotice) -> bool:
     """Returns whether a packet of work and usage has room for a notice."""
     used = _PACKET_OVERHEAD_BYTES + len(packet.work) * _WORK_NOTICE_BYTES
--- a/hillthread/state/targets/target_state.py
+++ b/hillthread/state/targets/target_state.py
@@ -4,8 +4,10 @@
 
 import collections
 
+from hillthread.state.routing import engine_speed
 from hillthread.state.routing import load
 from hillthread.state.routing import warm_prefixes
+from hillthread.state.scheduling import urgency as urgency_lib
 from hillthread.state.targets import health
 
 __all__ = ["TargetState"]
@@ -24,9 +26,6 @@
 _EJECT_S = 1.0
 # Weight of a new answer in the moving average of the time to first byte.
 _LATENCY_WEIGHT = 0.2
-# Tokens that an engine is assumed to prefill per second until its speed is
-# known. Engines of three deployments prefill 40 to 57 tokens per ms.
-_INITIAL_TOKENS_PER_S = 50_000.0
 # A load takes 0.6 to 0.9 s, and longer while many engines load. A host that
 # gets no notice of its end assumes that it ends after this time, which includes
 # the time from the notice to the order: 0.06 to 0.3 s.
@@ -44,6 +43,7 @@
         open_attempts: Number of this host's unfinished attempts.
         load: Prompts that the target has still to read, those of other hosts
             included.
+        speed: Speed relative to other engines of its pool.
         warm: Prompt prefixes that the target keeps cached.
         refused_until: Until when the target is spared after a refusal, seconds.
         loading_until: Until when the target loads weights and starts no
@@ -57,7 +57,8 @@
     def __init__(self):
         self.breaker = health.CircuitBreaker(_EJECT_AFTER, _EJECT_S)
         self.open_attempts = 0
-        self.load = load.TargetLoad(_INITIAL_TOKENS_PER_S)
+        self.load = load.TargetLoad(engine_speed.INITIAL_TOKENS_PER_S)
+        self.speed = engine_speed.EngineSpeed()
         self.warm = warm_prefixes.WarmPrefixes()
         self.refused_until = float("-inf")
         self.loading_until = float("-inf")
@@ -75,12 +76,18 @@
         return self.breaker.state(now) is not health.BreakerState.OPEN
 
     def begin_attempt(
-        self, now: float, attempt: str, prefill_tokens: int
+        self,
+        now: float,
+        attempt: str,
+        prefill_tokens: int,
+        urgency: int = urgency_lib.LEAST_URGENT,
     ) -> None:
         """Records an attempt that is about to be sent."""
         self.breaker.admit(now)
         self.open_attempts += 1
-        self.load.start(attempt, load.LocalPrefill(now, prefill_tokens))
+        self.load.start(
+            attempt, load.LocalPrefill(now, prefill_tokens, urgency)
+        )
 
     def record_first_byte(
         self, now: float, attempt: str, seconds: float | None
