Schedule prompts where the configuration has urgency classes

Cause: the decision to send, defer or refuse was not used. Prompts behind a queue longer than their aim were refused.

A prompt that would be late is planned a second time with urgency 9, so that it goes to the engine with the least cost by its whole backlog; its priority on the wire and its work notice say 9 as well. A retry of what may have run and a resumed stream keep their urgency. Without urgency classes the present rule stays, with its tests. Retries of refused callers are staggered by urgency. The log line `scheduled`, its words in `explain` and the metric `scheduled_total` tell the decisions; lines of deferred prompts are sampled like other lines, as writing all of them costs most when the host has least time.

Ruled out (trial, simulation): a limit that falls gradually with an organisation's use, instead of one step at twice the fair share.

Measured: tests of coordination/gateway (253), state/scheduling (24), state/quotas (76), state/routing (48) and protocol (31) pass. No measurement with real load yet.

Limits: the load of more urgent prompts and the use of organisations are estimated from this host's own prompts. A caller that was refused on another host is not recognised, so that its aim counts from its retry there.

--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -25,6 +25,11 @@
         self.choices = self.counter(
             "choices", "Targets chosen, by reason.", ["reason"]
         )
+        self.scheduled = self.counter(
+            "scheduled",
+            "Prompts by decision and by their urgency before it.",
+            ["decision", "urgency"],
+        )
         self.retries = self.counter(
             "retries", "Attempts after the first, by reason.", ["reason"]
         )
--- a/hillthread/coordination/gateway/serving/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -13,6 +13,7 @@
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import limit_keeper
 from hillthread.coordination.gateway.serving import pool_view
+from hillthread.coordination.gateway.serving import prompt_scheduler
 from hillthread.state.config import objects
 from hillthread.state.routing import attempt_plan
 from hillthread.state.routing import first_byte
@@ -89,6 +90,7 @@
         metrics: The gateway's metrics.
         cache_planner: Adds to a plan where cached prefixes are fetched from and
             saved to.
+        scheduler: Decides whether prompts are sent, deferred or refused.
         suspect_attempts: Number of this host's unfinished attempts of requests
             suspected of crashing targets, by target; only numbers above 0 are
             kept.
@@ -105,6 +107,7 @@
         self.limits = limits
         self.metrics = site.metrics
         self.cache_planner = cache_source.CachePlanner(site, pool)
+        self.scheduler = prompt_scheduler.PromptScheduler(site)
         self.suspect_attempts: collections.Counter[str] = collections.Counter()
 
     def plan(
--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -100,7 +100,7 @@
             self._note_answered(request, answer)
         except errors.RefusalError as refusal:
             outcome, code = "refused", refusal.code
-            priority = job.request.priority if job else 0
+            priority = self._retry_class(job.request) if job else 0.0
             await self._refuse(refusal, answer, log, priority)
         except http1_server.BrokenAnswerError:
             outcome = "broken"
@@ -161,12 +161,18 @@
             "answered", seconds=round(seconds, 4), status=answer.status
         )
 
+    def _retry_class(self, request: intake.GatewayRequest) -> float:
+        """Returns the class by which the retries of callers are staggered."""
+        if self.site.has_urgency_classes:
+            return return_time.class_of_urgency(request.urgency)
+        return request.priority
+
     async def _refuse(
         self,
         refusal: errors.RefusalError,
         answer: http1_server.CallerAnswer,
         log: story_lib.RequestLog,
-        priority: int = 0,
+        priority: float = 0.0,
     ) -> None:
         retry_delay_s = _choose_retry_after_s(refusal, priority)
         log.warn(
@@ -208,7 +214,7 @@
 
 
 def _choose_retry_after_s(
-    refusal: errors.RefusalError, priority: int
+    refusal: errors.RefusalError, priority: float
 ) -> float | None:
     """Returns when the caller should retry; None if a retry cannot help."""
     min_delay_s = refusal.retry_after_s
--- a/hillthread/coordination/gateway/serving/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -63,6 +63,8 @@
         deadline: Clock time, in seconds, until which the caller waits.
         last_event_id: ID of the last event that the caller received, or None.
         log: The log lines of the request.
+        is_deferred: Whether engines serve it after all prompts that can still
+            be in time.
     """
 
     caller: http1_server.CallerRequest
@@ -73,6 +75,7 @@
     deadline: float
     last_event_id: int | None
     log: story_lib.RequestLog
+    is_deferred: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -99,6 +102,8 @@
     @property
     def urgency(self) -> int:
         """Order in which engines serve it: 0, the most urgent, to 9."""
+        if self.is_deferred:
+            return urgency.LEAST_URGENT
         return urgency.compute_urgency(self.priority, self.route.priority)
 
     @functools.cached_property
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -10,9 +10,11 @@
 from hillthread.coordination.gateway.serving import event_relay
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
+from hillthread.coordination.gateway.serving import prompt_scheduler
 from hillthread.coordination.gateway.serving import sender as sender_lib
 from hillthread.platform import attempts
 from hillthread.state.quotas import aim_admission
+from hillthread.state.scheduling import scheduler
 from hillthread.state.targets import quarantine
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
@@ -119,20 +121,61 @@
             self.is_suspect_trial = (
                 quarantine_status.ends >= quarantine.HOLD_MIN_CRASHES
             )
-            planned = self.context.chooser.plan(
-                request,
-                frozenset(self.tried_targets),
-                self.relay.last_event_id,
-                chooser_lib.AntiAffinity.for_status(quarantine_status),
+            anti_affinity = chooser_lib.AntiAffinity.for_status(
+                quarantine_status
             )
-            if not self.possible_runs:
-                self._check_first_byte_aim(planned)
-            return planned
+            if self.possible_runs:
+                return self._choose(anti_affinity)
+            return self._schedule(anti_affinity)
         except errors.RefusalError as refusal:
             if self.last_answer is not None:
                 return None
             raise self._refusal_with_run_state(refusal) from refusal
 
+    def _choose(
+        self, anti_affinity: chooser_lib.AntiAffinity
+    ) -> chooser_lib.PlannedAttempt:
+        return self.context.chooser.plan(
+            self.request,
+            frozenset(self.tried_targets),
+            self.relay.last_event_id,
+            anti_affinity,
+        )
+
+    def _schedule(
+        self, anti_affinity: chooser_lib.AntiAffinity
+    ) -> chooser_lib.PlannedAttempt:
+        """Plans an attempt of a request that has not run.
+
+        A prompt that would miss its aim on the engine that serves it first is
+        deferred, to the engine with the shortest backlog.
+
+        Raises:
+            RefusalError: No target is available, or it would wait for too long.
+        """
+        request = self.request
+        request.is_deferred = False
+        planned = self._choose(anti_affinity)
+        prompts = self.context.chooser.scheduler
+        if not prompts.applies_to(request):
+            self._check_first_byte_aim(planned)
+            return planned
+        decision = prompts.decide(request, planned.pool, planned.estimate)
+        if isinstance(decision, scheduler.Send):
+            return planned
+        request.is_deferred = True
+        deferred = self._choose(anti_affinity)
+        request.is_deferred = False
+        match prompts.decide_deferral(
+            request, planned.pool, planned.estimate, deferred.estimate
+        ):
+            case scheduler.Refuse() as refuse:
+                raise prompt_scheduler.make_refusal(
+                    refuse, request.route.first_byte_aim_s
+                )
+        request.is_deferred = True
+        return deferred
+
     def _check_first_byte_aim(
         self, planned: chooser_lib.PlannedAttempt
     ) -> None:
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -201,6 +201,8 @@
                 f"{fields.get('store_age_s')} s old; of "
                 f"{'; '.join(fields.get('candidates', []))}"
             )
+        case "scheduled":
+            return _describe_schedule(fields)
         case "attempt":
             return _describe_attempt(fields)
         case "retry" | "no_retry":
@@ -225,6 +227,22 @@
     return _describe_fields(line)
 
 
+def _describe_schedule(fields: dict[str, Any]) -> str:
+    done = {
+        "defer": "sent after all prompts that can be in time",
+        "refuse": "not sent, as its caller would leave before it begins",
+    }.get(fields.get("decision"), fields.get("decision"))
+    above = ""
+    if fields.get("above_share"):
+        above = "; its tenant was above its fair share"
+    return (
+        f"{done}: prompts of its urgency {fields.get('urgency')} and more "
+        f"urgent ones take {fields.get('queue_s')} s, all queued ones "
+        f"{fields.get('backlog_s')} s; its aim is {fields.get('aim_s')} s, its "
+        f"caller waits {fields.get('patience_s')} s{above}"
+    )
+
+
 def _describe_attempt(fields: dict[str, Any]) -> str:
     details = [
         f"attempt on {fields.get('target')} ended {fields.get('outcome')}"
--- a/hillthread/state/quotas/return_time.py
+++ b/hillthread/state/quotas/return_time.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
-__all__ = ["staggered_retry_after_s"]
+from hillthread.state.scheduling import urgency as urgency_lib
+
+__all__ = ["class_of_urgency", "staggered_retry_after_s"]
 
 # Length of the interval of one class, as a share of the minimum wait. With
 # three classes the last callers retry after 1.75 times the minimum.
@@ -16,8 +18,17 @@
 _MAX_CLASS = 3
 
 
+def class_of_urgency(urgency: int) -> float:
+    """Returns the class of prompts by which their retries are staggered.
+
+    The intervals of adjacent urgencies overlap, so that all ten fit into the
+    time of the classes.
+    """
+    return _MAX_CLASS * urgency / urgency_lib.LEAST_URGENT
+
+
 def staggered_retry_after_s(
-    min_wait_s: float, priority: int, fraction: float
+    min_wait_s: float, priority: float, fraction: float
 ) -> float:
     """Returns the seconds after which a refused caller should retry.
 
@@ -26,5 +37,5 @@
         priority: Priority class of the request; 0 is the most urgent.
         fraction: Random number of the caller, from 0 up to 1.
     """
-    class_index = min(max(0, priority), _MAX_CLASS)
+    class_index = min(max(0.0, priority), _MAX_CLASS)
     return min_wait_s * (1.0 + _CLASS_INTERVAL_SHARE * (class_index + fraction))
--- a/tests/protocol/test_log_story.py
+++ b/tests/protocol/test_log_story.py
@@ -104,6 +104,33 @@
         self.assertEqual(found, ["r2"])
 
 
+class ScheduledPromptTest(unittest.TestCase):
+    def test_history_tells_why_a_prompt_was_late_or_refused(self):
+        # Guards against a late answer for which the log gives no reason.
+        fields = {
+            "urgency": 4,
+            "queue_s": 0.8,
+            "backlog_s": 0.9,
+            "aim_s": 0.5,
+            "patience_s": 2.0,
+            "above_share": True,
+        }
+        for decision, words in (
+            ("defer", "sent after all prompts that can be in time"),
+            ("refuse", "not sent, as its caller would leave"),
+        ):
+            lines = [
+                line(1.0, "scheduled", request=ID, decision=decision, **fields)
+            ]
+            parsed = log_story.parse_lines("h1", lines)
+            output = log_story.format_history(
+                log_story.find_history(ID, parsed)
+            )
+            self.assertIn(words, output)
+            self.assertIn("its aim is 0.5 s, its caller waits 2.0 s", output)
+            self.assertIn("its tenant was above its fair share", output)
+
+
 class QuarantinedRequestTest(unittest.TestCase):
     def test_history_of_held_request_names_crashed_targets(self):
         lines = [
--- a/tests/state/quotas/test_return_time.py
+++ b/tests/state/quotas/test_return_time.py
@@ -13,6 +13,23 @@
             self.assertGreaterEqual(first_s, last_s)
             last_s = return_time.staggered_retry_after_s(0.4, priority, 0.999)
 
+    def test_more_urgent_prompts_retry_first(self):
+        # Guards against background prompts that take the capacity which the
+        # refused interactive ones were told to wait for.
+        classes = [return_time.class_of_urgency(n) for n in range(10)]
+        times = [
+            return_time.staggered_retry_after_s(0.4, each, 0.5)
+            for each in classes
+        ]
+        self.assertEqual(times, sorted(set(times)))
+        self.assertLess(times[-1], 0.8)
+        # Routes of equal tenants have intervals of their own.
+        for one, other in ((0, 4), (4, 8)):
+            self.assertLess(
+                return_time.staggered_retry_after_s(0.4, classes[one], 0.999),
+                return_time.staggered_retry_after_s(0.4, classes[other], 0.0),
+            )
+
     def test_callers_of_one_class_retry_at_different_times(self):
         times = {
             return_time.staggered_retry_after_s(0.4, 1, n / 8) for n in range(8)
