--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -12,6 +12,7 @@
 from hillthread.platform import targets as targets_lib
 from hillthread.protocol import work_notice
 from hillthread.state.config import routing_table
+from hillthread.state.routing import engine_speed
 from hillthread.state.scheduling import urgency as urgency_lib
 from hillthread.state.targets import backoffs
 from hillthread.state.targets import health
@@ -24,22 +25,31 @@
 # The platform guarantees that entries of live targets are back within this time
 # after an outage.
 _ENTRY_RETURN_S = 2.0
+# Samples of other hosts that are this many times later or earlier than expected
+# are not plausible.
+_MAX_SPEED_RATIO = 16.0
+# Engines with a slowdown within this range count as average to operators: most
+# estimates are accurate to 15%.
+_AVERAGE_SLOWDOWNS = (0.8, 1.25)
 
 _logger = logging.getLogger("hillthread.site")
 
 
 class TargetStatus(NamedTuple):
-    """Why a listed target gets no new work, as shown to operators.
+    """State of a listed target that is not normal, as shown to operators.
 
     Attributes:
         target: Name of the target.
         is_leaving: It announced its departure.
         backoff_s: Seconds for which it still wants no request from this host.
+        slowdown: How many times longer than other engines of its pool it takes
+            for a prompt.
     """
 
     target: str
     is_leaving: bool
     backoff_s: float
+    slowdown: float = 1.0
 
 
 class TargetBeliefs:
@@ -51,6 +61,7 @@
         targets: The listed targets.
         states: What this host's own attempts found and other hosts' notices
             reported, by target.
+        pool_speeds: Speed of the engines of each pool, by the pool's name.
         backoffs: Targets that shed load and request a pause.
         weights: Versions of weights: announced, and held by targets.
         last_load_notice_at: Seconds, when this host or another last sent a
@@ -69,6 +80,7 @@
         self.table: routing_table.RoutingTable | None = None
         self.targets = target_list.TargetList(_ENTRY_RETURN_S)
         self.states: dict[str, target_state.TargetState] = {}
+        self.pool_speeds: dict[str, engine_speed.PoolSpeed] = {}
         self.backoffs = backoffs.Backoffs()
         self.weights = weights.WeightsTracker()
         self.last_load_notice_at = float("-inf")
@@ -164,6 +176,17 @@
             for name in sorted(names)
         ]
 
+    def target_statuses(self, now: float) -> list[TargetStatus]:
+        """Returns unavailable targets, and engines that are slow or fast."""
+        statuses = {each.target: each for each in self.unavailable_targets(now)}
+        low, high = _AVERAGE_SLOWDOWNS
+        for name in self.states.keys() & self.targets.entries.keys():
+            slowdown = self.states[name].speed.slowdown(now)
+            if name in statuses or not low <= slowdown <= high:
+                status = statuses.get(name, TargetStatus(name, False, 0.0))
+                statuses[name] = status._replace(slowdown=round(slowdown, 2))
+        return [statuses[name] for name in sorted(statuses)]
+
     def observe_weights(
         self, incarnation: str, model: str, version: int
     ) -> None:
@@ -213,11 +236,89 @@
         name = self.targets.name_of(notice.engine)
         if name is None:
             return  # not listed yet, removed, or of an earlier start
+        self.refresh_speed(name, now)
         urgency = min(max(0, notice.urgency), urgency_lib.LEAST_URGENT)
         self.state(name).load.add_peer_prefill(notice.tokens, now, urgency)
         if notice.shared or notice.own_tokens:
             self.record_prompt(name, notice)
 
+    def pool_speed(self, name: str) -> engine_speed.PoolSpeed:
+        """Returns the speed of the pool that a target belongs to."""
+        pool = self._get_service(name)
+        found = self.pool_speeds.get(pool)
+        if found is None:
+            found = self.pool_speeds[pool] = engine_speed.PoolSpeed()
+        return found
+
+    def refresh_speed(self, name: str, now: float) -> float:
+        """Updates an engine's prefill rate and returns its base time.
+
+        The rate and the base time are those of the pool, changed by the
+        engine's slowdown.
+        """
+        state = self.state(name)
+        pool = self.pool_speed(name)
+        slowdown = state.speed.slowdown(now)
+        state.load.prefill_tokens_per_s = pool.prefill_tokens_per_s / slowdown
+        return pool.base_s * slowdown
+
+    def add_speed_sample(
+        self, name: str, sample: engine_speed.SpeedSample, now: float
+    ) -> work_notice.SpeedNotice | None:
+        """Learns from a prompt that this host sent to an idle engine.
+
+        Returns:
+            A notice for other hosts, if they benefit from the sample.
+        """
+        if not sample.is_plausible():
+            return None
+        pool = self.pool_speed(name)
+        speed = self.state(name).speed
+        expected_s = pool.expected_s(sample.prefill_tokens)
+        is_due = speed.is_sample_due(now, self._count_engines())
+        speed.add_sample(sample.seconds / expected_s, now)
+        pool.add_sample(sample, now)
+        if not is_due or not self.has_urgency_classes:
+            return None
+        return work_notice.SpeedNotice(
+            self.targets.key_of(name),
+            round(sample.prefill_tokens),
+            max(1, round(sample.seconds * 1000.0)),
+            max(1, round(expected_s * 1000.0)),
+        )
+
+    def apply_speed_notice(
+        self, notice: work_notice.SpeedNotice, now: float
+    ) -> None:
+        """Applies another host's sample of the speed of an engine."""
+        name = self.targets.name_of(notice.engine)
+        if name is None or not self.has_urgency_classes:
+            return
+        max_millis = engine_speed.MAX_FIRST_BYTE_S * 1000.0
+        if not 0 < notice.millis <= max_millis:
+            return
+        if not 0 < notice.pool_millis <= max_millis:
+            return
+        sample = engine_speed.SpeedSample(
+            notice.prefill_tokens, notice.millis / 1000.0
+        )
+        if not sample.is_plausible():
+            return
+        pool = self.pool_speed(name)
+        # A host that has just started does not know the pool yet.
+        expected_s = notice.pool_millis / 1000.0
+        if pool.is_learned:
+            expected_s = pool.expected_s(sample.prefill_tokens)
+        ratio = sample.seconds / expected_s
+        if not 1.0 / _MAX_SPEED_RATIO <= ratio <= _MAX_SPEED_RATIO:
+            return
+        self.state(name).speed.add_sample(ratio, now)
+        pool.add_sample(sample, now)
+
+    def _count_engines(self) -> int:
+        """Returns the number of listed targets that hold weights."""
+        return sum(bool(each.weights) for each in self.targets.entries.values())
+
     @property
     def has_urgency_classes(self) -> bool:
         """Whether prompts differ in urgency in the configuration in force."""
@@ -255,13 +356,18 @@
 
     def _get_cache_tokens(self, target: str) -> int:
         """Returns how many tokens an engine can cache; 0 when not known."""
-        entry = self.targets.entries.get(target)
-        if self.table is None or entry is None:
+        if self.table is None or target not in self.targets.entries:
             return 0
-        service = entry.target.labels.get(configuration_lib.SERVICE_LABEL, "")
-        pool = self.table.pool(service)
+        pool = self.table.pool(self._get_service(target))
         return pool.cache_tokens if pool else 0
 
+    def _get_service(self, target: str) -> str:
+        """Returns the pool of a target; empty if it is not listed."""
+        entry = self.targets.entries.get(target)
+        if entry is None:
+            return ""
+        return entry.target.labels.get(configuration_lib.SERVICE_LABEL, "")
+
     def weights_status(self, now: float) -> dict[str, object]:
         """Returns announced and outdated weights, for a log line."""
         lags = self.weights.lags(now)
