Correct two figures in comments of the scheduler

Cause: the chance of an organisation to exceed twice its rate was understated (8%, computed for a Poisson process of rate 1), and the range of the longest tenth left out the run at 1.5 times the load (0.61).

--- a/hillthread/state/scheduling/recent_use.py
+++ b/hillthread/state/scheduling/recent_use.py
@@ -21,8 +21,8 @@
 # it, most organisations with one prompt in 5 s on this host appear.
 _ACTIVE_S = 10.0
 # Use above this multiple of the equal share counts as above the fair share. At
-# one prompt in 5 s, 2 in 100 organisations exceed twice their rate by chance; 1
-# in 4 exceeds the rate itself.
+# one prompt in 5 s, 8% of organisations with equal rates exceed twice their
+# rate by chance, and 26% the rate itself.
 _MAX_SHARE_FACTOR = 2.0
 # Bounds the memory: about twice the largest number of organisations.
 _MAX_ENTRIES = 4_400
--- a/hillthread/state/scheduling/scheduler.py
+++ b/hillthread/state/scheduling/scheduler.py
@@ -35,7 +35,7 @@
 # A prompt is sent if it begins within this share of its aim; the rest is for
 # its own prefill and for estimates that are too low. The share does not depend
 # on the length of the prompt: if it did, shorter prompts would keep the queue
-# too long for the longest tenth, which was served 0.2 to 0.4 times as often as
+# too long for the longest tenth, which was served 0.2 to 0.6 times as often as
 # the mean in simulation. At 1.5 times the load that engines can handle, 0.75
 # served half of the long prompts in time, 1.0 a quarter.
 _START_SHARE = 0.75
