Let answers continue while their callers read slowly

Cause: `CallerAnswer.begin` and `send` returned only when the kernel had accepted every byte, so that a caller that stopped reading stopped the reading from its target, which then truncates the answer.

With a budget, a part of an answer is written at once, and the transport buffers what the kernel does not accept. `BufferBudget` counts these bytes and decides which answers may buffer more, which ones wait, and which caller is disconnected. `end` and `send_whole` still wait for the kernel; an end that has no bytes of its own waits too. Without a budget (other servers) nothing changes. A caller that reads costs no further task or system call: the budget only learns of connections whose writes the kernel refused.

Ruled out: disconnecting by unread bytes alone.

A connection that closes with buffered bytes is reset; a clean end would complete an answer that has no length.

--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -249,8 +249,12 @@
         answer = self.relay.answer
         headers = attempts.filter_relayed_headers(head)
         await answer.begin(head.status, headers, data)
+        del data
+        await answer.wait_for_room()
         while part := await connection.read_part():
             await answer.send(part)
+            del part
+            await answer.wait_for_room()
         await answer.end()
 
     def _note_received(self) -> None:
--- a/hillthread/coordination/gateway/serving/event_relay.py
+++ b/hillthread/coordination/gateway/serving/event_relay.py
@@ -67,6 +67,9 @@
             except errors.HillthreadError as error:
                 raise http1_client.CallError(True, error.message) from error
             await self._relay(head, events)
+            del part, events
+            if self.answer.started:
+                await self.answer.wait_for_room()
         await self._forward(head, splitter.rest)
         if not self.answer.started:
             raise http1_client.CallError(True, "stream without events")
--- a/hillthread/transport/byte_stream.py
+++ b/hillthread/transport/byte_stream.py
@@ -11,13 +11,20 @@
 
 import asyncio
 from collections.abc import Callable
+import fcntl
 import select
 import socket
+import struct
+import termios
+
+from hillthread.transport import send_buffer
 
 __all__ = ["ByteStream", "open_connection", "wrap_accepted"]
 
 # Reading pauses when this much is buffered, and TCP then slows the peer down.
 _READ_BUFFER_BYTES = 131_072
+_INT = struct.Struct("i")
+_LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class ByteStream(asyncio.Protocol):
@@ -25,6 +32,9 @@
 
     Attributes:
         raw: The socket, for setting its options.
+        budget: Limits what is buffered for the peer; None if senders wait until
+            the kernel has accepted all bytes.
+        unread: What `budget` knows of this connection.
         on_peer_closed: Called once when the peer shuts down its side or the
             connection is lost.
     """
@@ -32,6 +42,8 @@
     def __init__(self):
         self.raw: socket.socket
         self.on_peer_closed: Callable[[], None] | None = None
+        self.budget: send_buffer.BufferBudget | None = None
+        self.unread = send_buffer.StreamBuffer(self)
         self._transport: asyncio.Transport
         self._read_buffer = bytearray()
         self._is_reading_paused = False
@@ -40,6 +52,7 @@
         self._receiver: asyncio.Future[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
+        self._room = asyncio.Event()
 
     # Callbacks of the transport.
 
@@ -47,8 +60,8 @@
         """Stores the transport and its socket."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        # With a write buffer limit of 0, `send` returns only when the kernel
-        # has accepted all bytes.
+        # With a write buffer limit of 0, `_writable` is set only when the
+        # kernel has accepted all bytes.
         transport.set_write_buffer_limits(0)
         self.raw = transport.get_extra_info("socket")
 
@@ -71,16 +84,52 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Records that the connection is closed, and why."""
         self._connection_error = exc or ConnectionAbortedError("closed here")
-        self._writable.set()
+        self.resume_writing()
         self._record_peer_closed()
 
     def pause_writing(self) -> None:
-        """Makes senders wait."""
+        """Makes senders wait, or counts the unread bytes."""
         self._writable.clear()
+        if self.budget is not None:
+            loop = asyncio.get_running_loop()
+            self.budget.add(self.unread, loop.time())
+            self.budget.keep_ticking(loop)
 
     def resume_writing(self) -> None:
         """Lets senders continue."""
         self._writable.set()
+        self._room.set()
+        if self.budget is not None:
+            self.budget.remove(self.unread)
+
+    # Methods for the budget of buffered bytes.
+
+    def count_unread(self) -> int:
+        """Returns the bytes that the kernel has not accepted."""
+        return self._transport.get_write_buffer_size()
+
+    def count_unacknowledged(self) -> int:
+        """Returns the bytes that the peer's kernel has not acknowledged.
+
+        Only those that this side's kernel has accepted are counted.
+        """
+        if self.raw.fileno() < 0:
+            return 0
+        buffer = bytes(_INT.size)
+        result = fcntl.ioctl(self.raw.fileno(), termios.TIOCOUTQ, buffer)
+        return _INT.unpack(result)[0]
+
+    def cut(self) -> None:
+        """Closes the connection with a reset; buffered bytes are discarded."""
+        if self.raw.fileno() >= 0:
+            self.raw.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+            )
+        self.abort()
+
+    def wake_sender(self) -> None:
+        """Lets a sender that waits in `wait_for_room` continue."""
+        self._room.set()
 
     # Methods for users of the stream.
 
@@ -110,6 +159,17 @@
     async def send(self, data: bytes) -> None:
         """Sends bytes; returns when the kernel has accepted all of them.
 
+        Raises:
+            OSError: The connection was lost.
+        """
+        self.write(data)
+        await self._writable.wait()
+        if self._connection_error is not None:
+            raise self._connection_error
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes; buffers those that the kernel does not accept.
+
         Raises:
             OSError: The connection was lost.
         """
@@ -118,10 +178,32 @@
         if self._transport.is_closing():
             raise ConnectionAbortedError("closed here")
         self._transport.write(data)
-        await self._writable.wait()
+
+    async def wait_for_room(self) -> None:
+        """Returns when more bytes may be written.
+
+        Without a budget, this is when the kernel has accepted all bytes.
+
+        Raises:
+            OSError: The connection was lost.
+        """
+        if self.budget is None:
+            await self._writable.wait()
+        while not self._may_write():
+            self.unread.is_waiting = True
+            self._room.clear()
+            try:
+                await self._room.wait()
+            finally:
+                self.unread.is_waiting = False
         if self._connection_error is not None:
             raise self._connection_error
 
+    def _may_write(self) -> bool:
+        if self._writable.is_set() or self.budget is None:
+            return True
+        return self.budget.may_buffer(self.unread)
+
     @property
     def is_peer_closed(self) -> bool:
         """Whether the peer shut down its side or the connection was lost.
@@ -144,8 +226,15 @@
             self._transport.write_eof()
 
     def close(self) -> None:
-        """Closes the connection; bytes already accepted are still sent."""
-        self._transport.close()
+        """Closes the connection; resets it if bytes are still buffered.
+
+        Nothing would limit how long these stay buffered. After a clean end, an
+        answer that has no length would appear complete without them.
+        """
+        if self._transport.get_write_buffer_size():
+            self.cut()
+        else:
+            self._transport.close()
 
     def abort(self) -> None:
         """Closes the connection and discards buffered bytes."""
--- a/hillthread/transport/http1.py
+++ b/hillthread/transport/http1.py
@@ -9,10 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-import fcntl
 import socket
-import struct
-import termios
 
 import anyio
 import h11
@@ -41,8 +38,6 @@
 _KEEPALIVE_INTERVAL_S = 1
 # One probe may be lost on a bad link; two in a row are rarely lost.
 KEEPALIVE_PROBES = 2
-_INT = struct.Struct("i")
-_LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class ConnectionLostError(Exception):
@@ -116,13 +111,15 @@
     async def send(self, events: Sequence[h11.Event]) -> None:
         """Sends events with one write.
 
+        Returns when the kernel has accepted all bytes, also those of earlier
+        calls of `write`.
+
         Raises:
             ConnectionLostError: The connection was reset or timed out.
         """
-        data = b"".join(
-            self.state_machine.send(event) or b"" for event in events
-        )
-        if not data:
+        data = self._serialize(events)
+        # The end of a message may have no bytes of its own.
+        if not data and self.stream.budget is None:
             return
         try:
             await self.stream.send(data)
@@ -130,6 +127,33 @@
             raise ConnectionLostError(_describe(error)) from error
         self.sent_bytes += len(data)
 
+    def write(self, events: Sequence[h11.Event]) -> None:
+        """Sends events with one write; buffers what the kernel refuses.
+
+        Raises:
+            ConnectionLostError: The connection was reset or timed out.
+        """
+        try:
+            self.stream.write(self._serialize(events))
+        except OSError as error:
+            raise ConnectionLostError(_describe(error)) from error
+
+    async def wait_for_room(self) -> None:
+        """Returns when more may be written.
+
+        Raises:
+            ConnectionLostError: The connection was reset or timed out.
+        """
+        try:
+            await self.stream.wait_for_room()
+        except OSError as error:
+            raise ConnectionLostError(_describe(error)) from error
+
+    def _serialize(self, events: Sequence[h11.Event]) -> bytes:
+        return b"".join(
+            self.state_machine.send(event) or b"" for event in events
+        )
+
     def is_readable(self) -> bool:
         """Returns whether an idle connection was closed or has surplus bytes.
 
@@ -143,23 +167,15 @@
         The kernel of a slow peer acknowledges bytes that the peer has not read.
         A peer that is unreachable, or whose connection fell silent, does not.
         """
-        raw = self.stream.raw
-        if raw.fileno() < 0:
-            return 0
-        buffer = bytes(_INT.size)
-        result = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, buffer)
-        return _INT.unpack(result)[0]
+        return self.stream.count_unacknowledged()
 
     async def close(self) -> None:
-        """Closes the connection; bytes already accepted are still sent."""
+        """Closes the connection; resets it if bytes are still buffered."""
         self.stream.close()
 
     async def reset(self) -> None:
         """Closes the connection with a reset instead of a clean end."""
-        raw = self.stream.raw
-        if raw.fileno() >= 0:
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
-        self.stream.abort()
+        self.stream.cut()
 
     async def close_gracefully(self) -> None:
         """Closes after giving the peer time to read the last answer.
--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -21,6 +21,7 @@
 from hillthread.state.config import caller_bounds
 from hillthread.transport import byte_stream
 from hillthread.transport import http1
+from hillthread.transport import send_buffer
 
 __all__ = ["BrokenAnswerError", "CallerAnswer", "CallerRequest", "Server"]
 
@@ -96,6 +97,8 @@
         is_closing: Returns whether the server closes connections after their
             current answer.
         closes_connection: Whether this connection closes after the answer.
+        budget: Limits what is buffered for callers; None if every part waits
+            until the kernel has accepted it.
     """
 
     def __init__(
@@ -107,11 +110,20 @@
         self.status = 0
         self.ended = False
         self.closes_connection = False
+        self.budget = connection.stream.budget
+
+    def set_label(self, label: str) -> None:
+        """Sets the ID by which the budget's reports name the request."""
+        self.connection.stream.unread.label = label
 
     async def begin(
         self, status: int, headers: http1.Headers, data: bytes = b""
     ) -> None:
-        """Sends the head together with the first part of the body."""
+        """Sends the head together with the first part of the body.
+
+        With a budget this returns at once, as does `send`; call
+        `wait_for_room` before producing more.
+        """
         extra = (
             [_CLOSE_HEADER]
             if self.closes_connection or self.is_closing()
@@ -124,14 +136,28 @@
             events.append(h11.Data(data=data))
         self.started = True
         self.status = status
-        await self.connection.send(events)
+        await self._write(events)
 
     async def send(self, data: bytes) -> None:
         """Sends a part of the body."""
-        await self.connection.send([h11.Data(data=data)])
+        await self._write([h11.Data(data=data)])
+
+    async def wait_for_room(self) -> None:
+        """Returns when another part may be sent.
+
+        The caller of this method should hold no reference to data that it has
+        sent, since the data is then in memory twice.
+        """
+        await self.connection.wait_for_room()
+
+    async def _write(self, events: list[h11.Event]) -> None:
+        if self.budget is None:
+            await self.connection.send(events)
+        else:
+            self.connection.write(events)
 
     async def end(self) -> None:
-        """Ends the body, which completes the answer."""
+        """Ends the body; returns when the kernel has accepted all of it."""
         await self.connection.send([h11.EndOfMessage()])
         self.ended = True
 
@@ -179,6 +205,7 @@
 
     def __init__(self, stream: byte_stream.ByteStream, server: Server):
         self.server = server
+        stream.budget = server.budget
         self.bounds = server.bounds()
         self.http = http1.Http1Connection(
             stream, h11.SERVER, self.bounds.max_head_bytes
@@ -385,6 +412,8 @@
         connections: All open connections.
         accept_failures: Errors in accepting connections so far.
         address: `IP:port` it listens on.
+        budget: Limits what is buffered for callers; None if senders wait until
+            the kernel has accepted every part.
     """
 
     def __init__(
@@ -394,11 +423,13 @@
         bounds: Callable[[], caller_bounds.CallerBounds],
         on_bad_request: Callable[[int, str], None],
         on_caller_left: Callable[[CallerRequest], None] | None = None,
+        budget: send_buffer.BufferBudget | None = None,
     ):
         self.handler = handler
         self.bounds = bounds
         self.on_bad_request = on_bad_request
         self.on_caller_left = on_caller_left or _ignore
+        self.budget = budget
         self.stopping = False
         self.closes_idle = False
         self.connections: set[_CallerConnection] = set()
--- a/tests/transport/test_http1_server.py
+++ b/tests/transport/test_http1_server.py
@@ -14,6 +14,7 @@
 from hillthread.state.config import caller_bounds
 from hillthread.transport import byte_stream
 from hillthread.transport import http1_server
+from hillthread.transport import send_buffer
 
 _REQUEST = b"GET /x HTTP/1.1\r\nhost: callers.example\r\n\r\n"
 _WAIT_S = 3.0
@@ -86,6 +87,121 @@
         self.run_scenario(scenario)
 
 
+class BufferedAnswerTest(ServerCase):
+    """Answers whose parts are buffered while their callers do not read."""
+
+    PART = b"x" * 65_536
+
+    def setUp(self):
+        super().setUp()
+        self.cuts = []
+        self.server.budget = send_buffer.BufferBudget(
+            send_buffer.BufferBounds(32 << 20, 1 << 20), self.cuts.append
+        )
+        self.sent_parts = 0
+        self.ended = []
+        self.handler = self.send_parts
+
+    async def send_parts(self, caller, answer):
+        answer.set_label(caller.path)
+        headers = [(b"content-length", b"%d" % (len(self.PART) * 192))]
+        await answer.begin(200, headers)
+        try:
+            for number in range(192):
+                await answer.send(bytes([number]) + self.PART[1:])
+                self.sent_parts += 1
+                await answer.wait_for_room()
+            await answer.end()
+        finally:
+            self.ended.append(answer.ended)
+
+    async def until(self, condition):
+        while not condition():  # noqa: ASYNC110 (no event)
+            await anyio.sleep(0.01)
+
+    async def open(self):
+        caller = await super().open()
+        await caller.send(_REQUEST)
+        return caller
+
+    def test_parts_are_buffered_and_the_end_waits_for_the_caller(self):
+        """Guards against targets that wait, and answers complete too early.
+
+        The end of an answer with a length has no bytes of its own.
+        """
+
+        async def scenario():
+            async with await self.open() as caller:
+                await self.until(lambda: self.sent_parts == 192)
+                await anyio.sleep(0.2)
+                self.assertEqual(self.ended, [])
+                self.assertGreater(self.server.budget.buffered_bytes, 1 << 20)
+                _, _, body = (await caller.receive()).partition(b"\r\n\r\n")
+                while len(body) < 192 * len(self.PART):
+                    body += await caller.receive()
+                await self.until(lambda: self.ended)
+            marks = body[:: len(self.PART)]
+            self.assertEqual(marks, bytes(range(192)))
+            self.assertEqual(self.ended, [True])
+            self.assertEqual(self.server.budget.buffered_bytes, 0)
+            self.assertFalse(self.server.budget.streams)
+
+        self.run_scenario(scenario)
+
+    def test_answer_waits_at_its_bound_when_half_the_total_is_used(self):
+        """Guards against unlimited buffering for one caller."""
+
+        async def scenario():
+            budget = self.server.budget
+            budget.hold(16 << 20)
+            async with await self.open() as caller:
+                await self.until(lambda: budget.buffered_bytes >= 17 << 20)
+                await anyio.sleep(0.2)
+                self.assertLess(budget.unread_bytes, (1 << 20) + 131_072)
+                budget.hold(-(16 << 20))
+                await self.until(lambda: self.sent_parts == 192)
+                await caller.aclose()
+                await self.until(lambda: self.ended)
+
+        self.run_scenario(scenario)
+
+    def test_caller_that_closes_ends_its_answer_and_frees_its_bytes(self):
+        """Guards against buffers of callers that are gone."""
+
+        async def scenario():
+            caller = await self.open()
+            await self.until(lambda: self.sent_parts == 192)
+            left_at = anyio.current_time()
+            await caller.aclose()
+            await self.until(lambda: self.ended)
+            self.assertLess(anyio.current_time() - left_at, 0.5)
+            self.assertEqual(self.ended, [False])
+            await self.until(lambda: not self.server.connections)
+            self.assertEqual(self.server.budget.buffered_bytes, 0)
+
+        self.run_scenario(scenario)
+
+    def test_cut_answer_does_not_appear_complete(self):
+        """Guards against a truncated answer that ends cleanly."""
+
+        async def scenario():
+            caller = await self.open()
+            await self.until(lambda: self.sent_parts == 192)
+            self.server.budget.hold(32 << 20)
+            await self.until(lambda: self.cuts)
+            self.assertEqual(self.cuts[0].label, "/x")
+            await self.until(lambda: self.ended)
+            self.assertEqual(self.ended, [False])
+            size = 0
+            with self.assertRaises(anyio.BrokenResourceError):
+                while True:
+                    size += len(await caller.receive())
+            self.assertLess(size, 192 * len(self.PART))
+            await caller.aclose()
+
+        self.run_scenario(scenario)
+
+
 class ClosedCallerTest(ServerCase):
     def test_request_whose_caller_closed_before_it_was_read_is_not_served(self):
         for is_reset in (False, True):
