Bound what is buffered for slow callers by memory_mb

Cause: a caller that stops reading costs memory, and nothing limited how much all of them together cost.

At the total, the caller with the most unread bytes of those that read nothing is disconnected: event `slow_caller`, metrics `buffered_bytes` and `slow_callers_cut_total`. Memory below 48 MB gives the minimum and logs `buffer_minimum`. A reload of the settings changes the bounds.

Reads from targets are limited to 64 KiB, and to 16 KiB while half of the budget is in use.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -35,6 +35,7 @@
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 from hillthread.transport import log_writer
+from hillthread.transport import send_buffer
 
 __all__ = ["GatewayHost"]
 
@@ -174,6 +175,9 @@
             self.work,
             tasks,
         )
+        self.buffers = send_buffer.BufferBudget(
+            self._compute_buffer_bounds(), self.gateway.note_slow_caller
+        )
         self.site.on_target_withdrawn = self._close_idle_connections
         self.site.on_target_forgotten = self.limits.forget
         self.site.on_target_terminated = self.quarantine.record_target_crash
@@ -183,6 +187,7 @@
             lambda: self.site.bounds,
             self.gateway.note_bad_request,
             self.gateway.note_caller_left,
+            self.buffers,
         )
         self.ready_server = self._create_status_server(settings.ready_listen)
         self.metrics_server = self._create_status_server(
@@ -265,6 +270,21 @@
         status = 503 if reason else 200
         await answer.send_whole(status, [], reason.encode())
 
+    def _compute_buffer_bounds(self) -> send_buffer.BufferBounds:
+        """Returns the bounds of buffers; logs if memory is too small."""
+        memory_mb = self.site.settings.memory_mb
+        bounds = send_buffer.compute_bounds(memory_mb)
+        if bounds.is_minimum:
+            _logger.warning(
+                "memory is too small for buffers; they get the minimum",
+                extra={
+                    "event": "buffer_minimum",
+                    "memory_mb": memory_mb,
+                    "total_bytes": bounds.total_bytes,
+                },
+            )
+        return bounds
+
     def _create_status_server(self, address: str) -> http1_server.Server:
         return http1_server.Server(
             settings_lib.split_address(address),
@@ -443,6 +463,7 @@
     async def _tick(self) -> None:
         """Expires targets, updates metrics and logs changes of readiness."""
         ready = None
+        memory_mb = self.site.settings.memory_mb
         status_at = clock.now() + _STATUS_INTERVAL_S
         while True:
             now = clock.now()
@@ -463,6 +484,10 @@
             self._update_unavailable_metrics(now)
             self.metrics.store_age.set(self.site.freshness.age(now))
             self.metrics.connections.set(self.pool.opened.total())
+            self.metrics.buffered_bytes.set(self.buffers.buffered_bytes)
+            if memory_mb != self.site.settings.memory_mb:
+                memory_mb = self.site.settings.memory_mb
+                self.buffers.bounds = self._compute_buffer_bounds()
             if now >= status_at:
                 status_at = now + _STATUS_INTERVAL_S
                 self._log_status(now)
@@ -489,6 +514,8 @@
                 "reads": self.metrics.count_store_calls(),
                 "targets": len(self.site.targets.entries),
                 "ejected": self.site.ejected_targets(now),
+                "buffered_bytes": self.buffers.buffered_bytes,
+                "slow_callers_cut": self.buffers.cut_streams,
                 "connections_opened": dict(self.pool.opened),
                 "keep_told_s": dict(self.pool.keep_alive_counts),
                 "hosts": self.site.cluster_size,
--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -85,6 +85,16 @@
             "target_connections_opened", "Connections opened to targets."
         )
         self.inflight = self.gauge("inflight", "Requests being served.")
+        self.buffered_bytes = self.gauge(
+            "buffered_bytes",
+            "Bytes that callers have not read, request bodies being sent, and "
+            "answers being read as a whole.",
+        )
+        self.slow_callers_cut = self.counter(
+            "slow_callers_cut",
+            "Callers disconnected because buffers reached their bound.",
+            [],
+        )
         self.configuration_version = self.gauge(
             "configuration_version", "Version of the configuration in force."
         )
--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -117,6 +117,7 @@
         idle_s = self.last_received_at - connection.last_used_at
         self.monitor.attempts.add(self)
         self.connection = connection
+        connection.stream.read_budget = self.relay.answer.budget
         try:
             return await self._exchange(connection)
         except http1_client.CallError as error:
--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -26,6 +26,7 @@
 from hillthread.transport import http1
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
+from hillthread.transport import send_buffer
 
 __all__ = ["Gateway"]
 
@@ -81,6 +82,7 @@
             BrokenAnswerError: Its answer was started and cannot be completed.
         """
         request_id = _request_id(caller)
+        answer.set_label(request_id)
         self.sampler.hosts = self.site.cluster_size
         log = story_lib.RequestLog(request_id, self.sampler)
         self.inflight += 1
@@ -130,6 +132,16 @@
         log = story_lib.RequestLog(_request_id(caller), self.sampler)
         log.warn("requester_left", seconds=0.0, served=False)
 
+    def note_slow_caller(self, cut: send_buffer.CutStream) -> None:
+        """Counts and logs a caller that was disconnected for reading slowly."""
+        self.metrics.slow_callers_cut.inc()
+        log = story_lib.RequestLog(cut.label, self.sampler)
+        log.warn(
+            "slow_caller",
+            bytes=cut.unread_bytes,
+            seconds=round(cut.seconds, 3),
+        )
+
     def note_bad_request(self, status: int, reason: str) -> None:
         """Counts and logs a request that could not be read."""
         self.metrics.bad_requests.labels(str(status)).inc()
--- a/hillthread/transport/byte_stream.py
+++ b/hillthread/transport/byte_stream.py
@@ -22,12 +22,16 @@
 __all__ = ["ByteStream", "open_connection", "wrap_accepted"]
 
 # Reading pauses when this much is buffered, and TCP then slows the peer down.
-_READ_BUFFER_BYTES = 131_072
+# With 128 KiB and reads of up to 256 KiB, the connections to the targets of 80
+# answers, half of them to idle callers, held as much as the budget of 25 MB.
+_READ_BUFFER_BYTES = 65_536
+# The same while the budget for slow callers is in demand.
+_SMALL_READ_BUFFER_BYTES = 16_384
 _INT = struct.Struct("i")
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
-class ByteStream(asyncio.Protocol):
+class ByteStream(asyncio.BufferedProtocol):
     """A TCP connection; at most one task may receive and one may send.
 
     Attributes:
@@ -35,6 +39,8 @@
         budget: Limits what is buffered for the peer; None if senders wait until
             the kernel has accepted all bytes.
         unread: What `budget` knows of this connection.
+        read_budget: Reading buffers less while this budget is in demand; None
+            if it always buffers the same.
         on_peer_closed: Called once when the peer shuts down its side or the
             connection is lost.
     """
@@ -44,8 +50,10 @@
         self.on_peer_closed: Callable[[], None] | None = None
         self.budget: send_buffer.BufferBudget | None = None
         self.unread = send_buffer.StreamBuffer(self)
+        self.read_budget: send_buffer.BufferBudget | None = None
         self._transport: asyncio.Transport
         self._read_buffer = bytearray()
+        self._incoming = bytearray()
         self._is_reading_paused = False
         self._is_peer_closed = False
         self._connection_error: Exception | None = None
@@ -65,17 +73,33 @@
         transport.set_write_buffer_limits(0)
         self.raw = transport.get_extra_info("socket")
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Returns the buffer for the next read."""
+        del sizehint
+        self._incoming = bytearray(self._read_limit_bytes())
+        return self._incoming
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Buffers received bytes; pauses reading when the buffer is full."""
-        self._read_buffer += data
+        if self._read_buffer:
+            self._read_buffer += memoryview(self._incoming)[:nbytes]
+        else:
+            del self._incoming[nbytes:]
+            self._read_buffer = self._incoming
+        self._incoming = bytearray()
         if (
-            len(self._read_buffer) >= _READ_BUFFER_BYTES
+            len(self._read_buffer) >= self._read_limit_bytes()
             and not self._is_reading_paused
         ):
             self._is_reading_paused = True
             self._transport.pause_reading()
         self._wake_receiver()
 
+    def _read_limit_bytes(self) -> int:
+        if self.read_budget is not None and self.read_budget.is_in_demand:
+            return _SMALL_READ_BUFFER_BYTES
+        return _READ_BUFFER_BYTES
+
     def eof_received(self) -> bool:
         """Records that the peer shut down its side; this side stays open."""
         self._record_peer_closed()
--- a/hillthread/transport/send_buffer.py
+++ b/hillthread/transport/send_buffer.py
@@ -176,6 +176,11 @@
         """Whether the total bound is reached."""
         return self.buffered_bytes >= self.bounds.total_bytes
 
+    @property
+    def is_in_demand(self) -> bool:
+        """Whether as much is buffered as limits single answers."""
+        return self.buffered_bytes >= self.bounds.total_bytes * _FREE_SHARE
+
     def hold(self, size: int) -> None:
         """Counts bytes that are held for a target or until they are complete.
 
@@ -208,8 +213,7 @@
             return False
         if stream.unread_bytes < self.bounds.stream_bytes:
             return True
-        free_bytes = self.bounds.total_bytes * _FREE_SHARE
-        return self.buffered_bytes < free_bytes
+        return not self.is_in_demand
 
     def tick(self, now: float) -> None:
         """Counts all unread bytes, disconnects callers and wakes senders."""
