Count request bodies and whole answers towards the buffer budget

Cause: request bodies, and answers that are read as a whole before they are relayed, take memory beside what slow callers have not read.

An attempt counts its request's body until it ends, and the parts of a whole answer until they are relayed; above 262,144 bytes they move to the buffer of the answer. These bytes leave less room for buffers, and are never cut or refused themselves.

A long body is sent in parts of 128 KiB. Sent at once to a target that does not read, it was in memory three times: as received, as serialized, and as the rest in the transport's buffer. Measured with a body of 20 MB and a target that does not read: at most 131,072 bytes beside the body.

Ruled out: pausing the reading of whole answers at the total bound. They are small, and a pause would hold their targets for the sake of other callers.

--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -65,6 +65,7 @@
         found_silent: Whether the monitor found the connection silent.
         closed_by_target: Whether the connection ended before the answer did,
             and not by this host.
+        held_bytes: Bytes that this attempt holds of the budget for buffers.
     """
 
     def __init__(
@@ -96,9 +97,17 @@
         self.give_up_reason = ""
         self.found_silent = False
         self.closed_by_target = False
+        self.held_bytes = 0
 
     async def run(self) -> outcome_lib.Outcome:
         """Sends the request and returns the outcome."""
+        self._hold(len(self.request.caller.body))
+        try:
+            return await self._connect_and_exchange()
+        finally:
+            self._hold(-self.held_bytes)
+
+    async def _connect_and_exchange(self) -> outcome_lib.Outcome:
         max_idle_s = (
             float("inf")
             if self.request.repeatable
@@ -235,22 +244,25 @@
         while part := await connection.read_part():
             parts.append(part)
             size += len(part)
+            self._hold(len(part))
             if size > _MAX_BUFFERED_BYTES:
-                await self._relay_long(connection, head, b"".join(parts))
+                answer = self.relay.answer
+                headers = attempts.filter_relayed_headers(head)
+                await answer.begin(head.status, headers, b"".join(parts))
+                self._hold(-size)
+                # While the caller reads slowly, only the answer's buffer holds
+                # the data.
+                del part
+                parts.clear()
+                await self._relay_rest(connection)
                 return outcome_lib.Relayed(head.status)
         body = b"".join(parts)
         return outcome_lib.Whole(http1_client.WholeAnswer(head, body))
 
-    async def _relay_long(
-        self,
-        connection: http1_client.ClientConnection,
-        head: http1_client.AnswerHead,
-        data: bytes,
+    async def _relay_rest(
+        self, connection: http1_client.ClientConnection
     ) -> None:
         answer = self.relay.answer
-        headers = attempts.filter_relayed_headers(head)
-        await answer.begin(head.status, headers, data)
-        del data
         await answer.wait_for_room()
         while part := await connection.read_part():
             await answer.send(part)
@@ -258,6 +270,13 @@
             await answer.wait_for_room()
         await answer.end()
 
+    def _hold(self, size: int) -> None:
+        """Counts bytes towards the budget; negative when held no more."""
+        budget = self.relay.answer.budget
+        if budget is not None:
+            budget.hold(size)
+            self.held_bytes += size
+
     def _note_received(self) -> None:
         self.last_received_at = clock.now()
 
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -44,6 +44,9 @@
 # A timer that fires this late was delayed by this process, not by the peer.
 _TIMER_DELAY_S = 0.03
 _INLINE_BODY_BYTES = 16_384
+# A long body is sent in parts of this size. Sent at once to a target that reads
+# slowly, it would be in memory three times.
+_BODY_PART_BYTES = 131_072
 _PROTOCOL_ERRORS = (h11.RemoteProtocolError, h11.LocalProtocolError)
 
 
@@ -169,8 +172,12 @@
 
         The peer may answer or stop reading before the whole body is sent.
         """
+        body = memoryview(request.body)
         try:
-            await self.send([h11.Data(data=request.body), h11.EndOfMessage()])
+            for start in range(0, len(body), _BODY_PART_BYTES):
+                part = body[start : start + _BODY_PART_BYTES]
+                await self.send([h11.Data(data=part)])
+            await self.send([h11.EndOfMessage()])
         except (http1.ConnectionLostError, h11.LocalProtocolError):
             return  # reading the answer raises the error
         self.is_body_sent = True
--- a/tests/coordination/gateway/serving/test_slow_callers.py
+++ b/tests/coordination/gateway/serving/test_slow_callers.py
@@ -15,8 +15,11 @@
 import unittest
 
 import anyio
+import anyio.to_thread
+import msgspec
 
 from hillthread import clock
+from hillthread.standin import platform_target
 from hillthread.transport import http1_client
 from hillthread.transport import send_buffer
 from tests.coordination.gateway import scene as scene_lib
@@ -249,5 +252,75 @@
         self.run_callers(check)
 
 
+class HeldBytesTest(unittest.TestCase):
+    def test_body_counts_until_its_attempt_ends(self):
+        """Guards against request bodies that are not counted, or for ever."""
+
+        async def scenario(scene):
+            released = anyio.Event()
+            target = scene.plain[0]
+            target.queue_behaviours(platform_target.HoldAnswer(released))
+            budget = scene.program.buffers
+            request = scene.request("/once/x", bytes(100_000))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(scene.call, request)
+                await scene.until(scene.runs)
+                self.assertEqual(budget.buffered_bytes, 100_000)
+                released.set()
+            self.assertEqual(budget.buffered_bytes, 0)
+            released = anyio.Event()
+            target.queue_behaviours(platform_target.HoldAnswer(released))
+            with anyio.move_on_after(0.3):  # the caller leaves
+                await scene.call(request)
+            await scene.until(lambda: not scene.program.gateway.inflight)
+            self.assertEqual(budget.buffered_bytes, 0)
+
+        scene_lib.run_scenario(scenario, plain=1, engines=0)
+
+    def test_whole_answers_count_until_they_are_relayed(self):
+        """Guards against whole answers that are not counted, or for ever."""
+
+        async def scenario(scene):
+            budget = scene.program.buffers
+            held = []
+            hold = budget.hold
+
+            def record(size):
+                hold(size)
+                held.append(budget.held_bytes)
+
+            budget.hold = record
+            for size in (200_000, 262_144, 262_145, 900_000):
+                held.clear()
+                body = bytes(range(250)) * (size // 250 + 1)
+                scene.plain[0]._answer_body = lambda _, b=body[:size]: b
+                answer = await scene.call(scene.request("/once/x", b""))
+                self.assertEqual(answer.body, body[:size])
+                self.assertGreaterEqual(max(held), min(size, 262_145))
+                self.assertLess(max(held), 262_145 + 65_536)
+                self.assertEqual(budget.buffered_bytes, 0)
+
+        scene_lib.run_scenario(scenario, plain=1, engines=0)
+
+
+class SettingsTest(unittest.TestCase):
+    def test_bounds_follow_the_settings(self):
+        """Guards against memory below 48 MB, and a reload without effect."""
+
+        async def scenario(scene):
+            budget = scene.program.buffers
+            self.assertEqual(budget.bounds.total_bytes, 4_000_000)
+            settings = scene.site.settings
+            scene.site.apply_settings(
+                msgspec.structs.replace(settings, memory_mb=128)
+            )
+            await scene.until(lambda: budget.bounds.total_bytes == 20_000_000)
+
+        with self.assertLogs("hillthread.program", "WARNING") as logs:
+            scene_lib.run_scenario(scenario, memory_mb=30)
+        events = [record.event for record in logs.records]
+        self.assertEqual(events.count("buffer_minimum"), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/transport/test_http1_client.py
+++ b/tests/transport/test_http1_client.py
@@ -7,6 +7,7 @@
 
 import anyio
 import anyio.lowlevel
+import anyio.to_thread
 import h11
 
 from hillthread.standin import wire_proxy
@@ -152,6 +153,47 @@
         anyio.run(scenario)
 
 
+class LongBodyTest(unittest.TestCase):
+    def test_body_for_a_slow_target_is_whole_and_not_copied(self):
+        """Guards against copies of bodies, and against bodies in disorder."""
+        body = bytes(range(251)) * 80_000
+
+        async def scenario():
+            with socket.socket() as listener:
+                listener.bind(("127.0.0.1", 0))
+                listener.listen()
+                ip, port = listener.getsockname()
+                pool = http1_client.ConnectionPool(0.5)
+                connection = await pool.open(f"{ip}:{port}", "test")
+                peer, _ = listener.accept()
+            request = http1_client.ClientRequest(
+                b"POST", b"/", [(b"host", b"any")], body
+            )
+            with peer:
+                await connection.send_request(request)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(connection.send_body, request)
+                    await anyio.sleep(0.2)
+                    self.assertFalse(connection.is_body_sent)
+                    buffered = connection.stream.count_unread()
+                    self.assertTrue(0 < buffered <= 131_072, buffered)
+                    received = await anyio.to_thread.run_sync(
+                        self.read_request, peer, len(body)
+                    )
+                self.assertTrue(connection.is_body_sent)
+                self.assertEqual(received.partition(b"\r\n\r\n")[2], body)
+                await connection.close()
+
+        anyio.run(scenario)
+
+    def read_request(self, peer, body_size):
+        peer.settimeout(3.0)
+        received = b""
+        while len(received.partition(b"\r\n\r\n")[2]) < body_size:
+            received += peer.recv(1 << 22)
+        return received
+
+
 class AcceptedConnectionTest(unittest.TestCase):
     def test_accepted_connections_have_keepalive_and_user_timeout(self):
         async def scenario():
