--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -58,7 +58,7 @@
 # an overhead in addition to its totals.
 _WORK_NOTICE_BYTES = 76
 _USAGE_TOTAL_BYTES = 24
-_USAGE_OVERHEAD_BYTES = 24
+_USAGE_OVERHEAD_BYTES = 27
 # Every packet has the lists of work and weights, also when they are empty.
 _REQUIRED_LIST_COUNT = 2
 _PACKET_OVERHEAD_BYTES = 16
@@ -200,15 +200,32 @@
     # lists at its end are left out.
     while len(notice_lists) > _REQUIRED_LIST_COUNT and not notice_lists[-1]:
         notice_lists.pop()
-    fields += [[list(notice) for notice in notices] for notices in notice_lists]
+    fields += [
+        [_list_fields(notice) for notice in notices] for notices in notice_lists
+    ]
     return cbor2.dumps(fields)
 
 
+def _list_fields(notice: Any) -> list[Any]:
+    """Returns the fields of a notice without unset optional ones of usage.
+
+    Earlier releases can decode usage notices without these fields.
+    """
+    fields = list(notice)
+    if isinstance(notice, usage_exchange.UsageNotice):
+        defaults = list(notice._field_defaults.values())
+        while defaults and fields[-1] == defaults[-1]:
+            fields.pop()
+            defaults.pop()
+    return fields
+
+
 def has_room(packet: Packet, notice: usage_exchange.UsageNotice) -> bool:
     """Returns whether a packet of work and usage has room for a notice."""
     used = _PACKET_OVERHEAD_BYTES + len(packet.work) * _WORK_NOTICE_BYTES
     for each in (*packet.usage, notice):
-        used += _USAGE_OVERHEAD_BYTES + len(each.totals) * _USAGE_TOTAL_BYTES
+        pair_count = len(each.totals) + len(each.debts)
+        used += _USAGE_OVERHEAD_BYTES + pair_count * _USAGE_TOTAL_BYTES
     return used <= MAX_PACKET_BYTES
 
 
