Reserve quota near its limit for more urgent requests

Cause: in order of arrival long requests (9,199 tokens) and urgent short ones (875) are refused equally often, so that the short ones get little.

What more urgent classes need until usage leaves the window is reserved from a request's class, from their demand on this host times the number of hosts. Each class accrues a credit of a quarter of its part of the quota, which the reserve does not touch. Ruled out: a reserve that requires whole requests to fit, with which large ones starve; and one without a bound while the bucket limits, which its refill would never reach.

Many hosts with noisy estimates of demand are not simulated.

--- a/hillthread/coordination/gateway/serving/quota_keeper.py
+++ b/hillthread/coordination/gateway/serving/quota_keeper.py
@@ -102,8 +102,9 @@
         self._apply_quotas()
         now = clock.now()
         name = request.tenant_name
+        urgency = getattr(request, "urgency", request.priority)
         window, amount, left = self.ledger.check_request(
-            name, request.prompt.counted_tokens, now
+            name, request.prompt.counted_tokens, now, urgency
         )
         if window is None:
             return
@@ -114,7 +115,7 @@
                 f"quota of {name} ever allows at once.",
                 "Send less, or have the quota raised.",
             )
-        self._log_exhaustion(name, window, left)
+        self._log_exhaustion(name, window, window.remaining())
         if left > 0.0:
             return
         after_s = window.refuse(now, amount, self.site.cluster_size)
--- a/hillthread/state/quotas/quota.py
+++ b/hillthread/state/quotas/quota.py
@@ -40,6 +40,7 @@
 from typing import NamedTuple
 
 from hillthread.state.config import objects
+from hillthread.state.quotas import urgency_reserve
 
 __all__ = ["QuotaBounds", "QuotaWindow", "request_cost"]
 
@@ -69,6 +70,9 @@
 # Time beyond a window until its usage counts as known, in seconds. Covers the
 # detection of an unreachable host (1 s) and the delay of reports.
 _MARGIN_S = 1.5
+# Largest reserve for more urgent requests while the bucket limits, as a share
+# of its capacity. A larger one would never be reached by the refill.
+_MAX_PACE_RESERVE_SHARE = 0.5
 
 
 class QuotaBounds(NamedTuple):
@@ -119,6 +123,7 @@
         may_burst: Whether bursts may overdraw the bucket; target limits do not
             allow it.
         knows_window: Whether this host knows the usage of the whole window.
+        demand: Demand on this host by urgency.
     """
 
     def __init__(self, quota: objects.Quota, bounds: QuotaBounds, now: float):
@@ -129,6 +134,7 @@
         self.refused = 0
         self.past_usage_until = float("-inf")
         self.may_burst = False
+        self.demand = urgency_reserve.UrgencyReserve()
         self.knows_window = False
         self._known_from = now
         self._refill_from = now
@@ -226,12 +232,51 @@
 
     def remaining(self) -> float:
         """Returns the units that may still be used; below 0 if overused."""
-        if not self.knows_window or not self.burst_debt:
-            return min(self._balance, self.limit - self.used)
-        return min(
-            self._balance + self.burst_debt,
-            self.limit - self.used - self._reserve(),
-        )
+        return min(self._pace_remaining(), self._window_remaining())
+
+    def is_limited_by_pace(self) -> bool:
+        """Returns whether the bucket limits, rather than the window."""
+        return self._pace_remaining() < self._window_remaining()
+
+    def _pace_remaining(self) -> float:
+        if self.knows_window:
+            return self._balance + self.burst_debt
+        return self._balance
+
+    def _window_remaining(self) -> float:
+        remaining = self.limit - self.used
+        if self.knows_window and self.burst_debt:
+            remaining -= self._reserve()
+        return remaining
+
+    def demand_remaining(
+        self, urgency: int, amount: float, hosts: int, now: float
+    ) -> float:
+        """Counts a request and returns what remains for its class.
+
+        Args:
+            urgency: Class of the request; 0 is the most urgent.
+            amount: Units that it uses.
+            hosts: Number of hosts with the same demand as this one.
+            now: Time of the last refresh in seconds.
+        """
+        host_per_s = self.limit / self.bounds.window_s / hosts
+        self.demand.count_demand(urgency, amount, host_per_s, now)
+        remaining = self.remaining()
+        if remaining > 0.0 and not self.demand.has_credit(urgency):
+            until = now - self.bounds.window_s
+            reserved = self.demand.reserved(
+                urgency,
+                hosts,
+                ((each * _SLOT_S - until, used) for each, used in self._slots),
+            )
+            if self.is_limited_by_pace():
+                most = self.capacity * _MAX_PACE_RESERVE_SHARE
+                reserved = min(reserved, most)
+            remaining -= reserved
+        if remaining > 0.0:
+            self.demand.spend(urgency, amount)
+        return remaining
 
     def _reserve(self) -> float:
         """Returns the usage that peers have probably not reported yet."""
--- a/hillthread/state/quotas/quota_ledger.py
+++ b/hillthread/state/quotas/quota_ledger.py
@@ -205,15 +205,34 @@
             window.settle(debts.get(key, stated.other_debt_ms) / 1_000.0)
 
     def check_request(
-        self, name: str, tokens: int | None, now: float
+        self,
+        name: str,
+        tokens: int | None,
+        now: float,
+        urgency: int | None = None,
     ) -> QuotaCheck:
-        """Returns the state of the quota for a request of a tenant."""
+        """Returns the state of the quota for a request of a tenant.
+
+        Args:
+            name: Name of the tenant.
+            tokens: Tokens of the prompt and the longest answer, if known.
+            now: Time in seconds.
+            urgency: Class of the request, 0 for the most urgent, if this
+                decides on its admission. It is then counted as demand unless it
+                is larger than the limit, and what is reserved for more urgent
+                classes does not remain for it.
+        """
         window = self.windows.get(name)
         if window is None:
             return QuotaCheck(None)
         self._refresh_window(window, now)
         amount = quota_lib.request_cost(window.quota, tokens)
-        return QuotaCheck(window, amount, window.remaining())
+        if urgency is None or amount > window.limit:
+            return QuotaCheck(window, amount, window.remaining())
+        remaining = window.demand_remaining(
+            urgency, amount, self.host_count, now
+        )
+        return QuotaCheck(window, amount, remaining)
 
     def charge(self, name: str, amount: float, now: float) -> bool:
         """Counts usage of a tenant; a negative amount is a refund.
