Offer a retry to a quota's callers only if it can be in time

Cause: Retry-After followed the pace alone. Where the window limits, the request did not fit at that time; and callers that wait at most a third of their remaining time were given later times, which also held places in the order for those who could retry.

A refusal states when the pace has earned and the window has freed what is missing, spaced as before. If that is later than a third of the caller's remaining time, it has no Retry-After, its remedy says that a retry within the deadline cannot help, and it holds no place. The log lines `refused` and `quota_spent` and the list of quotas state `limited_by`, window or pace. Target limits keep their retry times.

Ruled out: comparing the staggered header instead of the expected time. The stagger adds up to a quarter, so a header may exceed the third by as much.

Conclusion: each Retry-After of a quota is a time at which the request can fit.

--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -169,6 +169,9 @@
         priority: int = 0,
     ) -> None:
         retry_delay_s = _choose_retry_after_s(refusal, priority)
+        limits = {}
+        if refusal.limited_by:
+            limits["limited_by"] = refusal.limited_by
         log.warn(
             "refused",
             code=refusal.code,
@@ -178,6 +181,7 @@
             reason=refusal.message,
             started=answer.started,
             store_age_s=self.site.rounded_age_s(clock.now()),
+            **limits,
         )
         if answer.started:
             raise http1_server.BrokenAnswerError
--- a/hillthread/coordination/gateway/serving/quota_keeper.py
+++ b/hillthread/coordination/gateway/serving/quota_keeper.py
@@ -37,6 +37,10 @@
 # Interval of checks for new quotas while no usage is exchanged.
 _IDLE_CHECK_INTERVAL_S = 1.0
 
+# Share of its remaining time for which a refused caller waits at most before it
+# retries.
+_MAX_RETRY_SHARE = 1.0 / 3.0
+
 _logger = logging.getLogger("hillthread.quota")
 
 
@@ -53,6 +57,7 @@
         left: Remaining units; negative after an overdraft.
         part: Share of all hosts that are reachable, this one included.
         refused: Requests that this host refused.
+        limited_by: What limits the tenant most: `window` or `pace`.
     """
 
     tenant: str
@@ -64,6 +69,7 @@
     left: int
     part: float
     refused: int
+    limited_by: str
 
 
 class QuotaKeeper:
@@ -118,15 +124,34 @@
         self._log_exhaustion(name, window, window.remaining())
         if left > 0.0:
             return
-        after_s = window.refuse(now, amount, self.site.cluster_size)
+        reserved = max(0.0, window.remaining() - left)
+        after_s = window.refuse(
+            now,
+            amount,
+            self.site.cluster_size,
+            reserved,
+            max(0.0, request.seconds_left()) * _MAX_RETRY_SHARE,
+        )
         self.site.metrics.count_quota_refusal(name)
+        limited_by = window.limited_by
+        if reserved:
+            raise _make_refusal(
+                f"{name} has {window.remaining():.0f} {quota.unit} left of its "
+                f"quota of {quota.rate_per_s:.0f} {quota.unit} a second over "
+                f"all hosts; {reserved:.0f} are reserved for more urgent "
+                "requests.",
+                _choose_remedy(after_s),
+                after_s,
+                limited_by,
+            )
         raise _make_refusal(
             f"{name} has used its quota of {quota.rate_per_s:.0f} "
             f"{quota.unit} a second over all hosts, and {-left:.0f} more; "
             f"{window.reachable_share:.2f} of the hosts are reachable and "
             "share that amount.",
-            "Try again after the time in Retry-After, or send less.",
+            _choose_remedy(after_s),
             after_s,
+            limited_by,
         )
 
     async def wait_at_startup(self, request: intake.GatewayRequest) -> None:
@@ -189,6 +214,7 @@
                 int(window.remaining()),
                 round(window.reachable_share, 3),
                 window.refused,
+                window.limited_by,
             )
             for name, window in sorted(self.ledger.windows.items())
         ]
@@ -258,13 +284,31 @@
                 "part": round(window.reachable_share, 3),
                 "hosts": self.site.cluster_size,
                 "refused": window.refused,
+                "limited_by": window.limited_by,
             },
         )
 
 
+def _choose_remedy(after_s: float | None) -> str:
+    if after_s is None:
+        return (
+            "A retry within the deadline cannot help; send less, or have the "
+            "quota raised."
+        )
+    return "Try again after the time in Retry-After, or send less."
+
+
 def _make_refusal(
-    message: str, remedy: str, after_s: float | None = None
+    message: str,
+    remedy: str,
+    after_s: float | None = None,
+    limited_by: str = "",
 ) -> errors.RefusalError:
     return errors.RefusalError(
-        "quota_exceeded", 429, message, remedy, retry_after_s=after_s
+        "quota_exceeded",
+        429,
+        message,
+        remedy,
+        retry_after_s=after_s,
+        limited_by=limited_by,
     )
--- a/hillthread/errors.py
+++ b/hillthread/errors.py
@@ -107,6 +107,7 @@
         status: HTTP status code of the answer.
         run: Whether a target ran the request.
         retry_after_s: Seconds after which a retry may help, or None.
+        limited_by: What limits a quota, `window` or `pace`; else empty.
     """
 
     def __init__(
@@ -117,9 +118,11 @@
         remedy: str,
         run: RunState = RunState.NOT_RUN,
         retry_after_s: float | None = None,
+        limited_by: str = "",
     ):
         super().__init__(message, remedy)
         self.code = code
         self.status = status
         self.run = run
         self.retry_after_s = retry_after_s
+        self.limited_by = limited_by
--- a/hillthread/programs/ctl.py
+++ b/hillthread/programs/ctl.py
@@ -160,7 +160,8 @@
                 f"{each['tenant']} {each['rate_per_s']:.0f} {each['unit']}/s "
                 f"+ {each['burst']:.0f}: {each['used']} of {each['limit']} "
                 f"used, {each['left']} remaining now, {each['part']} of all "
-                f"hosts reachable, {each['refused']} refused by this host"
+                f"hosts reachable, {each['refused']} refused by this host, "
+                f"limited by the {each['limited_by']}"
             )
 
     def limits(self) -> None:
--- a/hillthread/state/quotas/quota.py
+++ b/hillthread/state/quotas/quota.py
@@ -238,6 +238,11 @@
         """Returns whether the bucket limits, rather than the window."""
         return self._pace_remaining() < self._window_remaining()
 
+    @property
+    def limited_by(self) -> str:
+        """What limits the usage most: `window` or `pace`."""
+        return "pace" if self.is_limited_by_pace() else "window"
+
     def _pace_remaining(self) -> float:
         if self.knows_window:
             return self._balance + self.burst_debt
@@ -355,7 +360,34 @@
             self._known_from = self._updated_at
             self.knows_window = False
 
-    def refuse(self, now: float, amount: float, hosts: int) -> float:
+    def _fit_s(self, now: float, reserved: float) -> float:
+        """Returns the seconds until a refused request is expected to fit."""
+        if not self.may_burst:
+            return max(0.0, -self.remaining()) / self.refill_per_s
+        pace_s = 0.0
+        missing = reserved - self._pace_remaining()
+        if missing >= 0.0:
+            starts_s = max(0.0, self._refill_from - now)
+            pace_s = starts_s + missing / self.refill_per_s
+        missing = reserved - self._window_remaining()
+        window_s = 0.0
+        for number, used in self._slots:
+            if missing < 0.0:
+                break
+            missing -= used
+            # A slot leaves once its end is older than the window.
+            end = (number + 1) * _SLOT_S
+            window_s = max(0.0, end + self.bounds.window_s - now)
+        return max(window_s, pace_s)
+
+    def refuse(
+        self,
+        now: float,
+        amount: float,
+        hosts: int,
+        reserved: float = 0.0,
+        longest_s: float = math.inf,
+    ) -> float | None:
         """Counts a refusal and returns the seconds after which to retry.
 
         Retries of refused callers are spaced at the rate at which this host's
@@ -366,11 +398,18 @@
             now: Time of the last refresh in seconds.
             amount: Units that the request would have used.
             hosts: Number of hosts that refuse at the same rate as this one.
+            reserved: Units that are reserved for more urgent requests.
+            longest_s: Time after which a retry cannot help the caller.
+
+        Returns:
+            The seconds, or None if that is too late for the caller.
         """
         self.refused += 1
-        free_at = now + max(0.0, -self.remaining()) / self.refill_per_s
+        free_at = now + self._fit_s(now, reserved)
         latest_at = now + self.bounds.window_s
         retry_at = min(max(free_at, self._last_retry_at), latest_at)
+        if retry_at - now > longest_s:
+            return None
         host_refill_per_s = self.limit / self.bounds.window_s / hosts
         self._last_retry_at = retry_at + amount / host_refill_per_s
         return retry_at - now
--- a/tests/coordination/gateway/serving/test_quota.py
+++ b/tests/coordination/gateway/serving/test_quota.py
@@ -109,6 +109,12 @@
     return bool(statuses) and statuses[0].left > TOKENS
 
 
+def has_quota_started(program):
+    """Returns whether the first quota admits a request."""
+    statuses = program.quotas.statuses()
+    return bool(statuses) and statuses[0].left > 0
+
+
 class QuotaTest(unittest.TestCase):
     def test_hosts_together_stay_within_quota(self):
         async def scenario(scene):
@@ -225,6 +231,36 @@
 
         scene_lib.run_scenario(scenario)
 
+    def test_retry_that_is_too_late_is_not_offered(self):
+        """Guards against a Retry-After that a caller cannot wait for."""
+
+        async def scenario(scene):
+            scene.configure(tenants=tenants(rate=100, burst=900))
+            await scene.until(scene.program.quotas.statuses)
+            # The quota refills 940 tokens in about a second.
+            await scene.until(lambda: has_quota_started(scene.program))
+            with self.assertLogs("hillthread") as logs:
+                answers = [
+                    await scene.call(
+                        scene.prompt("/stream/x", x_deadline_ms="1000")
+                    )
+                    for _ in range(3)
+                ]
+            limits = {
+                each.event: each.limited_by
+                for each in logs.records
+                if hasattr(each, "limited_by")
+            }
+            self.assertEqual(limits, {"refused": "pace", "quota_spent": "pace"})
+            refused = [a for a in answers if a.head.status == 429]
+            self.assertTrue(refused)
+            self.assertEqual(refused[-1].head.get(b"retry-after"), b"")
+            self.assertIn(b"cannot help", refused[-1].body)
+            status = scene.program.quotas.statuses()[0]
+            self.assertEqual(status.limited_by, "pace")
+
+        scene_lib.run_scenario(scenario, quota_window_s=WINDOW_S)
+
     def test_operators_list_quotas(self):
         async def scenario(scene):
             scene.configure(tenants=tenants())
