--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -212,6 +212,9 @@
         fields: Mapping[str, object] = {},
     ) -> None:
         retry_delay_s = _choose_retry_after_s(refusal, priority)
+        limits = {}
+        if refusal.limited_by:
+            limits["limited_by"] = refusal.limited_by
         log.warn(
             "refused",
             code=refusal.code,
@@ -222,6 +225,7 @@
             started=answer.started,
             store_age_s=self.site.rounded_age_s(clock.now()),
             **fields,
+            **limits,
         )
         if answer.started:
             raise http1_server.BrokenAnswerError
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -63,7 +63,7 @@
 # an overhead in addition to its totals.
 _WORK_NOTICE_BYTES = 77
 _USAGE_TOTAL_BYTES = 24
-_USAGE_OVERHEAD_BYTES = 24
+_USAGE_OVERHEAD_BYTES = 27
 # Every packet has the lists of work and weights, also when they are empty.
 _REQUIRED_LIST_COUNT = 2
 _PACKET_OVERHEAD_BYTES = 16
@@ -217,7 +217,7 @@
     """Returns a packet as CBOR."""
     fields: list[Any] = [str(packet.action)]
     notice_lists: list[Sequence[Any]] = [
-        [_strip_default_urgency(notice) for notice in packet.work],
+        packet.work,
         packet.weights,
         packet.suspects,
         packet.usage,
@@ -229,27 +229,35 @@
     # lists at its end are left out.
     while len(notice_lists) > _REQUIRED_LIST_COUNT and not notice_lists[-1]:
         notice_lists.pop()
-    fields += [[list(notice) for notice in notices] for notices in notice_lists]
+    fields += [
+        [_list_sent_fields(notice) for notice in notices]
+        for notices in notice_lists
+    ]
     return cbor2.dumps(fields)
 
 
-def _strip_default_urgency(notice: WorkNotice) -> tuple[Any, ...]:
-    """Returns the fields of a notice that are sent.
+def _list_sent_fields(notice: Any) -> list[Any]:
+    """Returns the fields of a notice without optional ones that are unset.
 
-    Earlier releases can decode a notice only without its urgency. It is left
-    out where it is the default, as it is where prompts do not differ in
-    urgency.
+    Earlier releases can decode notices of work and of usage only without the
+    fields that they do not know. These stand at the end, and are left out
+    while they have their defaults.
     """
-    if notice.urgency == urgency_lib.LEAST_URGENT:
-        return notice[:-1]
-    return notice
+    fields = list(notice)
+    if isinstance(notice, (WorkNotice, usage_exchange.UsageNotice)):
+        defaults = list(notice._field_defaults.values())
+        while defaults and fields[-1] == defaults[-1]:
+            fields.pop()
+            defaults.pop()
+    return fields
 
 
 def has_room(packet: Packet, notice: usage_exchange.UsageNotice) -> bool:
     """Returns whether a packet of work and usage has room for a notice."""
     used = _PACKET_OVERHEAD_BYTES + len(packet.work) * _WORK_NOTICE_BYTES
     for each in (*packet.usage, notice):
-        used += _USAGE_OVERHEAD_BYTES + len(each.totals) * _USAGE_TOTAL_BYTES
+        pair_count = len(each.totals) + len(each.debts)
+        used += _USAGE_OVERHEAD_BYTES + pair_count * _USAGE_TOTAL_BYTES
     return used <= MAX_PACKET_BYTES
 
 
