--- a/hillthread/state/routing/engine_speed.py
+++ b/hillthread/state/routing/engine_speed.py
@@ -98,7 +98,7 @@
 _MIN_SLOWDOWN = 0.25
 _MAX_SLOWDOWN = 8.0
 # Time for which a computed slowdown is used again without new samples, in
-# seconds. Computing it takes some 20 us, and each estimate needs it.
+# seconds. Computing it takes some 60 us, and each estimate needs it.
 _RECOMPUTE_INTERVAL_S = 0.25
 
 
