Take out bursts of quotas up to the limit of the window

Cause: a process that starts admits nothing from a quota for 3 s, because all hosts may have restarted after a burst that nobody remembers.

Ruled out: a smaller debt of 0.1 of the limit, with a hold of 0.5 s.

Conclusion: the even pace stays.

--- a/hillthread/coordination/gateway/serving/quota_keeper.py
+++ b/hillthread/coordination/gateway/serving/quota_keeper.py
@@ -223,7 +223,6 @@
         """Reports usage to other hosts until cancelled."""
         while True:
             self._apply_quotas()
-            self.ledger.note_alive(clock.now())
             pause_s = (
                 _IDLE_CHECK_INTERVAL_S
                 if self._is_idle()
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -63,7 +63,7 @@
 # an overhead in addition to its totals.
 _WORK_NOTICE_BYTES = 77
 _USAGE_TOTAL_BYTES = 24
-_USAGE_OVERHEAD_BYTES = 27
+_USAGE_OVERHEAD_BYTES = 24
 # Every packet has the lists of work and weights, also when they are empty.
 _REQUIRED_LIST_COUNT = 2
 _PACKET_OVERHEAD_BYTES = 16
@@ -239,12 +239,12 @@
 def _list_sent_fields(notice: Any) -> list[Any]:
     """Returns the fields of a notice without optional ones that are unset.
 
-    Earlier releases can decode notices of work and of usage only without the
-    fields that they do not know. These stand at the end, and are left out
-    while they have their defaults.
+    Earlier releases can decode notices of work only without the fields that
+    they do not know. These stand at the end, and are left out while they have
+    their defaults.
     """
     fields = list(notice)
-    if isinstance(notice, (WorkNotice, usage_exchange.UsageNotice)):
+    if isinstance(notice, WorkNotice):
         defaults = list(notice._field_defaults.values())
         while defaults and fields[-1] == defaults[-1]:
             fields.pop()
@@ -256,8 +256,7 @@
     """Returns whether a packet of work and usage has room for a notice."""
     used = _PACKET_OVERHEAD_BYTES + len(packet.work) * _WORK_NOTICE_BYTES
     for each in (*packet.usage, notice):
-        pair_count = len(each.totals) + len(each.debts)
-        used += _USAGE_OVERHEAD_BYTES + pair_count * _USAGE_TOTAL_BYTES
+        used += _USAGE_OVERHEAD_BYTES + len(each.totals) * _USAGE_TOTAL_BYTES
     return used <= MAX_PACKET_BYTES
 
 
--- a/hillthread/state/quotas/usage_exchange.py
+++ b/hillthread/state/quotas/usage_exchange.py
@@ -17,19 +17,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from collections.abc import Sequence
 import functools
 import hashlib
 from typing import NamedTuple
 
 __all__ = [
     "GROUP_REPORT_INTERVAL_S",
-    "GroupStanding",
     "HOST_REPORT_INTERVAL_S",
-    "INTERRUPTION_S",
-    "MAX_DEBTS",
     "MAX_TOTALS",
-    "UNKNOWN_DEBT",
     "Urgency",
     "UsageExchange",
     "UsageNotice",
@@ -45,24 +40,6 @@
 # row. Until then each side of a network partition uses the whole quota.
 _HOST_TIMEOUT_S = 1.0
 _GROUP_TIMEOUT_S = 0.4
-# Maximum age in seconds of each group's last report while bursts are admitted:
-# two heartbeats. It bounds the usage that two sides of a partition both admit.
-_FRESH_S = 0.25
-# Longest silence of a sender, in seconds, after which its usage still counts as
-# known: six lost heartbeats. At 420 hosts 0.4 s would occur by chance in one of
-# six windows, and 0.6 s in one of 200.
-INTERRUPTION_S = 0.75
-# Maximum number of debts in a report, and the interval of reports with debts:
-# at most 3 KB/s from 20 data centres.
-MAX_DEBTS = 16
-_DEBT_INTERVAL_S = 1.0
-# Stated as `other_debt_ms` if the reporter does not state debts.
-UNKNOWN_DEBT = -1
-# Number of later reports that repeat a total which has not changed since. Once
-# a quota is used up no new usage would replace a total that was lost. With 1 in
-# 5 packets lost, 8 hosts came to 1.11 of the limit without repeats, to 1.10
-# with one and to 1.07 with two.
-_REPEATS = 2
 # Maximum number of totals in a packet, of about 20 bytes each.
 MAX_TOTALS = 16
 # Maximum number of notices of other data centres that wait to be forwarded; the
@@ -110,41 +87,12 @@
         incarnation: Identifies the process of that host.
         host_count: Number of hosts whose usage is included.
         totals: Totals of tenants and target limits with unreported usage.
-        hears_all: Whether the reporter reaches all hosts.
-        other_debt_ms: Largest debt of quotas that `debts` does not list, as
-            milliseconds of refill; `UNKNOWN_DEBT` if debts are not stated.
-        debts: Keys of quotas and the debts of their buckets.
     """
 
     origin: int
     incarnation: int
     host_count: int
     totals: list[UsageTotal]
-    hears_all: bool = False
-    other_debt_ms: int = UNKNOWN_DEBT
-    debts: Sequence[tuple[int, int]] = ()
-
-
-class GroupStanding(NamedTuple):
-    """What a gatherer states about itself in group reports.
-
-    Attributes:
-        hears_all: Whether it reaches all hosts.
-        other_debt_ms: See `UsageNotice`.
-        debts: See `UsageNotice`.
-    """
-
-    hears_all: bool = False
-    other_debt_ms: int = UNKNOWN_DEBT
-    debts: Sequence[tuple[int, int]] = ()
-
-
-class _GroupContact(NamedTuple):
-    """The last report of a group, also if the group is silent now."""
-
-    incarnation: int
-    received_at: float
-    hears_all: bool
 
 
 class _UsageCounters:
@@ -155,14 +103,12 @@
         unreported: Units since the previous report, by key; a key without
             unreported usage is absent.
         reported_at: Time of the last report in seconds.
-        repeats: Last reported totals, and how often to repeat them, by key.
     """
 
     def __init__(self):
         self.counted: dict[int, float] = {}
         self.unreported: dict[int, float] = {}
         self.reported_at = float("-inf")
-        self.repeats: dict[int, tuple[UsageTotal, int]] = {}
 
     def add(self, key: int, amount: float) -> None:
         """Counts usage; a negative amount is a refund."""
@@ -188,22 +134,8 @@
             for key in keys
         ]
         self.reported_at = now
-        for total in totals:
-            self.repeats[total.key] = (total, _REPEATS)
         return totals
 
-    def repeat(self, reported: list[UsageTotal]) -> list[UsageTotal]:
-        """Returns earlier totals that fit into a report with other totals."""
-        keys = {total.key for total in reported}
-        earlier = [key for key in self.repeats if key not in keys]
-        repeated = []
-        for key in earlier[: MAX_TOTALS - len(reported)]:
-            total, count = self.repeats.pop(key)
-            repeated.append(total)
-            if count > 1:
-                self.repeats[key] = (total, count - 1)
-        return repeated
-
 
 class _Sender(NamedTuple):
     """Last known state of a sender of totals.
@@ -222,17 +154,10 @@
 
 
 class _SenderTotals:
-    """Totals that were received from several senders.
-
-    Attributes:
-        timeout_s: Silence after which a sender is unreachable.
-        memory_s: Silence up to which all usage of a sender that returns counts.
-        senders: Senders by origin, until they are forgotten.
-    """
+    """Totals that were received from several senders."""
 
     def __init__(self, timeout_s: float):
         self.timeout_s = timeout_s
-        self.memory_s = max(timeout_s, INTERRUPTION_S)
         self.senders: dict[int, _Sender] = {}
 
     def apply_notice(self, notice: UsageNotice, now: float) -> dict[int, float]:
@@ -252,24 +177,19 @@
     def host_count(self, now: float) -> int:
         """Returns how many hosts are reachable through all senders."""
         self._drop_silent(now)
-        oldest = now - self.timeout_s
-        return sum(
-            sender.host_count
-            for sender in self.senders.values()
-            if sender.received_at >= oldest
-        )
+        return sum(sender.host_count for sender in self.senders.values())
 
     def _is_current(
         self, sender: _Sender, notice: UsageNotice, now: float
     ) -> bool:
-        is_recent = now - sender.received_at <= self.memory_s
+        is_recent = now - sender.received_at <= self.timeout_s
         return is_recent and sender.incarnation == notice.incarnation
 
     def _drop_silent(self, now: float) -> None:
         self.senders = {
             origin: sender
             for origin, sender in self.senders.items()
-            if now - sender.received_at <= self.memory_s
+            if now - sender.received_at <= self.timeout_s
         }
 
 
@@ -280,23 +200,12 @@
         origin: Key of this host.
         incarnation: Identifies the process of this host.
         urgency: Returns the urgency of a report; from 1 on it is due.
-        standing: Returns what this host states in group reports at a time.
-        interrupted_at: Time in seconds of the last event after which usage of
-            other hosts may be missing here; None before the first report.
-        stated_debts: The debts that a group has stated last; None if none has.
     """
 
     def __init__(self, origin: int, incarnation: int, urgency: Urgency):
         self.origin = origin
         self.incarnation = incarnation
         self.urgency = urgency
-        self.standing: Callable[[float], GroupStanding] = lambda now: (
-            GroupStanding()
-        )
-        self.interrupted_at: float | None = None
-        self.stated_debts: GroupStanding | None = None
-        self._contacts: dict[int, _GroupContact] = {}
-        self._debts_stated_at = float("-inf")
         self._own_usage = _UsageCounters()
         self._group_usage = _UsageCounters()
         self._from_members = _SenderTotals(_HOST_TIMEOUT_S)
@@ -314,36 +223,6 @@
         """Returns how many hosts are reachable, including this one."""
         return max(1, self._from_groups.host_count(now) + self._group_size(now))
 
-    def has_groups(self) -> bool:
-        """Returns whether groups of other hosts are reachable."""
-        return bool(self._from_groups.senders)
-
-    def hears_and_is_heard(self, now: float) -> bool:
-        """Returns whether all groups reported lately and hear all hosts."""
-        oldest = now - _FRESH_S
-        for origin in self._from_groups.senders:
-            contact = self._contacts[origin]
-            if not contact.hears_all or contact.received_at < oldest:
-                return False
-        return True
-
-    def _note_contact(self, notice: UsageNotice, now: float) -> None:
-        """Records a group report and detects missing ones."""
-        previous = self._contacts.get(notice.origin)
-        if (
-            previous is None
-            or previous.incarnation != notice.incarnation
-            or now - previous.received_at > INTERRUPTION_S
-        ):
-            self.interrupted_at = now
-        if notice.other_debt_ms != UNKNOWN_DEBT:
-            self.stated_debts = GroupStanding(
-                notice.hears_all, notice.other_debt_ms, notice.debts
-            )
-        self._contacts[notice.origin] = _GroupContact(
-            notice.incarnation, now, notice.hears_all
-        )
-
     def _group_size(self, now: float) -> int:
         """Returns how many hosts report to this one, including itself."""
         gathers_own = self._gatherer == self.origin
@@ -374,7 +253,6 @@
         """
         if gatherer != self._gatherer:
             self._gatherer = gatherer
-            self.interrupted_at = now
             self._unconfirmed.clear()
         if gatherer == self.origin:
             self._gather_own(now)
@@ -385,7 +263,6 @@
         for each in totals:
             unconfirmed = self._unconfirmed.get(each.key, 0.0)
             self._unconfirmed[each.key] = unconfirmed + each.recent
-        totals += self._own_usage.repeat(totals)
         return UsageNotice(self.origin, self.incarnation, 1, totals)
 
     def _gather_own(self, now: float) -> None:
@@ -429,15 +306,7 @@
         if not keys and not is_heartbeat_due:
             return None
         totals = self._group_usage.report(keys, now)
-        totals += self._group_usage.repeat(totals)
-        standing = self.standing(now)
-        if now - self._debts_stated_at < _DEBT_INTERVAL_S:
-            standing = GroupStanding(standing.hears_all)
-        elif standing.other_debt_ms != UNKNOWN_DEBT:
-            self._debts_stated_at = now
-        return UsageNotice(
-            self.origin, self.incarnation, host_count, totals, *standing
-        )
+        return UsageNotice(self.origin, self.incarnation, host_count, totals)
 
     # On all hosts.
 
@@ -450,7 +319,6 @@
         """
         if notice.origin == self.origin:
             return {}
-        self._note_contact(notice, now)
         added = self._from_groups.apply_notice(notice, now)
         if notice.origin == self._gatherer:
             for key, amount in added.items():
