--- a/hillthread/state/scheduling/urgency.py
+++ b/hillthread/state/scheduling/urgency.py
@@ -12,7 +12,7 @@
 
 # Engines accept priorities from 0, the most urgent, to 9.
 LEAST_URGENT = 9
-# Levels of route priority that are told apart within one tenant priority, so
+# Levels of route priority that are distinguished within one tenant priority, so
 # that three tenant priorities fit into the range of engines.
 _ROUTE_LEVELS = 3
 
--- a/tests/state/quotas/test_return_time.py
+++ b/tests/state/quotas/test_return_time.py
@@ -15,7 +15,7 @@
 
     def test_more_urgent_prompts_retry_first(self):
         # Guards against background prompts that take the capacity which the
-        # refused interactive ones were told to wait for.
+        # refused interactive ones have to wait for.
         classes = [return_time.class_of_urgency(n) for n in range(10)]
         times = [
             return_time.staggered_retry_after_s(0.4, each, 0.5)
