Log how a target framed its answer and whether a stream ended inside an event

The logs of the incident cannot tell its hypotheses apart: neither the framing of an answer nor the place where a stream ended is in them. Lines of attempts have both where they matter, explain shows them, and a counter tells how answers were framed. Nothing that is relayed changes.

--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -25,6 +25,11 @@
         self.attempts = self.counter(
             "attempts", "Attempts by outcome.", ["outcome"]
         )
+        self.answers = self.counter(
+            "answers",
+            "Answers of targets, by what marks the end of their body.",
+            ["framing"],
+        )
         self.choices = self.counter(
             "choices", "Targets chosen, by reason.", ["reason"]
         )
--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -14,6 +14,7 @@
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
 from hillthread.coordination.gateway.serving import reach_monitor
 from hillthread.platform import attempts
+from hillthread.protocol import body_framing
 from hillthread.state.routing import attempt_plan
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
@@ -164,6 +165,11 @@
             self.tasks.start_soon(self.connection.close)
         return True
 
+    @property
+    def framing(self) -> body_framing.BodyFraming | None:
+        """What marks the end of the answer's body; None before its head."""
+        return self.connection.framing if self.connection else None
+
     def is_unacknowledged(self) -> bool:
         """Returns whether the target has not acknowledged the request."""
         if self.connection is None or self.meaning is not None:
--- a/hillthread/coordination/gateway/serving/event_relay.py
+++ b/hillthread/coordination/gateway/serving/event_relay.py
@@ -30,6 +30,8 @@
         event_count: Number of events relayed.
         first_sent_at: Clock time in seconds of the first event, or None.
         longest_gap_s: Longest pause between two events.
+        unfinished_bytes: Bytes of the event in which the last run ended; 0 if
+            it ended between two events.
         weights_version: The last weights version that an event named since
             `take_weights_version` was called, or None.
         on_first_event: Called when the first event of a run is relayed.
@@ -42,6 +44,7 @@
         self.event_count = 0
         self.first_sent_at: float | None = None
         self.longest_gap_s = 0.0
+        self.unfinished_bytes = 0
         self.weights_version: int | None = None
         self.on_first_event: Callable[[], None] = _ignore
         self.on_received: Callable[[], None] = _ignore
@@ -59,6 +62,7 @@
             CallError: The run was cut off.
         """
         self._has_run_begun = False
+        self.unfinished_bytes = 0
         splitter = event_stream.EventSplitter(_MAX_EVENT_BYTES)
         while part := await connection.read_part():
             self.on_received()
@@ -70,6 +74,7 @@
             del part, events
             if self.answer.started:
                 await self.answer.wait_for_room()
+        self.unfinished_bytes = len(splitter.rest)
         await self._forward(head, splitter.rest)
         if not self.answer.started:
             raise http1_client.CallError(True, "stream without events")
--- a/hillthread/coordination/gateway/serving/learning.py
+++ b/hillthread/coordination/gateway/serving/learning.py
@@ -18,6 +18,7 @@
 from hillthread.coordination.gateway.serving import quarantine_keeper
 from hillthread.coordination.gateway.serving import reach_monitor
 from hillthread.platform import orders
+from hillthread.protocol import body_framing
 from hillthread.state.config import objects
 from hillthread.state.routing import attempt_plan
 from hillthread.state.routing import engine_speed
@@ -166,6 +167,8 @@
         now = clock.now()
         kind = type(result).__name__.lower() if result else "abandoned"
         self.metrics.attempts.labels(kind).inc()
+        if attempt.framing is not None:
+            self.metrics.answers.labels(str(attempt.framing)).inc()
         is_current = self.site.states.get(attempt.plan.target.name) is state
         if is_current:
             self._record_weights(attempt)
@@ -296,6 +299,10 @@
         "reused": attempt.reused,
         "began": attempt.meaning is not None,
     }
+    if attempt.framing is body_framing.BodyFraming.CLOSE:
+        fields["framing"] = str(attempt.framing)
+    if attempt.relay.unfinished_bytes:
+        fields["unfinished_bytes"] = attempt.relay.unfinished_bytes
     if attempt.plan.fetch_from:
         fields["cache"] = attempt.plan.fetch_from
         fields["saves"] = bool(attempt.plan.save_to)
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -255,6 +255,10 @@
         details.append(f"cache {fields['cache']}{saved}")
     if fields.get("reused"):
         details.append("on a kept connection")
+    if fields.get("framing"):
+        details.append("the end of the connection ended the answer")
+    if fields.get("unfinished_bytes"):
+        details.append(f"{fields['unfinished_bytes']} bytes inside an event")
     if fields.get("ejected"):
         details.append("the target is ejected")
     if fields.get("announced_leaving"):
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -12,6 +12,7 @@
 import h11
 
 from hillthread import settings as settings_lib
+from hillthread.protocol import body_framing
 from hillthread.transport import byte_stream
 from hillthread.transport import http1
 
@@ -129,6 +130,9 @@
         sent_bytes_before_request: Value of `sent_bytes` before the last
             request.
         must_close: Whether it may not carry another request.
+        method: Method of its last request.
+        framing: What marks the end of the body of its last answer; None
+            before the answer's head.
     """
 
     def __init__(self, stream, address: str):
@@ -141,6 +145,8 @@
         self.is_body_sent = True
         self.sent_bytes_before_request = 0
         self.must_close = False
+        self.method = b""
+        self.framing: body_framing.BodyFraming | None = None
 
     async def send_request(self, request: ClientRequest) -> None:
         """Sends a request; a long body is left to `send_body`.
@@ -149,6 +155,8 @@
             CallError: The connection was lost.
         """
         self.requests += 1
+        self.method = request.method
+        self.framing = None
         self.sent_bytes_before_request = self.sent_bytes
         head = h11.Request(
             method=request.method,
@@ -270,6 +278,9 @@
         )
         self.keep_alive_s = _parse_keep_alive_s(head.get(b"keep-alive"))
         self.must_close = b"close" in head.get(b"connection").lower()
+        self.framing = body_framing.framing_of(
+            self.method, head.status, head.headers
+        )
         return head
 
 
