Reproduce streams that end inside an event and are relayed as complete

The stand-in of targets ends a stream inside an event in each framing (length, chunks, the end of the connection), as the framing requires or by a reset, with LF and CR LF.

--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -14,6 +14,7 @@
 import anyio
 import msgspec
 
+from hillthread.protocol import body_framing
 from hillthread.state.config import caller_bounds
 from hillthread.transport import http1
 from hillthread.transport import http1_server
@@ -115,13 +116,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class TruncateStream:
-    """Cuts off an answer stream.
+    """Ends an answer stream inside an event.
 
     Attributes:
-        events: Complete events before an incomplete one.
+        events: Complete events before the incomplete one.
+        framing: What marks the end of the answer's body.
+        orderly: Whether the body ends as its framing requires. Otherwise the
+            connection is reset.
     """
 
     events: int = 1
+    framing: body_framing.BodyFraming = body_framing.BodyFraming.CHUNKED
+    orderly: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -243,6 +249,7 @@
         model: Served model; empty for a plain service.
         weights: Version of the loaded weights.
         events: Number of events of each stream.
+        line_end: End of the lines of its streams.
         behaviours: Behaviours for the next requests, in this order.
         default_behaviour: Behaviour once `behaviours` is empty.
         runs: Requests that it ran.
@@ -287,6 +294,7 @@
         self.model = model
         self.weights = weights
         self.events = 4
+        self.line_end = b"\n"
         self.behaviours: collections.deque[Behaviour] = collections.deque()
         self.default_behaviour: Behaviour = Serve()
         self.runs: list[Run] = []
@@ -576,8 +584,8 @@
                 raise http1_server.BrokenAnswerError
             case NeverAnswer():
                 await anyio.sleep_forever()
-            case TruncateStream(events):
-                await self._send_truncated(request, answer, headers, events)
+            case TruncateStream():
+                await self._send_truncated(request, answer, headers, behaviour)
             case MismatchedAnswer():
                 other = [pair for pair in headers if pair[0] != b"x-request-id"]
                 other.append((b"x-request-id", b"another"))
@@ -593,6 +601,9 @@
                     b"content-length: 4\r\n\r\nlate"
                 )
             case UnframedAnswer(reset):
+                if self.model:
+                    headers = [*_EVENTS, *headers]
+                    body = self._encode_events(request, self.events)
                 await self._send_unframed(answer, headers, body, reset)
 
     def _record_announcement(
@@ -654,7 +665,8 @@
 
     def event(self, number: int, mark: bytes = b"") -> bytes:
         """Returns an encoded event of a stream."""
-        return b"id: %d\ndata: event %d%b\n\n" % (number, number, mark)
+        lines = (b"id: %d" % number, b"data: event %d%b" % (number, mark), b"")
+        return b"".join(line + self.line_end for line in lines)
 
     def _answer_body(self, request: http1_server.CallerRequest) -> bytes:
         return (
@@ -674,16 +686,34 @@
         request: http1_server.CallerRequest,
         answer: http1_server.CallerAnswer,
         headers: http1.Headers,
-        events: int,
+        behaviour: TruncateStream,
     ) -> None:
-        await answer.begin(200, [*_EVENTS, *headers])
-        first = _first_event(request)
-        for number in range(first, min(first + events, self.events)):
-            await answer.send(
-                self.event(number, self._request_id_suffix(request))
+        events = self._encode_events(request, behaviour.events)
+        body = events + b"id: 99" + self.line_end + b"da"
+        headers = [*_EVENTS, *headers]
+        if behaviour.framing is body_framing.BodyFraming.CLOSE:
+            await self._send_unframed(
+                answer, headers, body, not behaviour.orderly
             )
-        await answer.send(b"id: 99\nda")
-        raise http1_server.BrokenAnswerError
+            return
+        if behaviour.framing is body_framing.BodyFraming.LENGTH:
+            length = len(body) + (0 if behaviour.orderly else 1)
+            headers.append((b"content-length", b"%d" % length))
+        await answer.begin(200, headers, body)
+        if not behaviour.orderly:
+            raise http1_server.BrokenAnswerError
+        await answer.end()
+
+    def _encode_events(
+        self, request: http1_server.CallerRequest, count: int
+    ) -> bytes:
+        """Returns the next events of a stream, at most to its end."""
+        first = _first_event(request)
+        mark = self._request_id_suffix(request)
+        return b"".join(
+            self.event(number, mark)
+            for number in range(first, min(first + count, self.events))
+        )
 
     async def _send_unframed(
         self,
