Take no stream that ends inside an event for complete

Callers got status 200 and a shorter body, framed as complete, when an engine crashed in the middle of a stream that it sent without length or chunks.

Cause: the relay of events forwarded whatever was left when the body ended and then ended the caller's answer. Where a body ends with its connection, an orderly close is its end, also when a crash closes it; a body that is whole by its length or chunks may end inside an event just as well. The event framing, the only sign left, was not asked.

One place now decides whether a stream is complete (protocol/stream_end.py), from its framing and its last event. One that is not fails like a cut one: another run resumes it from its last whole event, or the caller's connection is reset. Bytes of an unfinished event are no longer relayed. Blank lines and comments after the last event are part of a complete stream. A first run without events never was a stream; a resumed run without events is complete only if its length or chunks say so, since an orderly close proves nothing then.

Events may end with CR LF, which the splitter did not know: such a stream was relayed as one piece at its end, and would have been rejected now.

An answer that ended on an open connection does not count as closed by its target, so the target is not probed for a crash.

Elsewhere: the router of the own interface requires a last event; records of the store have lengths of their own, and JSON and CBOR that are cut do not decode.

--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -136,7 +136,11 @@
             has_other_cause = self.give_up_reason and not self.found_silent
             if self.reused and self.meaning is None and not has_other_cause:
                 self.pool.record_stale(idle_s)
-            self.closed_by_target = error.sent and not self.give_up_reason
+            self.closed_by_target = (
+                error.sent
+                and not self.give_up_reason
+                and not connection.is_answer_read()
+            )
             reason = self.give_up_reason or error.reason
             return self._failure_outcome(
                 http1_client.CallError(error.sent, reason)
--- a/hillthread/coordination/gateway/serving/event_relay.py
+++ b/hillthread/coordination/gateway/serving/event_relay.py
@@ -13,6 +13,7 @@
 from hillthread import errors
 from hillthread.platform import attempts
 from hillthread.protocol import event_stream
+from hillthread.protocol import stream_end
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
@@ -30,8 +31,8 @@
         event_count: Number of events relayed.
         first_sent_at: Clock time in seconds of the first event, or None.
         longest_gap_s: Longest pause between two events.
-        unfinished_bytes: Bytes of the event in which the last run ended; 0 if
-            it ended between two events.
+        unfinished_bytes: Bytes of the event in which the last run ended, which
+            are not relayed; 0 if it ended between two events.
         weights_version: The last weights version that an event named since
             `take_weights_version` was called, or None.
         on_first_event: Called when the first event of a run is relayed.
@@ -59,7 +60,7 @@
         """Relays one run to its end.
 
         Raises:
-            CallError: The run was cut off.
+            CallError: The run was broken off.
         """
         self._has_run_begun = False
         self.unfinished_bytes = 0
@@ -74,10 +75,15 @@
             del part, events
             if self.answer.started:
                 await self.answer.wait_for_room()
-        self.unfinished_bytes = len(splitter.rest)
+        match stream_end.judge(
+            connection.framing, splitter, self.answer.started
+        ):
+            case stream_end.BrokenOff(reason):
+                if splitter.has_unfinished_event():
+                    self.unfinished_bytes = len(splitter.rest)
+                connection.must_close = True
+                raise http1_client.CallError(True, reason)
         await self._forward(head, splitter.rest)
-        if not self.answer.started:
-            raise http1_client.CallError(True, "stream without events")
         await self.answer.end()
 
     def take_weights_version(self) -> int | None:
--- a/hillthread/protocol/event_stream.py
+++ b/hillthread/protocol/event_stream.py
@@ -1,14 +1,19 @@
-"""Framing of server-sent events; their bytes are relayed unchanged."""
+"""Framing of server-sent events; their bytes are relayed unchanged.
+
+Lines end with LF or CR LF. A CR alone, which the standard allows too, ends no
+line here: it could not be told from a CR LF that is cut in two.
+"""
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 from hillthread import errors
 
 __all__ = ["Event", "EventSplitter", "encode_event"]
 
-_EVENT_END = b"\n\n"
+_EVENT_END = re.compile(rb"(\n\r?\n)")
 
 
 class Event(NamedTuple):
@@ -30,10 +35,12 @@
 
     Attributes:
         limit: Maximum size of an unfinished event in bytes.
+        event_count: Number of events so far.
     """
 
     def __init__(self, limit: int):
         self.limit = limit
+        self.event_count = 0
         self._unfinished = b""
 
     def feed(self, chunk: bytes) -> list[Event]:
@@ -43,20 +50,33 @@
             HillthreadError: An event is too large or its index is not a
                 number.
         """
-        pieces = (self._unfinished + chunk).split(_EVENT_END)
+        pieces = _EVENT_END.split(self._unfinished + chunk)
         self._unfinished = pieces.pop()
         if len(self._unfinished) > self.limit:
             raise errors.HillthreadError(
                 f"An event is larger than {self.limit} bytes.",
                 "Raise max_event_bytes in the router's settings.",
             )
-        return [_parse_event(piece) for piece in pieces]
+        events = [
+            _parse_event(piece, end)
+            for piece, end in zip(pieces[::2], pieces[1::2], strict=True)
+        ]
+        self.event_count += len(events)
+        return events
 
     @property
     def rest(self) -> bytes:
-        """The bytes of the unfinished event."""
+        """The bytes after the last event."""
         return self._unfinished
 
+    def has_unfinished_event(self) -> bool:
+        """Returns whether the bytes so far end inside an event.
+
+        Blank lines and comments after the last event belong to none.
+        """
+        lines = self._unfinished.split(b"\n")
+        return any(line.strip(b"\r")[:1] not in (b"", b":") for line in lines)
+
 
 def encode_event(index: int | None, data: bytes) -> bytes:
     """Returns the bytes of one event."""
@@ -65,17 +85,17 @@
     return b"id: %d\ndata: %b\n\n" % (index, data)
 
 
-def _parse_event(piece: bytes) -> Event:
+def _parse_event(piece: bytes, end: bytes) -> Event:
     index = None
     data = []
     for line in piece.split(b"\n"):
-        name, _, value = line.partition(b":")
+        name, _, value = line.removesuffix(b"\r").partition(b":")
         value = value.removeprefix(b" ")
         if name == b"data":
             data.append(value)
         elif name == b"id":
             index = _parse_index(value.strip())
-    return Event(piece + _EVENT_END, index, b"\n".join(data))
+    return Event(piece + end, index, b"\n".join(data))
 
 
 def _parse_index(digits: bytes) -> int:
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -259,6 +259,10 @@
             return False
         return self.unacknowledged_bytes() >= sent
 
+    def is_answer_read(self) -> bool:
+        """Returns whether the last answer has ended before the connection."""
+        return self.state_machine.their_state is h11.DONE
+
     def is_reusable(self) -> bool:
         """Returns whether the connection may carry another request."""
         if self.requests == 0:
@@ -267,7 +271,7 @@
             return False
         if self.state_machine.our_state is not h11.DONE:
             return False
-        if self.state_machine.their_state is not h11.DONE:
+        if not self.is_answer_read():
             return False
         return not self.state_machine.trailing_data[0]
 
--- a/tests/protocol/test_event_stream.py
+++ b/tests/protocol/test_event_stream.py
@@ -13,14 +13,17 @@
     @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
     @hypothesis.given(
         strategies.lists(
-            strategies.binary(max_size=20).filter(lambda b: b"\n" not in b),
+            strategies.binary(max_size=20).filter(
+                lambda b: b"\n" not in b and b"\r" not in b
+            ),
             max_size=8,
         ),
         strategies.integers(1, 13),
+        strategies.sampled_from([b"\n", b"\r\n"]),
     )
-    def test_events_do_not_depend_on_chunk_size(self, datas, width):
+    def test_events_do_not_depend_on_chunk_size(self, datas, width, line_end):
         raw = b"".join(
-            event_stream.encode_event(number, data)
+            event_stream.encode_event(number, data).replace(b"\n", line_end)
             for number, data in enumerate(datas)
         )
         splitter = event_stream.EventSplitter(1000)
