Log when a host loses its links to all targets

The logs of the incident name single targets that cannot be reached; nothing says that a host reaches none, since when, or that it reaches them again. Lines links_lost and links_restored say so, explain shows them, and the gauges links_lost and targets_unreachable let operators see it. Nothing is decided by it yet.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -494,8 +494,11 @@
             await anyio.sleep(_TICK_INTERVAL_S)
 
     def _update_unavailable_metrics(self, now: float) -> None:
-        """Sets the numbers of targets that leave or back off."""
+        """Sets the numbers of targets that this host cannot use."""
         unavailable = self.site.unavailable_targets(now)
+        self.metrics.unreachable.set(
+            sum(state.is_unreachable for state in self.site.states.values())
+        )
         self.metrics.leaving.set(sum(each.is_leaving for each in unavailable))
         self.metrics.backing_off.set(
             sum(each.backoff_s > 0.0 for each in unavailable)
--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -124,6 +124,12 @@
         self.backing_off = self.gauge(
             "targets_backing_off", "Targets that shed load and request a pause."
         )
+        self.unreachable = self.gauge(
+            "targets_unreachable", "Targets that this host cannot reach."
+        )
+        self.links_lost = self.gauge(
+            "links_lost", "Whether this host can reach no target at all."
+        )
         self.ready = self.gauge("ready", "Whether the host is ready.")
         self.holds_lease = self.gauge(
             "holds_lease", "Whether this host may give orders."
--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -114,12 +114,15 @@
             if self.request.repeatable
             else self.pool.unrepeatable_max_idle_s
         )
+        began_at = clock.now()
         try:
             connection = await self.pool.acquire(
                 self.plan.target.address, max_idle_s
             )
         except http1_client.CallError as error:
             return outcome_lib.Unsent(error.reason)
+        if connection.opened_at >= began_at:
+            self.monitor.note_connected()
         self.reused = connection.requests > 0
         self.sent = True
         self.last_received_at = clock.now()
--- /dev/null
+++ b/hillthread/coordination/gateway/serving/link_watch.py
@@ -0,0 +1,82 @@
+"""Tells whether this host reaches no target, by log line and metric."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import logging
+
+from hillthread import clock
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.state.targets import target_links
+
+__all__ = ["LinkWatch"]
+
+_logger = logging.getLogger("hillthread.reach")
+
+
+class LinkWatch:
+    """Follows the links between this host and the targets.
+
+    Attributes:
+        site: The host's view of the targets.
+        links: State of the links.
+        on_lost: Called when the links count as lost.
+        on_restored: Called with the time of the loss, in seconds, when a
+            connection succeeds again.
+    """
+
+    def __init__(self, site: site_lib.Site):
+        self.site = site
+        self.links = target_links.TargetLinks()
+        self.on_lost: Callable[[], None] = _ignore_loss
+        self.on_restored: Callable[[float], None] = _ignore_return
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the host can reach no target."""
+        return self.links.is_lost
+
+    def record_failure(self, target: str) -> None:
+        """Records that a connection to a target could not be opened."""
+        self.links.record_failure(target, clock.now())
+
+    def record_success(self) -> None:
+        """Records that a connection to some target was opened."""
+        lost_since = self.links.lost_since
+        if not self.links.record_success() or lost_since is None:
+            return
+        self.site.metrics.links_lost.set(0)
+        _logger.warning(
+            "links to targets restored",
+            extra={
+                "event": "links_restored",
+                "lost_s": round(clock.now() - lost_since, 3),
+            },
+        )
+        self.on_restored(lost_since)
+
+    def update(self, now: float) -> None:
+        """Checks whether the links count as lost."""
+        targets = self.site.targets
+        count = len(targets.entries) - len(targets.replaced)
+        if not self.links.update(count, now):
+            return
+        self.site.metrics.links_lost.set(1)
+        _logger.warning(
+            "links to targets lost",
+            extra={
+                "event": "links_lost",
+                "targets": count,
+                "store_age_s": self.site.rounded_age_s(now),
+            },
+        )
+        self.on_lost()
+
+
+def _ignore_loss() -> None:
+    """Default of `on_lost`."""
+
+
+def _ignore_return(lost_since: float) -> None:
+    """Default of `on_restored`."""
+    del lost_since
--- a/hillthread/coordination/gateway/serving/reach_monitor.py
+++ b/hillthread/coordination/gateway/serving/reach_monitor.py
@@ -26,6 +26,7 @@
 
 from hillthread import clock
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.serving import link_watch
 from hillthread.state.config import objects
 from hillthread.transport import http1_client
 
@@ -82,6 +83,7 @@
         pool: Connections to targets; it keeps those that probes open.
         tasks: Runs the probes.
         attempts: Attempts that wait for their targets.
+        links: Whether this host reaches any target.
         on_reached: Called with the name of a target that a probe reached.
         on_refused: Called with the name of a target that refused a connection.
     """
@@ -98,6 +100,7 @@
         self.attempts: set[OpenAttempt] = set()
         self.on_reached: Callable[[str], None] = _ignore
         self.on_refused: Callable[[str], None] = _ignore
+        self.links = link_watch.LinkWatch(site)
         self._probing: set[str] = set()
         self._probed_at: dict[str, float] = {}
         self._retry_at: dict[str, float] = {}
@@ -114,9 +117,11 @@
             now = clock.now()
             self._check_attempts(now)
             self._probe_unreachable(now)
+            self.links.update(now)
 
     def mark_unreachable(self, target: objects.Target, reason: str) -> None:
         """Excludes a target to which no connection succeeds."""
+        self.links.record_failure(target.name)
         state = self.site.state(target.name)
         if state.is_unreachable:
             return
@@ -134,6 +139,10 @@
             },
         )
 
+    def note_connected(self) -> None:
+        """Records that an attempt has opened a connection to its target."""
+        self.links.record_success()
+
     def probe_now(self, target: objects.Target) -> None:
         """Probes a target now, because a connection to it was cut."""
         self._start_probe(target, clock.now())
@@ -217,6 +226,7 @@
         """Records that a target was reached; repeats inconclusive probes."""
         now = clock.now()
         self._reached_at = now
+        self.links.record_success()
         self._inconclusive_targets.pop(target.name, None)
         for inconclusive in self._inconclusive_targets.values():
             self._start_probe(inconclusive, now)
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -30,6 +30,8 @@
         "store_back",
         "store_restored",
         "target_unreachable",
+        "links_lost",
+        "links_restored",
         "target_ended",
         "request_held",
         "target_leaving",
