Split reading and relaying an answer from the attempt

Moves only: what an attempt does with an answer once its head is valid stands in a module of its own, which attempts at other hosts are going to share. Tests of the dispatcher, slow callers and broken streams pass before and after.

--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -9,6 +9,7 @@
 import anyio.abc
 
 from hillthread import clock
+from hillthread.coordination.gateway.serving import answer_reader
 from hillthread.coordination.gateway.serving import event_relay
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
@@ -17,14 +18,9 @@
 from hillthread.protocol import body_framing
 from hillthread.state.routing import attempt_plan
 from hillthread.transport import http1_client
-from hillthread.transport import http1_server
 
 __all__ = ["Attempt", "Callbacks"]
 
-# Answers up to this size are buffered until complete; longer ones are relayed
-# as they arrive.
-_MAX_BUFFERED_BYTES = 262_144
-
 
 class Callbacks(NamedTuple):
     """Callbacks from an attempt to the sender that makes it.
@@ -66,7 +62,7 @@
         found_silent: Whether the monitor found the connection silent.
         closed_by_target: Whether the connection ended before the answer did,
             and not by this host.
-        held_bytes: Bytes that this attempt holds of the budget for buffers.
+        reader: Reads and relays the answer.
     """
 
     def __init__(
@@ -98,15 +94,16 @@
         self.give_up_reason = ""
         self.found_silent = False
         self.closed_by_target = False
-        self.held_bytes = 0
+        self.reader = answer_reader.AnswerReader(request, relay)
+        self.reader.on_received = self._note_received
 
     async def run(self) -> outcome_lib.Outcome:
         """Sends the request and returns the outcome."""
-        self._hold(len(self.request.caller.body))
+        self.reader.hold(len(self.request.caller.body))
         try:
             return await self._connect_and_exchange()
         finally:
-            self._hold(-self.held_bytes)
+            self.reader.release_all()
 
     async def _connect_and_exchange(self) -> outcome_lib.Outcome:
         max_idle_s = (
@@ -145,7 +142,7 @@
                 and not connection.is_answer_read()
             )
             reason = self.give_up_reason or error.reason
-            return self._failure_outcome(
+            return self.reader.failure_outcome(
                 http1_client.CallError(error.sent, reason)
             )
         finally:
@@ -203,19 +200,15 @@
         if self.reused:
             self.pool.record_reused()
         self.meaning = attempts.decode_answer(head)
-        fault = self._find_fault(head, self.meaning)
+        fault = answer_reader.find_fault(self.request, head, self.meaning)
         if fault:
             connection.must_close = True
             return outcome_lib.Lost(fault)
         self.callbacks.note_head(self.meaning)
         if self.meaning.not_run:
-            await self._discard_body(connection)
+            await self.reader.discard(connection)
             return outcome_lib.NotRun(head.status, self.meaning)
-        if self.request.route.streaming and head.status == 200:
-            self.relay.on_received = self._note_received
-            await self.relay.run(connection, head)
-            return outcome_lib.Relayed(head.status)
-        return await self._read_or_relay(connection, head)
+        return await self.reader.read(connection, head)
 
     async def _read_head(
         self, connection: http1_client.ClientConnection
@@ -233,84 +226,5 @@
         self.give_up_reason = "not begun on old weights in time"
         raise http1_client.CallError(True, self.give_up_reason)
 
-    async def _discard_body(
-        self, connection: http1_client.ClientConnection
-    ) -> None:
-        """Reads and discards the body of a refusal.
-
-        The head already carries all that matters. If the body is cut off, the
-        connection is not reused.
-        """
-        try:
-            await connection.read_body(_MAX_BUFFERED_BYTES)
-        except http1_client.CallError as error:
-            self.request.log.warn("refusal_cut", reason=error.reason)
-
-    async def _read_or_relay(
-        self,
-        connection: http1_client.ClientConnection,
-        head: http1_client.AnswerHead,
-    ) -> outcome_lib.Outcome:
-        """Buffers and returns a short answer; relays a long one in parts."""
-        parts = []
-        size = 0
-        while part := await connection.read_part():
-            parts.append(part)
-            size += len(part)
-            self._hold(len(part))
-            if size > _MAX_BUFFERED_BYTES:
-                answer = self.relay.answer
-                headers = attempts.filter_relayed_headers(head)
-                await answer.begin(head.status, headers, b"".join(parts))
-                self._hold(-size)
-                # While the caller reads slowly, only the answer's buffer holds
-                # the data.
-                del part
-                parts.clear()
-                await self._relay_rest(connection)
-                return outcome_lib.Relayed(head.status)
-        body = b"".join(parts)
-        return outcome_lib.Whole(http1_client.WholeAnswer(head, body))
-
-    async def _relay_rest(
-        self, connection: http1_client.ClientConnection
-    ) -> None:
-        answer = self.relay.answer
-        await answer.wait_for_room()
-        while part := await connection.read_part():
-            await answer.send(part)
-            del part
-            await answer.wait_for_room()
-        await answer.end()
-
-    def _hold(self, size: int) -> None:
-        """Counts bytes towards the budget; negative when held no more."""
-        budget = self.relay.answer.budget
-        if budget is not None:
-            budget.hold(size)
-            self.held_bytes += size
-
     def _note_received(self) -> None:
         self.last_received_at = clock.now()
-
-    def _find_fault(
-        self, head: http1_client.AnswerHead, meaning: attempts.AnswerMeaning
-    ) -> str:
-        """Returns what is wrong with the head of an answer; empty if valid."""
-        if meaning.request_id != self.request.request_id.encode("latin-1"):
-            return "crossed_answer"
-        if meaning.is_encoded:
-            return "encoded_answer"
-        if head.status < 300 and not meaning.has_receipt:
-            return "no_receipt"
-        return ""
-
-    def _failure_outcome(
-        self, error: http1_client.CallError
-    ) -> outcome_lib.Outcome:
-        if not error.sent:
-            return outcome_lib.Unsent(error.reason)
-        answer: http1_server.CallerAnswer = self.relay.answer
-        if answer.started:
-            return outcome_lib.Broken(error.reason)
-        return outcome_lib.Lost(error.reason)
