Forward requests to other hosts while a host reaches no target

Cause: a host served through its own links only. It found out fast enough that it reached no target, was in contact with hosts that did, and refused with no_target. Leaving the balancer's set alone was weighed and does not help: connections that callers keep stay, a closed one is a failed attempt, and where most of a data centre is cut off the balancer uses all of its hosts anyway.

A request whose pool this host cannot reach, or that found two targets in a row that cannot be reached, now goes to another host, in its own data centre if one can serve. It is sent over the port where hosts read topics from each other, as a POST with the caller's method and target in headers, its key, the remaining time and what has been sent already. The other host serves it as if the caller had sent it there: it authenticates it, checks the quarantine, charges quotas, limits and budgets, and makes the attempts. Head, receipt and body come back unchanged, streams event by event, and a break is resumed or shown as of a target. A forwarded request is never forwarded again. A host that cannot serve either, stops, or serves many for others says so at once and is avoided for a while; one of an earlier release answers 400 and has not run it. Nothing is exchanged in advance, so that 420 hosts that are not cut off pay nothing.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -19,8 +19,10 @@
 from hillthread.coordination.gateway.peers import work_feed
 from hillthread.coordination.gateway.serving import gateway as gateway_lib
 from hillthread.coordination.gateway.serving import limit_keeper
+from hillthread.coordination.gateway.serving import peer_forwarder
 from hillthread.coordination.gateway.serving import quarantine_keeper
 from hillthread.coordination.gateway.serving import quota_keeper
+from hillthread.coordination.gateway.serving import services as services_lib
 from hillthread.coordination.gateway.store import host_registry
 from hillthread.coordination.gateway.store import store_follower
 from hillthread.coordination.gateway.store import store_watch
@@ -84,6 +86,8 @@
 # Reads of the operator's topic also confirm that no key was withdrawn. They end
 # before the knowledge of keys reaches this share of its maximum age.
 _CONFIRMATION_AGE_SHARE = 0.7
+# Room for the headers with which hosts forward requests to each other.
+_FORWARD_HEAD_BYTES = 4_096
 _TICK_INTERVAL_S = 0.25
 _STATUS_INTERVAL_S = 5.0
 
@@ -123,10 +127,20 @@
             self.metrics,
             self.pool,
             tasks,
-            self.work,
-            self.quarantine,
-            self.quotas,
-            self.limits,
+            services_lib.HostServices(
+                self.work,
+                self.quarantine,
+                self.quotas,
+                self.limits,
+                peer_forwarder.PeerForwarder(
+                    self.source,
+                    http1_client.ConnectionPool(_CONNECT_TIMEOUT_S),
+                    self.metrics,
+                ),
+            ),
+        )
+        self.buffers = send_buffer.BufferBudget(
+            self._compute_buffer_bounds(), self.gateway.note_slow_caller
         )
         self.hosts_read = anyio.Event()
         self.hosts_settled = anyio.Event()
@@ -154,9 +168,12 @@
                 self.quarantine,
                 self.quotas,
                 self.limits,
+                self.gateway.handle_forwarded,
             ).answer,
-            caller_bounds.CallerBounds,
+            self._compute_feed_bounds,
             self.gateway.note_bad_request,
+            self.gateway.note_caller_left,
+            self.buffers,
         )
         self.hosts = host_registry.HostRegistry(
             self.store,
@@ -175,9 +192,6 @@
             self.work,
             tasks,
         )
-        self.buffers = send_buffer.BufferBudget(
-            self._compute_buffer_bounds(), self.gateway.note_slow_caller
-        )
         self.site.on_target_withdrawn = self._close_idle_connections
         self.site.on_target_forgotten = self.limits.forget
         self.site.on_target_terminated = self.quarantine.record_target_crash
@@ -253,7 +267,9 @@
 
     async def _wait_for_requests(self, until: float) -> None:
         """Waits until no request is unfinished, or until a point in time."""
-        while clock.now() < until and self.server.unfinished:  # noqa: ASYNC110
+        while clock.now() < until and (  # noqa: ASYNC110
+            self.server.unfinished or self.gateway.forwarded_inflight
+        ):
             await anyio.sleep(_DRAIN_POLL_INTERVAL_S)
 
     async def answer_status(
@@ -285,6 +301,14 @@
             )
         return bounds
 
+    def _compute_feed_bounds(self) -> caller_bounds.CallerBounds:
+        """Returns bounds for hosts, which admit all requests of callers."""
+        callers = self.site.bounds
+        return caller_bounds.CallerBounds(
+            callers.max_head_bytes + _FORWARD_HEAD_BYTES,
+            callers.max_body_bytes,
+        )
+
     def _create_status_server(self, address: str) -> http1_server.Server:
         return http1_server.Server(
             settings_lib.split_address(address),
--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -63,6 +63,16 @@
             ["tenant"],
         )
         self.resumes = self.counter("resumes", "Streams resumed.", [])
+        self.forwarded = self.counter(
+            "forwarded",
+            "Requests sent to another host, by that host and outcome.",
+            ["host", "outcome"],
+        )
+        self.received_forwarded = self.counter(
+            "received_forwarded",
+            "Requests that another host has forwarded, by outcome.",
+            ["outcome"],
+        )
         self.mismatches = self.counter(
             "mismatches", "Attempts lost or broken, by reason.", ["check"]
         )
@@ -161,6 +171,12 @@
             tenant = metric_set.OTHER
         self.quota_refused.labels(tenant).inc()
 
+    def count_forwarded(self, host: str, outcome: str) -> None:
+        """Counts a request that was sent to another host."""
+        if not self._labels.admit(("host", host)):
+            host = metric_set.OTHER
+        self.forwarded.labels(host, outcome).inc()
+
     def observe_first_byte(
         self, tenant: str, route: str, seconds: float
     ) -> None:
--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -1,6 +1,7 @@
-"""Serves topics to other hosts, and the state of this host to operators.
+"""Serves other hosts, and the state of this host to operators.
 
-Hosts of the data centre read topics from this host's copies. Operators list and
+Hosts of the data centre read topics from this host's copies, and hosts without
+links to targets forward requests of their callers. Operators list and
 clear quarantined requests, and list the status of quotas, limits and targets.
 """
 
@@ -12,6 +13,7 @@
 from hillthread import clock
 from hillthread import errors
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.peers import forwarding
 from hillthread.coordination.gateway.serving import limit_keeper
 from hillthread.coordination.gateway.serving import quarantine_keeper
 from hillthread.coordination.gateway.serving import quota_keeper
@@ -37,6 +39,7 @@
         quarantine: Requests under which targets crashed.
         quotas: Quotas of organisations and their usage.
         limits: Limits that targets announced.
+        handle_forwarded: Serves a request that another host has forwarded.
     """
 
     def __init__(
@@ -46,12 +49,14 @@
         quarantine: quarantine_keeper.QuarantineKeeper,
         quotas: quota_keeper.QuotaKeeper,
         limits: limit_keeper.LimitKeeper,
+        handle_forwarded: http1_server.Handler,
     ):
         self.site = site
         self.followers = followers
         self.quarantine = quarantine
         self.quotas = quotas
         self.limits = limits
+        self.handle_forwarded = handle_forwarded
 
     async def answer(
         self,
@@ -59,7 +64,9 @@
         answer: http1_server.CallerAnswer,
     ) -> None:
         """Answers one request; its path selects what is asked for."""
-        if caller.path == feed.QUARANTINE_PATH:
+        if caller.path == forwarding.FORWARD_PATH:
+            await self.handle_forwarded(caller, answer)
+        elif caller.path == feed.QUARANTINE_PATH:
             await self._answer_operator(answer, self._handle_quarantine(caller))
         elif caller.path == feed.QUOTAS_PATH:
             await self._answer_operator(answer, self.quotas.statuses())
--- a/hillthread/coordination/gateway/serving/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -22,7 +22,10 @@
 from hillthread.state.targets import target_list
 from hillthread.transport import http1_client
 
-__all__ = ["AntiAffinity", "Chooser", "PlannedAttempt"]
+__all__ = ["NO_TARGET", "AntiAffinity", "Chooser", "PlannedAttempt"]
+
+# Error code of a request for which no target is available.
+NO_TARGET = "no_target"
 
 # The costs below are added to an engine's expected time to the first byte when
 # engines are compared.
@@ -129,7 +132,7 @@
         Raises:
             RefusalError: No target is available.
         """
-        pool = self._choose_pool(request.route)
+        pool = self.choose_pool(request.route)
         members = self.site.targets.members(pool) if pool else []
         targets_view = pool_view.PoolView(self, request, tried, members)
         targets_view.token_bytes = pool.cache_token_bytes if pool else 0.0
@@ -164,13 +167,25 @@
         start_by = lag.start_by if lag else None
         return planned._replace(plan=plan._replace(start_by=start_by))
 
+    def find_unreachable_pool(
+        self, route: objects.Route
+    ) -> objects.Pool | None:
+        """Returns a pool of the route that this host cannot reach, if any.
+
+        Of a route with several pools one is chosen by their weights.
+        """
+        pool = self.choose_pool(route)
+        if pool is None or not self.site.is_pool_unreachable(pool):
+            return None
+        return pool
+
     def note_suspect_ended(self, target: str) -> None:
         """Counts down a target's attempts of suspected requests."""
         self.suspect_attempts[target] -= 1
         if not self.suspect_attempts[target]:
             del self.suspect_attempts[target]
 
-    def _choose_pool(self, route: objects.Route) -> objects.Pool | None:
+    def choose_pool(self, route: objects.Route) -> objects.Pool | None:
         """Returns one of the route's pools at random by their weights."""
         table = self.site.table
         shares = table.pool_shares(route) if table is not None else ()
@@ -292,7 +307,7 @@
 def _no_target() -> errors.RefusalError:
     """Returns the refusal of a request for which no target is available."""
     return errors.RefusalError(
-        "no_target",
+        NO_TARGET,
         503,
         "No target can take the request now.",
         "Try again after the time in Retry-After.",
--- a/hillthread/coordination/gateway/serving/dispatcher.py
+++ b/hillthread/coordination/gateway/serving/dispatcher.py
@@ -11,17 +11,14 @@
 from hillthread import errors
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway.peers import work_feed
 from hillthread.coordination.gateway.serving import announcement_keeper
 from hillthread.coordination.gateway.serving import chooser as chooser_lib
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import job as job_lib
 from hillthread.coordination.gateway.serving import learning
-from hillthread.coordination.gateway.serving import limit_keeper
-from hillthread.coordination.gateway.serving import quarantine_keeper
-from hillthread.coordination.gateway.serving import quota_keeper
 from hillthread.coordination.gateway.serving import reach_monitor
 from hillthread.coordination.gateway.serving import sender as sender_lib
+from hillthread.coordination.gateway.serving import services as services_lib
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
@@ -86,11 +83,9 @@
         metrics: metrics_lib.GatewayMetrics,
         pool: http1_client.ConnectionPool,
         tasks: anyio.abc.TaskGroup,
-        work: work_feed.WorkFeed,
-        quarantine: quarantine_keeper.QuarantineKeeper,
-        quotas: quota_keeper.QuotaKeeper,
-        limits: limit_keeper.LimitKeeper,
+        services: services_lib.HostServices,
     ):
+        work, quarantine, quotas, limits, forwarder = services
         self.monitor = reach_monitor.ReachabilityMonitor(site, pool, tasks)
         self.monitor.on_reached = quarantine.record_target_reached
         self.monitor.on_refused = functools.partial(
@@ -111,6 +106,7 @@
             quotas,
             limits,
             announcement_keeper.AnnouncementKeeper(site, work, tasks),
+            forwarder,
         )
         self.cancel_scopes: set[anyio.CancelScope] = set()
         self.is_stopping = False
--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -14,13 +14,12 @@
 from hillthread import errors
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import site as site_lib
-from hillthread.coordination.gateway.peers import work_feed
+from hillthread.coordination.gateway.peers import forwarding
 from hillthread.coordination.gateway.serving import dispatcher as dispatcher_lib
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import job as job_lib
-from hillthread.coordination.gateway.serving import limit_keeper
-from hillthread.coordination.gateway.serving import quarantine_keeper
-from hillthread.coordination.gateway.serving import quota_keeper
+from hillthread.coordination.gateway.serving import peer_forwarder
+from hillthread.coordination.gateway.serving import services as services_lib
 from hillthread.coordination.gateway.serving import story as story_lib
 from hillthread.platform import names
 from hillthread.state.quotas import return_time
@@ -32,6 +31,12 @@
 __all__ = ["Gateway"]
 
 _JSON_HEADER = (b"content-type", b"application/json")
+# Requests that this host serves for others at the same time: some, and for each
+# request of its own callers some more. Of three hosts of a data centre two may
+# lose their links.
+_MIN_FORWARDED = 16
+_FORWARDED_RATIO = 2
+_BUSY_RETRY_S = 0.2
 # Another host may serve a request that hit an internal error on this one.
 _INTERNAL_ERROR_RETRY_S = 0.1
 
@@ -48,6 +53,7 @@
         quotas: Refuses requests that exceed an organisation's quota.
         sampler: Limits how many requests are logged each second.
         inflight: Number of requests being served.
+        forwarded_inflight: Those of them that other hosts have forwarded.
     """
 
     def __init__(
@@ -56,29 +62,86 @@
         metrics: metrics_lib.GatewayMetrics,
         pool: http1_client.ConnectionPool,
         tasks: anyio.abc.TaskGroup,
-        work: work_feed.WorkFeed,
-        quarantine: quarantine_keeper.QuarantineKeeper,
-        quotas: quota_keeper.QuotaKeeper,
-        limits: limit_keeper.LimitKeeper,
+        services: services_lib.HostServices,
     ):
         self.site = site
         self.metrics = metrics
         self.dispatcher = dispatcher_lib.Dispatcher(
-            site, metrics, pool, tasks, work, quarantine, quotas, limits
+            site, metrics, pool, tasks, services
         )
-        self.quotas = quotas
+        self.quotas = services.quotas
         self.sampler = story_lib.RequestSampler(
             site.settings.log_requests_per_s
         )
         self.inflight = 0
+        self.forwarded_inflight = 0
 
     async def handle(
         self,
         caller: http1_server.CallerRequest,
         answer: http1_server.CallerAnswer,
+    ) -> None:
+        """Serves one request of a caller.
+
+        Raises:
+            BrokenAnswerError: Its answer was started and cannot be completed.
+        """
+        await self._handle(caller, answer, None)
+
+    async def handle_forwarded(
+        self,
+        raw: http1_server.CallerRequest,
+        answer: http1_server.CallerAnswer,
+    ) -> None:
+        """Serves one request that another host has forwarded.
+
+        Raises:
+            BrokenAnswerError: Its answer was started and cannot be completed.
+        """
+        host = self.site.settings.host.encode()
+        answer.added_headers = [(forwarding.HOST_HEADER, host)]
+        try:
+            forwarded = forwarding.decode_request(raw)
+        except errors.PeerError as error:
+            self.note_bad_request(400, error.message)
+            await answer.send_whole(400, [], b"")
+            return
+        self.forwarded_inflight += 1
+        try:
+            await self._handle(forwarded.caller, answer, forwarded.origin)
+        finally:
+            self.forwarded_inflight -= 1
+
+    def _check_room(self) -> None:
+        """Refuses a forwarded request if this host has many of them.
+
+        Raises:
+            RefusalError: There are too many; the request has not run.
+        """
+        own = self.inflight - self.forwarded_inflight
+        if self.forwarded_inflight <= _MIN_FORWARDED + _FORWARDED_RATIO * own:
+            return
+        raise errors.RefusalError(
+            peer_forwarder.BUSY,
+            503,
+            f"This host serves {self.forwarded_inflight} requests for others.",
+            "Ask another host.",
+            retry_after_s=_BUSY_RETRY_S,
+        )
+
+    async def _handle(
+        self,
+        caller: http1_server.CallerRequest,
+        answer: http1_server.CallerAnswer,
+        origin: forwarding.ForwardOrigin | None,
     ) -> None:
         """Serves one request.
 
+        Args:
+            caller: The caller's request.
+            answer: The answer to it.
+            origin: The host that forwarded it; None if its caller sent it.
+
         Raises:
             BrokenAnswerError: Its answer was started and cannot be completed.
         """
@@ -93,8 +156,10 @@
         request: intake.GatewayRequest | None = None
         job: job_lib.Job | None = None
         try:
+            if origin is not None:
+                self._check_room()
             await self.site.wait_until_routable(caller.arrived)
-            request = intake.admit(self.site, caller, log)
+            request = intake.admit(self.site, caller, log, origin)
             await self.quotas.wait_at_startup(request)
             self.quotas.admit(request)
             self._note_admitted(request)
@@ -123,6 +188,8 @@
             self.inflight -= 1
             self.metrics.inflight.set(self.inflight)
             self.metrics.requests.labels(outcome, code).inc()
+            if origin is not None:
+                self.metrics.received_forwarded.labels(outcome).inc()
             if outcome == "left":
                 log.warn(
                     "requester_left",
@@ -155,6 +222,7 @@
         )
 
     def _note_admitted(self, request: intake.GatewayRequest) -> None:
+        origin = request.forwarded
         request.log.note(
             "admitted",
             path=request.caller.path,
@@ -164,6 +232,7 @@
             repeatable=request.repeatable,
             priority=request.priority,
             seconds_left=round(request.seconds_left(), 3),
+            **({"forwarded_by": origin.host} if origin else {}),
         )
 
     def _describe(
@@ -233,6 +302,8 @@
             _JSON_HEADER,
             (names.REQUEST_ID, log.request_id.encode("latin-1")),
         ]
+        if answer.added_headers:
+            headers.append((forwarding.RUN_HEADER, str(refusal.run).encode()))
         if retry_delay_s is not None:
             headers.append((names.RETRY_AFTER, b"%.3f" % retry_delay_s))
         # Makes the caller reconnect, so that the load balancer chooses a host
--- a/hillthread/coordination/gateway/serving/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -8,6 +8,7 @@
 from hillthread import clock
 from hillthread import errors
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.peers import forwarding
 from hillthread.coordination.gateway.serving import story as story_lib
 from hillthread.platform import attempts
 from hillthread.platform import names
@@ -65,6 +66,8 @@
         log: The log lines of the request.
         is_deferred: Whether engines serve it after all prompts that can still
             be in time.
+        forwarded: What the host that forwarded the request has done with it;
+            None if its caller sent it to this host.
     """
 
     caller: http1_server.CallerRequest
@@ -76,6 +79,7 @@
     last_event_id: int | None
     log: story_lib.RequestLog
     is_deferred: bool = False
+    forwarded: forwarding.ForwardOrigin | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -127,13 +131,20 @@
     site: site_lib.Site,
     caller: http1_server.CallerRequest,
     log: story_lib.RequestLog,
+    origin: forwarding.ForwardOrigin | None = None,
 ) -> GatewayRequest:
     """Returns the request with its route, tenant and deadline.
 
+    Args:
+        site: The host's view of the site.
+        caller: The request.
+        log: The log lines of the request.
+        origin: The host that forwarded it; None if its caller sent it.
+
     Raises:
         RefusalError: The request cannot be served; it has not run.
     """
-    if site.is_closing:
+    if site.is_closing or (origin is not None and site.is_draining):
         raise make_not_ready_error(
             "The host is shutting down.", _OTHER_HOST_RETRY_S
         )
@@ -156,6 +167,7 @@
         caller.arrived + timeout_s,
         attempts.parse_whole_number(caller.get(names.LAST_EVENT_ID)),
         log,
+        forwarded=origin,
     )
 
 
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -6,13 +6,16 @@
 
 from hillthread import clock
 from hillthread import errors
+from hillthread.coordination.gateway.peers import forwarding
 from hillthread.coordination.gateway.serving import chooser as chooser_lib
 from hillthread.coordination.gateway.serving import event_relay
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
+from hillthread.coordination.gateway.serving import peer_forwarder
 from hillthread.coordination.gateway.serving import prompt_scheduler
 from hillthread.coordination.gateway.serving import sender as sender_lib
 from hillthread.platform import attempts
+from hillthread.state.config import objects
 from hillthread.state.quotas import aim_admission
 from hillthread.state.scheduling import scheduler
 from hillthread.state.targets import quarantine
@@ -24,6 +27,12 @@
 # Limits all attempts of one request, including those that targets refused.
 # Those that may have run are limited further by the route's `max_attempts`.
 _MAX_ATTEMPTS = 5
+# Limits how often one request is sent to other hosts.
+_MAX_FORWARDS = 3
+# Attempts in a row that reached no target after which another host is asked,
+# also while some targets of the pool count as reachable.
+_FORWARD_AFTER_UNSENT = 2
+_NO_LINK_RETRY_S = 0.3
 # Refusals because of its weights after which a target is not used again for the
 # request: what this host knows of its weights is wrong.
 _MAX_WEIGHTS_REFUSALS = 2
@@ -53,6 +62,8 @@
             of before the last attempt.
         is_suspect_trial: Whether this is the trial run of a request during
             which several targets crashed.
+        tried_peers: Hosts that the request was forwarded to.
+        unsent_in_a_row: Attempts in a row that reached no target.
     """
 
     def __init__(
@@ -76,6 +87,11 @@
         self.retry_reserved = False
         self.is_suspect = False
         self.is_suspect_trial = False
+        self.tried_peers: set[str] = set()
+        self.unsent_in_a_row = 0
+        if request.forwarded is not None:
+            self.sender.attempts_made = request.forwarded.sends
+            self.sender.possible_runs = request.forwarded.runs
 
     @property
     def attempts_made(self) -> int:
@@ -103,17 +119,31 @@
             BrokenAnswerError: Its answer cannot be completed.
         """
         while (planned := self._plan_attempt()) is not None:
-            result = await self.sender.send(planned, self.is_suspect)
-            if not self._handle_outcome(result, planned):
+            match planned:
+                case peer_forwarder.ForwardPlan():
+                    forwarded = await self._forward(planned)
+                    is_open = self._handle_forwarded(forwarded, planned)
+                case _:
+                    result = await self.sender.send(planned, self.is_suspect)
+                    is_open = self._handle_outcome(result, planned)
+            if not is_open:
                 return
 
-    def _plan_attempt(self) -> chooser_lib.PlannedAttempt | None:
+    def _plan_attempt(
+        self,
+    ) -> chooser_lib.PlannedAttempt | peer_forwarder.ForwardPlan | None:
         """Returns the next attempt; None if `last_answer` is to be relayed."""
         request = self.request
         try:
             if self.attempts_made:
                 self._recheck_request()
             intake.check_deadline(request)
+            # The other host checks the quarantine: a trial that this host
+            # announced would hold the request there.
+            if self._is_pool_unreachable():
+                forward = self._plan_forward()
+                if forward is not None:
+                    return forward
             quarantine_status = self.context.quarantine.admit(
                 request, self.possible_runs, self.is_suspect_trial
             )
@@ -128,10 +158,89 @@
                 return self._choose(anti_affinity)
             return self._schedule(anti_affinity)
         except errors.RefusalError as refusal:
+            if refusal.code == chooser_lib.NO_TARGET and self.unsent_in_a_row:
+                forward = self._plan_forward()
+                if forward is not None:
+                    return forward
             if self.last_answer is not None:
                 return None
             raise self._refusal_with_run_state(refusal) from refusal
 
+    def _is_pool_unreachable(self) -> bool:
+        """Returns whether this host cannot reach the targets of the route.
+
+        Raises:
+            RefusalError: It cannot, and another host has asked it.
+        """
+        pool = self.context.chooser.find_unreachable_pool(self.request.route)
+        if pool is not None and self.request.forwarded is not None:
+            raise _no_link(pool.name)
+        return pool is not None or self.unsent_in_a_row >= _FORWARD_AFTER_UNSENT
+
+    def _plan_forward(self) -> peer_forwarder.ForwardPlan | None:
+        """Returns which other host to ask, or None if none may be."""
+        if self.request.forwarded is not None:
+            return None
+        pool = self.context.chooser.choose_pool(self.request.route)
+        if pool is None or len(self.tried_peers) >= _MAX_FORWARDS:
+            return None
+        return self.context.forwarder.plan(pool, frozenset(self.tried_peers))
+
+    async def _forward(
+        self, planned: peer_forwarder.ForwardPlan
+    ) -> outcome_lib.ForwardOutcome:
+        """Sends the request to another host; counts it if it may have run."""
+        forwarder = self.context.forwarder
+        attempt = peer_forwarder.ForwardedAttempt(
+            self.request, self.relay, forwarder.pool, planned.peer
+        )
+        origin = forwarding.ForwardOrigin(
+            forwarder.host, self.attempts_made, self.possible_runs
+        )
+        result: outcome_lib.ForwardOutcome | None = None
+        try:
+            result = await forwarder.send(planned, attempt, origin)
+            return result
+        finally:
+            match result:
+                case outcome_lib.Unsent() | outcome_lib.Declined():
+                    pass
+                case outcome_lib.Refused(refusal):
+                    is_run = refusal.run is not errors.RunState.NOT_RUN
+                    self.sender.possible_runs += is_run
+                case _:
+                    self.sender.possible_runs += attempt.sent
+
+    def _handle_forwarded(
+        self,
+        result: outcome_lib.ForwardOutcome,
+        planned: peer_forwarder.ForwardPlan,
+    ) -> bool:
+        """Handles the end of an attempt at another host.
+
+        Returns whether another attempt follows.
+
+        Raises:
+            RefusalError: The other host refused the request.
+            BrokenAnswerError: The answer cannot be completed.
+        """
+        self.tried_peers.add(planned.peer.name)
+        match result:
+            case outcome_lib.Relayed():
+                return False
+            case outcome_lib.Whole(whole):
+                self.last_answer = whole
+                return False
+            case outcome_lib.Refused(refusal):
+                if self.last_answer is not None:
+                    return False
+                raise self._refusal_with_run_state(refusal)
+            case outcome_lib.Lost(reason):
+                return self._retry_possibly_run_request(planned.pool, reason)
+            case outcome_lib.Broken(reason):
+                self._resume_or_break(planned.pool, reason)
+        return True
+
     def _choose(
         self, anti_affinity: chooser_lib.AntiAffinity
     ) -> chooser_lib.PlannedAttempt:
@@ -218,23 +327,25 @@
     ) -> bool:
         """Handles the end of an attempt; returns whether another follows."""
         name = planned.plan.target.name
+        is_unsent = isinstance(result, outcome_lib.Unsent)
+        self.unsent_in_a_row = self.unsent_in_a_row + 1 if is_unsent else 0
         match result:
             case outcome_lib.Relayed():
                 return False
             case outcome_lib.Unsent(reason):
                 self.tried_targets.add(name)
-                return self._retry_unrun_request(planned, reason)
+                return self._retry_unrun_request(planned.pool, reason)
             case outcome_lib.NotRun(status):
                 self._note_refusal(name, result)
                 return self._retry_unrun_request(
-                    planned, f"refused with {status}"
+                    planned.pool, f"refused with {status}"
                 )
         self.tried_targets.add(name)
         match result:
             case outcome_lib.Lost(reason):
-                return self._retry_possibly_run_request(planned, reason)
+                return self._retry_possibly_run_request(planned.pool, reason)
             case outcome_lib.Broken(reason):
-                self._resume_or_break(planned, reason)
+                self._resume_or_break(planned.pool, reason)
                 return True
             case outcome_lib.Whole(whole):
                 self.last_answer = whole
@@ -258,7 +369,7 @@
         if whole.head.status < 500 or not self._may_run_again():
             return False
         return self._take_retry_from_budget(
-            planned, f"status {whole.head.status}"
+            planned.pool, f"status {whole.head.status}"
         )
 
     def _may_run_again(self) -> bool:
@@ -280,12 +391,12 @@
             return False
         if self.answer.started and not self._has_resumable_events():
             return False
-        self.retry_reserved = self._take_retry_from_budget(planned, "given up")
+        self.retry_reserved = self._take_retry_from_budget(
+            planned.pool, "given up"
+        )
         return self.retry_reserved
 
-    def _retry_unrun_request(
-        self, planned: chooser_lib.PlannedAttempt, reason: str
-    ) -> bool:
+    def _retry_unrun_request(self, pool: objects.Pool, reason: str) -> bool:
         """Returns whether another attempt follows one that has not run.
 
         Raises:
@@ -293,10 +404,10 @@
             BrokenAnswerError: None may, and a stream was started.
         """
         if self.answer.started:
-            self._resume_or_break(planned, reason)
+            self._resume_or_break(pool, reason)
             return True
         if self.attempts_made < _MAX_ATTEMPTS and self._take_retry_from_budget(
-            planned, reason
+            pool, reason
         ):
             return True
         if self.last_answer is not None:
@@ -312,16 +423,14 @@
         )
 
     def _retry_possibly_run_request(
-        self, planned: chooser_lib.PlannedAttempt, reason: str
+        self, pool: objects.Pool, reason: str
     ) -> bool:
         """Returns whether another attempt follows one that may have run.
 
         Raises:
             RefusalError: None may, and there is no answer to relay.
         """
-        if self._may_run_again() and self._take_retry_from_budget(
-            planned, reason
-        ):
+        if self._may_run_again() and self._take_retry_from_budget(pool, reason):
             return True
         if self.last_answer is not None:
             return False
@@ -336,15 +445,13 @@
             self.run_state(),
         )
 
-    def _resume_or_break(
-        self, planned: chooser_lib.PlannedAttempt, reason: str
-    ) -> None:
+    def _resume_or_break(self, pool: objects.Pool, reason: str) -> None:
         """Checks that another attempt may resume a broken stream.
 
         Raises:
             BrokenAnswerError: None may; the answer stays incomplete.
         """
-        why_not = self._why_no_resume(planned, reason)
+        why_not = self._why_no_resume(pool, reason)
         if why_not:
             self.request.log.warn("no_resume", reason=reason, why=why_not)
             raise http1_server.BrokenAnswerError
@@ -359,9 +466,7 @@
             and self.relay.last_event_id is not None
         )
 
-    def _why_no_resume(
-        self, planned: chooser_lib.PlannedAttempt, reason: str
-    ) -> str:
+    def _why_no_resume(self, pool: objects.Pool, reason: str) -> str:
         """Returns why a broken stream cannot be resumed; empty if it can."""
         if not self.request.route.resumable:
             return "its route is not resumable"
@@ -369,13 +474,11 @@
             return "its events have no ids"
         if not self._may_run_again():
             return "it may not run on more targets"
-        if not self._take_retry_from_budget(planned, reason):
+        if not self._take_retry_from_budget(pool, reason):
             return "the retry budget is exhausted"
         return ""
 
-    def _take_retry_from_budget(
-        self, planned: chooser_lib.PlannedAttempt, reason: str
-    ) -> bool:
+    def _take_retry_from_budget(self, pool: objects.Pool, reason: str) -> bool:
         """Takes a reserved retry, or one from the budget.
 
         Returns whether there was one.
@@ -383,7 +486,7 @@
         if self.retry_reserved:
             self.retry_reserved = False
             return True
-        budget = self.site.budget(planned.pool.name)
+        budget = self.site.budget(pool.name)
         now = clock.now()
         allowed = budget.withdraw(now)
         self.request.log.warn(
@@ -436,3 +539,14 @@
             "It may have run; send it again only if that is safe.",
             self.run_state(),
         )
+
+
+def _no_link(pool: str) -> errors.RefusalError:
+    """Returns the refusal of a request that another host has forwarded."""
+    return errors.RefusalError(
+        peer_forwarder.NO_LINK,
+        503,
+        f"This host cannot reach any target of {pool} either.",
+        "Ask another host.",
+        retry_after_s=_NO_LINK_RETRY_S,
+    )
--- a/hillthread/coordination/gateway/serving/link_watch.py
+++ b/hillthread/coordination/gateway/serving/link_watch.py
@@ -1,4 +1,4 @@
-"""Tells whether this host reaches no target, by log line and metric."""
+"""Finds out whether this host reaches no target, and logs it."""
 
 from __future__ import annotations
 
@@ -31,11 +31,6 @@
         self.on_lost: Callable[[], None] = _ignore_loss
         self.on_restored: Callable[[float], None] = _ignore_return
 
-    @property
-    def is_lost(self) -> bool:
-        """Whether the host can reach no target."""
-        return self.links.is_lost
-
     def record_failure(self, target: str) -> None:
         """Records that a connection to a target could not be opened."""
         self.links.record_failure(target, clock.now())
@@ -45,6 +40,7 @@
         lost_since = self.links.lost_since
         if not self.links.record_success() or lost_since is None:
             return
+        self.site.are_links_lost = False
         self.site.metrics.links_lost.set(0)
         _logger.warning(
             "links to targets restored",
@@ -61,6 +57,7 @@
         count = len(targets.entries) - len(targets.replaced)
         if not self.links.update(count, now):
             return
+        self.site.are_links_lost = True
         self.site.metrics.links_lost.set(1)
         _logger.warning(
             "links to targets lost",
--- a/hillthread/coordination/gateway/serving/outcome.py
+++ b/hillthread/coordination/gateway/serving/outcome.py
@@ -7,10 +7,22 @@
 
 import dataclasses
 
+from hillthread import errors
 from hillthread.platform import attempts
 from hillthread.transport import http1_client
 
-__all__ = ["Broken", "Lost", "NotRun", "Outcome", "Relayed", "Unsent", "Whole"]
+__all__ = [
+    "Broken",
+    "Declined",
+    "ForwardOutcome",
+    "Lost",
+    "NotRun",
+    "Outcome",
+    "Refused",
+    "Relayed",
+    "Unsent",
+    "Whole",
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,4 +93,28 @@
     status: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Declined:
+    """Another host did not run the request; yet another one may.
+
+    Attributes:
+        reason: Why it did not.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Another host refused the request for good.
+
+    Attributes:
+        refusal: Its refusal.
+    """
+
+    refusal: errors.RefusalError
+
+
 Outcome = Unsent | NotRun | Lost | Broken | Whole | Relayed
+# Of an attempt at another host.
+ForwardOutcome = Unsent | Declined | Refused | Lost | Broken | Whole | Relayed
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -24,6 +24,7 @@
 from hillthread.coordination.gateway.serving import learning
 from hillthread.coordination.gateway.serving import limit_keeper
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
+from hillthread.coordination.gateway.serving import peer_forwarder
 from hillthread.coordination.gateway.serving import quarantine_keeper
 from hillthread.coordination.gateway.serving import quota_keeper
 from hillthread.coordination.gateway.serving import reach_monitor
@@ -58,6 +59,7 @@
         quotas: Charges what is sent on behalf of organisations.
         limits: Charges what is sent to targets.
         announcements: Applies what targets announce.
+        forwarder: Sends requests to other hosts.
     """
 
     site: site_lib.Site
@@ -72,6 +74,7 @@
     quotas: quota_keeper.QuotaKeeper
     limits: limit_keeper.LimitKeeper
     announcements: announcement_keeper.AnnouncementKeeper
+    forwarder: peer_forwarder.PeerForwarder
 
 
 class _OngoingAttempt(NamedTuple):
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -13,6 +13,7 @@
 from hillthread.platform import configuration as configuration_lib
 from hillthread.platform import targets as targets_lib
 from hillthread.protocol import work_notice
+from hillthread.state.config import objects
 from hillthread.state.config import routing_table
 from hillthread.state.routing import engine_speed
 from hillthread.state.scheduling import urgency as urgency_lib
@@ -64,6 +65,7 @@
         states: What this host's own attempts found and other hosts' notices
             reported, by target.
         pool_speeds: Speed of the engines of each pool, by the pool's name.
+        are_links_lost: Whether this host can reach no target at all.
         backoffs: Targets that shed load and request a pause.
         weights: Versions of weights: announced, and held by targets.
         last_load_notice_at: Seconds, when this host or another last sent a
@@ -83,6 +85,7 @@
         self.targets = target_list.TargetList(_ENTRY_RETURN_S)
         self.states: dict[str, target_state.TargetState] = {}
         self.pool_speeds: dict[str, engine_speed.PoolSpeed] = {}
+        self.are_links_lost = False
         self.backoffs = backoffs.Backoffs()
         self.weights = weights.WeightsTracker()
         self.last_load_notice_at = float("-inf")
@@ -324,6 +327,17 @@
         self.state(name).speed.add_sample(ratio, now)
         pool.add_sample(sample, now)
 
+    def is_pool_unreachable(self, pool: objects.Pool) -> bool:
+        """Returns whether this host can reach no listed target of a pool."""
+        members = self.targets.members(pool)
+        if not members or self.are_links_lost:
+            return bool(members)
+        return all(
+            each.target.name in self.states
+            and self.states[each.target.name].is_unreachable
+            for each in members
+        )
+
     def _count_engines(self) -> int:
         """Returns the number of listed targets that hold weights."""
         return sum(bool(each.weights) for each in self.targets.entries.values())
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -18,6 +18,7 @@
     "decode_answer",
     "decode_prompt",
     "encode_attempt",
+    "encode_forwarded",
     "filter_relayed_headers",
     "is_leaving",
     "parse_whole_number",
@@ -179,6 +180,33 @@
     return sent
 
 
+def encode_forwarded(
+    headers: http1.Headers, seconds_left: float, last_event_id: int | None
+) -> http1.Headers:
+    """Returns the headers with which another host gets a caller's request.
+
+    That host authenticates the request, so the key stays in it.
+
+    Args:
+        headers: The caller's headers.
+        seconds_left: Time until the caller gives up.
+        last_event_id: Id of the last event that the caller has; None for the
+            one in `headers`, if any.
+    """
+    replaced = {names.DEADLINE_MS}
+    deadline_ms = max(_MIN_DEADLINE_MS, int(seconds_left * 1000))
+    added = [(names.DEADLINE_MS, b"%d" % deadline_ms)]
+    if last_event_id is not None:
+        replaced.add(names.LAST_EVENT_ID)
+        added.append((names.LAST_EVENT_ID, b"%d" % last_event_id))
+    kept = [
+        pair
+        for pair in headers
+        if pair[0] not in replaced and _is_end_to_end(pair[0], headers)
+    ]
+    return kept + added
+
+
 def decode_answer(head: http1_client.AnswerHead) -> AnswerMeaning:
     """Returns the information in the head of an answer."""
     return AnswerMeaning(
@@ -229,14 +257,19 @@
 def _is_forwarded(name: bytes, headers: http1.Headers) -> bool:
     if name in names.UNCHANGED:
         return True
-    if (
-        name in _HOP_BY_HOP_HEADERS
-        or name in _FRAMING_HEADERS
-        or name in names.SET_BY_SYSTEM
-    ):
+    if name in names.SET_BY_SYSTEM:
         return False
     if name.startswith(names.SET_BY_SYSTEM_PREFIXES):
         return False
+    return _is_end_to_end(name, headers)
+
+
+def _is_end_to_end(name: bytes, headers: http1.Headers) -> bool:
+    """Returns whether a header concerns more than one connection."""
+    if name in names.UNCHANGED:
+        return True
+    if name in _HOP_BY_HOP_HEADERS or name in _FRAMING_HEADERS:
+        return False
     return not _is_named_by_connection(name, headers)
 
 
--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -99,12 +99,14 @@
         closes_connection: Whether this connection closes after the answer.
         budget: Limits what is buffered for callers; None if every part waits
             until the kernel has accepted it.
+        added_headers: Headers that are added to the answer, whoever makes it.
     """
 
     def __init__(
         self, connection: http1.Http1Connection, is_closing: Callable[[], bool]
     ):
         self.connection = connection
+        self.added_headers: http1.Headers = []
         self.is_closing = is_closing
         self.started = False
         self.status = 0
@@ -124,13 +126,10 @@
         With a budget this returns at once, as does `send`; call
         `wait_for_room` before producing more.
         """
-        extra = (
-            [_CLOSE_HEADER]
-            if self.closes_connection or self.is_closing()
-            else []
-        )
         events: list[h11.Event] = [
-            h11.Response(status_code=status, headers=[*headers, *extra])
+            h11.Response(
+                status_code=status, headers=[*headers, *self._extra_headers()]
+            )
         ]
         if data:
             events.append(h11.Data(data=data))
@@ -150,6 +149,11 @@
         """
         await self.connection.wait_for_room()
 
+    def _extra_headers(self) -> http1.Headers:
+        if self.closes_connection or self.is_closing():
+            return [*self.added_headers, _CLOSE_HEADER]
+        return self.added_headers
+
     async def _write(self, events: list[h11.Event]) -> None:
         if self.budget is None:
             await self.connection.send(events)
@@ -165,12 +169,11 @@
         self, status: int, headers: http1.Headers, body: bytes
     ) -> None:
         """Sends a complete answer with one write."""
-        extra = (
-            [_CLOSE_HEADER]
-            if self.closes_connection or self.is_closing()
-            else []
-        )
-        framed = [*headers, (b"content-length", b"%d" % len(body)), *extra]
+        framed = [
+            *headers,
+            (b"content-length", b"%d" % len(body)),
+            *self._extra_headers(),
+        ]
         events: list[h11.Event] = [
             h11.Response(status_code=status, headers=framed)
         ]
--- a/tests/coordination/gateway/serving/test_lost_links.py
+++ b/tests/coordination/gateway/serving/test_lost_links.py
@@ -10,8 +10,8 @@
 from tests.coordination.gateway.serving import test_quota
 from tests.coordination.gateway.serving import test_target_limits
 
-# A host knows within this time that it reaches no target.
-RECOGNITION_S = 1.0
+# Half of the time after which callers of a host without links must be served.
+RECOGNITION_S = 1.5
 ROUTES = ("/stream/x", "/resume/x", "/once/x", "/again/x")
 
 
--- /dev/null
+++ b/tests/state/cluster/test_peer_choice.py
@@ -0,0 +1,74 @@
+"""Tests of the choice of a host that serves a request for another one."""
+
+import random
+import unittest
+
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import peer_choice
+
+
+def make_hosts(count, data_centres=1):
+    return [
+        feed_source.HostEntry(f"h{n}", f"dc{n % data_centres}", f"10.0.0.{n}:1")
+        for n in range(count)
+    ]
+
+
+class PeerChoiceTest(unittest.TestCase):
+    def setUp(self):
+        self.choice = peer_choice.PeerChoice("h0", "dc0")
+        self.draw = random.Random(1).choice
+
+    def choose(self, hosts, tried=(), now=0.0, pool="p"):
+        found = self.choice.choose(hosts, pool, tried, now, self.draw)
+        return found.name if found else None
+
+    def test_hosts_of_the_same_data_centre_come_first(self):
+        hosts = make_hosts(9, 3)
+        names = {self.choose(hosts) for _ in range(50)}
+        self.assertEqual(names, {"h3", "h6"})
+        names = {self.choose(hosts, {"h3", "h6"}) for _ in range(50)}
+        self.assertEqual(names, {"h1", "h2", "h4", "h5", "h7", "h8"})
+
+    def test_avoided_host_is_left_out_for_its_pool_until_the_time_is_over(self):
+        hosts = make_hosts(2)
+        self.choice.avoid("h1", "p", 5.0)
+        self.assertIsNone(self.choose(hosts, now=4.9))
+        self.assertEqual(self.choose(hosts, now=4.9, pool="q"), "h1")
+        self.assertEqual(self.choose(hosts, now=5.0), "h1")
+        self.choice.avoid("h1", "", 9.0)
+        self.assertIsNone(self.choose(hosts, now=8.0, pool="q"))
+
+    def test_own_host_is_never_chosen(self):
+        self.assertIsNone(self.choose(make_hosts(1)))
+
+    def test_requests_of_a_third_of_all_hosts_spread_over_the_others(self):
+        for count in (8, 90, 420):
+            with self.subTest(hosts=count):
+                hosts = make_hosts(count)
+                cut = {f"h{n}" for n in range(count // 3)}
+                served = dict.fromkeys((h.name for h in hosts), 0)
+                declined = 0
+                draw = random.Random(count).choice
+                for name in sorted(cut):
+                    choice = peer_choice.PeerChoice(name, "dc0")
+                    for number in range(30):
+                        tried = set()
+                        while True:
+                            host = choice.choose(
+                                hosts, "p", tried, number / 10, draw
+                            ).name
+                            if host not in cut:
+                                break
+                            tried.add(host)
+                            choice.avoid(host, "p", number / 10 + 1.0)
+                            declined += 1
+                        choice.begin(host)
+                        served[host] += 1
+                        if number % 4 == 3:
+                            for each in list(choice.open_requests):
+                                choice.end(each)
+                sent = 30 * len(cut)
+                share = sent / (count - len(cut))
+                self.assertLessEqual(max(served.values()), 3 * share)
+                self.assertLess(declined, sent)
