Take no target behind a cut link for crashed

When a host lost its links and connections to targets were reset and refused, it took each refusal for the crash of a target and notified all hosts: three of eight requests that had been open there became suspects at every host, which hold those back that are suspects of two crashes.

Cause: a timeout while connecting already counted only if another target could be reached, a refusal counted at once. Both now need that comparison. A refused target is probed again as soon as another one is reached, and its crash is known then; the probe of others takes one round trip. Where only one target is listed nothing can be compared, and a refusal counts as before.

--- a/hillthread/coordination/gateway/serving/reach_monitor.py
+++ b/hillthread/coordination/gateway/serving/reach_monitor.py
@@ -6,8 +6,9 @@
 attempts that can be retried are given up, and other targets are probed too,
 because a cut link often affects several targets.
 
-Connections also fail when this host's own link is full. Attempts are given up
-only if another target can be reached, which rules that out.
+Connections also fail when this host's own link is full or its links to targets
+are cut. Attempts are given up, and targets that refuse connections count as
+crashed, only if another target can be reached, which rules that out.
 
 An established connection may fall silent for good. Its requests then stay
 unacknowledged although a new connection to the target succeeds; with a target
@@ -51,6 +52,9 @@
 # Other targets probed after one could not be reached, and the minimum interval.
 _SWEEP_PROBES = 10
 _SWEEP_INTERVAL_S = 2.0
+# A refusal is the fault of its target if another target was reached no longer
+# than this before. Both probes may belong to the same turn of the event loop.
+_REFUSAL_MARGIN_S = 0.05
 # Other targets probed between two sweeps, to find one that can be reached.
 _EXTRA_PROBES = 3
 
@@ -238,25 +242,40 @@
         began_at: float,
     ) -> None:
         now = clock.now()
-        if error.connection_refused:
-            self.on_refused(target.name)
         self.mark_unreachable(target, error.reason)
         pause_s = self._retry_pause_s.get(target.name, _FIRST_RETRY_S)
         self._retry_at[target.name] = now + pause_s * random.uniform(0.8, 1.2)
         self._retry_pause_s[target.name] = min(_MAX_RETRY_S, pause_s * 1.5)
-        if error.connect_timed_out and not self._has_reached_another(began_at):
+        if not self._is_conclusive(error, began_at):
             self._inconclusive_targets[target.name] = target
             self._sweep(now, _EXTRA_PROBES)
             return
         self._inconclusive_targets.pop(target.name, None)
+        if error.connection_refused:
+            self.on_refused(target.name)
         for attempt in list(self.attempts):
             if attempt.target.name == target.name:
                 attempt.give_up("target cannot be reached")
         self._sweep(now)
 
-    def _has_reached_another(self, began_at: float) -> bool:
-        """Returns whether a target was reached around the time of a probe."""
-        return self._reached_at >= began_at - self.pool.connect_timeout_s
+    def _is_conclusive(
+        self, error: http1_client.CallError, began_at: float
+    ) -> bool:
+        """Returns whether a failed probe is the fault of its target.
+
+        If no target can be reached, the fault may be this host's own.
+
+        Args:
+            error: The failure.
+            began_at: Seconds, when the probe began.
+        """
+        if error.connection_refused:
+            if len(self.site.targets.entries) < 2:
+                return True  # there is no other target to compare with
+            return self._reached_at >= began_at - _REFUSAL_MARGIN_S
+        if error.connect_timed_out:
+            return self._reached_at >= began_at - self.pool.connect_timeout_s
+        return True
 
     def _sweep(self, now: float, at_least: int = 0) -> None:
         """Probes other targets, since a link or a data centre may be cut.
--- a/tests/coordination/gateway/serving/test_lost_links.py
+++ b/tests/coordination/gateway/serving/test_lost_links.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from hillthread.standin import platform_target as standin
 from hillthread.transport import http1_client
 from tests.coordination.gateway import link_cut
 from tests.coordination.gateway import scene as scene_lib
@@ -15,10 +16,10 @@
 ROUTES = ("/stream/x", "/resume/x", "/once/x", "/again/x")
 
 
-async def ask(scene, program, path):
+async def ask(scene, program, path, body=b"hello"):
     """Returns the answer of one host; None if the connection broke off."""
     is_prompt = path in ("/stream/x", "/resume/x")
-    request = (scene.prompt if is_prompt else scene.request)(path)
+    request = (scene.prompt if is_prompt else scene.request)(path, body=body)
     try:
         return await test_quota.ask(scene, program, request)
     except http1_client.CallError:
@@ -84,3 +85,55 @@
             del other
 
         scene_lib.run_scenario(scenario)
+
+
+class EvidenceTest(unittest.TestCase):
+    # Guards against taking targets behind a cut for crashed, which makes the
+    # requests that were open there suspects at all hosts.
+    def test_targets_behind_a_cut_do_not_count_as_crashed(self):
+        async def scenario(scene):
+            programs, links = await start_hosts(scene, 2)
+            for target in scene.targets:
+                target.default_behaviour = standin.Serve(0.3)
+            # Bodies that have not succeeded before, so that they are suspects.
+            for number, path in enumerate(ROUTES * 2):
+                body = b"body %d" % number
+                scene.tasks.start_soon(ask, scene, programs[0], path, body)
+            await scene.until(
+                lambda: (
+                    len(programs[0].gateway.dispatcher.monitor.attempts)
+                    == 2 * len(ROUTES)
+                )
+            )
+            await links[0].cut(link_cut.CutShape.RESET)
+            await anyio.sleep(RECOGNITION_S)
+            self.assertTrue(programs[0].site.are_links_lost)
+            for program in programs:
+                self.assertEqual(program.site.quarantine.suspect_count, 0)
+
+        scene_lib.run_scenario(scenario)
+
+    def test_target_that_crashes_alone_counts_as_crashed(self):
+        async def scenario(scene):
+            programs = await test_target_limits.hosts_that_list_each_other(
+                scene, 2
+            )
+            for engine in scene.engines:
+                engine.default_behaviour = standin.Serve(0.3)
+            scene.tasks.start_soon(ask, scene, programs[0], "/stream/x", b"new")
+            monitor = programs[0].gateway.dispatcher.monitor
+            await scene.until(lambda: monitor.attempts)
+            (attempt,) = monitor.attempts
+            await scene.until(lambda: attempt.meaning is not None)
+            target = next(
+                e for e in scene.engines if e.name == attempt.target.name
+            )
+            scene.stop_listening(target)
+            for connection in target.server.connections:
+                await connection.http.reset()
+            for program in programs:
+                await scene.until(
+                    lambda p=program: p.site.quarantine.suspect_count
+                )
+
+        scene_lib.run_scenario(scenario)
