Use targets again as soon as the links of a host are back

After a cut of 4 s every target was still unavailable to the host half a second after its links were back, for resets and for refused connections.

Cause: each target was probed on its own, at intervals that grow to 1.6 s, and the resets of the cut had ejected targets for seconds, though nothing was wrong with them. While the links are lost the interval does not grow, the first target that is reached makes the host probe all others at once, 32 at a time, and failures since half a second before the loss no longer eject a target.

--- a/hillthread/coordination/gateway/serving/reach_monitor.py
+++ b/hillthread/coordination/gateway/serving/reach_monitor.py
@@ -49,6 +49,10 @@
 # Intervals of probes of an unreachable target: the first, and the longest.
 _FIRST_RETRY_S = 0.4
 _MAX_RETRY_S = 1.6
+# Open connections break this long before the first new one fails, at most.
+_BREAK_BEFORE_LOSS_S = 0.5
+# Probes of unreachable targets that begin at the same time.
+_MAX_PROBES_AT_ONCE = 32
 # Other targets probed after one could not be reached, and the minimum interval.
 _SWEEP_PROBES = 10
 _SWEEP_INTERVAL_S = 2.0
@@ -105,6 +109,7 @@
         self.on_reached: Callable[[str], None] = _ignore
         self.on_refused: Callable[[str], None] = _ignore
         self.links = link_watch.LinkWatch(site)
+        self.links.on_restored = self._resume_use
         self._probing: set[str] = set()
         self._probed_at: dict[str, float] = {}
         self._retry_at: dict[str, float] = {}
@@ -169,6 +174,8 @@
 
     def _probe_unreachable(self, now: float) -> None:
         for name in list(self._retry_at):
+            if len(self._probing) >= _MAX_PROBES_AT_ONCE:
+                return
             entry = self.site.targets.entries.get(name)
             if entry is None or self.site.targets.is_replaced(name):
                 self._forget_target(name)
@@ -244,6 +251,8 @@
         now = clock.now()
         self.mark_unreachable(target, error.reason)
         pause_s = self._retry_pause_s.get(target.name, _FIRST_RETRY_S)
+        if self.site.are_links_lost:
+            pause_s = _FIRST_RETRY_S  # any target shows that they are back
         self._retry_at[target.name] = now + pause_s * random.uniform(0.8, 1.2)
         self._retry_pause_s[target.name] = min(_MAX_RETRY_S, pause_s * 1.5)
         if not self._is_conclusive(error, began_at):
@@ -297,6 +306,21 @@
         for target in random.sample(others, min(count, len(others))):
             self._start_probe(target, now)
 
+    def _resume_use(self, lost_since: float) -> None:
+        """Probes all unreachable targets now that the links are back.
+
+        Failures from when the links were lost are not the targets' own.
+
+        Args:
+            lost_since: Seconds, when the links were lost.
+        """
+        for state in self.site.states.values():
+            state.forgive_failures(lost_since - _BREAK_BEFORE_LOSS_S)
+        now = clock.now()
+        for name in self._retry_at:
+            self._retry_at[name] = now
+            self._retry_pause_s[name] = _FIRST_RETRY_S
+
     def _forget_target(self, name: str) -> None:
         self._retry_at.pop(name, None)
         self._retry_pause_s.pop(name, None)
--- a/hillthread/state/targets/target_state.py
+++ b/hillthread/state/targets/target_state.py
@@ -50,6 +50,7 @@
             request, seconds.
         is_unreachable: Whether no connection to the target can be opened.
         first_byte_s: Moving average of the time to first byte, seconds.
+        last_failure_at: When the target last failed, seconds.
         mismatches: Number of answers in a row that this is another target or
             holds other weights, without a load of weights in between.
     """
@@ -64,6 +65,7 @@
         self.loading_until = float("-inf")
         self.is_unreachable = False
         self.first_byte_s = 0.0
+        self.last_failure_at = float("-inf")
         self.mismatches = 0
         self._recent_outcomes: collections.deque[bool] = collections.deque(
             maxlen=_RECENT_OUTCOMES
@@ -148,6 +150,7 @@
         Returns:
             Whether the target is ejected now.
         """
+        self.last_failure_at = now
         self._recent_outcomes.append(False)
         before = self.breaker.ejections
         if self._recent_outcomes.count(False) >= _EJECT_FAILURES:
@@ -157,6 +160,17 @@
             self.breaker.record_failure(now)
         return self.breaker.ejections > before
 
+    def forgive_failures(self, since: float) -> None:
+        """Ends an ejection for failures that were not the target's own.
+
+        Args:
+            since: Seconds. If the target has not failed since then, nothing
+                changes.
+        """
+        if self.last_failure_at >= since:
+            self.breaker.record_success()
+            self._recent_outcomes.clear()
+
     def record_unreachable(self, now: float) -> None:
         """Records that the target cannot be reached."""
         self.breaker.trip(now)
--- a/tests/coordination/gateway/serving/test_lost_links.py
+++ b/tests/coordination/gateway/serving/test_lost_links.py
@@ -1,5 +1,6 @@
 """Tests of hosts that reach no target while other hosts do."""
 
+import time
 import unittest
 
 import anyio
@@ -13,6 +14,10 @@
 
 # Half of the time after which callers of a host without links must be served.
 RECOGNITION_S = 1.5
+# A long cut, after which probes of single targets are rare.
+CUT_S = 4.0
+# A host uses its targets again within this time.
+RETURN_S = 0.5
 ROUTES = ("/stream/x", "/resume/x", "/once/x", "/again/x")
 
 
@@ -137,3 +142,36 @@
                 )
 
         scene_lib.run_scenario(scenario)
+
+
+class ReturnTest(unittest.TestCase):
+    # Guards against targets that stay ejected, or are probed late, after the
+    # links of a host are back.
+    def test_host_serves_by_itself_soon_after_its_links_are_back(self):
+        for shape in link_cut.CutShape:
+            with self.subTest(shape=shape):
+
+                async def scenario(scene, shape=shape):
+                    programs, links = await start_hosts(scene, 2)
+                    for target in scene.targets:
+                        target.default_behaviour = standin.Serve(0.02)
+                    async with anyio.create_task_group() as callers:
+                        for path in ROUTES * 3:
+                            callers.start_soon(ask, scene, programs[0], path)
+                        await anyio.sleep(0.01)
+                        await links[0].cut(shape)
+                    with anyio.move_on_after(CUT_S):
+                        while True:
+                            await count_served(scene, programs[0], 1)
+                    links[0].heal()
+                    await anyio.sleep(RETURN_S)
+                    states = programs[0].site.states
+                    unavailable = [
+                        name
+                        for name, state in states.items()
+                        if not state.is_available(time.monotonic())
+                    ]
+                    self.assertEqual(unavailable, [])
+                    self.assertFalse(programs[0].site.are_links_lost)
+
+                scene_lib.run_scenario(scenario)
