Give up attempts on links that fell silent if another host can serve them

Requests that were open when the links of a host fell silent waited until their deadline and got 504, also where their route allows repetition.

Cause: attempts are not given up while no target can be reached, since the host's own link may be full, in which case giving up makes it worse. Now a host whose links are lost opens a connection to another host. If new connections are refused instead of hanging, open ones may live on and are left alone.

Evidence: test_open_requests_on_silent_links_go_on_at_another_host got 504 for a resumable stream before; both requests are answered whole now.

--- a/hillthread/coordination/gateway/serving/dispatcher.py
+++ b/hillthread/coordination/gateway/serving/dispatcher.py
@@ -87,6 +87,7 @@
     ):
         work, quarantine, quotas, limits, forwarder = services
         self.monitor = reach_monitor.ReachabilityMonitor(site, pool, tasks)
+        self.monitor.reaches_other_host = forwarder.reaches_other_host
         self.monitor.on_reached = quarantine.record_target_reached
         self.monitor.on_refused = functools.partial(
             quarantine.record_target_crash,
--- a/hillthread/coordination/gateway/serving/link_watch.py
+++ b/hillthread/coordination/gateway/serving/link_watch.py
@@ -20,6 +20,8 @@
     Attributes:
         site: The host's view of the targets.
         links: State of the links.
+        is_own_link_working: Whether the host has reached another one since the
+            loss.
         on_lost: Called when the links count as lost.
         on_restored: Called with the time of the loss, in seconds, when a
             connection succeeds again.
@@ -28,9 +30,24 @@
     def __init__(self, site: site_lib.Site):
         self.site = site
         self.links = target_links.TargetLinks()
+        self.is_own_link_working = False
+        self._are_connects_hanging = False
         self.on_lost: Callable[[], None] = _ignore_loss
         self.on_restored: Callable[[float], None] = _ignore_return
 
+    @property
+    def is_silent_loss(self) -> bool:
+        """Whether connections hang, and not because the host's link is full.
+
+        Open connections have then fallen silent, too. If new ones are refused,
+        open ones may live on.
+        """
+        return self._are_connects_hanging and self.is_own_link_working
+
+    def note_reason(self, is_hanging: bool) -> None:
+        """Records whether the last connection that failed hung until then."""
+        self._are_connects_hanging = is_hanging
+
     def record_failure(self, target: str) -> None:
         """Records that a connection to a target could not be opened."""
         self.links.record_failure(target, clock.now())
@@ -58,6 +75,7 @@
         if not self.links.update(count, now):
             return
         self.site.are_links_lost = True
+        self.is_own_link_working = False
         self.site.metrics.links_lost.set(1)
         _logger.warning(
             "links to targets lost",
--- a/hillthread/coordination/gateway/serving/peer_forwarder.py
+++ b/hillthread/coordination/gateway/serving/peer_forwarder.py
@@ -43,6 +43,8 @@
 # These reasons concern one pool; the others concern the host.
 _REASONS_OF_POOL = (NO_LINK,)
 _MAX_REFUSAL_BYTES = 65_536
+# Hosts that are tried to find out whether this host's own link works.
+_HOSTS_TRIED = 3
 
 
 class ForwardPlan(NamedTuple):
@@ -203,6 +205,22 @@
         )
         return ForwardPlan(peer, pool) if peer else None
 
+    async def reaches_other_host(self) -> bool:
+        """Returns whether a connection to some other host can be opened."""
+        others = [
+            host
+            for host in self.source.hosts.values()
+            if host.name != self.host
+        ]
+        for host in random.sample(others, min(_HOSTS_TRIED, len(others))):
+            try:
+                connection = await self.pool.open(host.feed, "trial")
+            except http1_client.CallError:
+                continue
+            await self.pool.release(connection)
+            return True
+        return False
+
     async def send(
         self,
         planned: ForwardPlan,
--- a/hillthread/coordination/gateway/serving/reach_monitor.py
+++ b/hillthread/coordination/gateway/serving/reach_monitor.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
 import random
@@ -92,6 +93,8 @@
         tasks: Runs the probes.
         attempts: Attempts that wait for their targets.
         links: Whether this host reaches any target.
+        reaches_other_host: Returns whether a connection to some other host can
+            be opened.
         on_reached: Called with the name of a target that a probe reached.
         on_refused: Called with the name of a target that refused a connection.
     """
@@ -106,9 +109,11 @@
         self.pool = pool
         self.tasks = tasks
         self.attempts: set[OpenAttempt] = set()
+        self.reaches_other_host: Callable[[], Awaitable[bool]] = _never
         self.on_reached: Callable[[str], None] = _ignore
         self.on_refused: Callable[[str], None] = _ignore
         self.links = link_watch.LinkWatch(site)
+        self.links.on_lost = self._check_own_link
         self.links.on_restored = self._resume_use
         self._probing: set[str] = set()
         self._probed_at: dict[str, float] = {}
@@ -127,6 +132,8 @@
             self._check_attempts(now)
             self._probe_unreachable(now)
             self.links.update(now)
+            if self.site.are_links_lost and self.links.is_silent_loss:
+                self._give_up_quiet(now)
 
     def mark_unreachable(self, target: objects.Target, reason: str) -> None:
         """Excludes a target to which no connection succeeds."""
@@ -249,6 +256,7 @@
         began_at: float,
     ) -> None:
         now = clock.now()
+        self.links.note_reason(error.connect_timed_out)
         self.mark_unreachable(target, error.reason)
         pause_s = self._retry_pause_s.get(target.name, _FIRST_RETRY_S)
         if self.site.are_links_lost:
@@ -306,6 +314,19 @@
         for target in random.sample(others, min(count, len(others))):
             self._start_probe(target, now)
 
+    def _check_own_link(self) -> None:
+        self.tasks.start_soon(self._find_own_link_state)
+
+    async def _find_own_link_state(self) -> None:
+        """Finds out whether the host's own link works apart from targets."""
+        self.links.is_own_link_working = await self.reaches_other_host()
+
+    def _give_up_quiet(self, now: float) -> None:
+        """Gives up attempts on connections that fell silent with the links."""
+        for attempt in list(self.attempts):
+            if now - attempt.last_received_at >= _PROBE_AFTER_S:
+                attempt.give_up("links to targets lost")
+
     def _resume_use(self, lost_since: float) -> None:
         """Probes all unreachable targets now that the links are back.
 
@@ -331,3 +352,8 @@
 def _ignore(target: str) -> None:
     """Does nothing; the default of `on_reached` and `on_refused`."""
     del target
+
+
+async def _never() -> bool:
+    """Default of `reaches_other_host`."""
+    return False
--- a/tests/coordination/gateway/serving/test_lost_links.py
+++ b/tests/coordination/gateway/serving/test_lost_links.py
@@ -91,6 +91,31 @@
 
         scene_lib.run_scenario(scenario)
 
+    # Guards against open requests that wait on silent connections until their
+    # deadline although they may run again.
+    def test_open_requests_on_silent_links_go_on_at_another_host(self):
+        async def scenario(scene):
+            programs, links = await start_hosts(scene, 2)
+            for target in scene.targets:
+                target.default_behaviour = standin.Serve(0.3)
+            answers = {}
+
+            async def call(path):
+                answers[path] = await ask(scene, programs[0], path)
+
+            for path in ("/resume/x", "/again/x"):
+                scene.tasks.start_soon(call, path)
+            monitor = programs[0].gateway.dispatcher.monitor
+            await scene.until(lambda: len(monitor.attempts) == 2)
+            await links[0].cut(link_cut.CutShape.SILENT)
+            for target in scene.targets:
+                target.default_behaviour = standin.Serve()
+            await scene.until(lambda: len(answers) == 2)
+            for path, answer in answers.items():
+                self.assertEqual(answer and answer.head.status, 200, path)
+
+        scene_lib.run_scenario(scenario)
+
 
 class EvidenceTest(unittest.TestCase):
     # Guards against taking targets behind a cut for crashed, which makes the
