Release the lease on orders while a host reaches no target

New weights were not loaded within 5 s when the holder of the lease had lost its links: it renewed the lease, and every order it gave failed. Starts on older weights are forbidden 10 s after an announcement, and cuts last longer.

Cause: a holder keeps the lease until it stops. A host whose links are lost now releases it, which lets another one take over after the pause between holders, and does not acquire it. The test that the links are lost needs several targets, so that a single target that refuses orders moves no lease.

Evidence: orders/test_lost_links timed out before and passes, three of three runs, as do test_rollout and test_order_lease.

--- a/hillthread/coordination/gateway/orders/order_duty.py
+++ b/hillthread/coordination/gateway/orders/order_duty.py
@@ -86,16 +86,23 @@
     async def acquire_or_renew(self) -> bool:
         """Acquires or renews the lease if due; returns whether to give orders.
 
-        A host that is about to stop does not acquire the lease. A holder keeps
-        it until it stops, since another host would have to wait until the lease
-        expires.
+        A host that is about to stop, or that cannot reach any target, does not
+        acquire the lease. A holder keeps it until it stops, since another host
+        would have to wait until the lease expires.
         """
-        if self.site.is_closing or clock.now() < self._resigned_until:
+        if self.site.is_closing or self.site.are_links_lost:
+            return False
+        if clock.now() < self._resigned_until:
             return False
         if self.site.is_draining and not self.lease.is_holder:
             return False
         return await self.lease.acquire_or_renew()
 
+    async def release_if_cut_off(self) -> None:
+        """Leaves orders to another host while no target can be reached."""
+        if self.site.are_links_lost and self.lease.is_holder:
+            await self.lease.release()
+
     def step_down(self, reason: str) -> None:
         """Stops giving orders after an engine has seen a newer holder.
 
--- a/hillthread/coordination/gateway/orders/rollout_keeper.py
+++ b/hillthread/coordination/gateway/orders/rollout_keeper.py
@@ -107,6 +107,7 @@
 
     async def _run_once(self, now: float) -> None:
         self._load_ended = anyio.Event()
+        await self.leadership.release_if_cut_off()
         self.plan.keep_only(self.site.targets.entries)
         pool_rollouts = self._pool_rollouts()
         self._has_targets_behind = bool(pool_rollouts)
--- a/tests/coordination/gateway/serving/test_lost_links.py
+++ b/tests/coordination/gateway/serving/test_lost_links.py
@@ -42,9 +42,11 @@
     return served, len(statuses) - served
 
 
-async def start_hosts(scene, count):
+async def start_hosts(scene, count, **settings):
     """Returns hosts that list each other, each with links of its own."""
-    programs = await test_target_limits.hosts_that_list_each_other(scene, count)
+    programs = await test_target_limits.hosts_that_list_each_other(
+        scene, count, **settings
+    )
     links = [link_cut.HostLinks(scene.tasks, each) for each in programs]
     for program in programs:
         for path in ROUTES:
--- a/tests/coordination/gateway/serving/test_target_limits.py
+++ b/tests/coordination/gateway/serving/test_target_limits.py
@@ -60,12 +60,14 @@
                 callers.start_soon(send, number * 5)
 
 
-async def hosts_that_list_each_other(scene, count):
+async def hosts_that_list_each_other(scene, count, **settings):
     """Starts more hosts and returns all."""
     programs = [scene.program]
     for number in range(2, count + 1):
         programs.append(
-            await test_quota.test_feed.second_host(scene, host=f"h{number}")
+            await test_quota.test_feed.second_host(
+                scene, host=f"h{number}", **settings
+            )
         )
     for program in programs:
         await scene.until(lambda p=program: len(p.source.hosts) == count)
