Obey announcements in answers that came over another host

A host that relays an answer with an announced departure or limit has to obey it as one that got the answer itself, also if the notice of the other host is lost. The other host names the target in its answer, and both apply the head.

--- a/hillthread/coordination/gateway/peers/forwarding.py
+++ b/hillthread/coordination/gateway/peers/forwarding.py
@@ -27,6 +27,7 @@
     "ForwardedRequest",
     "HOST_HEADER",
     "RUN_HEADER",
+    "TARGET_HEADER",
     "decode_refusal",
     "decode_request",
     "encode_request",
@@ -34,13 +35,15 @@
 ]
 
 FORWARD_PATH = "/forward"
-# In answers: the host that gives it, and the run state of its own refusals.
+# In answers: the host that gives it, the target whose answer it is, and the run
+# state of the host's own refusals.
 HOST_HEADER = b"hillthread-host"
+TARGET_HEADER = b"hillthread-target"
 RUN_HEADER = b"hillthread-run"
 _PREFIX = b"hillthread-"
 _FROM = b"hillthread-from"
 _METHOD = b"hillthread-method"
-_TARGET = b"hillthread-target"
+_TARGET = b"hillthread-path"
 _SENDS = b"hillthread-sends"
 _RUNS = b"hillthread-runs"
 
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -192,7 +192,11 @@
         """Sends the request to another host; counts it if it may have run."""
         forwarder = self.context.forwarder
         attempt = peer_forwarder.ForwardedAttempt(
-            self.request, self.relay, forwarder.pool, planned.peer
+            self.request,
+            self.relay,
+            forwarder.pool,
+            planned.peer,
+            self.sender.note_forwarded_head,
         )
         origin = forwarding.ForwardOrigin(
             forwarder.host, self.attempts_made, self.possible_runs
--- a/hillthread/coordination/gateway/serving/peer_forwarder.py
+++ b/hillthread/coordination/gateway/serving/peer_forwarder.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import random
 from typing import NamedTuple
 
@@ -67,6 +68,7 @@
         relay: Relays the events of the answer to the caller.
         pool: Connections to other hosts.
         peer: The other host.
+        note_head: Called with the target that answered and the decoded head.
         sent: Whether any part of the request may have reached the host.
     """
 
@@ -76,11 +78,13 @@
         relay: event_relay.EventRelay,
         pool: http1_client.ConnectionPool,
         peer: feed_source.HostEntry,
+        note_head: Callable[[str, attempts.AnswerMeaning], None],
     ):
         self.request = request
         self.relay = relay
         self.pool = pool
         self.peer = peer
+        self.note_head = note_head
         self.sent = False
         self.reader = answer_reader.AnswerReader(request, relay)
 
@@ -139,12 +143,14 @@
             return outcome_lib.Declined("it does not know forwarded requests")
         if head.get(forwarding.RUN_HEADER):
             return await self._read_refusal(connection, head)
+        target = head.get(forwarding.TARGET_HEADER).decode("latin-1")
         head = head._replace(headers=forwarding.strip_headers(head.headers))
         meaning = attempts.decode_answer(head)
         fault = answer_reader.find_fault(self.request, head, meaning)
         if fault:
             connection.must_close = True
             return outcome_lib.Lost(fault)
+        self.note_head(target, meaning)
         return await self.reader.read(connection, head)
 
     async def _read_refusal(
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -14,6 +14,7 @@
 from hillthread import clock
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.peers import forwarding
 from hillthread.coordination.gateway.peers import work_feed
 from hillthread.coordination.gateway.serving import announcement_keeper
 from hillthread.coordination.gateway.serving import attempt as attempt_lib
@@ -247,6 +248,19 @@
         if ongoing.is_suspect:
             self.context.chooser.note_suspect_ended(target.name)
 
+    def note_forwarded_head(
+        self, target: str, meaning: attempts.AnswerMeaning
+    ) -> None:
+        """Applies announcements and limits from an answer via another host.
+
+        This host relays the answer, so that it has to obey them.
+        """
+        if target not in self.site.targets.entries:
+            return
+        incarnation = self.site.targets.key_of(target)
+        self.context.announcements.apply_answer(target, incarnation, meaning)
+        self.context.limits.apply_answer(target, meaning)
+
     def _max_idle_connections(self, pool: objects.Pool) -> int:
         """Returns how many idle connections to a target this host may keep."""
         if not pool.max_connections:
@@ -275,6 +289,11 @@
         # limit yet.
         if self.site.states.get(name) is state:
             self.context.limits.apply_answer(name, meaning)
+        if self.request.forwarded is not None:
+            self.relay.answer.added_headers = [
+                (forwarding.HOST_HEADER, self.site.settings.host.encode()),
+                (forwarding.TARGET_HEADER, name.encode()),
+            ]
 
     def _announce_work(self, planned: chooser_lib.PlannedAttempt) -> None:
         """Records that an engine gets a prompt, and notifies other hosts."""
--- a/tests/coordination/gateway/serving/test_peer_forwarder.py
+++ b/tests/coordination/gateway/serving/test_peer_forwarder.py
@@ -239,3 +239,21 @@
             self.assertEqual(answer.head.status, 503)
 
         scene_lib.run_scenario(scenario, grace_s=4.0)
+
+    # Guards against a host that relays an announcement and does not obey it.
+    def test_announcements_in_forwarded_answers_apply_at_both_hosts(self):
+        async def scenario(scene):
+            programs, _ = await start_cut_host(scene)
+            leaving = scene.engines[0]
+            leaving.announces_leaving = True
+            leaving.limit_per_s = 2.0
+            programs[0].work.apply_departure = lambda notice: None
+            programs[0].work.apply_limit = lambda notice: None
+            for program in programs:
+                while not leaving.announcements:
+                    await test_lost_links.ask(scene, programs[0], "/stream/x")
+                entry = program.site.targets.entries[leaving.name]
+                self.assertTrue(entry.leaving)
+                self.assertIn(leaving.name, program.limits.limits)
+
+        scene_lib.run_scenario(scenario, engines=1)
