Let the soak cut hosts off from all targets

Links in the soak belong to targets, for all hosts together, and its proxies accept a connection before they can refuse it, so it could not bring about what callers saw. The gateway that a soak runs now loses its links in three shapes as a control file says: for some hosts, or all of a data centre.

--- a/hillthread/bench/gateway_soak/evidence.py
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -10,6 +10,7 @@
 __all__ = [
     "OBSERVER",
     "PLAIN_TOKENS",
+    "TARGETS_LOST",
     "Bounds",
     "Disturbance",
     "Evidence",
@@ -20,11 +21,14 @@
     "QuotaLife",
     "Violation",
     "callers_of",
+    "targets_of",
 ]
 
 
 # The soak itself, which sees nothing while it has no processor.
 OBSERVER = "soak"
+# Kind of fault in which hosts reach no target.
+TARGETS_LOST = "hosts_lose_targets"
 # What a request without a prompt counts in quotas.
 PLAIN_TOKENS = 200
 
@@ -34,6 +38,11 @@
     return f"{host} callers"
 
 
+def targets_of(host: str) -> str:
+    """Returns the subject of faults on a host's links to targets."""
+    return f"{host} targets"
+
+
 class Bounds(NamedTuple):
     """The promises' figures in a soak, seconds.
 
@@ -241,6 +250,13 @@
             for each in self.disturbances
         )
 
+    def is_key_valid(self, exchange: Exchange) -> bool:
+        """Returns whether the key of a request held until it ended."""
+        life = self.keys[exchange.key]
+        return life.issued_at <= exchange.sent_at - (
+            self.bounds.configuration_s
+        ) and (exchange.ended_at < life.withdrawn_at)
+
     def in_touch(
         self, host: str, begin: float, end: float, contact_s: float = 0.0
     ) -> bool:
--- a/hillthread/bench/gateway_soak/link_faults.py
+++ b/hillthread/bench/gateway_soak/link_faults.py
@@ -6,11 +6,20 @@
 
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import injector as injector_lib
+from hillthread.bench.gateway_soak import stage as stage_lib
+from hillthread.standin import link_cut
 from hillthread.standin import wire_proxy
 
 __all__ = ["LinkFaults"]
 
 _LINK_DELAY_S = 0.15
+# Beyond the time after which callers of such hosts are served again.
+_CUT_S = (4.0, 8.0)
+_SHAPES = (
+    link_cut.Shape.RESET,
+    link_cut.Shape.SILENT,
+    link_cut.Shape.REFUSE_NEW,
+)
 
 
 class LinkFaults:
@@ -24,6 +33,7 @@
     def __init__(self, injector: injector_lib.Injector):
         self.injector = injector
         self.stage = injector.stage
+        self._cut_hosts: set[str] = set()
 
     @property
     def kinds(self) -> tuple[injector_lib.Fault, ...]:
@@ -35,6 +45,7 @@
             self.target_connections_silenced,
             self.caller_connections_silenced,
             self.host_connections_silenced,
+            self.hosts_lose_targets,
         )
 
     async def store_link_fails(self) -> None:
@@ -66,6 +77,32 @@
         await anyio.sleep(self.injector.between(injector_lib.FAULT_S))
         link.heal()
 
+    async def hosts_lose_targets(self) -> None:
+        """Some hosts, or all of a data centre, reach no target for seconds."""
+        random = self.injector.random
+        data_centres: dict[str, list[stage_lib.SoakHost]] = {}
+        for host in self.stage.hosts:
+            name = host.settings["data_centre"]
+            data_centres.setdefault(name, []).append(host)
+        members = random.choice(list(data_centres.values()))
+        if random.random() < 0.5:
+            members = random.sample(members, random.randint(1, len(members)))
+        members = [h for h in members if h.name not in self._cut_hosts]
+        left = len(self.stage.hosts) - len(self._cut_hosts) - len(members)
+        if not members or left < 1:
+            return  # some host must reach targets
+        names = [host.name for host in members]
+        self._cut_hosts.update(names)
+        subjects = [evidence_lib.targets_of(name) for name in names]
+        shape = random.choice(_SHAPES)
+        with self.injector.noted(evidence_lib.TARGETS_LOST, *subjects):
+            for host in members:
+                self.stage.set_target_links(host, shape)
+            await anyio.sleep(self.injector.between(_CUT_S))
+            for host in members:
+                self.stage.set_target_links(host, link_cut.Shape.NONE)
+        self._cut_hosts.difference_update(names)
+
     async def store_connections_silenced(self) -> None:
         """A host's connections to the store fall silent; new ones work."""
         host = self.injector.host()
--- a/hillthread/bench/gateway_soak/regressions.py
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -8,7 +8,7 @@
 
 
 # Kinds of faults that came after those of quotas, and after restored stores.
-_AFTER_RESTORES = ("target_truncates_streams",)
+_AFTER_RESTORES = ("target_truncates_streams", "hosts_lose_targets")
 _AFTER_QUOTAS = (
     "target_names_limit",
     "target_announces_departure",
--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -10,12 +10,14 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from hillthread.bench import processes
 from hillthread.bench.gateway_soak import balancer as balancer_lib
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import verdict
 from hillthread.coordination.gateway.store import host_registry
+from hillthread.standin import link_cut
 from hillthread.standin import platform_operator
 from hillthread.standin import platform_store
 from hillthread.standin import platform_target
@@ -34,6 +36,7 @@
     platform_operator.OperatorRoute("once", _PLAIN, False, False),
     platform_operator.OperatorRoute("again", _PLAIN, False, True),
 )
+_PROGRAM = "hillthread.programs.soak_gateway"
 _CHECK_S = 0.02
 # From the start of a process until it listens, unless a soak allows more.
 START_S = 20.0
@@ -158,7 +161,7 @@
         self.quota_per_s = quota_per_s
         self.group = group
         self.tasks = tasks
-        self.module = module
+        self.module = module or _PROGRAM
         self.evidence = evidence_lib.Evidence(bounds)
         self.store = platform_store.PlatformStoreStandin()
         self.store.era = 1
@@ -364,6 +367,14 @@
 
     # Processes.
 
+    def set_target_links(self, host: SoakHost, shape: link_cut.Shape) -> None:
+        """Cuts the links between a host and all targets, or restores them."""
+        spared = [host.store_link.address]
+        spared += [each.feed_link.address for each in self.hosts]
+        path = link_cut.control_path(str(self.group.folder / "any"), host.name)
+        control = link_cut.Control(shape, spared)
+        path.write_bytes(msgspec.json.encode(control))
+
     def start_process(self, host: SoakHost) -> None:
         """Starts a gateway's process without waiting for it."""
         host.lives += 1
--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -11,6 +11,7 @@
 from hillthread.bench.gateway_soak import announcement_verdict
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import limit_verdict
+from hillthread.bench.gateway_soak import link_verdict
 from hillthread.bench.gateway_soak import quota_verdict
 from hillthread.bench.gateway_soak import weights_verdict
 from hillthread.platform import names
@@ -104,6 +105,7 @@
             found += list(self._deadly())
             found += list(quota_verdict.violations(self.evidence))
             found += list(limit_verdict.violations(self.evidence))
+            found += list(link_verdict.violations(self.evidence))
             found += list(announcement_verdict.violations(self.evidence))
         return found
 
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -9,6 +9,7 @@
 from hillthread.coordination.gateway.serving import job
 from hillthread.platform import store
 from hillthread.programs import gateway
+from hillthread.programs import soak_gateway
 from hillthread.protocol import stream_end
 from hillthread.state.config import routing_table
 from hillthread.state.quotas import quota_ledger
@@ -136,6 +137,10 @@
     store.StoreClient._check_era = lambda self, head: None
 
 
+def forwards_nothing():
+    job.Job._plan_forward = lambda self: None
+
+
 def _hear_nothing_of_use():
     quota_ledger.QuotaLedger.reachable_share = lambda self, now: 1.0
     quota_ledger.QuotaLedger.add_peer_usage = lambda self, added, now: None
@@ -160,9 +165,10 @@
         ignores_announced_departures,
         ignores_backoffs,
         ignores_the_era_of_the_store,
+        forwards_nothing,
     )
 }
 
 if __name__ == "__main__":
     MUTANTS[os.environ[VARIABLE]]()
-    sys.exit(gateway.main())
+    sys.exit(soak_gateway.main())
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -33,6 +33,7 @@
     "limit",
     "drain",
     "backoff",
+    "reach",
 )
 VERSION_S = 2.0
 # A tenth of what callers ask. Two hosts that each keep the whole of it send
@@ -83,6 +84,7 @@
     "ignores_the_era_of_the_store": Case(
         "key_changes,store_restored", "denied"
     ),
+    "forwards_nothing": Case("hosts_lose_targets", "reach"),
 }
 
 
