Show forwarded requests and unreachable targets to operators

explain tells to which host a request was sent, why and with what outcome, and that a host got it from another one; hillthread-ctl targets lists targets that a host cannot reach. A test reads both hosts' lines of a forwarded request.

--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -47,12 +47,14 @@
         backoff_s: Seconds for which it still wants no request from this host.
         slowdown: How many times longer than other engines of its pool it takes
             for a prompt.
+        is_unreachable: This host cannot open a connection to it.
     """
 
     target: str
     is_leaving: bool
     backoff_s: float
     slowdown: float = 1.0
+    is_unreachable: bool = False
 
 
 class TargetBeliefs:
@@ -189,14 +191,19 @@
         ]
 
     def target_statuses(self, now: float) -> list[TargetStatus]:
-        """Returns unavailable targets, and engines that are slow or fast."""
+        """Returns targets that this host cannot use, and slow or fast ones."""
         statuses = {each.target: each for each in self.unavailable_targets(now)}
         low, high = _AVERAGE_SLOWDOWNS
         for name in self.states.keys() & self.targets.entries.keys():
-            slowdown = self.states[name].speed.slowdown(now)
-            if name in statuses or not low <= slowdown <= high:
+            state = self.states[name]
+            slowdown = state.speed.slowdown(now)
+            is_average = low <= slowdown <= high and not state.is_unreachable
+            if name in statuses or not is_average:
                 status = statuses.get(name, TargetStatus(name, False, 0.0))
-                statuses[name] = status._replace(slowdown=round(slowdown, 2))
+                statuses[name] = status._replace(
+                    slowdown=round(slowdown, 2),
+                    is_unreachable=state.is_unreachable,
+                )
         return [statuses[name] for name in sorted(statuses)]
 
     def observe_weights(
--- a/hillthread/programs/ctl.py
+++ b/hillthread/programs/ctl.py
@@ -179,7 +179,7 @@
             )
 
     def targets(self) -> None:
-        """Lists targets that leave, back off, or are slower or faster.
+        """Lists targets that leave, back off, cannot be reached, or are slow.
 
         An engine's speed is compared with its pool's, as known to one host.
 
@@ -190,6 +190,8 @@
             reasons = []
             if each["is_leaving"]:
                 reasons.append("leaves")
+            if each.get("is_unreachable", False):
+                reasons.append("cannot be reached from this host")
             if each["backoff_s"]:
                 reasons.append(f"backs off for {each['backoff_s']:g} s more")
             slowdown = each.get("slowdown", 1.0)
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -189,8 +189,10 @@
         case "admitted":
             repeat = "may" if fields.get("repeatable") else "may not"
             tenant = fields.get("tenant") or "-"
+            sender = fields.get("forwarded_by")
+            origin = f" from host {sender}" if sender else ""
             return (
-                f"admitted for {fields.get('path')} on route "
+                f"admitted{origin} for {fields.get('path')} on route "
                 f"{fields.get('route')}, tenant {tenant}; it {repeat} run "
                 f"again, {fields.get('seconds_left')} s are left"
             )
@@ -207,6 +209,13 @@
             return _describe_schedule(fields)
         case "attempt":
             return _describe_attempt(fields)
+        case "forwarded":
+            reason = f" ({fields['reason']})" if fields.get("reason") else ""
+            return (
+                f"sent to host {fields.get('peer')}, since this one cannot "
+                f"reach {fields.get('pool')}: {fields.get('outcome')}{reason}, "
+                f"after {fields.get('seconds')} s"
+            )
         case "retry" | "no_retry":
             allowed = "allowed" if line.event == "retry" else "not allowed"
             return (
--- a/tests/coordination/gateway/serving/test_explaining.py
+++ b/tests/coordination/gateway/serving/test_explaining.py
@@ -17,6 +17,8 @@
 from hillthread.transport import http1_client
 from hillthread.transport import log_writer
 from tests.coordination.gateway import scene as scene_lib
+from tests.coordination.gateway.serving import test_peer_forwarder
+from tests.coordination.gateway.serving import test_quota
 
 
 class ExplainingTest(unittest.TestCase):
@@ -117,6 +119,28 @@
 
         scene_lib.run_scenario(story)
 
+    def test_request_that_another_host_served(self):
+        async def story(scene):
+            programs, _ = await test_peer_forwarder.start_cut_host(
+                scene, log_requests_per_s=1_000
+            )
+            request = scene.request("/once/x")
+            answer = await test_quota.ask(scene, programs[0], request)
+            self.assertEqual(answer.head.status, 200)
+            explanation = self.explain(request)
+            self.assertIn(
+                "sent to host h2, since this one cannot reach plain: whole",
+                explanation,
+            )
+            self.assertIn("links lost (", explanation)
+            self.assertIn("admitted from host h1", explanation)
+            self.assertIn("Cause: none; it was answered whole.", explanation)
+            page = programs[0].metrics.render()
+            self.assertIn(b'forwarded_total{host="h2",outcome="whole"}', page)
+            self.assertIn(b"links_lost 1.0", page)
+
+        scene_lib.run_scenario(story, log_requests_per_s=1_000)
+
     def test_stream_cut_off_by_a_crash(self):
         async def story(scene):
             for engine in scene.engines:
--- a/tests/coordination/gateway/serving/test_peer_forwarder.py
+++ b/tests/coordination/gateway/serving/test_peer_forwarder.py
@@ -17,10 +17,12 @@
 from tests.coordination.gateway.serving import test_quota
 
 
-async def start_cut_host(scene, count=2, shape=link_cut.CutShape.RESET):
+async def start_cut_host(scene, count=2, **settings):
     """Returns hosts of which the first knows that it reaches no target."""
-    programs, links = await test_lost_links.start_hosts(scene, count)
-    await links[0].cut(shape)
+    programs, links = await test_lost_links.start_hosts(
+        scene, count, **settings
+    )
+    await links[0].cut(link_cut.CutShape.RESET)
     await lose_links(scene, programs[0])
     return programs, links
 
