Keep connections to targets that are silent for two seconds

A sound target may fall silent for a second or so and go on. Connections to targets were dropped after one second with unacknowledged bytes, and idle ones at the next keepalive probe after it: with TCP_USER_TIMEOUT set, Linux ignores the number of probes.

Connections to targets now tolerate 2.5 s. Connections to the store and to other hosts stay at one second, since a held read on a dead connection hides changes. The setting is one time now; the number of probes follows from it.

Evidence: the new test reads the socket options and failed at 1,000 ms; kernels on loopback acknowledge every probe, so that silence itself cannot be tested there. test_silent_connections and test_http1_client pass.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -61,9 +61,10 @@
 # Connections are established within 10 ms. A lost packet would be retransmitted
 # only after a second; the attempt is given up before that.
 _CONNECT_TIMEOUT_S = 0.2
-# Unanswered keepalive probes that end a connection to another host. One is
-# enough: a read that is wrongly given up is soon sent again.
-_MAX_UNANSWERED_PROBES = 1
+# Silence after which a connection to a target is dropped. A sound target may be
+# silent for a second or somewhat longer. One that is dead is found sooner by
+# probes, which only give up what may be sent to another target.
+_TARGET_SILENCE_MS = 2_500
 # Longest times for which the store holds a read where no bound requires less.
 # Each read has a cost, so these times are long.
 _OPERATOR_WAIT_S = 2.5
@@ -107,7 +108,9 @@
         self.log = log
         self.metrics = metrics_lib.GatewayMetrics()
         self.site = site_lib.Site(settings, self.metrics)
-        self.pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S)
+        self.pool = http1_client.ConnectionPool(
+            _CONNECT_TIMEOUT_S, _TARGET_SILENCE_MS
+        )
         self.store = store_lib.StoreClient(settings.store)
         self.store.on_restored = self._on_store_restored
         ip, _ = settings_lib.split_address(settings.listen)
@@ -152,9 +155,7 @@
                 self._resend_held_reads,
             ),
             self.source,
-            http1_client.ConnectionPool(
-                _CONNECT_TIMEOUT_S, _MAX_UNANSWERED_PROBES
-            ),
+            http1_client.ConnectionPool(_CONNECT_TIMEOUT_S),
             self.metrics,
             self.hosts_read,
             self.hosts_settled,
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -30,9 +30,6 @@
 _CONNECT_TIMEOUT_S = 0.5
 # The store answers in 4 ms, at times up to 60 times slower.
 _CALL_TIMEOUT_S = 1.0
-# Unanswered keepalive probes after which a connection counts as lost. A wrong
-# guess costs one more call; a read held on a dead connection hides changes.
-_KEEPALIVE_PROBE_COUNT = 1
 # Well above a page of the store, which is 1 MB.
 _MAX_ANSWER_BYTES = 16_777_216
 # The only partition of keyed topics, and the only one that the other topics
@@ -142,9 +139,9 @@
 
     def __init__(self, address: str):
         self.address = address
-        self.pool = http1_client.ConnectionPool(
-            _CONNECT_TIMEOUT_S, _KEEPALIVE_PROBE_COUNT
-        )
+        # Silent connections are dropped soon: a wrong guess costs one more
+        # call, but a read held on a dead connection hides changes.
+        self.pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S)
         self.calls = 0
         self.era: int | None = None
         self.on_restored: Callable[[int, int], None] = _ignore_restoration
--- a/hillthread/transport/http1.py
+++ b/hillthread/transport/http1.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+import math
 import socket
 
 import anyio
@@ -17,27 +18,25 @@
 from hillthread.transport import byte_stream
 
 __all__ = [
-    "CALLER_USER_TIMEOUT_MS",
+    "CALLER_SILENCE_MS",
     "ConnectionLostError",
     "Headers",
     "Http1Connection",
-    "KEEPALIVE_PROBES",
-    "TARGET_USER_TIMEOUT_MS",
+    "PEER_SILENCE_MS",
     "enable_dead_peer_detection",
 ]
 
 Headers = list[tuple[bytes, bytes]]
 
 _GRACEFUL_CLOSE_S = 0.5
-# A dead peer is detected by unacknowledged bytes (TCP_USER_TIMEOUT) and by
-# unanswered keepalive probes. Two packets lost in a row are retransmitted
-# within these times.
-TARGET_USER_TIMEOUT_MS = 1_000
-CALLER_USER_TIMEOUT_MS = 5_000
+# Silence after which a peer counts as dead, while it has bytes or a keepalive
+# probe to acknowledge. Two lost packets in a row are retransmitted within it.
+PEER_SILENCE_MS = 1_000
+CALLER_SILENCE_MS = 5_000
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 # One probe may be lost on a bad link; two in a row are rarely lost.
-KEEPALIVE_PROBES = 2
+_MAX_KEEPALIVE_PROBES = 2
 
 
 class ConnectionLostError(Exception):
@@ -46,20 +45,24 @@
 
 def enable_dead_peer_detection(
     stream: byte_stream.ByteStream,
-    user_timeout_ms: int,
-    probes: int = KEEPALIVE_PROBES,
+    silence_ms: int,
 ) -> None:
     """Sets socket options that make the kernel drop a dead connection.
 
+    With TCP_USER_TIMEOUT, Linux ignores the number of keepalive probes: it
+    drops an idle connection at the first probe after that time. The number
+    matters to kernels that count all the same.
+
     Args:
         stream: The connection.
-        user_timeout_ms: How long sent bytes may stay unacknowledged.
-        probes: Consecutive unanswered keepalive probes after which an idle
-            connection is dropped.
+        silence_ms: How long sent bytes or probes may stay unacknowledged.
     """
+    probing_s = silence_ms / 1000.0 - _KEEPALIVE_IDLE_S
+    probes = math.ceil(probing_s / _KEEPALIVE_INTERVAL_S)
+    probes = max(1, min(_MAX_KEEPALIVE_PROBES, probes))
     raw = stream.raw
     tcp = socket.IPPROTO_TCP
-    raw.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+    raw.setsockopt(tcp, socket.TCP_USER_TIMEOUT, silence_ms)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     raw.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
     raw.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -293,8 +293,7 @@
 
     Attributes:
         connect_timeout_s: Timeout for establishing a connection.
-        probes: Unanswered keepalive probes after which the kernel drops a
-            connection.
+        silence_ms: Silence after which the kernel drops a connection.
         opened: Connections opened so far, by the reason why no idle one was
             used.
         idle: Idle connections by address, the last used one at the end.
@@ -308,10 +307,12 @@
     """
 
     def __init__(
-        self, connect_timeout_s: float, probes: int = http1.KEEPALIVE_PROBES
+        self,
+        connect_timeout_s: float,
+        silence_ms: int = http1.PEER_SILENCE_MS,
     ):
         self.connect_timeout_s = connect_timeout_s
-        self.probes = probes
+        self.silence_ms = silence_ms
         self.unrepeatable_max_idle_s = _MAX_UNREPEATABLE_IDLE_S
         self.opened: collections.Counter[str] = collections.Counter()
         self.idle: dict[str, collections.deque[ClientConnection]] = {}
@@ -446,9 +447,7 @@
                 connection_refused=connection_refused,
             ) from error
         self.opened[reason] += 1
-        http1.enable_dead_peer_detection(
-            stream, http1.TARGET_USER_TIMEOUT_MS, self.probes
-        )
+        http1.enable_dead_peer_detection(stream, self.silence_ms)
         return ClientConnection(stream, address)
 
     async def _connect(self, address: str) -> byte_stream.ByteStream:
--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -551,9 +551,7 @@
         connection = _CallerConnection(stream, self)
         self.connections.add(connection)
         try:
-            http1.enable_dead_peer_detection(
-                stream, http1.CALLER_USER_TIMEOUT_MS
-            )
+            http1.enable_dead_peer_detection(stream, http1.CALLER_SILENCE_MS)
             await connection.run()
         except Exception:
             _logger.exception("connection failed", extra={"code": "internal"})
--- a/tests/coordination/gateway/serving/test_silent_connections.py
+++ b/tests/coordination/gateway/serving/test_silent_connections.py
@@ -71,6 +71,23 @@
         scene_lib.run_scenario(story)
 
 
+class SoundTargetTest(unittest.TestCase):
+    # Guards against dropping the connections of a sound target that says
+    # nothing for a second, and with them requests that may not be repeated.
+    def test_kernel_keeps_connections_to_targets_silent_for_two_seconds(self):
+        async def story(scene):
+            target = scene.plain[0].address
+            connection = await scene.program.pool.open(target, "test")
+            raw = connection.stream.raw
+            tcp = socket.IPPROTO_TCP
+            silence_ms = raw.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
+            self.assertGreaterEqual(silence_ms, 2_000)
+            self.assertLessEqual(silence_ms, 3_000)
+            await connection.close()
+
+        scene_lib.run_scenario(story)
+
+
 class TargetConnectionsTest(unittest.TestCase):
     """Fakes the kernel's count, because loopback acknowledges all data."""
 
--- a/tests/transport/test_http1_client.py
+++ b/tests/transport/test_http1_client.py
@@ -220,7 +220,7 @@
                 probes = raw.getsockopt(tcp, socket.TCP_KEEPCNT)
                 self.assertLessEqual(idle_s + every_s * probes, 3)
                 silence_ms = raw.getsockopt(tcp, socket.TCP_USER_TIMEOUT)
-                self.assertEqual(silence_ms, http1.CALLER_USER_TIMEOUT_MS)
+                self.assertEqual(silence_ms, http1.CALLER_SILENCE_MS)
                 await connection.close()
                 tasks.cancel_scope.cancel()
 
