--- a/tests/state/targets/test_target_links.py
+++ b/tests/state/targets/test_target_links.py
@@ -16,9 +16,9 @@
     def test_links_are_lost_when_several_targets_fail_and_none_succeeds(self):
         self.fail("a", "b", "c", now=5.0)
         self.assertFalse(self.links.update(1_900, 5.05))
-        self.assertTrue(self.links.update(1_900, 5.1))
+        self.assertTrue(self.links.update(1_900, 5.125))
         self.assertEqual(self.links.lost_since, 5.0)
-        self.assertFalse(self.links.update(1_900, 5.2))
+        self.assertFalse(self.links.update(1_900, 5.25))
         self.assertTrue(self.links.is_lost)
 
     def test_some_targets_that_end_together_are_not_the_links(self):
