Spare targets that crash when they refuse too much

Targets may announce that they are brittle: one that has to refuse more than so many requests in a second for want of room crashes, and its room may shrink without notice. Hosts relayed the announcement and went on sending.

A request that a brittle target refuses is not tried at others of its kind, and gets 503 targets_brittle with a time to return. Crashes of brittle targets make no request a suspect.

--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -134,6 +134,10 @@
         self.backing_off = self.gauge(
             "targets_backing_off", "Targets that shed load and request a pause."
         )
+        self.brittle_targets = self.gauge(
+            "targets_brittle",
+            "Targets that crash if they refuse too many requests.",
+        )
         self.unreachable = self.gauge(
             "targets_unreachable", "Targets that this host cannot reach."
         )
--- a/hillthread/coordination/gateway/peers/work_feed.py
+++ b/hillthread/coordination/gateway/peers/work_feed.py
@@ -92,6 +92,7 @@
         received_packets: Number of valid packets received.
         apply_limit: Applies the limit of a target.
         apply_departure: Applies the departure of a target.
+        apply_brittle: Applies what another host knows of a brittle target.
         apply_suspect: Applies what another host observed of a request under
             which targets crash.
         usage: Totals of usage that hosts exchange; None until the keeper of
@@ -117,6 +118,9 @@
         self.apply_departure: Callable[[work_notice.DepartureNotice], None] = (
             _ignore
         )
+        self.apply_brittle: Callable[[work_notice.BrittleNotice], None] = (
+            _ignore
+        )
         self.usage: usage_exchange.UsageExchange | None = None
         self.apply_usage: Callable[[dict[int, float]], None] = _ignore
         self._origin = work_notice.checksum(source.name)
@@ -225,6 +229,10 @@
         ):
             self._notify_directly(suspects=page)
 
+    def notify_brittle(self, notice: work_notice.BrittleNotice) -> None:
+        """Notifies all hosts of a brittle target, without delay."""
+        self._notify_directly(brittle=[notice])
+
     def report_usage(self) -> None:
         """Reports usage of quotas to the gatherer when a report is due."""
         now = clock.now()
@@ -324,6 +332,7 @@
         suspects: Sequence[work_notice.SuspectNotice] = (),
         limits: Sequence[work_notice.LimitNotice] = (),
         departures: Sequence[work_notice.DepartureNotice] = (),
+        brittle: Sequence[work_notice.BrittleNotice] = (),
     ) -> None:
         """Notifies all hosts.
 
@@ -350,6 +359,7 @@
                 suspects,
                 limits=limits,
                 departures=departures,
+                brittle=brittle,
             )
             self._send(packet, hosts)
 
@@ -559,6 +569,8 @@
             self.apply_limit(limit)
         for departure in packet.departures:
             self.apply_departure(departure)
+        for brittle in packet.brittle:
+            self.apply_brittle(brittle)
         for speed in packet.speeds:
             if speed in self._sent_speeds:
                 self._sent_speeds.remove(speed)
--- a/hillthread/coordination/gateway/serving/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -42,6 +42,8 @@
 # so that it only decides between engines that are alike otherwise.
 _NEW_CONNECTION_COST_S = 0.004
 _NO_TARGET_RETRY_S = 0.3
+# Callers wait for at most a third of their remaining time.
+_MAX_BRITTLE_RETRY_S = 2.0
 
 
 class AntiAffinity(enum.Enum):
@@ -207,6 +209,13 @@
         ]
         if names:
             return self.limits.refusal(names, targets_view.now)
+        brittle = [
+            view.name
+            for view in targets_view.views
+            if view.exclusion is target_choice.Exclusion.BRITTLE
+        ]
+        if brittle:
+            return self.brittle_refusal(brittle, targets_view.now)
         ends_at = [
             self.site.backoffs.ends_at(name) for name in targets_view.entries
         ]
@@ -216,6 +225,22 @@
             )
         return _no_target()
 
+    def brittle_refusal(
+        self, names: list[str], now: float
+    ) -> errors.RefusalError:
+        """Returns the refusal of a request that only brittle targets serve."""
+        wait_s = min(self.site.brittle.wait_s(name, now) for name in names)
+        wait_s = min(_MAX_BRITTLE_RETRY_S, max(_NO_TARGET_RETRY_S, wait_s))
+        return errors.RefusalError(
+            "targets_brittle",
+            503,
+            f"{len(names)} targets that crash when they refuse too much have "
+            "as many requests as they can take.",
+            "Try again after the time in Retry-After; operators see such "
+            "targets with `hillthread-ctl targets`.",
+            retry_after_s=wait_s,
+        )
+
     def _choose_within_limits(
         self,
         request: intake.GatewayRequest,
--- a/hillthread/coordination/gateway/serving/dispatcher.py
+++ b/hillthread/coordination/gateway/serving/dispatcher.py
@@ -12,6 +12,7 @@
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.serving import announcement_keeper
+from hillthread.coordination.gateway.serving import brittle_keeper
 from hillthread.coordination.gateway.serving import chooser as chooser_lib
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import job as job_lib
@@ -107,6 +108,7 @@
             quotas,
             limits,
             announcement_keeper.AnnouncementKeeper(site, work, tasks),
+            brittle_keeper.BrittleKeeper(site, work),
             forwarder,
         )
         self.cancel_scopes: set[anyio.CancelScope] = set()
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -341,6 +341,7 @@
                 return self._retry_unrun_request(planned.pool, reason)
             case outcome_lib.NotRun(status):
                 self._note_refusal(name, result)
+                self._check_brittle(name, status)
                 return self._retry_unrun_request(
                     planned.pool, f"refused with {status}"
                 )
@@ -355,6 +356,20 @@
                 self.last_answer = whole
                 return self._may_retry_failure(planned, whole)
 
+    def _check_brittle(self, name: str, status: int) -> None:
+        """Refuses a request that a brittle target has refused.
+
+        Its other targets may have no more room, and refuse it as well.
+
+        Raises:
+            RefusalError: The target is brittle; the request has not run there.
+        """
+        if status != 503 or name not in self.site.brittle:
+            return
+        if not self.answer.started and self.last_answer is None:
+            refusal = self.context.chooser.brittle_refusal([name], clock.now())
+            raise self._refusal_with_run_state(refusal)
+
     def _note_refusal(self, name: str, refusal: outcome_lib.NotRun) -> None:
         """Excludes a target that refused, but not after its first mismatch."""
         is_other = refusal.meaning.incarnation not in ("", name)
--- a/hillthread/coordination/gateway/serving/pool_view.py
+++ b/hillthread/coordination/gateway/serving/pool_view.py
@@ -237,6 +237,8 @@
             return target_choice.Exclusion.OLD_WEIGHTS
         if state.breaker.state(self.now) is health.BreakerState.OPEN:
             return target_choice.Exclusion.EJECTED
+        if not self.site.brittle.may_send(name, self.now):
+            return target_choice.Exclusion.BRITTLE
         if self._is_limited(name):
             return target_choice.Exclusion.LIMITED
         return None
--- a/hillthread/coordination/gateway/serving/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -156,8 +156,14 @@
                     self._publish_clearing(request.digest)
             case outcome_lib.Lost() | outcome_lib.Broken() if is_cut:
                 entry = self.site.targets.entries.get(sent.target)
-                # A target that is leaving ends as planned.
-                if entry is not None and not entry.leaving:
+                # A target that is leaving ends as planned, and a brittle one
+                # crashes because of what it refused.
+                is_own_end = (
+                    entry is None
+                    or entry.leaving
+                    or sent.target in self.site.brittle
+                )
+                if not is_own_end:
                     self._cut_incarnations[sent.target] = sent.incarnation
                     records.record_disconnect(
                         request.digest, sent.incarnation, now
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -18,6 +18,7 @@
 from hillthread.coordination.gateway.peers import work_feed
 from hillthread.coordination.gateway.serving import announcement_keeper
 from hillthread.coordination.gateway.serving import attempt as attempt_lib
+from hillthread.coordination.gateway.serving import brittle_keeper
 from hillthread.coordination.gateway.serving import cache_source
 from hillthread.coordination.gateway.serving import chooser as chooser_lib
 from hillthread.coordination.gateway.serving import event_relay
@@ -60,6 +61,7 @@
         quotas: Charges what is sent on behalf of organisations.
         limits: Charges what is sent to targets.
         announcements: Applies what targets announce.
+        brittle: Keeps brittle targets from refusing too much.
         forwarder: Sends requests to other hosts.
     """
 
@@ -75,6 +77,7 @@
     quotas: quota_keeper.QuotaKeeper
     limits: limit_keeper.LimitKeeper
     announcements: announcement_keeper.AnnouncementKeeper
+    brittle: brittle_keeper.BrittleKeeper
     forwarder: peer_forwarder.PeerForwarder
 
 
@@ -205,6 +208,7 @@
         )
         self.context.quotas.charge(self.request)
         self.context.limits.charge(name)
+        self.context.brittle.record_send(name)
         self._announce_work(planned)
         self.relay.on_first_event = ongoing.first_byte.record
 
@@ -241,6 +245,8 @@
             result,
             attempt.closed_by_target,
         )
+        if isinstance(result, outcome_lib.NotRun) and result.status == 503:
+            self.context.brittle.record_refusal(target.name, result.meaning)
         if attempt.closed_by_target:
             # Whether the target has crashed decides how the request goes on.
             self.context.monitor.probe_now(target)
@@ -289,6 +295,7 @@
         # limit yet.
         if self.site.states.get(name) is state:
             self.context.limits.apply_answer(name, meaning)
+            self.context.brittle.apply_answer(name, meaning)
         if self.request.forwarded is not None:
             self.relay.answer.added_headers = [
                 (forwarding.HOST_HEADER, self.site.settings.host.encode()),
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -18,6 +18,7 @@
 from hillthread.state.routing import engine_speed
 from hillthread.state.scheduling import urgency as urgency_lib
 from hillthread.state.targets import backoffs
+from hillthread.state.targets import brittleness
 from hillthread.state.targets import health
 from hillthread.state.targets import target_list
 from hillthread.state.targets import target_state
@@ -48,6 +49,7 @@
         slowdown: How many times longer than other engines of its pool it takes
             for a prompt.
         is_unreachable: This host cannot open a connection to it.
+        is_brittle: It crashes if it refuses too many requests.
     """
 
     target: str
@@ -55,6 +57,7 @@
     backoff_s: float
     slowdown: float = 1.0
     is_unreachable: bool = False
+    is_brittle: bool = False
 
 
 class TargetBeliefs:
@@ -69,6 +72,7 @@
         pool_speeds: Speed of the engines of each pool, by the pool's name.
         are_links_lost: Whether this host can reach no target at all.
         backoffs: Targets that shed load and request a pause.
+        brittle: Targets that crash if they refuse too many requests.
         weights: Versions of weights: announced, and held by targets.
         last_load_notice_at: Seconds, when this host or another last sent a
             notice of a load of weights.
@@ -89,6 +93,7 @@
         self.pool_speeds: dict[str, engine_speed.PoolSpeed] = {}
         self.are_links_lost = False
         self.backoffs = backoffs.Backoffs()
+        self.brittle = brittleness.BrittleTargets()
         self.weights = weights.WeightsTracker()
         self.last_load_notice_at = float("-inf")
         self.on_target_withdrawn: Callable[[str], None] = _ignore_target
@@ -197,12 +202,18 @@
         for name in self.states.keys() & self.targets.entries.keys():
             state = self.states[name]
             slowdown = state.speed.slowdown(now)
-            is_average = low <= slowdown <= high and not state.is_unreachable
+            is_brittle = name in self.brittle
+            is_average = (
+                low <= slowdown <= high
+                and not state.is_unreachable
+                and not is_brittle
+            )
             if name in statuses or not is_average:
                 status = statuses.get(name, TargetStatus(name, False, 0.0))
                 statuses[name] = status._replace(
                     slowdown=round(slowdown, 2),
                     is_unreachable=state.is_unreachable,
+                    is_brittle=is_brittle,
                 )
         return [statuses[name] for name in sorted(statuses)]
 
@@ -263,7 +274,7 @@
 
     def pool_speed(self, name: str) -> engine_speed.PoolSpeed:
         """Returns the speed of the pool that a target belongs to."""
-        pool = self._get_service(name)
+        pool = self.service_of(name)
         found = self.pool_speeds.get(pool)
         if found is None:
             found = self.pool_speeds[pool] = engine_speed.PoolSpeed()
@@ -396,10 +407,10 @@
         """Returns how many tokens an engine can cache; 0 when not known."""
         if self.table is None or target not in self.targets.entries:
             return 0
-        pool = self.table.pool(self._get_service(target))
+        pool = self.table.pool(self.service_of(target))
         return pool.cache_tokens if pool else 0
 
-    def _get_service(self, target: str) -> str:
+    def service_of(self, target: str) -> str:
         """Returns the pool of a target; empty if it is not listed."""
         entry = self.targets.entries.get(target)
         if entry is None:
@@ -510,6 +521,7 @@
 
     def _forget(self, name: str, address: str) -> None:
         self.states.pop(name, None)
+        self.brittle.forget(name)
         self.weights.forget(name)
         self.on_target_forgotten(name)
         self.on_target_withdrawn(address)
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -46,6 +46,7 @@
         names.RECEIPT,
         names.REQUEST_ID,
         names.RETRY_AFTER,
+        names.TARGET_BRITTLE,
         names.TARGET_LEAVING,
         names.TARGET_LIMIT,
         names.WEIGHTS_VERSION,
@@ -112,6 +113,8 @@
             this host; 0 if it requests no back-off.
         limit_per_s: Requests a second that the target accepts from all hosts
             together; None if it states no limit.
+        withstood_refusals_per_s: The target crashes if it refuses more requests
+            in a second for want of room; None if it is not brittle.
         unknown_headers: Names of headers without a known meaning.
     """
 
@@ -124,6 +127,7 @@
     is_leaving: bool
     backoff_s: float
     limit_per_s: float | None
+    withstood_refusals_per_s: float | None
     unknown_headers: tuple[str, ...]
 
 
@@ -221,6 +225,9 @@
         headers_lib.parse_decimal(
             head.get(names.TARGET_LIMIT).decode("latin-1")
         ),
+        headers_lib.parse_decimal(
+            head.get(names.TARGET_BRITTLE).decode("latin-1")
+        ),
         tuple(
             name.decode("latin-1")
             for name, _ in head.headers
--- a/hillthread/platform/names.py
+++ b/hillthread/platform/names.py
@@ -23,6 +23,7 @@
     "SET_BY_SYSTEM",
     "SET_BY_SYSTEM_PREFIXES",
     "STORE_ERA",
+    "TARGET_BRITTLE",
     "TARGET_LEAVING",
     "TARGET_LIMIT",
     "TENANT",
@@ -47,6 +48,8 @@
 RECEIPT = b"x-response-stamp"
 NOT_RUN = b"x-not-run"
 INCARNATION = b"x-instance-id"
+# Refusals in a second that the target withstands for want of room.
+TARGET_BRITTLE = b"server-brittle"
 TARGET_LEAVING = b"server-leaving"
 TARGET_LIMIT = b"server-limit"
 WEIGHTS_VERSION = b"x-weight-versions"
--- a/hillthread/programs/ctl.py
+++ b/hillthread/programs/ctl.py
@@ -192,6 +192,8 @@
                 reasons.append("leaves")
             if each.get("is_unreachable", False):
                 reasons.append("cannot be reached from this host")
+            if each.get("is_brittle", False):
+                reasons.append("crashes if it refuses too much")
             if each["backoff_s"]:
                 reasons.append(f"backs off for {each['backoff_s']:g} s more")
             slowdown = each.get("slowdown", 1.0)
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -22,6 +22,7 @@
 from hillthread.state.scheduling import urgency as urgency_lib
 
 __all__ = [
+    "BrittleNotice",
     "DepartureNotice",
     "LimitNotice",
     "MAX_DEPARTURE_NOTICES",
@@ -164,6 +165,21 @@
     engine: int
 
 
+class BrittleNotice(NamedTuple):
+    """A notice on a target that crashes if it refuses too many requests.
+
+    Attributes:
+        engine: Checksum of the target's incarnation.
+        refusals_per_s: Refusals in a second that it withstands; None if it is
+            not brittle any more.
+        has_refused: Whether it has just refused a request for want of room.
+    """
+
+    engine: int
+    refusals_per_s: float | None
+    has_refused: bool
+
+
 class SpeedNotice(NamedTuple):
     """The time to the first byte of a prompt that found no queue.
 
@@ -196,6 +212,8 @@
         departures: Targets that have announced their departure.
         speeds: Samples of the speed of engines. Earlier releases cannot decode
             a packet that has some, so these are sent in packets of their own.
+        brittle: Targets that crash if they refuse too many requests; also sent
+            in packets of their own.
     """
 
     action: PacketAction
@@ -206,6 +224,7 @@
     limits: Sequence[LimitNotice] = ()
     departures: Sequence[DepartureNotice] = ()
     speeds: Sequence[SpeedNotice] = ()
+    brittle: Sequence[BrittleNotice] = ()
 
 
 def checksum(name: str) -> int:
@@ -224,6 +243,7 @@
         packet.limits,
         packet.departures,
         packet.speeds,
+        packet.brittle,
     ]
     # Earlier releases know fewer lists; they can decode a packet if the empty
     # lists at its end are left out.
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -275,6 +275,10 @@
         born_ms: Unix time of its start, milliseconds.
         limit_per_s: Announced limit of requests per second from all hosts
             together; None announces no limit.
+        room: Requests that it serves at the same time; it refuses others.
+        refusal_times: Monotonic times of refusals for want of room, seconds.
+        withstood_refusals_per_s: Refusals in a second that it announces to
+            withstand; None announces nothing.
         extra_headers: Headers sent with every answer to a request.
         announces_leaving: Whether answers announce that it is leaving.
         backoff_s: Back-off that it demands while it refuses all requests; 0
@@ -315,6 +319,10 @@
         self.cache_epoch = 1
         self.born_ms = int(time.time() * 1000)
         self.limit_per_s: float | None = None
+        self.room = math.inf
+        self.refusal_times: list[float] = []
+        self.withstood_refusals_per_s: float | None = None
+        self._serving = 0
         self.extra_headers: http1.Headers = []
         self.announces_leaving = False
         self.backoff_s = 0.0
@@ -417,8 +425,15 @@
         elif self._has_other_weights(request) or self.busy:
             status = 503 if self.busy else 421
             await self._refuse(request, answer, status)
+        elif self._serving >= self.room:
+            self.refusal_times.append(time.monotonic())
+            await self._refuse(request, answer, 503)
         else:
-            await self._serve(request, answer)
+            self._serving += 1
+            try:
+                await self._serve(request, answer)
+            finally:
+                self._serving -= 1
 
     def _encode_report(self) -> bytes:
         return msgspec.json.encode(
@@ -627,6 +642,9 @@
         headers = list(self.extra_headers)
         if self.limit_per_s is not None:
             headers.append((b"server-limit", str(self.limit_per_s).encode()))
+        if self.withstood_refusals_per_s is not None:
+            withstood = b"%g" % self.withstood_refusals_per_s
+            headers.append((b"server-brittle", withstood))
         if self.announces_leaving:
             headers.append((b"server-leaving", b"1"))
         return headers
--- a/hillthread/state/routing/target_choice.py
+++ b/hillthread/state/routing/target_choice.py
@@ -37,6 +37,7 @@
     OLD_WEIGHTS = "old_weights"
     LOADING = "loading"
     LIMITED = "limited"
+    BRITTLE = "brittle"
 
 
 class TargetView(NamedTuple):
