Split the forwarding of one request from the job

Moves only: when a request goes to another host, and what is counted of it, stands in a module of its own; the job handles outcomes.

--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -6,13 +6,13 @@
 
 from hillthread import clock
 from hillthread import errors
-from hillthread.coordination.gateway.peers import forwarding
 from hillthread.coordination.gateway.serving import chooser as chooser_lib
 from hillthread.coordination.gateway.serving import event_relay
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
 from hillthread.coordination.gateway.serving import peer_forwarder
 from hillthread.coordination.gateway.serving import prompt_scheduler
+from hillthread.coordination.gateway.serving import request_forwarding
 from hillthread.coordination.gateway.serving import sender as sender_lib
 from hillthread.platform import attempts
 from hillthread.state.config import objects
@@ -27,12 +27,6 @@
 # Limits all attempts of one request, including those that targets refused.
 # Those that may have run are limited further by the route's `max_attempts`.
 _MAX_ATTEMPTS = 5
-# Limits how often one request is sent to other hosts.
-_MAX_FORWARDS = 3
-# Attempts in a row that reached no target after which another host is asked,
-# also while some targets of the pool count as reachable.
-_FORWARD_AFTER_UNSENT = 2
-_NO_LINK_RETRY_S = 0.3
 # Refusals because of its weights after which a target is not used again for the
 # request: what this host knows of its weights is wrong.
 _MAX_WEIGHTS_REFUSALS = 2
@@ -62,8 +56,7 @@
             of before the last attempt.
         is_suspect_trial: Whether this is the trial run of a request during
             which several targets crashed.
-        tried_peers: Hosts that the request was forwarded to.
-        unsent_in_a_row: Attempts in a row that reached no target.
+        forwarding: Sends the request to other hosts.
     """
 
     def __init__(
@@ -87,8 +80,9 @@
         self.retry_reserved = False
         self.is_suspect = False
         self.is_suspect_trial = False
-        self.tried_peers: set[str] = set()
-        self.unsent_in_a_row = 0
+        self.forwarding = request_forwarding.RequestForwarding(
+            context, request, self.relay, self.sender
+        )
         if request.forwarded is not None:
             self.sender.attempts_made = request.forwarded.sends
             self.sender.possible_runs = request.forwarded.runs
@@ -121,7 +115,7 @@
         while (planned := self._plan_attempt()) is not None:
             match planned:
                 case peer_forwarder.ForwardPlan():
-                    forwarded = await self._forward(planned)
+                    forwarded = await self.forwarding.send(planned)
                     is_open = self._handle_forwarded(forwarded, planned)
                 case _:
                     result = await self.sender.send(planned, self.is_suspect)
@@ -140,8 +134,8 @@
             intake.check_deadline(request)
             # The other host checks the quarantine: a trial that this host
             # announced would hold the request there.
-            if self._is_pool_unreachable():
-                forward = self._plan_forward()
+            if self.forwarding.is_needed():
+                forward = self.forwarding.plan()
                 if forward is not None:
                     return forward
             quarantine_status = self.context.quarantine.admit(
@@ -158,63 +152,15 @@
                 return self._choose(anti_affinity)
             return self._schedule(anti_affinity)
         except errors.RefusalError as refusal:
-            if refusal.code == chooser_lib.NO_TARGET and self.unsent_in_a_row:
-                forward = self._plan_forward()
+            is_unreached = self.forwarding.unsent_in_a_row > 0
+            if refusal.code == chooser_lib.NO_TARGET and is_unreached:
+                forward = self.forwarding.plan()
                 if forward is not None:
                     return forward
             if self.last_answer is not None:
                 return None
             raise self._refusal_with_run_state(refusal) from refusal
 
-    def _is_pool_unreachable(self) -> bool:
-        """Returns whether this host cannot reach the targets of the route.
-
-        Raises:
-            RefusalError: It cannot, and another host has asked it.
-        """
-        pool = self.context.chooser.find_unreachable_pool(self.request.route)
-        if pool is not None and self.request.forwarded is not None:
-            raise _no_link(pool.name)
-        return pool is not None or self.unsent_in_a_row >= _FORWARD_AFTER_UNSENT
-
-    def _plan_forward(self) -> peer_forwarder.ForwardPlan | None:
-        """Returns which other host to ask, or None if none may be."""
-        if self.request.forwarded is not None:
-            return None
-        pool = self.context.chooser.choose_pool(self.request.route)
-        if pool is None or len(self.tried_peers) >= _MAX_FORWARDS:
-            return None
-        return self.context.forwarder.plan(pool, frozenset(self.tried_peers))
-
-    async def _forward(
-        self, planned: peer_forwarder.ForwardPlan
-    ) -> outcome_lib.ForwardOutcome:
-        """Sends the request to another host; counts it if it may have run."""
-        forwarder = self.context.forwarder
-        attempt = peer_forwarder.ForwardedAttempt(
-            self.request,
-            self.relay,
-            forwarder.pool,
-            planned.peer,
-            self.sender.note_forwarded_head,
-        )
-        origin = forwarding.ForwardOrigin(
-            forwarder.host, self.attempts_made, self.possible_runs
-        )
-        result: outcome_lib.ForwardOutcome | None = None
-        try:
-            result = await forwarder.send(planned, attempt, origin)
-            return result
-        finally:
-            match result:
-                case outcome_lib.Unsent() | outcome_lib.Declined():
-                    pass
-                case outcome_lib.Refused(refusal):
-                    is_run = refusal.run is not errors.RunState.NOT_RUN
-                    self.sender.possible_runs += is_run
-                case _:
-                    self.sender.possible_runs += attempt.sent
-
     def _handle_forwarded(
         self,
         result: outcome_lib.ForwardOutcome,
@@ -228,7 +174,6 @@
             RefusalError: The other host refused the request.
             BrokenAnswerError: The answer cannot be completed.
         """
-        self.tried_peers.add(planned.peer.name)
         match result:
             case outcome_lib.Relayed():
                 return False
@@ -331,8 +276,7 @@
     ) -> bool:
         """Handles the end of an attempt; returns whether another follows."""
         name = planned.plan.target.name
-        is_unsent = isinstance(result, outcome_lib.Unsent)
-        self.unsent_in_a_row = self.unsent_in_a_row + 1 if is_unsent else 0
+        self.forwarding.note_outcome(result)
         match result:
             case outcome_lib.Relayed():
                 return False
@@ -558,14 +502,3 @@
             "It may have run; send it again only if that is safe.",
             self.run_state(),
         )
-
-
-def _no_link(pool: str) -> errors.RefusalError:
-    """Returns the refusal of a request that another host has forwarded."""
-    return errors.RefusalError(
-        peer_forwarder.NO_LINK,
-        503,
-        f"This host cannot reach any target of {pool} either.",
-        "Ask another host.",
-        retry_after_s=_NO_LINK_RETRY_S,
-    )
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -7,6 +7,7 @@
 from hillthread.coordination.gateway.orders import order_lease
 from hillthread.coordination.gateway.serving import event_relay
 from hillthread.coordination.gateway.serving import job
+from hillthread.coordination.gateway.serving import request_forwarding
 from hillthread.platform import store
 from hillthread.programs import gateway
 from hillthread.programs import soak_gateway
@@ -138,7 +139,7 @@
 
 
 def forwards_nothing():
-    job.Job._plan_forward = lambda self: None
+    request_forwarding.RequestForwarding.plan = lambda self: None
 
 
 def _hear_nothing_of_use():
