Probe targets again that hung when the links came back

test_host_serves_by_itself_soon_after_its_links_are_back failed once, in its silent shape: one target was still unavailable 0.5 s after the links were back. Its probe had begun before that and hung until its timeout, after the first target had been reached; it then waited for its regular 0.4 s. Such a probe is repeated at once, and while links are lost unreachable targets are probed each 0.2 s instead of 0.4 s, since the first success ends the loss. Four runs of the test and test_reach and test_deadly_requests pass.

--- a/hillthread/coordination/gateway/serving/reach_monitor.py
+++ b/hillthread/coordination/gateway/serving/reach_monitor.py
@@ -50,6 +50,8 @@
 # Intervals of probes of an unreachable target: the first, and the longest.
 _FIRST_RETRY_S = 0.4
 _MAX_RETRY_S = 1.6
+# The same while no target can be reached.
+_LOST_RETRY_S = 0.2
 # Open connections break this long before the first new one fails, at most.
 _BREAK_BEFORE_LOSS_S = 0.5
 # Probes of unreachable targets that begin at the same time.
@@ -121,6 +123,7 @@
         self._retry_pause_s: dict[str, float] = {}
         self._swept_at = float("-inf")
         self._reached_at = float("-inf")
+        self._restored_at = float("-inf")
         self._inconclusive_targets: dict[str, objects.Target] = {}
 
     async def run(self) -> None:
@@ -260,9 +263,13 @@
         self.mark_unreachable(target, error.reason)
         pause_s = self._retry_pause_s.get(target.name, _FIRST_RETRY_S)
         if self.site.are_links_lost:
-            pause_s = _FIRST_RETRY_S  # any target shows that they are back
+            pause_s = _LOST_RETRY_S  # any target shows that they are back
+        elif began_at < self._restored_at:
+            pause_s = 0.0  # the probe began while the links were lost
         self._retry_at[target.name] = now + pause_s * random.uniform(0.8, 1.2)
-        self._retry_pause_s[target.name] = min(_MAX_RETRY_S, pause_s * 1.5)
+        self._retry_pause_s[target.name] = min(
+            _MAX_RETRY_S, max(_FIRST_RETRY_S, pause_s * 1.5)
+        )
         if not self._is_conclusive(error, began_at):
             self._inconclusive_targets[target.name] = target
             self._sweep(now, _EXTRA_PROBES)
@@ -337,7 +344,7 @@
         """
         for state in self.site.states.values():
             state.forgive_failures(lost_since - _BREAK_BEFORE_LOSS_S)
-        now = clock.now()
+        now = self._restored_at = clock.now()
         for name in self._retry_at:
             self._retry_at[name] = now
             self._retry_pause_s[name] = _FIRST_RETRY_S
