Do not count hosts that close held reads as callers who left

The feed port serves forwarded requests now and got the callback for callers who close before they are served; held reads of other hosts that are interrupted would have been counted and logged as such requests.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -173,8 +173,7 @@
             ).answer,
             self._compute_feed_bounds,
             self.gateway.note_bad_request,
-            self.gateway.note_caller_left,
-            self.buffers,
+            budget=self.buffers,
         )
         self.hosts = host_registry.HostRegistry(
             self.store,
