Check quotas of forwarded requests at the host that serves them only

Cause: quotas were checked at both hosts and charged at the one that serves. A host that sends nothing earns next to no share of a quota, so that it refused what the others would have admitted. It now leaves the check to the other host if it is about to forward the request.

--- a/hillthread/coordination/gateway/serving/dispatcher.py
+++ b/hillthread/coordination/gateway/serving/dispatcher.py
@@ -114,6 +114,14 @@
         self.cancel_scopes: set[anyio.CancelScope] = set()
         self.is_stopping = False
 
+    def will_forward(self, request: intake.GatewayRequest) -> bool:
+        """Returns whether a request is about to go to another host."""
+        if request.forwarded is not None:
+            return False
+        pool = self.chooser.find_unreachable_pool(request.route)
+        forwarder = self.context.forwarder
+        return pool is not None and forwarder.plan(pool) is not None
+
     def create_job(
         self,
         request: intake.GatewayRequest,
--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -112,6 +112,20 @@
         finally:
             self.forwarded_inflight -= 1
 
+    async def _check_quota(self, request: intake.GatewayRequest) -> None:
+        """Refuses a request that exceeds the quota of its tenant.
+
+        Requests that go to another host are checked there: this host sends
+        nothing to targets meanwhile, so that its share of quotas is small.
+
+        Raises:
+            RefusalError: The quota is exceeded; the request has not run.
+        """
+        if self.dispatcher.will_forward(request):
+            return
+        await self.quotas.wait_at_startup(request)
+        self.quotas.admit(request)
+
     def _check_room(self) -> None:
         """Refuses a forwarded request if this host has many of them.
 
@@ -160,8 +174,7 @@
                 self._check_room()
             await self.site.wait_until_routable(caller.arrived)
             request = intake.admit(self.site, caller, log, origin)
-            await self.quotas.wait_at_startup(request)
-            self.quotas.admit(request)
+            await self._check_quota(request)
             self._note_admitted(request)
             job = self.dispatcher.create_job(request, answer)
             await self.dispatcher.serve(job)
--- a/hillthread/coordination/gateway/serving/peer_forwarder.py
+++ b/hillthread/coordination/gateway/serving/peer_forwarder.py
@@ -37,7 +37,11 @@
 NO_LINK = "no_link"
 BUSY = "host_busy"
 # Times for which a host is avoided after it has declined, by its reason.
-_AVOID_S = {NO_LINK: 1.0, BUSY: 0.2, intake.NOT_READY: 2.0}
+_AVOID_S = {
+    NO_LINK: 1.0,
+    BUSY: 0.2,
+    intake.NOT_READY: 2.0,
+}
 _AVOID_UNREACHABLE_S = 2.0
 # A release that does not know forwarded requests is replaced within minutes.
 _AVOID_OLD_RELEASE_S = 60.0
@@ -194,7 +198,7 @@
         self.metrics = metrics
 
     def plan(
-        self, pool: objects.Pool, tried: frozenset[str]
+        self, pool: objects.Pool, tried: frozenset[str] = frozenset()
     ) -> ForwardPlan | None:
         """Returns which host to ask, or None if there is none.
 
--- a/tests/coordination/gateway/serving/test_peer_forwarder.py
+++ b/tests/coordination/gateway/serving/test_peer_forwarder.py
@@ -116,6 +116,21 @@
 
         scene_lib.run_scenario(scenario)
 
+    # Guards against quotas that both hosts check: the one without links sends
+    # nothing by itself, so that hardly any of a quota is left to it.
+    def test_quota_is_checked_by_the_other_host_only(self):
+        async def scenario(scene):
+            programs, _ = await start_cut_host(scene)
+            with mock.patch.object(
+                quota_keeper.QuotaKeeper, "admit", autospec=True
+            ) as admit:
+                answer = await ask(scene, programs[0], "/once/x")
+            self.assertEqual(answer.head.status, 200)
+            keepers = [call.args[0] for call in admit.call_args_list]
+            self.assertEqual(keepers, [programs[1].quotas])
+
+        scene_lib.run_scenario(scenario)
+
     # Guards against hosts that pass a request round while none can serve it.
     def test_request_is_refused_at_once_when_no_host_reaches_a_target(self):
         async def scenario(scene):
