Ask another host if one has no target left for a forwarded request

That was taken for the final answer. It is now a reason to ask another host, as no_link is, and the host is avoided for that pool for 0.3 s.

Evidence: test_another_host_is_asked_if_one_has_no_target_left got 503 before.

--- a/hillthread/coordination/gateway/serving/peer_forwarder.py
+++ b/hillthread/coordination/gateway/serving/peer_forwarder.py
@@ -16,6 +16,7 @@
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway.peers import forwarding
 from hillthread.coordination.gateway.serving import answer_reader
+from hillthread.coordination.gateway.serving import chooser
 from hillthread.coordination.gateway.serving import event_relay
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
@@ -39,6 +40,7 @@
 # Times for which a host is avoided after it has declined, by its reason.
 _AVOID_S = {
     NO_LINK: 1.0,
+    chooser.NO_TARGET: 0.3,
     BUSY: 0.2,
     intake.NOT_READY: 2.0,
 }
@@ -46,7 +48,7 @@
 # A release that does not know forwarded requests is replaced within minutes.
 _AVOID_OLD_RELEASE_S = 60.0
 # These reasons concern one pool; the others concern the host.
-_REASONS_OF_POOL = (NO_LINK,)
+_REASONS_OF_POOL = (NO_LINK, chooser.NO_TARGET)
 _MAX_REFUSAL_BYTES = 65_536
 # Hosts that are tried to find out whether this host's own link works.
 _HOSTS_TRIED = 3
--- a/tests/coordination/gateway/serving/test_peer_forwarder.py
+++ b/tests/coordination/gateway/serving/test_peer_forwarder.py
@@ -131,6 +131,19 @@
 
         scene_lib.run_scenario(scenario)
 
+    # Guards against a refusal by one host while another one could serve.
+    def test_another_host_is_asked_if_one_has_no_target_left(self):
+        async def scenario(scene):
+            programs, _ = await start_cut_host(scene, 3)
+            for target in scene.plain:
+                breaker = programs[1].site.state(target.name).breaker
+                breaker.trip(time.monotonic() + 5.0)
+            for _ in range(8):
+                answer = await ask(scene, programs[0], "/once/x")
+                self.assertEqual(answer.head.status, 200)
+
+        scene_lib.run_scenario(scenario)
+
     # Guards against hosts that pass a request round while none can serve it.
     def test_request_is_refused_at_once_when_no_host_reaches_a_target(self):
         async def scenario(scene):
