Ask another data centre after a host of the own one has declined

Each request tried three hosts of its own data centre first, since hosts that decline are avoided for a second only, and there are more of them than a host asks in that time.

After a host has declined, or cannot be reached, hosts of data centres that the request has not been sent to come first. Half of a data centre that is cut off costs one more round trip within it and then a hop to another one.

--- a/hillthread/state/cluster/peer_choice.py
+++ b/hillthread/state/cluster/peer_choice.py
@@ -1,8 +1,9 @@
 """Chooses the host that serves a request which this host cannot serve.
 
-Hosts of the same data centre come first, and of several the one with the fewest
-requests of this host. Nothing is exchanged in advance: a host that cannot serve
-either says so at once, and is then avoided for a while for the same pool.
+Hosts of the same data centre come first, then those of data centres that the
+request has not been sent to, and of several the one with the fewest requests of
+this host. Nothing is exchanged in advance: a host that cannot serve either says
+so at once, and is then avoided for a while for the same pool.
 """
 
 from __future__ import annotations
@@ -10,7 +11,6 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Collection
-from collections.abc import Iterable
 from collections.abc import Sequence
 
 from hillthread.state.cluster import feed_source
@@ -36,7 +36,7 @@
 
     def choose(
         self,
-        hosts: Iterable[feed_source.HostEntry],
+        hosts: Collection[feed_source.HostEntry],
         pool: str,
         tried: Collection[str],
         now: float,
@@ -60,8 +60,11 @@
             and host.name not in tried
             and not self._is_avoided(host.name, pool, now)
         ]
-        near = [h for h in usable if h.data_centre == self.data_centre]
-        candidates = near or usable
+        # All hosts of a data centre may have lost their links together.
+        tried_data_centres = {h.data_centre for h in hosts if h.name in tried}
+        fresh = [h for h in usable if h.data_centre not in tried_data_centres]
+        near = [h for h in fresh if h.data_centre == self.data_centre]
+        candidates = near or fresh or usable
         if not candidates:
             return None
         # The less loaded of two random ones: always taking the least loaded
