--- a/hillthread/bench/gateway_soak/regressions.py
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -52,6 +52,10 @@
     "they denied until its record was written again: the judge did not excuse "
     "hosts out of touch"
 )
+_QUOTA_CHECKED_TWICE = (
+    "a host without links to targets checked quotas that the host to which it "
+    "forwards checks as well, and refused with its small share"
+)
 _ENTRY_OF_BEFORE = (
     "hosts took the entry of their earlier process, which a restored store "
     "had, for their own, and themselves for one of 24"
@@ -154,4 +158,12 @@
     Regression(9800, 20.0, _COPY_WITHOUT_KEY, without=_AFTER_RESTORES),
     Regression(9828, 20.0, _ENTRY_OF_BEFORE, without=_AFTER_RESTORES),
     Regression(9834, 20.0, _ENTRY_OF_BEFORE, without=_AFTER_RESTORES),
+    Regression(10002, 20.0, _QUOTA_CHECKED_TWICE, without=()),
+    Regression(
+        9901,
+        20.0,
+        "not traced: 0.37 of 19 first attempts served at two of three hosts "
+        "without links, once; perhaps the same",
+        without=(),
+    ),
 )
