--- a/hillthread/coordination/gateway/peers/forwarding.py
+++ b/hillthread/coordination/gateway/peers/forwarding.py
@@ -2,9 +2,9 @@
 
 The forwarding host sends the caller's request in a POST to `FORWARD_PATH`, with
 its method and target in headers. The answer is the one that the caller would
-get from the other host, with headers that tell a refusal by that host from an
-answer of a target. An answer without these headers comes from a release that
-does not know forwarded requests and has not run it.
+get from the other host, with headers that distinguish a refusal by that host
+from an answer of a target. An answer without these headers comes from a release
+that does not know forwarded requests and has not run it.
 """
 
 from __future__ import annotations
--- a/hillthread/protocol/event_stream.py
+++ b/hillthread/protocol/event_stream.py
@@ -1,7 +1,7 @@
 """Framing of server-sent events; their bytes are relayed unchanged.
 
 Lines end with LF or CR LF. A CR alone, which the standard allows too, ends no
-line here: it could not be told from a CR LF that is cut in two.
+line here: at the end of a read it cannot be distinguished from half a CR LF.
 """
 
 from __future__ import annotations
--- a/tests/state/targets/test_brittleness.py
+++ b/tests/state/targets/test_brittleness.py
@@ -141,7 +141,7 @@
             self.at(now + self.NOTICE_S, self.notify, host, target, True)
 
     def note(self, now, host, target):
-        """Applies an answer; tells others of a target that is brittle now."""
+        """Applies an answer; notifies others of a newly brittle target."""
         if self.hosts[host].apply_answer(target, "s", self.withstands, now):
             self.at(now + self.NOTICE_S, self.notify, host, target, False)
 
