Take plain answers on streaming routes for what they are

Since streams that end inside an event count as broken off, a target's plain answer to such a request, JSON for example, would have been 502: it contains no event at all. It was relayed before. Found by reading the change, no caller saw it. The events decide only if the content type is text/event-stream or missing; else the framing does, as for any plain answer.

Evidence: the new test got 502 without the change.

--- a/hillthread/coordination/gateway/serving/event_relay.py
+++ b/hillthread/coordination/gateway/serving/event_relay.py
@@ -75,15 +75,20 @@
             del part, events
             if self.answer.started:
                 await self.answer.wait_for_room()
-        match stream_end.judge(
-            connection.framing, splitter, self.answer.started
-        ):
+        end: stream_end.StreamEnd = stream_end.Complete()
+        if attempts.is_event_stream(head):
+            end = stream_end.judge(
+                connection.framing, splitter, self.answer.started
+            )
+        match end:
             case stream_end.BrokenOff(reason):
                 if splitter.has_unfinished_event():
                     self.unfinished_bytes = len(splitter.rest)
                 connection.must_close = True
                 raise http1_client.CallError(True, reason)
         await self._forward(head, splitter.rest)
+        if not self.answer.started:
+            raise http1_client.CallError(True, "stream without events")
         await self.answer.end()
 
     def take_weights_version(self) -> int | None:
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -20,6 +20,7 @@
     "encode_attempt",
     "encode_forwarded",
     "filter_relayed_headers",
+    "is_event_stream",
     "is_leaving",
     "parse_whole_number",
 ]
@@ -244,6 +245,15 @@
     return head.get(names.TARGET_LEAVING).strip() not in (b"", b"0")
 
 
+def is_event_stream(head: http1_client.AnswerHead) -> bool:
+    """Returns whether the body of an answer is, or may be, a stream of events.
+
+    Targets answer some requests of streaming routes with a plain body.
+    """
+    content_type = head.get(b"content-type").partition(b";")[0].strip()
+    return content_type.lower() in (b"", b"text/event-stream")
+
+
 def filter_relayed_headers(head: http1_client.AnswerHead) -> http1.Headers:
     """Returns a target's headers for the caller, without framing headers."""
     return [
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -30,6 +30,7 @@
     "LOAD_S",
     "Order",
     "MismatchedAnswer",
+    "PlainAnswer",
     "PlatformTargetStandin",
     "Refuse",
     "Run",
@@ -130,6 +131,11 @@
     orderly: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class PlainAnswer:
+    """Answers a request for a stream with a body that is no stream."""
+
+
 @dataclasses.dataclass(frozen=True)
 class MismatchedAnswer:
     """Answers with the request ID of another request."""
@@ -172,6 +178,7 @@
     | ResetConnection
     | NeverAnswer
     | TruncateStream
+    | PlainAnswer
     | MismatchedAnswer
     | EncodedAnswer
     | ExtraAnswer
@@ -605,9 +612,10 @@
                 other = [pair for pair in headers if pair[0] != b"x-request-id"]
                 other.append((b"x-request-id", b"another"))
                 await answer.send_whole(200, other, body)
-            case EncodedAnswer():
-                encoded = [*headers, (b"content-encoding", b"gzip")]
-                await answer.send_whole(200, encoded, body)
+            case EncodedAnswer() | PlainAnswer():
+                is_plain = isinstance(behaviour, PlainAnswer)
+                added = _JSON if is_plain else [(b"content-encoding", b"gzip")]
+                await answer.send_whole(200, [*headers, *added], body)
             case ExtraAnswer(delay_s):
                 await answer.send_whole(200, headers, body)
                 await anyio.sleep(delay_s)
--- a/tests/coordination/gateway/serving/test_broken_streams.py
+++ b/tests/coordination/gateway/serving/test_broken_streams.py
@@ -75,6 +75,19 @@
 
         scene_lib.run_scenario(scenario)
 
+    # Guards against taking a plain answer on a streaming route for a stream
+    # that ends inside an event.
+    def test_plain_answer_to_a_request_for_a_stream_is_relayed(self):
+        async def scenario(scene):
+            for engine in scene.engines:
+                engine.default_behaviour = standin.PlainAnswer()
+            for path in ("/stream/x", "/resume/x"):
+                answer = await scene.call(scene.prompt(path))
+                self.assertEqual(answer.head.status, 200)
+                self.assertIn(b"answer of e", answer.body)
+
+        scene_lib.run_scenario(scenario)
+
     def test_whole_stream_without_framing_is_complete(self):
         async def scenario(scene):
             for line_end in _LINE_ENDS:
