Log the releases of chosen targets and which streams callers take up

The logs of the incident could not tell a stream that a host resumed from one that its caller took up, nor which release served either. target_chosen now names the release of the target, and admitted names the stream and the last event of a caller that takes one up; explain shows both. The stand-in of targets has a release and can name it in its events. No decision reads any of this yet.

--- a/hillthread/coordination/gateway/serving/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -144,9 +144,11 @@
             names = list(targets_view.entries)
             choice = self._choose_within_limits(request, targets_view, names)
         self.metrics.choices.labels(choice.reason).inc()
+        entry = targets_view.entries.get(choice.name) if choice.name else None
         request.log.note(
             "target_chosen" if choice.name else "no_target",
             target=choice.name,
+            release=entry.release if entry else None,
             reason=choice.reason,
             rank=choice.rank,
             pool=pool.name if pool else None,
@@ -156,9 +158,8 @@
             targets=len(members),
             old_weights=targets_view.outdated_weights_fields(choice.name),
         )
-        if pool is None or choice.name is None:
+        if pool is None or choice.name is None or entry is None:
             raise self._refusal(targets_view)
-        entry = self.site.targets.entries[choice.name]
         planned = self._create_planned_attempt(
             request, pool, entry, targets_view, last_event_id
         )
--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -236,6 +236,11 @@
 
     def _note_admitted(self, request: intake.GatewayRequest) -> None:
         origin = request.forwarded
+        resumption = request.resumption
+        stream = {}
+        if resumption is not None:
+            stream["resumes"] = resumption.stream_id
+            stream["last_event_id"] = resumption.last_event_id
         request.log.note(
             "admitted",
             path=request.caller.path,
@@ -246,6 +251,7 @@
             priority=request.priority,
             seconds_left=round(request.seconds_left(), 3),
             **({"forwarded_by": origin.host} if origin else {}),
+            **stream,
         )
 
     def _describe(
--- a/hillthread/coordination/gateway/serving/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -12,6 +12,7 @@
 from hillthread.coordination.gateway.serving import story as story_lib
 from hillthread.platform import attempts
 from hillthread.platform import names
+from hillthread.platform import resumption as resumption_lib
 from hillthread.state.config import objects
 from hillthread.state.config import routing_table
 from hillthread.state.scheduling import urgency
@@ -62,7 +63,7 @@
         tenant: The tenant whose key it carries; None on public routes.
         prompt: What its headers say about the prompt.
         deadline: Clock time, in seconds, until which the caller waits.
-        last_event_id: ID of the last event that the caller received, or None.
+        resumption: The stream that the caller takes up; None for a new one.
         log: The log lines of the request.
         is_deferred: Whether engines serve it after all prompts that can still
             be in time.
@@ -76,7 +77,7 @@
     tenant: objects.Tenant | None
     prompt: attempts.PromptHeaders
     deadline: float
-    last_event_id: int | None
+    resumption: resumption_lib.Resumption | None
     log: story_lib.RequestLog
     is_deferred: bool = False
     forwarded: forwarding.ForwardOrigin | None = None
@@ -165,7 +166,9 @@
         tenant,
         attempts.decode_prompt(caller.headers),
         caller.arrived + timeout_s,
-        attempts.parse_whole_number(caller.get(names.LAST_EVENT_ID)),
+        resumption_lib.decode_resumption(caller.headers)
+        if route.resumable
+        else None,
         log,
         forwarded=origin,
     )
--- a/hillthread/platform/names.py
+++ b/hillthread/platform/names.py
@@ -17,6 +17,7 @@
     "PROMPT_PARTS",
     "RECEIPT",
     "REQUEST_ID",
+    "RESUMES",
     "RETRY_AFTER",
     "SAVE_CACHE_TO",
     "SETTINGS_VARIABLE",
@@ -41,6 +42,8 @@
 PROMPT_PARTS = b"x-prompt-prefix"
 DEADLINE_MS = b"x-deadline-ms"
 LAST_EVENT_ID = b"last-event-id"
+# Id of the attempt of the caller that received the first event of a stream.
+RESUMES = b"resumes"
 RETRY_AFTER = b"retry-after"
 
 # Increases by one whenever the store is restored from an older copy.
--- a/hillthread/platform/targets.py
+++ b/hillthread/platform/targets.py
@@ -125,7 +125,9 @@
         max_running=max(1, wire.slots),
     )
     leaving = wire.state == "draining"
-    return target_list.ListedTarget(target, leaving, weights, wire.born)
+    return target_list.ListedTarget(
+        target, leaving, weights, wire.born, wire.version
+    )
 
 
 def is_older(
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -191,6 +191,8 @@
             tenant = fields.get("tenant") or "-"
             sender = fields.get("forwarded_by")
             origin = f" from host {sender}" if sender else ""
+            if "resumes" in fields:
+                origin += f", to continue {_describe_resumption(fields)},"
             return (
                 f"admitted{origin} for {fields.get('path')} on route "
                 f"{fields.get('route')}, tenant {tenant}; it {repeat} run "
@@ -198,6 +200,8 @@
             )
         case "target_chosen" | "no_target":
             chosen = fields.get("target") or "no target"
+            if fields.get("release"):
+                chosen += f" of release {fields['release']}"
             return (
                 f"{chosen} chosen ({fields.get('reason')}, rank "
                 f"{fields.get('rank')}) under configuration "
@@ -238,6 +242,12 @@
     return _describe_fields(line)
 
 
+def _describe_resumption(fields: dict[str, Any]) -> str:
+    stream = fields["resumes"] or "a stream that is not named"
+    after = fields.get("last_event_id")
+    return f"{stream} after event {after}" if after else stream
+
+
 def _describe_schedule(fields: dict[str, Any]) -> str:
     done = {
         "defer": "sent after all prompts that can be in time",
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -253,6 +253,7 @@
         name: Name of its incarnation.
         service: Service that it belongs to.
         data_centre: Data centre that it reports.
+        release: Version of its software.
         model: Served model; empty for a plain service.
         weights: Version of the loaded weights.
         events: Number of events of each stream.
@@ -272,6 +273,7 @@
         silent: Whether it accepts requests of any kind and never answers.
         includes_request_ids: Whether answers contain the ID of their
             request, which makes each answer unique.
+        includes_release: Whether events name the release that wrote them.
         load_s: Duration of loading weights.
         order_delay_s: Delay after which orders are executed if they are still
             valid, without an answer; 0 to answer them at once.
@@ -302,6 +304,7 @@
         self.name = name
         self.service = service
         self.data_centre = "here"
+        self.release = "v1"
         self.model = model
         self.weights = weights
         self.events = 4
@@ -313,6 +316,7 @@
         self.orders: list[dict[str, Any]] = []
         self.timed_orders: list[Order] = []
         self.includes_request_ids = False
+        self.includes_release = False
         self.order_status = 0
         self.received_order_count = 0
         self.unanswered_order_delays_s: collections.deque[float] = (
@@ -351,14 +355,16 @@
         """Number of orders accepted since its last start."""
         return len(self.orders) - self._orders_before_start
 
-    def restart(self, port: int = 0) -> None:
+    def restart(self, port: int = 0, release: str = "") -> None:
         """Resets the target as a restart under the same name does.
 
         The caller must have stopped the old server and must serve the new one.
 
         Args:
             port: Port to listen on; 0 for any.
+            release: Version of its software from now on; empty for the same.
         """
+        self.release = release or self.release
         self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
         self._orders_before_start = len(self.orders)
         self.busy = False
@@ -384,7 +390,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.data_centre,
-            "version": "v1",
+            "version": self.release,
             "slots": 8,
             "state": state,
             "models": models if self.model else [],
@@ -691,6 +697,8 @@
 
     def event(self, number: int, mark: bytes = b"") -> bytes:
         """Returns an encoded event of a stream."""
+        if self.includes_release:
+            mark += b" by " + self.release.encode()
         lines = (b"id: %d" % number, b"data: event %d%b" % (number, mark), b"")
         return b"".join(line + self.line_end for line in lines)
 
--- a/hillthread/state/targets/target_list.py
+++ b/hillthread/state/targets/target_list.py
@@ -66,12 +66,15 @@
         weights: Version of the weights that it holds, by model.
         born_ms: Start time, Unix milliseconds; 0 if the target does not report
             it.
+        release: Version of its software; empty if the target does not report
+            it.
     """
 
     target: objects.Target
     leaving: bool = False
     weights: Mapping[str, int] = {}
     born_ms: int = 0
+    release: str = ""
 
 
 class Replacement(NamedTuple):
