--- /dev/null
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -0,0 +1,224 @@
+"""Tests that a stream continues only at the release that began it."""
+
+import re
+import time
+import unittest
+
+from hillthread.standin import platform_target as standin
+from tests.coordination.gateway import scene as scene_lib
+from tests.coordination.gateway.serving import test_quota
+from tests.coordination.gateway.serving import test_target_limits
+
+# Refusals of streams that cannot continue must not wait for anything.
+REFUSAL_S = 0.1
+STREAMS = 12
+EVENTS = 6
+# Route whose streams are not resumed within an answer.
+SINGLE_ATTEMPT = "/single/x"
+
+
+def set_releases(scene, *releases):
+    """Gives the engines their releases, in turn, and lists them again."""
+    for number, engine in enumerate(scene.engines):
+        engine.release = releases[number % len(releases)]
+        engine.events = EVENTS
+        engine.includes_release = True
+        scene.list_target(engine)
+
+
+def break_next_stream(engine, events=2):
+    engine.queue_behaviours(standin.TruncateStream(events))
+
+
+def break_all_streams(scene, events=2):
+    for engine in scene.engines:
+        engine.default_behaviour = standin.TruncateStream(events)
+
+
+def serve_all_streams(scene):
+    for engine in scene.engines:
+        engine.default_behaviour = standin.Serve()
+
+
+def releases_in(body):
+    """Returns the releases that wrote the events of a stream."""
+    return set(re.findall(rb" by (\S+)", body))
+
+
+def event_ids(body):
+    return [int(number) for number in re.findall(rb"id: (\d+)\n", body)]
+
+
+def prompt(scene, number=0, path="/resume/x", **headers):
+    """Returns a request whose prompt no other stream shares."""
+    prefix = f"s{number}:300,t{number}:500,u{number}:100"
+    return scene.prompt(path, x_prompt_prefix=prefix, **headers)
+
+
+def id_of(request):
+    return dict(request.headers)[b"x-request-id"].decode()
+
+
+async def wait_until_listed(scene, programs):
+    """Waits until hosts know the releases of all engines."""
+    for program in programs:
+        entries = program.site.targets.entries
+        await scene.until(
+            lambda entries=entries: all(
+                e.name in entries and entries[e.name].release == e.release
+                for e in scene.engines
+            )
+        )
+
+
+async def receive_part(scene, program, request):
+    """Returns the part of a stream that reached its caller."""
+    connection = await scene.pool.acquire(program.server.address)
+    body = b""
+    try:
+        await connection.send_request(request)
+        head = await connection.read_head()
+        if head.status != 200:
+            return b""
+        while part := await connection.read_part():
+            body += part
+    except scene_lib.http1_client.CallError:
+        pass
+    finally:
+        await scene.pool.release(connection)
+    return body
+
+
+async def begin_stream(scene, program, number=0):
+    """Begins a stream that breaks off; returns its request and events."""
+    break_all_streams(scene)
+    request = prompt(scene, number, SINGLE_ATTEMPT)
+    body = await receive_part(scene, program, request)
+    serve_all_streams(scene)
+    for each in scene.engines:
+        program.site.state(each.name).record_success()
+    return request, body
+
+
+async def take_up(scene, program, first, body, number=0, **headers):
+    """Returns the answer to the caller's next attempt."""
+    values = {
+        "resumes": id_of(first),
+        "last_event_id": str(event_ids(body)[-1]),
+        **headers,
+    }
+    request = prompt(scene, number, SINGLE_ATTEMPT, **values)
+    return await test_quota.ask(scene, program, request)
+
+
+async def start_hosts(scene, count, *releases):
+    """Returns hosts that know each other and the releases of all engines."""
+    single = scene_lib.route(
+        "single",
+        "/single/",
+        "streaming",
+        "engines",
+        resumable=True,
+        maxAttempts=1,
+    )
+    scene.configure(routes=[*scene.configuration["routes"], single])
+    set_releases(scene, *releases)
+    programs = await test_target_limits.hosts_that_list_each_other(scene, count)
+    await wait_until_listed(scene, programs)
+    for program in programs:
+        await scene.until(
+            lambda p=program: p.site.configuration.version == scene.version
+        )
+    return programs
+
+
+class WithinAnswerTest(unittest.TestCase):
+    # Guards against resuming a stream at an engine of another release.
+    def test_stream_resumes_at_the_release_that_began_it(self):
+        async def scenario(scene):
+            set_releases(scene, "v1", "v2")
+            await wait_until_listed(scene, [scene.program])
+            for number in range(STREAMS):
+                for engine in scene.engines:
+                    engine.behaviours.clear()
+                    break_next_stream(engine)
+                request = prompt(scene, number)
+                body = await receive_part(scene, scene.program, request)
+                self.assertEqual(len(releases_in(body)), 1)
+                for engine in scene.engines:
+                    scene.site.state(engine.name).record_success()
+
+        scene_lib.run_scenario(scenario, engines=4)
+
+    # Guards against joining another release when none of the first is left.
+    def test_stream_ends_at_once_when_its_release_is_gone(self):
+        async def scenario(scene):
+            set_releases(scene, "v1", "v2")
+            await wait_until_listed(scene, [scene.program])
+            break_all_streams(scene)
+            request = prompt(scene)
+            began_at = time.monotonic()
+            body = await receive_part(scene, scene.program, request)
+            self.assertLess(time.monotonic() - began_at, REFUSAL_S)
+            self.assertEqual(len(releases_in(body)), 1)
+            self.assertLess(len(event_ids(body)), EVENTS)
+
+        scene_lib.run_scenario(scenario, engines=2)
+
+
+class TakeUpTest(unittest.TestCase):
+    # Guards against a host that takes up a stream of another host at any
+    # release.
+    def test_stream_is_taken_up_at_the_release_that_began_it(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 3, "v1", "v2")
+            for number in range(STREAMS):
+                first, body = await begin_stream(scene, programs[0], number)
+                answer = await take_up(
+                    scene, programs[1 + number % 2], first, body, number + 99
+                )
+                self.assertEqual(answer.head.status, 200)
+                whole = body + answer.body
+                self.assertEqual(event_ids(whole), list(range(EVENTS)))
+                self.assertEqual(len(releases_in(whole)), 1)
+
+        scene_lib.run_scenario(scenario, engines=4)
+
+    # Guards against joining another release when the first one has left.
+    def test_stream_whose_release_is_gone_is_refused_at_once(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 2, "v1", "v2")
+            first, body = await begin_stream(scene, programs[0])
+            gone = releases_in(body)
+            for engine in scene.engines:
+                if engine.release.encode() in gone:
+                    scene.list_target(engine, "draining")
+                    await scene.until(
+                        lambda e=engine: (
+                            programs[1].site.targets.entries[e.name].leaving
+                        )
+                    )
+            for program in programs:
+                began_at = time.monotonic()
+                answer = await take_up(scene, program, first, body)
+                self.assertLess(time.monotonic() - began_at, REFUSAL_S)
+                self.assertEqual(answer.head.status, 503)
+
+        scene_lib.run_scenario(scenario, engines=4)
+
+    # Guards against joining a stream of which no host knows the release.
+    def test_unknown_stream_is_refused_at_once(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 3, "v1", "v2")
+            for headers in (
+                {"resumes": "r-unknown", "last_event_id": "1"},
+                {"last_event_id": "1"},
+            ):
+                began_at = time.monotonic()
+                request = prompt(scene, **headers)
+                answer = await test_quota.ask(scene, programs[1], request)
+                self.assertLess(time.monotonic() - began_at, REFUSAL_S)
+                self.assertEqual(answer.head.status, 503)
+            self.assertEqual(scene.runs(), [])
+
+        scene_lib.run_scenario(scenario, engines=4)
