Resume streams only at the release that began them

Callers got streams with events of two software versions of a back end, with status 200 and nothing in the body to show it. A host that resumed a broken stream within an answer chose among all engines of the pool: the release was decoded from the list of targets, and no decision read it.

The first event of a stream now binds it to its pool and to the release with which the run was made: the one listed when the attempt was planned, unless the list contradicts it when the event arrives. Attempts that follow choose among targets of that release, whatever the weights of a split route; the first event of each further run is checked before it is relayed. If no such target is listed, the caller's connection ends at once and not as a complete answer, and no retry is charged. Forwarded requests name the binding release, and answers that of the run. Streams that are bound go to a path that earlier builds of hosts do not serve, so that these decline them; a stream begun through such a host has an unknown release and is not resumed.

--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -64,7 +64,10 @@
         answer: http1_server.CallerAnswer,
     ) -> None:
         """Answers one request; its path selects what is asked for."""
-        if caller.path == forwarding.FORWARD_PATH:
+        if caller.path in (
+            forwarding.FORWARD_PATH,
+            forwarding.FORWARD_BOUND_PATH,
+        ):
             await self.handle_forwarded(caller, answer)
         elif caller.path == feed.QUARANTINE_PATH:
             await self._answer_operator(answer, self._handle_quarantine(caller))
--- a/hillthread/coordination/gateway/peers/forwarding.py
+++ b/hillthread/coordination/gateway/peers/forwarding.py
@@ -1,15 +1,19 @@
 """Encoding of requests that one host forwards to another.
 
 The forwarding host sends the caller's request in a POST to `FORWARD_PATH`, with
-its method and target in headers. The answer is the one that the caller would
-get from the other host, with headers that distinguish a refusal by that host
-from an answer of a target. An answer without these headers comes from a release
-that does not know forwarded requests and has not run it.
+its method and target in headers. A stream that only one release of the targets
+may continue goes to `FORWARD_BOUND_PATH` instead; earlier releases of hosts do
+not serve it, since they would continue the stream anywhere. The answer is the
+one that the caller would get from the other host, with headers that distinguish
+a refusal by that host from an answer of a target. An answer without these
+headers comes from a release that does not know forwarded requests and has not
+run it.
 """
 
 from __future__ import annotations
 
 from typing import NamedTuple
+from urllib import parse
 
 import msgspec
 
@@ -17,24 +21,29 @@
 from hillthread.platform import attempts
 from hillthread.platform import names
 from hillthread.protocol import headers as headers_lib
+from hillthread.state.routing import stream_origin as stream_origin_lib
 from hillthread.transport import http1
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
 __all__ = [
+    "FORWARD_BOUND_PATH",
     "FORWARD_PATH",
     "ForwardOrigin",
     "ForwardedRequest",
     "HOST_HEADER",
     "RUN_HEADER",
     "TARGET_HEADER",
+    "decode_origin",
     "decode_refusal",
     "decode_request",
+    "encode_origin",
     "encode_request",
     "strip_headers",
 ]
 
 FORWARD_PATH = "/forward"
+FORWARD_BOUND_PATH = "/forward/bound"
 # In answers: the host that gives it, the target whose answer it is, and the run
 # state of the host's own refusals.
 HOST_HEADER = b"hillthread-host"
@@ -46,6 +55,10 @@
 _TARGET = b"hillthread-path"
 _SENDS = b"hillthread-sends"
 _RUNS = b"hillthread-runs"
+# In requests the software that began the stream, in answers the one that made
+# the run.
+_ORIGIN_POOL = b"hillthread-origin-pool"
+_ORIGIN_RELEASE = b"hillthread-origin-release"
 
 
 class ForwardOrigin(NamedTuple):
@@ -55,11 +68,13 @@
         host: Name of that host.
         sends: Its attempts on targets.
         runs: Those of them that may have run.
+        stream_origin: The software that began the stream; None for a new one.
     """
 
     host: str
     sends: int
     runs: int
+    stream_origin: stream_origin_lib.StreamOrigin | None = None
 
 
 class ForwardedRequest(NamedTuple):
@@ -114,8 +129,13 @@
         (_SENDS, b"%d" % origin.sends),
         (_RUNS, b"%d" % origin.runs),
     ]
-    path = FORWARD_PATH.encode()
-    return http1_client.ClientRequest(b"POST", path, headers, caller.body)
+    path = FORWARD_PATH
+    if origin.stream_origin is not None:
+        path = FORWARD_BOUND_PATH
+        headers += encode_origin(origin.stream_origin)
+    return http1_client.ClientRequest(
+        b"POST", path.encode(), headers, caller.body
+    )
 
 
 def decode_request(raw: http1_server.CallerRequest) -> ForwardedRequest:
@@ -127,7 +147,10 @@
     sends = attempts.parse_whole_number(raw.get(_SENDS))
     runs = attempts.parse_whole_number(raw.get(_RUNS))
     method, target = raw.get(_METHOD), raw.get(_TARGET)
-    if sends is None or runs is None or not method or not target:
+    stream_origin = decode_origin(raw.headers)
+    is_origin_missing = raw.path == FORWARD_BOUND_PATH and stream_origin is None
+    is_incomplete = sends is None or runs is None or not method or not target
+    if is_incomplete or is_origin_missing:
         raise errors.PeerError(
             "The forwarded request is incomplete.",
             "Run the same release on all hosts.",
@@ -137,11 +160,33 @@
         for pair in raw.headers
         if not pair[0].startswith(_PREFIX) and pair[0] != b"content-length"
     ]
-    origin = ForwardOrigin(raw.get(_FROM).decode("latin-1"), sends, runs)
+    origin = ForwardOrigin(
+        raw.get(_FROM).decode("latin-1"), sends, runs, stream_origin
+    )
     caller = raw._replace(method=method, target=target, headers=headers)
     return ForwardedRequest(origin, caller)
 
 
+def encode_origin(origin: stream_origin_lib.StreamOrigin) -> http1.Headers:
+    """Returns the headers that name the software behind a stream or a run."""
+    return [
+        (_ORIGIN_POOL, origin.pool.encode()),
+        (_ORIGIN_RELEASE, parse.quote(origin.release).encode()),
+    ]
+
+
+def decode_origin(
+    headers: http1.Headers,
+) -> stream_origin_lib.StreamOrigin | None:
+    """Returns the software that headers name, or None if they name none."""
+    values = dict(headers)
+    pool = values.get(_ORIGIN_POOL, b"").decode("latin-1")
+    if not pool:
+        return None
+    release = values.get(_ORIGIN_RELEASE, b"").decode("latin-1")
+    return stream_origin_lib.StreamOrigin(pool, parse.unquote(release))
+
+
 def decode_refusal(
     answer: http1_client.WholeAnswer,
 ) -> errors.RefusalError:
--- a/hillthread/coordination/gateway/serving/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -14,9 +14,11 @@
 from hillthread.coordination.gateway.serving import limit_keeper
 from hillthread.coordination.gateway.serving import pool_view
 from hillthread.coordination.gateway.serving import prompt_scheduler
+from hillthread.coordination.gateway.serving import stream_binding
 from hillthread.state.config import objects
 from hillthread.state.routing import attempt_plan
 from hillthread.state.routing import first_byte
+from hillthread.state.routing import stream_origin
 from hillthread.state.routing import target_choice
 from hillthread.state.targets import quarantine
 from hillthread.state.targets import target_list
@@ -134,8 +136,11 @@
         Raises:
             RefusalError: No target is available.
         """
-        pool = self.choose_pool(request.route)
-        members = self.site.targets.members(pool) if pool else []
+        pool = self.choose_pool(request)
+        origin = request.stream_origin
+        members = self._list_members(pool, origin) if pool else []
+        if origin is not None and not members:
+            raise stream_binding.make_gone_error(origin)
         targets_view = pool_view.PoolView(self, request, tried, members)
         targets_view.token_bytes = pool.cache_token_bytes if pool else 0.0
         names = self._apply_anti_affinity(targets_view, anti_affinity)
@@ -171,16 +176,25 @@
         return planned._replace(plan=plan._replace(start_by=start_by))
 
     def find_unreachable_pool(
-        self, route: objects.Route
+        self, request: intake.GatewayRequest
     ) -> objects.Pool | None:
         """Returns a pool of the route that this host cannot reach, if any.
 
-        Of a route with several pools one is chosen by their weights.
+        Of a route with several pools one is chosen by their weights. Of a bound
+        stream only the targets that may continue it count.
         """
-        pool = self.choose_pool(route)
-        if pool is None or not self.site.is_pool_unreachable(pool):
+        pool = self.choose_pool(request)
+        if pool is None:
             return None
-        return pool
+        members = self._list_members(pool, request.stream_origin)
+        return pool if self.site.are_unreachable(members) else None
+
+    def can_continue(self, request: intake.GatewayRequest) -> bool:
+        """Returns whether any listed target may continue a bound stream."""
+        pool = self.choose_pool(request)
+        return pool is not None and bool(
+            self._list_members(pool, request.stream_origin)
+        )
 
     def note_suspect_ended(self, target: str) -> None:
         """Counts down a target's attempts of suspected requests."""
@@ -188,10 +202,19 @@
         if not self.suspect_attempts[target]:
             del self.suspect_attempts[target]
 
-    def choose_pool(self, route: objects.Route) -> objects.Pool | None:
-        """Returns one of the route's pools at random by their weights."""
+    def choose_pool(
+        self, request: intake.GatewayRequest
+    ) -> objects.Pool | None:
+        """Returns one of the route's pools at random by their weights.
+
+        A bound stream stays in its pool, whatever the weight of that is.
+        """
         table = self.site.table
-        shares = table.pool_shares(route) if table is not None else ()
+        shares = table.pool_shares(request.route) if table is not None else ()
+        origin = request.stream_origin
+        if origin is not None:
+            pools = (share.pool for share in shares)
+            return next((p for p in pools if p.name == origin.pool), None)
         if not shares:
             return None
         if len(shares) == 1:
@@ -200,6 +223,22 @@
             [share.pool for share in shares], [share.weight for share in shares]
         )[0]
 
+    def _list_members(
+        self, pool: objects.Pool, origin: stream_origin.StreamOrigin | None
+    ) -> list[target_list.ListedTarget]:
+        """Returns the targets of a pool that may serve a stream.
+
+        Args:
+            pool: The pool.
+            origin: The software that began the stream; None for a new one.
+        """
+        members = self.site.targets.members(pool)
+        if origin is None:
+            return members
+        if not origin.release:
+            return []
+        return [each for each in members if each.release == origin.release]
+
     def _refusal(self, targets_view: pool_view.PoolView) -> errors.RefusalError:
         """Returns the refusal that tells why no target is available."""
         limited = target_choice.Exclusion.LIMITED
@@ -326,6 +365,7 @@
             version,
             request.organisation,
             last_event_id=last_event_id,
+            release=entry.release,
         )
         return PlannedAttempt(plan, pool, targets_view.estimate_of(target.name))
 
--- a/hillthread/coordination/gateway/serving/dispatcher.py
+++ b/hillthread/coordination/gateway/serving/dispatcher.py
@@ -118,7 +118,7 @@
         """Returns whether a request is about to go to another host."""
         if request.forwarded is not None:
             return False
-        pool = self.chooser.find_unreachable_pool(request.route)
+        pool = self.chooser.find_unreachable_pool(request)
         forwarder = self.context.forwarder
         return pool is not None and forwarder.plan(pool) is not None
 
--- a/hillthread/coordination/gateway/serving/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -15,6 +15,7 @@
 from hillthread.platform import resumption as resumption_lib
 from hillthread.state.config import objects
 from hillthread.state.config import routing_table
+from hillthread.state.routing import stream_origin as stream_origin_lib
 from hillthread.state.scheduling import urgency
 from hillthread.state.targets import request_digest
 from hillthread.transport import http1_server
@@ -67,6 +68,8 @@
         log: The log lines of the request.
         is_deferred: Whether engines serve it after all prompts that can still
             be in time.
+        stream_origin: The software that began the stream, and that alone may
+            continue it; None before the first event.
         forwarded: What the host that forwarded the request has done with it;
             None if its caller sent it to this host.
     """
@@ -80,6 +83,7 @@
     resumption: resumption_lib.Resumption | None
     log: story_lib.RequestLog
     is_deferred: bool = False
+    stream_origin: stream_origin_lib.StreamOrigin | None = None
     forwarded: forwarding.ForwardOrigin | None = None
 
     @property
@@ -170,6 +174,7 @@
         if route.resumable
         else None,
         log,
+        stream_origin=origin.stream_origin if origin else None,
         forwarded=origin,
     )
 
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -14,6 +14,7 @@
 from hillthread.coordination.gateway.serving import prompt_scheduler
 from hillthread.coordination.gateway.serving import request_forwarding
 from hillthread.coordination.gateway.serving import sender as sender_lib
+from hillthread.coordination.gateway.serving import stream_binding
 from hillthread.platform import attempts
 from hillthread.state.config import objects
 from hillthread.state.quotas import aim_admission
@@ -71,8 +72,9 @@
         self.request = request
         self.answer = answer
         self.relay = event_relay.EventRelay(answer)
+        binding = stream_binding.StreamBinding(request, _ignore_request)
         self.sender = sender_lib.Sender(
-            context, request, self.relay, self._reserve_retry
+            context, request, self.relay, binding, self._reserve_retry
         )
         self.tried_targets: set[str] = set()
         self.weights_refusals: collections.Counter[str] = collections.Counter()
@@ -437,6 +439,8 @@
             return "its events have no ids"
         if not self._may_run_again():
             return "it may not run on more targets"
+        if not self.context.chooser.can_continue(self.request):
+            return "no target of the release that began it is left"
         if not self._take_retry_from_budget(pool, reason):
             return "the retry budget is exhausted"
         return ""
@@ -502,3 +506,8 @@
             "It may have run; send it again only if that is safe.",
             self.run_state(),
         )
+
+
+def _ignore_request(request: intake.GatewayRequest) -> None:
+    """Ignores that a stream was bound."""
+    del request
--- a/hillthread/coordination/gateway/serving/peer_forwarder.py
+++ b/hillthread/coordination/gateway/serving/peer_forwarder.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import functools
 import random
 from typing import NamedTuple
 
@@ -20,10 +21,12 @@
 from hillthread.coordination.gateway.serving import event_relay
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
+from hillthread.coordination.gateway.serving import stream_binding
 from hillthread.platform import attempts
 from hillthread.state.cluster import feed_source
 from hillthread.state.cluster import peer_choice
 from hillthread.state.config import objects
+from hillthread.state.routing import stream_origin
 from hillthread.transport import http1_client
 
 __all__ = [
@@ -47,6 +50,8 @@
 _AVOID_UNREACHABLE_S = 2.0
 # A release that does not know forwarded requests is replaced within minutes.
 _AVOID_OLD_RELEASE_S = 60.0
+# Reason of such a host for declining to continue a stream. It may serve others.
+_NO_BOUND_STREAMS = "it does not know bound streams"
 # These reasons concern one pool; the others concern the host.
 _REASONS_OF_POOL = (NO_LINK, chooser.NO_TARGET)
 _MAX_REFUSAL_BYTES = 65_536
@@ -72,8 +77,9 @@
     Attributes:
         request: The caller's request.
         relay: Relays the events of the answer to the caller.
+        binding: Binds the stream to the release that begins it.
         pool: Connections to other hosts.
-        peer: The other host.
+        planned: Which host gets the request, and for which pool.
         note_head: Called with the target that answered and the decoded head.
         sent: Whether any part of the request may have reached the host.
     """
@@ -82,14 +88,16 @@
         self,
         request: intake.GatewayRequest,
         relay: event_relay.EventRelay,
+        binding: stream_binding.StreamBinding,
         pool: http1_client.ConnectionPool,
-        peer: feed_source.HostEntry,
+        planned: ForwardPlan,
         note_head: Callable[[str, attempts.AnswerMeaning], None],
     ):
         self.request = request
         self.relay = relay
+        self.binding = binding
         self.pool = pool
-        self.peer = peer
+        self.planned = planned
         self.note_head = note_head
         self.sent = False
         self.reader = answer_reader.AnswerReader(request, relay)
@@ -117,7 +125,9 @@
             else self.pool.unrepeatable_max_idle_s
         )
         try:
-            connection = await self.pool.acquire(self.peer.feed, max_idle_s)
+            connection = await self.pool.acquire(
+                self.planned.peer.feed, max_idle_s
+            )
         except http1_client.CallError as error:
             return outcome_lib.Unsent(error.reason)
         self.sent = True
@@ -146,10 +156,19 @@
         head = await connection.read_head()
         if not head.get(forwarding.HOST_HEADER):
             await self.reader.discard(connection)
+            if origin.stream_origin is not None:
+                return outcome_lib.Declined(_NO_BOUND_STREAMS)
             return outcome_lib.Declined("it does not know forwarded requests")
         if head.get(forwarding.RUN_HEADER):
             return await self._read_refusal(connection, head)
         target = head.get(forwarding.TARGET_HEADER).decode("latin-1")
+        # A host of an earlier release does not name the software of the run.
+        origin = forwarding.decode_origin(
+            head.headers
+        ) or stream_origin.StreamOrigin(self.planned.pool.name, "")
+        self.relay.on_first_event = functools.partial(
+            self.binding.apply_first_event, origin
+        )
         head = head._replace(headers=forwarding.strip_headers(head.headers))
         meaning = attempts.decode_answer(head)
         fault = answer_reader.find_fault(self.request, head, meaning)
@@ -267,11 +286,15 @@
         match result:
             case outcome_lib.Unsent(reason):
                 self.choice.avoid(peer, "", now + _AVOID_UNREACHABLE_S)
-            case outcome_lib.Declined(reason):
+            case outcome_lib.Declined(reason) if reason != _NO_BOUND_STREAMS:
                 of_pool = pool if reason in _REASONS_OF_POOL else ""
                 avoid_s = _AVOID_S.get(reason, _AVOID_OLD_RELEASE_S)
                 self.choice.avoid(peer, of_pool, now + avoid_s)
-            case outcome_lib.Lost(reason) | outcome_lib.Broken(reason):
+            case (
+                outcome_lib.Declined(reason)
+                | outcome_lib.Lost(reason)
+                | outcome_lib.Broken(reason)
+            ):
                 pass
             case outcome_lib.Refused(refusal):
                 reason = refusal.code
--- a/hillthread/coordination/gateway/serving/request_forwarding.py
+++ b/hillthread/coordination/gateway/serving/request_forwarding.py
@@ -57,7 +57,7 @@
         Raises:
             RefusalError: It cannot, and another host has asked it.
         """
-        pool = self.context.chooser.find_unreachable_pool(self.request.route)
+        pool = self.context.chooser.find_unreachable_pool(self.request)
         if pool is not None and self.request.forwarded is not None:
             raise _no_link(pool.name)
         return pool is not None or self.unsent_in_a_row >= _FORWARD_AFTER_UNSENT
@@ -66,7 +66,7 @@
         """Returns which other host to ask, or None if none may be."""
         if self.request.forwarded is not None:
             return None
-        pool = self.context.chooser.choose_pool(self.request.route)
+        pool = self.context.chooser.choose_pool(self.request)
         if pool is None or len(self.tried_peers) >= _MAX_FORWARDS:
             return None
         return self.context.forwarder.plan(pool, frozenset(self.tried_peers))
@@ -80,14 +80,16 @@
         attempt = peer_forwarder.ForwardedAttempt(
             self.request,
             self.relay,
+            self.sender.binding,
             forwarder.pool,
-            planned.peer,
+            planned,
             self.sender.note_forwarded_head,
         )
         origin = forwarding.ForwardOrigin(
             forwarder.host,
             self.sender.attempts_made,
             self.sender.possible_runs,
+            self.request.stream_origin,
         )
         result: outcome_lib.ForwardOutcome | None = None
         try:
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import functools
 from typing import NamedTuple
 
 import anyio.abc
@@ -30,6 +31,7 @@
 from hillthread.coordination.gateway.serving import quarantine_keeper
 from hillthread.coordination.gateway.serving import quota_keeper
 from hillthread.coordination.gateway.serving import reach_monitor
+from hillthread.coordination.gateway.serving import stream_binding
 from hillthread.platform import attempts
 from hillthread.protocol import work_notice
 from hillthread.state.config import objects
@@ -89,6 +91,7 @@
         attempt: The attempt itself.
         state: The state of its target, as of when the attempt began.
         first_byte: Records its first byte.
+        incarnation: Key of the target's incarnation when the attempt began.
         target_incarnation: The incarnation of the target that gets the request.
         is_suspect: Whether the request is suspected of crashing targets.
     """
@@ -97,6 +100,7 @@
     attempt: attempt_lib.Attempt
     state: target_state.TargetState
     first_byte: learning.FirstByteRecorder
+    incarnation: int
     target_incarnation: quarantine_keeper.TargetIncarnation
     is_suspect: bool
 
@@ -109,6 +113,7 @@
         site: The host's view of the site.
         request: The caller's request.
         relay: Relays the events of answers to the caller.
+        binding: Binds the stream to the release that begins it.
         reserve_retry: Charges the retry budget for an attempt after a planned
             one; returns whether there may be one.
         attempts_made: Number of attempts made so far.
@@ -120,12 +125,14 @@
         context: JobContext,
         request: intake.GatewayRequest,
         relay: event_relay.EventRelay,
+        binding: stream_binding.StreamBinding,
         reserve_retry: Callable[[chooser_lib.PlannedAttempt], bool],
     ):
         self.context = context
         self.site = context.site
         self.request = request
         self.relay = relay
+        self.binding = binding
         self.reserve_retry = reserve_retry
         self.attempts_made = 0
         self.possible_runs = 0
@@ -161,6 +168,7 @@
             self._create_attempt(planned, state, incarnation),
             state,
             first_byte,
+            incarnation,
             self.context.quarantine.incarnation_of(name),
             is_suspect,
         )
@@ -210,7 +218,9 @@
         self.context.limits.charge(name)
         self.context.brittle.record_send(name)
         self._announce_work(planned)
-        self.relay.on_first_event = ongoing.first_byte.record
+        self.relay.on_first_event = functools.partial(
+            self._note_first_event, ongoing
+        )
 
     def _end(
         self, ongoing: _OngoingAttempt, result: outcome_lib.Outcome | None
@@ -254,6 +264,21 @@
         if ongoing.is_suspect:
             self.context.chooser.note_suspect_ended(target.name)
 
+    def _note_first_event(self, ongoing: _OngoingAttempt) -> None:
+        """Binds the stream before the first event of a run is relayed.
+
+        Raises:
+            CallError: The run must not continue the stream.
+        """
+        ongoing.first_byte.record()
+        planned = ongoing.planned
+        origin = stream_binding.confirm_origin(
+            self.site, planned.plan, planned.pool.name, ongoing.incarnation
+        )
+        self.binding.apply_first_event(origin)
+        if self.request.forwarded is not None:
+            self.relay.answer.added_headers += forwarding.encode_origin(origin)
+
     def note_forwarded_head(
         self, target: str, meaning: attempts.AnswerMeaning
     ) -> None:
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import logging
 from typing import NamedTuple
 
@@ -13,7 +14,6 @@
 from hillthread.platform import configuration as configuration_lib
 from hillthread.platform import targets as targets_lib
 from hillthread.protocol import work_notice
-from hillthread.state.config import objects
 from hillthread.state.config import routing_table
 from hillthread.state.routing import engine_speed
 from hillthread.state.scheduling import urgency as urgency_lib
@@ -345,9 +345,10 @@
         self.state(name).speed.add_sample(ratio, now)
         pool.add_sample(sample, now)
 
-    def is_pool_unreachable(self, pool: objects.Pool) -> bool:
-        """Returns whether this host can reach no listed target of a pool."""
-        members = self.targets.members(pool)
+    def are_unreachable(
+        self, members: Sequence[target_list.ListedTarget]
+    ) -> bool:
+        """Returns whether this host can reach none of some targets."""
         if not members or self.are_links_lost:
             return bool(members)
         return all(
--- a/hillthread/state/routing/attempt_plan.py
+++ b/hillthread/state/routing/attempt_plan.py
@@ -26,6 +26,8 @@
             for none.
         last_event_id: Number of the last relayed event when a stream is
             resumed; None otherwise.
+        release: Release of the target's software as listed when the attempt was
+            planned; empty if not listed.
         start_by: Clock time in seconds by which the answer must begin; later
             the target's weights would be too old. None when there is no such
             limit.
@@ -41,6 +43,7 @@
     fetch_from: str = ""
     save_to: str = ""
     last_event_id: int | None = None
+    release: str = ""
     start_by: float | None = None
 
     @property
--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -4,7 +4,10 @@
 import time
 import unittest
 
+import anyio
+
 from hillthread.standin import platform_target as standin
+from tests.coordination.gateway import link_cut
 from tests.coordination.gateway import scene as scene_lib
 from tests.coordination.gateway.serving import test_quota
 from tests.coordination.gateway.serving import test_target_limits
@@ -40,6 +43,13 @@
         engine.default_behaviour = standin.Serve()
 
 
+def reset_health(programs, scene):
+    """Makes hosts use engines again whose streams have broken off."""
+    for program in programs:
+        for engine in scene.engines:
+            program.site.state(engine.name).record_success()
+
+
 def releases_in(body):
     """Returns the releases that wrote the events of a stream."""
     return set(re.findall(rb" by (\S+)", body))
@@ -95,8 +105,7 @@
     request = prompt(scene, number, SINGLE_ATTEMPT)
     body = await receive_part(scene, program, request)
     serve_all_streams(scene)
-    for each in scene.engines:
-        program.site.state(each.name).record_success()
+    reset_health([program], scene)
     return request, body
 
 
@@ -145,8 +154,7 @@
                 request = prompt(scene, number)
                 body = await receive_part(scene, scene.program, request)
                 self.assertEqual(len(releases_in(body)), 1)
-                for engine in scene.engines:
-                    scene.site.state(engine.name).record_success()
+                reset_health([scene.program], scene)
 
         scene_lib.run_scenario(scenario, engines=4)
 
@@ -165,6 +173,58 @@
 
         scene_lib.run_scenario(scenario, engines=2)
 
+    # Guards against a host without links that has a stream resumed anywhere.
+    def test_forwarded_stream_resumes_at_the_release_that_began_it(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 3, "v1", "v2")
+            links = link_cut.HostLinks(scene.tasks, programs[0])
+            await links.cut(link_cut.CutShape.RESET)
+            programs[0].site.are_links_lost = True
+            for number in range(STREAMS):
+                for engine in scene.engines:
+                    engine.behaviours.clear()
+                    break_next_stream(engine)
+                request = prompt(scene, number)
+                body = await receive_part(scene, programs[0], request)
+                self.assertEqual(len(releases_in(body)), 1)
+                reset_health(programs, scene)
+
+        scene_lib.run_scenario(scenario, engines=4)
+
+    # Guards against bytes of a target that has restarted with other software
+    # while the list still has its former start.
+    def test_run_of_a_restarted_target_does_not_continue_a_stream(self):
+        async def scenario(scene):
+            set_releases(scene, "v1", "v1")
+            await wait_until_listed(scene, [scene.program])
+            may_answer = anyio.Event()
+            bodies = []
+
+            async def receive():
+                bodies.append(
+                    await receive_part(scene, scene.program, prompt(scene))
+                )
+
+            for engine in scene.engines:
+                break_next_stream(engine)
+                engine.default_behaviour = standin.HoldAnswer(may_answer)
+            scene.tasks.start_soon(receive)
+            await scene.until(lambda: any(e.runs for e in scene.engines))
+            first = next(e for e in scene.engines if e.runs)
+            second = next(e for e in scene.engines if e is not first)
+            second.behaviours.clear()
+            await scene.until(lambda: second.runs)
+            second.release = "v2"
+            second.born_ms += 1
+            scene.list_target(second)
+            await wait_until_listed(scene, [scene.program])
+            may_answer.set()
+            await scene.until(lambda: bodies)
+            self.assertEqual(releases_in(bodies[0]), {b"v1"})
+            self.assertEqual(event_ids(bodies[0]), [0, 1])
+
+        scene_lib.run_scenario(scenario, engines=2)
+
 
 class TakeUpTest(unittest.TestCase):
     # Guards against a host that takes up a stream of another host at any
