Continue taken-up streams only at the release that began them

A caller whose stream broke off returns, often at another host, and names in Resumes the attempt that received the first event. No host knew which release had begun it, so the stream went on at whatever engine was chosen: in the regression tests at two releases in one body, also after the first release had left.

The host that begins a stream now records its pool and release under a digest of the tenant and the attempt's id, and notifies three keepers before it relays the first event: the first-ranked hosts of its data centre and of two others by rendezvous hashing. A host where the caller returns asks the keepers that it would choose, and after 20 ms of silence or a miss the next ranks, for at most 150 ms. A stream without a record is refused at once, one whose release has left as well; both say that it has to begin anew. Records end after the route's timeout and a minute, and no tenant can displace those of others. A host that stops hands its records to those that replace it as keepers.

Prompts of streams that are taken up are not deferred or refused by the scheduler: fewer engines may serve them, and their callers have waited.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -23,6 +23,7 @@
 from hillthread.coordination.gateway.serving import quarantine_keeper
 from hillthread.coordination.gateway.serving import quota_keeper
 from hillthread.coordination.gateway.serving import services as services_lib
+from hillthread.coordination.gateway.serving import stream_keeper
 from hillthread.coordination.gateway.store import host_registry
 from hillthread.coordination.gateway.store import store_follower
 from hillthread.coordination.gateway.store import store_watch
@@ -125,6 +126,10 @@
         self.limits = limit_keeper.LimitKeeper(
             self.site, self.work, self.quotas, tasks
         )
+        peer_pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S)
+        self.streams = stream_keeper.StreamKeeper(
+            self.site, self.work, peer_pool
+        )
         self.gateway = gateway_lib.Gateway(
             self.site,
             self.metrics,
@@ -136,10 +141,9 @@
                 self.quotas,
                 self.limits,
                 peer_forwarder.PeerForwarder(
-                    self.source,
-                    http1_client.ConnectionPool(_CONNECT_TIMEOUT_S),
-                    self.metrics,
+                    self.source, peer_pool, self.metrics
                 ),
+                self.streams,
             ),
         )
         self.buffers = send_buffer.BufferBudget(
@@ -169,6 +173,7 @@
                 self.quarantine,
                 self.quotas,
                 self.limits,
+                self.streams,
                 self.gateway.handle_forwarded,
             ).answer,
             self._compute_feed_bounds,
@@ -219,6 +224,7 @@
             self.rollout.run,
             functools.partial(self.work.run, self.feed_server.address),
             self.quotas.run,
+            self.streams.run,
             self.hosts.register,
             self.gateway.dispatcher.chooser.cache_planner.watch.run,
             self.gateway.dispatcher.monitor.run,
@@ -239,6 +245,7 @@
         self.server.stopping = True
         self._wake_readers()
         _logger.info("stopping", extra={"event": "stop_notice"})
+        self.tasks.start_soon(self.streams.hand_over)
         give_up_at = requested_at + self.site.settings.grace_s - _STOP_MARGIN_S
         await anyio.sleep(
             min(_BALANCER_NOTICE_S, self.site.settings.grace_s / 2)
--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -12,6 +12,7 @@
 # Bounds of the error of an estimate: within 15% it is as good as intended, from
 # a factor of 2 on it leads to wrong choices.
 _RATIOS = (0.25, 0.5, 0.7, 0.85, 1.0, 1.15, 1.4, 2.0, 4.0, 8.0)
+_LOOKUP_SECONDS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15)
 
 
 class GatewayMetrics(metric_set.MetricSet):
@@ -63,6 +64,25 @@
             ["tenant"],
         )
         self.resumes = self.counter("resumes", "Streams resumed.", [])
+        self.streams_bound = self.counter(
+            "streams_bound",
+            "Streams begun that only one release of targets may continue.",
+            [],
+        )
+        self.take_ups = self.counter(
+            "take_ups",
+            "Streams that callers took up again, by result.",
+            ["result"],
+        )
+        self.stream_records = self.gauge(
+            "stream_records", "Records of streams that this host keeps."
+        )
+        self.stream_lookups = self.histogram(
+            "stream_lookup_seconds",
+            "Duration of lookups of streams at other hosts, by result.",
+            ["result"],
+            _LOOKUP_SECONDS,
+        )
         self.forwarded = self.counter(
             "forwarded",
             "Requests sent to another host, by that host and outcome.",
@@ -181,6 +201,10 @@
             host = metric_set.OTHER
         self.forwarded.labels(host, outcome).inc()
 
+    def observe_stream_lookup(self, result: str, seconds: float) -> None:
+        """Records the duration of a lookup of a stream."""
+        self.stream_lookups.labels(result).observe(seconds)
+
     def observe_first_byte(
         self, tenant: str, route: str, seconds: float
     ) -> None:
--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -1,7 +1,8 @@
 """Serves other hosts, and the state of this host to operators.
 
 Hosts of the data centre read topics from this host's copies, and hosts without
-links to targets forward requests of their callers. Operators list and
+links to targets forward requests of their callers. Hosts look up here which
+software began a stream. Operators list and
 clear quarantined requests, and list the status of quotas, limits and targets.
 """
 
@@ -17,9 +18,11 @@
 from hillthread.coordination.gateway.serving import limit_keeper
 from hillthread.coordination.gateway.serving import quarantine_keeper
 from hillthread.coordination.gateway.serving import quota_keeper
+from hillthread.coordination.gateway.serving import stream_keeper
 from hillthread.coordination.gateway.store import store_follower
 from hillthread.protocol import documents
 from hillthread.protocol import feed
+from hillthread.protocol import stream_query
 from hillthread.transport import http1_server
 
 __all__ = ["FeedServer"]
@@ -39,6 +42,7 @@
         quarantine: Requests under which targets crashed.
         quotas: Quotas of organisations and their usage.
         limits: Limits that targets announced.
+        streams: Records of streams.
         handle_forwarded: Serves a request that another host has forwarded.
     """
 
@@ -49,6 +53,7 @@
         quarantine: quarantine_keeper.QuarantineKeeper,
         quotas: quota_keeper.QuotaKeeper,
         limits: limit_keeper.LimitKeeper,
+        streams: stream_keeper.StreamKeeper,
         handle_forwarded: http1_server.Handler,
     ):
         self.site = site
@@ -56,6 +61,7 @@
         self.quarantine = quarantine
         self.quotas = quotas
         self.limits = limits
+        self.streams = streams
         self.handle_forwarded = handle_forwarded
 
     async def answer(
@@ -69,6 +75,8 @@
             forwarding.FORWARD_BOUND_PATH,
         ):
             await self.handle_forwarded(caller, answer)
+        elif caller.path == stream_query.STREAMS_PATH:
+            await self._answer_streams(caller, answer)
         elif caller.path == feed.QUARANTINE_PATH:
             await self._answer_operator(answer, self._handle_quarantine(caller))
         elif caller.path == feed.QUOTAS_PATH:
@@ -81,6 +89,23 @@
         else:
             await self._answer_host(caller, answer)
 
+    async def _answer_streams(
+        self,
+        caller: http1_server.CallerRequest,
+        answer: http1_server.CallerAnswer,
+    ) -> None:
+        """Answers a lookup of a stream, or takes over records of streams."""
+        reply = b""
+        try:
+            if caller.method == b"PUT":
+                self.streams.apply_hand_over(caller.body)
+            else:
+                reply = self.streams.answer_query(caller.body)
+        except errors.PeerError:
+            await answer.send_whole(400, [], b"")
+            return
+        await answer.send_whole(200, _CBOR_HEADERS, reply)
+
     def _handle_quarantine(self, caller: http1_server.CallerRequest) -> object:
         """Lists quarantined requests, or clears the one in the body."""
         if caller.method == b"GET":
--- a/hillthread/coordination/gateway/peers/work_feed.py
+++ b/hillthread/coordination/gateway/peers/work_feed.py
@@ -34,6 +34,7 @@
 from hillthread import errors
 from hillthread import settings as settings_lib
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.protocol import stream_query
 from hillthread.protocol import work_notice
 from hillthread.state.cluster import feed_source
 from hillthread.state.cluster import gatherer
@@ -95,6 +96,7 @@
         apply_brittle: Applies what another host knows of a brittle target.
         apply_suspect: Applies what another host observed of a request under
             which targets crash.
+        apply_stream: Applies the record of a stream that has begun.
         usage: Totals of usage that hosts exchange; None until the keeper of
             quotas sets it.
         apply_usage: Applies usage by other hosts; called with amounts by the
@@ -121,6 +123,7 @@
         self.apply_brittle: Callable[[work_notice.BrittleNotice], None] = (
             _ignore
         )
+        self.apply_stream: Callable[[stream_query.StreamNotice], None] = _ignore
         self.usage: usage_exchange.UsageExchange | None = None
         self.apply_usage: Callable[[dict[int, float]], None] = _ignore
         self._origin = work_notice.checksum(source.name)
@@ -233,6 +236,15 @@
         """Notifies all hosts of a brittle target, without delay."""
         self._notify_directly(brittle=[notice])
 
+    def notify_stream(
+        self,
+        notice: stream_query.StreamNotice,
+        hosts: list[feed_source.HostEntry],
+    ) -> None:
+        """Notifies some hosts of a stream that has begun, without delay."""
+        action = work_notice.PacketAction.APPLY
+        self._send(work_notice.Packet(action, [], [], streams=[notice]), hosts)
+
     def report_usage(self) -> None:
         """Reports usage of quotas to the gatherer when a report is due."""
         now = clock.now()
@@ -565,12 +577,9 @@
             self.site.apply_weights_notice(notice, now)
         for suspect in packet.suspects:
             self.apply_suspect(suspect)
-        for limit in packet.limits:
-            self.apply_limit(limit)
-        for departure in packet.departures:
-            self.apply_departure(departure)
-        for brittle in packet.brittle:
-            self.apply_brittle(brittle)
+        self._apply_target_notices(packet)
+        for stream in packet.streams:
+            self.apply_stream(stream)
         for speed in packet.speeds:
             if speed in self._sent_speeds:
                 self._sent_speeds.remove(speed)
@@ -584,6 +593,15 @@
         for group in packet.usage:
             self.apply_usage(self.usage.apply_notice(group, now))
 
+    def _apply_target_notices(self, packet: work_notice.Packet) -> None:
+        """Applies what targets have announced to other hosts."""
+        for limit in packet.limits:
+            self.apply_limit(limit)
+        for departure in packet.departures:
+            self.apply_departure(departure)
+        for brittle in packet.brittle:
+            self.apply_brittle(brittle)
+
     def _gather_usage(self, packet: work_notice.Packet, now: float) -> None:
         """Adds usage reported by hosts of this data centre to its total."""
         if self.usage is None or not packet.usage:
--- a/hillthread/coordination/gateway/serving/dispatcher.py
+++ b/hillthread/coordination/gateway/serving/dispatcher.py
@@ -86,7 +86,7 @@
         tasks: anyio.abc.TaskGroup,
         services: services_lib.HostServices,
     ):
-        work, quarantine, quotas, limits, forwarder = services
+        work, quarantine, quotas, limits, forwarder, streams = services
         self.monitor = reach_monitor.ReachabilityMonitor(site, pool, tasks)
         self.monitor.reaches_other_host = forwarder.reaches_other_host
         self.monitor.on_reached = quarantine.record_target_reached
@@ -110,6 +110,7 @@
             announcement_keeper.AnnouncementKeeper(site, work, tasks),
             brittle_keeper.BrittleKeeper(site, work),
             forwarder,
+            streams,
         )
         self.cancel_scopes: set[anyio.CancelScope] = set()
         self.is_stopping = False
--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -51,6 +51,7 @@
         metrics: The gateway's metrics.
         dispatcher: Forwards requests to targets.
         quotas: Refuses requests that exceed an organisation's quota.
+        streams: Resolves which software began streams that callers take up.
         sampler: Limits how many requests are logged each second.
         inflight: Number of requests being served.
         forwarded_inflight: Those of them that other hosts have forwarded.
@@ -70,6 +71,7 @@
             site, metrics, pool, tasks, services
         )
         self.quotas = services.quotas
+        self.streams = services.streams
         self.sampler = story_lib.RequestSampler(
             site.settings.log_requests_per_s
         )
@@ -174,6 +176,7 @@
                 self._check_room()
             await self.site.wait_until_routable(caller.arrived)
             request = intake.admit(self.site, caller, log, origin)
+            await self.streams.resolve(request)
             await self._check_quota(request)
             self._note_admitted(request)
             job = self.dispatcher.create_job(request, answer)
@@ -200,7 +203,7 @@
         finally:
             self.inflight -= 1
             self.metrics.inflight.set(self.inflight)
-            self.metrics.requests.labels(outcome, code).inc()
+            self._count_outcome(request, outcome, code)
             if origin is not None:
                 self.metrics.received_forwarded.labels(outcome).inc()
             if outcome == "left":
@@ -210,6 +213,23 @@
                 )
             log.close()
 
+    def _count_outcome(
+        self,
+        request: intake.GatewayRequest | None,
+        outcome: str,
+        code: str,
+    ) -> None:
+        """Counts the outcome of a request.
+
+        Args:
+            request: The request; None if it was not admitted.
+            outcome: How it ended.
+            code: Error code of its refusal; empty if it was not refused.
+        """
+        self.metrics.requests.labels(outcome, code).inc()
+        if request is not None and request.resumption is not None:
+            self.metrics.take_ups.labels(code or outcome).inc()
+
     def note_caller_left(self, caller: http1_server.CallerRequest) -> None:
         """Counts and logs a request whose caller left before it was served."""
         self.metrics.requests.labels("left", "").inc()
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -72,7 +72,7 @@
         self.request = request
         self.answer = answer
         self.relay = event_relay.EventRelay(answer)
-        binding = stream_binding.StreamBinding(request, _ignore_request)
+        binding = stream_binding.StreamBinding(request, context.streams.record)
         self.sender = sender_lib.Sender(
             context, request, self.relay, binding, self._reserve_retry
         )
@@ -208,7 +208,8 @@
         """Plans an attempt of a request that has not run.
 
         A prompt that would miss its aim on the engine that serves it first is
-        deferred, to the engine with the shortest backlog.
+        deferred, to the engine with the shortest backlog. A stream that is
+        taken up is not: its caller has waited, and fewer engines may serve it.
 
         Raises:
             RefusalError: No target is available, or it would wait for too long.
@@ -216,6 +217,8 @@
         request = self.request
         request.is_deferred = False
         planned = self._choose(anti_affinity)
+        if request.stream_origin is not None:
+            return planned
         prompts = self.context.chooser.scheduler
         if not prompts.applies_to(request):
             self._check_first_byte_aim(planned)
@@ -506,8 +509,3 @@
             "It may have run; send it again only if that is safe.",
             self.run_state(),
         )
-
-
-def _ignore_request(request: intake.GatewayRequest) -> None:
-    """Ignores that a stream was bound."""
-    del request
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -32,6 +32,7 @@
 from hillthread.coordination.gateway.serving import quota_keeper
 from hillthread.coordination.gateway.serving import reach_monitor
 from hillthread.coordination.gateway.serving import stream_binding
+from hillthread.coordination.gateway.serving import stream_keeper
 from hillthread.platform import attempts
 from hillthread.protocol import work_notice
 from hillthread.state.config import objects
@@ -65,6 +66,7 @@
         announcements: Applies what targets announce.
         brittle: Keeps brittle targets from refusing too much.
         forwarder: Sends requests to other hosts.
+        streams: Keeps which software began each stream.
     """
 
     site: site_lib.Site
@@ -81,6 +83,7 @@
     announcements: announcement_keeper.AnnouncementKeeper
     brittle: brittle_keeper.BrittleKeeper
     forwarder: peer_forwarder.PeerForwarder
+    streams: stream_keeper.StreamKeeper
 
 
 class _OngoingAttempt(NamedTuple):
--- a/hillthread/coordination/gateway/serving/services.py
+++ b/hillthread/coordination/gateway/serving/services.py
@@ -9,6 +9,7 @@
 from hillthread.coordination.gateway.serving import peer_forwarder
 from hillthread.coordination.gateway.serving import quarantine_keeper
 from hillthread.coordination.gateway.serving import quota_keeper
+from hillthread.coordination.gateway.serving import stream_keeper
 
 __all__ = ["HostServices"]
 
@@ -22,6 +23,7 @@
         quotas: Charges what is sent on behalf of organisations.
         limits: Charges what is sent to targets.
         forwarder: Sends requests to other hosts.
+        streams: Keeps which software began each stream.
     """
 
     work: work_feed.WorkFeed
@@ -29,3 +31,4 @@
     quotas: quota_keeper.QuotaKeeper
     limits: limit_keeper.LimitKeeper
     forwarder: peer_forwarder.PeerForwarder
+    streams: stream_keeper.StreamKeeper
--- /dev/null
+++ b/hillthread/coordination/gateway/serving/stream_keeper.py
@@ -0,0 +1,328 @@
+"""Keeps which software began each stream, for callers that take streams up.
+
+A host records each stream that it begins and notifies the keepers of the record
+before it relays the first event, so that the caller can return to any host at
+once. A stream of which no host has a record is never continued.
+"""
+
+from __future__ import annotations
+
+import logging
+
+import anyio
+
+from hillthread import clock
+from hillthread import errors
+from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.peers import stream_lookup
+from hillthread.coordination.gateway.peers import work_feed
+from hillthread.coordination.gateway.serving import intake
+from hillthread.platform import resumption as resumption_lib
+from hillthread.protocol import stream_query
+from hillthread.state.cluster import feed_source
+from hillthread.state.cluster import record_placement
+from hillthread.state.cluster import stream_records
+from hillthread.state.routing import stream_origin
+from hillthread.transport import http1_client
+
+__all__ = ["INVALID_RESUMPTION", "STREAM_UNKNOWN", "StreamKeeper"]
+
+# Error codes of take-ups.
+INVALID_RESUMPTION = "invalid_resumption"
+STREAM_UNKNOWN = "stream_unknown"
+# Bounds the memory of the records at about 10 MB.
+_MAX_RECORDS = 20_000
+# Time in which callers take a stream up, beyond the longest time that it takes.
+_RETURN_S = 60.0
+_EXPIRY_INTERVAL_S = 5.0
+_MAX_NOTICES_PER_CALL = 200
+_HAND_OVER_TIMEOUT_S = 1.0
+_UNKNOWN_RETRY_S = 0.3
+_BEGIN_ANEW = "Begin the stream anew, without Last-Event-Id and Resumes."
+
+_logger = logging.getLogger("hillthread.streams")
+
+
+class StreamKeeper:
+    """Records streams, answers other hosts, and resolves take-ups.
+
+    Attributes:
+        site: The host's view of the site.
+        work: Sends notices to other hosts.
+        source: Lists the other hosts.
+        placement: Selects the hosts that keep a record.
+        lookup: Asks other hosts.
+        records: The records that this host holds.
+    """
+
+    def __init__(
+        self,
+        site: site_lib.Site,
+        work: work_feed.WorkFeed,
+        pool: http1_client.ConnectionPool,
+    ):
+        self.site = site
+        self.work = work
+        self.source = work.source
+        self.placement = record_placement.RecordPlacement(
+            self.source.name, self.source.data_centre
+        )
+        self.lookup = stream_lookup.StreamLookup(
+            self.source, self.placement, pool
+        )
+        self.records = stream_records.StreamRecords(_MAX_RECORDS)
+        work.apply_stream = self.apply_notice
+
+    def record(self, request: intake.GatewayRequest) -> None:
+        """Records a stream that a request of this host has just begun."""
+        origin = request.stream_origin
+        if origin is None or not origin.release:
+            return
+        self.site.metrics.streams_bound.inc()
+        key = stream_records.make_key(request.tenant_name, request.request_id)
+        self._record_and_notify(key, origin, _compute_ttl_s(request))
+
+    async def resolve(self, request: intake.GatewayRequest) -> None:
+        """Sets the origin of the stream that a request takes up, if any.
+
+        Raises:
+            RefusalError: The origin is not known; the request has not run.
+        """
+        resumption = request.resumption
+        if resumption is None or request.stream_origin is not None:
+            return
+        if resumption.fault:
+            raise _make_invalid_error(resumption.fault)
+        if not resumption.stream_id:
+            raise _make_unnamed_error()
+        key = stream_records.make_key(request.tenant_name, resumption.stream_id)
+        record = self.records.get(key, clock.now())
+        if record is not None:
+            origin = record.origin
+            _log_take_up(request, resumption, origin)
+        else:
+            origin = await self._look_up(key, request, resumption)
+        if not origin.release:
+            raise _make_doubtful_error(origin)
+        request.stream_origin = origin
+        self._record_and_notify(key, origin, _compute_ttl_s(request))
+
+    def apply_notice(self, notice: stream_query.StreamNotice) -> None:
+        """Records a stream of which another host has notified this one."""
+        key = stream_records.StreamKey(notice.tenant, notice.digest)
+        self.records.put(
+            key,
+            stream_origin.StreamOrigin(notice.pool, notice.release),
+            clock.now() + notice.ttl_s,
+        )
+        if self.site.is_draining:
+            # It arrived after the records were handed over.
+            self.work.notify_stream(notice, self._list_successors(key))
+
+    def answer_query(self, raw: bytes) -> bytes:
+        """Returns the encoded reply to another host's query.
+
+        Raises:
+            PeerError: The query is not valid.
+        """
+        key = stream_records.StreamKey(*stream_query.decode_query(raw))
+        now = clock.now()
+        record = self.records.get(key, now)
+        notice = _make_notice(key, record, now) if record else None
+        return stream_query.encode_reply(notice)
+
+    def apply_hand_over(self, raw: bytes) -> None:
+        """Records the streams that a stopping host hands over.
+
+        Raises:
+            PeerError: The message is not valid.
+        """
+        for notice in stream_query.decode_notices(raw):
+            self.apply_notice(notice)
+
+    async def hand_over(self) -> None:
+        """Sends the records of this host to the hosts that keep them next."""
+        now = clock.now()
+        notices: dict[str, list[stream_query.StreamNotice]] = {}
+        for key, record in self.records.items():
+            if record.expires_at <= now:
+                continue
+            for host in self._list_successors(key):
+                notice = _make_notice(key, record, now)
+                notices.setdefault(host.feed, []).append(notice)
+        async with anyio.create_task_group() as tasks:
+            for address, pending in notices.items():
+                tasks.start_soon(self._send_records, address, pending)
+        _logger.info(
+            "records of streams handed over",
+            extra={
+                "event": "streams_handed_over",
+                "records": len(self.records),
+                "sent": sum(len(each) for each in notices.values()),
+                "hosts": len(notices),
+            },
+        )
+
+    async def run(self) -> None:
+        """Drops expired records until cancelled."""
+        while True:
+            await anyio.sleep(_EXPIRY_INTERVAL_S)
+            self.records.expire(clock.now())
+            self.site.metrics.stream_records.set(len(self.records))
+
+    async def _look_up(
+        self,
+        key: stream_records.StreamKey,
+        request: intake.GatewayRequest,
+        resumption: resumption_lib.Resumption,
+    ) -> stream_origin.StreamOrigin:
+        """Returns the origin that another host has recorded.
+
+        Raises:
+            RefusalError: No host that answers has a record.
+        """
+        result = await self.lookup.find(key)
+        notice = result.notice
+        self.site.metrics.observe_stream_lookup(
+            "found" if notice else "unknown", result.seconds
+        )
+        fields = {
+            "asked": result.asked,
+            "unanswered": result.unanswered,
+            "seconds": round(result.seconds, 4),
+        }
+        if notice is None:
+            _log_take_up(request, resumption, None, **fields)
+            raise _make_unknown_error(result)
+        origin = stream_origin.StreamOrigin(notice.pool, notice.release)
+        _log_take_up(request, resumption, origin, **fields)
+        return origin
+
+    def _record_and_notify(
+        self,
+        key: stream_records.StreamKey,
+        origin: stream_origin.StreamOrigin,
+        ttl_s: float,
+    ) -> None:
+        now = clock.now()
+        record = stream_records.StreamRecord(origin, now + ttl_s)
+        self.records.put(key, *record)
+        keepers = self.placement.keepers(key.digest, self.source.hosts.values())
+        self.work.notify_stream(_make_notice(key, record, now), keepers)
+
+    def _list_successors(
+        self, key: stream_records.StreamKey
+    ) -> list[feed_source.HostEntry]:
+        return self.placement.successors(key.digest, self.source.hosts.values())
+
+    async def _send_records(
+        self, address: str, notices: list[stream_query.StreamNotice]
+    ) -> None:
+        for start in range(0, len(notices), _MAX_NOTICES_PER_CALL):
+            page = notices[start : start + _MAX_NOTICES_PER_CALL]
+            request = http1_client.ClientRequest(
+                b"PUT",
+                stream_query.STREAMS_PATH.encode(),
+                [(b"host", address.encode())],
+                stream_query.encode_notices(page),
+            )
+            try:
+                await http1_client.call(
+                    self.lookup.pool,
+                    address,
+                    request,
+                    _HAND_OVER_TIMEOUT_S,
+                    stream_query.MAX_REPLY_BYTES,
+                )
+            except http1_client.CallError as error:
+                _logger.warning(
+                    "records of streams not handed over",
+                    extra={
+                        "event": "streams_lost",
+                        "records": len(notices) - start,
+                        "reason": error.reason,
+                    },
+                )
+                return
+
+
+def _make_notice(
+    key: stream_records.StreamKey,
+    record: stream_records.StreamRecord,
+    now: float,
+) -> stream_query.StreamNotice:
+    return stream_query.StreamNotice(
+        key.tenant,
+        key.digest,
+        record.origin.pool,
+        record.origin.release,
+        max(1, round(record.expires_at - now)),
+    )
+
+
+def _log_take_up(
+    request: intake.GatewayRequest,
+    resumption: resumption_lib.Resumption,
+    origin: stream_origin.StreamOrigin | None,
+    **fields: float,
+) -> None:
+    request.log.warn(
+        "take_up",
+        stream=resumption.stream_id,
+        last_event_id=resumption.last_event_id,
+        pool=origin.pool if origin else None,
+        release=origin.release if origin else None,
+        **fields,
+    )
+
+
+def _compute_ttl_s(request: intake.GatewayRequest) -> float:
+    """Returns the time for which the record of a stream is needed."""
+    return request.route.timeout_s + _RETURN_S
+
+
+def _make_invalid_error(fault: str) -> errors.RefusalError:
+    return errors.RefusalError(
+        INVALID_RESUMPTION,
+        400,
+        f"It is not clear which stream continues: {fault}.",
+        "Send one id in Resumes and one in Last-Event-Id.",
+    )
+
+
+def _make_unnamed_error() -> errors.RefusalError:
+    return errors.RefusalError(
+        STREAM_UNKNOWN,
+        503,
+        "The request continues a stream but does not name it.",
+        "Send, in Resumes, the id of the request that received its first "
+        f"event. Otherwise: {_BEGIN_ANEW}",
+    )
+
+
+def _make_unknown_error(
+    result: stream_lookup.LookupResult,
+) -> errors.RefusalError:
+    """Returns the refusal of a stream of which no host has a record.
+
+    Another try may succeed only if some hosts have not answered.
+    """
+    return errors.RefusalError(
+        STREAM_UNKNOWN,
+        503,
+        f"None of {result.asked} other hosts knows which software began the "
+        f"stream; {result.unanswered} have not answered.",
+        _BEGIN_ANEW,
+        retry_after_s=_UNKNOWN_RETRY_S if result.unanswered else None,
+    )
+
+
+def _make_doubtful_error(
+    origin: stream_origin.StreamOrigin,
+) -> errors.RefusalError:
+    return errors.RefusalError(
+        STREAM_UNKNOWN,
+        503,
+        f"Hosts disagree on which software of {origin.pool} began the stream.",
+        _BEGIN_ANEW,
+    )
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Any
 from typing import NamedTuple
@@ -209,10 +210,8 @@
                 f"{fields.get('store_age_s')} s old; of "
                 f"{'; '.join(fields.get('candidates', []))}"
             )
-        case "scheduled":
-            return _describe_schedule(fields)
-        case "attempt":
-            return _describe_attempt(fields)
+        case "scheduled" | "attempt" | "take_up":
+            return _DESCRIPTIONS[line.event](fields)
         case "forwarded":
             reason = f" ({fields['reason']})" if fields.get("reason") else ""
             return (
@@ -291,6 +290,23 @@
     return f"{', '.join(details)}, after {fields.get('seconds')} s"
 
 
+def _describe_take_up(fields: dict[str, Any]) -> str:
+    if fields.get("release"):
+        origin = f"release {fields['release']} of {fields.get('pool')}"
+        return f"continues a stream that {origin} began"
+    return (
+        f"continues a stream that none of {fields.get('asked')} other hosts "
+        f"knows; {fields.get('unanswered')} have not answered"
+    )
+
+
+_DESCRIPTIONS: dict[str, Callable[[dict[str, Any]], str]] = {
+    "scheduled": _describe_schedule,
+    "attempt": _describe_attempt,
+    "take_up": _describe_take_up,
+}
+
+
 def _describe_fields(line: LogLine) -> str:
     skipped = {
         "at",
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from hillthread import errors
+from hillthread.protocol import stream_query
 from hillthread.state.quotas import usage_exchange
 from hillthread.state.scheduling import urgency as urgency_lib
 
@@ -214,6 +215,8 @@
             a packet that has some, so these are sent in packets of their own.
         brittle: Targets that crash if they refuse too many requests; also sent
             in packets of their own.
+        streams: Records of streams that have begun; also sent in packets of
+            their own.
     """
 
     action: PacketAction
@@ -225,6 +228,7 @@
     departures: Sequence[DepartureNotice] = ()
     speeds: Sequence[SpeedNotice] = ()
     brittle: Sequence[BrittleNotice] = ()
+    streams: Sequence[stream_query.StreamNotice] = ()
 
 
 def checksum(name: str) -> int:
@@ -244,6 +248,7 @@
         packet.departures,
         packet.speeds,
         packet.brittle,
+        packet.streams,
     ]
     # Earlier releases know fewer lists; they can decode a packet if the empty
     # lists at its end are left out.
--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -109,14 +109,19 @@
     return request, body
 
 
-async def take_up(scene, program, first, body, number=0, **headers):
-    """Returns the answer to the caller's next attempt."""
+def make_take_up(scene, first, body, number=0, **headers):
+    """Returns the caller's next attempt at a stream."""
     values = {
         "resumes": id_of(first),
         "last_event_id": str(event_ids(body)[-1]),
         **headers,
     }
-    request = prompt(scene, number, SINGLE_ATTEMPT, **values)
+    return prompt(scene, number, SINGLE_ATTEMPT, **values)
+
+
+async def take_up(scene, program, first, body, number=0, **headers):
+    """Returns the answer to the caller's next attempt."""
+    request = make_take_up(scene, first, body, number, **headers)
     return await test_quota.ask(scene, program, request)
 
 
@@ -244,6 +249,110 @@
 
         scene_lib.run_scenario(scenario, engines=4)
 
+    # Guards against losing the origin of a stream at the second and third try.
+    def test_stream_is_taken_up_again_and_again_at_different_hosts(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 4, "v1", "v2")
+            for number in range(STREAMS):
+                first, body = await begin_stream(scene, programs[0], number)
+                for tried in (1, 2):
+                    break_all_streams(scene, 1)
+                    request = make_take_up(scene, first, body, number + 99)
+                    program = programs[(number + tried) % 4]
+                    body += await receive_part(scene, program, request)
+                    serve_all_streams(scene)
+                    reset_health(programs, scene)
+                answer = await take_up(
+                    scene, programs[(number + 3) % 4], first, body, number + 99
+                )
+                whole = body + answer.body
+                self.assertEqual(event_ids(whole), list(range(EVENTS)))
+                self.assertEqual(len(releases_in(whole)), 1)
+
+        scene_lib.run_scenario(scenario, engines=4)
+
+    # Guards against a stream that is lost with the host that began it.
+    def test_stream_is_taken_up_after_its_host_has_forgotten_it(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 3, "v1", "v2")
+            first, body = await begin_stream(scene, programs[0])
+            key = next(iter(programs[0].streams.records.items()))[0]
+            programs[0].streams.records.expire(float("inf"))
+            self.assertIsNone(programs[0].streams.records.get(key, 0.0))
+            for program in programs[1:]:
+                answer = await take_up(scene, program, first, body)
+                self.assertEqual(answer.head.status, 200)
+                self.assertEqual(len(releases_in(body + answer.body)), 1)
+
+        scene_lib.run_scenario(scenario, engines=4)
+
+    # Guards against taking up the stream of another tenant by its id.
+    def test_stream_of_another_tenant_is_unknown(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 2, "v1", "v2")
+            first, body = await begin_stream(scene, programs[0])
+            for program in programs:
+                answer = await take_up(
+                    scene,
+                    program,
+                    first,
+                    body,
+                    authorization="Bearer key-two",
+                )
+                self.assertEqual(answer.head.status, 503)
+                self.assertIn(b"stream_unknown", answer.body)
+
+        scene_lib.run_scenario(scenario, engines=4)
+
+    # Guards against joining streams by ambiguous headers.
+    def test_ambiguous_take_up_is_refused(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 1, "v1", "v2")
+            first, body = await begin_stream(scene, programs[0])
+            answer = await take_up(
+                scene, programs[0], first, body, resumes="a" * 200
+            )
+            self.assertEqual(answer.head.status, 400)
+            self.assertIn(b"invalid_resumption", answer.body)
+
+        scene_lib.run_scenario(scenario, engines=2)
+
+    # Guards against a refusal that waits for a host that does not answer.
+    def test_unknown_stream_is_refused_beside_a_silent_host(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 3, "v1", "v2")
+
+            async def hang(address):
+                await anyio.sleep_forever()
+
+            programs[1].streams.lookup.pool._connect = hang
+            began_at = time.monotonic()
+            request = prompt(scene, resumes="r-unknown", last_event_id="1")
+            answer = await test_quota.ask(scene, programs[1], request)
+            self.assertLess(time.monotonic() - began_at, 2 * REFUSAL_S)
+            self.assertEqual(answer.head.status, 503)
+            self.assertTrue(answer.head.get(b"retry-after"))
+
+        scene_lib.run_scenario(scenario, engines=2)
+
+    # Guards against losing records in a planned stop.
+    def test_host_that_stops_hands_its_records_over(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 4, "v1", "v2")
+            for number in range(STREAMS):
+                await begin_stream(scene, programs[0], number)
+            stopping = programs[1]
+            kept = dict(stopping.streams.records.items())
+            await stopping.streams.hand_over()
+            others = [p for p in programs if p is not stopping]
+            for key in kept:
+                holders = [p for p in others if p.streams.records.get(key, 0.0)]
+                # The host that began the stream, two keepers, and the one that
+                # replaces the stopping host.
+                self.assertEqual(len(holders), 3)
+
+        scene_lib.run_scenario(scenario, engines=4)
+
     # Guards against joining another release when the first one has left.
     def test_stream_whose_release_is_gone_is_refused_at_once(self):
         async def scenario(scene):
