--- a/hillthread/coordination/gateway/serving/stream_keeper.py
+++ b/hillthread/coordination/gateway/serving/stream_keeper.py
@@ -117,7 +117,8 @@
         )
         if self.site.is_draining:
             # It arrived after the records were handed over.
-            self.work.notify_stream(notice, self._list_successors(key))
+            successor = self._successor(key)
+            self.work.notify_stream(notice, [successor] if successor else [])
 
     def answer_query(self, raw: bytes) -> bytes:
         """Returns the encoded reply to another host's query.
@@ -145,9 +146,8 @@
         now = clock.now()
         notices: dict[str, list[stream_query.StreamNotice]] = {}
         for key, record in self.records.items():
-            if record.expires_at <= now:
-                continue
-            for host in self._list_successors(key):
+            host = self._successor(key)
+            if host is not None and record.expires_at > now:
                 notice = _make_notice(key, record, now)
                 notices.setdefault(host.feed, []).append(notice)
         async with anyio.create_task_group() as tasks:
@@ -210,10 +210,10 @@
         keepers = self.placement.keepers(key.digest, self.source.hosts.values())
         self.work.notify_stream(_make_notice(key, record, now), keepers)
 
-    def _list_successors(
+    def _successor(
         self, key: stream_records.StreamKey
-    ) -> list[feed_source.HostEntry]:
-        return self.placement.successors(key.digest, self.source.hosts.values())
+    ) -> feed_source.HostEntry | None:
+        return self.placement.successor(key.digest, self.source.hosts.values())
 
     async def _send_records(
         self, address: str, notices: list[stream_query.StreamNotice]
--- a/hillthread/state/cluster/record_placement.py
+++ b/hillthread/state/cluster/record_placement.py
@@ -21,8 +21,11 @@
 
 _KEEPERS = 3
 _OTHER_DATA_CENTRES = 2
-# Bound on the hosts that are asked in addition to the keepers.
+# Bound on the hosts that are asked in addition to the keepers, and how many
+# ranks of how many other data centres are among them.
 _MAX_FALLBACK_HOSTS = 24
+_FALLBACK_DATA_CENTRES = 3
+_FALLBACK_RANKS = 3
 
 
 class RecordPlacement:
@@ -38,69 +41,81 @@
         self.data_centre = data_centre
 
     def keepers(
-        self,
-        key: bytes,
-        hosts: Collection[feed_source.HostEntry],
-        without_self: bool = True,
+        self, key: bytes, hosts: Collection[feed_source.HostEntry]
     ) -> list[feed_source.HostEntry]:
-        """Returns the hosts that keep a record, those nearest first.
+        """Returns the other hosts that keep a record, those nearest first.
 
         Args:
             key: Identifies the record.
             hosts: All listed hosts.
-            without_self: Whether this host is left out.
         """
-        groups = self._group(hosts, without_self)
-        local = groups.pop(self.data_centre, [])
-        remote = self._rank_data_centres(key, groups)[:_OTHER_DATA_CENTRES]
-        own = _rank(key, local)[: _KEEPERS - len(remote)]
-        return own + [_rank(key, groups[each])[0] for each in remote]
+        groups = self._group(hosts)
+        local = _rank(key, groups.pop(self.data_centre, []))
+        remote = self._rank_groups(key, groups)[:_OTHER_DATA_CENTRES]
+        chosen = [group[0] for group in remote]
+        chosen = local[: _KEEPERS - len(chosen)] + chosen
+        # Small data centres leave places for the next ranks of others.
+        spare = [host for group in remote for host in group[1:]]
+        return chosen + spare[: _KEEPERS - len(chosen)]
 
     def fallback_hosts(
         self, key: bytes, hosts: Collection[feed_source.HostEntry]
     ) -> list[feed_source.HostEntry]:
         """Returns further hosts that may have a record, in order.
 
-        These are the hosts of this data centre, then the next ranks of others.
+        These are the next ranks of other data centres, to which keepers hand
+        their records when they stop, and then the hosts of this data centre.
         """
         skipped = {host.name for host in self.keepers(key, hosts)}
-        groups = self._group(hosts, without_self=True)
-        candidates = _rank(key, groups.pop(self.data_centre, []))
-        ranked = [
-            _rank(key, groups[each])
-            for each in self._rank_data_centres(key, groups)
-        ]
-        depth = max((len(group) for group in ranked), default=0)
-        for rank in range(depth):
-            candidates += [group[rank] for group in ranked if rank < len(group)]
-        return [each for each in candidates if each.name not in skipped][
-            :_MAX_FALLBACK_HOSTS
+        groups = self._group(hosts)
+        local = _rank(key, groups.pop(self.data_centre, []))
+        remote = self._rank_groups(key, groups)
+        near = remote[:_FALLBACK_DATA_CENTRES]
+        candidates = [
+            group[rank]
+            for rank in range(_FALLBACK_RANKS)
+            for group in near
+            if rank < len(group)
         ]
-
-    def successors(
+        candidates += local
+        found = [each for each in candidates if each.name not in skipped]
+        if len(found) < _MAX_FALLBACK_HOSTS:
+            names = skipped | {host.name for host in found}
+            found += [
+                host
+                for group in remote
+                for host in group
+                if host.name not in names
+            ]
+        return found[:_MAX_FALLBACK_HOSTS]
+
+    def successor(
         self, key: bytes, hosts: Collection[feed_source.HostEntry]
-    ) -> list[feed_source.HostEntry]:
-        """Returns the hosts that replace this one as keepers if it stops."""
-        before = self.keepers(key, hosts, without_self=False)
-        names = {host.name for host in before}
-        return [
-            host for host in self.keepers(key, hosts) if host.name not in names
-        ]
+    ) -> feed_source.HostEntry | None:
+        """Returns the host that gets a record if this one stops, if any."""
+        groups = self._group(hosts)
+        local = _rank(key, groups.pop(self.data_centre, []))
+        if local:
+            return local[0]
+        remote = self._rank_groups(key, groups)
+        return remote[0][0] if remote else None
 
     def _group(
-        self, hosts: Iterable[feed_source.HostEntry], without_self: bool
+        self, hosts: Iterable[feed_source.HostEntry]
     ) -> dict[str, list[feed_source.HostEntry]]:
-        """Returns the hosts by data centre."""
+        """Returns the other hosts by data centre."""
         groups: dict[str, list[feed_source.HostEntry]] = {}
         for host in hosts:
-            if not (without_self and host.name == self.name):
+            if host.name != self.name:
                 groups.setdefault(host.data_centre, []).append(host)
         return groups
 
-    def _rank_data_centres(
-        self, key: bytes, data_centres: Iterable[str]
-    ) -> list[str]:
-        return placement.rank_by_rendezvous(key, data_centres)
+    def _rank_groups(
+        self, key: bytes, groups: dict[str, list[feed_source.HostEntry]]
+    ) -> list[list[feed_source.HostEntry]]:
+        """Returns the ranked hosts of the first-ranked data centres."""
+        ranked = placement.rank_by_rendezvous(key, groups)
+        return [_rank(key, groups[each]) for each in ranked]
 
 
 def _rank(
--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -347,8 +347,6 @@
             others = [p for p in programs if p is not stopping]
             for key in kept:
                 holders = [p for p in others if p.streams.records.get(key, 0.0)]
-                # The host that began the stream, two keepers, and the one that
-                # replaces the stopping host.
                 self.assertEqual(len(holders), 3)
 
         scene_lib.run_scenario(scenario, engines=4)
