Let the soak replace releases of engines and callers take streams up

Why the incident was missed: all stand-ins were of one release, events of two looked alike, callers of the soak never returned with a broken stream, and its judge joined events by their ids alone.

Engines of the soak now have two releases, name theirs in each event, and are replaced by the next one, by leaving or by a crash and a new start at their address. Callers take a broken stream up one to three times at other hosts, at once or after seconds. The judge counts streams with events of two releases over all tries, and compares the share of streams that go on, at hosts in touch while two engines of their release serve, with that of new ones that begin. Two broken gateways prove it: one that ignores releases and one that refuses all take-ups; each is found out.

--- a/hillthread/bench/gateway_soak/callers.py
+++ b/hillthread/bench/gateway_soak/callers.py
@@ -1,4 +1,7 @@
-"""Callers of a soak: they keep connections, give up, and note what they get."""
+"""Callers of a soak: they keep connections, give up, and note what they get.
+
+Streams that break off are taken up at other hosts, once or several times.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +13,9 @@
 import httpx
 
 from hillthread.bench.gateway_soak import evidence as evidence_lib
+from hillthread.bench.gateway_soak import release_verdict
 from hillthread.bench.gateway_soak import stage as stage_lib
+from hillthread.bench.gateway_soak import verdict
 from hillthread.platform import names
 
 __all__ = ["Callers"]
@@ -27,6 +32,8 @@
 _OLD_KEY_SHARE = 0.1
 _GIVE_UP_S = 0.2
 _PREFIXES = 12
+_MOST_TAKE_UPS = 3
+_TAKE_UP_PAUSES_S = (0.0, 0.0, 0.3, 2.0)
 
 
 class Callers:
@@ -41,6 +48,8 @@
     def __init__(self, stage: stage_lib.Stage, seed: random.Random):
         self.stage = stage
         self.random = seed
+        # Take-ups depend on time, and must not change what else a seed draws.
+        self.take_up_random = random.Random(hash(seed.getstate()))
         self.stopped = False
 
     async def run(self, count: int) -> None:
@@ -72,10 +81,60 @@
             while host.lives == life and (keeps or left > 0):
                 left -= 1
                 exchange = await self.ask(client, host, life)
+                await self._take_up(exchange)
                 if self.stopped or (exchange.status == 0 and exchange.error):
                     return
                 await anyio.sleep(self.random.random() * _PAUSE_S)
 
+    async def _take_up(self, first: evidence_lib.Exchange) -> None:
+        """Continues a stream that broke off at other hosts."""
+        exchange = first
+        for _ in range(self.take_up_random.randint(1, _MOST_TAKE_UPS)):
+            ids = release_verdict.event_ids(exchange.body)
+            after = ids[-1] if ids else exchange.after
+            is_broken = exchange.status == 200 and not exchange.whole
+            ready = [host for host in self.stage.hosts if host.routable]
+            if (
+                first.route != "resume"
+                or first.left
+                or not is_broken
+                or not 0 <= after < verdict.EVENTS - 1
+                or not ready
+                or self.stopped
+            ):
+                return
+            pause_s = self.take_up_random.choice(_TAKE_UP_PAUSES_S)
+            await anyio.sleep(pause_s)
+            host = self.take_up_random.choice(ready)
+            exchange = await self._ask_to_continue(host, first, after)
+
+    async def _ask_to_continue(
+        self, host: stage_lib.SoakHost, first: evidence_lib.Exchange, after: int
+    ) -> evidence_lib.Exchange:
+        release = b"".join(release_verdict.releases_in(first.body)).decode()
+        exchange = evidence_lib.Exchange(
+            uuid.UUID(int=self.take_up_random.getrandbits(128)).hex[:16],
+            first.route,
+            first.key,
+            host.name,
+            host.lives,
+            time.monotonic(),
+            resumes=first.request_id,
+            after=after,
+            engines_left=self.stage.count_engines(release),
+        )
+        self.stage.evidence.exchanges.append(exchange)
+        async with httpx.AsyncClient(
+            base_url=f"http://{host.address}",
+            trust_env=False,
+            timeout=_TIMEOUT_S,
+        ) as client:
+            await self._exchange(client, exchange)
+        exchange.ended_at = time.monotonic()
+        engines_left = self.stage.count_engines(release)
+        exchange.engines_left = min(exchange.engines_left, engines_left)
+        return exchange
+
     async def ask(
         self,
         client: httpx.AsyncClient,
@@ -134,6 +193,9 @@
             headers[names.MODEL] = "m"
             headers[names.TOKEN_COUNTS] = "900,40"
             headers[names.PROMPT_PARTS] = f"aa:300,{prefix}b:500,cc:100"
+        if exchange.resumes:
+            headers[names.RESUMES] = exchange.resumes
+            headers[names.LAST_EVENT_ID] = str(exchange.after)
         path = f"/{exchange.route}/x"
         try:
             async with client.stream(
--- a/hillthread/bench/gateway_soak/evidence.py
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -100,6 +100,10 @@
         left: The caller gave it up.
         error: Why there is no whole answer, in words.
         sent_body: What it sent.
+        resumes: Id of the request that began the stream that it takes up;
+            empty for a new request.
+        after: The last event of that stream that the caller has; -1 for none.
+        engines_left: Engines of the release that began it, as it was sent.
     """
 
     request_id: str
@@ -116,6 +120,9 @@
     left: bool = False
     error: str = ""
     sent_body: bytes = b"body"
+    resumes: str = ""
+    after: int = -1
+    engines_left: int = 0
 
 
 class Disturbance(NamedTuple):
--- a/hillthread/bench/gateway_soak/regressions.py
+++ b/hillthread/bench/gateway_soak/regressions.py
@@ -8,7 +8,12 @@
 
 
 # Kinds of faults that came after those of quotas, and after restored stores.
-_AFTER_RESTORES = ("target_truncates_streams", "hosts_lose_targets")
+_AFTER_LINKS = ("release_replaced",)
+_AFTER_RESTORES = (
+    "target_truncates_streams",
+    "hosts_lose_targets",
+    *_AFTER_LINKS,
+)
 _AFTER_QUOTAS = (
     "target_names_limit",
     "target_announces_departure",
@@ -158,12 +163,12 @@
     Regression(9800, 20.0, _COPY_WITHOUT_KEY, without=_AFTER_RESTORES),
     Regression(9828, 20.0, _ENTRY_OF_BEFORE, without=_AFTER_RESTORES),
     Regression(9834, 20.0, _ENTRY_OF_BEFORE, without=_AFTER_RESTORES),
-    Regression(10002, 20.0, _QUOTA_CHECKED_TWICE, without=()),
+    Regression(10002, 20.0, _QUOTA_CHECKED_TWICE, without=_AFTER_LINKS),
     Regression(
         9901,
         20.0,
         "not traced: 0.37 of 19 first attempts served at two of three hosts "
         "without links, once; perhaps the same",
-        without=(),
+        without=_AFTER_LINKS,
     ),
 )
--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -173,6 +173,7 @@
         self.trouble: list[evidence_lib.Violation] = []
         self.balancer = balancer_lib.Balancer(self.hosts)
         self.deadly_ran: Callable[[LinkedTarget], None] = _nobody
+        self.releases = ["v1", "v2"]
         self._numbers = itertools.count()
         tenants = [
             platform_operator.OperatorTenant("t-alone", isolated=True),
@@ -292,6 +293,7 @@
         service: str,
         weights: int = 0,
         link: wire_proxy.WireProxy | None = None,
+        release: str = "",
     ) -> LinkedTarget:
         """Starts a target and lists it.
 
@@ -299,6 +301,8 @@
             service: The service it belongs to.
             weights: The version it has; the newest for 0.
             link: The way to it, and so its address; a new one for None.
+            release: The version of its software; empty for that of the fewest
+                engines.
         """
         model = _MODEL if service == _ENGINES else ""
         name = f"i-{next(self._numbers)}"
@@ -307,6 +311,8 @@
             link = wire_proxy.WireProxy()
             self.tasks.start_soon(link.serve)
         target = LinkedTarget(name, service, model, version, link)
+        target.release = release or self.next_release()
+        target.includes_release = True
         target.crash_bodies = self.evidence.deadly
         target.crash = lambda: self.deadly_ran(target)
         self.targets[name] = target
@@ -315,6 +321,21 @@
         self.list_target(target)
         return target
 
+    def next_release(self) -> str:
+        """Returns the release that the fewest engines have."""
+        return min(self.releases, key=self.count_engines)
+
+    def count_engines(self, release: str) -> int:
+        """Returns the number of engines of a release that take requests."""
+        return sum(
+            target.service == _ENGINES
+            and target.release == release
+            and target.state == "ready"
+            and not target.announces_leaving
+            and not target.backoff_s
+            for target in self.targets.values()
+        )
+
     def start_again(self, target: LinkedTarget) -> None:
         """Starts a target that has ended, under its name and address."""
         target.restart()
--- a/hillthread/bench/gateway_soak/target_faults.py
+++ b/hillthread/bench/gateway_soak/target_faults.py
@@ -24,6 +24,8 @@
 _BACKOFF_S = (0.6, 4.0)
 # A departing target goes on serving for longer than the bound on its departure.
 _DEPARTING_S = (2.0, 5.0)
+# Share of engines that crash when their release is replaced.
+_CRASH_SHARE = 0.5
 _BEHAVIOURS: tuple[platform_target.Behaviour, ...] = (
     platform_target.Refuse(),
     platform_target.Fail(),
@@ -74,6 +76,7 @@
             self.target_announces_departure,
             self.target_sheds_load,
             self.target_truncates_streams,
+            self.release_replaced,
         )
 
     async def target_misbehaves(self) -> None:
@@ -164,6 +167,42 @@
         self.stage.unlist_target(target)
         await self.stage.end_target(target)
 
+    async def release_replaced(self) -> None:
+        """Engines of a release are replaced by those of the next one.
+
+        Some crash and come back at their address, others leave.
+        """
+        releases = self.stage.releases
+        old, kept = releases
+        new = f"v{int(kept.removeprefix('v')) + 1}"
+        releases[:] = [kept, new]
+        for engine in list(self.stage.targets.values()):
+            if engine.release == old and engine.service == _ENGINES:
+                await self._replace_engine(engine, new)
+                await anyio.sleep(self.injector.between(_RESTART_S))
+
+    async def _replace_engine(
+        self, engine: stage_lib.LinkedTarget, release: str
+    ) -> None:
+        if self.stage.targets.get(engine.name) is not engine:
+            return  # another fault has ended it
+        if self.injector.random.random() < _CRASH_SHARE:
+            with self.injector.noted("release_replaced", engine.name):
+                await self.stage.end_target(engine)
+                self.stage.add_target(
+                    _ENGINES, link=engine.link, release=release
+                )
+                await anyio.sleep(injector_lib.LAPSE_S)
+                self.stage.unlist_target(engine)
+            return
+        self.stage.list_target(engine, "draining")
+        self.stage.add_target(_ENGINES, release=release)
+        await anyio.sleep(
+            self.stage.evidence.bounds.drain_s + injector_lib.LAPSE_S
+        )
+        self.stage.unlist_target(engine)
+        await self.stage.end_target(engine)
+
     async def address_reused(self) -> None:
         """A target is gone, and its address goes to one of another service."""
         target = self.injector.target(_ENGINES)
--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -13,6 +13,7 @@
 from hillthread.bench.gateway_soak import limit_verdict
 from hillthread.bench.gateway_soak import link_verdict
 from hillthread.bench.gateway_soak import quota_verdict
+from hillthread.bench.gateway_soak import release_verdict
 from hillthread.bench.gateway_soak import weights_verdict
 from hillthread.platform import names
 from hillthread.standin import platform_target
@@ -101,6 +102,9 @@
             for request_id in self.runs.keys() - known
         ]
         found += list(self._orders())
+        found += list(
+            release_verdict.violations(self.evidence, self.strict_time)
+        )
         if self.strict_time:
             found += list(self._deadly())
             found += list(quota_verdict.violations(self.evidence))
@@ -126,6 +130,7 @@
         if exchange.route in STREAMS:
             # Engines differ in the ends of lines, also within a resumed stream.
             body = body.replace(b"\r\n", b"\n")
+            body = release_verdict.without_releases(body)
             if not exchange.whole:
                 body = body.removesuffix(b"\r")
         if exchange.whole and body not in wholes:
@@ -144,7 +149,7 @@
             return [
                 b"".join(
                     b"id: %d\ndata: event %d%b\n\n" % (number, number, mark)
-                    for number in range(EVENTS)
+                    for number in range(exchange.after + 1, EVENTS)
                 )
             ]
         return [b"answer of " + name.encode() + mark for name in targets]
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -355,16 +355,14 @@
         """Number of orders accepted since its last start."""
         return len(self.orders) - self._orders_before_start
 
-    def restart(self, port: int = 0, release: str = "") -> None:
+    def restart(self, port: int = 0) -> None:
         """Resets the target as a restart under the same name does.
 
         The caller must have stopped the old server and must serve the new one.
 
         Args:
             port: Port to listen on; 0 for any.
-            release: Version of its software from now on; empty for the same.
         """
-        self.release = release or self.release
         self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
         self._orders_before_start = len(self.orders)
         self.busy = False
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -5,9 +5,12 @@
 
 from hillthread import errors
 from hillthread.coordination.gateway.orders import order_lease
+from hillthread.coordination.gateway.serving import chooser
 from hillthread.coordination.gateway.serving import event_relay
 from hillthread.coordination.gateway.serving import job
 from hillthread.coordination.gateway.serving import request_forwarding
+from hillthread.coordination.gateway.serving import stream_binding
+from hillthread.coordination.gateway.serving import stream_keeper
 from hillthread.platform import store
 from hillthread.programs import gateway
 from hillthread.programs import soak_gateway
@@ -142,6 +145,29 @@
     request_forwarding.RequestForwarding.plan = lambda self: None
 
 
+def ignores_releases():
+    chooser.Chooser._list_members = lambda self, pool, origin: (
+        self.site.targets.members(pool)
+    )
+    stream_binding.StreamBinding.apply_first_event = lambda self, origin: None
+
+    async def accept(self, request):
+        pass
+
+    stream_keeper.StreamKeeper.resolve = accept
+
+
+def refuses_all_take_ups():
+    # Callers take up what the gateway does not resume itself.
+    job.Job._why_no_resume = lambda self, pool, reason: "never"
+
+    async def refuse(self, request):
+        if request.resumption is not None:
+            raise stream_keeper._make_unnamed_error()
+
+    stream_keeper.StreamKeeper.resolve = refuse
+
+
 def _hear_nothing_of_use():
     quota_ledger.QuotaLedger.reachable_share = lambda self, now: 1.0
     quota_ledger.QuotaLedger.add_peer_usage = lambda self, added, now: None
@@ -167,6 +193,8 @@
         ignores_backoffs,
         ignores_the_era_of_the_store,
         forwards_nothing,
+        ignores_releases,
+        refuses_all_take_ups,
     )
 }
 
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -34,6 +34,7 @@
     "drain",
     "backoff",
     "reach",
+    "take_up",
 )
 VERSION_S = 2.0
 # A tenth of what callers ask. Two hosts that each keep the whole of it send
@@ -42,6 +43,8 @@
 # more than they may.
 QUOTA_PER_S = 2_000.0
 SHARED = ("quota", "limit")
+# Some broken streams of many have to be taken up.
+MANY_CALLERS = (*SHARED, "take_up")
 SHARING_HOSTS = 4
 SHARING_CALLERS = 8
 HOSTS = 2
@@ -77,6 +80,10 @@
         "weights_named,engines_disobey", "old_weights"
     ),
     "sends_on_what_ends_targets": Case("request_ends_targets", "budget"),
+    "ignores_releases": Case("target_cuts_streams", "release"),
+    "refuses_all_take_ups": Case(
+        "target_cuts_streams,target_truncates_streams", "take_up"
+    ),
     "keeps_a_quota_on_each_host": Case("key_changes", "quota"),
     "keeps_a_limit_on_each_host": Case("target_names_limit", "limit"),
     "ignores_announced_departures": Case("target_announces_departure", "drain"),
@@ -140,7 +147,8 @@
         SEED,
         seconds=MUTANT_S,
         hosts=SHARING_HOSTS if case.promise in SHARED else HOSTS,
-        callers=SHARING_CALLERS if case.promise in SHARED else CALLERS,
+        engines=4 if case.promise == "take_up" else 3,
+        callers=SHARING_CALLERS if case.promise in MANY_CALLERS else CALLERS,
         faults=tuple(case.faults.split(",")),
         strict_time=case.promise in BOUNDS,
         module="tests.bench.mutant_gateway",
