Rank only the data centres that keep a record; test earlier builds and bounds

Tests: hosts of an earlier build beside new ones, as keepers and as hosts to which bound streams would be forwarded, and take-ups at half and twice the bounds of lookups and records.

--- a/hillthread/state/cluster/record_placement.py
+++ b/hillthread/state/cluster/record_placement.py
@@ -51,7 +51,7 @@
         """
         groups = self._group(hosts)
         local = _rank(key, groups.pop(self.data_centre, []))
-        remote = self._rank_groups(key, groups)[:_OTHER_DATA_CENTRES]
+        remote = self._rank_groups(key, groups, _OTHER_DATA_CENTRES)
         chosen = [group[0] for group in remote]
         chosen = local[: _KEEPERS - len(chosen)] + chosen
         # Small data centres leave places for the next ranks of others.
@@ -69,24 +69,16 @@
         skipped = {host.name for host in self.keepers(key, hosts)}
         groups = self._group(hosts)
         local = _rank(key, groups.pop(self.data_centre, []))
-        remote = self._rank_groups(key, groups)
-        near = remote[:_FALLBACK_DATA_CENTRES]
+        remote = self._rank_groups(key, groups, _FALLBACK_DATA_CENTRES)
         candidates = [
             group[rank]
             for rank in range(_FALLBACK_RANKS)
-            for group in near
+            for group in remote
             if rank < len(group)
         ]
         candidates += local
+        candidates += [h for group in remote for h in group[_FALLBACK_RANKS:]]
         found = [each for each in candidates if each.name not in skipped]
-        if len(found) < _MAX_FALLBACK_HOSTS:
-            names = skipped | {host.name for host in found}
-            found += [
-                host
-                for group in remote
-                for host in group
-                if host.name not in names
-            ]
         return found[:_MAX_FALLBACK_HOSTS]
 
     def successor(
@@ -97,7 +89,7 @@
         local = _rank(key, groups.pop(self.data_centre, []))
         if local:
             return local[0]
-        remote = self._rank_groups(key, groups)
+        remote = self._rank_groups(key, groups, 1)
         return remote[0][0] if remote else None
 
     def _group(
@@ -111,10 +103,13 @@
         return groups
 
     def _rank_groups(
-        self, key: bytes, groups: dict[str, list[feed_source.HostEntry]]
+        self,
+        key: bytes,
+        groups: dict[str, list[feed_source.HostEntry]],
+        count: int,
     ) -> list[list[feed_source.HostEntry]]:
         """Returns the ranked hosts of the first-ranked data centres."""
-        ranked = placement.rank_by_rendezvous(key, groups)
+        ranked = placement.rank_by_rendezvous(key, groups)[:count]
         return [_rank(key, groups[each]) for each in ranked]
 
 
--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -3,9 +3,14 @@
 import re
 import time
 import unittest
+from unittest import mock
 
 import anyio
 
+from hillthread.coordination.gateway.peers import forwarding
+from hillthread.coordination.gateway.peers import stream_lookup
+from hillthread.coordination.gateway.serving import stream_keeper
+from hillthread.protocol import stream_query
 from hillthread.standin import platform_target as standin
 from tests.coordination.gateway import link_cut
 from tests.coordination.gateway import scene as scene_lib
@@ -389,3 +394,89 @@
             self.assertEqual(scene.runs(), [])
 
         scene_lib.run_scenario(scenario, engines=4)
+
+
+class MixedBuildsTest(unittest.TestCase):
+    """Hosts of an earlier build keep no records and know no bound streams."""
+
+    async def make_old(self, scene, program):
+        """Makes a host answer and relay as the earlier build does."""
+        server = program.feed_server
+        answer = server.handler
+
+        async def answer_as_before(caller, reply):
+            if caller.path in (
+                stream_query.STREAMS_PATH,
+                forwarding.FORWARD_BOUND_PATH,
+            ):
+                await reply.send_whole(400, [], b"")
+            else:
+                await answer(caller, reply)
+
+        server.handler = answer_as_before
+        program.work.apply_stream = lambda notice: None
+
+    # Guards against take-ups that depend on a host of an earlier build.
+    def test_streams_are_taken_up_beside_a_host_of_an_earlier_build(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 4, "v1", "v2")
+            await self.make_old(scene, programs[1])
+            for number in range(STREAMS):
+                first, body = await begin_stream(scene, programs[0], number)
+                answer = await take_up(
+                    scene, programs[2 + number % 2], first, body, number
+                )
+                self.assertEqual(answer.head.status, 200)
+                self.assertEqual(len(releases_in(body + answer.body)), 1)
+
+        scene_lib.run_scenario(scenario, engines=4)
+
+    # Guards against a host of an earlier build that continues a forwarded
+    # stream at any release.
+    def test_bound_streams_are_not_forwarded_to_an_earlier_build(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 3, "v1", "v2")
+            await self.make_old(scene, programs[1])
+            streams = [
+                await begin_stream(scene, programs[0], number)
+                for number in range(STREAMS)
+            ]
+            links = link_cut.HostLinks(scene.tasks, programs[0])
+            await links.cut(link_cut.CutShape.RESET)
+            programs[0].site.are_links_lost = True
+            for number, (first, body) in enumerate(streams):
+                answer = await take_up(scene, programs[0], first, body, number)
+                self.assertEqual(answer.head.status, 200)
+                self.assertEqual(len(releases_in(body + answer.body)), 1)
+
+        scene_lib.run_scenario(scenario, engines=4)
+
+
+class BoundsTest(unittest.TestCase):
+    # Guards against bounds of lookups that hold only as they are.
+    def test_take_ups_hold_at_half_and_twice_the_bounds(self):
+        for factor in (0.5, 2.0):
+            with (
+                self.subTest(factor=factor),
+                mock.patch.object(stream_lookup, "_TIMEOUT_S", 0.15 * factor),
+                mock.patch.object(
+                    stream_lookup, "_FALLBACK_AFTER_S", 0.02 * factor
+                ),
+                mock.patch.object(
+                    stream_keeper, "_MAX_RECORDS", int(24 * factor)
+                ),
+            ):
+                scene_lib.run_scenario(self.expect_take_ups, engines=4)
+
+    async def expect_take_ups(self, scene):
+        programs = await start_hosts(scene, 4, "v1", "v2")
+        for number in range(STREAMS):
+            first, body = await begin_stream(scene, programs[0], number)
+            answer = await take_up(
+                scene, programs[number % 4], first, body, number
+            )
+            self.assertEqual(answer.head.status, 200)
+            self.assertEqual(len(releases_in(body + answer.body)), 1)
+        request = prompt(scene, resumes="r-unknown", last_event_id="1")
+        answer = await test_quota.ask(scene, programs[1], request)
+        self.assertEqual(answer.head.status, 503)
