--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -86,6 +86,8 @@
         elif caller.path == feed.TARGETS_PATH:
             statuses = self.site.target_statuses(clock.now())
             await self._answer_operator(answer, statuses)
+        elif caller.path == feed.RELEASES_PATH:
+            await self._answer_operator(answer, self.site.release_statuses())
         else:
             await self._answer_host(caller, answer)
 
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -60,6 +60,23 @@
     is_brittle: bool = False
 
 
+class ReleaseStatus(NamedTuple):
+    """The targets of a pool that run one release of its software.
+
+    Attributes:
+        pool: Name of the pool.
+        release: The release.
+        targets: Number of listed targets that get new work.
+        leaving: Number of listed targets that leave. If no others are left,
+            streams of the release cannot go on.
+    """
+
+    pool: str
+    release: str
+    targets: int
+    leaving: int
+
+
 class TargetBeliefs:
     """The targets, and what is known of each since its last start.
 
@@ -217,6 +234,14 @@
                 )
         return [statuses[name] for name in sorted(statuses)]
 
+    def release_statuses(self) -> list[ReleaseStatus]:
+        """Returns which releases the listed targets run, by pool."""
+        counts: dict[tuple[str, str], list[int]] = {}
+        for name, entry in self.targets.entries.items():
+            key = (self.service_of(name), entry.release)
+            counts.setdefault(key, [0, 0])[entry.leaving] += 1
+        return [ReleaseStatus(*key, *counts[key]) for key in sorted(counts)]
+
     def observe_weights(
         self, incarnation: str, model: str, version: int
     ) -> None:
--- a/hillthread/programs/ctl.py
+++ b/hillthread/programs/ctl.py
@@ -178,6 +178,21 @@
                 f"{each['passed_over']} requests by this host"
             )
 
+    def releases(self) -> None:
+        """Lists the releases of the targets of each pool, as a host knows them.
+
+        A stream can only go on at the release that began it.
+
+        Give --address of a gateway's feed_listen, which its log line `start`
+        contains.
+        """
+        for each in self._call("GET", feed.RELEASES_PATH):
+            leaving = f", {each['leaving']} leave" if each["leaving"] else ""
+            print(
+                f"{each['pool']} {each['release'] or 'unknown'}: "
+                f"{each['targets']} targets{leaving}"
+            )
+
     def targets(self) -> None:
         """Lists targets that leave, back off, cannot be reached, or are slow.
 
--- a/hillthread/protocol/feed.py
+++ b/hillthread/protocol/feed.py
@@ -19,6 +19,7 @@
     "LIMITS_PATH",
     "QUARANTINE_PATH",
     "QUOTAS_PATH",
+    "RELEASES_PATH",
     "TARGETS_PATH",
     "FeedPage",
     "FeedQuery",
@@ -39,6 +40,8 @@
 LIMITS_PATH = "/limits"
 # Shows to operators which targets are leaving or have requested a back-off.
 TARGETS_PATH = "/targets"
+# Shows to operators which releases the targets of each pool run.
+RELEASES_PATH = "/releases"
 # The fastest level. It compresses 3,001 targets from 741 KB to 80 KB within
 # 6 ms. All hosts of a data centre that start together request them from one
 # host: among 300 hosts it sends 0.34 MB a second over a day instead of 2.6, and
--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -1,5 +1,7 @@
 """Tests that a stream continues only at the release that began it."""
 
+import contextlib
+import io
 import re
 import time
 import unittest
@@ -10,6 +12,7 @@
 from hillthread.coordination.gateway.peers import forwarding
 from hillthread.coordination.gateway.peers import stream_lookup
 from hillthread.coordination.gateway.serving import stream_keeper
+from hillthread.programs import ctl
 from hillthread.protocol import stream_query
 from hillthread.standin import platform_target as standin
 from tests.coordination.gateway import link_cut
@@ -396,6 +399,31 @@
         scene_lib.run_scenario(scenario, engines=4)
 
 
+class OperatorsTest(unittest.TestCase):
+    def test_operators_see_releases_and_take_ups(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 2, "v1", "v2")
+            first, body = await begin_stream(scene, programs[0])
+            await take_up(scene, programs[1], first, body)
+            await take_up(scene, programs[1], first, body, resumes="r-unknown")
+            scene.list_target(scene.engines[1], "draining")
+            entries = programs[1].site.targets.entries
+            await scene.until(lambda: entries["e1"].leaving)
+            out = io.StringIO()
+            address = programs[1].feed_server.address
+            with contextlib.redirect_stdout(out):
+                await anyio.to_thread.run_sync(ctl.Ctl(address).releases)
+            self.assertIn("engines v1: 2 targets\n", out.getvalue())
+            self.assertIn("engines v2: 1 targets, 1 leave\n", out.getvalue())
+            page = programs[1].metrics.render().decode()
+            self.assertIn('take_ups_total{result="answered"} 1.0', page)
+            self.assertIn('take_ups_total{result="stream_unknown"} 1.0', page)
+            page = programs[0].metrics.render().decode()
+            self.assertIn("hillthread_streams_bound_total 1.0", page)
+
+        scene_lib.run_scenario(scenario, engines=4)
+
+
 class MixedBuildsTest(unittest.TestCase):
     """Hosts of an earlier build keep no records and know no bound streams."""
 
