Forward requests when targets accept connections but do not answer

The links of a host counted as lost only when connections could not be opened, so such a host never forwarded anything.

Only an answer now shows that a target is reached. When two targets have closed connections instead of answering, or an attempt is silent for 0.8 s, and no target has answered anything meanwhile, four engines are asked for reports, which take no slot; three that do not answer mean that the links are lost. Then an answer alone ends the loss. Answers over open connections do not end a loss of another kind: those live on while new connections fail.

The other shapes of cuts are unchanged.

--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -196,7 +196,7 @@
         if not connection.is_body_sent:
             self.tasks.start_soon(connection.send_body, sent)
         head = await self._read_head(connection)
-        self.last_received_at = clock.now()
+        self._note_received()
         if self.reused:
             self.pool.record_reused()
         self.meaning = attempts.decode_answer(head)
@@ -228,3 +228,4 @@
 
     def _note_received(self) -> None:
         self.last_received_at = clock.now()
+        self.monitor.answers.note_answered()
--- a/hillthread/coordination/gateway/serving/link_watch.py
+++ b/hillthread/coordination/gateway/serving/link_watch.py
@@ -32,9 +32,15 @@
         self.links = target_links.TargetLinks()
         self.is_own_link_working = False
         self._are_connects_hanging = False
+        self._are_answers_missing = False
         self.on_lost: Callable[[], None] = _ignore_loss
         self.on_restored: Callable[[float], None] = _ignore_return
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the links count as lost although connections open."""
+        return self.links.is_unanswered
+
     @property
     def is_silent_loss(self) -> bool:
         """Whether connections hang, and not because the host's link is full.
@@ -42,7 +48,10 @@
         Open connections have then fallen silent, too. If new ones are refused,
         open ones may live on.
         """
-        return self._are_connects_hanging and self.is_own_link_working
+        is_hanging = self._are_connects_hanging
+        if self.links.is_unanswered:
+            is_hanging = self._are_answers_missing
+        return is_hanging and self.is_own_link_working
 
     def note_reason(self, is_hanging: bool) -> None:
         """Records whether the last connection that failed hung until then."""
@@ -52,11 +61,29 @@
         """Records that a connection to a target could not be opened."""
         self.links.record_failure(target, clock.now())
 
+    def record_unanswered(self, target: str, is_silent: bool) -> None:
+        """Records that a target accepted a connection and did not answer.
+
+        Args:
+            target: Name of the target.
+            is_silent: Whether nothing came; otherwise it was closed.
+        """
+        self._are_answers_missing = is_silent
+        self.links.record_unanswered(target, clock.now())
+
     def record_success(self) -> None:
         """Records that a connection to some target was opened."""
         lost_since = self.links.lost_since
-        if not self.links.record_success() or lost_since is None:
-            return
+        if self.links.record_success() and lost_since is not None:
+            self._restore(lost_since)
+
+    def record_answer(self) -> None:
+        """Records that some target has answered."""
+        lost_since = self.links.lost_since
+        if self.links.record_answer(clock.now()) and lost_since is not None:
+            self._restore(lost_since)
+
+    def _restore(self, lost_since: float) -> None:
         self.site.are_links_lost = False
         self.site.metrics.links_lost.set(0)
         _logger.warning(
@@ -72,7 +99,8 @@
         """Checks whether the links count as lost."""
         targets = self.site.targets
         count = len(targets.entries) - len(targets.replaced)
-        if not self.links.update(count, now):
+        engines = sum(bool(e.weights) for e in targets.entries.values())
+        if not self.links.update(count, now, engines):
             return
         self.site.are_links_lost = True
         self.is_own_link_working = False
@@ -82,6 +110,7 @@
             extra={
                 "event": "links_lost",
                 "targets": count,
+                "are_connections_opened": self.links.is_unanswered,
                 "store_age_s": self.site.rounded_age_s(now),
             },
         )
--- a/hillthread/coordination/gateway/serving/reach_monitor.py
+++ b/hillthread/coordination/gateway/serving/reach_monitor.py
@@ -28,6 +28,7 @@
 
 from hillthread import clock
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.serving import answer_probes
 from hillthread.coordination.gateway.serving import link_watch
 from hillthread.state.config import objects
 from hillthread.transport import http1_client
@@ -95,6 +96,7 @@
         tasks: Runs the probes.
         attempts: Attempts that wait for their targets.
         links: Whether this host reaches any target.
+        answers: Probes whether targets that accept connections answer.
         reaches_other_host: Returns whether a connection to some other host can
             be opened.
         on_reached: Called with the name of a target that a probe reached.
@@ -117,6 +119,7 @@
         self.links = link_watch.LinkWatch(site)
         self.links.on_lost = self._check_own_link
         self.links.on_restored = self._resume_use
+        self.answers = answer_probes.AnswerProbes(site, pool, tasks, self.links)
         self._probing: set[str] = set()
         self._probed_at: dict[str, float] = {}
         self._retry_at: dict[str, float] = {}
@@ -129,11 +132,14 @@
     async def run(self) -> None:
         """Watches until cancelled."""
         while True:
-            is_busy = self.attempts or self._retry_at
+            is_busy = (
+                self.attempts or self._retry_at or self.links.is_unanswered
+            )
             await anyio.sleep(_TICK_S if is_busy else _IDLE_TICK_S)
             now = clock.now()
             self._check_attempts(now)
             self._probe_unreachable(now)
+            self.answers.check(self.attempts, now)
             self.links.update(now)
             if self.site.are_links_lost and self.links.is_silent_loss:
                 self._give_up_quiet(now)
@@ -164,6 +170,7 @@
 
     def probe_now(self, target: objects.Target) -> None:
         """Probes a target now, because a connection to it was cut."""
+        self.answers.note_closed(target.name)
         self._start_probe(target, clock.now())
 
     def _check_attempts(self, now: float) -> None:
--- a/hillthread/platform/orders.py
+++ b/hillthread/platform/orders.py
@@ -5,6 +5,7 @@
 import enum
 from typing import NamedTuple
 
+import anyio
 import msgspec
 
 from hillthread.platform import attempts
@@ -13,9 +14,18 @@
 from hillthread.state.config import objects
 from hillthread.transport import http1_client
 
-__all__ = ["OrderAnswer", "WeightsOrder", "read_report", "send_order"]
+__all__ = [
+    "OrderAnswer",
+    "ProbeResult",
+    "WeightsOrder",
+    "probe_answer",
+    "read_report",
+    "send_order",
+]
 
 _REPORT_TIMEOUT_S = 0.8
+# Engines that work send a report within milliseconds.
+_PROBE_TIMEOUT_S = 0.3
 # Engines answer orders within a few ms or not at all; their report then shows
 # whether they accepted the order.
 _ORDER_TIMEOUT_S = 0.5
@@ -57,6 +67,22 @@
     orders_taken: int
 
 
+class ProbeResult(enum.Enum):
+    """How an engine responds to a probe.
+
+    Attributes:
+        ANSWERED: It sent the head of an answer.
+        CLOSED: Its connection opened and was closed without one.
+        SILENT: Its connection opened, and nothing came.
+        UNREACHED: No connection could be opened.
+    """
+
+    ANSWERED = enum.auto()
+    CLOSED = enum.auto()
+    SILENT = enum.auto()
+    UNREACHED = enum.auto()
+
+
 class _Order(msgspec.Struct, rename="camel"):
     op: str
     model: str
@@ -124,6 +150,34 @@
     return report._replace(is_leaving=attempts.is_leaving(answer.head))
 
 
+async def probe_answer(
+    pool: http1_client.ConnectionPool, target: objects.Target
+) -> ProbeResult:
+    """Returns whether an engine answers over a new connection.
+
+    A report takes none of its slots.
+    """
+    request = http1_client.ClientRequest(
+        b"GET", b"/api/report", _make_headers(target)
+    )
+    try:
+        connection = await pool.open(target.address, "answer probe")
+    except http1_client.CallError:
+        return ProbeResult.UNREACHED
+    try:
+        with anyio.move_on_after(_PROBE_TIMEOUT_S):
+            await connection.send_request(request)
+            await connection.read_head()
+            return ProbeResult.ANSWERED
+        return ProbeResult.SILENT
+    except http1_client.CallError:
+        return ProbeResult.CLOSED
+    finally:
+        connection.must_close = True
+        with anyio.CancelScope(shield=True):
+            await pool.release(connection)
+
+
 async def _call(
     pool: http1_client.ConnectionPool,
     target: objects.Target,
--- a/tests/coordination/gateway/link_cut.py
+++ b/tests/coordination/gateway/link_cut.py
@@ -13,6 +13,8 @@
     RESET = enum.auto()  # open connections are reset, new ones refused
     SILENT = enum.auto()  # open connections fall silent, new ones hang
     REFUSE_NEW = enum.auto()  # open connections live on, new ones are refused
+    ACCEPT_AND_RESET = enum.auto()  # all are reset, new ones after they opened
+    ACCEPT_IN_SILENCE = enum.auto()  # nothing passes, but new ones open
 
 
 class HostLinks:
@@ -35,17 +37,30 @@
     async def cut(self, shape):
         """Cuts all links in one way."""
         self.shape = shape
-        for proxy in self.proxies.values():
-            if shape is CutShape.RESET:
+        for proxy in list(self.proxies.values()):
+            await self._cut_proxy(proxy)
+        if shape is CutShape.ACCEPT_AND_RESET:
+            # Connections that the proxies were just passing on.
+            await anyio.sleep(0.02)
+            for proxy in list(self.proxies.values()):
                 await proxy.reset()
-            elif shape is CutShape.SILENT:
-                proxy.cut()
 
     def heal(self):
         """Restores all links."""
         self.shape = None
-        for proxy in self.proxies.values():
+        for address, proxy in self.proxies.items():
             proxy.heal()
+            proxy.upstream = address
+
+    async def _cut_proxy(self, proxy):
+        match self.shape:
+            case CutShape.RESET:
+                await proxy.reset()
+            case CutShape.SILENT | CutShape.ACCEPT_IN_SILENCE:
+                proxy.cut()
+            case CutShape.ACCEPT_AND_RESET:
+                proxy.upstream = ""
+                await proxy.reset()
 
     async def _connect_through_proxy(self, address):
         match self.shape:
@@ -56,5 +71,6 @@
                 raise TimeoutError
         if address not in self.proxies:
             proxy = self.proxies[address] = wire_proxy.WireProxy(address)
+            await self._cut_proxy(proxy)
             self.tasks.start_soon(proxy.serve)
         return await self._connect(self.proxies[address].address)
--- a/tests/state/targets/test_target_links.py
+++ b/tests/state/targets/test_target_links.py
@@ -44,3 +44,43 @@
         self.assertTrue(self.links.record_success())
         self.assertFalse(self.links.is_lost)
         self.assertFalse(self.links.update(9, 1.5))
+
+
+class UnansweredTest(unittest.TestCase):
+    def setUp(self):
+        self.links = target_links.TargetLinks()
+
+    def fail_to_answer(self, *targets, now=0.0):
+        for target in targets:
+            self.links.record_unanswered(target, now)
+
+    # Guards against taking an opened connection for a target that is reached.
+    def test_links_are_lost_while_connections_open_and_nothing_answers(self):
+        self.links.record_answer(3.0)
+        self.fail_to_answer("a", "b", "c", now=5.0)
+        self.links.record_success()
+        self.assertTrue(self.links.update(9, 5.125, 4))
+        self.assertTrue(self.links.is_unanswered)
+        self.assertEqual(self.links.lost_since, 3.0)
+        self.assertFalse(self.links.record_success())
+        self.assertTrue(self.links.is_lost)
+        self.assertTrue(self.links.record_answer(6.0))
+        self.assertFalse(self.links.is_lost)
+
+    def test_any_answer_shows_that_links_work(self):
+        self.fail_to_answer("a", "b", "c", now=5.0)
+        self.links.record_answer(5.0625)
+        self.assertFalse(self.links.update(9, 5.125, 4))
+
+    def test_engines_that_cannot_be_probed_prove_nothing(self):
+        self.fail_to_answer("a", now=5.0)
+        self.assertFalse(self.links.update(9, 5.125, 1))
+
+    # Guards against connections that live on and hide that new ones fail.
+    def test_answers_over_open_connections_do_not_excuse_new_ones(self):
+        for target in ("a", "b", "c"):
+            self.links.record_failure(target, 5.0)
+        self.links.record_answer(5.0625)
+        self.assertTrue(self.links.update(9, 5.125, 4))
+        self.assertFalse(self.links.record_answer(6.0))
+        self.assertTrue(self.links.is_lost)
