Use ejected targets for repeatable requests when no others are left

When the first runs at all targets of a pool failed, requests were refused with no_target for a second and longer, although the targets answered again. An ejection helps only while there are other targets to choose. Requests that may run again are now sent to the ejected targets with the least cost; others are refused as before, since a failed run would leave them in doubt. A failure leaves the target ejected.

--- a/hillthread/coordination/gateway/serving/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -148,6 +148,14 @@
         if choice.name is None and len(names) < len(targets_view.entries):
             names = list(targets_view.entries)
             choice = self._choose_within_limits(request, targets_view, names)
+        if (
+            choice.name is None
+            and request.repeatable
+            and targets_view.has_ejected()
+        ):
+            # If all targets fail, some of their runs may still succeed.
+            targets_view.include_ejected()
+            choice = self._choose_within_limits(request, targets_view, names)
         self.metrics.choices.labels(choice.reason).inc()
         entry = targets_view.entries.get(choice.name) if choice.name else None
         request.log.note(
--- a/hillthread/coordination/gateway/serving/pool_view.py
+++ b/hillthread/coordination/gateway/serving/pool_view.py
@@ -68,6 +68,7 @@
             name.
         limits: The limits of targets.
         limited: Targets that were chosen and found to be at their limit.
+        includes_ejected: Whether ejected targets may be used.
     """
 
     def __init__(
@@ -93,6 +94,17 @@
         self.estimates: dict[str, first_byte.Estimate] = {}
         self.limits = context.limits.limits
         self.limited: set[str] = set()
+        self.includes_ejected = False
+
+    def has_ejected(self) -> bool:
+        """Returns whether an assessed target is excluded as ejected."""
+        ejected = target_choice.Exclusion.EJECTED
+        return any(view.exclusion is ejected for view in self.views)
+
+    def include_ejected(self) -> None:
+        """Restarts the assessment, with ejected targets."""
+        self.includes_ejected = True
+        self.views.clear()
 
     def exclude_limited(self, name: str) -> None:
         """Restarts the assessment, without targets at their limit.
@@ -235,7 +247,8 @@
             return target_choice.Exclusion.BACKING_OFF
         if lag and lag.grace is weights_lib.WeightsGrace.FORBIDDEN:
             return target_choice.Exclusion.OLD_WEIGHTS
-        if state.breaker.state(self.now) is health.BreakerState.OPEN:
+        is_ejected = state.breaker.state(self.now) is health.BreakerState.OPEN
+        if is_ejected and not self.includes_ejected:
             return target_choice.Exclusion.EJECTED
         if not self.site.brittle.may_send(name, self.now):
             return target_choice.Exclusion.BRITTLE
