Name reconnects, replicas and handoffs in the terms of the field

Words only, before anything of this lands: callers reconnect instead of taking streams up, records have replicas instead of keepers, and a stopping host hands them off. The metric reconnects_total, the log line reconnect and the event streams_handed_off are named so from the start.

--- a/hillthread/bench/gateway_soak/callers.py
+++ b/hillthread/bench/gateway_soak/callers.py
@@ -1,6 +1,6 @@
 """Callers of a soak: they keep connections, give up, and note what they get.
 
-Streams that break off are taken up at other hosts, once or several times.
+When a stream breaks off they reconnect to other hosts, once or several times.
 """
 
 from __future__ import annotations
@@ -48,8 +48,8 @@
     def __init__(self, stage: stage_lib.Stage, seed: random.Random):
         self.stage = stage
         self.random = seed
-        # Take-ups depend on time, and must not change what else a seed draws.
-        self.take_up_random = random.Random(hash(seed.getstate()))
+        # Reconnects depend on time, and must not change what else a seed draws.
+        self.reconnect_random = random.Random(hash(seed.getstate()))
         self.stopped = False
 
     async def run(self, count: int) -> None:
@@ -81,15 +81,15 @@
             while host.lives == life and (keeps or left > 0):
                 left -= 1
                 exchange = await self.ask(client, host, life)
-                await self._take_up(exchange)
+                await self._reconnect(exchange)
                 if self.stopped or (exchange.status == 0 and exchange.error):
                     return
                 await anyio.sleep(self.random.random() * _PAUSE_S)
 
-    async def _take_up(self, first: evidence_lib.Exchange) -> None:
-        """Continues a stream that broke off at other hosts."""
+    async def _reconnect(self, first: evidence_lib.Exchange) -> None:
+        """Reconnects to other hosts to resume a stream that broke off."""
         exchange = first
-        for _ in range(self.take_up_random.randint(1, _MOST_TAKE_UPS)):
+        for _ in range(self.reconnect_random.randint(1, _MOST_TAKE_UPS)):
             ids = release_verdict.event_ids(exchange.body)
             after = ids[-1] if ids else exchange.after
             is_broken = exchange.status == 200 and not exchange.whole
@@ -103,9 +103,9 @@
                 or self.stopped
             ):
                 return
-            pause_s = self.take_up_random.choice(_TAKE_UP_PAUSES_S)
+            pause_s = self.reconnect_random.choice(_TAKE_UP_PAUSES_S)
             await anyio.sleep(pause_s)
-            host = self.take_up_random.choice(ready)
+            host = self.reconnect_random.choice(ready)
             exchange = await self._ask_to_continue(host, first, after)
 
     async def _ask_to_continue(
@@ -113,7 +113,7 @@
     ) -> evidence_lib.Exchange:
         release = b"".join(release_verdict.releases_in(first.body)).decode()
         exchange = evidence_lib.Exchange(
-            uuid.UUID(int=self.take_up_random.getrandbits(128)).hex[:16],
+            uuid.UUID(int=self.reconnect_random.getrandbits(128)).hex[:16],
             first.route,
             first.key,
             host.name,
--- a/hillthread/bench/gateway_soak/evidence.py
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -100,7 +100,7 @@
         left: The caller gave it up.
         error: Why there is no whole answer, in words.
         sent_body: What it sent.
-        resumes: Id of the request that began the stream that it takes up;
+        resumes: Id of the request that began the stream that it resumes;
             empty for a new request.
         after: The last event of that stream that the caller has; -1 for none.
         engines_left: Engines of the release that began it, as it was sent.
--- a/hillthread/bench/gateway_soak/release_verdict.py
+++ b/hillthread/bench/gateway_soak/release_verdict.py
@@ -37,7 +37,7 @@
 def violations(
     evidence: evidence_lib.Evidence, strict_time: bool
 ) -> Iterator[evidence_lib.Violation]:
-    """Returns streams of two releases, and take-ups that were lost.
+    """Returns streams of two releases, and reconnects that were lost.
 
     Args:
         evidence: What was seen.
@@ -85,7 +85,7 @@
     begun_share = begun.count(True) / len(begun)
     if share < _CONTINUED_SHARE * begun_share:
         yield evidence_lib.Violation(
-            "take_up",
+            "reconnect",
             "callers",
             f"{share:.2f} of {len(continued)} streams went on, "
             f"{begun_share:.2f} of {len(begun)} new ones began",
--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -245,7 +245,7 @@
         self.server.stopping = True
         self._wake_readers()
         _logger.info("stopping", extra={"event": "stop_notice"})
-        self.tasks.start_soon(self.streams.hand_over)
+        self.tasks.start_soon(self.streams.hand_off)
         give_up_at = requested_at + self.site.settings.grace_s - _STOP_MARGIN_S
         await anyio.sleep(
             min(_BALANCER_NOTICE_S, self.site.settings.grace_s / 2)
--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -69,9 +69,9 @@
             "Streams begun that only one release of targets may continue.",
             [],
         )
-        self.take_ups = self.counter(
-            "take_ups",
-            "Streams that callers took up again, by result.",
+        self.reconnects = self.counter(
+            "reconnects",
+            "Streams that callers tried to resume, by result.",
             ["result"],
         )
         self.stream_records = self.gauge(
--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -96,11 +96,11 @@
         caller: http1_server.CallerRequest,
         answer: http1_server.CallerAnswer,
     ) -> None:
-        """Answers a lookup of a stream, or takes over records of streams."""
+        """Answers a lookup of a stream, or accepts records of streams."""
         reply = b""
         try:
             if caller.method == b"PUT":
-                self.streams.apply_hand_over(caller.body)
+                self.streams.apply_handoff(caller.body)
             else:
                 reply = self.streams.answer_query(caller.body)
         except errors.PeerError:
--- a/hillthread/coordination/gateway/peers/stream_lookup.py
+++ b/hillthread/coordination/gateway/peers/stream_lookup.py
@@ -21,9 +21,9 @@
 
 # Longest time for a lookup. Hosts that work answer within milliseconds.
 _TIMEOUT_S = 0.15
-# Silence of a keeper after which further hosts are asked.
+# Silence of a replica after which further hosts are asked.
 _FALLBACK_AFTER_S = 0.02
-# Lookups a second that may ask hosts beyond the keepers.
+# Lookups a second that may ask hosts beyond the replicas.
 _MAX_FALLBACKS_PER_S = 40.0
 # Time for which a host that has not answered is not asked again.
 _AVOID_S = 1.0
@@ -71,15 +71,15 @@
     async def find(self, key: stream_records.StreamKey) -> LookupResult:
         """Returns the record of a stream that some other host has.
 
-        The keepers are asked first. Unless one of them has the record, more
-        hosts are asked: lists of members differ while hosts join, and a keeper
-        that has restarted has lost its records.
+        The replicas are asked first. Unless one of them has the record, more
+        hosts are asked: lists of members differ while hosts join, and a
+        replica that has restarted has lost its records.
         """
         search = _Search(self, key)
         return await search.run()
 
     def may_ask_more(self) -> bool:
-        """Counts a lookup that asks hosts beyond the keepers, if it may."""
+        """Counts a lookup that asks hosts beyond the replicas, if it may."""
         if self._fallback_bucket.wait_s(clock.now()) > 0.0:
             return False
         self._fallback_bucket.spend(1.0)
@@ -144,8 +144,8 @@
         digest = self.key.digest
         with self.scope:
             async with anyio.create_task_group() as tasks:
-                keepers = self.lookup.placement.keepers(digest, hosts)
-                self._ask_all(tasks, keepers)
+                replicas = self.lookup.placement.replicas(digest, hosts)
+                self._ask_all(tasks, replicas)
                 with anyio.move_on_after(_FALLBACK_AFTER_S):
                     await self._wait_until_idle()
                 more = self.lookup.placement.fallback_hosts(digest, hosts)
--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -51,7 +51,7 @@
         metrics: The gateway's metrics.
         dispatcher: Forwards requests to targets.
         quotas: Refuses requests that exceed an organisation's quota.
-        streams: Resolves which software began streams that callers take up.
+        streams: Finds which software began streams that callers resume.
         sampler: Limits how many requests are logged each second.
         inflight: Number of requests being served.
         forwarded_inflight: Those of them that other hosts have forwarded.
@@ -228,7 +228,7 @@
         """
         self.metrics.requests.labels(outcome, code).inc()
         if request is not None and request.resumption is not None:
-            self.metrics.take_ups.labels(code or outcome).inc()
+            self.metrics.reconnects.labels(code or outcome).inc()
 
     def note_caller_left(self, caller: http1_server.CallerRequest) -> None:
         """Counts and logs a request whose caller left before it was served."""
--- a/hillthread/coordination/gateway/serving/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -64,7 +64,7 @@
         tenant: The tenant whose key it carries; None on public routes.
         prompt: What its headers say about the prompt.
         deadline: Clock time, in seconds, until which the caller waits.
-        resumption: The stream that the caller takes up; None for a new one.
+        resumption: The stream that the caller resumes; None for a new one.
         log: The log lines of the request.
         is_deferred: Whether engines serve it after all prompts that can still
             be in time.
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -208,8 +208,8 @@
         """Plans an attempt of a request that has not run.
 
         A prompt that would miss its aim on the engine that serves it first is
-        deferred, to the engine with the shortest backlog. A stream that is
-        taken up is not: its caller has waited, and fewer engines may serve it.
+        deferred, to the engine with the shortest backlog. A stream that a
+        caller resumes is not: it has waited, and fewer engines may serve it.
 
         Raises:
             RefusalError: No target is available, or it would wait for too long.
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -66,7 +66,7 @@
         announcements: Applies what targets announce.
         brittle: Keeps brittle targets from refusing too much.
         forwarder: Sends requests to other hosts.
-        streams: Keeps which software began each stream.
+        streams: Records which software began each stream.
     """
 
     site: site_lib.Site
--- a/hillthread/coordination/gateway/serving/services.py
+++ b/hillthread/coordination/gateway/serving/services.py
@@ -23,7 +23,7 @@
         quotas: Charges what is sent on behalf of organisations.
         limits: Charges what is sent to targets.
         forwarder: Sends requests to other hosts.
-        streams: Keeps which software began each stream.
+        streams: Records which software began each stream.
     """
 
     work: work_feed.WorkFeed
--- a/hillthread/coordination/gateway/serving/stream_keeper.py
+++ b/hillthread/coordination/gateway/serving/stream_keeper.py
@@ -1,8 +1,8 @@
-"""Keeps which software began each stream, for callers that take streams up.
+"""Records which software began each stream, for callers that reconnect.
 
-A host records each stream that it begins and notifies the keepers of the record
-before it relays the first event, so that the caller can return to any host at
-once. A stream of which no host has a record is never continued.
+A host records each stream that it begins and sends the record to its replicas
+before it relays the first event, so that the caller can reconnect at once, to
+any host. A stream of which no host has a record is never continued.
 """
 
 from __future__ import annotations
@@ -27,16 +27,16 @@
 
 __all__ = ["INVALID_RESUMPTION", "STREAM_UNKNOWN", "StreamKeeper"]
 
-# Error codes of take-ups.
+# Error codes of reconnects.
 INVALID_RESUMPTION = "invalid_resumption"
 STREAM_UNKNOWN = "stream_unknown"
-# Bounds the memory of the records at about 10 MB.
+# Records take about 7 MB of memory at this number.
 _MAX_RECORDS = 20_000
-# Time in which callers take a stream up, beyond the longest time that it takes.
+# Callers reconnect within this time after the timeout of the route.
 _RETURN_S = 60.0
 _EXPIRY_INTERVAL_S = 5.0
 _MAX_NOTICES_PER_CALL = 200
-_HAND_OVER_TIMEOUT_S = 1.0
+_HANDOFF_TIMEOUT_S = 1.0
 _UNKNOWN_RETRY_S = 0.3
 _BEGIN_ANEW = "Begin the stream anew, without Last-Event-Id and Resumes."
 
@@ -44,13 +44,13 @@
 
 
 class StreamKeeper:
-    """Records streams, answers other hosts, and resolves take-ups.
+    """Records streams, answers other hosts, and checks reconnects.
 
     Attributes:
         site: The host's view of the site.
         work: Sends notices to other hosts.
         source: Lists the other hosts.
-        placement: Selects the hosts that keep a record.
+        placement: Selects the hosts that hold a record.
         lookup: Asks other hosts.
         records: The records that this host holds.
     """
@@ -83,7 +83,7 @@
         self._record_and_notify(key, origin, _compute_ttl_s(request))
 
     async def resolve(self, request: intake.GatewayRequest) -> None:
-        """Sets the origin of the stream that a request takes up, if any.
+        """Sets the origin of the stream that a request resumes, if any.
 
         Raises:
             RefusalError: The origin is not known; the request has not run.
@@ -99,7 +99,7 @@
         record = self.records.get(key, clock.now())
         if record is not None:
             origin = record.origin
-            _log_take_up(request, resumption, origin)
+            _log_reconnect(request, resumption, origin)
         else:
             origin = await self._look_up(key, request, resumption)
         if not origin.release:
@@ -116,7 +116,7 @@
             clock.now() + notice.ttl_s,
         )
         if self.site.is_draining:
-            # It arrived after the records were handed over.
+            # It arrived after the records were handed off.
             successor = self._successor(key)
             self.work.notify_stream(notice, [successor] if successor else [])
 
@@ -132,8 +132,8 @@
         notice = _make_notice(key, record, now) if record else None
         return stream_query.encode_reply(notice)
 
-    def apply_hand_over(self, raw: bytes) -> None:
-        """Records the streams that a stopping host hands over.
+    def apply_handoff(self, raw: bytes) -> None:
+        """Records the streams that a stopping host hands off.
 
         Raises:
             PeerError: The message is not valid.
@@ -141,8 +141,8 @@
         for notice in stream_query.decode_notices(raw):
             self.apply_notice(notice)
 
-    async def hand_over(self) -> None:
-        """Sends the records of this host to the hosts that keep them next."""
+    async def hand_off(self) -> None:
+        """Sends the records of this host to their next replicas."""
         now = clock.now()
         notices: dict[str, list[stream_query.StreamNotice]] = {}
         for key, record in self.records.items():
@@ -154,9 +154,9 @@
             for address, pending in notices.items():
                 tasks.start_soon(self._send_records, address, pending)
         _logger.info(
-            "records of streams handed over",
+            "records of streams handed off",
             extra={
-                "event": "streams_handed_over",
+                "event": "streams_handed_off",
                 "records": len(self.records),
                 "sent": sum(len(each) for each in notices.values()),
                 "hosts": len(notices),
@@ -192,10 +192,10 @@
             "seconds": round(result.seconds, 4),
         }
         if notice is None:
-            _log_take_up(request, resumption, None, **fields)
+            _log_reconnect(request, resumption, None, **fields)
             raise _make_unknown_error(result)
         origin = stream_origin.StreamOrigin(notice.pool, notice.release)
-        _log_take_up(request, resumption, origin, **fields)
+        _log_reconnect(request, resumption, origin, **fields)
         return origin
 
     def _record_and_notify(
@@ -207,8 +207,10 @@
         now = clock.now()
         record = stream_records.StreamRecord(origin, now + ttl_s)
         self.records.put(key, *record)
-        keepers = self.placement.keepers(key.digest, self.source.hosts.values())
-        self.work.notify_stream(_make_notice(key, record, now), keepers)
+        replicas = self.placement.replicas(
+            key.digest, self.source.hosts.values()
+        )
+        self.work.notify_stream(_make_notice(key, record, now), replicas)
 
     def _successor(
         self, key: stream_records.StreamKey
@@ -231,12 +233,12 @@
                     self.lookup.pool,
                     address,
                     request,
-                    _HAND_OVER_TIMEOUT_S,
+                    _HANDOFF_TIMEOUT_S,
                     stream_query.MAX_REPLY_BYTES,
                 )
             except http1_client.CallError as error:
                 _logger.warning(
-                    "records of streams not handed over",
+                    "records of streams not handed off",
                     extra={
                         "event": "streams_lost",
                         "records": len(notices) - start,
@@ -260,14 +262,14 @@
     )
 
 
-def _log_take_up(
+def _log_reconnect(
     request: intake.GatewayRequest,
     resumption: resumption_lib.Resumption,
     origin: stream_origin.StreamOrigin | None,
     **fields: float,
 ) -> None:
     request.log.warn(
-        "take_up",
+        "reconnect",
         stream=resumption.stream_id,
         last_event_id=resumption.last_event_id,
         pool=origin.pool if origin else None,
--- a/hillthread/platform/resumption.py
+++ b/hillthread/platform/resumption.py
@@ -1,4 +1,4 @@
-"""Decodes how a caller takes up a stream that broke off."""
+"""Decodes how a caller resumes a stream that broke off."""
 
 from __future__ import annotations
 
--- a/hillthread/protocol/log_story.py
+++ b/hillthread/protocol/log_story.py
@@ -210,7 +210,7 @@
                 f"{fields.get('store_age_s')} s old; of "
                 f"{'; '.join(fields.get('candidates', []))}"
             )
-        case "scheduled" | "attempt" | "take_up":
+        case "scheduled" | "attempt" | "reconnect":
             return _DESCRIPTIONS[line.event](fields)
         case "forwarded":
             reason = f" ({fields['reason']})" if fields.get("reason") else ""
@@ -290,7 +290,7 @@
     return f"{', '.join(details)}, after {fields.get('seconds')} s"
 
 
-def _describe_take_up(fields: dict[str, Any]) -> str:
+def _describe_reconnect(fields: dict[str, Any]) -> str:
     if fields.get("release"):
         origin = f"release {fields['release']} of {fields.get('pool')}"
         return f"continues a stream that {origin} began"
@@ -303,7 +303,7 @@
 _DESCRIPTIONS: dict[str, Callable[[dict[str, Any]], str]] = {
     "scheduled": _describe_schedule,
     "attempt": _describe_attempt,
-    "take_up": _describe_take_up,
+    "reconnect": _describe_reconnect,
 }
 
 
--- a/hillthread/protocol/stream_query.py
+++ b/hillthread/protocol/stream_query.py
@@ -23,7 +23,7 @@
     "encode_reply",
 ]
 
-# Looks a record up by POST, and hands records over by PUT.
+# POST looks up a record; PUT hands off the records of a host that stops.
 STREAMS_PATH = "/streams"
 MAX_REPLY_BYTES = 4_096
 
@@ -87,12 +87,12 @@
 
 
 def encode_notices(notices: Sequence[StreamNotice]) -> bytes:
-    """Returns records that are handed over, as CBOR."""
+    """Returns records that are handed off, as CBOR."""
     return cbor2.dumps([list(notice) for notice in notices])
 
 
 def decode_notices(raw: bytes) -> list[StreamNotice]:
-    """Returns records that another host hands over.
+    """Returns records that another host hands off.
 
     Raises:
         PeerError: They are not valid.
--- a/hillthread/state/cluster/record_placement.py
+++ b/hillthread/state/cluster/record_placement.py
@@ -1,7 +1,7 @@
-"""Selects the hosts that keep a record which any host may need.
+"""Selects the hosts that hold replicas of a record.
 
 Hosts rank the data centres, and the hosts of each, by rendezvous hashing. A
-record is kept by the first-ranked host of the data centre of its author and of
+record is held by the first-ranked host of the data centre of its author and of
 two other data centres. A host that looks a record up asks the first-ranked
 hosts of its own data centre and of two others: whatever the two data centres
 are, the two selections have a host in common as long as both hosts list the
@@ -19,9 +19,9 @@
 
 __all__ = ["RecordPlacement"]
 
-_KEEPERS = 3
+_REPLICAS = 3
 _OTHER_DATA_CENTRES = 2
-# Bound on the hosts that are asked in addition to the keepers, and how many
+# Bound on the hosts that are asked in addition to the replicas, and how many
 # ranks of how many other data centres are among them.
 _MAX_FALLBACK_HOSTS = 24
 _FALLBACK_DATA_CENTRES = 3
@@ -40,10 +40,10 @@
         self.name = name
         self.data_centre = data_centre
 
-    def keepers(
+    def replicas(
         self, key: bytes, hosts: Collection[feed_source.HostEntry]
     ) -> list[feed_source.HostEntry]:
-        """Returns the other hosts that keep a record, those nearest first.
+        """Returns the other hosts that hold a record, those nearest first.
 
         Args:
             key: Identifies the record.
@@ -53,20 +53,20 @@
         local = _rank(key, groups.pop(self.data_centre, []))
         remote = self._rank_groups(key, groups, _OTHER_DATA_CENTRES)
         chosen = [group[0] for group in remote]
-        chosen = local[: _KEEPERS - len(chosen)] + chosen
+        chosen = local[: _REPLICAS - len(chosen)] + chosen
         # Small data centres leave places for the next ranks of others.
         spare = [host for group in remote for host in group[1:]]
-        return chosen + spare[: _KEEPERS - len(chosen)]
+        return chosen + spare[: _REPLICAS - len(chosen)]
 
     def fallback_hosts(
         self, key: bytes, hosts: Collection[feed_source.HostEntry]
     ) -> list[feed_source.HostEntry]:
         """Returns further hosts that may have a record, in order.
 
-        These are the next ranks of other data centres, to which keepers hand
-        their records when they stop, and then the hosts of this data centre.
+        These are the next ranks of other data centres, which get the records of
+        replicas that stop, and then the hosts of this data centre.
         """
-        skipped = {host.name for host in self.keepers(key, hosts)}
+        skipped = {host.name for host in self.replicas(key, hosts)}
         groups = self._group(hosts)
         local = _rank(key, groups.pop(self.data_centre, []))
         remote = self._rank_groups(key, groups, _FALLBACK_DATA_CENTRES)
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -157,8 +157,8 @@
     stream_keeper.StreamKeeper.resolve = accept
 
 
-def refuses_all_take_ups():
-    # Callers take up what the gateway does not resume itself.
+def refuses_all_reconnects():
+    # Callers reconnect when the gateway does not resume by itself.
     job.Job._why_no_resume = lambda self, pool, reason: "never"
 
     async def refuse(self, request):
@@ -194,7 +194,7 @@
         ignores_the_era_of_the_store,
         forwards_nothing,
         ignores_releases,
-        refuses_all_take_ups,
+        refuses_all_reconnects,
     )
 }
 
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -34,7 +34,7 @@
     "drain",
     "backoff",
     "reach",
-    "take_up",
+    "reconnect",
 )
 VERSION_S = 2.0
 # A tenth of what callers ask. Two hosts that each keep the whole of it send
@@ -43,8 +43,8 @@
 # more than they may.
 QUOTA_PER_S = 2_000.0
 SHARED = ("quota", "limit")
-# Some broken streams of many have to be taken up.
-MANY_CALLERS = (*SHARED, "take_up")
+# Enough callers have to reconnect.
+MANY_CALLERS = (*SHARED, "reconnect")
 SHARING_HOSTS = 4
 SHARING_CALLERS = 8
 HOSTS = 2
@@ -81,8 +81,8 @@
     ),
     "sends_on_what_ends_targets": Case("request_ends_targets", "budget"),
     "ignores_releases": Case("target_cuts_streams", "release"),
-    "refuses_all_take_ups": Case(
-        "target_cuts_streams,target_truncates_streams", "take_up"
+    "refuses_all_reconnects": Case(
+        "target_cuts_streams,target_truncates_streams", "reconnect"
     ),
     "keeps_a_quota_on_each_host": Case("key_changes", "quota"),
     "keeps_a_limit_on_each_host": Case("target_names_limit", "limit"),
@@ -147,7 +147,7 @@
         SEED,
         seconds=MUTANT_S,
         hosts=SHARING_HOSTS if case.promise in SHARED else HOSTS,
-        engines=4 if case.promise == "take_up" else 3,
+        engines=4 if case.promise == "reconnect" else 3,
         callers=SHARING_CALLERS if case.promise in MANY_CALLERS else CALLERS,
         faults=tuple(case.faults.split(",")),
         strict_time=case.promise in BOUNDS,
--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -117,7 +117,7 @@
     return request, body
 
 
-def make_take_up(scene, first, body, number=0, **headers):
+def make_reconnect(scene, first, body, number=0, **headers):
     """Returns the caller's next attempt at a stream."""
     values = {
         "resumes": id_of(first),
@@ -127,9 +127,9 @@
     return prompt(scene, number, SINGLE_ATTEMPT, **values)
 
 
-async def take_up(scene, program, first, body, number=0, **headers):
+async def reconnect(scene, program, first, body, number=0, **headers):
     """Returns the answer to the caller's next attempt."""
-    request = make_take_up(scene, first, body, number, **headers)
+    request = make_reconnect(scene, first, body, number, **headers)
     return await test_quota.ask(scene, program, request)
 
 
@@ -239,15 +239,15 @@
         scene_lib.run_scenario(scenario, engines=2)
 
 
-class TakeUpTest(unittest.TestCase):
-    # Guards against a host that takes up a stream of another host at any
+class ReconnectTest(unittest.TestCase):
+    # Guards against a host that resumes a stream of another host at any
     # release.
-    def test_stream_is_taken_up_at_the_release_that_began_it(self):
+    def test_caller_resumes_at_the_release_that_began_its_stream(self):
         async def scenario(scene):
             programs = await start_hosts(scene, 3, "v1", "v2")
             for number in range(STREAMS):
                 first, body = await begin_stream(scene, programs[0], number)
-                answer = await take_up(
+                answer = await reconnect(
                     scene, programs[1 + number % 2], first, body, number + 99
                 )
                 self.assertEqual(answer.head.status, 200)
@@ -258,19 +258,19 @@
         scene_lib.run_scenario(scenario, engines=4)
 
     # Guards against losing the origin of a stream at the second and third try.
-    def test_stream_is_taken_up_again_and_again_at_different_hosts(self):
+    def test_caller_resumes_again_and_again_at_different_hosts(self):
         async def scenario(scene):
             programs = await start_hosts(scene, 4, "v1", "v2")
             for number in range(STREAMS):
                 first, body = await begin_stream(scene, programs[0], number)
                 for tried in (1, 2):
                     break_all_streams(scene, 1)
-                    request = make_take_up(scene, first, body, number + 99)
+                    request = make_reconnect(scene, first, body, number + 99)
                     program = programs[(number + tried) % 4]
                     body += await receive_part(scene, program, request)
                     serve_all_streams(scene)
                     reset_health(programs, scene)
-                answer = await take_up(
+                answer = await reconnect(
                     scene, programs[(number + 3) % 4], first, body, number + 99
                 )
                 whole = body + answer.body
@@ -280,7 +280,7 @@
         scene_lib.run_scenario(scenario, engines=4)
 
     # Guards against a stream that is lost with the host that began it.
-    def test_stream_is_taken_up_after_its_host_has_forgotten_it(self):
+    def test_caller_resumes_after_the_host_has_forgotten_its_stream(self):
         async def scenario(scene):
             programs = await start_hosts(scene, 3, "v1", "v2")
             first, body = await begin_stream(scene, programs[0])
@@ -288,7 +288,7 @@
             programs[0].streams.records.expire(float("inf"))
             self.assertIsNone(programs[0].streams.records.get(key, 0.0))
             for program in programs[1:]:
-                answer = await take_up(scene, program, first, body)
+                answer = await reconnect(scene, program, first, body)
                 self.assertEqual(answer.head.status, 200)
                 self.assertEqual(len(releases_in(body + answer.body)), 1)
 
@@ -300,7 +300,7 @@
             programs = await start_hosts(scene, 2, "v1", "v2")
             first, body = await begin_stream(scene, programs[0])
             for program in programs:
-                answer = await take_up(
+                answer = await reconnect(
                     scene,
                     program,
                     first,
@@ -313,11 +313,11 @@
         scene_lib.run_scenario(scenario, engines=4)
 
     # Guards against joining streams by ambiguous headers.
-    def test_ambiguous_take_up_is_refused(self):
+    def test_ambiguous_reconnect_is_refused(self):
         async def scenario(scene):
             programs = await start_hosts(scene, 1, "v1", "v2")
             first, body = await begin_stream(scene, programs[0])
-            answer = await take_up(
+            answer = await reconnect(
                 scene, programs[0], first, body, resumes="a" * 200
             )
             self.assertEqual(answer.head.status, 400)
@@ -351,7 +351,7 @@
                 await begin_stream(scene, programs[0], number)
             stopping = programs[1]
             kept = dict(stopping.streams.records.items())
-            await stopping.streams.hand_over()
+            await stopping.streams.hand_off()
             others = [p for p in programs if p is not stopping]
             for key in kept:
                 holders = [p for p in others if p.streams.records.get(key, 0.0)]
@@ -375,7 +375,7 @@
                     )
             for program in programs:
                 began_at = time.monotonic()
-                answer = await take_up(scene, program, first, body)
+                answer = await reconnect(scene, program, first, body)
                 self.assertLess(time.monotonic() - began_at, REFUSAL_S)
                 self.assertEqual(answer.head.status, 503)
 
@@ -400,12 +400,14 @@
 
 
 class OperatorsTest(unittest.TestCase):
-    def test_operators_see_releases_and_take_ups(self):
+    def test_operators_see_releases_and_reconnects(self):
         async def scenario(scene):
             programs = await start_hosts(scene, 2, "v1", "v2")
             first, body = await begin_stream(scene, programs[0])
-            await take_up(scene, programs[1], first, body)
-            await take_up(scene, programs[1], first, body, resumes="r-unknown")
+            await reconnect(scene, programs[1], first, body)
+            await reconnect(
+                scene, programs[1], first, body, resumes="r-unknown"
+            )
             scene.list_target(scene.engines[1], "draining")
             entries = programs[1].site.targets.entries
             await scene.until(lambda: entries["e1"].leaving)
@@ -416,8 +418,8 @@
             self.assertIn("engines v1: 2 targets\n", out.getvalue())
             self.assertIn("engines v2: 1 targets, 1 leave\n", out.getvalue())
             page = programs[1].metrics.render().decode()
-            self.assertIn('take_ups_total{result="answered"} 1.0', page)
-            self.assertIn('take_ups_total{result="stream_unknown"} 1.0', page)
+            self.assertIn('reconnects_total{result="answered"} 1.0', page)
+            self.assertIn('reconnects_total{result="stream_unknown"} 1.0', page)
             page = programs[0].metrics.render().decode()
             self.assertIn("hillthread_streams_bound_total 1.0", page)
 
@@ -444,14 +446,14 @@
         server.handler = answer_as_before
         program.work.apply_stream = lambda notice: None
 
-    # Guards against take-ups that depend on a host of an earlier build.
-    def test_streams_are_taken_up_beside_a_host_of_an_earlier_build(self):
+    # Guards against reconnects that depend on a host of an earlier build.
+    def test_callers_resume_beside_a_host_of_an_earlier_build(self):
         async def scenario(scene):
             programs = await start_hosts(scene, 4, "v1", "v2")
             await self.make_old(scene, programs[1])
             for number in range(STREAMS):
                 first, body = await begin_stream(scene, programs[0], number)
-                answer = await take_up(
+                answer = await reconnect(
                     scene, programs[2 + number % 2], first, body, number
                 )
                 self.assertEqual(answer.head.status, 200)
@@ -473,7 +475,9 @@
             await links.cut(link_cut.CutShape.RESET)
             programs[0].site.are_links_lost = True
             for number, (first, body) in enumerate(streams):
-                answer = await take_up(scene, programs[0], first, body, number)
+                answer = await reconnect(
+                    scene, programs[0], first, body, number
+                )
                 self.assertEqual(answer.head.status, 200)
                 self.assertEqual(len(releases_in(body + answer.body)), 1)
 
@@ -482,7 +486,7 @@
 
 class BoundsTest(unittest.TestCase):
     # Guards against bounds of lookups that hold only as they are.
-    def test_take_ups_hold_at_half_and_twice_the_bounds(self):
+    def test_reconnects_hold_at_half_and_twice_the_bounds(self):
         for factor in (0.5, 2.0):
             with (
                 self.subTest(factor=factor),
@@ -494,13 +498,13 @@
                     stream_keeper, "_MAX_RECORDS", int(24 * factor)
                 ),
             ):
-                scene_lib.run_scenario(self.expect_take_ups, engines=4)
+                scene_lib.run_scenario(self.expect_reconnects, engines=4)
 
-    async def expect_take_ups(self, scene):
+    async def expect_reconnects(self, scene):
         programs = await start_hosts(scene, 4, "v1", "v2")
         for number in range(STREAMS):
             first, body = await begin_stream(scene, programs[0], number)
-            answer = await take_up(
+            answer = await reconnect(
                 scene, programs[number % 4], first, body, number
             )
             self.assertEqual(answer.head.status, 200)
--- a/tests/platform/test_resumption.py
+++ b/tests/platform/test_resumption.py
@@ -1,4 +1,4 @@
-"""Tests of the headers with which callers take up streams."""
+"""Tests of the headers with which callers resume streams."""
 
 import unittest
 
--- a/tests/state/cluster/test_record_placement.py
+++ b/tests/state/cluster/test_record_placement.py
@@ -1,4 +1,4 @@
-"""Tests of which hosts keep a record, at the sizes designed for."""
+"""Tests of which hosts hold a record, at the sizes designed for."""
 
 import collections
 import random
@@ -35,11 +35,11 @@
             for number in range(50):
                 key = b"%d" % number
                 author = hosts[number % count]
-                keepers = view_of(author).keepers(key, hosts)
-                self.assertEqual(len(keepers), min(3, count - 1))
-                self.assertEqual(len(set(keepers)), len(keepers))
-                self.assertNotIn(author, keepers)
-                places = collections.Counter(k.data_centre for k in keepers)
+                replicas = view_of(author).replicas(key, hosts)
+                self.assertEqual(len(replicas), min(3, count - 1))
+                self.assertEqual(len(set(replicas)), len(replicas))
+                self.assertNotIn(author, replicas)
+                places = collections.Counter(k.data_centre for k in replicas)
                 if data_centres >= 3 and count >= 8:
                     self.assertEqual(len(places), 3)
 
@@ -49,9 +49,9 @@
             for number in range(300):
                 key = b"%d" % number
                 author, reader = random.Random(number).sample(hosts, 2)
-                keepers = names_of(view_of(author).keepers(key, hosts))
-                asked = names_of(view_of(reader).keepers(key, hosts))
-                known = {author.name, *keepers}
+                replicas = names_of(view_of(author).replicas(key, hosts))
+                asked = names_of(view_of(reader).replicas(key, hosts))
+                known = {author.name, *replicas}
                 self.assertTrue(known & {reader.name, *asked}, (count, key))
 
     def test_work_is_spread_evenly(self):
@@ -59,8 +59,8 @@
         load = collections.Counter()
         for number in range(9_000):
             author = hosts[number % 90]
-            keepers = view_of(author).keepers(b"%d" % number, hosts)
-            load.update(names_of(keepers))
+            replicas = view_of(author).replicas(b"%d" % number, hosts)
+            load.update(names_of(replicas))
         mean = 3 * 9_000 / 90
         self.assertLess(max(load.values()), 1.5 * mean)
 
@@ -68,13 +68,13 @@
         for count, data_centres in SIZES:
             hosts = make_hosts(count, data_centres)
             view = view_of(hosts[0])
-            keepers = set(names_of(view.keepers(b"k", hosts)))
+            replicas = set(names_of(view.replicas(b"k", hosts)))
             more = names_of(view.fallback_hosts(b"k", hosts))
-            self.assertFalse(keepers & set(more))
+            self.assertFalse(replicas & set(more))
             self.assertEqual(len(set(more)), len(more))
             self.assertLessEqual(len(more), 24)
             if count <= 8:
-                self.assertEqual(len(keepers) + len(more), count - 1)
+                self.assertEqual(len(replicas) + len(more), count - 1)
 
     def test_successor_is_another_host_of_the_data_centre_if_there_is_one(
         self,
--- a/tests/state/cluster/test_streams_at_size.py
+++ b/tests/state/cluster/test_streams_at_size.py
@@ -53,8 +53,8 @@
         host = self.hosts[name]
         origin = stream_origin.StreamOrigin("pool", release)
         host.records.put(key, origin, 1e9)
-        for keeper in host.placement.keepers(key.digest, host.listed):
-            other = self.hosts[keeper.name]
+        for replica in host.placement.replicas(key.digest, host.listed):
+            other = self.hosts[replica.name]
             is_lost = self.random.random() < self.loss
             if not is_lost and self.reaches(host, other):
                 other.records.put(key, origin, 1e9)
@@ -66,7 +66,7 @@
         if own is not None:
             return own.origin.release
         placement, listed = host.placement, host.listed
-        asked = placement.keepers(key.digest, listed)
+        asked = placement.replicas(key.digest, listed)
         asked += placement.fallback_hosts(key.digest, listed)
         for entry in asked:
             other = self.hosts[entry.name]
@@ -92,7 +92,7 @@
     return stream_records.make_key(f"t{number % 7}", f"r{number}")
 
 
-class TakeUpShareTest(unittest.TestCase):
+class LookupShareTest(unittest.TestCase):
     def count_known(self, site, streams):
         """Returns the share of streams whose release a random host finds."""
         names = list(site.hosts)
