--- a/hillthread/coordination/gateway/serving/stream_keeper.py
+++ b/hillthread/coordination/gateway/serving/stream_keeper.py
@@ -110,13 +110,16 @@
     def apply_notice(self, notice: stream_query.StreamNotice) -> None:
         """Records a stream of which another host has notified this one."""
         key = stream_records.StreamKey(notice.tenant, notice.digest)
+        now = clock.now()
+        is_new = self.records.get(key, now) is None
         self.records.put(
             key,
             stream_origin.StreamOrigin(notice.pool, notice.release),
-            clock.now() + notice.ttl_s,
+            now + notice.ttl_s,
         )
-        if self.site.is_draining:
-            # It arrived after the records were handed off.
+        # The records of a stopping host were handed off before. One that is not
+        # new may come from another stopping host that got it from this one.
+        if is_new and self.site.is_draining:
             successor = self._successor(key)
             self.work.notify_stream(notice, [successor] if successor else [])
 
--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -359,6 +359,23 @@
 
         scene_lib.run_scenario(scenario, engines=4)
 
+    # Guards against hosts that stop together and forward a record in circles.
+    def test_stopping_hosts_forward_a_record_once(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 2, "v1", "v2")
+            for program in programs:
+                program.site.is_draining = True
+            sent = sum(program.work.sent_packets for program in programs)
+            programs[0].streams.apply_notice(
+                stream_query.StreamNotice(1, b"d" * 16, "engines", "v1", 60)
+            )
+            await anyio.sleep(0.2)
+            sent = sum(p.work.sent_packets for p in programs) - sent
+            self.assertLessEqual(sent, 2)
+            self.assertEqual(len(programs[1].streams.records), 1)
+
+        scene_lib.run_scenario(scenario, engines=2)
+
     # Guards against joining another release when the first one has left.
     def test_stream_whose_release_is_gone_is_refused_at_once(self):
         async def scenario(scene):
