Ask callers to return while a host does not know other hosts yet

A host that has just started may not have read the list of hosts when a caller reconnects. It refused the stream for good; it now names a time to return, as when hosts do not answer. Reconnects that another host forwards are counted where the caller sent them only.

--- a/hillthread/coordination/gateway/peers/stream_lookup.py
+++ b/hillthread/coordination/gateway/peers/stream_lookup.py
@@ -19,6 +19,8 @@
 
 __all__ = ["LookupResult", "StreamLookup"]
 
+# This host and another one.
+_MIN_HOSTS = 2
 # Longest time for a lookup. Hosts that work answer within milliseconds.
 _TIMEOUT_S = 0.15
 # Silence of a replica after which further hosts are asked.
@@ -155,6 +157,8 @@
                     self.unanswered += len(more)
         if self.notice is None:
             self.unanswered += self.pending
+        if len(hosts) < _MIN_HOSTS:
+            self.unanswered += 1  # the list of hosts is not read yet
         return LookupResult(
             self.notice, self.asked, self.unanswered, clock.now() - began_at
         )
--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -227,7 +227,9 @@
             code: Error code of its refusal; empty if it was not refused.
         """
         self.metrics.requests.labels(outcome, code).inc()
-        if request is not None and request.resumption is not None:
+        if request is None or request.forwarded is not None:
+            return
+        if request.resumption is not None:
             self.metrics.reconnects.labels(code or outcome).inc()
 
     def note_caller_left(self, caller: http1_server.CallerRequest) -> None:
--- a/hillthread/platform/resumption.py
+++ b/hillthread/platform/resumption.py
@@ -35,8 +35,9 @@
 
     An empty header counts as absent.
     """
-    values = {
-        name: set[bytes]() for name in (names.RESUMES, names.LAST_EVENT_ID)
+    values: dict[bytes, set[bytes]] = {
+        names.RESUMES: set(),
+        names.LAST_EVENT_ID: set(),
     }
     for name, value in headers:
         if name in values and value.strip():
--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -325,6 +325,23 @@
 
         scene_lib.run_scenario(scenario, engines=2)
 
+    # Guards against a final refusal by a host that does not know others yet.
+    def test_host_without_a_list_of_hosts_asks_callers_to_return(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 2, "v1", "v2")
+            first, body = await begin_stream(scene, programs[0])
+            hosts = dict(programs[1].source.hosts)
+            programs[1].source.hosts.clear()
+            programs[1].streams.records.expire(float("inf"))
+            answer = await reconnect(scene, programs[1], first, body)
+            self.assertEqual(answer.head.status, 503)
+            self.assertTrue(answer.head.get(b"retry-after"))
+            programs[1].source.hosts.update(hosts)
+            answer = await reconnect(scene, programs[1], first, body)
+            self.assertEqual(answer.head.status, 200)
+
+        scene_lib.run_scenario(scenario, engines=4)
+
     # Guards against a refusal that waits for a host that does not answer.
     def test_unknown_stream_is_refused_beside_a_silent_host(self):
         async def scenario(scene):
