Describe the callers of the soak in plain words, and seed their reconnects

The generator of reconnects was seeded with the hash of a state that contains None, whose hash differs between processes of Python 3.11: a seed did not draw the same reconnects again. It now uses the numbers of the state only. The rest is wording.

--- a/hillthread/bench/gateway_soak/callers.py
+++ b/hillthread/bench/gateway_soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers of a soak: they keep connections, give up, and note what they get.
+"""Simulates callers that keep connections, give up and reconnect.
 
 When a stream breaks off they reconnect to other hosts, once or several times.
 """
@@ -32,28 +32,29 @@
 _OLD_KEY_SHARE = 0.1
 _GIVE_UP_S = 0.2
 _PREFIXES = 12
-_MOST_TAKE_UPS = 3
-_TAKE_UP_PAUSES_S = (0.0, 0.0, 0.3, 2.0)
+_MAX_RECONNECTS = 3
+_RECONNECT_PAUSES_S = (0.0, 0.0, 0.3, 2.0)
 
 
 class Callers:
-    """Makes requests until told to stop.
+    """Makes requests until stopped.
 
     Attributes:
-        stage: Whom they call.
-        random: Of the soak's seed.
-        stopped: Whether they end.
+        stage: The deployment under test.
+        random: Random numbers from the seed of the soak.
+        reconnect_random: Random numbers for reconnects. Their number depends
+            on time, and must not change what else a seed draws.
+        stopped: Whether callers end after their current request.
     """
 
     def __init__(self, stage: stage_lib.Stage, seed: random.Random):
         self.stage = stage
         self.random = seed
-        # Reconnects depend on time, and must not change what else a seed draws.
-        self.reconnect_random = random.Random(hash(seed.getstate()))
+        self.reconnect_random = random.Random(hash(seed.getstate()[1]))
         self.stopped = False
 
     async def run(self, count: int) -> None:
-        """Runs some callers until they are stopped."""
+        """Runs concurrent callers until they are stopped."""
         async with anyio.create_task_group() as tasks:
             for _ in range(count):
                 tasks.start_soon(self._caller)
@@ -89,7 +90,7 @@
     async def _reconnect(self, first: evidence_lib.Exchange) -> None:
         """Reconnects to other hosts to resume a stream that broke off."""
         exchange = first
-        for _ in range(self.reconnect_random.randint(1, _MOST_TAKE_UPS)):
+        for _ in range(self.reconnect_random.randint(1, _MAX_RECONNECTS)):
             ids = release_verdict.event_ids(exchange.body)
             after = ids[-1] if ids else exchange.after
             is_broken = exchange.status == 200 and not exchange.whole
@@ -103,7 +104,7 @@
                 or self.stopped
             ):
                 return
-            pause_s = self.reconnect_random.choice(_TAKE_UP_PAUSES_S)
+            pause_s = self.reconnect_random.choice(_RECONNECT_PAUSES_S)
             await anyio.sleep(pause_s)
             host = self.reconnect_random.choice(ready)
             exchange = await self._ask_to_continue(host, first, after)
@@ -144,15 +145,16 @@
         key: str = "",
         body: bytes = b"body",
     ) -> evidence_lib.Exchange:
-        """Makes one request and notes what came back.
+        """Makes one request and records the answer.
 
         Args:
-            client: Its connection.
-            host: Who is asked.
-            life: Which process of the host.
-            route: Its route; any, and perhaps given up, when left out.
-            key: Its key; one that holds when left out.
-            body: What it sends.
+            client: The connection to the host.
+            host: The host that gets the request.
+            life: Number of the host's process.
+            route: Name of the route; empty for a random one, on which the
+                caller may give up.
+            key: The bearer key; empty for a valid one.
+            body: Body of the request.
         """
         exchange = evidence_lib.Exchange(
             uuid.UUID(int=self.random.getrandbits(128)).hex[:16],
@@ -173,7 +175,7 @@
         return exchange
 
     def _key(self, valid: bool) -> str:
-        """Returns a key that holds, now and then one that has ended."""
+        """Returns a valid key, or sometimes one that was withdrawn."""
         if not valid and self.random.random() < _OLD_KEY_SHARE:
             return self.random.choice(list(self.stage.evidence.keys))
         return self.random.choice(self.stage.valid_keys())
