--- a/hillthread/bench/gateway_soak/release_verdict.py
+++ b/hillthread/bench/gateway_soak/release_verdict.py
@@ -13,7 +13,7 @@
 _RELEASE = re.compile(rb" by (\S+)")
 _EVENT_ID = re.compile(rb"^id: (\d+)\r?$", re.MULTILINE)
 # Streams that callers took up, fewer of which prove nothing.
-_MIN_TAKE_UPS = 12
+_MIN_RECONNECTS = 12
 _CONTINUED_SHARE = 0.5
 # Engines of the release that must serve for a stream to go on.
 _MIN_ENGINES = 2
@@ -79,7 +79,7 @@
             begun.append(goes_on)
         elif exchange.engines_left >= _MIN_ENGINES:
             continued.append(goes_on)
-    if len(continued) < _MIN_TAKE_UPS or not begun:
+    if len(continued) < _MIN_RECONNECTS or not begun:
         return
     share = continued.count(True) / len(continued)
     begun_share = begun.count(True) / len(begun)
