--- a/hillthread/coordination/gateway/serving/answer_probes.py
+++ b/hillthread/coordination/gateway/serving/answer_probes.py
@@ -66,11 +66,11 @@
         self._closed: set[str] = set()
         self._probing: set[str] = set()
 
-    def note_answered(self) -> None:
-        """Records that a target has sent a part of an answer."""
-        self._answered_at = clock.now()
+    def note_answered(self, now: float) -> None:
+        """Records that a target sent a part of an answer at time `now`."""
+        self._answered_at = now
         self._closed.clear()
-        self.links.record_answer()
+        self.links.record_answer(now)
 
     def note_closed(self, target: str) -> None:
         """Records that a target closed a connection instead of answering."""
@@ -120,7 +120,7 @@
             self._probing.discard(engine.name)
         match result:
             case orders.ProbeResult.ANSWERED:
-                self.note_answered()
+                self.note_answered(clock.now())
             case orders.ProbeResult.CLOSED | orders.ProbeResult.SILENT:
                 is_silent = result is orders.ProbeResult.SILENT
                 self.links.record_unanswered(engine.name, is_silent)
--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -228,4 +228,4 @@
 
     def _note_received(self) -> None:
         self.last_received_at = clock.now()
-        self.monitor.answers.note_answered()
+        self.monitor.answers.note_answered(self.last_received_at)
--- a/hillthread/coordination/gateway/serving/link_watch.py
+++ b/hillthread/coordination/gateway/serving/link_watch.py
@@ -77,10 +77,10 @@
         if self.links.record_success() and lost_since is not None:
             self._restore(lost_since)
 
-    def record_answer(self) -> None:
-        """Records that some target has answered."""
+    def record_answer(self, now: float) -> None:
+        """Records that some target has answered at clock time `now`."""
         lost_since = self.links.lost_since
-        if self.links.record_answer(clock.now()) and lost_since is not None:
+        if self.links.record_answer(now) and lost_since is not None:
             self._restore(lost_since)
 
     def _restore(self, lost_since: float) -> None:
--- a/hillthread/state/targets/target_links.py
+++ b/hillthread/state/targets/target_links.py
@@ -68,6 +68,8 @@
             Whether the links counted as lost until now.
         """
         self._answered_at = now
+        if not self._unanswered_at:
+            return False
         self._unanswered_at.clear()
         return self.is_unanswered and self._end_loss()
 
