Remove a race from the test of a restarted target

Both engines now share one queue of behaviours: the first run breaks off, the second one is held back.

--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -1,5 +1,6 @@
 """Tests that a stream continues only at the release that began it."""
 
+import collections
 import contextlib
 import io
 import re
@@ -218,15 +219,16 @@
                     await receive_part(scene, scene.program, prompt(scene))
                 )
 
+            # Whichever engine is chosen first breaks the stream, the other one
+            # holds its answer back.
+            behaviours = collections.deque(
+                [standin.TruncateStream(2), standin.HoldAnswer(may_answer)]
+            )
             for engine in scene.engines:
-                break_next_stream(engine)
-                engine.default_behaviour = standin.HoldAnswer(may_answer)
+                engine.behaviours = behaviours
             scene.tasks.start_soon(receive)
-            await scene.until(lambda: any(e.runs for e in scene.engines))
-            first = next(e for e in scene.engines if e.runs)
-            second = next(e for e in scene.engines if e is not first)
-            second.behaviours.clear()
-            await scene.until(lambda: second.runs)
+            await scene.until(lambda: all(e.runs for e in scene.engines))
+            second = max(scene.engines, key=lambda e: e.runs[0].at)
             second.release = "v2"
             second.born_ms += 1
             scene.list_target(second)
