Log the number of hosts that share a retry budget, count denied retries

Neither the retry lines nor a metric could distinguish a share that grew with a shrinking number of hosts from one that a restart had refilled: both show budget_left alone. The lines retry and no_retry now name the hosts that share the budget; retries_denied counts attempts that were not made, by pool. No logic is changed.

--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -42,6 +42,11 @@
         self.retries = self.counter(
             "retries", "Attempts after the first, by reason.", ["reason"]
         )
+        self.retries_denied = self.counter(
+            "retries_denied",
+            "Attempts not made because the retry budget was exhausted.",
+            ["pool"],
+        )
         self.quarantined = self.counter(
             "quarantined",
             "Requests quarantined because targets crashed under them.",
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -465,9 +465,12 @@
             sends=self.attempts_made,
             runs=self.possible_runs,
             budget_left=round(budget.remaining(now), 2),
+            hosts=self.site.cluster_size,
         )
         if allowed:
             self.metrics.retries.labels(reason[:32]).inc()
+        else:
+            self.metrics.retries_denied.labels(pool.name).inc()
         return allowed
 
     async def relay_last_answer(self, whole: http1_client.WholeAnswer) -> None:
