Charge attempts to the retry budget by what reached targets

Some attempts beyond the first reached targets uncharged: a host declined a forwarded request after its targets had refused it, and the forwarding host sent it to the next host for free. Others were charged that never arrived: connections refused by crashed targets used up the budget, after which callers whose answers broke off were denied their only retry.

One class now charges: an attempt costs a retry if an earlier one may have reached a target. A declining host names its attempts in hillthread-sends; of a host of an earlier release that declines with no_target one is assumed. Unused charges are refunded. Requests that are refused without an attempt accrue retries as well, since the bound counts them.

--- a/hillthread/coordination/gateway/peers/forwarding.py
+++ b/hillthread/coordination/gateway/peers/forwarding.py
@@ -33,10 +33,12 @@
     "ForwardedRequest",
     "HOST_HEADER",
     "RUN_HEADER",
+    "SENDS_HEADER",
     "TARGET_HEADER",
     "decode_origin",
     "decode_refusal",
     "decode_request",
+    "decode_sends",
     "encode_origin",
     "encode_request",
     "strip_headers",
@@ -49,11 +51,13 @@
 HOST_HEADER = b"hillthread-host"
 TARGET_HEADER = b"hillthread-target"
 RUN_HEADER = b"hillthread-run"
+# Attempts on targets: of the forwarding host in requests, of the other host in
+# its own refusals.
+SENDS_HEADER = b"hillthread-sends"
 _PREFIX = b"hillthread-"
 _FROM = b"hillthread-from"
 _METHOD = b"hillthread-method"
 _TARGET = b"hillthread-path"
-_SENDS = b"hillthread-sends"
 _RUNS = b"hillthread-runs"
 # In requests the software that began the stream, in answers the one that made
 # the run.
@@ -126,7 +130,7 @@
         (_FROM, origin.host.encode()),
         (_METHOD, caller.method),
         (_TARGET, caller.target),
-        (_SENDS, b"%d" % origin.sends),
+        (SENDS_HEADER, b"%d" % origin.sends),
         (_RUNS, b"%d" % origin.runs),
     ]
     path = FORWARD_PATH
@@ -144,7 +148,7 @@
     Raises:
         PeerError: It is not a valid forwarded request.
     """
-    sends = attempts.parse_whole_number(raw.get(_SENDS))
+    sends = attempts.parse_whole_number(raw.get(SENDS_HEADER))
     runs = attempts.parse_whole_number(raw.get(_RUNS))
     method, target = raw.get(_METHOD), raw.get(_TARGET)
     stream_origin = decode_origin(raw.headers)
@@ -214,6 +218,14 @@
     )
 
 
+def decode_sends(head: http1_client.AnswerHead) -> int | None:
+    """Returns how often a host that refuses a request has sent it to targets.
+
+    Hosts of an earlier release do not tell; the result is then None.
+    """
+    return attempts.parse_whole_number(head.get(SENDS_HEADER))
+
+
 def strip_headers(headers: http1.Headers) -> http1.Headers:
     """Returns the headers of an answer without those between hosts."""
     return [pair for pair in headers if not pair[0].startswith(_PREFIX)]
--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -165,10 +165,8 @@
         answer.set_label(request_id)
         self.sampler.hosts = self.site.cluster_size
         log = story_lib.RequestLog(request_id, self.sampler)
-        self.inflight += 1
-        self.metrics.inflight.set(self.inflight)
-        outcome = "left"
-        code = ""
+        self._add_inflight(1)
+        outcome, code = "left", ""
         request: intake.GatewayRequest | None = None
         job: job_lib.Job | None = None
         try:
@@ -185,10 +183,12 @@
             self._note_answered(request, answer)
         except errors.RefusalError as refusal:
             outcome, code = "refused", refusal.code
-            priority = self._retry_class(job.request) if job else 0.0
-            # The line `admitted` has these fields of other requests.
-            fields = {} if job else self._describe(caller, request)
-            await self._refuse(refusal, answer, log, priority, fields)
+            if job is not None:
+                await self._refuse_job(refusal, job, answer)
+            else:
+                # The line `admitted` has these fields of other requests.
+                fields = self._describe(caller, request)
+                await self._refuse(refusal, answer, log, fields=fields)
         except http1_server.BrokenAnswerError:
             outcome = "broken"
             log.warn("answer_broken")
@@ -201,8 +201,7 @@
             run = job.run_state() if job else errors.RunState.NOT_RUN
             await self._refuse(_internal_error(run), answer, log)
         finally:
-            self.inflight -= 1
-            self.metrics.inflight.set(self.inflight)
+            self._add_inflight(-1)
             self._count_outcome(request, outcome, code)
             if origin is not None:
                 self.metrics.received_forwarded.labels(outcome).inc()
@@ -213,6 +212,10 @@
                 )
             log.close()
 
+    def _add_inflight(self, requests: int) -> None:
+        self.inflight += requests
+        self.metrics.inflight.set(self.inflight)
+
     def _count_outcome(
         self,
         request: intake.GatewayRequest | None,
@@ -313,6 +316,23 @@
             return return_time.class_of_urgency(request.urgency)
         return request.priority
 
+    async def _refuse_job(
+        self,
+        refusal: errors.RefusalError,
+        job: job_lib.Job,
+        answer: http1_server.CallerAnswer,
+    ) -> None:
+        """Refuses a request for which attempts may have been made."""
+        request = job.request
+        if request.forwarded is not None:
+            sends = job.charges.arrivals - request.forwarded.sends
+            answer.added_headers.append(
+                (forwarding.SENDS_HEADER, b"%d" % sends)
+            )
+        await self._refuse(
+            refusal, answer, request.log, self._retry_class(request)
+        )
+
     async def _refuse(
         self,
         refusal: errors.RefusalError,
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -13,6 +13,7 @@
 from hillthread.coordination.gateway.serving import peer_forwarder
 from hillthread.coordination.gateway.serving import prompt_scheduler
 from hillthread.coordination.gateway.serving import request_forwarding
+from hillthread.coordination.gateway.serving import retry_charges
 from hillthread.coordination.gateway.serving import sender as sender_lib
 from hillthread.coordination.gateway.serving import stream_binding
 from hillthread.platform import attempts
@@ -51,8 +52,7 @@
         weights_refusals: How often each target refused because of its weights.
         last_answer: A target's complete answer, to be relayed at the end:
             the final one, or a failure that no later attempt has improved on.
-        retry_reserved: The retry budget was charged for an attempt that is not
-            planned yet.
+        charges: Charges the attempts to the retry budget.
         is_suspect: Whether the request is suspected of crashing targets, as
             of before the last attempt.
         is_suspect_trial: Whether this is the trial run of a request during
@@ -73,13 +73,18 @@
         self.answer = answer
         self.relay = event_relay.EventRelay(answer)
         binding = stream_binding.StreamBinding(request, context.streams.record)
+        self.charges = retry_charges.RetryCharges(self.site, request)
         self.sender = sender_lib.Sender(
-            context, request, self.relay, binding, self._reserve_retry
+            context,
+            request,
+            self.relay,
+            binding,
+            self.charges,
+            self._reserve_retry,
         )
         self.tried_targets: set[str] = set()
         self.weights_refusals: collections.Counter[str] = collections.Counter()
         self.last_answer: http1_client.WholeAnswer | None = None
-        self.retry_reserved = False
         self.is_suspect = False
         self.is_suspect_trial = False
         self.forwarding = request_forwarding.RequestForwarding(
@@ -110,6 +115,18 @@
     async def run(self) -> None:
         """Makes attempts until the answer is relayed or in `last_answer`.
 
+        Raises:
+            RefusalError: The request cannot be answered.
+            BrokenAnswerError: Its answer cannot be completed.
+        """
+        try:
+            await self._make_attempts()
+        finally:
+            self.charges.close()
+
+    async def _make_attempts(self) -> None:
+        """Makes attempts until the answer is relayed or in `last_answer`.
+
         Raises:
             RefusalError: The request cannot be answered.
             BrokenAnswerError: Its answer cannot be completed.
@@ -161,8 +178,18 @@
                     return forward
             if self.last_answer is not None:
                 return None
+            self._count_refused_request()
             raise self._refusal_with_run_state(refusal) from refusal
 
+    def _count_refused_request(self) -> None:
+        """Counts a request that no host has sent to a target."""
+        is_counted = self.attempts_made or self.forwarding.tried_peers
+        if is_counted or self.request.forwarded is not None:
+            return
+        pool = self.context.chooser.choose_pool(self.request)
+        if pool is not None:
+            self.charges.count_unsent_request(pool)
+
     def _handle_forwarded(
         self,
         result: outcome_lib.ForwardOutcome,
@@ -190,6 +217,8 @@
                 return self._retry_possibly_run_request(planned.pool, reason)
             case outcome_lib.Broken(reason):
                 self._resume_or_break(planned.pool, reason)
+            case outcome_lib.Declined(reason, sends) if sends:
+                return self._retry_unrun_request(planned.pool, reason)
         return True
 
     def _choose(
@@ -336,9 +365,7 @@
         """Returns whether the request is retried after an error status."""
         if whole.head.status < 500 or not self._may_run_again():
             return False
-        return self._take_retry_from_budget(
-            planned.pool, f"status {whole.head.status}"
-        )
+        return self._allow_retry(planned.pool, f"status {whole.head.status}")
 
     def _may_run_again(self) -> bool:
         return (
@@ -359,10 +386,8 @@
             return False
         if self.answer.started and not self._has_resumable_events():
             return False
-        self.retry_reserved = self._take_retry_from_budget(
-            planned.pool, "given up"
-        )
-        return self.retry_reserved
+        self.charges.note_sent()
+        return self._allow_retry(planned.pool, "given up")
 
     def _retry_unrun_request(self, pool: objects.Pool, reason: str) -> bool:
         """Returns whether another attempt follows one that has not run.
@@ -374,7 +399,7 @@
         if self.answer.started:
             self._resume_or_break(pool, reason)
             return True
-        if self.attempts_made < _MAX_ATTEMPTS and self._take_retry_from_budget(
+        if self.attempts_made < _MAX_ATTEMPTS and self._allow_retry(
             pool, reason
         ):
             return True
@@ -398,7 +423,7 @@
         Raises:
             RefusalError: None may, and there is no answer to relay.
         """
-        if self._may_run_again() and self._take_retry_from_budget(pool, reason):
+        if self._may_run_again() and self._allow_retry(pool, reason):
             return True
         if self.last_answer is not None:
             return False
@@ -444,33 +469,15 @@
             return "it may not run on more targets"
         if not self.context.chooser.can_continue(self.request):
             return "no target of the release that began it is left"
-        if not self._take_retry_from_budget(pool, reason):
+        if not self._allow_retry(pool, reason):
             return "the retry budget is exhausted"
         return ""
 
-    def _take_retry_from_budget(self, pool: objects.Pool, reason: str) -> bool:
-        """Takes a reserved retry, or one from the budget.
-
-        Returns whether there was one.
-        """
-        if self.retry_reserved:
-            self.retry_reserved = False
-            return True
-        share = self.site.retry_share(pool.name, clock.now())
-        allowed = share.withdraw()
-        self.request.log.warn(
-            "retry" if allowed else "no_retry",
-            reason=reason,
-            sends=self.attempts_made,
-            runs=self.possible_runs,
-            budget_left=round(share.balance, 2),
-            hosts=share.host_count,
+    def _allow_retry(self, pool: objects.Pool, reason: str) -> bool:
+        """Returns whether the retry budget allows another attempt."""
+        return self.charges.allow_retry(
+            pool, reason, self.attempts_made, self.possible_runs
         )
-        if allowed:
-            self.metrics.retries.labels(reason[:32]).inc()
-        else:
-            self.metrics.retries_denied.labels(pool.name).inc()
-        return allowed
 
     async def relay_last_answer(self, whole: http1_client.WholeAnswer) -> None:
         """Relays a target's complete answer.
--- a/hillthread/coordination/gateway/serving/outcome.py
+++ b/hillthread/coordination/gateway/serving/outcome.py
@@ -99,9 +99,11 @@
 
     Attributes:
         reason: Why it did not.
+        sends: Its attempts on targets, all of which refused.
     """
 
     reason: str
+    sends: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hillthread/coordination/gateway/serving/peer_forwarder.py
+++ b/hillthread/coordination/gateway/serving/peer_forwarder.py
@@ -191,7 +191,11 @@
         except errors.PeerError as error:
             return outcome_lib.Lost(error.message)
         if refusal.code in _AVOID_S and refusal.run is errors.RunState.NOT_RUN:
-            return outcome_lib.Declined(refusal.code)
+            sends = forwarding.decode_sends(head)
+            if sends is None:
+                # Targets of the other host may have refused the request.
+                sends = int(refusal.code == chooser.NO_TARGET)
+            return outcome_lib.Declined(refusal.code, sends)
         return outcome_lib.Refused(refusal)
 
 
--- a/hillthread/coordination/gateway/serving/request_forwarding.py
+++ b/hillthread/coordination/gateway/serving/request_forwarding.py
@@ -76,6 +76,8 @@
     ) -> outcome_lib.ForwardOutcome:
         """Sends the request to another host; counts it if it may have run."""
         self.tried_peers.add(planned.peer.name)
+        charges = self.sender.charges
+        charges.begin_attempt()
         forwarder = self.context.forwarder
         attempt = peer_forwarder.ForwardedAttempt(
             self.request,
@@ -97,13 +99,18 @@
             return result
         finally:
             match result:
-                case outcome_lib.Unsent() | outcome_lib.Declined():
+                case outcome_lib.Unsent():
                     pass
+                case outcome_lib.Declined(_, sends):
+                    charges.note_sent(sends)
                 case outcome_lib.Refused(refusal):
                     is_run = refusal.run is not errors.RunState.NOT_RUN
                     self.sender.possible_runs += is_run
+                    charges.note_sent()
                 case _:
                     self.sender.possible_runs += attempt.sent
+                    charges.note_sent(int(attempt.sent))
+            charges.end_attempt()
 
 
 def _no_link(pool: str) -> errors.RefusalError:
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -31,6 +31,7 @@
 from hillthread.coordination.gateway.serving import quarantine_keeper
 from hillthread.coordination.gateway.serving import quota_keeper
 from hillthread.coordination.gateway.serving import reach_monitor
+from hillthread.coordination.gateway.serving import retry_charges
 from hillthread.coordination.gateway.serving import stream_binding
 from hillthread.coordination.gateway.serving import stream_keeper
 from hillthread.platform import attempts
@@ -119,6 +120,7 @@
         binding: Binds the stream to the release that begins it.
         reserve_retry: Charges the retry budget for an attempt after a planned
             one; returns whether there may be one.
+        charges: Charges the attempts to the retry budget.
         attempts_made: Number of attempts made so far.
         possible_runs: Number of attempts that may have run.
     """
@@ -129,6 +131,7 @@
         request: intake.GatewayRequest,
         relay: event_relay.EventRelay,
         binding: stream_binding.StreamBinding,
+        charges: retry_charges.RetryCharges,
         reserve_retry: Callable[[chooser_lib.PlannedAttempt], bool],
     ):
         self.context = context
@@ -136,6 +139,7 @@
         self.request = request
         self.relay = relay
         self.binding = binding
+        self.charges = charges
         self.reserve_retry = reserve_retry
         self.attempts_made = 0
         self.possible_runs = 0
@@ -154,6 +158,7 @@
         if self.attempts_made == 0:
             self.site.retry_share(planned.pool.name, now).deposit(now)
         self.attempts_made += 1
+        self.charges.begin_attempt()
         new_attempt_id = f"{self.request.request_id}/{self.attempts_made}"
         planned = planned._replace(attempt_id=new_attempt_id)
         state = self.site.state(name)
@@ -242,8 +247,11 @@
         self.possible_runs += may_have_run
         if not may_have_run:
             self.context.quotas.refund_request(self.request)
-        if not attempt.sent:
+        if attempt.sent:
+            self.charges.note_sent()
+        else:
             self.context.limits.refund(target.name)
+        self.charges.end_attempt()
         if isinstance(result, outcome_lib.Whole):
             ongoing.first_byte.record()
         ongoing.first_byte.record_none()
