Count hosts on whose entries vanish from the store

All hosts together spent more than their retry budgets when entries of hosts vanished from the store and came back: each host divided the budget by the hosts it still saw and took up to the whole of it, while the others spent theirs. Quotas, limits of targets and idle connections are divided by the same number, and peers that were no longer listed got no notices.

A vanished host counts for 30 s more. A host that reads that its own entry is gone writes it again; one that cannot reach the store stops serving within revoke_ms. Entries of hosts that are replaced under another name remain, as before: shares are then smaller than they could be.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -187,6 +187,7 @@
             self.feed_server.address,
             self.hosts_read,
             self.hosts_settled,
+            tasks,
         )
         self.rollout = rollout_keeper.RolloutController(
             self.site,
--- a/hillthread/coordination/gateway/store/host_registry.py
+++ b/hillthread/coordination/gateway/store/host_registry.py
@@ -2,7 +2,8 @@
 
 Each host writes its entry to a keyed topic when it starts. Entries of hosts
 that are gone remain: shares of a budget are then smaller than they could be,
-never larger, and a peer that does not answer is avoided for a while.
+never larger, and a peer that does not answer is avoided for a while. Entries
+may also vanish from the store while their hosts serve on.
 """
 
 from __future__ import annotations
@@ -12,8 +13,10 @@
 import random
 
 import anyio
+import anyio.abc
 import msgspec
 
+from hillthread import clock
 from hillthread import errors
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.platform import store as store_lib
@@ -35,6 +38,9 @@
 # with it.
 QUARANTINE_PREFIX = "quarantine/"
 _RETRY_DELAY_S = 2.0
+# Time for which a host counts after its entry has vanished. Meanwhile it
+# registers again, or stops serving since it cannot reach the store.
+_REMOVAL_DELAY_S = 30.0
 # Maximum writes a second with which all hosts together write lost records
 # again: a part of the writes that the store accepts.
 _MAX_REWRITES_PER_S = 100.0
@@ -66,6 +72,7 @@
         hosts_read: Set when the list of hosts has been read once.
         hosts_settled: Set when the hosts that started together with this one
             are listed.
+        tasks: Runs what follows when entries vanish.
     """
 
     def __init__(
@@ -76,6 +83,7 @@
         feed: str,
         hosts_read: anyio.Event,
         hosts_settled: anyio.Event,
+        tasks: anyio.abc.TaskGroup,
     ):
         self.store = store
         self.site = site
@@ -83,6 +91,8 @@
         self.feed = feed
         self.hosts_read = hosts_read
         self.hosts_settled = hosts_settled
+        self.tasks = tasks
+        self._vanished_at: dict[str, float] = {}
 
     async def register(self) -> None:
         """Writes this host's entry unless the list already has it.
@@ -152,14 +162,18 @@
             ConfigurationError: The entry is unreadable.
         """
         if record.value:
+            self._vanished_at.pop(record.key, None)
             entry = payloads.decode_payload(_decoder, record.value, "host")
             self.source.put(
                 feed_source.HostEntry(
                     record.key, entry.data_centre, entry.feed, entry.link_mbps
                 )
             )
-        else:
-            self.source.remove(record.key)
+        elif record.key == self.site.settings.host:
+            self.tasks.start_soon(self.register_again, bytes)
+        elif record.key in self.source.hosts:
+            now = self._vanished_at[record.key] = clock.now()
+            self.tasks.start_soon(self._remove_later, record.key, now)
         if record.key == self.site.settings.host and self.hosts_read.is_set():
             # Entries of hosts that started together are read together.
             self.hosts_settled.set()
@@ -170,6 +184,24 @@
                 "event": "hosts",
                 "host": record.key,
                 "hosts": self.site.cluster_size,
+                "vanished": not record.value,
+            },
+        )
+
+    async def _remove_later(self, name: str, vanished_at: float) -> None:
+        """Removes a host unless its entry comes back in time."""
+        await anyio.sleep(_REMOVAL_DELAY_S)
+        if self._vanished_at.get(name) != vanished_at:
+            return
+        del self._vanished_at[name]
+        self.source.remove(name)
+        self._update_host_count()
+        _logger.info(
+            "host removed",
+            extra={
+                "event": "host_removed",
+                "host": name,
+                "hosts": self.site.cluster_size,
             },
         )
 
--- a/tests/coordination/gateway/peers/test_feed.py
+++ b/tests/coordination/gateway/peers/test_feed.py
@@ -303,6 +303,7 @@
                 f"127.0.0.1:{port}",
                 joined.hosts_read,
                 anyio.Event(),
+                scene.tasks,
             )
             await second_registry.register()
             self.assertTrue(second_registry.hosts_settled.is_set())
