Reproduce prompts of which one part crashes engines

Callers saw engines crash one after the other under prompts that share one part, and sound prompts refused beside them.

The stand-in of an engine crashes for a part of a prompt when it begins to write an answer; before, it knew whole bodies only.

--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -14,6 +14,7 @@
 import anyio
 import msgspec
 
+from hillthread.platform import attempts
 from hillthread.protocol import body_framing
 from hillthread.state.config import caller_bounds
 from hillthread.transport import http1
@@ -295,6 +296,8 @@
         arrivals: Requests that reached it, run or not.
         announcements: Announcements sent with answers.
         crash_bodies: Request bodies that crash it as soon as they run.
+        crash_parts: Parts of prompts that crash it when it begins to write an
+            answer, unless they are the last part.
         crash: Function that terminates it without any notice to others.
     """
 
@@ -341,6 +344,7 @@
         self.announcements: list[Announcement] = []
         self._start_count = 0
         self.crash_bodies: Container[bytes] = frozenset()
+        self.crash_parts: Container[str] = frozenset()
         self.crash: Callable[[], None] = _do_nothing
         self._orders_before_start = 0
         self.server = self._new_server()
@@ -595,7 +599,9 @@
     ) -> None:
         headers = self._answer_headers(request)
         body = self._answer_body(request)
-        if request.body in self.crash_bodies:
+        if self._is_deadly(request):
+            if isinstance(behaviour, Serve):
+                await anyio.sleep(behaviour.delay_s)
             await answer.begin(200, [*_EVENTS, *headers])
             self.crash()
             await anyio.sleep_forever()
@@ -633,6 +639,13 @@
                     body = self._encode_events(request, self.events)
                 await self._send_unframed(answer, headers, body, reset)
 
+    def _is_deadly(self, request: http1_server.CallerRequest) -> bool:
+        """Returns whether a request crashes this target."""
+        if request.body in self.crash_bodies:
+            return True
+        parts = attempts.decode_prompt(request.headers).parts
+        return any(part.digest in self.crash_parts for part in parts[:-1])
+
     def _record_announcement(
         self, request: http1_server.CallerRequest
     ) -> http1.Headers:
