Hold the part of a prompt that crashes targets

Callers saw engine after engine crash, and their own sound prompts refused or cut off. One part of the prompts crashed each engine that began to answer them. The quarantine knew a request by its whole body, so that each of these prompts was a new suspect with one or two crashes.

Why it works: every shared part is a feature beside the whole request. All features open at a crash are suspects, but parts of answers that had been written for 0.15 s. An answer that began after the crash clears its parts on all hosts. A request that has all parts that may explain a crash is held, for longer with each crash; one that has only some of them is tried, one at a time on all hosts, while others wait for up to 0.3 s. Attempts that still wait at an engine when a part is found are ended. Keys name part and tenant: another tenant's crashes lead to a trial, not to a hold. Hosts of an earlier release read the notices and keep them as digests that no request has.

--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -52,6 +52,11 @@
             "Requests quarantined because targets crashed under them.",
             [],
         )
+        self.quarantined_parts = self.counter(
+            "quarantined_parts",
+            "Requests refused for a part of their prompt, by verdict.",
+            ["verdict"],
+        )
         self.suspects = self.gauge(
             "suspects", "Requests under which targets crashed."
         )
--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -120,6 +120,9 @@
             return outcome_lib.Unsent(error.reason)
         if connection.opened_at >= began_at:
             self.monitor.note_connected()
+        if self.give_up_reason:
+            await self.pool.release(connection, self.max_idle)
+            return outcome_lib.Unsent(self.give_up_reason)
         self.reused = connection.requests > 0
         self.sent = True
         self.last_received_at = clock.now()
@@ -164,10 +167,16 @@
         """
         if self.give_up_reason or not self.callbacks.reserve_retry():
             return False
+        self.abort(reason)
+        return True
+
+    def abort(self, reason: str) -> None:
+        """Ends the attempt as lost, whether or not it can be retried."""
+        if self.give_up_reason:
+            return
         self.give_up_reason = reason
         if self.connection is not None:
             self.tasks.start_soon(self.connection.close)
-        return True
 
     @property
     def framing(self) -> body_framing.BodyFraming | None:
--- a/hillthread/coordination/gateway/serving/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -9,6 +9,7 @@
 
 from hillthread import errors
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.serving import admission as admission_lib
 from hillthread.coordination.gateway.serving import cache_source
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import limit_keeper
@@ -64,11 +65,12 @@
     ALL = enum.auto()
 
     @classmethod
-    def for_status(cls, status: quarantine.QuarantineStatus) -> AntiAffinity:
-        """Returns the level that a request's quarantine status requires."""
-        if status.ends >= quarantine.CULPRIT_MIN_CRASHES:
+    def for_admission(cls, admission: admission_lib.Admission) -> AntiAffinity:
+        """Returns the level that the quarantine requires of a request."""
+        is_culprit = admission.status.ends >= quarantine.CULPRIT_MIN_CRASHES
+        if is_culprit or admission.is_part_trial:
             return cls.ALL
-        return cls.SUSPECTS if status.is_suspect else cls.NONE
+        return cls.SUSPECTS if admission.is_suspect else cls.NONE
 
 
 class PlannedAttempt(NamedTuple):
--- a/hillthread/coordination/gateway/serving/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -18,6 +18,7 @@
 from hillthread.state.routing import stream_origin as stream_origin_lib
 from hillthread.state.scheduling import urgency
 from hillthread.state.targets import request_digest
+from hillthread.state.targets import request_features
 from hillthread.transport import http1_server
 
 __all__ = [
@@ -127,6 +128,17 @@
             caller.body,
         )
 
+    @functools.cached_property
+    def features(self) -> request_features.RequestFeatures:
+        """Its features that may be the cause of a crash."""
+        return request_features.RequestFeatures(
+            self.digest,
+            tuple(
+                request_features.encode_part_key(part.digest, self.tenant_name)
+                for part in self.prompt.parts[:-1]
+            ),
+        )
+
     def seconds_left(self) -> float:
         """Returns the seconds until the deadline."""
         return self.deadline - clock.now()
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -131,7 +131,7 @@
             RefusalError: The request cannot be answered.
             BrokenAnswerError: Its answer cannot be completed.
         """
-        while (planned := self._plan_attempt()) is not None:
+        while (planned := await self._plan_next()) is not None:
             match planned:
                 case peer_forwarder.ForwardPlan():
                     forwarded = await self.forwarding.send(planned)
@@ -142,6 +142,13 @@
             if not is_open:
                 return
 
+    async def _plan_next(
+        self,
+    ) -> chooser_lib.PlannedAttempt | peer_forwarder.ForwardPlan | None:
+        """Plans the next attempt, after the trial of a part that it has."""
+        await self.context.quarantine.wait_for_trial(self.request)
+        return self._plan_attempt()
+
     def _plan_attempt(
         self,
     ) -> chooser_lib.PlannedAttempt | peer_forwarder.ForwardPlan | None:
@@ -157,16 +164,14 @@
                 forward = self.forwarding.plan()
                 if forward is not None:
                     return forward
-            quarantine_status = self.context.quarantine.admit(
+            admission = self.context.quarantine.admit(
                 request, self.possible_runs, self.is_suspect_trial
             )
-            self.is_suspect = quarantine_status.is_suspect
+            self.is_suspect = admission.is_suspect
             self.is_suspect_trial = (
-                quarantine_status.ends >= quarantine.HOLD_MIN_CRASHES
-            )
-            anti_affinity = chooser_lib.AntiAffinity.for_status(
-                quarantine_status
+                admission.status.ends >= quarantine.HOLD_MIN_CRASHES
             )
+            anti_affinity = chooser_lib.AntiAffinity.for_admission(admission)
             if self.possible_runs:
                 return self._choose(anti_affinity)
             return self._schedule(anti_affinity)
--- a/hillthread/coordination/gateway/serving/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import dataclasses
 import logging
 import random
 import time
@@ -21,6 +22,7 @@
 from hillthread import errors
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.peers import work_feed
+from hillthread.coordination.gateway.serving import admission as admission_lib
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
 from hillthread.coordination.gateway.store import host_registry
@@ -29,10 +31,16 @@
 from hillthread.state.cluster import topic_copy
 from hillthread.state.config import payloads
 from hillthread.state.routing import placement
+from hillthread.state.targets import part_blame
 from hillthread.state.targets import quarantine
+from hillthread.state.targets import request_features
 
 __all__ = ["QuarantineKeeper", "TargetIncarnation"]
 
+# Longest delay of a request while a part of its prompt is tried. Prompts have
+# 0.5 s or more until their first byte.
+_MAX_TRIAL_WAIT_S = 0.3
+_TRIAL_CHECK_INTERVAL_S = 0.02
 _STORE_RETRY_S = 1.0
 _STORE_ATTEMPTS = 5
 # Hosts that may rewrite a record which a restored store has lost; the first of
@@ -54,6 +62,22 @@
     incarnation: int
 
 
+@dataclasses.dataclass(slots=True)
+class _OpenAttempt:
+    """An attempt whose outcome is not known yet.
+
+    Attributes:
+        request: The request.
+        abort: Ends the attempt; called with the reason.
+        first_event_at: When the first event of its answer was relayed, seconds;
+            None before that.
+    """
+
+    request: intake.GatewayRequest
+    abort: Callable[[str], None]
+    first_event_at: float | None = None
+
+
 class _StoredSuspect(msgspec.Struct):
     """The record in the store of a request that crashes targets.
 
@@ -93,14 +117,30 @@
         self.tasks = tasks
         self._cut_incarnations: dict[str, int] = {}
         self._stored_digests: set[str] = set()
+        self._open_attempts: dict[str, _OpenAttempt] = {}
+        # Names of the parts that this host tries, by the id of the request.
+        self._part_trials: dict[str, tuple[str, ...]] = {}
         work.apply_suspect = self.apply_notice
 
     # Attempts.
 
+    async def wait_for_trial(self, request: intake.GatewayRequest) -> None:
+        """Waits, for a short time, while a part of a prompt is tried."""
+        give_up_at = clock.now() + _MAX_TRIAL_WAIT_S
+        while self.site.quarantine.has_part_evidence():
+            now = clock.now()
+            match self.site.part_blame.judge(request.features, now):
+                case part_blame.Suspected(_, tried_for_s) if (
+                    tried_for_s > 0.0 and now < give_up_at
+                ):
+                    await anyio.sleep(_TRIAL_CHECK_INTERVAL_S)
+                case _:
+                    return
+
     def admit(
         self, request: intake.GatewayRequest, runs: int, is_trial: bool
-    ) -> quarantine.QuarantineStatus:
-        """Returns the status of a request that is about to be sent.
+    ) -> admission_lib.Admission:
+        """Admits a request that is about to be sent.
 
         Args:
             request: The request.
@@ -112,29 +152,109 @@
         """
         now = clock.now()
         status = self.site.quarantine.status_of(request.digest, now)
-        if status.ends < quarantine.HOLD_MIN_CRASHES or (is_trial and not runs):
-            return status
-        if not runs and not status.held_s:
+        is_free = status.ends < quarantine.HOLD_MIN_CRASHES
+        if not is_free and (runs or not is_trial):
+            if runs or status.held_s:
+                self.site.metrics.quarantined.inc()
+                raise _make_refusal(
+                    f"{status.ends} targets crashed or may have crashed while "
+                    "this request was open.",
+                    "Change it",
+                    status.held_s,
+                )
             self._start_trial(request.digest, now)
-            return status
-        self.site.metrics.quarantined.inc()
-        raise errors.RefusalError(
-            "quarantined",
-            503,
-            f"{status.ends} targets crashed or may have crashed while this "
-            "request was open.",
-            "Change it, or retry after the time in Retry-After; operators list "
-            "and clear it with `hillthread-ctl quarantine`.",
-            retry_after_s=status.held_s,
+        is_part_trial = self._admit_parts(request, runs, now)
+        return admission_lib.Admission(status, is_part_trial)
+
+    def _admit_parts(
+        self, request: intake.GatewayRequest, runs: int, now: float
+    ) -> bool:
+        """Returns whether a request is a trial of parts of its prompt.
+
+        Raises:
+            RefusalError: One of them is to blame for crashes, or is tried.
+        """
+        match self.site.part_blame.judge(request.features, now):
+            case part_blame.Cleared():
+                return False
+            case part_blame.Blamed(name, crashes, held_s):
+                names: tuple[str, ...] = (name,)
+                if runs or held_s:
+                    self.site.metrics.quarantined_parts.labels("blamed").inc()
+                    raise _make_refusal(
+                        f"{crashes} targets crashed when they began to answer "
+                        f"prompts with part {name}.",
+                        "Leave that part out",
+                        held_s,
+                    )
+            case part_blame.Suspected(names, tried_for_s):
+                if tried_for_s:
+                    self.site.metrics.quarantined_parts.labels("tried").inc()
+                    raise _make_refusal(
+                        f"Targets crashed under prompts with part {names[0]}; "
+                        "another prompt that has it is tried now.",
+                        "Leave that part out",
+                        _MAX_TRIAL_WAIT_S,
+                    )
+        self.site.part_blame.begin_trial(names, now)
+        self._part_trials[request.request_id] = names
+        event = work_notice.SuspectEvent.TRIAL_STARTED
+        self._notify(
+            [
+                work_notice.SuspectNotice(
+                    request_features.encode_part_key(name, ""), 0, event
+                )
+                for name in names
+            ]
         )
+        return True
 
     def incarnation_of(self, target: str) -> TargetIncarnation:
         """Returns the current incarnation of a target."""
         return TargetIncarnation(target, self.site.targets.key_of(target))
 
-    def record_outcome(
+    def begin_attempt(
         self,
+        attempt_id: str,
         request: intake.GatewayRequest,
+        abort: Callable[[str], None],
+    ) -> None:
+        """Records that an attempt is about to be sent.
+
+        Args:
+            attempt_id: Identifies the attempt.
+            request: The request.
+            abort: Ends the attempt; called with the reason.
+        """
+        self._open_attempts[attempt_id] = _OpenAttempt(request, abort)
+
+    def note_first_event(self, attempt_id: str) -> None:
+        """Records that a target has begun to write an answer."""
+        attempt = self._open_attempts[attempt_id]
+        attempt.first_event_at = now = clock.now()
+        verdict = self.site.part_blame.judge(attempt.request.features, now)
+        if not isinstance(verdict, part_blame.Cleared):
+            self.tasks.start_soon(self._confirm_survival, attempt_id)
+
+    async def _confirm_survival(self, attempt_id: str) -> None:
+        """Clears parts of a prompt while the answer to it is written."""
+        await anyio.sleep(part_blame.SURVIVAL_S)
+        attempt = self._open_attempts.get(attempt_id)
+        if attempt is not None and attempt.first_event_at is not None:
+            self._record_answer(attempt.request, attempt.first_event_at)
+
+    def _record_answer(
+        self, request: intake.GatewayRequest, begun_at: float
+    ) -> None:
+        """Clears the parts of a prompt that a target has answered."""
+        for key in self.site.part_blame.record_answer(
+            request.features, begun_at, clock.now()
+        ):
+            self._publish_clearing(key)
+
+    def record_outcome(
+        self,
+        attempt_id: str,
         sent: TargetIncarnation,
         result: outcome_lib.Outcome | None,
         is_cut: bool,
@@ -142,32 +262,56 @@
         """Records the outcome of an attempt.
 
         Args:
-            request: The request.
+            attempt_id: Identifies the attempt.
             sent: The incarnation that it was sent to.
             result: The outcome; None if the caller no longer waited for it.
             is_cut: Whether the target's side closed the connection before the
                 answer was complete.
         """
         now = clock.now()
-        records = self.site.quarantine
+        attempt = self._open_attempts.pop(attempt_id)
+        request = attempt.request
         match result:
             case outcome_lib.Relayed() | outcome_lib.Whole():
-                if records.record_success(request.digest, now):
+                if self.site.quarantine.record_success(request.digest, now):
                     self._publish_clearing(request.digest)
+                self._record_answer(request, attempt.first_event_at or now)
             case outcome_lib.Lost() | outcome_lib.Broken() if is_cut:
-                entry = self.site.targets.entries.get(sent.target)
-                # A target that is leaving ends as planned, and a brittle one
-                # crashes because of what it refused.
-                is_own_end = (
-                    entry is None
-                    or entry.leaving
-                    or sent.target in self.site.brittle
-                )
-                if not is_own_end:
-                    self._cut_incarnations[sent.target] = sent.incarnation
-                    records.record_disconnect(
-                        request.digest, sent.incarnation, now
-                    )
+                self._record_cut(attempt, sent, now)
+        names = self._part_trials.pop(request.request_id, ())
+        if not is_cut:
+            # Otherwise the trial goes on until the target is known to have
+            # crashed, or not.
+            self.site.part_blame.end_trial(names)
+
+    def _record_cut(
+        self, attempt: _OpenAttempt, sent: TargetIncarnation, now: float
+    ) -> None:
+        """Records an answer that the target's side has cut off."""
+        entry = self.site.targets.entries.get(sent.target)
+        # A target that is leaving ends as planned, and a brittle one crashes
+        # because of what it refused.
+        if entry is None or entry.leaving or sent.target in self.site.brittle:
+            return
+        self._cut_incarnations[sent.target] = sent.incarnation
+        features = attempt.request.features
+        begun_at = attempt.first_event_at
+        keys: tuple[str, ...] = (features.digest, *features.part_keys)
+        if begun_at is not None and now - begun_at >= part_blame.SURVIVAL_S:
+            self._record_answer(attempt.request, begun_at)
+            keys = (features.digest,)
+        for key in keys:
+            self.site.quarantine.record_disconnect(key, sent.incarnation, now)
+
+    def _abort_blamed(self) -> None:
+        """Ends attempts that would crash further targets."""
+        now = clock.now()
+        for attempt in list(self._open_attempts.values()):
+            if attempt.first_event_at is not None:
+                continue
+            verdict = self.site.part_blame.judge(attempt.request.features, now)
+            if isinstance(verdict, part_blame.Blamed):
+                attempt.abort("part of the prompt quarantined")
 
     # Targets.
 
@@ -216,6 +360,7 @@
         for digest, status in statuses.items():
             if status.ends >= quarantine.CULPRIT_MIN_CRASHES:
                 self._publish_hold(digest, status)
+        self._abort_blamed()
 
     # Peers and the store.
 
@@ -227,9 +372,15 @@
             case work_notice.SuspectEvent.SUCCEEDED:
                 records.record_success(notice.digest, now)
             case work_notice.SuspectEvent.TRIAL_STARTED:
-                records.begin_trial(notice.digest, now)
+                if request_features.is_part_key(notice.digest):
+                    name = request_features.part_name(notice.digest)
+                    self.site.part_blame.begin_trial((name,), now)
+                else:
+                    records.begin_trial(notice.digest, now)
             case work_notice.SuspectEvent.TARGET_CRASHED:
                 records.record_crash(notice.digest, notice.engine, now)
+                if request_features.is_part_key(notice.digest):
+                    self._abort_blamed()
 
     def apply_record(self, record: topic_copy.TopicRecord) -> None:
         """Applies the record of a request in the store.
@@ -289,8 +440,24 @@
         return self.site.quarantine.suspects(clock.now())
 
     def clear(self, digest: str) -> bool:
-        """Clears a suspect on all hosts; returns whether it was one."""
-        was_suspect = self.site.quarantine.record_success(digest, clock.now())
+        """Clears a suspect on all hosts; returns whether it was one.
+
+        With a request the parts are cleared that were open only with it, and a
+        part without an owner is cleared for all owners.
+        """
+        records = self.site.quarantine
+        if not request_features.is_part_key(digest):
+            parts = records.list_parts_only_with(digest)
+        elif not request_features.has_owner(digest):
+            name = request_features.part_name(digest)
+            parts = records.list_keys_of_part(name)
+        else:
+            parts = []
+        for part in parts:
+            self.clear(part)
+        if parts and request_features.is_part_key(digest):
+            return True
+        was_suspect = records.record_success(digest, clock.now())
         if was_suspect or digest in self._stored_digests:
             self._publish_clearing(digest)
         return was_suspect
@@ -350,9 +517,11 @@
         """
         if notice.event is not work_notice.SuspectEvent.TRIAL_STARTED:
             return True
-        return self.site.quarantine.has_running_trial(
-            notice.digest, clock.now()
-        )
+        now = clock.now()
+        if request_features.is_part_key(notice.digest):
+            name = request_features.part_name(notice.digest)
+            return self.site.part_blame.has_running_trial(name, now)
+        return self.site.quarantine.has_running_trial(notice.digest, now)
 
     async def _write_record(self, digest: str, value: bytes) -> None:
         """Writes a record, or removes it if the value is empty.
@@ -376,3 +545,16 @@
                 await anyio.sleep(_STORE_RETRY_S)
             else:
                 return
+
+
+def _make_refusal(
+    message: str, advice: str, held_s: float
+) -> errors.RefusalError:
+    return errors.RefusalError(
+        "quarantined",
+        503,
+        message,
+        f"{advice}, or retry after the time in Retry-After; operators list and "
+        "clear suspects with `hillthread-ctl quarantine`.",
+        retry_after_s=held_s,
+    )
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -225,6 +225,9 @@
         self.context.quotas.charge(self.request)
         self.context.limits.charge(name)
         self.context.brittle.record_send(name)
+        self.context.quarantine.begin_attempt(
+            planned.attempt_id, self.request, ongoing.attempt.abort
+        )
         self._announce_work(planned)
         self.relay.on_first_event = functools.partial(
             self._note_first_event, ongoing
@@ -261,7 +264,7 @@
             attempt, ongoing.state, result, ongoing.first_byte.started
         )
         self.context.quarantine.record_outcome(
-            self.request,
+            ongoing.planned.attempt_id,
             ongoing.target_incarnation,
             result,
             attempt.closed_by_target,
@@ -283,6 +286,7 @@
         """
         ongoing.first_byte.record()
         planned = ongoing.planned
+        self.context.quarantine.note_first_event(planned.attempt_id)
         origin = stream_binding.confirm_origin(
             self.site, planned.plan, planned.pool.name, ongoing.incarnation
         )
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -16,6 +16,7 @@
 from hillthread.state.config import caller_bounds
 from hillthread.state.config import site_configuration
 from hillthread.state.quotas import retry_share
+from hillthread.state.targets import part_blame
 from hillthread.state.targets import quarantine
 
 __all__ = ["Site"]
@@ -56,6 +57,7 @@
             not be finished.
         weights_announced: Set, and replaced, when new weights are announced.
         quarantine: Requests under which targets crashed.
+        part_blame: Finds the parts of prompts that crash targets.
         retry_shares: This host's shares of the retry budgets, by pool.
     """
 
@@ -73,6 +75,7 @@
         self.is_store_lost = False
         self.freshness = freshness.Freshness()
         self.quarantine = quarantine.Quarantine()
+        self.part_blame = part_blame.PartBlame(self.quarantine)
         self.retry_shares: dict[str, retry_share.RetryShare] = {}
         self.cluster_size = DEFAULT_CLUSTER_SIZE
         self.neighbour_count = 0
--- a/hillthread/programs/ctl.py
+++ b/hillthread/programs/ctl.py
@@ -129,14 +129,15 @@
         _print(self._call("GET", "/v1/status"))
 
     def quarantine(self, clear: str = "") -> None:
-        """Lists requests held back because they crashed targets.
+        """Lists requests and parts of prompts under which targets crashed.
 
         Give --address of a gateway's feed_listen, which its log line `start`
         contains.
 
         Args:
             clear: Digest of a request that all hosts release from quarantine,
-                after the request or its targets were repaired.
+                after the request or its targets were repaired; or a part of
+                prompts as listed, `part:NAME` for all tenants.
         """
         if clear:
             found = self._call("POST", feed.QUARANTINE_PATH, text=clear)
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -53,8 +53,8 @@
 MAX_PACKET_BYTES = 1_400
 # Number of notices on prompts with three shared parts that fit into a packet.
 MAX_WORK_NOTICES = 18
-# Suspect notices have 25 bytes each.
-MAX_SUSPECT_NOTICES = 40
+# Suspect notices have up to 45 bytes each.
+MAX_SUSPECT_NOTICES = 28
 # Limit notices have 15 bytes each.
 MAX_LIMIT_NOTICES = 80
 # Departure notices have 6 bytes each.
@@ -132,7 +132,9 @@
     """A notice on a request during which a target crashed, or may have.
 
     Attributes:
-        digest: Digest of the request, equal for all its tries.
+        digest: Digest of the request, equal for all its tries, or key of a part
+            of its prompt. Earlier releases keep such keys like digests that no
+            request has.
         engine: Checksum of the target's incarnation; 0 if the notice is not
             about a target.
         event: The observation.
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -599,12 +599,7 @@
     ) -> None:
         headers = self._answer_headers(request)
         body = self._answer_body(request)
-        if self._is_deadly(request):
-            if isinstance(behaviour, Serve):
-                await anyio.sleep(behaviour.delay_s)
-            await answer.begin(200, [*_EVENTS, *headers])
-            self.crash()
-            await anyio.sleep_forever()
+        await self._crash_if_deadly(request, answer, behaviour)
         match behaviour:
             case Serve(delay_s):
                 await self._send_whole(request, answer, headers, delay_s)
@@ -639,10 +634,22 @@
                     body = self._encode_events(request, self.events)
                 await self._send_unframed(answer, headers, body, reset)
 
-    def _is_deadly(self, request: http1_server.CallerRequest) -> bool:
-        """Returns whether a request crashes this target."""
-        if request.body in self.crash_bodies:
-            return True
+    async def _crash_if_deadly(
+        self,
+        request: http1_server.CallerRequest,
+        answer: http1_server.CallerAnswer,
+        behaviour: Behaviour,
+    ) -> None:
+        """Terminates the target when it begins to write a deadly answer."""
+        if request.body not in self.crash_bodies:
+            if not self._has_crash_part(request):
+                return
+            await anyio.sleep(getattr(behaviour, "delay_s", 0.0))
+        await answer.begin(200, [*_EVENTS, *self._answer_headers(request)])
+        self.crash()
+        await anyio.sleep_forever()
+
+    def _has_crash_part(self, request: http1_server.CallerRequest) -> bool:
         parts = attempts.decode_prompt(request.headers).parts
         return any(part.digest in self.crash_parts for part in parts[:-1])
 
--- /dev/null
+++ b/hillthread/state/targets/part_blame.py
@@ -0,0 +1,232 @@
+"""Finds the part of a prompt that crashes targets, from outcomes.
+
+All requests that are open on a crashed target share parts with the culprit. A
+part is cleared when a target answers a prompt that has it and that was begun
+after the part's last crash. The culprit is never cleared, while its companions
+are, by other prompts that have them. Of the parts that were open at a crash and
+are not cleared, the one with the most crashes is to blame.
+
+A request is refused if it has all parts that may be to blame for some crash. If
+it has only some of them, it is tried: one request at a time on all hosts shows
+whether they are harmless.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import NamedTuple
+
+from hillthread.state.targets import quarantine as quarantine_lib
+from hillthread.state.targets import request_features
+
+__all__ = [
+    "Blamed",
+    "Cleared",
+    "PartBlame",
+    "Suspected",
+    "Verdict",
+]
+
+# A target that writes for this long after the first event of an answer has not
+# crashed because of its prompt.
+SURVIVAL_S = 0.15
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cleared:
+    """No part is suspected."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspected:
+    """Some parts may be to blame, and others may be instead.
+
+    Attributes:
+        names: Names of the parts.
+        tried_for_s: Seconds for which another request with one of them may
+            still be tried; 0 if none is.
+    """
+
+    names: tuple[str, ...]
+    tried_for_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Blamed:
+    """One part is to blame.
+
+    Attributes:
+        name: Name of the part.
+        crashes: Targets that crashed.
+        held_s: Seconds for which requests with it are held; 0 if one may be
+            tried now.
+    """
+
+    name: str
+    crashes: int
+    held_s: float
+
+
+Verdict = Cleared | Suspected | Blamed
+
+
+class _Trial(NamedTuple):
+    """A trial of a part by some host.
+
+    Attributes:
+        started_at: Seconds.
+        until: When other hosts stop waiting for its result, seconds.
+    """
+
+    started_at: float
+    until: float
+
+
+class PartBlame:
+    """Judges the parts of prompts by the crashes that a host knows of.
+
+    Attributes:
+        quarantine: Holds the crashes.
+    """
+
+    def __init__(self, quarantine: quarantine_lib.Quarantine):
+        self.quarantine = quarantine
+        self._trials: dict[str, _Trial] = {}
+
+    def judge(
+        self, features: request_features.RequestFeatures, now: float
+    ) -> Verdict:
+        """Returns whether a request may be sent."""
+        if not self.quarantine.has_part_evidence():
+            return Cleared()
+        blamed: Blamed | None = None
+        names = []
+        members = {request_features.part_name(k) for k in features.part_keys}
+        for key in features.part_keys:
+            crashed = self.quarantine.find_crashes_of_part(key)
+            causes = [
+                incarnation
+                for incarnation in crashed
+                if not self._is_explained(key, incarnation, len(crashed))
+            ]
+            if not causes and not self.quarantine.is_unconfirmed(key):
+                continue
+            names.append(request_features.part_name(key))
+            if any(self._is_cause(key, each, members) for each in causes):
+                verdict = self._blame(key, crashed, now)
+                if blamed is None or verdict.crashes > blamed.crashes:
+                    blamed = verdict
+        if blamed is not None:
+            return blamed
+        if not names:
+            return Cleared()
+        return Suspected(
+            tuple(names), max(self._trial_s(name, now) for name in names)
+        )
+
+    def begin_trial(self, names: tuple[str, ...], now: float) -> None:
+        """Records that this host or another one tries some parts."""
+        for name in names:
+            until = now + quarantine_lib.TRIAL_S
+            self._trials[name] = _Trial(now, until)
+
+    def end_trial(self, names: tuple[str, ...]) -> None:
+        """Records that a trial has ended."""
+        for name in names:
+            self._trials.pop(name, None)
+
+    def has_running_trial(self, name: str, now: float) -> bool:
+        """Returns whether some host tries a part."""
+        return self._trial_s(name, now) > 0.0
+
+    def record_answer(
+        self,
+        features: request_features.RequestFeatures,
+        begun_at: float,
+        now: float,
+    ) -> list[str]:
+        """Clears the parts of a request that a target has answered.
+
+        Args:
+            features: The features of the request.
+            begun_at: When the target began to write the answer, seconds.
+            now: Current time, seconds.
+
+        Returns:
+            The keys of the parts that were suspected.
+        """
+        if not self.quarantine.has_part_evidence():
+            return []
+        cleared = []
+        for key in features.part_keys:
+            is_known = self.quarantine.is_unconfirmed(key)
+            crashed = self.quarantine.find_crashes_of_part(key)
+            if not is_known and not crashed:
+                continue
+            if begun_at < self._last_crash_at(crashed):
+                continue
+            self.quarantine.record_success(key, now)
+            cleared.append(key)
+        return cleared
+
+    def _blame(self, key: str, crashed: frozenset[int], now: float) -> Blamed:
+        name = request_features.part_name(key)
+        hold_s = quarantine_lib.compute_hold_s(len(crashed))
+        held_s = max(
+            self._last_crash_at(crashed) + hold_s - now,
+            self._trial_s(name, now),
+            0.0,
+        )
+        return Blamed(name, len(crashed), held_s)
+
+    def _is_explained(self, key: str, incarnation: int, crashes: int) -> bool:
+        """Returns whether a crash is attributed to another feature."""
+        name = request_features.part_name(key)
+        for other in self.quarantine.list_open_features(incarnation):
+            if not request_features.is_part_key(other):
+                count = self.quarantine.count_crashes(other)
+                min_count = quarantine_lib.CULPRIT_MIN_CRASHES
+            elif request_features.part_name(other) != name:
+                count = len(self.quarantine.find_crashes_of_part(other))
+                min_count = quarantine_lib.HOLD_MIN_CRASHES
+            else:
+                continue
+            if count >= max(min_count, crashes + 1):
+                return True
+        return False
+
+    def _is_cause(self, key: str, incarnation: int, members: set[str]) -> bool:
+        """Returns whether a request has all parts that may explain a crash.
+
+        Args:
+            key: A part of the request whose crash no other feature explains.
+            incarnation: The target that crashed.
+            members: Names of all parts of the request.
+        """
+        if not self.quarantine.crashed_incarnations(key):
+            return False  # only other tenants' requests crashed targets
+        crashes = len(self.quarantine.find_crashes_of_part(key))
+        if crashes < quarantine_lib.HOLD_MIN_CRASHES:
+            return False
+        return all(
+            request_features.part_name(other) in members
+            for other in self.quarantine.list_open_features(incarnation)
+            if request_features.is_part_key(other)
+            and len(self.quarantine.find_crashes_of_part(other)) >= crashes
+        )
+
+    def _last_crash_at(self, crashed: frozenset[int]) -> float:
+        times = [self.quarantine.crash_seen_at(each) for each in crashed]
+        return max(times, default=float("-inf"))
+
+    def _trial_s(self, name: str, now: float) -> float:
+        """Returns for how long a trial of a part may still run."""
+        trial = self._trials.get(name)
+        if trial is None or now >= trial.until:
+            return 0.0
+        is_over = any(
+            self._last_crash_at(self.quarantine.find_crashes_of_part(key))
+            > trial.started_at
+            for key in self.quarantine.list_keys_of_part(name)
+        )
+        return 0.0 if is_over else trial.until - now
--- a/hillthread/state/targets/quarantine.py
+++ b/hillthread/state/targets/quarantine.py
@@ -14,6 +14,9 @@
 - A crash does not count against a request if another request with more crashes,
   and at least three, was open too.
 
+Parts of prompts are kept here as well, under keys of their own;
+`part_blame` judges them by other rules.
+
 A suspect with two crashes is tried once more, by one host on behalf of all,
 since a request that ran beside the culprit easily reaches two. After a third
 crash it is tried on a target where nothing else runs, as far as that host
@@ -26,12 +29,16 @@
 import dataclasses
 from typing import NamedTuple
 
+from hillthread.state.targets import request_features
+
 __all__ = [
     "CULPRIT_MIN_CRASHES",
     "HOLD_MIN_CRASHES",
+    "TRIAL_S",
     "Quarantine",
     "QuarantineStatus",
     "Suspect",
+    "compute_hold_s",
 ]
 
 # How long a request is held, in seconds, by its number of crashes. After two
@@ -55,7 +62,7 @@
 # How long other hosts leave a trial to the host that announced it. Answers
 # begin within a second or two; by then the trial has succeeded or the target is
 # gone.
-_TRIAL_S = 2.0
+TRIAL_S = 2.0
 # A request that succeeded within this time is no suspect: late reports of
 # earlier crashes, and crashes beside many copies of the request, are ignored.
 _SUCCESS_KEPT_S = 10.0
@@ -68,6 +75,7 @@
 _EXPIRE_INTERVAL_S = 0.5
 _MAX_SUSPECTS = 1_024
 _MAX_SUCCESSES = 2_048
+_MAX_CRASHES = 1_024
 
 
 class QuarantineStatus(NamedTuple):
@@ -148,6 +156,10 @@
         self._successes: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        self._keys_of_parts: dict[str, set[str]] = {}
+        self._crash_seen_at: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
         self._expire_at = float("-inf")
 
     @property
@@ -165,15 +177,17 @@
         ends = confirmed + self._count_unconfirmed(digest)
         if confirmed < HOLD_MIN_CRASHES:
             return QuarantineStatus(ends)
-        hold_s = _HOLDS_S.get(confirmed, _MAX_HOLD_S)
-        held_until = max(record.last_crash_at + hold_s, record.trial_until)
+        held_until = max(
+            record.last_crash_at + compute_hold_s(confirmed),
+            record.trial_until,
+        )
         return QuarantineStatus(ends, max(0.0, held_until - now))
 
     def begin_trial(self, digest: str, now: float) -> None:
         """Records that this host or another one tries a suspect."""
         record = self._records.get(digest)
         if record is not None:
-            record.trial_until = now + _TRIAL_S
+            record.trial_until = now + TRIAL_S
 
     def has_running_trial(self, digest: str, now: float) -> bool:
         """Returns whether some host is trying a suspect."""
@@ -189,7 +203,9 @@
         on this host only, so that the request does not crash the next target at
         once.
         """
-        if self.has_succeeded_recently(digest, now):
+        if not request_features.is_part_key(
+            digest
+        ) and self.has_succeeded_recently(digest, now):
             return
         disconnects = self._disconnects.setdefault(
             incarnation, _Disconnects(now)
@@ -234,7 +250,8 @@
             Whether the crash counts; it does not if the request succeeded
             recently.
         """
-        if self.has_succeeded_recently(digest, now):
+        self._note_crash(incarnation, now - ago_s)
+        if self._is_disproved(digest, incarnation, now):
             return False
         record = self._records.setdefault(digest, _SuspectRecord())
         if incarnation in record.crashed:
@@ -243,9 +260,29 @@
         record.last_crash_at = max(record.last_crash_at, now - ago_s)
         record.trial_until = float("-inf")
         self._open_on.setdefault(incarnation, set()).add(digest)
+        if request_features.is_part_key(digest):
+            name = request_features.part_name(digest)
+            self._keys_of_parts.setdefault(name, set()).add(digest)
         self._drop_oldest()
         return True
 
+    def _note_crash(self, incarnation: int, crashed_at: float) -> None:
+        self._crash_seen_at.setdefault(incarnation, crashed_at)
+        if len(self._crash_seen_at) > _MAX_CRASHES:
+            self._crash_seen_at.popitem(last=False)
+
+    def _is_disproved(self, key: str, incarnation: int, now: float) -> bool:
+        """Returns whether a success shows that a feature was not the cause.
+
+        A part may crash targets from some moment on, so that only a success
+        after the crash counts.
+        """
+        if not request_features.is_part_key(key):
+            return self.has_succeeded_recently(key, now)
+        return self._crash_seen_at[incarnation] <= self._successes.get(
+            key, float("-inf")
+        )
+
     def record_success(self, digest: str, now: float) -> bool:
         """Records that a request succeeded, on this host or another one.
 
@@ -276,8 +313,63 @@
             others.discard(digest)
             if not others:
                 del self._open_on[incarnation]
+        if request_features.is_part_key(digest):
+            name = request_features.part_name(digest)
+            self._keys_of_parts[name].discard(digest)
+            if not self._keys_of_parts[name]:
+                del self._keys_of_parts[name]
         return True
 
+    # Parts of prompts.
+
+    def has_part_evidence(self) -> bool:
+        """Returns whether any part of a prompt may have crashed a target."""
+        return bool(self._keys_of_parts or self._disconnects)
+
+    def is_unconfirmed(self, key: str) -> bool:
+        """Returns whether a lost connection may turn out to be a crash."""
+        return self._count_unconfirmed(key) > 0
+
+    def list_keys_of_part(self, name: str) -> list[str]:
+        """Returns the keys of a part that is suspected, one for each owner."""
+        return list(self._keys_of_parts.get(name, ()))
+
+    def list_open_features(self, incarnation: int) -> frozenset[str]:
+        """Returns the suspects that were open when a target crashed."""
+        return frozenset(self._open_on.get(incarnation, ()))
+
+    def list_parts_only_with(self, digest: str) -> list[str]:
+        """Returns the parts that were open only when a request was."""
+        crashed = self.crashed_incarnations(digest)
+        return [
+            key
+            for key, record in self._records.items()
+            if request_features.is_part_key(key) and record.crashed <= crashed
+        ]
+
+    def count_crashes(self, key: str) -> int:
+        """Returns how many targets crashed while a feature was open."""
+        return len(self.crashed_incarnations(key))
+
+    def crash_seen_at(self, incarnation: int) -> float:
+        """Returns when this host learned of a crash, in seconds."""
+        return self._crash_seen_at.get(incarnation, float("-inf"))
+
+    def find_crashes_of_part(self, key: str) -> frozenset[int]:
+        """Returns the targets that crashed while a part was open.
+
+        They include those that crashed under requests of other tenants after
+        the last success of this one.
+        """
+        name = request_features.part_name(key)
+        cleared_at = self._successes.get(key, float("-inf"))
+        return frozenset(
+            incarnation
+            for other in self._keys_of_parts.get(name, ())
+            for incarnation in self._records[other].crashed
+            if other == key or self.crash_seen_at(incarnation) > cleared_at
+        )
+
     def crashed_incarnations(self, digest: str) -> frozenset[int]:
         """Returns the incarnations that crashed while a request was open."""
         record = self._records.get(digest)
@@ -338,15 +430,31 @@
                 self.clear(digest)
 
     def _drop_oldest(self) -> None:
-        """Above the limit, drops the oldest suspect with the fewest crashes."""
+        """Above the limit, drops the oldest suspect with the fewest crashes.
+
+        It is one of the tenant that has most, so that no tenant displaces the
+        suspects of others.
+        """
         if len(self._records) <= _MAX_SUSPECTS:
             return
+        counts = collections.Counter(map(_owner_of, self._records))
+        ((largest, _),) = counts.most_common(1)
         self.clear(
             min(
-                self._records,
+                (key for key in self._records if _owner_of(key) == largest),
                 key=lambda each: (
                     len(self._records[each].crashed),
                     self._records[each].last_crash_at,
                 ),
             )
         )
+
+
+def compute_hold_s(crashes: int) -> float:
+    """Returns for how long a feature is held after its last crash."""
+    return _HOLDS_S.get(crashes, _MAX_HOLD_S)
+
+
+def _owner_of(key: str) -> str:
+    """Returns the owner of a part; empty for a whole request."""
+    return key.partition("@")[2] if request_features.is_part_key(key) else ""
