--- a/hillthread/state/targets/part_blame.py
+++ b/hillthread/state/targets/part_blame.py
@@ -30,6 +30,11 @@
 # A target that writes for this long after the first event of an answer has not
 # crashed because of its prompt.
 SURVIVAL_S = 0.15
+# How long a part is held after its last crash, in seconds, by its number of
+# crashes. A harmless part is cleared by the first trial after that; each trial
+# of a deadly one costs a target and all that runs there.
+_HOLDS_S = {2: 2.0, 3: 8.0, 4: 30.0, 5: 300.0}
+_MAX_HOLD_S = 1_800.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,7 +176,7 @@
 
     def _blame(self, key: str, crashed: frozenset[int], now: float) -> Blamed:
         name = request_features.part_name(key)
-        hold_s = quarantine_lib.compute_hold_s(len(crashed))
+        hold_s = _HOLDS_S.get(len(crashed), _MAX_HOLD_S)
         held_s = max(
             self._last_crash_at(crashed) + hold_s - now,
             self._trial_s(name, now),
--- a/hillthread/state/targets/quarantine.py
+++ b/hillthread/state/targets/quarantine.py
@@ -38,7 +38,6 @@
     "Quarantine",
     "QuarantineStatus",
     "Suspect",
-    "compute_hold_s",
 ]
 
 # How long a request is held, in seconds, by its number of crashes. After two
@@ -177,10 +176,8 @@
         ends = confirmed + self._count_unconfirmed(digest)
         if confirmed < HOLD_MIN_CRASHES:
             return QuarantineStatus(ends)
-        held_until = max(
-            record.last_crash_at + compute_hold_s(confirmed),
-            record.trial_until,
-        )
+        hold_s = _HOLDS_S.get(confirmed, _MAX_HOLD_S)
+        held_until = max(record.last_crash_at + hold_s, record.trial_until)
         return QuarantineStatus(ends, max(0.0, held_until - now))
 
     def begin_trial(self, digest: str, now: float) -> None:
@@ -450,11 +447,6 @@
         )
 
 
-def compute_hold_s(crashes: int) -> float:
-    """Returns for how long a feature is held after its last crash."""
-    return _HOLDS_S.get(crashes, _MAX_HOLD_S)
-
-
 def _owner_of(key: str) -> str:
     """Returns the owner of a part; empty for a whole request."""
     return key.partition("@")[2] if request_features.is_part_key(key) else ""
--- a/tests/state/targets/test_part_blame.py
+++ b/tests/state/targets/test_part_blame.py
@@ -101,7 +101,7 @@
         self.now += 0.5
         self.assertAlmostEqual(self.judge("bad").tried_for_s, 1.5)
         self.crash(prompt("bad"))
-        self.assertAlmostEqual(self.judge("bad").held_s, 1.0)
+        self.assertAlmostEqual(self.judge("bad").held_s, 2.0)
         self.now += 2.0
         self.assertEqual(self.judge("bad").held_s, 0.0)
 
@@ -117,7 +117,7 @@
             self.crash(prompt("bad"))
             verdict = self.judge("bad")
             held.append(getattr(verdict, "held_s", 0.0))
-        self.assertEqual(held, [0.0, 1.0, 1.5, 30.0, 300.0])
+        self.assertEqual(held, [0.0, 2.0, 8.0, 30.0, 300.0])
 
     # Guards against one tenant that has the parts of another one held.
     def test_crashes_of_one_tenant_do_not_hold_another(self):
