Count simultaneous crashes of a part once

Crashes within 0.15 s of each other now count once: they may have any cause.

Measured: prompts beside five crashes of other causes, hot and rare, and beside five engines that crash together are all served afterwards (three tests).

--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -354,6 +354,11 @@
         """`IP:port` of the target."""
         return self.server.address
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether a request is open on the target."""
+        return self._serving > 0
+
     @property
     def orders_taken(self) -> int:
         """Number of orders accepted since its last start."""
--- a/hillthread/state/targets/part_blame.py
+++ b/hillthread/state/targets/part_blame.py
@@ -35,6 +35,9 @@
 # of a deadly one costs a target and all that runs there.
 _HOLDS_S = {2: 2.0, 3: 8.0, 4: 30.0, 5: 300.0}
 _MAX_HOLD_S = 1_800.0
+# Crashes that follow each other within this time count once: many targets that
+# are lost at the same moment tell no more than one.
+_SIMULTANEOUS_S = 0.15
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,10 +112,11 @@
         members = {request_features.part_name(k) for k in features.part_keys}
         for key in features.part_keys:
             crashed = self.quarantine.find_crashes_of_part(key)
+            crashes = self._count(crashed)
             causes = [
                 incarnation
                 for incarnation in crashed
-                if not self._is_explained(key, incarnation, len(crashed))
+                if not self._is_explained(key, incarnation, crashes)
             ]
             if not causes and not self.quarantine.is_unconfirmed(key):
                 continue
@@ -176,13 +180,13 @@
 
     def _blame(self, key: str, crashed: frozenset[int], now: float) -> Blamed:
         name = request_features.part_name(key)
-        hold_s = _HOLDS_S.get(len(crashed), _MAX_HOLD_S)
+        hold_s = _HOLDS_S.get(self._count(crashed), _MAX_HOLD_S)
         held_s = max(
             self._last_crash_at(crashed) + hold_s - now,
             self._trial_s(name, now),
             0.0,
         )
-        return Blamed(name, len(crashed), held_s)
+        return Blamed(name, self._count(crashed), held_s)
 
     def _is_explained(self, key: str, incarnation: int, crashes: int) -> bool:
         """Returns whether a crash is attributed to another feature."""
@@ -192,7 +196,7 @@
                 count = self.quarantine.count_crashes(other)
                 min_count = quarantine_lib.CULPRIT_MIN_CRASHES
             elif request_features.part_name(other) != name:
-                count = len(self.quarantine.find_crashes_of_part(other))
+                count = self._count_of_part(other)
                 min_count = quarantine_lib.HOLD_MIN_CRASHES
             else:
                 continue
@@ -210,16 +214,29 @@
         """
         if not self.quarantine.crashed_incarnations(key):
             return False  # only other tenants' requests crashed targets
-        crashes = len(self.quarantine.find_crashes_of_part(key))
+        crashes = self._count_of_part(key)
         if crashes < quarantine_lib.HOLD_MIN_CRASHES:
             return False
         return all(
             request_features.part_name(other) in members
             for other in self.quarantine.list_open_features(incarnation)
             if request_features.is_part_key(other)
-            and len(self.quarantine.find_crashes_of_part(other)) >= crashes
+            and self._count_of_part(other) >= crashes
         )
 
+    def _count_of_part(self, key: str) -> int:
+        return self._count(self.quarantine.find_crashes_of_part(key))
+
+    def _count(self, crashed: frozenset[int]) -> int:
+        """Returns the number of crashes, of simultaneous ones the first."""
+        count = 0
+        counted_at = float("-inf")
+        for at in sorted(map(self.quarantine.crash_seen_at, crashed)):
+            if at - counted_at > _SIMULTANEOUS_S:
+                count += 1
+                counted_at = at
+        return count
+
     def _last_crash_at(self, crashed: frozenset[int]) -> float:
         times = [self.quarantine.crash_seen_at(each) for each in crashed]
         return max(times, default=float("-inf"))
--- a/tests/coordination/gateway/serving/test_deadly_parts.py
+++ b/tests/coordination/gateway/serving/test_deadly_parts.py
@@ -6,9 +6,11 @@
 
 import anyio
 
+from hillthread.coordination.gateway.store import host_registry
 from hillthread.standin import platform_target
 from hillthread.transport import http1_client
 from tests.coordination.gateway import scene as scene_lib
+from tests.coordination.gateway.peers import test_feed
 from tests.coordination.gateway.serving import test_deadly_requests
 
 # A part whose prompts crash each engine that begins to answer them.
@@ -177,6 +179,140 @@
             max_crashes=2 * MAX_CRASHES,
         )
 
+    # Guards against hosts that begin anew with a part that is known.
+    def test_hosts_that_start_later_hold_it(self):
+        async def scenario(scene):
+            load = await start(scene, [(FIRST, DEADLY)], (DEADLY,))
+            await anyio.sleep(4.0)
+            load.is_deadly = False
+            await scene.until(
+                lambda: any(
+                    f"part:{DEADLY}" in key
+                    for key in scene.store.values(host_registry.HOSTS_TOPIC)
+                )
+            )
+            load.hosts = [
+                await test_feed.second_host(scene, host=f"new{number}")
+                for number in range(2)
+            ]
+            before = len(list_crashes(scene, (DEADLY,)))
+            load.is_deadly = True
+            await anyio.sleep(2.0)
+            after = len(list_crashes(scene, (DEADLY,)))
+            self.assertLessEqual(after - before, 1)
+
+        scene_lib.run_scenario(
+            scenario,
+            engines=ENGINES,
+            before=test_deadly_requests.make_targets_crash,
+        )
+
+    def test_refusal_names_the_part_at_once(self):
+        async def scenario(scene):
+            load = await start(scene, [(FIRST, DEADLY)], (DEADLY,))
+            await anyio.sleep(3.0)
+            request = scene.prompt(
+                "/resume/x", x_prompt_prefix=f"{FIRST}:9,{DEADLY}:9,cc:9"
+            )
+            sent_at = anyio.current_time()
+            answer = await scene.call(request)
+            self.assertLess(anyio.current_time() - sent_at, 0.2)
+            self.assertEqual(answer.head.status, 503)
+            self.assertIn(DEADLY.encode(), answer.body)
+            self.assertIn(b'"run":"not_run"', answer.body)
+            self.assertTrue(answer.head.get(b"retry-after"))
+            del load
+
+        scene_lib.run_scenario(
+            scenario,
+            engines=ENGINES,
+            before=test_deadly_requests.make_targets_crash,
+        )
+
+    def test_operator_lists_and_clears_it(self):
+        async def scenario(scene):
+            load = await start(scene, [(FIRST, DEADLY)], (DEADLY,))
+            await anyio.sleep(4.0)
+            load.is_deadly = False
+            for engine in scene.engines:
+                engine.crash_parts = frozenset()
+            address = load.hosts[0].feed_server.address
+            run_command = test_deadly_requests.run_quarantine_command
+            listed = await run_command(address)
+            self.assertIn(f"part:{DEADLY}@", listed)
+            await run_command(address, clear=f"part:{DEADLY}")
+            await scene.until(
+                lambda: (
+                    not any(
+                        host.site.quarantine.list_keys_of_part(DEADLY)
+                        for host in load.hosts
+                    )
+                )
+            )
+            request = scene.prompt(
+                "/resume/x", x_prompt_prefix=f"{FIRST}:9,{DEADLY}:9,cc:9"
+            )
+            answer = await scene.call(request)
+            self.assertEqual(answer.head.status, 200)
+
+        scene_lib.run_scenario(
+            scenario,
+            engines=ENGINES,
+            before=test_deadly_requests.make_targets_crash,
+        )
+
+
+async def crash_busy_engines(scene, count, pause_s):
+    """Crashes engines that have open requests, one after the other."""
+    for _ in range(count):
+        await scene.until(lambda: any(e.is_serving for e in scene.engines))
+        next(e for e in scene.engines if e.is_serving).crash()
+        await anyio.sleep(pause_s)
+
+
+class HarmlessPartTest(unittest.TestCase):
+    """Parts beside which engines crash for other causes."""
+
+    def check(self, prompts_per_s, crash):
+        """Checks that prompts are served when the crashes are over."""
+
+        async def scenario(scene):
+            hosts = await test_deadly_requests.start_hosts(scene, 3)
+            for engine in scene.engines:
+                engine.default_behaviour = platform_target.Serve(0.1)
+            load = Load(scene, hosts, [])
+            scene.tasks.start_soon(
+                load.send_sound, (FIRST, "bb01"), 1.0 / prompts_per_s
+            )
+            await anyio.sleep(0.5)
+            await crash(scene)
+            await anyio.sleep(1.5)
+            since = anyio.current_time()
+            await anyio.sleep(20.0 / prompts_per_s + 0.5)
+            share = load.served_share(since, anyio.current_time() - 0.4)
+            self.assertEqual(share, 1.0)
+
+        scene_lib.run_scenario(
+            scenario,
+            engines=5,
+            before=test_deadly_requests.make_targets_crash,
+        )
+
+    # Guards against a hot part that is held because it runs everywhere.
+    def test_hot_part_beside_crashes_is_served(self):
+        self.check(30.0, lambda scene: crash_busy_engines(scene, 5, 0.4))
+
+    def test_rare_part_beside_crashes_is_served(self):
+        self.check(4.0, lambda scene: crash_busy_engines(scene, 5, 0.4))
+
+    # Guards against holding what ran on engines that are lost together.
+    def test_part_on_engines_that_crash_together_is_served(self):
+        async def crash_all(scene):
+            for engine in scene.engines:
+                engine.crash()
+
+        self.check(60.0, crash_all)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/state/targets/test_part_blame.py
+++ b/tests/state/targets/test_part_blame.py
@@ -65,6 +65,14 @@
         self.assertEqual(self.answer(prompt("bad"), begun_ago_s=5.0), [])
         self.assertIsInstance(self.judge("bad"), part_blame.Suspected)
 
+    # Guards against holding what ran on many targets that were lost at once.
+    def test_simultaneous_crashes_count_once(self):
+        for number in range(4):
+            for key in prompt("aa").part_keys:
+                at = self.now + 0.03 * number
+                self.records.record_crash(key, number, at)
+        self.assertEqual(self.judge("aa"), part_blame.Suspected(("aa",), 0.0))
+
     def test_part_of_two_crashes_is_to_blame(self):
         for _ in range(2):
             self.crash(prompt("aa", "bad"))
