Let the soak fail whole services and send prompts with deadly parts

The soak knew whole bodies that crash targets and never counted retries of all hosts. It now has faults for a part of prompts that crashes engines and for a service whose targets fail most of what they run, and judges both sides by what targets and callers saw: late arrivals with the part, sound prompts before and after, arrivals beyond the first of each request by window.

Proof that the judges see: three broken gateways. The settings that a reload writes stay within the budget that is judged.

--- a/hillthread/bench/gateway_soak/callers.py
+++ b/hillthread/bench/gateway_soak/callers.py
@@ -144,6 +144,7 @@
         route: str = "",
         key: str = "",
         body: bytes = b"body",
+        parts: tuple[str, ...] = (),
     ) -> evidence_lib.Exchange:
         """Makes one request and records the answer.
 
@@ -155,6 +156,7 @@
                 caller may give up.
             key: The bearer key; empty for a valid one.
             body: Body of the request.
+            parts: Parts of the prompt; empty for usual ones.
         """
         exchange = evidence_lib.Exchange(
             uuid.UUID(int=self.random.getrandbits(128)).hex[:16],
@@ -164,6 +166,7 @@
             life,
             time.monotonic(),
             sent_body=body,
+            parts=parts,
         )
         self.stage.evidence.exchanges.append(exchange)
         gives_up = not route and self.random.random() < _GIVE_UP_SHARE
@@ -194,7 +197,10 @@
         if exchange.route in ("stream", "resume"):
             headers[names.MODEL] = "m"
             headers[names.TOKEN_COUNTS] = "900,40"
-            headers[names.PROMPT_PARTS] = f"aa:300,{prefix}b:500,cc:100"
+            exchange.parts = exchange.parts or ("aa", f"{prefix}b", "cc")
+            headers[names.PROMPT_PARTS] = ",".join(
+                f"{part}:300" for part in exchange.parts
+            )
         if exchange.resumes:
             headers[names.RESUMES] = exchange.resumes
             headers[names.LAST_EVENT_ID] = str(exchange.after)
--- a/hillthread/bench/gateway_soak/deadly_requests.py
+++ b/hillthread/bench/gateway_soak/deadly_requests.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import itertools
+import time
 
 import anyio
 import httpx
 
 from hillthread.bench.gateway_soak import callers as callers_lib
+from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import injector as injector_lib
 from hillthread.bench.gateway_soak import stage as stage_lib
 
 __all__ = ["DeadlyRequests"]
 
 _LASTS_S = (5.0, 14.0)
+_PART_LASTS_S = (6.0, 14.0)
+_SOUND_BEFORE_S = 4.0
 _PAUSE_S = 0.25
 _TIMEOUT_S = 4.0
 # A target is back so soon.
@@ -39,7 +43,7 @@
     @property
     def kinds(self) -> tuple[injector_lib.Fault, ...]:
         """All of them."""
-        return (self.request_ends_targets,)
+        return (self.request_ends_targets, self.part_crashes_engines)
 
     async def request_ends_targets(self) -> None:
         """One caller sends the same again, at any host, for some seconds."""
@@ -73,6 +77,52 @@
                         client, host, host.lives, route, key, body
                     )
 
+    async def part_crashes_engines(self) -> None:
+        """Prompts with one part crash engines; no two of them are alike."""
+        if self._under_way:
+            return
+        self._under_way = True
+        # Sound prompts are judged by how they are served before.
+        await anyio.sleep(_SOUND_BEFORE_S)
+        part = f"dead{next(self._numbers)}"
+        route = self.injector.random.choice(("resume", "stream"))
+        lives = self.stage.evidence.deadly_parts
+        began_at = time.monotonic()
+        lives[part] = evidence_lib.PartLife(route, began_at, float("inf"))
+        self.stage.deadly_ran = self._end
+        layouts = [("aa", part), (part, "1b"), ("aa", "2b", part)]
+        layout = self.injector.random.choice(layouts)
+        callers = callers_lib.Callers(self.stage, self.injector.random)
+        async with anyio.create_task_group() as tasks:
+            with anyio.move_on_after(self.injector.between(_PART_LASTS_S)):
+                while True:
+                    await anyio.sleep(_PAUSE_S)
+                    own = f"own{next(self._numbers)}"
+                    tasks.start_soon(
+                        self._send_part, callers, route, (*layout, own)
+                    )
+        ended_at = time.monotonic()
+        lives[part] = evidence_lib.PartLife(route, began_at, ended_at)
+        self._under_way = False
+
+    async def _send_part(
+        self, callers: callers_lib.Callers, route: str, parts: tuple[str, ...]
+    ) -> None:
+        """Sends one prompt to any host."""
+        ready = [host for host in self.stage.hosts if host.routable]
+        tenant = self.injector.random.choice(self.stage.operator.tenants)
+        if not ready or not tenant.keys:
+            return
+        host = self.injector.random.choice(ready)
+        async with httpx.AsyncClient(
+            base_url=f"http://{host.address}",
+            trust_env=False,
+            timeout=_TIMEOUT_S,
+        ) as client:
+            await callers.ask(
+                client, host, host.lives, route, tenant.keys[-1], parts=parts
+            )
+
     def _end(self, target: stage_lib.LinkedTarget) -> None:
         self.stage.tasks.start_soon(self._end_for_a_while, target)
 
--- a/hillthread/bench/gateway_soak/evidence.py
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -64,6 +64,9 @@
         quota_window_s: Quotas are judged over any span of this length.
         quota_over: Allowed beyond that, as a share.
         quota_slack: The same, in tokens.
+        retry_ratio: Retries allowed in any span, as a share of requests.
+        retry_extra: Retries allowed beyond that.
+        retry_window_s: Length of that span.
     """
 
     revoke_s: float = 3.0
@@ -79,6 +82,9 @@
     quota_window_s: float = 4.0
     quota_over: float = 0.1
     quota_slack: float = 10_000.0
+    retry_ratio: float = 0.2
+    retry_extra: float = 20.0
+    retry_window_s: float = 4.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,6 +106,7 @@
         left: The caller gave it up.
         error: Why there is no whole answer, in words.
         sent_body: What it sent.
+        parts: Parts of its prompt; empty for plain requests.
         resumes: Id of the request that began the stream that it resumes;
             empty for a new request.
         after: The last event of that stream that the caller has; -1 for none.
@@ -123,6 +130,7 @@
     resumes: str = ""
     after: int = -1
     engines_left: int = 0
+    parts: tuple[str, ...] = ()
 
 
 class Disturbance(NamedTuple):
@@ -143,6 +151,20 @@
     ended_at: float
 
 
+class PartLife(NamedTuple):
+    """When prompts with a part crashed the engines that answered them.
+
+    Attributes:
+        route: The route of these prompts.
+        began_at: Seconds.
+        ended_at: Seconds; infinite while they come.
+    """
+
+    route: str
+    began_at: float
+    ended_at: float
+
+
 class NamedVersion(NamedTuple):
     """Weights that were named.
 
@@ -227,6 +249,7 @@
         refusal_lines: Request ids that the hosts' logs tell as refused.
         unheard: Lives of processes whose logs may lack their last lines.
         deadly: Bodies under which targets end.
+        deadly_parts: Parts of prompts under which engines crash.
         quotas: Of tenants that have one, in the order of their writing.
         limits: Of targets that named one, in the order of their naming.
     """
@@ -245,6 +268,7 @@
     refusal_lines: set[str] = dataclasses.field(default_factory=set)
     unheard: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     deadly: set[bytes] = dataclasses.field(default_factory=set)
+    deadly_parts: dict[str, PartLife] = dataclasses.field(default_factory=dict)
     quotas: dict[str, list[QuotaLife]] = dataclasses.field(default_factory=dict)
     limits: dict[str, list[LimitLife]] = dataclasses.field(default_factory=dict)
 
--- a/hillthread/bench/gateway_soak/host_faults.py
+++ b/hillthread/bench/gateway_soak/host_faults.py
@@ -136,7 +136,10 @@
 
     def _write_settings(self, host: stage_lib.SoakHost) -> None:
         assert host.process is not None
-        host.settings["retry_extra"] = self.injector.random.randint(20, 60)
+        most = int(self.stage.evidence.bounds.retry_extra)
+        host.settings["retry_extra"] = self.injector.random.randint(
+            most // 2, most
+        )
         name = f"{host.process.name}.json"
         self.stage.group.write_json(name, host.settings)
 
--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -202,6 +202,9 @@
             "quota_window_s": bounds.quota_window_s,
             "quota_over": bounds.quota_over,
             "quota_slack": bounds.quota_slack,
+            "retry_ratio": bounds.retry_ratio,
+            "retry_extra": bounds.retry_extra,
+            "retry_window_s": bounds.retry_window_s,
         }
 
     async def start(self, engines: int) -> None:
@@ -314,6 +317,7 @@
         target.release = release or self.next_release()
         target.includes_release = True
         target.crash_bodies = self.evidence.deadly
+        target.crash_parts = self.evidence.deadly_parts
         target.crash = lambda: self.deadly_ran(target)
         self.targets[name] = target
         self.evidence.targets.append(target)
--- a/hillthread/bench/gateway_soak/target_faults.py
+++ b/hillthread/bench/gateway_soak/target_faults.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import anyio
 
 from hillthread.bench.gateway_soak import injector as injector_lib
@@ -12,6 +14,7 @@
 __all__ = ["TargetFaults"]
 
 _ENGINES = "engines"
+_PLAIN = "plain"
 _RESTART_S = (0.0, 1.0)
 _CONFLICT = 409
 _ORDERS_LATE_S = (0.5, 5.0)
@@ -24,6 +27,8 @@
 _BACKOFF_S = (0.6, 4.0)
 # A departing target goes on serving for longer than the bound on its departure.
 _DEPARTING_S = (2.0, 5.0)
+_FAILING_S = (2.0, 5.0)
+_FAILURE_PAUSE_S = 0.01
 # Share of engines that crash when their release is replaced.
 _CRASH_SHARE = 0.5
 _BEHAVIOURS: tuple[platform_target.Behaviour, ...] = (
@@ -64,6 +69,7 @@
         """All of them."""
         return (
             self.target_misbehaves,
+            self.targets_fail,
             self.target_cuts_streams,
             self.target_crashes,
             self.target_restarts,
@@ -90,6 +96,26 @@
                 )
                 await anyio.sleep(self.injector.between(injector_lib.FAULT_S))
 
+    async def targets_fail(self) -> None:
+        """All targets of a service fail most of what they run."""
+        service = self.injector.random.choice((_ENGINES, _PLAIN))
+        targets = [
+            target
+            for target in self.stage.targets.values()
+            if target.service == service
+        ]
+        names = [target.name for target in targets]
+        with self.injector.noted("targets_fail", *names):
+            until = time.monotonic() + self.injector.between(_FAILING_S)
+            while time.monotonic() < until:
+                for target in targets:
+                    if not target.behaviours:
+                        target.queue_behaviours(
+                            *[platform_target.ResetConnection()] * 3,
+                            platform_target.Serve(),
+                        )
+                await anyio.sleep(_FAILURE_PAUSE_S)
+
     async def target_cuts_streams(self) -> None:
         """An engine breaks off its next streams within an event."""
         target = self.injector.target(_ENGINES)
--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -12,8 +12,10 @@
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import limit_verdict
 from hillthread.bench.gateway_soak import link_verdict
+from hillthread.bench.gateway_soak import part_verdict
 from hillthread.bench.gateway_soak import quota_verdict
 from hillthread.bench.gateway_soak import release_verdict
+from hillthread.bench.gateway_soak import retry_verdict
 from hillthread.bench.gateway_soak import weights_verdict
 from hillthread.platform import names
 from hillthread.standin import platform_target
@@ -107,6 +109,8 @@
         )
         if self.strict_time:
             found += list(self._deadly())
+            found += list(part_verdict.violations(self.evidence))
+            found += list(retry_verdict.violations(self.evidence))
             found += list(quota_verdict.violations(self.evidence))
             found += list(limit_verdict.violations(self.evidence))
             found += list(link_verdict.violations(self.evidence))
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -17,8 +17,10 @@
 from hillthread.protocol import stream_end
 from hillthread.state.config import routing_table
 from hillthread.state.quotas import quota_ledger
+from hillthread.state.quotas import retry_share
 from hillthread.state.routing import attempt_plan
 from hillthread.state.targets import backoffs
+from hillthread.state.targets import part_blame
 from hillthread.state.targets import quarantine
 from hillthread.state.targets import target_list
 from hillthread.state.targets import weights
@@ -168,6 +170,31 @@
     stream_keeper.StreamKeeper.resolve = refuse
 
 
+def knows_whole_requests_only():
+    part_blame.PartBlame.judge = lambda *_: part_blame.Cleared()
+
+
+def holds_first_parts():
+    judge = part_blame.PartBlame.judge
+
+    def judge_first_part(self, features, now):
+        for key in features.part_keys:
+            if self.quarantine.find_crashes_of_part(key) or key in _suspects:
+                _suspects.update(features.part_keys[:1])
+        if any(key in _suspects for key in features.part_keys):
+            return part_blame.Blamed("first", 5, 300.0)
+        return judge(self, features, now)
+
+    part_blame.PartBlame.judge = judge_first_part
+
+
+_suspects = set()
+
+
+def retries_without_a_budget():
+    retry_share.RetryShare.withdraw = lambda self: True
+
+
 def _hear_nothing_of_use():
     quota_ledger.QuotaLedger.reachable_share = lambda self, now: 1.0
     quota_ledger.QuotaLedger.add_peer_usage = lambda self, added, now: None
@@ -195,6 +222,9 @@
         forwards_nothing,
         ignores_releases,
         refuses_all_reconnects,
+        knows_whole_requests_only,
+        holds_first_parts,
+        retries_without_a_budget,
     )
 }
 
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -35,6 +35,9 @@
     "backoff",
     "reach",
     "reconnect",
+    "parts",
+    "parts_lost",
+    "retries",
 )
 VERSION_S = 2.0
 # A tenth of what callers ask. Two hosts that each keep the whole of it send
@@ -44,7 +47,7 @@
 QUOTA_PER_S = 2_000.0
 SHARED = ("quota", "limit")
 # Enough callers have to reconnect.
-MANY_CALLERS = (*SHARED, "reconnect")
+MANY_CALLERS = (*SHARED, "reconnect", "parts_lost", "retries")
 SHARING_HOSTS = 4
 SHARING_CALLERS = 8
 HOSTS = 2
@@ -91,6 +94,9 @@
     "ignores_the_era_of_the_store": Case(
         "key_changes,store_restored", "denied"
     ),
+    "knows_whole_requests_only": Case("part_crashes_engines", "parts"),
+    "holds_first_parts": Case("part_crashes_engines", "parts_lost"),
+    "retries_without_a_budget": Case("targets_fail", "retries"),
     "forwards_nothing": Case("hosts_lose_targets", "reach"),
 }
 
