--- a/hillthread/bench/gateway_soak/balancer.py
+++ b/hillthread/bench/gateway_soak/balancer.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+import random
 from typing import Protocol
+from typing import TypeVar
 
 import anyio
 import httpx
@@ -16,6 +18,8 @@
 _EVERY_S = 0.5
 _TIMEOUT_S = 0.4
 _MISSES = 2
+# Share of new connections that a preferred host gets.
+_PREFERENCE = 0.9
 
 
 class Balanced(Protocol):
@@ -26,17 +30,33 @@
     routable: bool
 
 
+_Host = TypeVar("_Host", bound=Balanced)
+
+
 class Balancer:
     """Keeps `routable` of all hosts.
 
     Attributes:
         hosts: All there are.
+        preferred: Name of the host that gets most new connections; empty for
+            none.
     """
 
     def __init__(self, hosts: Sequence[Balanced]):
         self.hosts = hosts
+        self.preferred = ""
         self.client = httpx.AsyncClient(trust_env=False, timeout=_TIMEOUT_S)
 
+    def choose(
+        self, ready: list[_Host], chance: random.Random
+    ) -> tuple[_Host, bool]:
+        """Returns the host of a new connection, and if it is preferred."""
+        host = chance.choice(ready)
+        if not self.preferred or chance.random() >= _PREFERENCE:
+            return host, False
+        found = next((h for h in ready if h.name == self.preferred), None)
+        return found or host, found is not None
+
     async def run(self) -> None:
         """Asks until cancelled."""
         misses = {host.name: 0 for host in self.hosts}
--- a/hillthread/bench/gateway_soak/callers.py
+++ b/hillthread/bench/gateway_soak/callers.py
@@ -65,10 +65,14 @@
             if not ready:
                 await anyio.sleep(_PAUSE_S)
                 continue
-            await self._use(self.random.choice(ready))
+            host, is_preferred = self.stage.balancer.choose(ready, self.random)
+            await self._use(host, is_preferred)
 
-    async def _use(self, host: stage_lib.SoakHost) -> None:
-        """Makes requests over one kept connection."""
+    async def _use(self, host: stage_lib.SoakHost, is_preferred: bool) -> None:
+        """Makes requests over one kept connection.
+
+        While most callers come to one host, they open more connections.
+        """
         life = host.lives
         limits = httpx.Limits(max_connections=1)
         async with httpx.AsyncClient(
@@ -79,6 +83,8 @@
         ) as client:
             keeps = self.random.random() < _KEEP_SHARE
             left = self.random.randint(1, _MOST_REQUESTS)
+            if is_preferred:
+                keeps, left = False, 1
             while host.lives == life and (keeps or left > 0):
                 left -= 1
                 exchange = await self.ask(client, host, life)
--- a/hillthread/bench/gateway_soak/evidence.py
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -248,6 +248,7 @@
         isolated: Tenants that share nothing.
         refusal_lines: Request ids that the hosts' logs tell as refused.
         unheard: Lives of processes whose logs may lack their last lines.
+        preferences: Hosts to which most new connections went, and when.
         deadly: Bodies under which targets end.
         deadly_parts: Parts of prompts under which engines crash.
         quotas: Of tenants that have one, in the order of their writing.
@@ -267,6 +268,7 @@
     isolated: frozenset[str] = frozenset()
     refusal_lines: set[str] = dataclasses.field(default_factory=set)
     unheard: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    preferences: list[Disturbance] = dataclasses.field(default_factory=list)
     deadly: set[bytes] = dataclasses.field(default_factory=set)
     deadly_parts: dict[str, PartLife] = dataclasses.field(default_factory=dict)
     quotas: dict[str, list[QuotaLife]] = dataclasses.field(default_factory=dict)
--- a/hillthread/bench/gateway_soak/host_faults.py
+++ b/hillthread/bench/gateway_soak/host_faults.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import signal
+import time
 
 import anyio
 
+from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import injector as injector_lib
 from hillthread.bench.gateway_soak import stage as stage_lib
 
@@ -15,6 +17,7 @@
 _DOWN_S = (0.0, 1.0)
 # A process starts in about 0.3 s.
 _YOUNG_S = (0.0, 0.8)
+_PREFERRED_S = (3.0, 7.0)
 _STORM_SIGNALS = (5, 25)
 _STORM_PAUSE_S = (0.0, 0.15)
 _STOP_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
@@ -45,6 +48,23 @@
             self.host_stops_after_pause,
             self.host_reloads,
             self.host_reload_storm,
+            self.host_preferred,
+        )
+
+    async def host_preferred(self) -> None:
+        """The balancer sends most new connections to one host."""
+        balancer = self.stage.balancer
+        if balancer.preferred:
+            return
+        host = self.injector.host().name
+        balancer.preferred = host
+        began_at = time.monotonic()
+        await anyio.sleep(self.injector.between(_PREFERRED_S))
+        balancer.preferred = ""
+        self.stage.evidence.preferences.append(
+            evidence_lib.Disturbance(
+                "host_preferred", host, began_at, time.monotonic()
+            )
         )
 
     async def host_killed(self) -> None:
--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -10,6 +10,7 @@
 
 from hillthread.bench.gateway_soak import announcement_verdict
 from hillthread.bench.gateway_soak import evidence as evidence_lib
+from hillthread.bench.gateway_soak import herd_verdict
 from hillthread.bench.gateway_soak import limit_verdict
 from hillthread.bench.gateway_soak import link_verdict
 from hillthread.bench.gateway_soak import part_verdict
@@ -109,6 +110,7 @@
         )
         if self.strict_time:
             found += list(self._deadly())
+            found += list(herd_verdict.violations(self.evidence))
             found += list(part_verdict.violations(self.evidence))
             found += list(retry_verdict.violations(self.evidence))
             found += list(quota_verdict.violations(self.evidence))
