Offset usage of peers during a suspension by its refill

The host notes when its periodic report has not run for 2 s or more. Usage that it reads within 0.5 s after that is taken from the bucket only beyond the lost refill, and still counts in the window.

--- a/hillthread/coordination/gateway/serving/quota_keeper.py
+++ b/hillthread/coordination/gateway/serving/quota_keeper.py
@@ -37,6 +37,8 @@
 # Interval of checks for new quotas while no usage is exchanged.
 _IDLE_CHECK_INTERVAL_S = 1.0
 
+# A host that does not run its periodic report for this long was suspended.
+_SUSPENDED_S = 1.0
 # Share of its remaining time for which a refused caller waits at most before it
 # retries.
 _MAX_RETRY_SHARE = 1.0 / 3.0
@@ -96,6 +98,7 @@
         self._table_position = -1
         self._usage_due = anyio.Event()
         self._exhausted_tenants: set[str] = set()
+        self._ran_at = float("inf")
         work.usage = self.ledger.exchange
         work.apply_usage = self._add_peer_usage
 
@@ -222,6 +225,7 @@
     async def run(self) -> None:
         """Reports usage to other hosts until cancelled."""
         while True:
+            self._detect_suspension()
             self._apply_quotas()
             pause_s = (
                 _IDLE_CHECK_INTERVAL_S
@@ -245,7 +249,24 @@
             return usage_exchange.GROUP_REPORT_INTERVAL_S
         return usage_exchange.HOST_REPORT_INTERVAL_S
 
+    def _detect_suspension(self) -> None:
+        """Notes when this host has not run for longer than it ever pauses."""
+        now = clock.now()
+        suspended_s = now - self._ran_at - _IDLE_CHECK_INTERVAL_S
+        self._ran_at = now
+        if suspended_s >= _SUSPENDED_S:
+            self.ledger.note_suspension(suspended_s, now)
+            _logger.info(
+                "host was suspended",
+                extra={
+                    "event": "suspended",
+                    "seconds": round(suspended_s, 3),
+                },
+            )
+
     def _add_peer_usage(self, added: dict[int, float]) -> None:
+        # Packets from a suspension may be read before `run` continues.
+        self._detect_suspension()
         self.ledger.add_peer_usage(added, clock.now())
 
     def _apply_quotas(self) -> None:
--- a/hillthread/state/quotas/quota.py
+++ b/hillthread/state/quotas/quota.py
@@ -46,6 +46,8 @@
 # Largest reserve for more urgent requests while the bucket limits, as a share
 # of its capacity. A larger one would never be reached by the refill.
 _MAX_PACE_RESERVE_SHARE = 0.5
+# Time after a suspension in which packets that arrived during it are read.
+_SUSPENSION_READ_S = 0.5
 
 
 class QuotaBounds(NamedTuple):
@@ -108,6 +110,10 @@
         self._updated_at = now
         self._slots: collections.deque[tuple[int, float]] = collections.deque()
         self._last_retry_at = now
+        # Units that peers may have used while this host was suspended, and
+        # until when such usage is read.
+        self._suspended_units = 0.0
+        self._suspended_until = float("-inf")
 
     @property
     def limit(self) -> float:
@@ -206,8 +212,23 @@
         """Counts usage that peers report."""
         if now < self.past_usage_until:
             self.add_past_usage(amount, now)
-        else:
-            self.spend(amount, now)
+            return
+        past = 0.0
+        if now < self._suspended_until and amount > 0.0:
+            past = min(amount, self._suspended_units)
+            self._suspended_units -= past
+            self.add_past_usage(past, now)
+        self.spend(amount - past, now)
+
+    def note_suspension(self, seconds: float, now: float) -> None:
+        """Records that this host was suspended until now.
+
+        The refill of that time exceeds the bucket and is lost, while the usage
+        of peers is read all at once. What the refill would have covered is not
+        taken from the bucket.
+        """
+        self._suspended_units = min(self.limit, seconds * self.refill_per_s)
+        self._suspended_until = now + _SUSPENSION_READ_S
 
     def add_past_usage(self, amount: float, now: float) -> None:
         """Counts usage of the last window that occurred at an unknown time.
--- a/hillthread/state/quotas/quota_ledger.py
+++ b/hillthread/state/quotas/quota_ledger.py
@@ -147,6 +147,11 @@
         self.exchange.add_usage(key, amount)
         return self.exchange.is_report_due(now, self.host_count)
 
+    def note_suspension(self, seconds: float, now: float) -> None:
+        """Records that this host was suspended until now."""
+        for window in self.windows_by_key.values():
+            window.note_suspension(seconds, now)
+
     def add_peer_usage(self, added: Mapping[int, float], now: float) -> None:
         """Adds usage of other hosts, by key."""
         for key, amount in added.items():
--- a/tests/state/quotas/test_quota.py
+++ b/tests/state/quotas/test_quota.py
@@ -25,6 +25,38 @@
     return window
 
 
+class SuspensionTest(unittest.TestCase):
+    def read_usage(self, is_suspension_known):
+        """Returns what remains after 5 s in which peers used the refill."""
+        window = make_window()
+        window.refresh(105.0, 1.0)
+        if is_suspension_known:
+            window.note_suspension(5.0, 105.0)
+        for _ in range(10):
+            window.add_peer_usage(window.refill_per_s * 0.5, 105.0)
+        return window.remaining()
+
+    # Guards against a host that refuses its callers for as long as it was
+    # suspended, because it reads all usage of its peers at once.
+    def test_usage_during_a_suspension_does_not_exhaust_the_bucket(self):
+        self.assertLess(self.read_usage(is_suspension_known=False), -4_000.0)
+        self.assertGreater(self.read_usage(is_suspension_known=True), 0.0)
+
+    def test_usage_beyond_the_refill_is_taken_from_the_bucket(self):
+        window = make_window()
+        window.refresh(105.0, 1.0)
+        window.note_suspension(5.0, 105.0)
+        window.add_peer_usage(window.refill_per_s * 7.0, 105.0)
+        self.assertLess(window.remaining(), 0.0)
+
+    def test_later_usage_is_taken_from_the_bucket(self):
+        window = make_window()
+        window.note_suspension(5.0, 100.0)
+        window.refresh(101.0, 1.0)
+        window.add_peer_usage(5_000.0, 101.0)
+        self.assertLess(window.remaining(), 0.0)
+
+
 class CostTest(unittest.TestCase):
     def test_request_cost(self):
         requests = objects.Quota(rate_per_s=2.0)
