Split the records in the store from the quarantine's decisions

Reading, writing and restoring records is now quarantine_store.py. Lists for operators, logs and records count the crashes of a part as the decision does, so that parts which are only tried are not shown as held. Tests of deadly requests, deadly parts, restored stores and feeds pass as before.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -418,7 +418,7 @@
 
     def _apply_host_record(self, record: topic_copy.TopicRecord) -> None:
         if record.key.startswith(host_registry.QUARANTINE_PREFIX):
-            self.quarantine.apply_record(record)
+            self.quarantine.records.apply_record(record)
         else:
             self.hosts.apply_host_record(record)
 
@@ -462,7 +462,9 @@
         self.tasks.start_soon(self.hosts.register_again, self._find_own_entry)
         for key in keys:
             if key.startswith(host_registry.QUARANTINE_PREFIX):
-                self.quarantine.restore_record(key, self._is_lost_record)
+                self.quarantine.records.restore_record(
+                    key, self._is_lost_record
+                )
 
     def _find_own_entry(self) -> bytes:
         """Returns this host's entry in the store; empty if it has none."""
--- a/hillthread/coordination/gateway/serving/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -10,13 +10,10 @@
 from collections.abc import Callable
 import dataclasses
 import logging
-import random
-import time
 from typing import NamedTuple
 
 import anyio
 import anyio.abc
-import msgspec
 
 from hillthread import clock
 from hillthread import errors
@@ -25,12 +22,9 @@
 from hillthread.coordination.gateway.serving import admission as admission_lib
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
-from hillthread.coordination.gateway.store import host_registry
+from hillthread.coordination.gateway.serving import quarantine_store
 from hillthread.platform import store as store_lib
 from hillthread.protocol import work_notice
-from hillthread.state.cluster import topic_copy
-from hillthread.state.config import payloads
-from hillthread.state.routing import placement
 from hillthread.state.targets import part_blame
 from hillthread.state.targets import quarantine
 from hillthread.state.targets import request_features
@@ -41,11 +35,6 @@
 # 0.5 s or more until their first byte.
 _MAX_TRIAL_WAIT_S = 0.3
 _TRIAL_CHECK_INTERVAL_S = 0.02
-_STORE_RETRY_S = 1.0
-_STORE_ATTEMPTS = 5
-# Hosts that may rewrite a record which a restored store has lost; the first of
-# them may be gone.
-_REWRITING_HOST_COUNT = 3
 
 _logger = logging.getLogger("hillthread.quarantine")
 
@@ -78,30 +67,14 @@
     first_event_at: float | None = None
 
 
-class _StoredSuspect(msgspec.Struct):
-    """The record in the store of a request that crashes targets.
-
-    Attributes:
-        ended: Keys of the incarnations that crashed.
-        last_at: Unix time, in seconds, of the last crash, or of the writing
-            when a lost record is written again.
-    """
-
-    ended: list[int]
-    last_at: float
-
-
-_decoder = msgspec.json.Decoder(_StoredSuspect)
-
-
 class QuarantineKeeper:
     """Enforces on one host the quarantine of requests that crash targets.
 
     Attributes:
         site: The host's view of the targets, and its quarantine.
         work: Sends notices to other hosts.
-        store: Stores the records that outlive the hosts.
-        tasks: Runs writes to the store and the repeated sending of notices.
+        records: Stores what has to outlive the hosts.
+        tasks: Runs the repeated sending of notices.
     """
 
     def __init__(
@@ -113,10 +86,11 @@
     ):
         self.site = site
         self.work = work
-        self.store = store
+        self.records = quarantine_store.QuarantineStore(
+            site, work.source, store, tasks
+        )
         self.tasks = tasks
         self._cut_incarnations: dict[str, int] = {}
-        self._stored_digests: set[str] = set()
         self._open_attempts: dict[str, _OpenAttempt] = {}
         # Names of the parts that this host tries, by the id of the request.
         self._part_trials: dict[str, tuple[str, ...]] = {}
@@ -335,10 +309,7 @@
         digests = self.site.quarantine.confirm_crash(incarnation, now)
         if not digests:
             return
-        statuses = {
-            digest: self.site.quarantine.status_of(digest, now)
-            for digest in digests
-        }
+        statuses = {digest: self._status_of(digest, now) for digest in digests}
         _logger.warning(
             "target crashed",
             extra={
@@ -362,6 +333,13 @@
                 self._publish_hold(digest, status)
         self._abort_blamed()
 
+    def _status_of(self, key: str, now: float) -> quarantine.QuarantineStatus:
+        """Returns the status of a request or of a part of prompts."""
+        if not request_features.is_part_key(key):
+            return self.site.quarantine.status_of(key, now)
+        blame = self.site.part_blame.describe(key, now)
+        return quarantine.QuarantineStatus(blame.crashes, blame.held_s)
+
     # Peers and the store.
 
     def apply_notice(self, notice: work_notice.SuspectNotice) -> None:
@@ -382,62 +360,16 @@
                 if request_features.is_part_key(notice.digest):
                     self._abort_blamed()
 
-    def apply_record(self, record: topic_copy.TopicRecord) -> None:
-        """Applies the record of a request in the store.
-
-        Raises:
-            ConfigurationError: The record is unreadable.
-        """
-        digest = record.key.removeprefix(host_registry.QUARANTINE_PREFIX)
-        if not record.value:
-            self._stored_digests.discard(digest)
-            self.site.quarantine.clear(digest)
-            return
-        entry = payloads.decode_payload(_decoder, record.value, "quarantine")
-        self._stored_digests.add(digest)
-        now = clock.now()
-        # The system clock may have been set back since.
-        ago_s = max(0.0, time.time() - entry.last_at)
-        for incarnation in entry.ended:
-            self.site.quarantine.record_crash(digest, incarnation, now, ago_s)
-
-    def restore_record(self, key: str, is_lost: Callable[[str], bool]) -> None:
-        """Rewrites a record that a restored store has lost.
-
-        All hosts compute the same ranking for a record and delay the write by
-        their rank, so that usually only the first one writes it.
-
-        Args:
-            key: Key of the record.
-            is_lost: Returns whether the store still lacks a record.
-        """
-        ranked = placement.rank_by_rendezvous(
-            key.encode(), list(self.work.source.hosts)
-        )[:_REWRITING_HOST_COUNT]
-        name = self.work.source.name
-        if name in ranked:
-            rank = ranked.index(name)
-            self.tasks.start_soon(self._restore_after_delay, key, rank, is_lost)
-
-    async def _restore_after_delay(
-        self, key: str, rank: int, is_lost: Callable[[str], bool]
-    ) -> None:
-        spread_s = host_registry.compute_rewrite_spread_s(
-            self.site.cluster_size
-        )
-        await anyio.sleep(random.uniform(rank, rank + 1.0) * spread_s)
-        digest = key.removeprefix(host_registry.QUARANTINE_PREFIX)
-        ended = self.site.quarantine.crashed_incarnations(digest)
-        if not ended or not is_lost(key):
-            return
-        entry = _StoredSuspect(sorted(ended), time.time())
-        await self._write_record(digest, msgspec.json.encode(entry))
-
     # Operators.
 
     def suspects(self) -> list[quarantine.Suspect]:
         """Returns all requests during which targets crashed, worst first."""
-        return self.site.quarantine.suspects(clock.now())
+        now = clock.now()
+        suspects = []
+        for each in self.site.quarantine.suspects(now):
+            ends, held_s = self._status_of(each.digest, now)
+            suspects.append(each._replace(ends=ends, held_s=round(held_s, 3)))
+        return suspects
 
     def clear(self, digest: str) -> bool:
         """Clears a suspect on all hosts; returns whether it was one.
@@ -445,20 +377,20 @@
         With a request the parts are cleared that were open only with it, and a
         part without an owner is cleared for all owners.
         """
-        records = self.site.quarantine
+        suspects = self.site.quarantine
         if not request_features.is_part_key(digest):
-            parts = records.list_parts_only_with(digest)
+            parts = suspects.list_parts_only_with(digest)
         elif not request_features.has_owner(digest):
             name = request_features.part_name(digest)
-            parts = records.list_keys_of_part(name)
+            parts = suspects.list_keys_of_part(name)
         else:
             parts = []
         for part in parts:
             self.clear(part)
         if parts and request_features.is_part_key(digest):
             return True
-        was_suspect = records.record_success(digest, clock.now())
-        if was_suspect or digest in self._stored_digests:
+        was_suspect = suspects.record_success(digest, clock.now())
+        if was_suspect or self.records.has_record(digest):
             self._publish_clearing(digest)
         return was_suspect
 
@@ -476,8 +408,7 @@
         )
         event = work_notice.SuspectEvent.SUCCEEDED
         self._notify([work_notice.SuspectNotice(digest, 0, event)])
-        if digest in self._stored_digests:
-            self.tasks.start_soon(self._write_record, digest, b"")
+        self.records.remove(digest)
 
     def _publish_hold(
         self, digest: str, status: quarantine.QuarantineStatus
@@ -492,12 +423,7 @@
                 "held_s": round(status.held_s, 3),
             },
         )
-        ended = self.site.quarantine.crashed_incarnations(digest)
-        entry = _StoredSuspect(sorted(ended), time.time())
-        self._stored_digests.add(digest)
-        self.tasks.start_soon(
-            self._write_record, digest, msgspec.json.encode(entry)
-        )
+        self.records.put(digest)
 
     def _notify(self, notices: list[work_notice.SuspectNotice]) -> None:
         """Notifies all hosts, now and some more times."""
@@ -523,29 +449,6 @@
             return self.site.part_blame.has_running_trial(name, now)
         return self.site.quarantine.has_running_trial(notice.digest, now)
 
-    async def _write_record(self, digest: str, value: bytes) -> None:
-        """Writes a record, or removes it if the value is empty.
-
-        The write is given up after some attempts, since the hosts that hold
-        the request know of it anyway.
-        """
-        key = host_registry.QUARANTINE_PREFIX + digest
-        for _ in range(_STORE_ATTEMPTS):
-            try:
-                await self.store.put(host_registry.HOSTS_TOPIC, key, value)
-            except errors.HillthreadError as error:
-                _logger.warning(
-                    "quarantine record not stored",
-                    extra={
-                        "event": "quarantine_unkept",
-                        "digest": digest,
-                        "reason": error.message,
-                    },
-                )
-                await anyio.sleep(_STORE_RETRY_S)
-            else:
-                return
-
 
 def _make_refusal(
     message: str, advice: str, held_s: float
--- a/hillthread/state/targets/part_blame.py
+++ b/hillthread/state/targets/part_blame.py
@@ -133,6 +133,14 @@
             tuple(names), max(self._trial_s(name, now) for name in names)
         )
 
+    def describe(self, key: str, now: float) -> Blamed:
+        """Returns the crashes of a part and how long it is held."""
+        verdict = self.judge(request_features.RequestFeatures("", (key,)), now)
+        if isinstance(verdict, Blamed):
+            return verdict
+        name = request_features.part_name(key)
+        return Blamed(name, self._count_of_part(key), 0.0)
+
     def begin_trial(self, names: tuple[str, ...], now: float) -> None:
         """Records that this host or another one tries some parts."""
         for name in names:
