--- a/hillthread/state/quotas/retry_share.py
+++ b/hillthread/state/quotas/retry_share.py
@@ -12,9 +12,9 @@
 
 __all__ = ["RetryBounds", "RetryShare"]
 
-# Retries that accrue with requests may be spent for this long. It covers the
-# requests that one crashed target had open.
-_ACCRUAL_KEPT_S = 1.5
+# Share of the window for which retries that accrue with requests may be spent.
+# It covers the requests that one crashed target had open.
+_ACCRUAL_KEPT_SHARE = 0.15
 # Attempts that were charged within this time may all reach their targets at the
 # same moment, for example after a link was congested.
 _MAX_ARRIVAL_DELAY_S = 1.0
@@ -68,7 +68,7 @@
         self.bounds = bounds
         self.host_count = host_count
         requests = self._recent_requests
-        while requests and requests[0] <= now - _ACCRUAL_KEPT_S:
+        while requests and requests[0] <= now - self._accrual_kept_s:
             requests.popleft()
         refill = bounds.extra / host_count - self._burst
         self._add(refill * elapsed_s / self._spending_window_s)
@@ -101,7 +101,12 @@
     @property
     def _spending_window_s(self) -> float:
         """Seconds of accruals that may be spent on arrivals in one window."""
-        return self.bounds.window_s + _ACCRUAL_KEPT_S + _MAX_ARRIVAL_DELAY_S
+        window_s = self.bounds.window_s
+        return window_s + self._accrual_kept_s + _MAX_ARRIVAL_DELAY_S
+
+    @property
+    def _accrual_kept_s(self) -> float:
+        return _ACCRUAL_KEPT_SHARE * self.bounds.window_s
 
     @property
     def _accrual(self) -> float:
