--- a/hillthread/state/targets/part_blame.py
+++ b/hillthread/state/targets/part_blame.py
@@ -100,6 +100,11 @@
     def __init__(self, quarantine: quarantine_lib.Quarantine):
         self.quarantine = quarantine
         self._trials: dict[str, _Trial] = {}
+        # Derived from the crashes of one revision of the quarantine.
+        self._derived_from = -1
+        self._counts: dict[str, int] = {}
+        self._causes: dict[str, list[int]] = {}
+        self._rivals: dict[tuple[str, int], frozenset[str]] = {}
 
     def judge(
         self, features: request_features.RequestFeatures, now: float
@@ -111,17 +116,12 @@
         names = []
         members = {request_features.part_name(k) for k in features.part_keys}
         for key in features.part_keys:
-            crashed = self.quarantine.find_crashes_of_part(key)
-            crashes = self._count(crashed)
-            causes = [
-                incarnation
-                for incarnation in crashed
-                if not self._is_explained(key, incarnation, crashes)
-            ]
+            causes = self._find_causes(key)
             if not causes and not self.quarantine.is_unconfirmed(key):
                 continue
             names.append(request_features.part_name(key))
             if any(self._is_cause(key, each, members) for each in causes):
+                crashed = self.quarantine.find_crashes_of_part(key)
                 verdict = self._blame(key, crashed, now)
                 if blamed is None or verdict.crashes > blamed.crashes:
                     blamed = verdict
@@ -143,6 +143,9 @@
 
     def begin_trial(self, names: tuple[str, ...], now: float) -> None:
         """Records that this host or another one tries some parts."""
+        for name, trial in list(self._trials.items()):
+            if now >= trial.until:
+                del self._trials[name]
         for name in names:
             until = now + quarantine_lib.TRIAL_S
             self._trials[name] = _Trial(now, until)
@@ -222,18 +225,55 @@
         """
         if not self.quarantine.crashed_incarnations(key):
             return False  # only other tenants' requests crashed targets
-        crashes = self._count_of_part(key)
-        if crashes < quarantine_lib.HOLD_MIN_CRASHES:
+        if self._count_of_part(key) < quarantine_lib.HOLD_MIN_CRASHES:
             return False
-        return all(
-            request_features.part_name(other) in members
-            for other in self.quarantine.list_open_features(incarnation)
-            if request_features.is_part_key(other)
-            and self._count_of_part(other) >= crashes
-        )
+        return self._list_rivals(key, incarnation) <= members
+
+    def _list_rivals(self, key: str, incarnation: int) -> frozenset[str]:
+        """Returns the parts that explain a crash as well as one of them does.
+
+        They were open at the crash, and at as many crashes as the part.
+        """
+        self._forget_outdated()
+        rivals = self._rivals.get((key, incarnation))
+        if rivals is None:
+            crashes = self._count_of_part(key)
+            rivals = self._rivals[key, incarnation] = frozenset(
+                request_features.part_name(other)
+                for other in self.quarantine.list_open_features(incarnation)
+                if request_features.is_part_key(other)
+                and self._count_of_part(other) >= crashes
+            )
+        return rivals
+
+    def _find_causes(self, key: str) -> list[int]:
+        """Returns the crashes of a part that no other feature explains."""
+        self._forget_outdated()
+        causes = self._causes.get(key)
+        if causes is None:
+            crashes = self._count_of_part(key)
+            causes = self._causes[key] = [
+                incarnation
+                for incarnation in self.quarantine.find_crashes_of_part(key)
+                if not self._is_explained(key, incarnation, crashes)
+            ]
+        return causes
 
     def _count_of_part(self, key: str) -> int:
-        return self._count(self.quarantine.find_crashes_of_part(key))
+        self._forget_outdated()
+        count = self._counts.get(key)
+        if count is None:
+            crashed = self.quarantine.find_crashes_of_part(key)
+            count = self._counts[key] = self._count(crashed)
+        return count
+
+    def _forget_outdated(self) -> None:
+        """Forgets what was derived from fewer crashes or successes."""
+        if self._derived_from != self.quarantine.revision:
+            self._derived_from = self.quarantine.revision
+            self._counts.clear()
+            self._causes.clear()
+            self._rivals.clear()
 
     def _count(self, crashed: frozenset[int]) -> int:
         """Returns the number of crashes, of simultaneous ones the first."""
--- a/hillthread/state/targets/quarantine.py
+++ b/hillthread/state/targets/quarantine.py
@@ -146,9 +146,14 @@
 
 
 class Quarantine:
-    """Tracks the requests under which targets crashed, as this host knows."""
+    """Tracks the requests under which targets crashed, as this host knows.
+
+    Attributes:
+        revision: Incremented when crashes or successes are recorded.
+    """
 
     def __init__(self):
+        self.revision = 0
         self._records: dict[str, _SuspectRecord] = {}
         self._open_on: dict[int, set[str]] = {}
         self._disconnects: dict[int, _Disconnects] = {}
@@ -253,6 +258,7 @@
         record = self._records.setdefault(digest, _SuspectRecord())
         if incarnation in record.crashed:
             return True
+        self.revision += 1
         record.crashed.add(incarnation)
         record.last_crash_at = max(record.last_crash_at, now - ago_s)
         record.trial_until = float("-inf")
@@ -286,6 +292,7 @@
         Returns:
             Whether it was a suspect.
         """
+        self.revision += 1
         self._successes[digest] = now
         self._successes.move_to_end(digest)
         if len(self._successes) > _MAX_SUCCESSES:
@@ -305,6 +312,7 @@
         record = self._records.pop(digest, None)
         if record is None:
             return False
+        self.revision += 1
         for incarnation in record.crashed:
             others = self._open_on[incarnation]
             others.discard(digest)
