Tell attempts apart by themselves, end trials of requests that are not sent

Found by reading the change: attempts were keyed by the caller's request id, so that simultaneous requests with the same id ended with an internal error, and the trial of a part went on for 2 s if its request was refused for want of a target. test_simultaneous_requests_with_the_same_id_are_served failed before.

--- a/hillthread/coordination/gateway/peers/forwarding.py
+++ b/hillthread/coordination/gateway/peers/forwarding.py
@@ -221,7 +221,7 @@
 def decode_sends(head: http1_client.AnswerHead) -> int | None:
     """Returns how often a host that refuses a request has sent it to targets.
 
-    Hosts of an earlier release do not tell; the result is then None.
+    None for a host of an earlier release, which does not report it.
     """
     return attempts.parse_whole_number(head.get(SENDS_HEADER))
 
--- a/hillthread/coordination/gateway/serving/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -71,6 +71,7 @@
             be in time.
         stream_origin: The software that began the stream, and that alone may
             continue it; None before the first event.
+        tried_parts: Names of the parts that it is sent to try.
         forwarded: What the host that forwarded the request has done with it;
             None if its caller sent it to this host.
     """
@@ -86,6 +87,7 @@
     is_deferred: bool = False
     stream_origin: stream_origin_lib.StreamOrigin | None = None
     forwarded: forwarding.ForwardOrigin | None = None
+    tried_parts: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -123,6 +123,7 @@
             await self._make_attempts()
         finally:
             self.charges.close()
+            self.context.quarantine.end_trial(self.request)
 
     async def _make_attempts(self) -> None:
         """Makes attempts until the answer is relayed or in `last_answer`.
@@ -391,6 +392,7 @@
             return False
         if self.answer.started and not self._has_resumable_events():
             return False
+        # The current attempt has reached its target; the next one is charged.
         self.charges.note_sent()
         return self._allow_retry(planned.pool, "given up")
 
--- a/hillthread/coordination/gateway/serving/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 import dataclasses
 import logging
 from typing import NamedTuple
@@ -20,6 +19,7 @@
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.peers import work_feed
 from hillthread.coordination.gateway.serving import admission as admission_lib
+from hillthread.coordination.gateway.serving import attempt as attempt_lib
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
 from hillthread.coordination.gateway.serving import quarantine_store
@@ -57,13 +57,11 @@
 
     Attributes:
         request: The request.
-        abort: Ends the attempt; called with the reason.
         first_event_at: When the first event of its answer was relayed, seconds;
             None before that.
     """
 
     request: intake.GatewayRequest
-    abort: Callable[[str], None]
     first_event_at: float | None = None
 
 
@@ -91,9 +89,7 @@
         )
         self.tasks = tasks
         self._cut_incarnations: dict[str, int] = {}
-        self._open_attempts: dict[str, _OpenAttempt] = {}
-        # Names of the parts that this host tries, by the id of the request.
-        self._part_trials: dict[str, tuple[str, ...]] = {}
+        self._open_attempts: dict[attempt_lib.Attempt, _OpenAttempt] = {}
         work.apply_suspect = self.apply_notice
 
     # Attempts.
@@ -171,7 +167,7 @@
                         _MAX_TRIAL_WAIT_S,
                     )
         self.site.part_blame.begin_trial(names, now)
-        self._part_trials[request.request_id] = names
+        request.tried_parts = names
         event = work_notice.SuspectEvent.TRIAL_STARTED
         self._notify(
             [
@@ -187,35 +183,29 @@
         """Returns the current incarnation of a target."""
         return TargetIncarnation(target, self.site.targets.key_of(target))
 
-    def begin_attempt(
-        self,
-        attempt_id: str,
-        request: intake.GatewayRequest,
-        abort: Callable[[str], None],
-    ) -> None:
-        """Records that an attempt is about to be sent.
+    def end_trial(self, request: intake.GatewayRequest) -> None:
+        """Ends the trial of parts that a request has begun, if any."""
+        self.site.part_blame.end_trial(request.tried_parts)
+        request.tried_parts = ()
 
-        Args:
-            attempt_id: Identifies the attempt.
-            request: The request.
-            abort: Ends the attempt; called with the reason.
-        """
-        self._open_attempts[attempt_id] = _OpenAttempt(request, abort)
+    def begin_attempt(self, attempt: attempt_lib.Attempt) -> None:
+        """Records that an attempt is about to be sent."""
+        self._open_attempts[attempt] = _OpenAttempt(attempt.request)
 
-    def note_first_event(self, attempt_id: str) -> None:
+    def note_first_event(self, attempt: attempt_lib.Attempt) -> None:
         """Records that a target has begun to write an answer."""
-        attempt = self._open_attempts[attempt_id]
-        attempt.first_event_at = now = clock.now()
-        verdict = self.site.part_blame.judge(attempt.request.features, now)
+        opened = self._open_attempts[attempt]
+        opened.first_event_at = now = clock.now()
+        verdict = self.site.part_blame.judge(opened.request.features, now)
         if not isinstance(verdict, part_blame.Cleared):
-            self.tasks.start_soon(self._confirm_survival, attempt_id)
+            self.tasks.start_soon(self._confirm_survival, attempt)
 
-    async def _confirm_survival(self, attempt_id: str) -> None:
+    async def _confirm_survival(self, attempt: attempt_lib.Attempt) -> None:
         """Clears parts of a prompt while the answer to it is written."""
         await anyio.sleep(part_blame.SURVIVAL_S)
-        attempt = self._open_attempts.get(attempt_id)
-        if attempt is not None and attempt.first_event_at is not None:
-            self._record_answer(attempt.request, attempt.first_event_at)
+        opened = self._open_attempts.get(attempt)
+        if opened is not None and opened.first_event_at is not None:
+            self._record_answer(opened.request, opened.first_event_at)
 
     def _record_answer(
         self, request: intake.GatewayRequest, begun_at: float
@@ -228,38 +218,36 @@
 
     def record_outcome(
         self,
-        attempt_id: str,
+        attempt: attempt_lib.Attempt,
         sent: TargetIncarnation,
         result: outcome_lib.Outcome | None,
-        is_cut: bool,
     ) -> None:
         """Records the outcome of an attempt.
 
         Args:
-            attempt_id: Identifies the attempt.
+            attempt: The attempt.
             sent: The incarnation that it was sent to.
             result: The outcome; None if the caller no longer waited for it.
-            is_cut: Whether the target's side closed the connection before the
-                answer was complete.
         """
         now = clock.now()
-        attempt = self._open_attempts.pop(attempt_id)
-        request = attempt.request
+        opened = self._open_attempts.pop(attempt)
+        request = opened.request
+        is_cut = attempt.closed_by_target
         match result:
             case outcome_lib.Relayed() | outcome_lib.Whole():
                 if self.site.quarantine.record_success(request.digest, now):
                     self._publish_clearing(request.digest)
-                self._record_answer(request, attempt.first_event_at or now)
+                self._record_answer(request, opened.first_event_at or now)
             case outcome_lib.Lost() | outcome_lib.Broken() if is_cut:
-                self._record_cut(attempt, sent, now)
-        names = self._part_trials.pop(request.request_id, ())
-        if not is_cut:
-            # Otherwise the trial goes on until the target is known to have
-            # crashed, or not.
-            self.site.part_blame.end_trial(names)
+                self._record_cut(opened, sent, now)
+        if is_cut:
+            # The trial goes on until it is known whether the target crashed.
+            request.tried_parts = ()
+        else:
+            self.end_trial(request)
 
     def _record_cut(
-        self, attempt: _OpenAttempt, sent: TargetIncarnation, now: float
+        self, opened: _OpenAttempt, sent: TargetIncarnation, now: float
     ) -> None:
         """Records an answer that the target's side has cut off."""
         entry = self.site.targets.entries.get(sent.target)
@@ -268,11 +256,11 @@
         if entry is None or entry.leaving or sent.target in self.site.brittle:
             return
         self._cut_incarnations[sent.target] = sent.incarnation
-        features = attempt.request.features
-        begun_at = attempt.first_event_at
+        features = opened.request.features
+        begun_at = opened.first_event_at
         keys: tuple[str, ...] = (features.digest, *features.part_keys)
         if begun_at is not None and now - begun_at >= part_blame.SURVIVAL_S:
-            self._record_answer(attempt.request, begun_at)
+            self._record_answer(opened.request, begun_at)
             keys = (features.digest,)
         for key in keys:
             self.site.quarantine.record_disconnect(key, sent.incarnation, now)
@@ -280,10 +268,10 @@
     def _abort_blamed(self) -> None:
         """Ends attempts that would crash further targets."""
         now = clock.now()
-        for attempt in list(self._open_attempts.values()):
-            if attempt.first_event_at is not None:
+        for attempt, opened in list(self._open_attempts.items()):
+            if opened.first_event_at is not None:
                 continue
-            verdict = self.site.part_blame.judge(attempt.request.features, now)
+            verdict = self.site.part_blame.judge(opened.request.features, now)
             if isinstance(verdict, part_blame.Blamed):
                 attempt.abort("part of the prompt quarantined")
 
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -225,9 +225,7 @@
         self.context.quotas.charge(self.request)
         self.context.limits.charge(name)
         self.context.brittle.record_send(name)
-        self.context.quarantine.begin_attempt(
-            planned.attempt_id, self.request, ongoing.attempt.abort
-        )
+        self.context.quarantine.begin_attempt(ongoing.attempt)
         self._announce_work(planned)
         self.relay.on_first_event = functools.partial(
             self._note_first_event, ongoing
@@ -264,10 +262,7 @@
             attempt, ongoing.state, result, ongoing.first_byte.started
         )
         self.context.quarantine.record_outcome(
-            ongoing.planned.attempt_id,
-            ongoing.target_incarnation,
-            result,
-            attempt.closed_by_target,
+            attempt, ongoing.target_incarnation, result
         )
         if isinstance(result, outcome_lib.NotRun) and result.status == 503:
             self.context.brittle.record_refusal(target.name, result.meaning)
@@ -286,7 +281,7 @@
         """
         ongoing.first_byte.record()
         planned = ongoing.planned
-        self.context.quarantine.note_first_event(planned.attempt_id)
+        self.context.quarantine.note_first_event(ongoing.attempt)
         origin = stream_binding.confirm_origin(
             self.site, planned.plan, planned.pool.name, ongoing.incarnation
         )
--- a/tests/coordination/gateway/serving/test_dispatcher.py
+++ b/tests/coordination/gateway/serving/test_dispatcher.py
@@ -282,6 +282,25 @@
 
         scene_lib.run_scenario(story, plain=3)
 
+    # Guards against attempts that are told apart by the ids of callers.
+    def test_simultaneous_requests_with_the_same_id_are_served(self):
+        async def story(scene):
+            for target in scene.targets:
+                target.default_behaviour = standin.Serve(0.05)
+            statuses = []
+
+            async def call():
+                request = scene.prompt("/resume/x", x_request_id="same")
+                answer = await scene.call(request)
+                statuses.append(answer.head.status)
+
+            async with anyio.create_task_group() as tasks:
+                for _ in range(3):
+                    tasks.start_soon(call)
+            self.assertEqual(statuses, [200] * 3)
+
+        scene_lib.run_scenario(story)
+
     def test_request_that_reached_no_target_is_refused_as_not_run(self):
         async def story(scene):
             with socket.socket() as peer:
