--- a/tests/coordination/gateway/serving/test_dispatcher.py
+++ b/tests/coordination/gateway/serving/test_dispatcher.py
@@ -298,6 +298,15 @@
                 for _ in range(3):
                     tasks.start_soon(call)
             self.assertEqual(statuses, [200] * 3)
+            requests = scene.program.metrics.requests
+            await scene.until(lambda: not scene.program.gateway.inflight)
+            outcomes = {
+                (sample.labels["outcome"], sample.labels["code"]): sample.value
+                for metric in requests.collect()
+                for sample in metric.samples
+                if sample.name.endswith("_total")
+            }
+            self.assertEqual(outcomes, {("answered", ""): 3.0})
 
         scene_lib.run_scenario(story)
 
