Store the time of each crash of a suspect

Found by a test of power lost on all hosts: hosts that started read three crashes of a part at once, counted them as one since simultaneous crashes count once, and tried the part again.

Records now hold the time of each crash. Those of an earlier release, and what earlier releases read, are as before: the field is optional, and crashes without times count as one second apart.

--- a/hillthread/coordination/gateway/serving/quarantine_store.py
+++ b/hillthread/coordination/gateway/serving/quarantine_store.py
@@ -28,6 +28,9 @@
 # Hosts that may rewrite a record which a restored store has lost; the first of
 # them may be gone.
 _REWRITING_HOST_COUNT = 3
+# Assumed time between crashes whose times are unknown, so that they do not
+# count as simultaneous.
+_UNKNOWN_SPACING_S = 1.0
 
 _logger = logging.getLogger("hillthread.quarantine")
 
@@ -39,10 +42,13 @@
         ended: Keys of the incarnations that crashed.
         last_at: Unix time, in seconds, of the last crash, or of the writing
             when a lost record is written again.
+        times: Unix time of each crash, in seconds; empty in records of earlier
+            releases.
     """
 
     ended: list[int]
     last_at: float
+    times: list[float] = []
 
 
 _decoder = msgspec.json.Decoder(_StoredSuspect)
@@ -86,8 +92,11 @@
             self.tasks.start_soon(self._write_record, digest, b"")
 
     def _encode(self, digest: str) -> bytes:
-        ended = self.site.quarantine.crashed_incarnations(digest)
-        return msgspec.json.encode(_StoredSuspect(sorted(ended), time.time()))
+        suspects = self.site.quarantine
+        ended = sorted(suspects.crashed_incarnations(digest))
+        boot_at = time.time() - clock.now()
+        times = [boot_at + suspects.crash_seen_at(each) for each in ended]
+        return msgspec.json.encode(_StoredSuspect(ended, time.time(), times))
 
     def apply_record(self, record: topic_copy.TopicRecord) -> None:
         """Applies the record of a request in the store.
@@ -103,9 +112,11 @@
         entry = payloads.decode_payload(_decoder, record.value, "quarantine")
         self._stored_keys.add(digest)
         now = clock.now()
-        # The system clock may have been set back since.
-        ago_s = max(0.0, time.time() - entry.last_at)
-        for incarnation in entry.ended:
+        for incarnation, at in zip(
+            entry.ended, _list_crash_times(entry), strict=True
+        ):
+            # The system clock may have been set back since.
+            ago_s = max(0.0, time.time() - at)
             self.site.quarantine.record_crash(digest, incarnation, now, ago_s)
 
     def restore_record(self, key: str, is_lost: Callable[[str], bool]) -> None:
@@ -160,3 +171,14 @@
                 await anyio.sleep(_STORE_RETRY_S)
             else:
                 return
+
+
+def _list_crash_times(entry: _StoredSuspect) -> list[float]:
+    """Returns the Unix time of each crash in a record, in seconds."""
+    if len(entry.times) == len(entry.ended):
+        return entry.times
+    count = len(entry.ended)
+    return [
+        entry.last_at - _UNKNOWN_SPACING_S * (count - 1 - number)
+        for number in range(count)
+    ]
--- a/tests/coordination/gateway/serving/test_quarantine_store.py
+++ b/tests/coordination/gateway/serving/test_quarantine_store.py
@@ -32,3 +32,24 @@
             await scene.until(lambda: not quarantine.count_crashes(KEY))
 
         scene_lib.run_scenario(scenario)
+
+    # Guards against crashes that count once since they are read at once.
+    def test_crashes_keep_their_times(self):
+        async def scenario(scene):
+            quarantine = scene.site.quarantine
+            for name, ended, entry in (
+                ("with", [1, 2, 3], {"times": [100.0, 105.0, 110.0]}),
+                ("without", [4, 5, 6], {}),
+            ):
+                with self.subTest(name):
+                    key = request_features.encode_part_key(name, "tenant-one")
+                    scene.store.put(
+                        host_registry.HOSTS_TOPIC,
+                        host_registry.QUARANTINE_PREFIX + key,
+                        {"ended": ended, "last_at": 110.0, **entry},
+                    )
+                    await scene.until(lambda k=key: quarantine.count_crashes(k))
+                    blame = scene.site.part_blame.describe(key, clock.now())
+                    self.assertEqual(blame.crashes, 3)
+
+        scene_lib.run_scenario(scenario)
