Admit reconnects to streams whatever is left of their tenant's quota

A caller that reconnected to its stream could be refused with 429, although the quota had admitted the stream when it began. Evidence: test_exhausted_quota_does_not_end_a_stream, 429 on the former code. Streams that go on, here or at a host that another one forwards them to, are no longer checked; what they use is counted as before.

--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -118,12 +118,14 @@
         """Refuses a request that exceeds the quota of its tenant.
 
         Requests that go to another host are checked there: this host sends
-        nothing to targets meanwhile, so that its share of quotas is small.
+        nothing to targets meanwhile, so that its share of quotas is small. A
+        stream that goes on was admitted when it began.
 
         Raises:
             RefusalError: The quota is exceeded; the request has not run.
         """
-        if self.dispatcher.will_forward(request):
+        is_continued = request.stream_origin is not None
+        if is_continued or self.dispatcher.will_forward(request):
             return
         await self.quotas.wait_at_startup(request)
         self.quotas.admit(request)
--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from hillthread import clock
 from hillthread.coordination.gateway.peers import forwarding
 from hillthread.coordination.gateway.peers import stream_lookup
 from hillthread.coordination.gateway.serving import stream_keeper
@@ -436,6 +437,26 @@
 
 
 class OperatorsTest(unittest.TestCase):
+    # Guards against refusing the rest of a stream that the quota has admitted.
+    def test_exhausted_quota_does_not_end_a_stream(self):
+        async def scenario(scene):
+            scene.configure(tenants=test_quota.tenants())
+            programs = await start_hosts(scene, 2, "v1", "v2")
+            first, body = await begin_stream(scene, programs[0])
+            for program in programs:
+                await scene.until(lambda p=program: p.quotas.statuses())
+                window = program.quotas.ledger.windows["tenant-one"]
+                window.spend(10 * test_quota.LIMIT_TOKENS, clock.now())
+            refused = await test_quota.ask(
+                scene, programs[1], prompt(scene, 1, SINGLE_ATTEMPT)
+            )
+            self.assertEqual(refused.head.status, 429)
+            answer = await reconnect(scene, programs[1], first, body)
+            self.assertEqual(answer.head.status, 200)
+            self.assertEqual(releases_in(body), releases_in(answer.body))
+
+        scene_lib.run_scenario(scenario, engines=4)
+
     def test_operators_see_releases_and_reconnects(self):
         async def scenario(scene):
             programs = await start_hosts(scene, 2, "v1", "v2")
