--- a/tests/coordination/gateway/serving/test_dispatcher.py
+++ b/tests/coordination/gateway/serving/test_dispatcher.py
@@ -282,7 +282,7 @@
 
         scene_lib.run_scenario(story, plain=3)
 
-    # Guards against attempts that are told apart by the ids of callers.
+    # Guards against attempts that are identified by the ids of callers.
     def test_simultaneous_requests_with_the_same_id_are_served(self):
         async def story(scene):
             for target in scene.targets:
