--- a/review/rig.py
+++ b/review/rig.py
@@ -433,7 +433,11 @@
 
     signal.signal(signal.SIGTERM, _exit_on_signal)
     with tempfile.TemporaryDirectory(prefix="review-") as folder:
-        anyio.run(main)
+        try:
+            anyio.run(main)
+        except Exception as error:
+            code = EXIT_NOT_RUN
+            record.write(f"the case could not run: {error!r}")
     record.write(f"exit code {code}")
     record.close()
     return code
