--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -518,6 +518,8 @@
             self._update_unavailable_metrics(now)
             self.metrics.store_age.set(self.site.freshness.age(now))
             self.metrics.connections.set(self.pool.opened.total())
+            for fault, count in self.pool.faults.items():
+                self.metrics.bad_answers.labels(fault).set(count)
             self.metrics.buffered_bytes.set(self.buffers.buffered_bytes)
             if memory_mb != self.site.settings.memory_mb:
                 memory_mb = self.site.settings.memory_mb
@@ -554,6 +556,7 @@
                 "buffered_bytes": self.buffers.buffered_bytes,
                 "slow_callers_cut": self.buffers.cut_streams,
                 "connections_opened": dict(self.pool.opened),
+                "bad_answers": dict(self.pool.faults),
                 "keep_told_s": dict(self.pool.keep_alive_counts),
                 "hosts": self.site.cluster_size,
                 "lease_holder": self.rollout.lease.contender.state.holder,
--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -20,6 +20,7 @@
 
     def __init__(self):
         super().__init__(_SECONDS)
+        self._create_target_gauges()
         self.requests = self.counter(
             "requests", "Requests by outcome and code.", ["outcome", "code"]
         )
@@ -60,9 +61,6 @@
         self.suspects = self.gauge(
             "suspects", "Requests under which targets crashed."
         )
-        self.limited_targets = self.gauge(
-            "targets_limited", "Targets that announced a limit of requests."
-        )
         self.limit_skips = self.counter(
             "limit_passes",
             "Requests not sent to the target chosen, because of its limit.",
@@ -131,12 +129,6 @@
             "Targets chosen with outdated weights, by grace.",
             ["grace"],
         )
-        self.outdated_targets = self.gauge(
-            "targets_behind", "Targets with outdated weights."
-        )
-        self.connections = self.gauge(
-            "target_connections_opened", "Connections opened to targets."
-        )
         self.inflight = self.gauge("inflight", "Requests being served.")
         self.buffered_bytes = self.gauge(
             "buffered_bytes",
@@ -157,23 +149,6 @@
         self.store_era = self.gauge(
             "store_era", "Era of the store, once it has been restored."
         )
-        self.targets = self.gauge("targets", "Known targets.")
-        self.leaving = self.gauge(
-            "targets_leaving", "Listed targets that announced a departure."
-        )
-        self.backing_off = self.gauge(
-            "targets_backing_off", "Targets that shed load and request a pause."
-        )
-        self.brittle_targets = self.gauge(
-            "targets_brittle",
-            "Targets that crash if they refuse too many requests.",
-        )
-        self.unreachable = self.gauge(
-            "targets_unreachable", "Targets that this host cannot reach."
-        )
-        self.links_lost = self.gauge(
-            "links_lost", "Whether this host can reach no target at all."
-        )
         self.ready = self.gauge("ready", "Whether the host is ready.")
         self.holds_lease = self.gauge(
             "holds_lease", "Whether this host may give orders."
@@ -199,6 +174,39 @@
         )
         self._labels = metric_set.BoundedLabels()
 
+    def _create_target_gauges(self) -> None:
+        self.bad_answers = self.gauge(
+            "target_bad_answers",
+            "Bytes from targets that were no valid answer, by fault.",
+            ["fault"],
+        )
+        self.targets = self.gauge("targets", "Known targets.")
+        self.leaving = self.gauge(
+            "targets_leaving", "Listed targets that announced a departure."
+        )
+        self.backing_off = self.gauge(
+            "targets_backing_off", "Targets that shed load and request a pause."
+        )
+        self.brittle_targets = self.gauge(
+            "targets_brittle",
+            "Targets that crash if they refuse too many requests.",
+        )
+        self.unreachable = self.gauge(
+            "targets_unreachable", "Targets that this host cannot reach."
+        )
+        self.links_lost = self.gauge(
+            "links_lost", "Whether this host can reach no target at all."
+        )
+        self.limited_targets = self.gauge(
+            "targets_limited", "Targets that announced a limit of requests."
+        )
+        self.connections = self.gauge(
+            "target_connections_opened", "Connections opened to targets."
+        )
+        self.outdated_targets = self.gauge(
+            "targets_behind", "Targets with outdated weights."
+        )
+
     def count_quota_refusal(self, tenant: str) -> None:
         """Counts a request that was refused by its tenant's quota."""
         if not self._labels.admit((tenant, "")):
--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -112,9 +112,10 @@
             else self.pool.unrepeatable_max_idle_s
         )
         began_at = clock.now()
+        call_id = attempts.make_request_call_id(self.request.request_id)
         try:
             connection = await self.pool.acquire(
-                self.plan.target.address, max_idle_s
+                self.plan.target.address, max_idle_s, call_id
             )
         except http1_client.CallError as error:
             return outcome_lib.Unsent(error.reason)
@@ -132,7 +133,10 @@
         self.connection = connection
         connection.stream.read_budget = self.relay.answer.budget
         try:
-            return await self._exchange(connection)
+            return await self._exchange(connection, call_id)
+        except http1_client.CrossedAnswerError as error:
+            self._note_received()
+            return outcome_lib.Lost(error.reason)
         except http1_client.CallError as error:
             # An attempt given up for another cause than silence tells nothing
             # of its connection.
@@ -190,7 +194,9 @@
         return self.connection.is_request_unacknowledged()
 
     async def _exchange(
-        self, connection: http1_client.ClientConnection
+        self,
+        connection: http1_client.ClientConnection,
+        call_id: http1_client.CallId,
     ) -> outcome_lib.Outcome:
         caller = self.request.caller
         # Connecting may have used up part of the plan's time.
@@ -200,6 +206,7 @@
             caller.target,
             attempts.encode_attempt(caller.headers, plan),
             caller.body,
+            call_id,
         )
         await connection.send_request(sent)
         if not connection.is_body_sent:
--- a/hillthread/coordination/metric_set.py
+++ b/hillthread/coordination/metric_set.py
@@ -63,10 +63,12 @@
             _PREFIX + name, text, labels, registry=self.registry
         )
 
-    def gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+    def gauge(
+        self, name: str, text: str, labels: Sequence[str] = ()
+    ) -> prometheus_client.Gauge:
         """Returns a new gauge."""
         return prometheus_client.Gauge(
-            _PREFIX + name, text, registry=self.registry
+            _PREFIX + name, text, labels, registry=self.registry
         )
 
     def histogram(
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -22,6 +22,7 @@
     "filter_relayed_headers",
     "is_event_stream",
     "is_leaving",
+    "make_request_call_id",
     "parse_whole_number",
 ]
 
@@ -212,6 +213,23 @@
     return kept + added
 
 
+def make_request_call_id(
+    request_id: str, is_always_repeated: bool = True
+) -> http1_client.CallId:
+    """Returns the id by which the answer to a caller's request is matched.
+
+    It is the caller's own, since targets get it unchanged. All attempts of a
+    request have the same id.
+
+    Args:
+        request_id: Id of the request; empty if its caller set none.
+        is_always_repeated: Whether every answer repeats it.
+    """
+    return http1_client.CallId(
+        names.REQUEST_ID, request_id.encode("latin-1"), is_always_repeated
+    )
+
+
 def decode_answer(head: http1_client.AnswerHead) -> AnswerMeaning:
     """Returns the information in the head of an answer."""
     return AnswerMeaning(
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 from collections.abc import Container
 import dataclasses
+import enum
 import math
+import random
 import time
 from typing import Any
 from typing import NamedTuple
@@ -22,6 +24,7 @@
 
 __all__ = [
     "Announcement",
+    "AnswerKind",
     "Arrival",
     "TruncateStream",
     "EncodedAnswer",
@@ -37,8 +40,10 @@
     "Run",
     "Serve",
     "ExtraAnswer",
+    "SurplusAnswers",
     "UnframedAnswer",
     "ResetConnection",
+    "encode_answer",
 ]
 
 # Default duration of loading weights.
@@ -187,6 +192,29 @@
 )
 
 
+class AnswerKind(enum.Enum):
+    """What an answer of a target is for."""
+
+    REFUSAL = enum.auto()
+    ORDER = enum.auto()
+    REPORT = enum.auto()
+    CACHE_EVENTS = enum.auto()
+
+
+class SurplusAnswers(NamedTuple):
+    """Sends answers a second time, late, to no request.
+
+    Attributes:
+        kinds: Kinds of answers that are repeated.
+        delay_s: Time between an answer and its repetition.
+        share: Share of these answers that are repeated.
+    """
+
+    kinds: Container[AnswerKind]
+    delay_s: float = 0.02
+    share: float = 1.0
+
+
 class Run(NamedTuple):
     """A request that the target ran.
 
@@ -271,6 +299,10 @@
         unanswered_order_delays_s: For each of the next orders, the delay
             after which it is executed if it is still valid. It is never
             answered, and not executed if the delay is infinite.
+        misplaced_order_answers: For each of the next orders, an answer to
+            another call that is sent in the place of the order's answer. The
+            order is not executed.
+        surplus: Which answers it repeats; None repeats none.
         silent: Whether it accepts requests of any kind and never answers.
         includes_request_ids: Whether answers contain the ID of their
             request, which makes each answer unique.
@@ -325,6 +357,10 @@
         self.unanswered_order_delays_s: collections.deque[float] = (
             collections.deque()
         )
+        self.misplaced_order_answers: collections.deque[bytes] = (
+            collections.deque()
+        )
+        self.surplus: SurplusAnswers | None = None
         self.silent = False
         self.load_s = LOAD_S
         self.order_delay_s = 0.0
@@ -420,17 +456,44 @@
         if expected and expected != self.name:
             await self._refuse_wrong_instance(request, answer)
         elif request.path == "/api/report":
-            headers = [*_JSON, *self._announcement_headers()]
-            await answer.send_whole(200, headers, self._encode_report())
+            headers = [
+                *_JSON,
+                *_repeated_id(request),
+                *self._announcement_headers(),
+            ]
+            report = self._encode_report()
+            await self._answer(answer, AnswerKind.REPORT, 200, headers, report)
         elif request.path == "/api/kv-events":
-            await answer.send_whole(
-                200, _JSON, self._encode_cache_page(request)
+            headers = [*_JSON, *_repeated_id(request)]
+            page = self._encode_cache_page(request)
+            await self._answer(
+                answer, AnswerKind.CACHE_EVENTS, 200, headers, page
             )
         elif request.path == "/api/order":
             await self._handle_order(request, answer)
         else:
             await self._handle_request(request, answer)
 
+    async def _answer(
+        self,
+        answer: http1_server.CallerAnswer,
+        kind: AnswerKind,
+        status: int,
+        headers: http1.Headers,
+        body: bytes = b"",
+    ) -> None:
+        """Sends an answer, and sends it again if `surplus` says so."""
+        await answer.send_whole(status, headers, body)
+        surplus = self.surplus
+        if surplus is None or kind not in surplus.kinds:
+            return
+        if random.random() >= surplus.share:
+            return
+        await anyio.sleep(surplus.delay_s)
+        await answer.connection.stream.send(
+            encode_answer(status, headers, body)
+        )
+
     async def _handle_request(
         self,
         request: http1_server.CallerRequest,
@@ -484,19 +547,24 @@
         born_ms = self.born_ms
         order = Order(msgspec.json.decode(request.body), time.monotonic())
         self.received_order_count += 1
+        headers = _repeated_id(request)
+        if self.misplaced_order_answers:
+            misplaced = self.misplaced_order_answers.popleft()
+            await answer.connection.stream.send(misplaced)
+            raise http1_server.BrokenAnswerError
         hold_s = self.order_delay_s
         if self.unanswered_order_delays_s:
             hold_s = self.unanswered_order_delays_s.popleft()
         if hold_s:
             await self._hold_order(order, hold_s, born_ms)
         if self.order_status:
-            await answer.send_whole(self.order_status, [], b"")
+            await answer.send_whole(self.order_status, headers, b"")
             return
         if not self._accept_order(order):
-            await answer.send_whole(409, [], b"")
+            await self._answer(answer, AnswerKind.ORDER, 409, headers)
             return
         try:
-            await answer.send_whole(202, [], b"")
+            await self._answer(answer, AnswerKind.ORDER, 202, headers)
         finally:  # The order is accepted even if the answer was not sent.
             with anyio.CancelScope(shield=True):
                 await self._load_weights(order, born_ms)
@@ -567,7 +635,7 @@
         if cut:
             await answer.begin(status, [*headers, (b"content-length", b"9")])
             raise http1_server.BrokenAnswerError
-        await answer.send_whole(status, headers, b"")
+        await self._answer(answer, AnswerKind.REFUSAL, status, headers)
 
     async def _serve(
         self,
@@ -792,6 +860,20 @@
         raise http1_server.BrokenAnswerError
 
 
+def encode_answer(status: int, headers: http1.Headers, body: bytes) -> bytes:
+    """Returns the bytes of an answer with a length."""
+    lines = [b"HTTP/1.1 %d Some Reason" % status]
+    lines += [b"%b: %b" % pair for pair in headers]
+    lines += [b"content-length: %d" % len(body), b"", body]
+    return b"\r\n".join(lines)
+
+
+def _repeated_id(request: http1_server.CallerRequest) -> http1.Headers:
+    """Returns the header that repeats the id of a request, if it has one."""
+    request_id = request.get(b"x-request-id")
+    return [(b"x-request-id", request_id)] if request_id else []
+
+
 def _first_event(request: http1_server.CallerRequest) -> int:
     last = request.get(b"last-event-id")
     return int(last) + 1 if last else 0
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import collections
+import logging
 from typing import NamedTuple
 
 import anyio
@@ -19,9 +20,12 @@
 __all__ = [
     "AnswerHead",
     "CallError",
+    "CallId",
     "ClientConnection",
     "ClientRequest",
     "ConnectionPool",
+    "CrossedAnswerError",
+    "MAX_CALLS",
     "MAX_IDLE_CONNECTIONS",
     "WholeAnswer",
     "call",
@@ -48,8 +52,14 @@
 # A long body is sent in parts of this size. Sent at once to a target that reads
 # slowly, it would be in memory three times.
 _BODY_PART_BYTES = 131_072
+# Calls with an id after which a connection is closed. It bounds the memory
+# that the ids take.
+MAX_CALLS = 512
+_MAX_LOGGED_ID_CHARS = 64
 _PROTOCOL_ERRORS = (h11.RemoteProtocolError, h11.LocalProtocolError)
 
+_logger = logging.getLogger("hillthread.transport")
+
 
 class CallError(Exception):
     """A call failed before its answer was complete.
@@ -75,6 +85,31 @@
         self.connection_refused = connection_refused
 
 
+class CrossedAnswerError(CallError):
+    """The answer belongs to another call."""
+
+    def __init__(self):
+        super().__init__(True, "crossed_answer")
+
+
+class CallId(NamedTuple):
+    """Identifies a call in its request and in the answer to it.
+
+    A connection carries an id once at most, so that a late or surplus answer
+    to an earlier call never has the id of a later one.
+
+    Attributes:
+        header: Lower-case name of the header that carries the id.
+        value: The id; empty for a request without this header.
+        is_always_repeated: Whether every answer repeats the id. Otherwise an
+            answer without an id is accepted as well.
+    """
+
+    header: bytes
+    value: bytes
+    is_always_repeated: bool = True
+
+
 class ClientRequest(NamedTuple):
     """A request to a target.
 
@@ -83,12 +118,15 @@
         target: Path and query.
         headers: All headers except those that frame the body.
         body: The complete body.
+        call_id: Its id, which is also in `headers`; None if the peer repeats
+            no ids.
     """
 
     method: bytes
     target: bytes
     headers: http1.Headers
     body: bytes = b""
+    call_id: CallId | None = None
 
 
 class AnswerHead(NamedTuple):
@@ -133,11 +171,13 @@
         method: Method of its last request.
         framing: What marks the end of the body of its last answer; None
             before the answer's head.
+        faults: Counts bytes received that are no valid answer, by kind.
     """
 
-    def __init__(self, stream, address: str):
+    def __init__(self, stream, address: str, faults: collections.Counter[str]):
         super().__init__(stream, h11.CLIENT, _MAX_HEAD_BYTES)
         self.address = address
+        self.faults = faults
         self.opened_at = anyio.current_time()
         self.last_used_at = self.opened_at
         self.keep_alive_s = _DEFAULT_KEEP_ALIVE_S
@@ -147,6 +187,12 @@
         self.must_close = False
         self.method = b""
         self.framing: body_framing.BodyFraming | None = None
+        self._call_id: CallId | None = None
+        self._call_hashes: set[int] = set()
+
+    def has_carried(self, call_id: CallId | None) -> bool:
+        """Returns whether the connection has carried a call with this id."""
+        return call_id is not None and hash(call_id.value) in self._call_hashes
 
     async def send_request(self, request: ClientRequest) -> None:
         """Sends a request; a long body is left to `send_body`.
@@ -155,6 +201,9 @@
             CallError: The connection was lost.
         """
         self.requests += 1
+        self._call_id = request.call_id
+        if request.call_id is not None:
+            self._call_hashes.add(hash(request.call_id.value))
         self.method = request.method
         self.framing = None
         self.sent_bytes_before_request = self.sent_bytes
@@ -194,6 +243,7 @@
         """Returns the head of the final answer.
 
         Raises:
+            CrossedAnswerError: The answer belongs to another call.
             CallError: The connection failed, or the answer is not valid HTTP.
         """
         try:
@@ -203,7 +253,9 @@
                     case h11.InformationalResponse():
                         continue
                     case h11.Response():
-                        return self._decode_head(event)
+                        head = self._decode_head(event)
+                        self._check_call_id(head)
+                        return head
                     case _:
                         raise CallError(True, "closed before an answer")
         except http1.ConnectionLostError as error:
@@ -269,11 +321,40 @@
             return True
         if self.must_close or not self.is_body_sent:
             return False
+        if len(self._call_hashes) >= MAX_CALLS:
+            return False
         if self.state_machine.our_state is not h11.DONE:
             return False
         if not self.is_answer_read():
             return False
-        return not self.state_machine.trailing_data[0]
+        if self.state_machine.trailing_data[0]:
+            self.faults["surplus_bytes"] += 1
+            return False
+        return True
+
+    def _check_call_id(self, head: AnswerHead) -> None:
+        """Raises a CrossedAnswerError if an answer belongs to another call."""
+        call_id = self._call_id
+        if call_id is None:
+            return
+        received = head.get(call_id.header)
+        if received == call_id.value:
+            return
+        if not received and not call_id.is_always_repeated:
+            return
+        self.must_close = True
+        self.faults["crossed_answer"] += 1
+        _logger.warning(
+            "answer belongs to another call",
+            extra={
+                "event": "crossed_answer",
+                "address": self.address,
+                "status": head.status,
+                "received_id": _shorten(received),
+                "expected_id": _shorten(call_id.value),
+            },
+        )
+        raise CrossedAnswerError
 
     def _decode_head(self, response: h11.Response) -> AnswerHead:
         head = AnswerHead(
@@ -304,6 +385,7 @@
             kept connection turns out to be dead.
         suspect_before: Time of the loop. Connections last used before it may
             have fallen silent and are not used again.
+        faults: Counts bytes received that are no valid answer, by kind.
     """
 
     def __init__(
@@ -318,6 +400,7 @@
         self.idle: dict[str, collections.deque[ClientConnection]] = {}
         self.keep_alive_counts: collections.Counter[str] = collections.Counter()
         self.suspect_before = float("-inf")
+        self.faults: collections.Counter[str] = collections.Counter()
 
     def has_idle(self, address: str) -> bool:
         """Returns whether `acquire` is likely to find an idle connection."""
@@ -328,17 +411,23 @@
         return now - kept[-1].last_used_at < kept[-1].keep_alive_s
 
     async def acquire(
-        self, address: str, max_idle_s: float = float("inf")
+        self,
+        address: str,
+        max_idle_s: float = float("inf"),
+        call_id: CallId | None = None,
     ) -> ClientConnection:
-        """Returns a connection idle for at most `max_idle_s`, or a new one.
+        """Returns an idle connection, or a new one.
+
+        Args:
+            address: `IP:port`.
+            max_idle_s: Maximum idle time of the connection.
+            call_id: Id that the connection must not have carried.
 
         Raises:
             CallError: No connection could be established; nothing was sent.
         """
-        kept = self.idle.get(address)
         reason = "none_kept"
-        while kept:
-            connection = kept.pop()
+        while connection := self._pop_idle(address, call_id):
             idle_s = anyio.current_time() - connection.last_used_at
             if idle_s >= connection.keep_alive_s:
                 reason = "rested_too_long"
@@ -347,16 +436,29 @@
             elif connection.is_readable():
                 reason = "closed_by_peer"
             elif idle_s > max_idle_s:
-                kept.append(connection)
-                reason = "too_old_for_request"
-                break
+                self.idle[address].append(connection)
+                return await self.open(address, "too_old_for_request")
             else:
                 if connection.requests:
                     connection.state_machine.start_next_cycle()
                 return connection
             await connection.close()
+        if reason == "none_kept" and self.idle.get(address):
+            reason = "id_carried"
         return await self.open(address, reason)
 
+    def _pop_idle(
+        self, address: str, call_id: CallId | None
+    ) -> ClientConnection | None:
+        """Removes and returns the last used connection without this id."""
+        kept = self.idle.get(address, ())
+        for index in range(len(kept) - 1, -1, -1):
+            connection = kept[index]
+            if not connection.has_carried(call_id):
+                del kept[index]
+                return connection
+        return None
+
     def record_stale(self, idle_s: float) -> None:
         """Lowers the idle limit: a connection died while it was idle."""
         self.unrepeatable_max_idle_s = max(
@@ -448,7 +550,7 @@
             ) from error
         self.opened[reason] += 1
         http1.enable_dead_peer_detection(stream, self.silence_ms)
-        return ClientConnection(stream, address)
+        return ClientConnection(stream, address, self.faults)
 
     async def _connect(self, address: str) -> byte_stream.ByteStream:
         """Returns a connected stream.
@@ -493,7 +595,7 @@
     began_at = anyio.current_time()
     try:
         with anyio.fail_after(timeout_s):
-            connection = await pool.acquire(address)
+            connection = await pool.acquire(address, call_id=request.call_id)
             await connection.send_request(request)
             if not connection.is_body_sent:
                 await connection.send_body(request)
@@ -518,6 +620,10 @@
     return [*request.headers, (b"content-length", length)]
 
 
+def _shorten(value: bytes) -> str:
+    return value[:_MAX_LOGGED_ID_CHARS].decode("latin-1")
+
+
 def _parse_keep_alive_s(header: bytes) -> float:
     for term in header.split(b","):
         name, _, value = term.strip().partition(b"=")
--- a/tests/transport/test_http1_client.py
+++ b/tests/transport/test_http1_client.py
@@ -269,3 +269,83 @@
             self.assertEqual(caught.exception.reason, "connecting timed out")
 
         anyio.run(scenario)
+
+
+class CallIdTest(unittest.TestCase):
+    def run_with_server(self, handler, scenario):
+        """Runs a scenario, a function of a pool and a server's address."""
+
+        async def run():
+            server = http1_server.Server(
+                ("127.0.0.1", 0),
+                handler,
+                caller_bounds.CallerBounds,
+                lambda status, reason: None,
+            )
+            pool = http1_client.ConnectionPool(0.5)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.serve)
+                await scenario(pool, server.address)
+                await pool.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    async def call(self, pool, address, call_id):
+        headers = [(b"host", b"any"), (call_id.header, call_id.value)]
+        request = http1_client.ClientRequest(
+            b"GET", b"/", headers, call_id=call_id
+        )
+        return await http1_client.call(pool, address, request, 0.5, 100)
+
+    # Guards against matching a late answer to an earlier call with this id.
+    def test_connection_is_not_used_twice_for_the_same_id(self):
+        async def scenario(pool, address):
+            ids = [
+                http1_client.CallId(b"call", value, is_always_repeated=False)
+                for value in (b"a", b"b")
+            ]
+            for number in (0, 1, 0, 1):
+                await self.call(pool, address, ids[number])
+            self.assertEqual(pool.opened, {"none_kept": 1, "id_carried": 1})
+            self.assertEqual(len(pool.idle[address]), 2)
+
+        self.run_with_server(serve_empty, scenario)
+
+    def test_answer_with_another_id_is_rejected_and_counted(self):
+        async def serve_other_id(caller, answer):
+            del caller
+            await answer.send_whole(204, [(b"call", b"other")], b"")
+
+        async def scenario(pool, address):
+            for is_always_repeated in (True, False):
+                call_id = http1_client.CallId(b"call", b"a", is_always_repeated)
+                with self.assertRaises(http1_client.CrossedAnswerError):
+                    await self.call(pool, address, call_id)
+            self.assertEqual(pool.faults["crossed_answer"], 2)
+            self.assertFalse(pool.idle[address])
+
+        self.run_with_server(serve_other_id, scenario)
+
+    def test_answer_without_an_id_is_accepted_if_the_peer_may_omit_it(self):
+        async def scenario(pool, address):
+            await self.call(
+                pool, address, http1_client.CallId(b"call", b"a", False)
+            )
+            with self.assertRaises(http1_client.CrossedAnswerError):
+                await self.call(
+                    pool, address, http1_client.CallId(b"call", b"b")
+                )
+
+        self.run_with_server(serve_empty, scenario)
+
+    def test_connection_is_closed_after_a_bounded_number_of_ids(self):
+        async def scenario(pool, address):
+            for number in range(http1_client.MAX_CALLS + 1):
+                value = b"%d" % number
+                await self.call(
+                    pool, address, http1_client.CallId(b"call", value, False)
+                )
+            self.assertEqual(pool.opened.total(), 2)
+
+        self.run_with_server(serve_empty, scenario)
