--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -20,6 +20,7 @@
 from hillthread.coordination.gateway.serving import quota_keeper
 from hillthread.coordination.gateway.serving import stream_keeper
 from hillthread.coordination.gateway.store import store_follower
+from hillthread.platform import names
 from hillthread.protocol import documents
 from hillthread.protocol import feed
 from hillthread.protocol import stream_query
@@ -75,7 +76,11 @@
             forwarding.FORWARD_BOUND_PATH,
         ):
             await self.handle_forwarded(caller, answer)
-        elif caller.path == stream_query.STREAMS_PATH:
+            return
+        request_id = caller.get(names.REQUEST_ID)
+        if request_id:
+            answer.added_headers = [(names.REQUEST_ID, request_id)]
+        if caller.path == stream_query.STREAMS_PATH:
             await self._answer_streams(caller, answer)
         elif caller.path == feed.QUARANTINE_PATH:
             await self._answer_operator(answer, self._handle_quarantine(caller))
--- a/hillthread/coordination/gateway/peers/forwarding.py
+++ b/hillthread/coordination/gateway/peers/forwarding.py
@@ -137,8 +137,12 @@
     if origin.stream_origin is not None:
         path = FORWARD_BOUND_PATH
         headers += encode_origin(origin.stream_origin)
+    # Hosts that do not know forwarded requests may answer without an id.
+    call_id = attempts.make_request_call_id(
+        caller.get(names.REQUEST_ID).decode("latin-1"), False
+    )
     return http1_client.ClientRequest(
-        b"POST", path.encode(), headers, caller.body
+        b"POST", path.encode(), headers, caller.body, call_id
     )
 
 
--- a/hillthread/coordination/gateway/peers/stream_lookup.py
+++ b/hillthread/coordination/gateway/peers/stream_lookup.py
@@ -10,6 +10,7 @@
 
 from hillthread import clock
 from hillthread import errors
+from hillthread.platform import call_ids
 from hillthread.protocol import stream_query
 from hillthread.state.cluster import feed_source
 from hillthread.state.cluster import record_placement
@@ -100,10 +101,10 @@
             CallError: The host does not answer.
         """
         query = stream_query.StreamQuery(key.tenant, key.digest)
-        request = http1_client.ClientRequest(
+        request = call_ids.make_host_request(
+            host.feed,
             b"POST",
             stream_query.STREAMS_PATH.encode(),
-            [(b"host", host.feed.encode())],
             stream_query.encode_query(query),
         )
         try:
--- a/hillthread/coordination/gateway/serving/cache_watch.py
+++ b/hillthread/coordination/gateway/serving/cache_watch.py
@@ -82,7 +82,11 @@
             started = clock.now()
             try:
                 page = await cache_events.read_events(
-                    self.pool, address, contents.position, _POLL_TIMEOUT_S
+                    self.pool,
+                    address,
+                    contents.epoch,
+                    contents.position,
+                    _POLL_TIMEOUT_S,
                 )
             except errors.LogError as error:
                 if self._handle_failure(address, error):
--- a/hillthread/coordination/gateway/serving/peer_forwarder.py
+++ b/hillthread/coordination/gateway/serving/peer_forwarder.py
@@ -124,9 +124,10 @@
             if self.request.repeatable
             else self.pool.unrepeatable_max_idle_s
         )
+        call_id = attempts.make_request_call_id(self.request.request_id)
         try:
             connection = await self.pool.acquire(
-                self.planned.peer.feed, max_idle_s
+                self.planned.peer.feed, max_idle_s, call_id
             )
         except http1_client.CallError as error:
             return outcome_lib.Unsent(error.reason)
@@ -159,6 +160,10 @@
             if origin.stream_origin is not None:
                 return outcome_lib.Declined(_NO_BOUND_STREAMS)
             return outcome_lib.Declined("it does not know forwarded requests")
+        request_id = self.request.request_id.encode("latin-1")
+        if attempts.decode_answer(head).request_id != request_id:
+            connection.must_close = True
+            return outcome_lib.Lost("crossed_answer")
         if head.get(forwarding.RUN_HEADER):
             return await self._read_refusal(connection, head)
         target = head.get(forwarding.TARGET_HEADER).decode("latin-1")
--- a/hillthread/coordination/gateway/serving/stream_keeper.py
+++ b/hillthread/coordination/gateway/serving/stream_keeper.py
@@ -17,6 +17,7 @@
 from hillthread.coordination.gateway.peers import stream_lookup
 from hillthread.coordination.gateway.peers import work_feed
 from hillthread.coordination.gateway.serving import intake
+from hillthread.platform import call_ids
 from hillthread.platform import resumption as resumption_lib
 from hillthread.protocol import stream_query
 from hillthread.state.cluster import feed_source
@@ -225,10 +226,10 @@
     ) -> None:
         for start in range(0, len(notices), _MAX_NOTICES_PER_CALL):
             page = notices[start : start + _MAX_NOTICES_PER_CALL]
-            request = http1_client.ClientRequest(
+            request = call_ids.make_host_request(
+                address,
                 b"PUT",
                 stream_query.STREAMS_PATH.encode(),
-                [(b"host", address.encode())],
                 stream_query.encode_notices(page),
             )
             try:
--- a/hillthread/coordination/gateway/store/store_follower.py
+++ b/hillthread/coordination/gateway/store/store_follower.py
@@ -17,6 +17,7 @@
 from hillthread import clock
 from hillthread import errors
 from hillthread.coordination.gateway.store import topic_plan
+from hillthread.platform import call_ids
 from hillthread.platform import log_pages
 from hillthread.platform import store
 from hillthread.protocol import feed
@@ -231,8 +232,8 @@
     ) -> feed.FeedPage:
         start = self.copy.position or _START_POSITION
         query = feed.FeedQuery(self.plan.topic, start, hold_s)
-        request = http1_client.ClientRequest(
-            b"GET", feed.encode_query(query), [(b"host", peer.feed.encode())]
+        request = call_ids.make_host_request(
+            peer.feed, b"GET", feed.encode_query(query)
         )
         answer = await http1_client.call(
             self.context.peer_pool,
--- a/hillthread/platform/cache_events.py
+++ b/hillthread/platform/cache_events.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hillthread import errors
+from hillthread.platform import call_ids
 from hillthread.state.routing import cache_contents
 from hillthread.transport import http1_client
 
@@ -49,6 +50,7 @@
 async def read_events(
     pool: http1_client.ConnectionPool,
     address: str,
+    epoch: int | None,
     position: int,
     wait_s: float,
 ) -> CachePage:
@@ -57,6 +59,7 @@
     Args:
         pool: The connections to use.
         address: Address of the engine or store.
+        epoch: Epoch of the last page; None before the first.
         position: Position of the first event to read.
         wait_s: Time for which the call is held while there are no events.
 
@@ -64,13 +67,16 @@
         BusyError: The cache accepts no more calls now.
         LogError: The events cannot be read now.
     """
+    call_id = call_ids.make_call_id(is_always_repeated=False)
     request = http1_client.ClientRequest(
         b"GET",
         f"/api/kv-events?since={position}".encode(),
         [
             (b"host", address.encode()),
             (b"wait-ms", b"%d" % int(wait_s * 1000)),
+            (call_id.header, call_id.value),
         ],
+        call_id=call_id,
     )
     try:
         answer = await http1_client.call(
@@ -86,6 +92,10 @@
         page = _decoder.decode(answer.body)
     except (http1_client.CallError, msgspec.DecodeError) as error:
         raise _make_read_error(str(error)) from error
+    if page.boot_epoch == epoch and _is_earlier_page(page, position):
+        # The answer to this call may still come over the connection.
+        await pool.drop(address)
+        raise _make_read_error("the page is from an earlier read")
     return CachePage(
         page.boot_epoch,
         page.next_page_token,
@@ -99,6 +109,15 @@
     )
 
 
+def _is_earlier_page(page: _Page, position: int) -> bool:
+    """Returns whether a page answers a read from before `position`.
+
+    Caches repeat no ids of calls, but number their events.
+    """
+    first = min((number for number, *_ in page.events), default=position + 1)
+    return first <= position or page.next_page_token < position
+
+
 def _make_read_error(reason: str) -> errors.LogError:
     return errors.LogError(
         f"Events of a cache cannot be read: {reason}.",
--- a/hillthread/platform/orders.py
+++ b/hillthread/platform/orders.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from hillthread.platform import attempts
+from hillthread.platform import call_ids
 from hillthread.platform import names
 from hillthread.platform import targets
 from hillthread.state.config import objects
@@ -119,9 +120,7 @@
             order.orders_taken,
         )
     )
-    headers = _make_headers(target)
-    headers.append((b"content-type", b"application/json"))
-    request = http1_client.ClientRequest(b"POST", b"/api/order", headers, body)
+    request = _make_request(target, b"POST", b"/api/order", body)
     try:
         answer = await _call(pool, target, request, _ORDER_TIMEOUT_S)
     except http1_client.CallError as error:
@@ -137,9 +136,7 @@
     Raises:
         ConfigurationError: The report is unreadable.
     """
-    request = http1_client.ClientRequest(
-        b"GET", b"/api/report", _make_headers(target)
-    )
+    request = _make_request(target, b"GET", b"/api/report")
     try:
         answer = await _call(pool, target, request, _REPORT_TIMEOUT_S)
     except http1_client.CallError:
@@ -157,9 +154,7 @@
 
     A report takes none of its slots.
     """
-    request = http1_client.ClientRequest(
-        b"GET", b"/api/report", _make_headers(target)
-    )
+    request = _make_request(target, b"GET", b"/api/report")
     try:
         connection = await pool.open(target.address, "answer probe")
     except http1_client.CallError:
@@ -185,13 +180,25 @@
     timeout_s: float,
 ) -> http1_client.WholeAnswer:
     return await http1_client.call(
-        pool, target.address, request, timeout_s, _MAX_ANSWER_BYTES
+        pool,
+        target.address,
+        request,
+        timeout_s,
+        _MAX_ANSWER_BYTES,
+        is_alone=True,
     )
 
 
-def _make_headers(target: objects.Target) -> list[tuple[bytes, bytes]]:
-    """Returns headers that only the given incarnation of a target accepts."""
-    return [
+def _make_request(
+    target: objects.Target, method: bytes, path: bytes, body: bytes = b""
+) -> http1_client.ClientRequest:
+    """Returns a request that only this incarnation of a target accepts."""
+    call_id = call_ids.make_call_id(is_always_repeated=False)
+    headers = [
         (b"host", target.address.encode()),
         (names.EXPECT_INCARNATION, target.name.encode()),
+        (call_id.header, call_id.value),
     ]
+    if body:
+        headers.append((b"content-type", b"application/json"))
+    return http1_client.ClientRequest(method, path, headers, body, call_id)
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -581,12 +581,22 @@
     request: ClientRequest,
     timeout_s: float,
     max_bytes: int,
+    is_alone: bool = False,
 ) -> WholeAnswer:
     """Sends a request and returns its whole answer.
 
     After a failed call, the next one uses a new connection, or one that has
     carried an answer since.
 
+    Args:
+        pool: The connections to use.
+        address: `IP:port`.
+        request: The request.
+        timeout_s: Timeout for connecting and for the whole answer.
+        max_bytes: Maximum size of the answer's body.
+        is_alone: Whether the call gets a new connection, which no other call
+            uses. Only this tells answers of peers apart that repeat no ids.
+
     Raises:
         CallError: The call failed; `sent` tells whether the peer may have
             processed the request.
@@ -595,7 +605,12 @@
     began_at = anyio.current_time()
     try:
         with anyio.fail_after(timeout_s):
-            connection = await pool.acquire(address, call_id=request.call_id)
+            if is_alone:
+                connection = await pool.open(address, "call_alone")
+            else:
+                connection = await pool.acquire(
+                    address, call_id=request.call_id
+                )
             await connection.send_request(request)
             if not connection.is_body_sent:
                 await connection.send_body(request)
@@ -609,6 +624,7 @@
         raise
     finally:
         if connection is not None:
+            connection.must_close = connection.must_close or is_alone
             await pool.release(connection)
     return WholeAnswer(head, body)
 
--- a/tests/coordination/gateway/serving/test_surplus_answers.py
+++ b/tests/coordination/gateway/serving/test_surplus_answers.py
@@ -66,3 +66,26 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+def _answers_to_other_calls(count):
+    """Returns late answers to other calls, which name their ids."""
+    headers = [(b"x-request-id", b"another")]
+    return [standin.encode_answer(200, headers, b"")] * count
+
+
+class SurplusOrderAnswerTest(unittest.TestCase):
+    # Guards against taking a late answer to another call for the answer to an
+    # order that was lost, which left engines with outdated weights for good.
+    def test_lost_orders_are_repeated_though_other_answers_arrive(self):
+        async def scenario(scene):
+            for engine in scene.engines:
+                engine.misplaced_order_answers.extend(
+                    _answers_to_other_calls(1)
+                )
+            scene.announce_weights(2)
+            await scene.until(
+                lambda: all(e.weights == 2 for e in scene.engines)
+            )
+
+        scene_lib.run_scenario(scenario, engines=3, plain=0)
