--- a/hillthread/coordination/gateway/serving/answer_reader.py
+++ b/hillthread/coordination/gateway/serving/answer_reader.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+import anyio
+
 from hillthread.coordination.gateway.serving import event_relay
 from hillthread.coordination.gateway.serving import intake
 from hillthread.coordination.gateway.serving import outcome as outcome_lib
@@ -15,6 +17,10 @@
 # Answers up to this size are buffered until complete; longer ones are relayed
 # as they arrive.
 _MAX_BUFFERED_BYTES = 262_144
+# The head of a refusal has all its information. More of its body is read only
+# to keep the connection.
+_MAX_REFUSAL_BYTES = 4_096
+_MAX_REFUSAL_S = 0.05
 
 
 class AnswerReader:
@@ -65,13 +71,17 @@
     async def discard(self, connection: http1_client.ClientConnection) -> None:
         """Reads and discards the body of a refusal.
 
-        The head already carries all that matters. If the body is cut off, the
-        connection is not reused.
+        If the body is cut off or has no end, the connection is not reused.
         """
+        reason = "body without end"
         try:
-            await connection.read_body(_MAX_BUFFERED_BYTES)
+            with anyio.move_on_after(_MAX_REFUSAL_S):
+                await connection.read_body(_MAX_REFUSAL_BYTES)
+                return
         except http1_client.CallError as error:
-            self.request.log.warn("refusal_cut", reason=error.reason)
+            reason = error.reason
+        connection.must_close = True
+        self.request.log.warn("refusal_cut", reason=reason)
 
     def failure_outcome(
         self, error: http1_client.CallError
--- a/tests/coordination/gateway/serving/test_endless_answers.py
+++ b/tests/coordination/gateway/serving/test_endless_answers.py
@@ -55,6 +55,36 @@
 
         scene_lib.run_scenario(scenario, engines=1)
 
+    # Guards against reading the body of a refusal while the caller waits.
+    def test_refusal_whose_body_has_no_end_is_retried_at_once(self):
+        async def scenario(scene):
+            for interval_s in (_FAST, _SLOW):
+                for _ in range(5):
+                    await anyio.sleep(_REFUSAL_PAUSE_S)
+                    for engine in scene.engines:
+                        engine.behaviours.clear()
+                    await scene.call(scene.prompt("/stream/x"))
+                    warm = max(
+                        scene.engines,
+                        key=lambda e: (e.runs[-1:] and e.runs[-1].at) or 0.0,
+                    )
+                    warm.queue_behaviours(
+                        standin.EndlessAnswer(
+                            standin.EndlessShape.REFUSAL_BODY,
+                            interval_s=interval_s,
+                        )
+                    )
+                    began_at = anyio.current_time()
+                    answer = await scene.call(scene.prompt("/stream/x"))
+                    elapsed_s = anyio.current_time() - began_at
+                    self.assertEqual(answer.head.status, 200)
+                    self.assertLess(elapsed_s, 0.3)
+            self.assertEqual(len(set(scene.runs())), len(scene.runs()))
+            sent = [engine.endless_bytes for engine in scene.engines]
+            self.assertGreater(sum(sent), 0)
+
+        scene_lib.run_scenario(scenario)
+
     # Guards against waiting for a head of which only some bytes arrive.
     def test_head_that_arrives_too_slowly_is_given_up(self):
         async def scenario(scene):
