--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -282,7 +282,9 @@
         except http1.ConnectionLostError as error:
             raise CallError(True, f"lost before an answer: {error}") from error
         except _PROTOCOL_ERRORS as error:
-            raise CallError(True, f"not an HTTP answer: {error}") from error
+            raise self._make_protocol_error(
+                f"not an HTTP answer: {error}"
+            ) from error
         match event:
             case h11.Response():
                 head = self._decode_head(event)
@@ -336,7 +338,9 @@
         except http1.ConnectionLostError as error:
             raise CallError(True, f"answer cut: {error}") from error
         except _PROTOCOL_ERRORS as error:
-            raise CallError(True, f"answer broke off: {error}") from error
+            raise self._make_protocol_error(
+                f"answer broke off: {error}"
+            ) from error
 
     async def read_body(self, limit: int) -> bytes:
         """Returns the whole body of an answer.
@@ -389,6 +393,14 @@
         if self._tiny_parts > _MAX_TINY_PARTS:
             raise self.reject("too many tiny parts")
 
+    def _make_protocol_error(self, reason: str) -> CallError:
+        """Returns the error for bytes that h11 does not accept."""
+        if self.stream.is_peer_closed:
+            return CallError(True, reason)
+        self.must_close = True
+        self.faults["not HTTP"] += 1
+        return InvalidAnswerError(reason)
+
     def reject(self, fault: str) -> InvalidAnswerError:
         """Counts and logs an answer that exceeds a bound; returns the error."""
         self.must_close = True
--- a/tests/coordination/gateway/serving/test_endless_answers.py
+++ b/tests/coordination/gateway/serving/test_endless_answers.py
@@ -98,6 +98,20 @@
 
         scene_lib.run_scenario(scenario, engines=1)
 
+    # Guards against counting answers that a host rejects as cut by a crash.
+    def test_rejected_answers_are_counted_and_are_no_crashes(self):
+        async def scenario(scene):
+            for shape in _FAILURES:
+                scene.engines[0].queue_behaviours(standin.EndlessAnswer(shape))
+                await scene.call(scene.prompt("/stream/x"))
+                scene.site.state("e0").record_success()
+            self.assertEqual(scene.program.quarantine.suspects(), [])
+            cut = scene.program.quarantine._cut_incarnations
+            self.assertFalse(cut)
+            self.assertEqual(scene.program.pool.faults.total(), len(_FAILURES))
+
+        scene_lib.run_scenario(scenario, engines=1)
+
     # Guards against unfinished events outside the budget of buffered bytes.
     def test_unfinished_events_are_bounded_by_the_budget(self):
         async def scenario(scene):
