--- a/hillthread/platform/cache_events.py
+++ b/hillthread/platform/cache_events.py
@@ -14,7 +14,7 @@
 __all__ = ["CachePage", "read_events"]
 
 # Well above the events of a few seconds.
-_MAX_ANSWER_BYTES = 4_194_304
+_MAX_ANSWER_BYTES = 1_048_576
 # Time that an answer may take beyond the time for which it is held.
 _HOLD_MARGIN_S = 0.8
 
--- a/hillthread/platform/orders.py
+++ b/hillthread/platform/orders.py
@@ -31,7 +31,7 @@
 # whether they accepted the order.
 _ORDER_TIMEOUT_S = 0.5
 # A report is a few hundred bytes.
-_MAX_ANSWER_BYTES = 262_144
+_MAX_ANSWER_BYTES = 16_384
 
 
 class OrderAnswer(enum.StrEnum):
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -30,8 +30,8 @@
 _CONNECT_TIMEOUT_S = 0.5
 # The store answers in 4 ms, at times up to 60 times slower.
 _CALL_TIMEOUT_S = 1.0
-# Well above a page of the store, which is 1 MB.
-_MAX_ANSWER_BYTES = 16_777_216
+# Well above a page of the store, which is 1 MB and longer in base64.
+_MAX_ANSWER_BYTES = 4_194_304
 # The only partition of keyed topics, and the only one that the other topics
 # use here.
 _PARTITION = 0
