--- a/hillthread/bench/gateway_soak/target_faults.py
+++ b/hillthread/bench/gateway_soak/target_faults.py
@@ -29,6 +29,16 @@
 _DEPARTING_S = (2.0, 5.0)
 _FAILING_S = (2.0, 5.0)
 _FAILURE_PAUSE_S = 0.01
+_REPEATED_AFTER_S = (0.0, 0.04)
+_REPEATING_S = (1.0, 4.0)
+# Answers to other requests are late when their connection is used again.
+_BEHIND_S = 0.02
+_ENDLESS_HEADS = (
+    platform_target.EndlessShape.HEAD_LINE,
+    platform_target.EndlessShape.HEAD_LINES,
+    platform_target.EndlessShape.INTERIM_ANSWERS,
+    platform_target.EndlessShape.REFUSAL_BODY,
+)
 # Share of engines that crash when their release is replaced.
 _CRASH_SHARE = 0.5
 _BEHAVIOURS: tuple[platform_target.Behaviour, ...] = (
@@ -82,6 +92,8 @@
             self.target_announces_departure,
             self.target_sheds_load,
             self.target_truncates_streams,
+            self.target_repeats_answers,
+            self.target_sends_without_end,
             self.release_replaced,
         )
 
@@ -147,6 +159,45 @@
                 )
             await anyio.sleep(self.injector.between(injector_lib.FAULT_S))
 
+    async def target_repeats_answers(self) -> None:
+        """A target sends answers a second time, late, to no request."""
+        target = self.injector.target()
+        if target is None or target.surplus is not None:
+            return
+        with self.injector.noted("target_repeats_answers", target.name):
+            target.surplus = platform_target.SurplusAnswers(
+                set(platform_target.AnswerKind),
+                self.injector.between(_REPEATED_AFTER_S),
+            )
+            until = time.monotonic() + self.injector.between(_REPEATING_S)
+            while time.monotonic() < until:
+                if not target.behaviours:
+                    target.queue_behaviours(
+                        platform_target.Refuse(421),
+                        platform_target.Serve(_BEHIND_S),
+                    )
+                await anyio.sleep(_FAILURE_PAUSE_S)
+            target.surplus = None
+
+    async def target_sends_without_end(self) -> None:
+        """A target answers its next requests with bytes without end."""
+        target = self.injector.target()
+        if target is None:
+            return
+        shapes = list(platform_target.EndlessShape)
+        if target.service == _PLAIN:
+            # Bytes of a plain answer are relayed as they come.
+            shapes = list(_ENDLESS_HEADS)
+        draw = self.injector.random
+        with self.injector.noted("target_sends_without_end", target.name):
+            for _ in range(draw.randint(1, 4)):
+                target.queue_behaviours(
+                    platform_target.EndlessAnswer(
+                        draw.choice(shapes), interval_s=draw.choice((0.0, 0.1))
+                    )
+                )
+            await anyio.sleep(self.injector.between(injector_lib.FAULT_S))
+
     async def target_crashes(self) -> None:
         """A target is gone; its entry lapses and another one comes."""
         target = self.injector.target()
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -5,6 +5,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Container
+import contextlib
 import dataclasses
 import enum
 import math
@@ -525,9 +526,10 @@
         if random.random() >= surplus.share:
             return
         await anyio.sleep(surplus.delay_s)
-        await answer.connection.stream.send(
-            encode_answer(status, headers, body)
-        )
+        with contextlib.suppress(OSError):
+            await answer.connection.stream.send(
+                encode_answer(status, headers, body)
+            )
 
     async def _handle_request(
         self,
@@ -760,11 +762,12 @@
         )
         repeats = max(1, behaviour.piece_bytes // len(piece))
         stream = answer.connection.stream
-        await stream.send(start)
-        while not stream.is_peer_closed:
-            await stream.send(piece * repeats)
-            self.endless_bytes += len(piece) * repeats
-            await anyio.sleep(behaviour.interval_s)
+        with contextlib.suppress(OSError):
+            await stream.send(start)
+            while not stream.is_peer_closed:
+                await stream.send(piece * repeats)
+                self.endless_bytes += len(piece) * repeats
+                await anyio.sleep(behaviour.interval_s)
         raise http1_server.BrokenAnswerError
 
     async def _crash_if_deadly(
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -143,6 +143,10 @@
     store.StoreClient._check_era = lambda self, head: None
 
 
+def matches_answers_by_shared_ids():
+    http1_client.ClientConnection.has_carried = lambda self, call_id: False
+
+
 def forwards_nothing():
     request_forwarding.RequestForwarding.plan = lambda self: None
 
@@ -225,6 +229,7 @@
         knows_whole_requests_only,
         holds_first_parts,
         retries_without_a_budget,
+        matches_answers_by_shared_ids,
     )
 }
 
--- a/tests/bench/test_gateway_soak.py
+++ b/tests/bench/test_gateway_soak.py
@@ -97,6 +97,7 @@
     "knows_whole_requests_only": Case("part_crashes_engines", "parts"),
     "holds_first_parts": Case("part_crashes_engines", "parts_lost"),
     "retries_without_a_budget": Case("targets_fail", "retries"),
+    "matches_answers_by_shared_ids": Case("target_repeats_answers", "twice"),
     "forwards_nothing": Case("hosts_lose_targets", "reach"),
 }
 
