--- a/hillthread/platform/targets.py
+++ b/hillthread/platform/targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 from typing import Annotated
 from typing import Literal
 from typing import NamedTuple
@@ -28,6 +29,8 @@
 DATA_CENTRE_LABEL = "data_centre"
 RELEASE_LABEL = "release"
 _MAX_PORT = 65_535
+# Printable characters of ASCII: names of targets are sent in headers.
+_NAME = re.compile("[!-~]+")
 
 
 class EngineReport(NamedTuple):
@@ -108,6 +111,7 @@
         ConfigurationError: The entry is unreadable, or not from a target: a
             target writes all documented fields with the documented types.
     """
+    _check_name(incarnation)
     wire = payloads.decode_payload(_entry_decoder, payload, "target")
     _check_address(incarnation, wire.address)
     weights = {model.name: model.version for model in wire.models}
@@ -164,6 +168,15 @@
     )
 
 
+def _check_name(name: str) -> None:
+    """Raises a ConfigurationError unless a name can be sent in a header."""
+    if not _NAME.fullmatch(name):
+        raise errors.ConfigurationError(
+            f"The key {name!r} of an entry is no name of a target.",
+            "Check which program wrote the entry; it is not a target's.",
+        )
+
+
 def _check_address(name: str, address: str) -> None:
     """Raises a ConfigurationError unless the address is `IP:port`."""
     ip, _, port = address.rpartition(":")
--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -223,7 +223,7 @@
         """Sends a request; a long body is left to `send_body`.
 
         Raises:
-            CallError: The connection was lost.
+            CallError: The connection was lost, or the request is not valid.
         """
         self.requests += 1
         self._tiny_parts = 0
@@ -233,23 +233,32 @@
         self.method = request.method
         self.framing = None
         self.sent_bytes_before_request = self.sent_bytes
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=_framed_headers(request),
-        )
-        events: list[h11.Event] = [head]
         self.is_body_sent = len(request.body) <= _INLINE_BODY_BYTES
-        if self.is_body_sent:
-            events += [h11.Data(data=request.body)] if request.body else []
-            events.append(h11.EndOfMessage())
         try:
-            await self.send(events)
+            await self.send(self._make_events(request))
         except http1.ConnectionLostError as error:
             raise CallError(True, f"lost while sending: {error}") from error
         except h11.LocalProtocolError as error:
             raise CallError(False, f"cannot be sent: {error}") from error
 
+    def _make_events(self, request: ClientRequest) -> list[h11.Event]:
+        """Returns the events of a request, without a long body.
+
+        Raises:
+            LocalProtocolError: The request is not valid (raised by h11).
+        """
+        events: list[h11.Event] = [
+            h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=_framed_headers(request),
+            )
+        ]
+        if self.is_body_sent:
+            events += [h11.Data(data=request.body)] if request.body else []
+            events.append(h11.EndOfMessage())
+        return events
+
     async def send_body(self, request: ClientRequest) -> None:
         """Sends the body of a request whose head was sent.
 
--- a/tests/coordination/gateway/orders/test_rollout.py
+++ b/tests/coordination/gateway/orders/test_rollout.py
@@ -54,6 +54,22 @@
 
         scene_lib.run_scenario(scenario, engines=_ENGINES - 2, plain=0)
 
+    # Guards against ending the process that gives orders: the key of such an
+    # entry cannot be sent in a header.
+    def test_entries_with_unreadable_keys_do_not_delay_others(self):
+        async def scenario(scene):
+            for key in ("\ufffd\x00\x01", "two words", "l\n", "ü", "\x7f"):
+                entry = scene.engines[0].entry()
+                scene.store.put("keyed.servers", key, entry)
+            scene.announce_weights(2)
+            await _until_held(scene, scene.engines, 2)
+            for number in range(6):
+                answer = await scene.call(scene.prompt("/stream/x"))
+                self.assertEqual(answer.head.status, 200, number)
+            self.assertEqual(len(scene.site.targets.entries), _ENGINES)
+
+        scene_lib.run_scenario(scenario, engines=_ENGINES, plain=0)
+
     def test_silent_targets_do_not_delay_others(self):
         async def scenario(scene):
             first, second, *rest = _in_load_order(scene, 2)
--- a/tests/transport/test_http1_client.py
+++ b/tests/transport/test_http1_client.py
@@ -227,6 +227,33 @@
         anyio.run(scenario)
 
 
+class InvalidRequestTest(unittest.TestCase):
+    # Guards against an exception of the parser that no caller expects.
+    def test_request_with_an_invalid_header_is_not_sent(self):
+        async def scenario():
+            server = http1_server.Server(
+                ("127.0.0.1", 0),
+                serve_empty,
+                caller_bounds.CallerBounds,
+                lambda status, reason: None,
+            )
+            pool = http1_client.ConnectionPool(0.5)
+            request = http1_client.ClientRequest(
+                b"GET", b"/", [(b"host", b"any"), (b"name", b"\x00")]
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.serve)
+                with self.assertRaises(http1_client.CallError) as caught:
+                    await http1_client.call(
+                        pool, server.address, request, 0.5, 100
+                    )
+                self.assertFalse(caught.exception.sent)
+                self.assertFalse(pool.idle[server.address])
+                tasks.cancel_scope.cancel()
+
+        anyio.run(scenario)
+
+
 class ConnectionPoolTest(unittest.TestCase):
     def test_connect_timeout_while_the_process_is_paused_is_retried(self):
         """A process without processor time sees its timers expire late."""
