--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -110,6 +110,7 @@
             return
         self.table = received.build_routing_table()
         self.configuration = received
+        self.apply_services(is_first=before is None)
         self._release_if_routable()
         self.metrics.configuration_version.set(received.version)
         _logger.info(
--- a/hillthread/coordination/gateway/target_beliefs.py
+++ b/hillthread/coordination/gateway/target_beliefs.py
@@ -84,6 +84,9 @@
         metrics: The gateway's metrics.
         table: The routing table in force, or None before the first.
         targets: The listed targets.
+        unnamed: Entries of services that the configuration does not name, by
+            the target's name. Another program may have written them, or a
+            later configuration names their service.
         states: What this host's own attempts found and other hosts' notices
             reported, by target.
         pool_speeds: Speed of the engines of each pool, by the pool's name.
@@ -106,6 +109,7 @@
         self.metrics = metrics
         self.table: routing_table.RoutingTable | None = None
         self.targets = target_list.TargetList(_ENTRY_RETURN_S)
+        self.unnamed: dict[str, target_list.ListedTarget] = {}
         self.states: dict[str, target_state.TargetState] = {}
         self.pool_speeds: dict[str, engine_speed.PoolSpeed] = {}
         self.are_links_lost = False
@@ -128,6 +132,7 @@
                 withdrawn.
         """
         before = self.targets.entries.get(incarnation)
+        self.unnamed.pop(incarnation, None)
         try:
             entry = targets_lib.decode_entry(incarnation, payload)
             if entry.born_ms == 0 and incarnation in self.targets.born_ms:
@@ -139,10 +144,62 @@
             change = self.targets.withdraw(incarnation)
             self._record_removal(incarnation, change, before)
             raise
+        if self._is_named(entry) or _is_same_service(before, entry):
+            self._put_entry(entry)
+            return
+        change = self.targets.withdraw(incarnation)
+        self._record_removal(incarnation, change, before)
+        self._set_aside(entry)
+
+    def apply_services(self, is_first: bool) -> None:
+        """Applies entries of services that the configuration names now.
+
+        Args:
+            is_first: Whether it is the first configuration. Entries were
+                accepted without one.
+        """
+        for name, entry in list(self.unnamed.items()):
+            if self._is_named(entry):
+                del self.unnamed[name]
+                self._put_entry(entry, is_written_now=False)
+        if not is_first:
+            return
+        replaced_before = dict(self.targets.replaced)
+        for name, entry in list(self.targets.entries.items()):
+            if not self._is_named(entry):
+                self.targets.undo_replacements(name)
+                change = self.targets.withdraw(name)
+                self._record_removal(name, change, entry)
+                self._set_aside(entry)
+        self._record_replacements(replaced_before)
+
+    def _set_aside(self, entry: target_list.ListedTarget) -> None:
+        """Keeps an entry until the configuration names its service."""
+        name = entry.target.name
+        self.unnamed[name] = entry
+        _logger.info(
+            "target of an unnamed service",
+            extra={
+                "event": "target_unnamed",
+                "target": name,
+                "service": _service_of(entry),
+            },
+        )
+
+    def _is_named(self, entry: target_list.ListedTarget) -> bool:
+        """Returns whether the configuration names the service of an entry."""
+        return self.table is None or self.table.has_pool(_service_of(entry))
+
+    def _put_entry(
+        self, entry: target_list.ListedTarget, is_written_now: bool = True
+    ) -> None:
+        """Adds or updates a target."""
+        incarnation = entry.target.name
         if self.targets.is_earlier_incarnation(incarnation, entry.born_ms):
             return
+        before = self.targets.entries.get(incarnation)
         replaced_before = dict(self.targets.replaced)
-        change = self.targets.put(entry, clock.now())
+        change = self.targets.put(entry, clock.now(), is_written_now)
         if change is target_list.TargetChange.RESTARTED and before is not None:
             self._forget_incarnation(incarnation, before.target.address)
         if change is target_list.TargetChange.ADDED:
@@ -159,6 +216,7 @@
 
     def remove_target(self, incarnation: str, now: float) -> None:
         """Records that an entry is missing from the list."""
+        self.unnamed.pop(incarnation, None)
         entry = self.targets.entries.get(incarnation)
         change = self.targets.remove(incarnation, now)
         self._record_removal(incarnation, change, entry)
@@ -441,7 +499,7 @@
         entry = self.targets.entries.get(target)
         if entry is None:
             return ""
-        return entry.target.labels.get(configuration_lib.SERVICE_LABEL, "")
+        return _service_of(entry)
 
     def weights_status(self, now: float) -> dict[str, object]:
         """Returns announced and outdated weights, for a log line."""
@@ -522,7 +580,9 @@
         """
         replaced = self.targets.replaced
         for name in replaced.keys() ^ before.keys():
-            entry = self.targets.entries[name]
+            entry = self.targets.entries.get(name)
+            if entry is None:
+                continue  # it was withdrawn
             address = entry.target.address
             self._forget(name, address)
             is_replaced = name in replaced
@@ -561,6 +621,18 @@
         ]
 
 
+def _service_of(entry: target_list.ListedTarget) -> str:
+    """Returns the service that an entry names."""
+    return entry.target.labels.get(configuration_lib.SERVICE_LABEL, "")
+
+
+def _is_same_service(
+    before: target_list.ListedTarget | None, entry: target_list.ListedTarget
+) -> bool:
+    """Returns whether a target was accepted with the service of its entry."""
+    return before is not None and _service_of(before) == _service_of(entry)
+
+
 def _ignore_target(target: str) -> None:
     """Default of the callbacks that take the name or address of a target."""
     del target
--- a/hillthread/state/config/routing_table.py
+++ b/hillthread/state/config/routing_table.py
@@ -80,6 +80,7 @@
         for value in decoded.values():
             self._add(value)
         self._pools.sort(key=lambda pool: pool.name)
+        self._pool_names = frozenset(pool.name for pool in self._pools)
         self._routes.sort(key=lambda route: (route.order, route.name))
         self._policies.sort(key=lambda policy: (policy.order, policy.name))
         self.index = route_index.RouteIndex(self._routes)
@@ -146,6 +147,10 @@
         """Returns the pools whose targets serve a model."""
         return [pool for pool in self._pools if model in pool.models]
 
+    def has_pool(self, name: str) -> bool:
+        """Returns whether there is a pool with this name."""
+        return name in self._pool_names
+
     def _select_weighted_pools(
         self, route: objects.Route
     ) -> tuple[WeightedPool, ...]:
--- a/hillthread/state/targets/target_list.py
+++ b/hillthread/state/targets/target_list.py
@@ -152,13 +152,20 @@
         """
         self._store_back_at = now
 
-    def put(self, entry: ListedTarget, now: float = _FOREVER) -> TargetChange:
+    def put(
+        self,
+        entry: ListedTarget,
+        now: float = _FOREVER,
+        is_written_now: bool = True,
+    ) -> TargetChange:
         """Adds or updates an entry and returns what that changed.
 
         Args:
             entry: The entry, which has been written again even if it is equal.
             now: Current time, seconds. Entries that are new around an outage
                 or a restoration of the store may be old ones.
+            is_written_now: Whether the entry has just been written, so that
+                it is later than the others.
         """
         name = entry.target.name
         if self.is_earlier_incarnation(name, entry.born_ms):
@@ -171,7 +178,8 @@
         self.entries[name] = entry
         if before != entry:
             self._clear_caches()
-        self._update_replaced(entry, before, restarted, now)
+        is_later = is_written_now and not self._may_have_lapsed(now)
+        self._update_replaced(entry, before, restarted, is_later)
         if restarted and before is not None:
             return TargetChange.RESTARTED
         if entry.leaving:
@@ -231,6 +239,13 @@
         self._drop(name)
         return TargetChange.GONE
 
+    def undo_replacements(self, name: str) -> None:
+        """Undoes the replacements by an entry that was not a target's."""
+        for other, replacement in list(self.replaced.items()):
+            if replacement.by == name:
+                del self.replaced[other]
+        self._clear_caches()
+
     def remove(self, name: str, now: float) -> TargetChange:
         """Records that an entry is missing and returns what that changed."""
         entry = self.entries.get(name)
@@ -309,7 +324,7 @@
         entry: ListedTarget,
         before: ListedTarget | None,
         restarted: bool,
-        now: float,
+        is_later: bool,
     ) -> None:
         """Updates which targets are replaced after an entry was written."""
         name = entry.target.name
@@ -323,7 +338,7 @@
             before = None
         if before is not None and not restarted:
             self._count_write(entry)
-        elif self.is_read and not came_back and not self._may_have_lapsed(now):
+        elif self.is_read and not came_back and is_later:
             self._make_live(entry)
         else:
             self._compare_starts(entry)
--- a/tests/state/targets/test_target_list.py
+++ b/tests/state/targets/test_target_list.py
@@ -118,6 +118,18 @@
         self.assertEqual(self.member_names(targets), {"b"})
 
     # Guards against work for a target that ended, after its successor ended.
+    def test_entry_that_was_not_just_written_replaces_no_target(self):
+        targets = make_read_list("a", born_ms=5)
+        targets.put(make_entry("b", born_ms=4), 10.0, is_written_now=False)
+        self.assertEqual(self.member_names(targets), {"a"})
+
+    def test_replacement_by_what_was_no_target_is_undone(self):
+        targets = make_read_list("a")
+        targets.put(make_entry("b"), 10.0)
+        targets.undo_replacements("b")
+        targets.withdraw("b")
+        self.assertEqual(self.member_names(targets), {"a"})
+
     def test_replaced_target_stays_out_until_it_is_written_again(self):
         targets = make_read_list("a")
         targets.put(make_entry("b"))
