--- a/hillthread/platform/configuration.py
+++ b/hillthread/platform/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import hashlib
 import logging
 from typing import Any
@@ -33,8 +34,10 @@
 # Unit of a quota in tokens; a quota without a unit is in requests.
 _TOKEN_QUOTA_UNIT = "token_stream"
 
-# Organisation of all tenants that are not isolated; they share cached prefixes.
-_SHARED_ORGANISATION = "shared"
+# Begin of the name of the organisation of all tenants that are not isolated;
+# they share cached prefixes.
+_SHARED_PREFIX = "shared"
+_SHARED_DIGITS = 12
 
 _BYTES_PER_MEGABIT = 1_000_000 / 8
 
@@ -156,7 +159,9 @@
     values: list[objects.ConfigurationObject] = []
     values += [_make_route(each) for each in wire.routes]
     values += [_make_pool_or_store(each) for each in wire.services]
-    values += [_make_tenant(each) for each in wire.tenants or []]
+    tenants = wire.tenants or []
+    shared = _shared_organisation(tenants)
+    values += [_make_tenant(each, shared) for each in tenants]
     return site_configuration.SiteConfiguration(
         wire.version,
         {objects.object_key(value): value for value in values},
@@ -243,10 +248,23 @@
     )
 
 
-def _make_tenant(wire: _Tenant) -> objects.Tenant:
+def _shared_organisation(tenants: Iterable[_Tenant]) -> str:
+    """Returns the organisation of all tenants that are not isolated.
+
+    It differs by which tenants are isolated: what a tenant has sent before it
+    became isolated must not be used by others afterwards.
+    """
+    isolated = sorted(each.name for each in tenants if each.isolated)
+    if not isolated:
+        return _SHARED_PREFIX
+    digest = hashlib.sha256("\n".join(isolated).encode()).hexdigest()
+    return f"{_SHARED_PREFIX}-{digest[:_SHARED_DIGITS]}"
+
+
+def _make_tenant(wire: _Tenant, shared: str) -> objects.Tenant:
     return objects.Tenant(
         name=wire.name,
-        organisation=wire.name if wire.isolated else _SHARED_ORGANISATION,
+        organisation=wire.name if wire.isolated else shared,
         key_digests=[
             hashlib.sha256(key.encode()).hexdigest() for key in wire.api_keys
         ],
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -93,6 +93,36 @@
         self.assertEqual(parts[0].pool.cache_token_bytes, 9)
         self.assertEqual([p.name for p in table.pools_serving("m")], ["x"])
 
+    def decode_organisations(self, *isolated):
+        """Returns the organisations of three tenants."""
+        raw = {
+            "version": 1,
+            "routes": [],
+            "services": [],
+            "tenants": [
+                {"name": name, "apiKeys": [name], "isolated": name in isolated}
+                for name in ("a", "b", "c")
+            ],
+        }
+        decoded = configuration.decode_configuration(msgspec.json.encode(raw))
+        table = decoded.build_routing_table()
+        return [
+            table.find_tenant_by_key(name).organisation
+            for name in ("a", "b", "c")
+        ]
+
+    # Guards against the use of what a tenant has sent before it became
+    # isolated.
+    def test_tenants_share_less_when_one_becomes_isolated(self):
+        first, second, third = self.decode_organisations()
+        self.assertTrue(first == second == third)
+        alone, *others = self.decode_organisations("a")
+        self.assertEqual(alone, "a")
+        self.assertEqual(others[0], others[1])
+        self.assertNotEqual(others[0], first)
+        self.assertEqual(others, self.decode_organisations("a")[1:])
+        self.assertNotIn(self.decode_organisations("b")[0], (first, others[0]))
+
     def decode_quota(self, **fields):
         """Returns the quota decoded from a tenant with these fields."""
         tenant = {"name": "t", "apiKeys": ["a"], **fields}
