--- a/hillthread/coordination/gateway/serving/peer_forwarder.py
+++ b/hillthread/coordination/gateway/serving/peer_forwarder.py
@@ -293,6 +293,8 @@
         now = clock.now()
         reason = None
         match result:
+            case outcome_lib.Whole() | outcome_lib.Relayed():
+                self.choice.use_again(peer, pool)
             case outcome_lib.Unsent(reason):
                 self.choice.avoid(peer, "", now + _AVOID_UNREACHABLE_S)
             case outcome_lib.Declined(reason) if reason != _NO_BOUND_STREAMS:
--- a/hillthread/state/cluster/peer_choice.py
+++ b/hillthread/state/cluster/peer_choice.py
@@ -17,6 +17,9 @@
 
 __all__ = ["PeerChoice"]
 
+# Minimum interval of requests to an avoided host while no other is left.
+_PROBE_INTERVAL_S = 0.25
+
 
 class PeerChoice:
     """Which of the other hosts may be asked, and how many requests each has.
@@ -33,6 +36,7 @@
         self.data_centre = data_centre
         self.open_requests: collections.Counter[str] = collections.Counter()
         self._avoided_until: dict[tuple[str, str], float] = {}
+        self._probed_at: dict[str, float] = {}
 
     def choose(
         self,
@@ -53,12 +57,15 @@
             now: Current time, seconds.
             draw: Chooses one of several hosts at random.
         """
-        usable = [
+        others = [
             host
             for host in hosts
-            if host.name != self.name
-            and host.name not in tried
-            and not self._is_avoided(host.name, pool, now)
+            if host.name != self.name and host.name not in tried
+        ]
+        usable = [
+            host
+            for host in others
+            if not self._is_avoided(host.name, pool, now)
         ]
         # All hosts of a data centre may have lost their links together.
         tried_data_centres = {h.data_centre for h in hosts if h.name in tried}
@@ -66,7 +73,7 @@
         near = [h for h in fresh if h.data_centre == self.data_centre]
         candidates = near or fresh or usable
         if not candidates:
-            return None
+            return self._choose_probe(others, now)
         # The less loaded of two random ones: always taking the least loaded
         # host would send the requests of all hosts to the same one.
         first, second = draw(candidates), draw(candidates)
@@ -74,6 +81,29 @@
             return second
         return first
 
+    def _choose_probe(
+        self, avoided: Sequence[feed_source.HostEntry], now: float
+    ) -> feed_source.HostEntry | None:
+        """Returns the host to probe with a request, or None for none now.
+
+        A host declines for a moment after a pause, and a connection may time
+        out once. Without a probe, all requests would be refused for as long as
+        it is avoided.
+        """
+        never = -_PROBE_INTERVAL_S
+        due = [
+            host
+            for host in avoided
+            if now - self._probed_at.get(host.name, never) >= _PROBE_INTERVAL_S
+        ]
+        if not due:
+            return None
+        probed = min(
+            due, key=lambda host: self._probed_at.get(host.name, never)
+        )
+        self._probed_at[probed.name] = now
+        return probed
+
     def avoid(self, host: str, pool: str, until: float) -> None:
         """Avoids a host for a pool until a point in time, seconds.
 
@@ -84,6 +114,11 @@
         """
         self._avoided_until[host, pool] = until
 
+    def use_again(self, host: str, pool: str) -> None:
+        """Ends the avoidance of a host that has served a request."""
+        self._avoided_until.pop((host, pool), None)
+        self._avoided_until.pop((host, ""), None)
+
     def begin(self, host: str) -> None:
         """Counts a request that is sent to a host."""
         self.open_requests[host] += 1
