--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -35,7 +35,7 @@
 from hillthread.state.cluster import held_read
 from hillthread.state.cluster import topic_copy
 from hillthread.state.config import caller_bounds
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_server
 from hillthread.transport import log_writer
 from hillthread.transport import send_buffer
@@ -109,7 +109,7 @@
         self.log = log
         self.metrics = metrics_lib.GatewayMetrics()
         self.site = site_lib.Site(settings, self.metrics)
-        self.pool = http1_client.ConnectionPool(
+        self.pool = connection_pool.ConnectionPool(
             _CONNECT_TIMEOUT_S, _TARGET_SILENCE_MS
         )
         self.store = store_lib.StoreClient(settings.store)
@@ -126,7 +126,7 @@
         self.limits = limit_keeper.LimitKeeper(
             self.site, self.work, self.quotas, tasks
         )
-        peer_pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S)
+        peer_pool = connection_pool.ConnectionPool(_CONNECT_TIMEOUT_S)
         self.streams = stream_keeper.StreamKeeper(
             self.site, self.work, peer_pool
         )
@@ -159,7 +159,7 @@
                 self._resend_held_reads,
             ),
             self.source,
-            http1_client.ConnectionPool(_CONNECT_TIMEOUT_S),
+            connection_pool.ConnectionPool(_CONNECT_TIMEOUT_S),
             self.metrics,
             self.hosts_read,
             self.hosts_settled,
--- a/hillthread/coordination/gateway/orders/rollout_keeper.py
+++ b/hillthread/coordination/gateway/orders/rollout_keeper.py
@@ -20,7 +20,7 @@
 from hillthread.state.targets import health
 from hillthread.state.targets import rollout
 from hillthread.state.targets import target_list
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 
 __all__ = ["RolloutController"]
 
@@ -59,7 +59,7 @@
         self,
         site: site_lib.Site,
         lease: order_lease.OrderLease,
-        pool: http1_client.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         work: work_feed.WorkFeed,
         tasks: anyio.abc.TaskGroup,
     ):
--- a/hillthread/coordination/gateway/orders/weights_load.py
+++ b/hillthread/coordination/gateway/orders/weights_load.py
@@ -23,7 +23,7 @@
 from hillthread.state.targets import load_times
 from hillthread.state.targets import rollout
 from hillthread.state.targets import target_list
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 
 __all__ = ["WeightsLoader"]
 
@@ -75,7 +75,7 @@
         self,
         site: site_lib.Site,
         leadership: order_duty.OrderLeadership,
-        pool: http1_client.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         plan: rollout.RolloutPlan,
         work: work_feed.WorkFeed,
     ):
--- a/hillthread/coordination/gateway/peers/stream_lookup.py
+++ b/hillthread/coordination/gateway/peers/stream_lookup.py
@@ -16,6 +16,7 @@
 from hillthread.state.cluster import record_placement
 from hillthread.state.cluster import stream_records
 from hillthread.state.quotas import limits
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 
 __all__ = ["LookupResult", "StreamLookup"]
@@ -61,7 +62,7 @@
         self,
         source: feed_source.FeedSource,
         placement: record_placement.RecordPlacement,
-        pool: http1_client.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
     ):
         self.source = source
         self.placement = placement
@@ -108,7 +109,7 @@
             stream_query.encode_query(query),
         )
         try:
-            answer = await http1_client.call(
+            answer = await connection_pool.call(
                 self.pool,
                 host.feed,
                 request,
--- a/hillthread/coordination/gateway/serving/answer_probes.py
+++ b/hillthread/coordination/gateway/serving/answer_probes.py
@@ -19,7 +19,7 @@
 from hillthread.coordination.gateway.serving import link_watch
 from hillthread.platform import orders
 from hillthread.state.config import objects
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 
 __all__ = ["AnswerProbes", "WaitingAttempt"]
 
@@ -53,7 +53,7 @@
     def __init__(
         self,
         site: site_lib.Site,
-        pool: http1_client.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         tasks: anyio.abc.TaskGroup,
         links: link_watch.LinkWatch,
     ):
--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -17,6 +17,7 @@
 from hillthread.platform import attempts
 from hillthread.protocol import body_framing
 from hillthread.state.routing import attempt_plan
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 
 __all__ = ["Attempt", "Callbacks"]
@@ -67,7 +68,7 @@
 
     def __init__(
         self,
-        pool: http1_client.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         tasks: anyio.abc.TaskGroup,
         monitor: reach_monitor.ReachabilityMonitor,
         request: intake.GatewayRequest,
--- a/hillthread/coordination/gateway/serving/cache_source.py
+++ b/hillthread/coordination/gateway/serving/cache_source.py
@@ -16,7 +16,7 @@
 from hillthread.state.routing import attempt_plan
 from hillthread.state.routing import cache_contents
 from hillthread.state.routing import placement
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 
 __all__ = ["CachePlanner", "affinity_key", "shared_parts"]
 
@@ -37,7 +37,9 @@
         budgets: Limits on what is saved, by the address of the store.
     """
 
-    def __init__(self, site: site_lib.Site, pool: http1_client.ConnectionPool):
+    def __init__(
+        self, site: site_lib.Site, pool: connection_pool.ConnectionPool
+    ):
         self.site = site
         self.watch = cache_watch.CacheWatch(site, pool)
         self.budgets: dict[str, save_budget.SaveBudget] = {}
--- a/hillthread/coordination/gateway/serving/cache_watch.py
+++ b/hillthread/coordination/gateway/serving/cache_watch.py
@@ -17,7 +17,7 @@
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.platform import cache_events
 from hillthread.state.routing import cache_contents
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 
 __all__ = ["CacheWatch"]
 
@@ -42,7 +42,9 @@
         contents: Contents of each store, by its address.
     """
 
-    def __init__(self, site: site_lib.Site, pool: http1_client.ConnectionPool):
+    def __init__(
+        self, site: site_lib.Site, pool: connection_pool.ConnectionPool
+    ):
         self.site = site
         self.pool = pool
         self.contents: dict[str, cache_contents.CacheContents] = {}
--- a/hillthread/coordination/gateway/serving/chooser.py
+++ b/hillthread/coordination/gateway/serving/chooser.py
@@ -23,7 +23,7 @@
 from hillthread.state.routing import target_choice
 from hillthread.state.targets import quarantine
 from hillthread.state.targets import target_list
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 
 __all__ = ["NO_TARGET", "AntiAffinity", "Chooser", "PlannedAttempt"]
 
@@ -108,7 +108,7 @@
     def __init__(
         self,
         site: site_lib.Site,
-        pool: http1_client.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         limits: limit_keeper.LimitKeeper,
     ):
         self.site = site
--- a/hillthread/coordination/gateway/serving/dispatcher.py
+++ b/hillthread/coordination/gateway/serving/dispatcher.py
@@ -20,7 +20,7 @@
 from hillthread.coordination.gateway.serving import reach_monitor
 from hillthread.coordination.gateway.serving import sender as sender_lib
 from hillthread.coordination.gateway.serving import services as services_lib
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_server
 
 __all__ = ["Dispatcher"]
@@ -82,7 +82,7 @@
         self,
         site: site_lib.Site,
         metrics: metrics_lib.GatewayMetrics,
-        pool: http1_client.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         tasks: anyio.abc.TaskGroup,
         services: services_lib.HostServices,
     ):
--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -23,8 +23,8 @@
 from hillthread.coordination.gateway.serving import story as story_lib
 from hillthread.platform import names
 from hillthread.state.quotas import return_time
+from hillthread.transport import connection_pool
 from hillthread.transport import http1
-from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 from hillthread.transport import send_buffer
 
@@ -61,7 +61,7 @@
         self,
         site: site_lib.Site,
         metrics: metrics_lib.GatewayMetrics,
-        pool: http1_client.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         tasks: anyio.abc.TaskGroup,
         services: services_lib.HostServices,
     ):
--- a/hillthread/coordination/gateway/serving/peer_forwarder.py
+++ b/hillthread/coordination/gateway/serving/peer_forwarder.py
@@ -27,6 +27,7 @@
 from hillthread.state.cluster import peer_choice
 from hillthread.state.config import objects
 from hillthread.state.routing import stream_origin
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 
 __all__ = [
@@ -89,7 +90,7 @@
         request: intake.GatewayRequest,
         relay: event_relay.EventRelay,
         binding: stream_binding.StreamBinding,
-        pool: http1_client.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         planned: ForwardPlan,
         note_head: Callable[[str, attempts.AnswerMeaning], None],
     ):
@@ -218,7 +219,7 @@
     def __init__(
         self,
         source: feed_source.FeedSource,
-        pool: http1_client.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         metrics: metrics_lib.GatewayMetrics,
     ):
         self.host = source.name
--- a/hillthread/coordination/gateway/serving/pool_view.py
+++ b/hillthread/coordination/gateway/serving/pool_view.py
@@ -17,7 +17,7 @@
 from hillthread.state.targets import target_list
 from hillthread.state.targets import target_state
 from hillthread.state.targets import weights as weights_lib
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 
 __all__ = ["PoolContext", "PoolView"]
 
@@ -38,7 +38,7 @@
     """
 
     site: site_lib.Site
-    pool: http1_client.ConnectionPool
+    pool: connection_pool.ConnectionPool
     limits: limit_keeper.LimitKeeper
     cache_planner: cache_source.CachePlanner
 
--- a/hillthread/coordination/gateway/serving/reach_monitor.py
+++ b/hillthread/coordination/gateway/serving/reach_monitor.py
@@ -31,6 +31,7 @@
 from hillthread.coordination.gateway.serving import answer_probes
 from hillthread.coordination.gateway.serving import link_watch
 from hillthread.state.config import objects
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 
 __all__ = ["OpenAttempt", "ReachabilityMonitor"]
@@ -106,7 +107,7 @@
     def __init__(
         self,
         site: site_lib.Site,
-        pool: http1_client.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
         tasks: anyio.abc.TaskGroup,
     ):
         self.site = site
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -38,7 +38,7 @@
 from hillthread.protocol import work_notice
 from hillthread.state.config import objects
 from hillthread.state.targets import target_state
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 
 __all__ = ["JobContext", "Sender"]
 
@@ -72,7 +72,7 @@
 
     site: site_lib.Site
     metrics: metrics_lib.GatewayMetrics
-    pool: http1_client.ConnectionPool
+    pool: connection_pool.ConnectionPool
     tasks: anyio.abc.TaskGroup
     chooser: chooser_lib.Chooser
     monitor: reach_monitor.ReachabilityMonitor
@@ -305,9 +305,9 @@
     def _max_idle_connections(self, pool: objects.Pool) -> int:
         """Returns how many idle connections to a target this host may keep."""
         if not pool.max_connections:
-            return http1_client.MAX_IDLE_CONNECTIONS
+            return connection_pool.MAX_IDLE_CONNECTIONS
         share = pool.max_connections * _IDLE_SHARE / self.site.cluster_size
-        return max(1, min(http1_client.MAX_IDLE_CONNECTIONS, int(share)))
+        return max(1, min(connection_pool.MAX_IDLE_CONNECTIONS, int(share)))
 
     def _note_head(
         self,
--- a/hillthread/coordination/gateway/serving/stream_keeper.py
+++ b/hillthread/coordination/gateway/serving/stream_keeper.py
@@ -24,6 +24,7 @@
 from hillthread.state.cluster import record_placement
 from hillthread.state.cluster import stream_records
 from hillthread.state.routing import stream_origin
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 
 __all__ = ["INVALID_RESUMPTION", "STREAM_UNKNOWN", "StreamKeeper"]
@@ -60,7 +61,7 @@
         self,
         site: site_lib.Site,
         work: work_feed.WorkFeed,
-        pool: http1_client.ConnectionPool,
+        pool: connection_pool.ConnectionPool,
     ):
         self.site = site
         self.work = work
@@ -233,7 +234,7 @@
                 stream_query.encode_notices(page),
             )
             try:
-                await http1_client.call(
+                await connection_pool.call(
                     self.lookup.pool,
                     address,
                     request,
--- a/hillthread/coordination/gateway/store/store_follower.py
+++ b/hillthread/coordination/gateway/store/store_follower.py
@@ -26,6 +26,7 @@
 from hillthread.state.cluster import held_read
 from hillthread.state.cluster import position as position_lib
 from hillthread.state.cluster import topic_copy
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 
 __all__ = ["TopicFollower"]
@@ -235,7 +236,7 @@
         request = call_ids.make_host_request(
             peer.feed, b"GET", feed.encode_query(query)
         )
-        answer = await http1_client.call(
+        answer = await connection_pool.call(
             self.context.peer_pool,
             peer.feed,
             request,
--- a/hillthread/coordination/gateway/store/topic_plan.py
+++ b/hillthread/coordination/gateway/store/topic_plan.py
@@ -12,7 +12,7 @@
 from hillthread.platform import store
 from hillthread.state.cluster import feed_source
 from hillthread.state.cluster import topic_copy
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 
 __all__ = ["FollowerContext", "TopicPlan"]
 
@@ -51,7 +51,7 @@
     client: store.StoreClient
     watch: store_watch.StoreWatch
     source: feed_source.FeedSource
-    peer_pool: http1_client.ConnectionPool
+    peer_pool: connection_pool.ConnectionPool
     metrics: metrics_lib.GatewayMetrics
     hosts_read: anyio.Event
     hosts_settled: anyio.Event
--- a/hillthread/platform/cache_events.py
+++ b/hillthread/platform/cache_events.py
@@ -9,6 +9,7 @@
 from hillthread import errors
 from hillthread.platform import call_ids
 from hillthread.state.routing import cache_contents
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 
 __all__ = ["CachePage", "read_events"]
@@ -48,7 +49,7 @@
 
 
 async def read_events(
-    pool: http1_client.ConnectionPool,
+    pool: connection_pool.ConnectionPool,
     address: str,
     epoch: int | None,
     position: int,
@@ -79,7 +80,7 @@
         call_id=call_id,
     )
     try:
-        answer = await http1_client.call(
+        answer = await connection_pool.call(
             pool, address, request, wait_s + _HOLD_MARGIN_S, _MAX_ANSWER_BYTES
         )
         if answer.head.status == 429:
--- a/hillthread/platform/orders.py
+++ b/hillthread/platform/orders.py
@@ -13,6 +13,7 @@
 from hillthread.platform import names
 from hillthread.platform import targets
 from hillthread.state.config import objects
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 
 __all__ = [
@@ -104,7 +105,7 @@
 
 
 async def send_order(
-    pool: http1_client.ConnectionPool,
+    pool: connection_pool.ConnectionPool,
     target: objects.Target,
     order: WeightsOrder,
 ) -> OrderAnswer:
@@ -129,7 +130,7 @@
 
 
 async def read_report(
-    pool: http1_client.ConnectionPool, target: objects.Target
+    pool: connection_pool.ConnectionPool, target: objects.Target
 ) -> targets.EngineReport | None:
     """Returns an engine's report; None if it does not answer.
 
@@ -148,7 +149,7 @@
 
 
 async def probe_answer(
-    pool: http1_client.ConnectionPool, target: objects.Target
+    pool: connection_pool.ConnectionPool, target: objects.Target
 ) -> ProbeResult:
     """Returns whether an engine answers over a new connection.
 
@@ -174,12 +175,12 @@
 
 
 async def _call(
-    pool: http1_client.ConnectionPool,
+    pool: connection_pool.ConnectionPool,
     target: objects.Target,
     request: http1_client.ClientRequest,
     timeout_s: float,
 ) -> http1_client.WholeAnswer:
-    return await http1_client.call(
+    return await connection_pool.call(
         pool,
         target.address,
         request,
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -15,6 +15,7 @@
 from hillthread.state.cluster import held_read
 from hillthread.state.cluster import position as position_lib
 from hillthread.state.cluster import topic_copy
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 
 __all__ = [
@@ -141,7 +142,7 @@
         self.address = address
         # Silent connections are dropped soon: a wrong guess costs one more
         # call, but a read held on a dead connection hides changes.
-        self.pool = http1_client.ConnectionPool(_CONNECT_TIMEOUT_S)
+        self.pool = connection_pool.ConnectionPool(_CONNECT_TIMEOUT_S)
         self.calls = 0
         self.era: int | None = None
         self.on_restored: Callable[[int, int], None] = _ignore_restoration
@@ -289,7 +290,7 @@
             method, target.encode(), [(b"host", self.address.encode())], body
         )
         try:
-            answer = await http1_client.call(
+            answer = await connection_pool.call(
                 self.pool,
                 self.address,
                 request,
--- a/tests/coordination/gateway/peers/test_feed.py
+++ b/tests/coordination/gateway/peers/test_feed.py
@@ -13,6 +13,7 @@
 from hillthread.standin import wire_proxy
 from hillthread.state.cluster import feed_source
 from hillthread.state.cluster import position as position_lib
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 from hillthread.transport import log_writer
 from tests.coordination.gateway import scene as scene_lib
@@ -195,7 +196,7 @@
                     statuses = []
 
                     async def read_topic():
-                        answer = await http1_client.call(
+                        answer = await connection_pool.call(
                             scene.pool,
                             program.feed_server.address,
                             request,
--- a/tests/coordination/gateway/scene.py
+++ b/tests/coordination/gateway/scene.py
@@ -16,6 +16,7 @@
 from hillthread.standin import platform_target
 from hillthread.standin import wire_proxy
 from hillthread.state.quotas import retry_share
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 from hillthread.transport import log_writer
 
@@ -96,7 +97,7 @@
             ],
         }
         self.log = tempfile.TemporaryFile()  # noqa: SIM115 (kept open)
-        self.pool = http1_client.ConnectionPool(1.0)
+        self.pool = connection_pool.ConnectionPool(1.0)
         self.ids = itertools.count()
         self.program = None
         self.scopes = {}
@@ -216,7 +217,7 @@
 
     async def call(self, request):
         """Returns the gateway's whole answer to a request."""
-        return await http1_client.call(
+        return await connection_pool.call(
             self.pool, self.program.server.address, request, 4.0, 1 << 20
         )
 
--- a/tests/coordination/gateway/serving/test_deadly_parts.py
+++ b/tests/coordination/gateway/serving/test_deadly_parts.py
@@ -8,6 +8,7 @@
 
 from hillthread.coordination.gateway.store import host_registry
 from hillthread.standin import platform_target
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 from tests.coordination.gateway import scene as scene_lib
 from tests.coordination.gateway.peers import test_feed
@@ -68,7 +69,7 @@
         request = self._prompt(parts, key)
         sent_at = anyio.current_time()
         try:
-            answer = await http1_client.call(
+            answer = await connection_pool.call(
                 self.scene.pool, host.server.address, request, 4.0, 1 << 20
             )
             status = answer.head.status
--- a/tests/coordination/gateway/serving/test_peer_forwarder.py
+++ b/tests/coordination/gateway/serving/test_peer_forwarder.py
@@ -10,7 +10,7 @@
 from hillthread.coordination.gateway.serving import gateway as gateway_lib
 from hillthread.coordination.gateway.serving import quota_keeper
 from hillthread.standin import platform_target as standin
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 from tests.coordination.gateway import link_cut
 from tests.coordination.gateway import scene as scene_lib
 from tests.coordination.gateway.serving import test_lost_links
@@ -86,7 +86,7 @@
                 forwarding.ForwardOrigin("h1", 0, 0), caller, 2.0, None
             )
             before = len(scene.runs())
-            answer = await http1_client.call(
+            answer = await connection_pool.call(
                 scene.pool, scene.program.feed_server.address, sent, 2.0, 9999
             )
             self.assertEqual(answer.head.status, 401)
--- a/tests/coordination/gateway/serving/test_quota.py
+++ b/tests/coordination/gateway/serving/test_quota.py
@@ -51,7 +51,7 @@
 
 async def ask(scene, program, request):
     """Returns a host's answer to a request."""
-    return await scene_lib.http1_client.call(
+    return await scene_lib.connection_pool.call(
         scene.pool, program.server.address, request, 4.0, 1 << 20
     )
 
--- a/tests/coordination/gateway/serving/test_reach.py
+++ b/tests/coordination/gateway/serving/test_reach.py
@@ -12,6 +12,7 @@
 from hillthread.coordination.gateway.serving import attempt as attempt_lib
 from hillthread.standin import platform_target as standin
 from hillthread.state.config import caller_bounds
+from hillthread.transport import connection_pool
 from hillthread.transport import http1
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
@@ -30,7 +31,7 @@
 @contextlib.contextmanager
 def timed_out_probes(*addresses):
     """Has the probes of some addresses, or of all, time out."""
-    open_connection = http1_client.ConnectionPool.open
+    open_connection = connection_pool.ConnectionPool.open
 
     async def open_or_time_out(pool, address, reason):
         if reason == "trial" and address in (addresses or (address,)):
@@ -41,7 +42,7 @@
         return await open_connection(pool, address, reason)
 
     with mock.patch.object(
-        http1_client.ConnectionPool, "open", open_or_time_out
+        connection_pool.ConnectionPool, "open", open_or_time_out
     ):
         yield
 
--- a/tests/coordination/gateway/serving/test_slow_callers.py
+++ b/tests/coordination/gateway/serving/test_slow_callers.py
@@ -20,6 +20,7 @@
 
 from hillthread import clock
 from hillthread.standin import platform_target
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 from hillthread.transport import send_buffer
 from tests.coordination.gateway import scene as scene_lib
@@ -222,8 +223,10 @@
         request = http1_client.ClientRequest(
             b"GET", b"/metrics", [(b"host", b"x")]
         )
-        pool = http1_client.ConnectionPool(1.0)
-        answer = await http1_client.call(pool, address, request, 5.0, 1 << 20)
+        pool = connection_pool.ConnectionPool(1.0)
+        answer = await connection_pool.call(
+            pool, address, request, 5.0, 1 << 20
+        )
         await pool.close()
         lines = answer.body.decode().splitlines()
         pairs = [line.split() for line in lines if line[:1] not in "#"]
--- a/tests/coordination/gateway/test_suspended_host.py
+++ b/tests/coordination/gateway/test_suspended_host.py
@@ -16,7 +16,7 @@
 
 import anyio
 
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 from tests.coordination.gateway import scene as scene_lib
 
 SUSPENDED_S = 8.0
@@ -79,7 +79,7 @@
 
             async def call():
                 address = scene.program.server.address
-                answer = await http1_client.call(
+                answer = await connection_pool.call(
                     scene.pool, address, request, CALL_TIMEOUT_S, 1 << 20
                 )
                 statuses.append(answer.head.status)
--- a/tests/platform/test_cache_events.py
+++ b/tests/platform/test_cache_events.py
@@ -8,7 +8,7 @@
 from hillthread import errors
 from hillthread.platform import cache_events
 from hillthread.state.config import caller_bounds
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_server
 
 
@@ -32,7 +32,7 @@
                 caller_bounds.CallerBounds,
                 lambda status, reason: None,
             )
-            pool = http1_client.ConnectionPool(0.5)
+            pool = connection_pool.ConnectionPool(0.5)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(server.serve)
                 try:
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -7,7 +7,7 @@
 from hillthread.platform import orders
 from hillthread.standin import platform_target as standin
 from hillthread.state.config import objects
-from hillthread.transport import http1_client
+from hillthread.transport import connection_pool
 
 
 class RepeatedAnswerTest(unittest.TestCase):
@@ -45,7 +45,7 @@
                 data_centre="here",
                 models=["m"],
             )
-            pool = http1_client.ConnectionPool(0.5)
+            pool = connection_pool.ConnectionPool(0.5)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(engine.server.serve)
                 await scenario(engine, target, pool)
--- a/tests/standin/test_platform_target.py
+++ b/tests/standin/test_platform_target.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hillthread.standin import platform_target
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 
 _ORDER_DELAY_S = 0.3
@@ -19,7 +20,7 @@
     def __init__(self):
         self.target = platform_target.PlatformTargetStandin("i-0", "e", "m")
         self.target.load_s = 0.01
-        self.pool = http1_client.ConnectionPool(1.0)
+        self.pool = connection_pool.ConnectionPool(1.0)
 
     async def order(self, version, expected):
         """Sends an order; returns its status, or None if the call fails."""
@@ -36,7 +37,7 @@
             b"POST", b"/api/order", [(b"host", b"i-0")], body
         )
         try:
-            answer = await http1_client.call(
+            answer = await connection_pool.call(
                 self.pool, self.target.address, request, _SHORT_WAIT_S, 1000
             )
         except http1_client.CallError:
--- a/tests/transport/test_answer_matching.py
+++ b/tests/transport/test_answer_matching.py
@@ -9,6 +9,7 @@
 import anyio.abc
 
 from hillthread.standin import platform_target
+from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 
 _SERIES = 40
@@ -118,7 +119,7 @@
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         address = f"127.0.0.1:{port}"
-        pool = http1_client.ConnectionPool(0.5)
+        pool = connection_pool.ConnectionPool(0.5)
         results: list[bool] = []
 
         async def call_in_turn(caller: int) -> None:
@@ -153,7 +154,7 @@
         path += b"?silent-on-ids"
     headers = [(b"host", b"any"), (call_id.header, call_id.value)]
     request = http1_client.ClientRequest(b"GET", path, headers, call_id=call_id)
-    answer = await http1_client.call(
+    answer = await connection_pool.call(
         pool, address, request, 0.06, 100, is_alone=not is_request
     )
     return answer.body
