--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -28,8 +28,9 @@
 ]
 
 _MAX_HEAD_BYTES = 65_536
-# Interim answers (1xx) before the final one.
-_MAX_INTERIM_ANSWERS = 8
+# Interim answers (1xx) before the final one. Some services send them to show
+# progress.
+_MAX_INTERIM_ANSWERS = 32
 # Parts of a body below this size, and how many of them an answer may have:
 # each costs as much processor time as a large one.
 _TINY_PART_BYTES = 4
@@ -271,22 +272,18 @@
             self.state_machine.receive_data(await self.receive())
             event = self.state_machine.next_event()
             if not isinstance(event, h11.Response):
-                with anyio.move_on_after(_MAX_HEAD_S):
-                    event = await self._skip_interim_answers(event)
+                event = await self._skip_interim_answers(event)
         except http1.ConnectionLostError as error:
             raise CallError(True, f"lost before an answer: {error}") from error
         except _PROTOCOL_ERRORS as error:
             raise self._make_protocol_error(
                 f"not an HTTP answer: {error}"
             ) from error
-        match event:
-            case h11.Response():
-                head = self._decode_head(event)
-                self._check_call_id(head)
-                return head
-            case h11.NEED_DATA | h11.InformationalResponse():
-                raise self.reject("head without end")
-        raise CallError(True, "closed before an answer")
+        if not isinstance(event, h11.Response):
+            raise CallError(True, "closed before an answer")
+        head = self._decode_head(event)
+        self._check_call_id(head)
+        return head
 
     async def _skip_interim_answers(self, event):
         """Returns the event after the interim answers.
@@ -295,18 +292,33 @@
             event: The first event of h11.
 
         Raises:
-            InvalidAnswerError: There are too many interim answers.
+            InvalidAnswerError: There are too many interim answers, or a head
+                arrives too slowly.
         """
         interim_answers = 0
-        while event is h11.NEED_DATA or isinstance(
-            event, h11.InformationalResponse
-        ):
-            if event is not h11.NEED_DATA:
-                interim_answers += 1
-                if interim_answers > _MAX_INTERIM_ANSWERS:
-                    raise self.reject("too many interim answers")
-            event = await self.next_event()
-        return event
+        while True:
+            match event:
+                case h11.NEED_DATA:
+                    event = await self._read_rest_of_head()
+                case h11.InformationalResponse():
+                    interim_answers += 1
+                    if interim_answers > _MAX_INTERIM_ANSWERS:
+                        raise self.reject("too many interim answers")
+                    event = self.state_machine.next_event()
+                case _:
+                    return event
+
+    async def _read_rest_of_head(self):
+        """Returns the next event; bounds the time if a head has begun.
+
+        Raises:
+            InvalidAnswerError: The head arrives too slowly.
+        """
+        if not self.state_machine.trailing_data[0]:
+            return await self.next_event()
+        with anyio.move_on_after(_MAX_HEAD_S):
+            return await self.next_event()
+        raise self.reject("head without end")
 
     async def read_part(self) -> bytes:
         """Returns the next part of the answer's body; nothing at its end.
--- a/tests/transport/test_http1_client.py
+++ b/tests/transport/test_http1_client.py
@@ -130,6 +130,40 @@
         anyio.run(scenario)
 
 
+class InterimAnswerTest(unittest.TestCase):
+    # Guards against giving up a peer that shows its progress.
+    def test_final_answer_may_follow_interim_answers_late(self):
+        async def serve_after_progress(caller, answer):
+            for _ in range(5):
+                await answer.connection.stream.send(
+                    b"HTTP/1.1 102 Processing\r\n\r\n"
+                )
+                await anyio.sleep(0.5)
+            await serve_empty(caller, answer)
+
+        async def scenario():
+            server = http1_server.Server(
+                ("127.0.0.1", 0),
+                serve_after_progress,
+                caller_bounds.CallerBounds,
+                lambda status, reason: None,
+            )
+            pool = connection_pool.ConnectionPool(0.5)
+            request = http1_client.ClientRequest(
+                b"GET", b"/", [(b"host", b"any")]
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.serve)
+                answer = await connection_pool.call(
+                    pool, server.address, request, 4.0, 100
+                )
+                self.assertEqual(answer.head.status, 204)
+                await pool.close()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(scenario)
+
+
 class InvalidRequestTest(unittest.TestCase):
     # Guards against an exception of the parser that no caller expects.
     def test_request_with_an_invalid_header_is_not_sent(self):
