--- a/tests/coordination/gateway/serving/test_silent_connections.py
+++ b/tests/coordination/gateway/serving/test_silent_connections.py
@@ -174,8 +174,8 @@
         async def story(scene):
             cache = platform_target.PlatformTargetStandin("k0", "keep0")
             cache.cache_events = [
-                (0, "+", "salt", "aa", 288, "m"),
-                (1, "+", "salt", "bb", 496, "m"),
+                (1, "+", "salt", "aa", 288, "m"),
+                (2, "+", "salt", "bb", 496, "m"),
             ]
             link = wire_proxy.WireProxy(cache.address)
             scene.tasks.start_soon(cache.server.serve)
@@ -190,7 +190,7 @@
             )
             contents = caches.contents[link.address]
             link.silence()
-            cache.cache_events += [(2, "+", "salt", "cc", 96, "m")]
+            cache.cache_events += [(3, "+", "salt", "cc", 96, "m")]
             least = 2
             with anyio.fail_after(4.0):
                 while len(contents) < 3:
