--- a/hillthread/transport/connection_pool.py
+++ b/hillthread/transport/connection_pool.py
@@ -257,7 +257,7 @@
         timeout_s: Timeout for connecting and for the whole answer.
         max_bytes: Maximum size of the answer's body.
         is_alone: Whether the call gets a new connection, which no other call
-            uses. Only this tells answers of peers apart that repeat no ids.
+            uses. Only this distinguishes answers of peers that repeat no ids.
 
     Raises:
         CallError: The call failed; `sent` tells whether the peer may have
--- a/tests/platform/test_call_ids.py
+++ b/tests/platform/test_call_ids.py
@@ -13,7 +13,7 @@
         ids = {call_ids.make_call_id().value for _ in range(100)}
         self.assertEqual(len(ids), 100)
 
-    # Guards against answers of other hosts that nothing tells apart.
+    # Guards against answers of other hosts that nothing distinguishes.
     def test_hosts_repeat_the_ids_of_each_other(self):
         async def scenario(scene):
             address = scene.program.feed_server.address
--- a/tests/transport/test_answer_matching.py
+++ b/tests/transport/test_answer_matching.py
@@ -27,7 +27,7 @@
     Attributes:
         draw: Decides what is sent.
         sent: Answers sent over any connection, with ids of one call only. What
-            another connection carries cannot be told from the answer to a call
+            another connection carries cannot be distinguished from the answer to a call
             with the same id.
     """
 
