--- a/tests/transport/test_answer_matching.py
+++ b/tests/transport/test_answer_matching.py
@@ -27,8 +27,8 @@
     Attributes:
         draw: Decides what is sent.
         sent: Answers sent over any connection, with ids of one call only. What
-            another connection carries cannot be distinguished from the answer to a call
-            with the same id.
+            another connection carries cannot be distinguished from the answer
+            to a call with the same id.
     """
 
     def __init__(self, draw: random.Random):
