--- a/review/loopback.py
+++ b/review/loopback.py
@@ -284,6 +284,10 @@
             await asyncio.sleep(0.1)
         return False
 
+    def is_running(self) -> bool:
+        """Returns whether its process runs."""
+        return self.process is not None and self.process.returncode is None
+
     def memory_bytes(self) -> int:
         """Returns the resident memory of the process; 0 if it is gone."""
         if self.process is None or self.process.returncode is not None:
@@ -355,14 +359,27 @@
             await self._store.wait()
         self._folder.cleanup()
 
-    async def start_gateways(self, count: int) -> bool:
-        """Starts gateways; returns whether all are ready."""
-        store = f"{IP}:{self._address[1]}"
+    @property
+    def store_address(self) -> tuple[str, int]:
+        """Where the store listens."""
+        return self._address
+
+    async def start_gateways(
+        self, count: int, other_stores: dict[int, tuple[str, int]] | None = None
+    ) -> bool:
+        """Starts gateways; returns whether all are ready.
+
+        Args:
+            count: Number of gateways.
+            other_stores: Where some gateways, by number from 1 on, find the
+                store instead.
+        """
         folder = pathlib.Path(self._folder.name)
-        self.gateways = [
-            Gateway(f"front-zone-a-{number}", store, folder)
-            for number in range(1, count + 1)
-        ]
+        stores = other_stores or {}
+        for number in range(1, count + 1):
+            ip, port = stores.get(number, self._address)
+            name = f"front-zone-a-{number}"
+            self.gateways.append(Gateway(name, f"{ip}:{port}", folder))
         for gateway in self.gateways:
             await gateway.start()
         ready = [await gateway.wait_ready() for gateway in self.gateways]
