Review case 4: a complete stream lacks a piece

Cause: the relay of events counts the events of a part as relayed before the check of the run that made them. When the check fails they are dropped, and the next attempt resumes after them.

Change: a script with its stand-ins, and the claim; nothing is fixed.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,52 +1,73 @@
-"""A host forwards a request to one that still has an older configuration."""
+"""A stream is resumed at an engine that has started again under its id."""
 
 from __future__ import annotations
 
 import asyncio
-import collections
 import contextlib
+import json
 import os
 import pathlib
+import time
+from typing import Any
+from typing import NamedTuple
 
 import loopback
 
 _HOST = "callers.example"
-_SLOTS = 6
-_OLD = "old-api"
-_NEW = "new-api"
-_CALM_S = 3.0
-# From when a machine is cut off from the store until the route is moved.
-_CUT_S = 0.5
-# `configMs` is 2 s.
-_CONFIG_S = 2.0
-# The cut lasts for 7.2 s in all.
-_REQUESTS = 20
-_PAUSE_S = 0.1
-# `rollbackSlackMs`.
-_SLACK_S = 0.25
+_SERVICE = "triage-llm"
+_MODEL = "moe"
+_SLOTS = 64
+_MAX_ATTEMPTS = 3
+_TIMEOUT_MS = 12_000
+_PIECES = 45
+_PIECE_S = 0.1
+# From the start of a request to its first piece.
+_FIRST_S = 0.6
+# Numbers of the streams: fewer than engines, so that one is idle.
+_STREAMS = (0, 1)
+# From when an engine drains until it ends: `drainMs`, 2 s, and a little longer.
+_DRAIN_S = 2.5
+# How long an engine is down, and from its start until its entry is written:
+# less than `heartbeatMs`, which is 1,200.
+_DOWN_S = 1.0
+_ENTRY_S = 0.6
+# From that start until the engine that drains ends.
+_BEFORE_END_S = 0.2
+_CALM_S = 1.0
 _ENDS = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
 
 
-class Server:
-    """A sound server of a plain service.
+class Engine:
+    """A sound engine, which may crash and start again under its id.
 
     Attributes:
         name: Its id.
-        runs: Ids of what it ran.
-        listener: Its socket.
+        born_ms: When it started.
+        running: Requests that it works on.
     """
 
     def __init__(self, name: str, record: loopback.Record):
         self.name = name
         self.record = record
-        self.runs: list[str] = []
+        self.born_ms = 0
+        self.port = 0
+        self.running = 0
         self.listener: asyncio.Server | None = None
         self._channels: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> str:
-        """Listens; returns the address."""
-        self.listener = await asyncio.start_server(self._serve, loopback.IP, 0)
-        return f"{loopback.IP}:{self.listener.sockets[0].getsockname()[1]}"
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"{loopback.IP}:{self.port}"
+
+    async def start(self) -> None:
+        """Starts, at its former address if it had one."""
+        self.born_ms = int(time.time() * 1000)
+        self.running = 0
+        self.listener = await asyncio.start_server(
+            self._serve, loopback.IP, self.port
+        )
+        self.port = self.listener.sockets[0].getsockname()[1]
 
     def crash(self) -> None:
         """Ends at once."""
@@ -54,6 +75,11 @@
             self.listener.close()
         for writer in list(self._channels):
             writer.transport.abort()
+        self._channels.clear()
+
+    def entry(self) -> dict[str, Any]:
+        """Returns the fields of its entry that engines have besides."""
+        return {"born": self.born_ms, "models": _models(), "stage": "unified"}
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -61,141 +87,241 @@
         self._channels.add(writer)
         with contextlib.suppress(*_ENDS):
             while True:
-                _, headers = await loopback.read_head(reader)
+                first, headers = await loopback.read_head(reader)
                 await loopback.read_body(reader, headers)
-                writer.write(self._answer(dict(headers)))
-                await writer.drain()
+                await self._answer(first, dict(headers), writer)
         self._channels.discard(writer)
         writer.close()
 
-    def _answer(self, headers: dict[str, str]) -> bytes:
+    async def _answer(
+        self, first: str, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
         request_id = headers.get("x-request-id", "")
-        fields = [("X-Request-Id", request_id), ("Content-Length", "2")]
-        if headers.get("x-expect-instance", self.name) != self.name:
-            fields.append(("X-Not-Run", "1"))
-            return loopback.make_head("HTTP/1.1 421 -", fields) + b"no"
-        self.runs.append(request_id)
-        self.record("run", server=self.name, id=request_id)
-        fields.append(("X-Response-Stamp", f"stamp-{self.name}"))
-        return loopback.make_head("HTTP/1.1 200 OK", fields) + b"ok"
-
-
-class StoreLink:
-    """The way of one machine to the store, which may be cut."""
-
-    def __init__(self, store: tuple[str, int]):
-        self.store = store
-        self.is_cut = False
-        self._channels: set[asyncio.StreamWriter] = set()
+        fields = [("X-Request-Id", request_id)]
+        expected = headers.get("x-expect-instance", self.name)
+        if expected != self.name:
+            fields += [("X-Not-Run", "1"), ("Content-Length", "0")]
+            writer.write(loopback.make_head("HTTP/1.1 421 -", fields))
+        elif first.startswith("GET /api/report"):
+            writer.write(self._report(fields))
+        else:
+            await self._stream(request_id, headers, writer)
+        await writer.drain()
 
-    async def start(self) -> tuple[str, int]:
-        """Listens; returns the address."""
-        listener = await asyncio.start_server(self._serve, loopback.IP, 0)
-        ip, port = listener.sockets[0].getsockname()
-        return ip, port
-
-    def cut(self) -> None:
-        """Resets all channels, and new ones from now on."""
-        self.is_cut = True
-        for writer in list(self._channels):
-            writer.transport.abort()
+    def _report(self, fields: loopback.Headers) -> bytes:
+        report = {
+            "stage": "unified",
+            "models": _models(),
+            "busy": False,
+            "sequence": 0,
+            "waiting": 0,
+            "running": self.running,
+            "kvUsed": 0,
+            "kvTotal": 99_487,
+            "handles": 0,
+            "born": self.born_ms,
+        }
+        body = json.dumps(report).encode()
+        fields = [*fields, ("Content-Length", str(len(body)))]
+        return loopback.make_head("HTTP/1.1 200 OK", fields) + body
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def _stream(
+        self,
+        request_id: str,
+        headers: dict[str, str],
+        writer: asyncio.StreamWriter,
     ) -> None:
-        if self.is_cut:
-            writer.transport.abort()
-            return
-        with contextlib.suppress(*_ENDS):
-            there, back = await asyncio.open_connection(*self.store)
-            ends = {writer, back}
-            self._channels |= ends
-            await asyncio.gather(_pump(reader, back), _pump(there, writer))
-            self._channels -= ends
+        after = int(headers.get("last-event-id", "0"))
+        self.record("run", server=self.name, id=request_id, after=after)
+        self.running += 1
+        try:
+            await asyncio.sleep(_FIRST_S)
+            fields = [
+                ("X-Request-Id", request_id),
+                ("X-Response-Stamp", f"{self.name}-{request_id}"),
+                ("X-Weight-Versions", "1"),
+                ("Content-Type", "text/event-stream"),
+                ("Transfer-Encoding", "chunked"),
+            ]
+            writer.write(loopback.make_head("HTTP/1.1 200 OK", fields))
+            for piece in range(after + 1, _PIECES + 1):
+                event = f"id: {piece}\ndata: piece {piece}\n\n".encode()
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                await writer.drain()
+                await asyncio.sleep(_PIECE_S)
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.running -= 1
 
 
-async def _pump(
-    source: asyncio.StreamReader, sink: asyncio.StreamWriter
-) -> None:
-    with contextlib.suppress(*_ENDS):
-        while data := await source.read(65_536):
-            sink.write(data)
-            await sink.drain()
-    sink.close()
-
-
-def _route(service: str) -> list[dict[str, object]]:
-    return [
-        {
-            "name": "status-post",
-            "host": _HOST,
-            "pathPrefix": "/status/",
-            "type": "non_idempotent",
-            "service": service,
-            "timeoutMs": 1500,
-            "targetLatencyMs": 300,
-            "priority": 2,
-            "maxAttempts": 1,
-            "public": True,
-        }
-    ]
+class Stream(NamedTuple):
+    """A stream as its requester has it.
+
+    Attributes:
+        request_id: Id of the request.
+        pieces: Ids of the pieces, in order.
+        is_complete: Whether the answer ended as complete.
+    """
+
+    request_id: str
+    pieces: list[int]
+    is_complete: bool
+
+    @property
+    def is_broken(self) -> bool:
+        """Returns whether a piece is missing or comes twice."""
+        expected = list(range(1, _PIECES + 1))
+        if not self.is_complete:
+            expected = expected[: len(self.pieces)]
+        return self.pieces != expected
+
+
+def _models() -> list[dict[str, Any]]:
+    return [{"name": _MODEL, "version": 1, "adapters": []}]
 
 
 async def main() -> int:
-    """Returns 1 if a machine went back to an older configuration, else 0."""
+    """Returns 1 if a stream lacks a piece, else 0."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = loopback.Record(pathlib.Path(__file__).parent / "record.txt")
-    old, new = Server("i-old", record), Server("i-new", record)
-    services = [{"name": _OLD, "maxConnections": 110}]
-    services.append({"name": _NEW, "maxConnections": 110})
+    engines = [Engine(f"i-{name}", record) for name in "abc"]
     async with loopback.Stage(record) as stage:
         operator = stage.operator
-        await operator.list_server("i-old", _OLD, await old.start(), _SLOTS)
-        await operator.list_server("i-new", _NEW, await new.start(), _SLOTS)
-        await operator.configure(_route(_OLD), services)
-        link = StoreLink(stage.store_address)
-        if not await stage.start_gateways(3, {3: await link.start()}):
-            return 2
-        await asyncio.sleep(_CALM_S)
-        if has_trouble:
-            link.cut()
-            record("cut off from the store", machine="front-zone-a-3")
-        await asyncio.sleep(_CUT_S)
-        await operator.configure(_route(_NEW), services)
-        await asyncio.sleep(_CONFIG_S)
-        await _send(stage.gateways[0], "before", record)
-        if not any(each.startswith("before") for each in new.runs):
+        for engine in engines:
+            await engine.start()
+            await _list(operator, engine)
+        await operator.configure(*_configuration())
+        if not await stage.start_gateways(1):
             return 2
-        if has_trouble:
-            new.crash()
-            record("a server crashes", server="i-new")
-        await asyncio.sleep(_SLACK_S)
-        await _send(stage.gateways[0], "after", record)
-    back = [each for each in old.runs if each.startswith("after")]
-    record("end", ran_by_old_service=back)
-    print(f"{len(back)} requests were handled as the old version says")
-    return 1 if back else 0
-
-
-async def _send(
-    gateway: loopback.Gateway, name: str, record: loopback.Record
+        await asyncio.sleep(1.0)
+        async with asyncio.TaskGroup() as tasks:
+            asked = [
+                tasks.create_task(_ask(stage.gateways[0], number, record))
+                for number in _STREAMS
+            ]
+            await asyncio.sleep(_CALM_S)
+            await _disturb(engines, operator, record, has_trouble)
+        streams = [each.result() for each in asked]
+    broken = [each.request_id for each in streams if each.is_broken]
+    complete = sum(each.is_complete for each in streams)
+    record("end", broken=broken, complete=complete)
+    print(f"{len(streams)} streams, {complete} complete, {len(broken)} broken")
+    if not any(each.pieces for each in streams):
+        return 2
+    return 1 if broken else 0
+
+
+async def _disturb(
+    engines: list[Engine],
+    operator: loopback.Operator,
+    record: loopback.Record,
+    has_trouble: bool,
 ) -> None:
-    """Sends some requests to one machine, one after the other."""
-    statuses: collections.Counter[int] = collections.Counter()
-    for number in range(_REQUESTS):
-        request_id = f"{name}-{number}"
-        record("sent", id=request_id, to=gateway.name)
-        answer = await loopback.call(
-            gateway.listen,
-            "POST",
-            "/status/a",
-            [("Host", _HOST), ("X-Request-Id", request_id)],
-            b"status",
-        )
-        record("answered", id=request_id, status=answer.status)
-        statuses[answer.status] += 1
-        await asyncio.sleep(_PAUSE_S)
-    print(name, dict(statuses))
+    """Takes an engine that serves away; an idle one starts again meanwhile.
+
+    Args:
+        engines: All engines.
+        operator: Writes their entries.
+        record: What happens.
+        has_trouble: Whether the idle engine crashes and starts again; taking
+            the other one away is planned work.
+    """
+    engines = sorted(engines, key=lambda each: each.running)
+    idle, leaving = engines[0], engines[-1]
+    await _list(operator, leaving, "draining")
+    record("an engine drains", server=leaving.name)
+    await asyncio.sleep(_DRAIN_S - _DOWN_S - _BEFORE_END_S)
+    if has_trouble:
+        idle.crash()
+        record("an engine crashes", server=idle.name)
+    await asyncio.sleep(_DOWN_S)
+    if has_trouble:
+        await idle.start()
+        record("it starts again", server=idle.name, born=idle.born_ms)
+    listing = asyncio.create_task(_list_later(operator, idle))
+    await asyncio.sleep(_BEFORE_END_S)
+    leaving.crash()
+    record("the engine that drained ends", server=leaving.name)
+    await listing
+
+
+async def _list_later(operator: loopback.Operator, engine: Engine) -> None:
+    await asyncio.sleep(_ENTRY_S)
+    await _list(operator, engine)
+
+
+async def _list(
+    operator: loopback.Operator, engine: Engine, state: str = "ready"
+) -> None:
+    more = {**engine.entry(), "state": state}
+    await operator.list_server(
+        engine.name, _SERVICE, engine.address, _SLOTS, more
+    )
+
+
+def _configuration() -> tuple[list[dict[str, Any]], list[dict[str, Any]]]:
+    """Returns the routes and the services."""
+    route = {
+        "name": "change-brief",
+        "host": _HOST,
+        "pathPrefix": "/brief/",
+        "type": "streaming",
+        "resumable": True,
+        "service": _SERVICE,
+        "timeoutMs": _TIMEOUT_MS,
+        "targetLatencyMs": 1000,
+        "gapAimMs": 500,
+        "priority": 0,
+        "maxAttempts": _MAX_ATTEMPTS,
+        "public": True,
+    }
+    service = {
+        "name": _SERVICE,
+        "maxConnections": 370,
+        "engine": {
+            "slots": _SLOTS,
+            "kvCapacityTokens": 99_487,
+            "kvTokenBytes": 18_432.0,
+            "models": [{"name": _MODEL}],
+        },
+    }
+    return [route], [service]
+
+
+async def _ask(
+    gateway: loopback.Gateway, number: int, record: loopback.Record
+) -> Stream:
+    """Asks for a stream and reads it to its end."""
+    request_id = f"client-{number}"
+    fields = [
+        ("Host", _HOST),
+        ("X-Request-Id", request_id),
+        ("X-Model", _MODEL),
+        ("X-Token-Count", "628,45"),
+        ("X-Prompt-Prefix", f"aa{number}:119,bb{number}:79,cc{number}:430"),
+        ("X-Deadline-Ms", str(_TIMEOUT_MS)),
+    ]
+    record("sent", id=request_id, to=gateway.name)
+    answer = await loopback.call(
+        gateway.listen,
+        "POST",
+        "/brief/a",
+        fields,
+        f"prompt {number}".encode(),
+        15.0,
+    )
+    lines = answer.body.decode().split("\n")
+    pieces = [int(each[4:]) for each in lines if each.startswith("id: ")]
+    is_complete = answer.status == 200 and answer.is_whole
+    record(
+        "answered",
+        id=request_id,
+        status=answer.status,
+        complete=is_complete,
+        pieces=pieces,
+        missing=sorted(set(range(1, _PIECES + 1)) - set(pieces)),
+    )
+    return Stream(request_id, pieces, is_complete)
 
 
 if __name__ == "__main__":
--- a/review/loopback.py
+++ b/review/loopback.py
@@ -111,17 +111,27 @@
     return first, headers
 
 
-async def read_body(reader: asyncio.StreamReader, headers: Headers) -> bytes:
-    """Returns the body of a message with a length or in chunks."""
+async def read_body(
+    reader: asyncio.StreamReader,
+    headers: Headers,
+    chunks: bytearray | None = None,
+) -> bytes:
+    """Returns the body of a message with a length or in chunks.
+
+    Args:
+        reader: Where the message comes from.
+        headers: Its headers.
+        chunks: Gets the chunks as they come; what it has is not returned.
+    """
     fields = dict(headers)
     if "chunked" not in fields.get("transfer-encoding", ""):
         return await reader.readexactly(int(fields.get("content-length", "0")))
-    body = b""
+    body = bytearray() if chunks is None else chunks
     while True:
         size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
         chunk = await reader.readexactly(size + 2)
         if not size:
-            return body
+            return bytes(body) if chunks is None else b""
         body += chunk[:-2]
 
 
@@ -130,16 +140,17 @@
 ) -> Answer:
     writer = None
     status = 0
+    got = bytearray()
     try:
         reader, writer = await asyncio.open_connection(*address)
         writer.write(head + body)
         await writer.drain()
         first, headers = await read_head(reader)
         status = int(first.split()[1])
-        got = await read_body(reader, headers)
-        return Answer(status, dict(headers), got, True)
+        got += await read_body(reader, headers, got)
+        return Answer(status, dict(headers), bytes(got), True)
     except (asyncio.IncompleteReadError, OSError) as error:
-        return Answer(status, {}, b"", False, type(error).__name__)
+        return Answer(status, {}, bytes(got), False, type(error).__name__)
     finally:
         if writer is not None:
             writer.close()
@@ -200,9 +211,22 @@
         self.record("configuration acknowledged", version=self.version)
 
     async def list_server(
-        self, name: str, service: str, address: str, slots: int
+        self,
+        name: str,
+        service: str,
+        address: str,
+        slots: int,
+        more: dict[str, Any] | None = None,
     ) -> None:
-        """Writes a server's entry as the server would."""
+        """Writes a server's entry as the server would.
+
+        Args:
+            name: Its id.
+            service: The service that it belongs to.
+            address: Where it listens.
+            slots: Requests that it works on at once.
+            more: Further fields, or other values of these.
+        """
         self.sequences[name] += 1
         entry = {
             "service": service,
@@ -213,6 +237,7 @@
             "state": "ready",
             "coldRemainingMs": 0,
             "sequence": self.sequences[name],
+            **(more or {}),
         }
         await self._put("keyed.servers", name, entry)
         self.record("server listed", server=name, address=address)
