--- a/review/4/case.py
+++ b/review/4/case.py
@@ -22,7 +22,7 @@
 _PIECES = 45
 _PIECE_S = 0.1
 # From the start of a request to its first piece.
-_FIRST_S = 0.6
+_FIRST_S = 1.0
 # Numbers of the streams: fewer than engines, so that one is idle.
 _STREAMS = (0, 1)
 # From when an engine drains until it ends: `drainMs`, 2 s, and a little longer.
@@ -30,7 +30,7 @@
 # How long an engine is down, and from its start until its entry is written:
 # less than `heartbeatMs`, which is 1,200.
 _DOWN_S = 1.0
-_ENTRY_S = 0.6
+_ENTRY_S = 0.5
 # From that start until the engine that drains ends.
 _BEFORE_END_S = 0.2
 _CALM_S = 1.0
