--- a/review/loopback.py
+++ b/review/loopback.py
@@ -412,11 +412,18 @@
         return all(ready)
 
 
-def run_case(main: Callable[[], Any]) -> None:
-    """Runs a case and exits with its result; 2 if it could not run."""
+def run_case(
+    main: Callable[[], Any], run: Callable[..., int] = asyncio.run
+) -> None:
+    """Runs a case and exits with its result; 2 if it could not run.
+
+    Args:
+        main: Plays the case and returns the exit code.
+        run: Runs `main` or what it returns.
+    """
     try:
-        code = asyncio.run(main())
-    except (OSError, RuntimeError) as error:
+        code = run(main()) if run is asyncio.run else run(main)
+    except Exception as error:  # an error of the case is no broken rule
         print(f"the case could not run: {error!r}")
         code = 2
     sys.exit(code)
--- a/review/trial_withdrawn_key.py
+++ b/review/trial_withdrawn_key.py
@@ -12,7 +12,6 @@
 import itertools
 import os
 import pathlib
-import sys
 import tempfile
 import time
 from types import ModuleType
@@ -200,4 +199,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(anyio.run(main))
+    loopback.run_case(main, anyio.run)
