Review: a case that is ended early ends its processes

Cause: SIGTERM ended the script of a case and left its gateways running. Change: SIGTERM interrupts the script, which then ends what it started.

--- a/review/loopback.py
+++ b/review/loopback.py
@@ -421,6 +421,8 @@
         main: Plays the case and returns the exit code.
         run: Runs `main` or what it returns.
     """
+    # A case that is ended early still ends its processes.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         code = run(main()) if run is asyncio.run else run(main)
     except Exception as error:  # an error of the case is no broken rule
