Judge the return of all gateways from what callers see

The soak kills all gateways now and then, but judges only single requests after the calm, and gives each process new ports. gateway-return kills all of them at once, starts them at the same addresses, may confine them to a few cores, sends requests at a fixed rate and judges the stated bound: a quarter of what is sent later than recoverS is served.

--- a/hillthread/bench/gateway_soak/callers.py
+++ b/hillthread/bench/gateway_soak/callers.py
@@ -142,6 +142,10 @@
         exchange.engines_left = min(exchange.engines_left, engines_left)
         return exchange
 
+    def choose_route(self) -> str:
+        """Returns the name of a random route."""
+        return self.random.choice(_ROUTES)
+
     async def ask(
         self,
         client: httpx.AsyncClient,
@@ -166,7 +170,7 @@
         """
         exchange = evidence_lib.Exchange(
             uuid.UUID(int=self.random.getrandbits(128)).hex[:16],
-            route or self.random.choice(_ROUTES),
+            route or self.choose_route(),
             key or self._key(bool(route)),
             host.name,
             life,
--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -18,6 +18,7 @@
 from hillthread.bench import slopes as slopes_lib
 from hillthread.bench import soak as soak_lib
 from hillthread.bench.faults import runner
+from hillthread.bench.gateway_soak import fleet_return
 from hillthread.bench.gateway_soak import regressions
 from hillthread.bench.gateway_soak import runner as gateway_soak_lib
 from hillthread.bench.gateway_soak import series
@@ -196,6 +197,44 @@
     )
 
 
+def gateway_return(
+    seed: int = 1,
+    hosts: int = 24,
+    cores: int = 0,
+    rounds: int = 1,
+    requests_per_s: float = 60.0,
+    recover_s: float = 15.0,
+) -> None:
+    """Kills all gateways at once and judges how soon callers are served again.
+
+    Args:
+        seed: Seed of the load.
+        hosts: Number of gateways.
+        cores: Processor cores that the gateways share; 0 for all.
+        rounds: Number of times that all gateways are killed.
+        requests_per_s: Rate of the callers' requests.
+        recover_s: Time after which callers must be served, in seconds.
+    """
+    reports = fleet_return.run_return(
+        fleet_return.ReturnPlan(
+            seed,
+            hosts,
+            cores=cores,
+            rounds=rounds,
+            requests_per_s=requests_per_s,
+            recover_s=recover_s,
+        )
+    )
+    for report in reports:
+        _print_json(report._asdict())
+    late = sum(report.is_late for report in reports)
+    if late:
+        raise errors.HillthreadError(
+            f"Callers were served too late after {late} of {rounds} returns.",
+            "Read the stages in the `ready` lines of the gateways' logs.",
+        )
+
+
 def slopes(json: bool = True, seconds: float = 10.0) -> None:
     """Measures the cost of one more object, target, record, message and so on.
 
@@ -247,6 +286,7 @@
             "demo": demo,
             "faults": faults,
             "gateway-demo": gateway_demo,
+            "gateway-return": gateway_return,
             "gateway-soak": gateway_soak,
             "gateway-soak-again": gateway_soak_again,
             "limits": limits,
