Tell the stages of a start, and what an unready host waits for

A start line came once everything was loaded and bound, so that logs could not tell a process that loads slowly from one that waits for the store. start_stages has the seconds and the processor time of each stage, as do two metrics; not_ready repeats the reason at growing intervals, which bounds the lines of a host that stays cut off (6 in the first minute).

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -13,6 +13,7 @@
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import settings as gateway_settings
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway import startup
 from hillthread.coordination.gateway.orders import order_lease
 from hillthread.coordination.gateway.orders import rollout_keeper
 from hillthread.coordination.gateway.peers import feed_server
@@ -232,6 +233,7 @@
             self._tick,
         ):
             self.tasks.start_soon(start)
+        self.site.startup.reach(startup.LISTENING)
 
     async def drain(self, requested_at: float) -> None:
         """Performs a planned stop.
@@ -360,7 +362,7 @@
                 lambda: _HOSTS_BATCH_DELAY_S,
                 _HOSTS_BATCH_DELAY_S,
                 self._apply_host_record,
-                self.hosts_read.set,
+                self._mark_hosts_read,
                 keeps_missing=True,
                 on_lost=self._rewrite_lost_records,
                 lists_hosts=True,
@@ -402,6 +404,10 @@
             self.site.ready_age_s, self.site.greatest_age_s
         )
 
+    def _mark_hosts_read(self) -> None:
+        self.hosts_read.set()
+        self.site.startup.reach(startup.HOSTS)
+
     def _apply_operator_record(self, record: topic_copy.TopicRecord) -> None:
         if not record.value:
             return
@@ -496,23 +502,14 @@
 
     async def _tick(self) -> None:
         """Expires targets, updates metrics and logs changes of readiness."""
-        ready = None
+        readiness = startup.ReadinessLog(self.site.startup)
         memory_mb = self.site.settings.memory_mb
         status_at = clock.now() + _STATUS_INTERVAL_S
         while True:
             now = clock.now()
             self.site.expire_targets(now)
             reason = self.site.not_ready_reason(now)
-            if reason != ready:
-                ready = reason
-                _logger.info(
-                    "not ready" if reason else "ready",
-                    extra={
-                        "event": "readiness",
-                        "reason": reason,
-                        "store_age_s": self.site.rounded_age_s(now),
-                    },
-                )
+            readiness.update(reason, self.site.rounded_age_s(now), now)
             self.metrics.ready.set(not reason)
             self.metrics.suspects.set(self.site.quarantine.suspect_count)
             self._update_unavailable_metrics(now)
--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -149,6 +149,16 @@
         self.store_era = self.gauge(
             "store_era", "Era of the store, once it has been restored."
         )
+        self.start_seconds = self.gauge(
+            "start_seconds",
+            "Time from the end of loading to a stage of the start.",
+            ["stage"],
+        )
+        self.start_processor_seconds = self.gauge(
+            "start_processor_seconds",
+            "Processor time used until a stage of the start.",
+            ["stage"],
+        )
         self.ready = self.gauge("ready", "Whether the host is ready.")
         self.holds_lease = self.gauge(
             "holds_lease", "Whether this host may give orders."
--- a/hillthread/coordination/gateway/serving/gateway.py
+++ b/hillthread/coordination/gateway/serving/gateway.py
@@ -14,6 +14,7 @@
 from hillthread import errors
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway import startup
 from hillthread.coordination.gateway.peers import forwarding
 from hillthread.coordination.gateway.serving import dispatcher as dispatcher_lib
 from hillthread.coordination.gateway.serving import intake
@@ -307,6 +308,7 @@
         answer: http1_server.CallerAnswer,
     ) -> None:
         seconds = clock.now() - request.caller.arrived
+        self.site.startup.reach(startup.ANSWERED)
         self.metrics.observe_answer_time(request.route.name, seconds)
         request.log.note(
             "answered", seconds=round(seconds, 4), status=answer.status
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -10,6 +10,7 @@
 from hillthread import clock
 from hillthread.coordination.gateway import metrics as metrics_lib
 from hillthread.coordination.gateway import settings as settings_lib
+from hillthread.coordination.gateway import startup as startup_lib
 from hillthread.coordination.gateway import target_beliefs
 from hillthread.platform import configuration as configuration_lib
 from hillthread.state.cluster import freshness
@@ -46,6 +47,7 @@
         freshness: Age of the data from the operator.
         targets_known: Whether the whole list of targets was read.
         started_at: Seconds, when this process began to serve.
+        startup: When this process reached the stages of its start.
         wait_over: Set, and replaced, when requests need not wait any longer
             for the first configuration and targets.
         is_store_lost: No read of the store succeeded since one failed.
@@ -71,6 +73,7 @@
         self.configuration: site_configuration.SiteConfiguration | None = None
         self.targets_known = False
         self.started_at = clock.now()
+        self.startup = startup_lib.StartupProgress(metrics)
         self.wait_over = anyio.Event()
         self.is_store_lost = False
         self.freshness = freshness.Freshness()
@@ -112,6 +115,7 @@
         self.configuration = received
         self.apply_services(is_first=before is None)
         self._release_if_routable()
+        self.startup.reach(startup_lib.CONFIGURATION)
         self.metrics.configuration_version.set(received.version)
         _logger.info(
             "configuration applied",
@@ -153,6 +157,7 @@
     def mark_targets_known(self) -> None:
         """Records that the whole list of targets was read."""
         self.targets_known = True
+        self.startup.reach(startup_lib.TARGETS)
         self.targets.is_read = True
         self._release_if_routable()
 
