Wait at the start for an address that is still taken

A gateway whose port was taken ended with a traceback, so that its return depended on whoever starts it again, and no line named the address. The class: a start that cannot succeed yet ends instead of waiting.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -41,7 +41,7 @@
 from hillthread.transport import log_writer
 from hillthread.transport import send_buffer
 
-__all__ = ["GatewayHost"]
+__all__ = ["GatewayHost", "list_addresses"]
 
 # The balancer checks readiness once a second and removes a host after two
 # failed checks. Then idle connections are closed, before callers reuse them.
@@ -97,6 +97,19 @@
 _logger = logging.getLogger("hillthread.program")
 
 
+def list_addresses(
+    settings: gateway_settings.GatewaySettings,
+) -> list[tuple[str, int]]:
+    """Returns the IP and port of everything on which a host listens."""
+    ip, _ = settings_lib.split_address(settings.listen)
+    return [
+        settings_lib.split_address(settings.listen),
+        settings_lib.split_address(settings.ready_listen),
+        (ip, settings.feed_port),
+        (ip, settings.metrics_port),
+    ]
+
+
 class GatewayHost:
     """The gateway with its sockets, topic followers and background tasks."""
 
--- a/tests/programs/test_gateway.py
+++ b/tests/programs/test_gateway.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -48,6 +49,21 @@
         self.addCleanup(process.kill)
         return process
 
+    def run_to_the_end(self):
+        """Runs the gateway until it ends by itself."""
+        return subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "hillthread.programs.gateway",
+                f"--settings={self.path}",
+            ],
+            capture_output=True,
+            text=True,
+            timeout=_WAIT_S,
+            check=False,
+        )
+
     def events(self):
         lines = self.log.read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
@@ -122,19 +138,26 @@
         process.send_signal(signal.SIGTERM)
         self.assertEqual(process.wait(_WAIT_S), 0)
 
+    # Guards against a process that ends because another one still exits.
+    def test_start_waits_for_a_taken_address(self):
+        with socket.create_server(("127.0.0.1", 0)) as holder:
+            address = f"127.0.0.1:{holder.getsockname()[1]}"
+            self.write({**self.settings, "listen": address})
+            process = self.start()
+            line = self.wait_event("address_taken")
+            self.assertEqual(list(line["addresses"]), [address])
+        self.assertEqual(self.wait_event("start")["listen"], address)
+        self.assertIsNone(process.poll())
+
+    def test_address_that_never_works_ends_the_start(self):
+        self.write({**self.settings, "listen": "999.0.0.1:80"})
+        result = self.run_to_the_end()
+        self.assertEqual(result.returncode, 2)
+        self.assertIn("999.0.0.1:80", result.stderr)
+        self.assertNotIn("Traceback", result.stderr)
+
     def test_invalid_settings_exit_with_the_name_of_the_field(self):
         self.write({**self.settings, "listen": 7})
-        result = subprocess.run(
-            [
-                sys.executable,
-                "-m",
-                "hillthread.programs.gateway",
-                f"--settings={self.path}",
-            ],
-            capture_output=True,
-            text=True,
-            timeout=_WAIT_S,
-            check=False,
-        )
+        result = self.run_to_the_end()
         self.assertEqual(result.returncode, 2)
         self.assertIn("$.listen", result.stderr)
