Record the progress of a stream only once its run is confirmed

Cause: the relay advanced last_event_id while it selected the new events; a run that was then rejected, since the engine had started again, counted as relayed, and the next one resumed behind it. Also, a run without new events could end the stream without being confirmed, and a rejected run's weights version was recorded. Both are now behind the confirmation.

--- a/hillthread/coordination/gateway/serving/event_relay.py
+++ b/hillthread/coordination/gateway/serving/event_relay.py
@@ -86,6 +86,8 @@
         await self._forward(head, splitter.rest)
         if not self.answer.started:
             raise http1_client.CallError(True, "stream without events")
+        # The end of a stream continues it, too.
+        self._begin_run()
         await self.answer.end()
 
     async def _relay_events(
@@ -136,7 +138,13 @@
         head: http1_client.AnswerHead,
         events: list[event_stream.Event],
     ) -> None:
-        new_events = [event for event in events if self._is_new(event)]
+        new_events, last_event_id = self._select_new(events)
+        if not new_events:
+            return
+        # A run that is rejected here has relayed nothing: the next one resumes
+        # where the caller is.
+        self._begin_run()
+        self.last_event_id = last_event_id
         for event in new_events:
             version = attempts.parse_event_weights(event.raw)
             if version is not None:
@@ -144,13 +152,29 @@
         await self._forward(head, b"".join(event.raw for event in new_events))
         self.event_count += len(new_events)
 
-    def _is_new(self, event: event_stream.Event) -> bool:
-        if event.index is None:
-            return True
-        if self.last_event_id is not None and event.index <= self.last_event_id:
-            return False
-        self.last_event_id = event.index
-        return True
+    def _select_new(
+        self, events: list[event_stream.Event]
+    ) -> tuple[list[event_stream.Event], int | None]:
+        """Returns the events that the caller lacks, and the last id then."""
+        new_events = []
+        last_id = self.last_event_id
+        for event in events:
+            if event.index is not None:
+                if last_id is not None and event.index <= last_id:
+                    continue
+                last_id = event.index
+            new_events.append(event)
+        return new_events, last_id
+
+    def _begin_run(self) -> None:
+        """Reports the first event of a run, before it is relayed.
+
+        Raises:
+            CallError: The run must not continue the stream.
+        """
+        if not self._has_run_begun:
+            self._has_run_begun = True
+            self.on_first_event()
 
     async def _forward(
         self, head: http1_client.AnswerHead, data: bytes
@@ -158,9 +182,7 @@
         if not data:
             return
         now = clock.now()
-        if not self._has_run_begun:
-            self._has_run_begun = True
-            self.on_first_event()
+        self._begin_run()
         if self.first_sent_at is None:
             self.first_sent_at = now
         else:
