Decline forwarded requests that an older configuration would decide

Forwarded requests now name the version of the configuration, and a host with an older one declines, for keys and unknown routes as well.

--- a/hillthread/coordination/gateway/peers/forwarding.py
+++ b/hillthread/coordination/gateway/peers/forwarding.py
@@ -59,6 +59,7 @@
 _METHOD = b"hillthread-method"
 _TARGET = b"hillthread-path"
 _RUNS = b"hillthread-runs"
+_CONFIGURATION = b"hillthread-configuration"
 # In requests the software that began the stream, in answers the one that made
 # the run.
 _ORIGIN_POOL = b"hillthread-origin-pool"
@@ -73,12 +74,15 @@
         sends: Its attempts on targets.
         runs: Those of them that may have run.
         stream_origin: The software that began the stream; None for a new one.
+        configuration_version: Version by which that host decides; 0 for a host
+            of an earlier release, which does not name it.
     """
 
     host: str
     sends: int
     runs: int
     stream_origin: stream_origin_lib.StreamOrigin | None = None
+    configuration_version: int = 0
 
 
 class ForwardedRequest(NamedTuple):
@@ -132,6 +136,7 @@
         (_TARGET, caller.target),
         (SENDS_HEADER, b"%d" % origin.sends),
         (_RUNS, b"%d" % origin.runs),
+        (_CONFIGURATION, b"%d" % origin.configuration_version),
     ]
     path = FORWARD_PATH
     if origin.stream_origin is not None:
@@ -154,10 +159,11 @@
     """
     sends = attempts.parse_whole_number(raw.get(SENDS_HEADER))
     runs = attempts.parse_whole_number(raw.get(_RUNS))
+    version = attempts.parse_whole_number(raw.get(_CONFIGURATION) or b"0")
     method, target = raw.get(_METHOD), raw.get(_TARGET)
     stream_origin = decode_origin(raw.headers)
     is_origin_missing = raw.path == FORWARD_BOUND_PATH and stream_origin is None
-    is_incomplete = sends is None or runs is None or not method or not target
+    is_incomplete = not method or not target or None in (sends, runs, version)
     if is_incomplete or is_origin_missing:
         raise errors.PeerError(
             "The forwarded request is incomplete.",
@@ -169,7 +175,7 @@
         if not pair[0].startswith(_PREFIX) and pair[0] != b"content-length"
     ]
     origin = ForwardOrigin(
-        raw.get(_FROM).decode("latin-1"), sends, runs, stream_origin
+        raw.get(_FROM).decode("latin-1"), sends, runs, stream_origin, version
     )
     caller = raw._replace(method=method, target=target, headers=headers)
     return ForwardedRequest(origin, caller)
--- a/hillthread/coordination/gateway/serving/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -23,6 +23,7 @@
 
 __all__ = [
     "NOT_READY",
+    "OLDER_CONFIGURATION",
     "GatewayRequest",
     "admit",
     "authenticate",
@@ -33,6 +34,9 @@
 
 # Error code of a host that cannot serve; another host may.
 NOT_READY = "not_ready"
+# Error code of a host whose configuration is older than that of the host that
+# forwards a request.
+OLDER_CONFIGURATION = "older_configuration"
 # A host that has just started knows its configuration after this time.
 _STARTUP_RETRY_S = 0.5
 # Callers may retry at once: the balancer sends them to another host of its data
@@ -171,6 +175,8 @@
         raise make_not_ready_error(
             "The host does not know the configuration yet.", _STARTUP_RETRY_S
         )
+    if origin is not None:
+        _check_configuration(site, origin)
     route = _find_route(site, caller)
     tenant = authenticate(site, caller, route)
     timeout_s = route.timeout_s
@@ -193,6 +199,27 @@
     )
 
 
+def _check_configuration(
+    site: site_lib.Site, origin: forwarding.ForwardOrigin
+) -> None:
+    """Refuses a forwarded request that an older configuration would decide.
+
+    Raises:
+        RefusalError: This host lacks the configuration of the other one.
+    """
+    version = site.configuration_version
+    if version >= origin.configuration_version:
+        return
+    raise errors.RefusalError(
+        OLDER_CONFIGURATION,
+        503,
+        f"This host has version {version} of the configuration, but "
+        f"{origin.host} has {origin.configuration_version}.",
+        "Ask another host.",
+        retry_after_s=_OTHER_HOST_RETRY_S,
+    )
+
+
 def authenticate(
     site: site_lib.Site,
     caller: http1_server.CallerRequest,
--- a/hillthread/coordination/gateway/serving/peer_forwarder.py
+++ b/hillthread/coordination/gateway/serving/peer_forwarder.py
@@ -47,6 +47,7 @@
     chooser.NO_TARGET: 0.3,
     BUSY: 0.2,
     intake.NOT_READY: 2.0,
+    intake.OLDER_CONFIGURATION: 0.5,
 }
 _AVOID_UNREACHABLE_S = 2.0
 # A release that does not know forwarded requests is replaced within minutes.
--- a/hillthread/coordination/gateway/serving/request_forwarding.py
+++ b/hillthread/coordination/gateway/serving/request_forwarding.py
@@ -92,6 +92,7 @@
             self.sender.attempts_made,
             self.sender.possible_runs,
             self.request.stream_origin,
+            self.sender.site.configuration_version,
         )
         result: outcome_lib.ForwardOutcome | None = None
         try:
--- a/hillthread/coordination/gateway/site.py
+++ b/hillthread/coordination/gateway/site.py
@@ -100,6 +100,11 @@
             return caller_bounds.CallerBounds()
         return self.configuration.bounds
 
+    @property
+    def configuration_version(self) -> int:
+        """The version in force; 0 before the first."""
+        return self.configuration.version if self.configuration else 0
+
     def apply_configuration(self, payload: bytes) -> None:
         """Applies a newer configuration; an older one is ignored.
 
--- a/tests/coordination/gateway/peers/test_forwarding.py
+++ b/tests/coordination/gateway/peers/test_forwarding.py
@@ -9,7 +9,7 @@
 from hillthread.transport import http1_client
 from hillthread.transport import http1_server
 
-ORIGIN = forwarding.ForwardOrigin("h1", 2, 1)
+ORIGIN = forwarding.ForwardOrigin("h1", 2, 1, configuration_version=7)
 
 
 def make_request(*headers):
@@ -55,6 +55,17 @@
             },
         )
 
+    def test_host_of_an_earlier_release_names_no_configuration(self):
+        sent = self.encode()
+        headers = [
+            pair
+            for pair in sent.headers
+            if pair[0] != b"hillthread-configuration"
+        ]
+        received = receive(sent)._replace(headers=headers)
+        origin = forwarding.decode_request(received).origin
+        self.assertEqual(origin.configuration_version, 0)
+
     def test_headers_of_one_connection_stay_on_it(self):
         sent = self.encode(
             (b"connection", b"keep-alive, x-mine"),
--- a/tests/coordination/gateway/serving/test_lost_links.py
+++ b/tests/coordination/gateway/serving/test_lost_links.py
@@ -93,6 +93,44 @@
 
         scene_lib.run_scenario(scenario)
 
+    # Guards against requests that a host with an older configuration serves by
+    # a service from which the operator has moved the route.
+    def test_host_with_an_older_configuration_serves_no_forwarded_request(
+        self,
+    ):
+        async def scenario(scene):
+            programs, links = await start_hosts(scene, 3)
+            # The third host has lost the store.
+            held = programs[2].site
+            held.apply_configuration = lambda payload: None
+            routes = [
+                {**each, "service": "moved"} if each["name"] == "open" else each
+                for each in scene.configuration["routes"]
+            ]
+            services = [*scene.configuration["services"], {"name": "moved"}]
+            moved = standin.PlatformTargetStandin("moved-1", "moved")
+            scene.tasks.start_soon(scene.listen, moved)
+            scene.list_target(moved)
+            scene.configure(routes=routes, services=services)
+            for program in programs[:2]:
+                await scene.until(
+                    lambda p=program: (
+                        p.site.configuration_version == scene.version
+                    )
+                )
+            for each in links[:2]:
+                await each.cut(link_cut.CutShape.RESET)
+            await anyio.sleep(RECOGNITION_S)
+            runs_before = sum(len(target.runs) for target in scene.plain)
+            answers = [
+                await ask(scene, programs[0], "/open/x") for _ in range(5)
+            ]
+            self.assertEqual([a.head.status for a in answers], [503] * 5)
+            runs_now = sum(len(target.runs) for target in scene.plain)
+            self.assertEqual(runs_now, runs_before)
+
+        scene_lib.run_scenario(scenario)
+
     # Guards against open requests that wait on silent connections until their
     # deadline although they may run again.
     def test_open_requests_on_silent_links_go_on_at_another_host(self):
