Read cache events without an id, and not at addresses of listed targets

Cause: the address of a store of KV cache went to another service, and hosts went on sending it reads of cache events with an id of their own and no expected instance, which a target takes for a request. Reads now carry no id (a target answers 400, not run), an answer with an id is rejected, and a store is neither read nor used while a listed target has its address.

--- a/hillthread/coordination/gateway/serving/cache_watch.py
+++ b/hillthread/coordination/gateway/serving/cache_watch.py
@@ -40,6 +40,8 @@
         site: The host's view of the configuration, which lists the stores.
         pool: Connections to the stores.
         contents: Contents of each store, by its address.
+        occupied: Addresses of configured stores that listed targets have taken
+            over; they are neither read nor used.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         self.site = site
         self.pool = pool
         self.contents: dict[str, cache_contents.CacheContents] = {}
+        self.occupied: frozenset[str] = frozenset()
 
     def may_lack(
         self, address: str, parts: list[cache_contents.CacheEvent]
@@ -60,6 +63,8 @@
 
     def is_reachable(self, address: str) -> bool:
         """Returns whether a store answers; true if it was never read."""
+        if address in self.occupied:
+            return False
         contents = self.contents.get(address)
         return contents is None or contents.is_answering
 
@@ -67,17 +72,31 @@
         """Follows all stores of the configuration until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
+                self._update_occupied()
                 for address in self._addresses() - self.contents.keys():
                     self.contents[address] = cache_contents.CacheContents()
                     tasks.start_soon(self._follow, address)
                 await anyio.sleep(_STORE_LIST_INTERVAL_S)
 
-    def _addresses(self) -> set[str]:
+    def _update_occupied(self) -> None:
+        """Finds the stores at whose addresses targets are listed."""
+        before = self.occupied
+        self.occupied = frozenset(
+            self._configured_addresses() & self.site.targets.listed_addresses()
+        )
+        for address in self.occupied - before:
+            self._log("cache_lost", address, "a listed target has its address")
+
+    def _configured_addresses(self) -> set[str]:
         table = self.site.table
         if table is None:
             return set()
         return {store.address for store in table.cache_stores}
 
+    def _addresses(self) -> set[str]:
+        """Returns the addresses that are read."""
+        return self._configured_addresses() - self.occupied
+
     async def _follow(self, address: str) -> None:
         contents = self.contents[address]
         while address in self._addresses():
--- a/hillthread/platform/cache_events.py
+++ b/hillthread/platform/cache_events.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from hillthread import errors
-from hillthread.platform import call_ids
+from hillthread.platform import names
 from hillthread.state.routing import cache_contents
 from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
@@ -68,21 +68,22 @@
         BusyError: The cache accepts no more calls now.
         LogError: The events cannot be read now.
     """
-    call_id = call_ids.make_call_id(is_always_repeated=False)
+    # A target that has taken over the address would run a call with an id.
     request = http1_client.ClientRequest(
         b"GET",
         f"/api/kv-events?since={position}".encode(),
         [
             (b"host", address.encode()),
             (b"wait-ms", b"%d" % int(wait_s * 1000)),
-            (call_id.header, call_id.value),
         ],
-        call_id=call_id,
     )
     try:
         answer = await connection_pool.call(
             pool, address, request, wait_s + _HOLD_MARGIN_S, _MAX_ANSWER_BYTES
         )
+        if answer.head.get(names.REQUEST_ID):
+            await pool.drop(address)
+            raise _make_read_error("the answer belongs to a request")
         if answer.head.status == 429:
             raise errors.BusyError(
                 "A cache accepts no more calls now.",
--- a/hillthread/state/targets/target_list.py
+++ b/hillthread/state/targets/target_list.py
@@ -270,6 +270,14 @@
         """Returns whether an entry is kept although it is not listed."""
         return name in self._drop_at
 
+    def listed_addresses(self) -> set[str]:
+        """Returns the addresses of all targets that are listed."""
+        return {
+            entry.target.address
+            for name, entry in self.entries.items()
+            if not self.is_missing(name)
+        }
+
     def is_replaced(self, name: str) -> bool:
         """Returns whether a listed target ended and another has its address."""
         return name in self.replaced
--- a/tests/platform/test_cache_events.py
+++ b/tests/platform/test_cache_events.py
@@ -18,12 +18,14 @@
 
 
 class EarlierPageTest(unittest.TestCase):
-    def read(self, page, epoch, position):
+    def read(self, page, epoch, position, headers=()):
         """Returns what a read returns that is answered with a page."""
 
         async def handle(caller, answer):
-            del caller
-            await answer.send_whole(200, [], msgspec.json.encode(page))
+            self.sent = [name for name, _ in caller.headers]
+            await answer.send_whole(
+                200, list(headers), msgspec.json.encode(page)
+            )
 
         async def run():
             server = http1_server.Server(
@@ -48,6 +50,18 @@
 
         return anyio.run(run)
 
+    # Guards against targets that run a read as a request, since it has an id.
+    def test_read_has_no_id(self):
+        self.read(_page(7, 2, []), 7, 2)
+        self.assertEqual(
+            [name for name in self.sent if name == b"x-request-id"], []
+        )
+
+    def test_answer_to_a_request_is_rejected(self):
+        id_header = (b"x-request-id", b"r1")
+        result = self.read(_page(7, 3, [2]), 7, 2, [id_header])
+        self.assertIsInstance(result, errors.LogError)
+
     # Guards against applying a late page a second time, after later ones.
     def test_page_of_an_earlier_read_is_rejected(self):
         for page in (
