Confirm the first read of a host that starts during an outage

Cause: its first read was to be confirmed by other hosts, but the follower of the list of hosts waits for that very read after an outage, so that no host was known and nobody was asked. The read now marks the store as reachable and waits for the list, up to 0.3 s. The new test of the start in an outage fails without the wait (version 1 applied, 2 expected).

--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -141,6 +141,13 @@
         if follower is None or follower.copy.position is None:
             await answer.send_whole(503, [], b"")
             return
+        if query.is_confirmation:
+            # The asking host takes only what is newer than the store's, so that
+            # knowledge from before an outage counts as well.
+            await answer.send_whole(
+                200, _CBOR_HEADERS, follower.build_page(query.start)
+            )
+            return
         with anyio.move_on_after(min(query.wait_s, _MAX_HOLD_S)):
             while self._can_serve_topic(follower) and not _has_new_records(
                 follower, query
--- a/hillthread/coordination/gateway/store/store_follower.py
+++ b/hillthread/coordination/gateway/store/store_follower.py
@@ -229,10 +229,13 @@
         return page.age_s <= max_age_s
 
     async def _call_peer(
-        self, peer: feed_source.HostEntry, hold_s: float
+        self,
+        peer: feed_source.HostEntry,
+        hold_s: float,
+        is_confirmation: bool = False,
     ) -> feed.FeedPage:
         start = self.copy.position or _START_POSITION
-        query = feed.FeedQuery(self.plan.topic, start, hold_s)
+        query = feed.FeedQuery(self.plan.topic, start, hold_s, is_confirmation)
         request = call_ids.make_host_request(
             peer.feed, b"GET", feed.encode_query(query)
         )
@@ -377,12 +380,17 @@
         self, records: list[topic_copy.TopicRecord]
     ) -> list[topic_copy.TopicRecord]:
         """Replaces records by newer ones of other hosts, and returns all."""
+        # After an outage of the store, the follower of the list of hosts waits
+        # for this read and has not read the list yet.
+        self.context.watch.record_success()
+        with anyio.move_on_after(_HOST_LIST_TIMEOUT_S):
+            await self.context.hosts_read.wait()
         newest = {each.key: each for each in records}
         pages: list[feed.FeedPage] = []
 
         async def read_records(peer: feed_source.HostEntry) -> None:
             try:
-                pages.append(await self._call_peer(peer, 0.0))
+                pages.append(await self._call_peer(peer, 0.0, True))
             except (http1_client.CallError, errors.PeerError) as error:
                 # The host has just started as well, or is gone.
                 _logger.debug("host %s sent no records: %s", peer.name, error)
--- a/hillthread/protocol/feed.py
+++ b/hillthread/protocol/feed.py
@@ -59,11 +59,14 @@
         start: Position of the first requested record.
         wait_s: Time for which the answer may be held while there is no such
             record.
+        is_confirmation: Whether the answer is only compared with what the
+            store has: it need not be current, and is not held.
     """
 
     topic: str
     start: position_lib.Position
     wait_s: float
+    is_confirmation: bool = False
 
 
 class FeedPage(NamedTuple):
@@ -100,6 +103,8 @@
         "era": query.start.era,
         "wait_ms": int(query.wait_s * 1000),
     }
+    if query.is_confirmation:
+        fields["confirm"] = 1
     return f"{FEED_PATH}?{parse.urlencode(fields)}".encode()
 
 
@@ -118,6 +123,7 @@
                 int(fields.get("era", 0)), int(fields["from"])
             ),
             int(fields["wait_ms"]) / 1000.0,
+            fields.get("confirm") == "1",
         )
     except (KeyError, ValueError) as error:
         raise errors.PeerError(
--- a/tests/coordination/gateway/store/test_store_restored.py
+++ b/tests/coordination/gateway/store/test_store_restored.py
@@ -2,16 +2,24 @@
 
 import time
 import unittest
+from unittest import mock
 
 import anyio
 
 from hillthread import clock
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.store import host_registry
+from hillthread.platform import call_ids
 from hillthread.platform import store as store_lib
+from hillthread.protocol import feed
+from hillthread.state.cluster import position
+from hillthread.transport import connection_pool
 from tests.coordination.gateway import scene as scene_lib
 from tests.coordination.gateway.peers import test_feed
 
+# Longer than a starting host waits for the list of hosts.
+_OUTAGE_S = 0.8
+
 
 async def wait_for_configuration(scene):
     """Waits until the gateway has applied the newest configuration."""
@@ -289,6 +297,69 @@
 
         play(story)
 
+    # Guards against serving a withdrawn key at a host that starts during an
+    # outage: it learned of the other hosts only after its first read.
+    def test_host_that_starts_in_an_outage_confirms_its_first_read(self):
+        async def story(scene):
+            await wait_for_configuration(scene)
+            backup = scene.store.backup()
+            scene.configure()
+            await wait_for_configuration(scene)
+            scene.store.faults.reset = True
+            await scene.until(lambda: scene.site.is_store_lost)
+            scene.tasks.start_soon(start_late, scene)
+            await anyio.sleep(_OUTAGE_S)
+            scene.store.restore(backup)
+            scene.store.faults.reset = False
+            await scene.until(lambda: applied)
+            self.assertEqual(applied[0], scene.version)
+
+        async def start_late(scene):
+            with mock.patch.object(
+                site_lib.Site, "apply_configuration", apply_and_note
+            ):
+                await test_feed.second_host(scene)
+
+        def apply_and_note(site, payload):
+            apply_configuration(site, payload)
+            if site.settings.host == "h2":
+                applied.append(site.configuration_version)
+
+        applied = []
+        apply_configuration = site_lib.Site.apply_configuration
+        play(story)
+
+    # Guards against hosts that keep what they know from a starting host while
+    # they cannot read the store themselves.
+    def test_host_without_the_store_answers_confirmations(self):
+        async def story(scene):
+            await wait_for_configuration(scene)
+            scene.store.faults.reset = True
+            await scene.until(lambda: scene.site.is_store_lost)
+            statuses = []
+            for is_confirmation in (False, True):
+                query = feed.FeedQuery(
+                    "keyed.op", position.Position(0, 0), 0.0, is_confirmation
+                )
+                request = call_ids.make_host_request(
+                    scene.program.feed_server.address,
+                    b"GET",
+                    feed.encode_query(query),
+                )
+                answer = await connection_pool.call(
+                    scene.pool,
+                    scene.program.feed_server.address,
+                    request,
+                    1.0,
+                    1 << 20,
+                )
+                statuses.append(answer.head.status)
+            self.assertEqual(statuses, [503, 200])
+            page = feed.decode_page(answer.body)
+            self.assertIn("config", [each.key for each in page.records])
+
+        play(story)
+
     # Guards against an answer of the former era that confirms withdrawn keys.
     def test_late_answer_of_the_former_era_is_refused(self):
         async def story(scene):
--- a/tests/state/cluster/test_topic_copy.py
+++ b/tests/state/cluster/test_topic_copy.py
@@ -99,8 +99,11 @@
             page.position, page.is_snapshot, page.age_s, packed
         )
         self.assertEqual(feed.decode_page(raw), page)
-        query = feed.FeedQuery("t", at(3, 2), 0.25)
-        self.assertEqual(feed.parse_query(feed.encode_query(query)), query)
+        for query in (
+            feed.FeedQuery("t", at(3, 2), 0.25),
+            feed.FeedQuery("t", at(3, 2), 0.0, is_confirmation=True),
+        ):
+            self.assertEqual(feed.parse_query(feed.encode_query(query)), query)
         far_too_long = zlib.compress(bytes(64 << 20), 1)
         for bad in (
             b"",
