Refuse request bodies beyond a bound instead of exceeding the memory

Cause: bodies were read in full whatever was held; they were counted, during attempts only, and never refused. They now have a bound of their own, a quarter of what the memory limit leaves; room is reserved when the head states a length, and without room the answer is 503 with Retry-After before the body is read.

--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -564,6 +564,8 @@
                 "targets": len(self.site.targets.entries),
                 "ejected": self.site.ejected_targets(now),
                 "buffered_bytes": self.buffers.buffered_bytes,
+                "body_bytes": self.buffers.body_bytes,
+                "bodies_refused": self.buffers.refused_bodies,
                 "slow_callers_cut": self.buffers.cut_streams,
                 "connections_opened": dict(self.pool.opened),
                 "bad_answers": dict(self.pool.faults),
--- a/hillthread/transport/http1_server.py
+++ b/hillthread/transport/http1_server.py
@@ -37,6 +37,8 @@
 # By the second cycle, the event loop has read all data that reached this host.
 _LOOP_CYCLES = 2
 _CLOSE_HEADER = (b"connection", b"close")
+# Bodies of other requests are sent on within about this time.
+_NO_MEMORY_RETRY_S = 0.5
 
 _logger = logging.getLogger(__name__)
 
@@ -80,11 +82,16 @@
 
     Attributes:
         status: HTTP status code of the answer.
+        retry_after_s: Seconds after which the caller may try again; None to
+            name no time.
     """
 
-    def __init__(self, status: int, reason: str):
+    def __init__(
+        self, status: int, reason: str, retry_after_s: float | None = None
+    ):
         super().__init__(reason)
         self.status = status
+        self.retry_after_s = retry_after_s
 
 
 class CallerAnswer:
@@ -204,6 +211,7 @@
             None.
         idle_scope: Cancels that wait, or None.
         must_close: Whether it is closed as soon as it waits for a request.
+        reserved_body_bytes: Memory reserved for the body of its request.
     """
 
     def __init__(self, stream: byte_stream.ByteStream, server: Server):
@@ -219,6 +227,7 @@
         self.idle_since: float | None = None
         self.idle_scope: anyio.CancelScope | None = None
         self.must_close = False
+        self.reserved_body_bytes = 0
 
     async def run(self) -> None:
         """Serves requests until the connection ends."""
@@ -239,6 +248,9 @@
             return await self._read_and_serve()
         finally:
             self.has_unfinished_request = False
+            if self.server.budget is not None:
+                self.server.budget.release_body(self.reserved_body_bytes)
+            self.reserved_body_bytes = 0
 
     async def _read_and_serve(self) -> bool:
         request = await self._read_request()
@@ -300,6 +312,7 @@
             if head is None:
                 return None
             arrived = anyio.current_time()
+            self._reserve_body(_get_length(head))
             if self.http.state_machine.they_are_waiting_for_100_continue:
                 await self.http.send(
                     [h11.InformationalResponse(status_code=100, headers=[])]
@@ -377,6 +390,7 @@
                 case h11.Data():
                     parts.append(bytes(event.data))
                     size += len(event.data)
+                    self._reserve_body(size)
                 case h11.EndOfMessage():
                     return b"".join(parts)
                 case None:
@@ -386,12 +400,31 @@
             if size > self.bounds.max_body_bytes:
                 raise _BadRequestError(413, "the body is too large")
 
+    def _reserve_body(self, size: int) -> None:
+        """Reserves memory for the body up to a size.
+
+        Raises:
+            _BadRequestError: The bodies of other requests take all of it.
+        """
+        missing = min(size, self.bounds.max_body_bytes)
+        missing -= self.reserved_body_bytes
+        budget = self.server.budget
+        if budget is None or missing <= 0:
+            return
+        if not budget.reserve_body(missing, size):
+            raise _BadRequestError(
+                503, "no memory for the body", _NO_MEMORY_RETRY_S
+            )
+        self.reserved_body_bytes += missing
+
     async def _refuse(self, error: _BadRequestError) -> None:
         """Answers a request that could not be read, then closes."""
         self.server.on_bad_request(error.status, str(error))
         answer = CallerAnswer(self.http, _always_closing)
         body = b'{"error":{"code":"bad_request"}}'
         headers = [(b"content-type", b"application/json")]
+        if error.retry_after_s is not None:
+            headers.append((b"retry-after", b"%g" % error.retry_after_s))
         try:
             await answer.send_whole(error.status, headers, body)
             await self.http.close_gracefully()
@@ -570,6 +603,15 @@
     del request
 
 
+def _get_length(head: h11.Request) -> int:
+    """Returns the length that a head states; 0 if it states none."""
+    # h11 has rejected lengths that are no number.
+    lengths = [
+        int(value) for name, value in head.headers if name == b"content-length"
+    ]
+    return max(lengths, default=0)
+
+
 def _check_framing(head: h11.Request) -> None:
     """Refuses a request with both a content length and chunked encoding.
 
--- a/hillthread/transport/send_buffer.py
+++ b/hillthread/transport/send_buffer.py
@@ -1,9 +1,10 @@
-"""Limits what the process buffers for callers that read slowly.
+"""Limits what the process buffers for callers and for targets.
 
 A sent byte that the kernel has not accepted stays in the write buffer of its
 connection. The budget knows the connections that have such bytes, decides which
 of them may buffer more, and disconnects the one with the most unread bytes when
-the process reaches its bound.
+the process reaches its bound. Request bodies have a bound of their own, beyond
+which they are refused before they are read.
 """
 
 from __future__ import annotations
@@ -29,6 +30,14 @@
 # made while data is relayed, and for the read buffers of connections.
 _TOTAL_SHARE = 0.25
 _STREAM_SHARE = 1.0 / 16.0
+# Share of the remaining memory that may hold request bodies. Reading one takes
+# a multiple of its size for a moment.
+_BODIES_SHARE = 0.25
+# Twice the largest body that platforms usually allow.
+_MIN_BODIES_BYTES = 8_388_608
+# Bodies of more than this size leave a part of that memory to smaller ones.
+_LARGE_BODY_BYTES = 65_536
+_LARGE_BODIES_SHARE = 0.75
 # Share of the total below which an answer may exceed its own bound.
 _FREE_SHARE = 0.5
 _TICK_INTERVAL_S = 0.05
@@ -49,12 +58,14 @@
     Attributes:
         total_bytes: Bound for the process.
         stream_bytes: Bound for one answer while buffers are half full or more.
+        bodies_bytes: Bound for all request bodies.
         is_minimum: Whether the memory of the process allows less than the
             minimum that these bounds state.
     """
 
     total_bytes: int
     stream_bytes: int
+    bodies_bytes: int = _MIN_BODIES_BYTES
     is_minimum: bool = False
 
 
@@ -62,7 +73,10 @@
     """Returns the bounds for a process that may use this much memory."""
     remaining = memory_mb * 1_000_000.0 - _BASE_MEMORY_BYTES
     total = max(_MIN_TOTAL_BYTES, int(remaining * _TOTAL_SHARE))
-    return BufferBounds(total, int(total * _STREAM_SHARE), remaining <= 0.0)
+    bodies = max(_MIN_BODIES_BYTES, int(remaining * _BODIES_SHARE))
+    return BufferBounds(
+        total, int(total * _STREAM_SHARE), bodies, remaining <= 0.0
+    )
 
 
 class CutStream(NamedTuple):
@@ -147,6 +161,8 @@
         streams: Buffers with unread bytes.
         unread_bytes: Unread bytes of all streams when last counted.
         held_bytes: Request bodies, and answers that are read as a whole.
+        body_bytes: Request bodies that are being read or served.
+        refused_bodies: Request bodies refused so far.
         full_ticks: Ticks in a row that found the total bound reached.
         cut_streams: Callers disconnected so far.
         cut_bytes: Their unread bytes.
@@ -160,6 +176,8 @@
         self.streams: set[StreamBuffer] = set()
         self.unread_bytes = 0
         self.held_bytes = 0
+        self.body_bytes = 0
+        self.refused_bodies = 0
         self.full_ticks = 0
         self.cut_streams = 0
         self.cut_bytes = 0
@@ -189,6 +207,31 @@
         """
         self.held_bytes += size
 
+    def reserve_body(self, size: int, body_size: int) -> bool:
+        """Reserves memory for a part of a request body.
+
+        Args:
+            size: Size of the part in bytes.
+            body_size: Size of the body so far, with this part.
+
+        Returns:
+            Whether there is room; otherwise nothing is reserved. There always
+            is for a single body.
+        """
+        bound = self.bounds.bodies_bytes
+        if body_size > _LARGE_BODY_BYTES:
+            bound = int(bound * _LARGE_BODIES_SHARE)
+        has_others = self.body_bytes > body_size - size
+        if has_others and self.body_bytes + size > bound:
+            self.refused_bodies += 1
+            return False
+        self.body_bytes += size
+        return True
+
+    def release_body(self, size: int) -> None:
+        """Releases the reserved memory of a request body."""
+        self.body_bytes -= size
+
     def add(self, stream: StreamBuffer, now: float) -> None:
         """Starts to count a connection that has unread bytes."""
         if stream in self.streams:
--- a/tests/transport/test_http1_server.py
+++ b/tests/transport/test_http1_server.py
@@ -202,6 +202,43 @@
         self.run_scenario(scenario)
 
 
+class BodyMemoryTest(ServerCase):
+    def setUp(self):
+        super().setUp()
+        bounds = send_buffer.BufferBounds(4 << 20, 1 << 20, 1_000_000)
+        self.server.budget = send_buffer.BufferBudget(bounds, lambda cut: None)
+
+    # Guards against a process that holds more bodies than its memory allows.
+    def test_body_beyond_the_bound_is_refused_before_it_is_read(self):
+        async def scenario():
+            first = await self.open()
+            await first.send(_post(700_000) + b"x" * 10)
+            await self.until_reserved(700_000)
+            second = await self.open()
+            await second.send(_post(700_000))
+            with anyio.fail_after(1.0):
+                head = await second.receive()
+            self.assertTrue(head.startswith(b"HTTP/1.1 503 "), head)
+            self.assertIn(b"retry-after: 0.5", head.lower())
+            await first.send(b"x" * 699_990)
+            with anyio.fail_after(2.0):
+                head = await first.receive()
+            self.assertTrue(head.startswith(b"HTTP/1.1 204 "), head)
+            await self.until_reserved(0)
+
+        self.run_scenario(scenario)
+
+    async def until_reserved(self, size):
+        """Waits until this much memory is reserved for bodies."""
+        with anyio.fail_after(2.0):
+            while self.server.budget.body_bytes != size:  # noqa: ASYNC110
+                await anyio.sleep(0.005)
+
+
+def _post(length):
+    return b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % length
+
+
 class ClosedCallerTest(ServerCase):
     def test_request_whose_caller_closed_before_it_was_read_is_not_served(self):
         for is_reset in (False, True):
--- a/tests/transport/test_send_buffer.py
+++ b/tests/transport/test_send_buffer.py
@@ -68,6 +68,31 @@
                 self.assertEqual(bounds.is_minimum, is_minimum)
 
 
+class BodiesTest(unittest.TestCase):
+    def setUp(self):
+        bounds = send_buffer.BufferBounds(4_000_000, 250_000, 1_000_000)
+        self.budget = send_buffer.BufferBudget(bounds, lambda cut: None)
+
+    # Guards against bodies for slow targets that exceed the process's memory.
+    def test_bodies_are_refused_at_their_bound(self):
+        self.assertTrue(self.budget.reserve_body(700_000, 700_000))
+        self.assertFalse(self.budget.reserve_body(100_000, 100_000))
+        self.assertEqual(self.budget.refused_bodies, 1)
+        self.budget.release_body(700_000)
+        self.assertTrue(self.budget.reserve_body(100_000, 100_000))
+
+    def test_large_bodies_leave_memory_to_small_ones(self):
+        self.assertTrue(self.budget.reserve_body(750_000, 750_000))
+        for _ in range(4):
+            self.assertTrue(self.budget.reserve_body(60_000, 60_000))
+        self.assertFalse(self.budget.reserve_body(60_000, 60_000))
+
+    def test_single_body_may_exceed_the_bound(self):
+        self.assertTrue(self.budget.reserve_body(900_000, 900_000))
+        self.assertTrue(self.budget.reserve_body(900_000, 1_800_000))
+        self.assertFalse(self.budget.reserve_body(1, 1))
+
+
 class PermissionTest(BudgetCase):
     def test_answer_exceeds_its_own_bound_only_while_half_is_free(self):
         """Guards against one answer that takes the memory of all others."""
