Skip surplus answers to earlier calls on a connection

The call whose place a surplus answer took ended with 502: the answer was recognised by its id, and the connection given up with the call. An answer to an earlier call on this connection is now read past, in bounds of number, bytes and time, and the answer that is due is relayed; the connection closes afterwards. Ruled out: taking any other answer, since its id must be one that this connection has carried, and answers that end with the connection or come before the request is sent still fail the call.

--- a/hillthread/transport/http1_client.py
+++ b/hillthread/transport/http1_client.py
@@ -35,6 +35,11 @@
 # each costs as much processor time as a large one.
 _TINY_PART_BYTES = 4
 _MAX_TINY_PARTS = 4_096
+# Answers to earlier calls that are skipped before the one that is due, and
+# bounds on the body of each.
+_MAX_SURPLUS_ANSWERS = 2
+_MAX_SURPLUS_BYTES = 65_536
+_MAX_SURPLUS_S = 1.0
 # Time from the first bytes of a head to its end. Lost packets are retransmitted
 # within it.
 _MAX_HEAD_S = 2.0
@@ -261,16 +266,36 @@
         self.is_body_sent = True
 
     async def read_head(self) -> AnswerHead:
-        """Returns the head of the final answer.
+        """Returns the head of the final answer to the last request.
+
+        A surplus answer to an earlier call may come first and is skipped. The
+        connection then closes after this answer.
 
         Raises:
             CrossedAnswerError: The answer belongs to another call.
             InvalidAnswerError: The head is not valid, or has no end.
             CallError: The connection failed.
         """
+        head = await self._read_final_head(is_first=True)
+        if self._is_crossed(head):
+            head = await self._skip_surplus_answers(head)
+        return head
+
+    async def _read_final_head(self, is_first: bool) -> AnswerHead:
+        """Returns the next head that is none of an interim answer.
+
+        Args:
+            is_first: Whether nothing of an answer has been received yet.
+
+        Raises:
+            InvalidAnswerError: The head is not valid, or has no end.
+            CallError: The connection failed.
+        """
+        event = h11.NEED_DATA
         try:
-            self.state_machine.receive_data(await self.receive())
-            event = self.state_machine.next_event()
+            if is_first:
+                self.state_machine.receive_data(await self.receive())
+                event = self.state_machine.next_event()
             if not isinstance(event, h11.Response):
                 event = await self._skip_interim_answers(event)
         except http1.ConnectionLostError as error:
@@ -281,9 +306,66 @@
             ) from error
         if not isinstance(event, h11.Response):
             raise CallError(True, "closed before an answer")
-        head = self._decode_head(event)
-        self._check_call_id(head)
-        return head
+        return self._decode_head(event)
+
+    async def _skip_surplus_answers(self, head: AnswerHead) -> AnswerHead:
+        """Returns the head of the answer that is due.
+
+        Args:
+            head: The head of an answer to another call.
+
+        Raises:
+            CrossedAnswerError: The answer is to no earlier call on this
+                connection, or cannot be skipped.
+            CallError: As for `read_head`.
+        """
+        for _ in range(_MAX_SURPLUS_ANSWERS):
+            if not self._can_skip(head):
+                break
+            with anyio.move_on_after(_MAX_SURPLUS_S) as scope:
+                await self.read_body(_MAX_SURPLUS_BYTES)
+            if scope.cancelled_caught:
+                break
+            self._log_crossed(head, "surplus_answer")
+            self._expect_another_answer()
+            head = await self._read_final_head(is_first=False)
+            if not self._is_crossed(head):
+                self.must_close = True
+                return head
+        self.must_close = True
+        self._log_crossed(head, "crossed_answer")
+        raise CrossedAnswerError
+
+    def _can_skip(self, head: AnswerHead) -> bool:
+        """Returns whether another answer can follow one to an earlier call."""
+        call_id = self._call_id
+        if call_id is None or self.must_close:
+            return False
+        received = head.get(call_id.header)
+        return (
+            received != b""
+            and hash(received) in self._call_hashes
+            and self.framing is not body_framing.BodyFraming.CLOSE
+            and self.is_body_sent
+            and self.state_machine.our_state is h11.DONE
+        )
+
+    def _expect_another_answer(self) -> None:
+        """Makes the parser accept one more answer to the last request."""
+        data, _ = self.state_machine.trailing_data
+        parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
+        )
+        # Only the method matters to the framing of an answer.
+        parser.send(
+            h11.Request(
+                method=self.method, target=b"/", headers=[(b"host", b"")]
+            )
+        )
+        parser.send(h11.EndOfMessage())
+        if data:
+            parser.receive_data(data)
+        self.state_machine = parser
 
     async def _skip_interim_answers(self, event):
         """Returns the event after the interim answers.
@@ -421,29 +503,30 @@
         )
         return InvalidAnswerError(fault)
 
-    def _check_call_id(self, head: AnswerHead) -> None:
-        """Raises a CrossedAnswerError if an answer belongs to another call."""
+    def _is_crossed(self, head: AnswerHead) -> bool:
+        """Returns whether an answer belongs to another call."""
         call_id = self._call_id
         if call_id is None:
-            return
+            return False
         received = head.get(call_id.header)
         if received == call_id.value:
-            return
-        if not received and not call_id.is_always_repeated:
-            return
-        self.must_close = True
-        self.faults["crossed_answer"] += 1
+            return False
+        return bool(received) or call_id.is_always_repeated
+
+    def _log_crossed(self, head: AnswerHead, event: str) -> None:
+        """Counts and logs an answer that belongs to another call."""
+        assert self._call_id is not None
+        self.faults[event] += 1
         _logger.warning(
             "answer belongs to another call",
             extra={
-                "event": "crossed_answer",
+                "event": event,
                 "address": self.address,
                 "status": head.status,
-                "received_id": _shorten(received),
-                "expected_id": _shorten(call_id.value),
+                "received_id": _shorten(head.get(self._call_id.header)),
+                "expected_id": _shorten(self._call_id.value),
             },
         )
-        raise CrossedAnswerError
 
     def _decode_head(self, response: h11.Response) -> AnswerHead:
         head = AnswerHead(
--- a/tests/coordination/gateway/serving/test_surplus_answers.py
+++ b/tests/coordination/gateway/serving/test_surplus_answers.py
@@ -48,6 +48,35 @@
 
         scene_lib.run_scenario(scenario, engines=1)
 
+    # Guards against failing the call whose answer comes after a surplus answer
+    # to an earlier call.
+    def test_call_behind_a_surplus_answer_gets_its_own(self):
+        async def scenario(scene):
+            (target,) = scene.engines
+            target.surplus = standin.SurplusAnswers(
+                {standin.AnswerKind.REFUSAL}, 0.03
+            )
+            statuses = []
+
+            async def call():
+                answer = await scene.call(scene.prompt("/stream/x"))
+                statuses.append(answer.head.status)
+
+            for _ in range(20):
+                target.default_behaviour = standin.Serve(0.001)
+                target.queue_behaviours(standin.Refuse(421))
+                await scene.call(scene.prompt("/stream/x"))
+                target.default_behaviour = standin.Serve(0.05)
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(2):
+                        tasks.start_soon(call)
+            self.assertEqual(statuses, [200] * len(statuses))
+            runs = scene.runs()
+            self.assertEqual(len(runs), len(set(runs)))
+            self.assertGreater(scene.program.pool.faults["surplus_answer"], 0)
+
+        scene_lib.run_scenario(scenario, engines=1)
+
     # Guards against matching answers of requests that share an id, or have
     # none, to each other.
     def test_requests_with_the_same_id_do_not_share_a_connection(self):
--- a/tests/transport/test_connection_pool.py
+++ b/tests/transport/test_connection_pool.py
@@ -9,6 +9,7 @@
 import anyio.lowlevel
 import anyio.to_thread
 
+from hillthread.standin import platform_target as standin
 from hillthread.standin import wire_proxy
 from hillthread.state.config import caller_bounds
 from hillthread.transport import connection_pool
@@ -222,6 +223,51 @@
 
         self.run_with_server(serve_other_id, scenario)
 
+    # Guards against reading on for ever behind answers to earlier calls.
+    def test_surplus_answers_are_skipped_up_to_a_bound(self):
+        for surplus, is_answered in ((1, True), (2, True), (3, False)):
+            with self.subTest(surplus=surplus):
+                self.play_surplus(surplus, b"", is_answered)
+
+    def test_long_surplus_answer_is_not_skipped(self):
+        self.play_surplus(1, bytes(70_000), False)
+
+    def play_surplus(self, surplus, body, is_answered):
+        """Calls a peer that repeats its first answer before the second one."""
+
+        async def serve(stream):
+            async with stream:
+                for number, name in enumerate((b"a", b"b")):
+                    await stream.receive()
+                    repeated = (
+                        standin.encode_answer(200, [(b"call", b"a")], body)
+                        * surplus
+                    )
+                    data = standin.encode_answer(200, [(b"call", name)], b"")
+                    await stream.send(repeated * number + data)
+                await stream.receive()
+
+        async def scenario():
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            pool = connection_pool.ConnectionPool(0.5)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                address = f"127.0.0.1:{port}"
+                await self.call(
+                    pool, address, http1_client.CallId(b"call", b"a")
+                )
+                second = http1_client.CallId(b"call", b"b")
+                if is_answered:
+                    await self.call(pool, address, second)
+                else:
+                    with self.assertRaises(http1_client.InvalidAnswerError):
+                        await self.call(pool, address, second)
+                self.assertFalse(pool.idle[address])
+                tasks.cancel_scope.cancel()
+
+        anyio.run(scenario)
+
     def test_answer_without_an_id_is_accepted_if_the_peer_may_omit_it(self):
         async def scenario(pool, address):
             await self.call(
