Announce a trial of prompt parts when it is sent

Callers saw 503 quarantined for up to 2 s although every engine was back: a host that wants to try a suspected part told the others at admission, before it had a connection. While no engine could be reached each host's trial ended unsent, and the others waited 2 s for its result.

On the code before, an answer that began before the crash happened to clear the part, which hid it.

Ruled out: the hold after crashes (the count stays at 1, simultaneous crashes count once). Left: a trial that ends in a refusal of the engine still makes other hosts wait, at most 2 s.

--- a/hillthread/coordination/gateway/serving/attempt.py
+++ b/hillthread/coordination/gateway/serving/attempt.py
@@ -27,12 +27,15 @@
     """Callbacks from an attempt to the sender that makes it.
 
     Attributes:
+        note_sent: Called when the request is about to be sent over a
+            connection.
         note_head: Called with the decoded head of the answer, if it answers
             this request.
         reserve_retry: Charges the retry budget for an attempt after this one;
             returns whether there may be one.
     """
 
+    note_sent: Callable[[], None]
     note_head: Callable[[attempts.AnswerMeaning], None]
     reserve_retry: Callable[[], bool]
 
@@ -127,6 +130,7 @@
             return outcome_lib.Unsent(self.give_up_reason)
         self.reused = connection.requests > 0
         self.sent = True
+        self.callbacks.note_sent()
         self.last_received_at = clock.now()
         self.connected_at = connection.opened_at
         idle_s = self.last_received_at - connection.last_used_at
--- a/hillthread/coordination/gateway/serving/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -168,16 +168,25 @@
                     )
         self.site.part_blame.begin_trial(names, now)
         request.tried_parts = names
+        return True
+
+    def announce_trial(self, request: intake.GatewayRequest) -> None:
+        """Notifies the other hosts of the trial that a request is, if any.
+
+        This is done when the request is sent: they would wait for a result of
+        one that cannot be.
+        """
+        if not request.tried_parts:
+            return
         event = work_notice.SuspectEvent.TRIAL_STARTED
         self._notify(
             [
                 work_notice.SuspectNotice(
                     request_features.encode_part_key(name, ""), 0, event
                 )
-                for name in names
+                for name in request.tried_parts
             ]
         )
-        return True
 
     def incarnation_of(self, target: str) -> TargetIncarnation:
         """Returns the current incarnation of a target."""
--- a/hillthread/coordination/gateway/serving/sender.py
+++ b/hillthread/coordination/gateway/serving/sender.py
@@ -203,6 +203,7 @@
             self.relay,
             self._max_idle_connections(planned.pool),
             attempt_lib.Callbacks(
+                lambda: self.context.quarantine.announce_trial(self.request),
                 lambda meaning: self._note_head(
                     planned, state, incarnation, meaning
                 ),
--- a/tests/coordination/gateway/serving/test_deadly_parts.py
+++ b/tests/coordination/gateway/serving/test_deadly_parts.py
@@ -6,8 +6,11 @@
 
 import anyio
 
+from hillthread import clock
 from hillthread.coordination.gateway.store import host_registry
+from hillthread.protocol import work_notice
 from hillthread.standin import platform_target
+from hillthread.state.targets import request_features
 from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 from tests.coordination.gateway import scene as scene_lib
@@ -315,5 +318,35 @@
         self.check(60.0, crash_all)
 
 
+class NoticeTest(unittest.TestCase):
+    # Guards against hosts that wait for the result of a trial which could not
+    # be sent.
+    def test_trial_that_cannot_be_sent_is_not_announced(self):
+        async def scenario(scene):
+            hosts = await test_deadly_requests.start_hosts(scene, 2)
+            key = request_features.encode_part_key(FIRST, "one")
+            event = work_notice.SuspectEvent.TARGET_CRASHED
+            for host in hosts:
+                host.quarantine.apply_notice(
+                    work_notice.SuspectNotice(key, 1, event)
+                )
+            for engine in scene.engines:
+                engine.crash()
+            prefix = f"{FIRST}:9,cc:9"
+            request = scene.prompt("/resume/x", x_prompt_prefix=prefix)
+            answer = await scene.call(request)
+            self.assertGreaterEqual(answer.head.status, 500)
+            await anyio.sleep(0.1)
+            blame = hosts[1].site.part_blame
+            now = clock.now()
+            self.assertFalse(blame.has_running_trial(FIRST, now))
+
+        scene_lib.run_scenario(
+            scenario,
+            engines=2,
+            before=test_deadly_requests.make_targets_crash,
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
