Clear prompt parts of the crashes before an answer began

Cause: crashes and answers were compared as wholes. An answer cleared a part only if it began after the last known crash; one that began between two crashes counted for nothing. And a success notice, sent three times in 0.4 s, cleared its receivers of everything they knew, also of a crash that came between the first and the last sending; the sender itself still suspected the part and waited for trials that the others no longer had any reason to report.

Now an answer clears its parts of all crashes whose connections were lost before it began, and the notice names the last of these crashes. Earlier releases read such a notice as before. A lost connection, not its later confirmation, is taken as the time of a crash for this comparison, and an answer from before a lost connection no longer clears it.

The new unit tests fail before.

--- a/hillthread/coordination/gateway/serving/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -220,10 +220,10 @@
         self, request: intake.GatewayRequest, begun_at: float
     ) -> None:
         """Clears the parts of a prompt that a target has answered."""
-        for key in self.site.part_blame.record_answer(
-            request.features, begun_at, clock.now()
+        for key, last_crash in self.site.part_blame.record_answer(
+            request.features, begun_at
         ):
-            self._publish_clearing(key)
+            self._publish_clearing(key, last_crash)
 
     def record_outcome(
         self,
@@ -344,6 +344,9 @@
         now = clock.now()
         records = self.site.quarantine
         match notice.event:
+            case work_notice.SuspectEvent.SUCCEEDED if notice.engine:
+                lost_at = records.connections_lost_at(notice.engine)
+                records.disprove_crashes(notice.digest, lost_at)
             case work_notice.SuspectEvent.SUCCEEDED:
                 records.record_success(notice.digest, now)
             case work_notice.SuspectEvent.TRIAL_STARTED:
@@ -397,15 +400,29 @@
         event = work_notice.SuspectEvent.TRIAL_STARTED
         self._notify([work_notice.SuspectNotice(digest, 0, event)])
 
-    def _publish_clearing(self, digest: str) -> None:
-        """Notifies all hosts that a request is no longer a suspect."""
+    def _publish_clearing(self, digest: str, last_crash: int = 0) -> None:
+        """Notifies all hosts that a request is no longer a suspect.
+
+        Args:
+            digest: Digest of the request, or key of a part of prompts.
+            last_crash: The last crash that did not happen because of it; 0 if
+                it is cleared of all.
+        """
+        crashes_left = self.site.quarantine.count_crashes(digest)
         _logger.info(
             "suspect cleared",
-            extra={"event": "suspect_cleared", "digest": digest},
+            extra={
+                "event": "suspect_cleared",
+                "digest": digest,
+                "crashes_left": crashes_left,
+            },
         )
         event = work_notice.SuspectEvent.SUCCEEDED
-        self._notify([work_notice.SuspectNotice(digest, 0, event)])
-        self.records.remove(digest)
+        self._notify([work_notice.SuspectNotice(digest, last_crash, event)])
+        if not crashes_left:
+            self.records.remove(digest)
+        elif self.records.has_record(digest):
+            self.records.put(digest)
 
     def _publish_hold(
         self, digest: str, status: quarantine.QuarantineStatus
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -136,7 +136,8 @@
             of its prompt. Earlier releases keep such keys like digests that no
             request has.
         engine: Checksum of the target's incarnation; 0 if the notice is not
-            about a target.
+            about a target. With a success, the last crash that it disproves; 0
+            if it disproves all, as earlier releases always assume.
         event: The observation.
     """
 
--- a/hillthread/state/targets/part_blame.py
+++ b/hillthread/state/targets/part_blame.py
@@ -1,10 +1,10 @@
 """Finds the part of a prompt that crashes targets, from outcomes.
 
-All requests that are open on a crashed target share parts with the culprit. A
-part is cleared when a target answers a prompt that has it and that was begun
-after the part's last crash. The culprit is never cleared, while its companions
-are, by other prompts that have them. Of the parts that were open at a crash and
-are not cleared, the one with the most crashes is to blame.
+All requests that are open on a crashed target share parts with the culprit. An
+answer to a prompt clears its parts of all crashes before the answer began. The
+culprit is never cleared, while its companions are, by other prompts that have
+them. Of the parts that were open at a crash and are not cleared, the one with
+the most crashes is to blame.
 
 A request is refused if it has all parts that may be to blame for some crash. If
 it has only some of them, it is tried: one request at a time on all hosts shows
@@ -22,6 +22,7 @@
 __all__ = [
     "Blamed",
     "Cleared",
+    "Clearing",
     "PartBlame",
     "Suspected",
     "Verdict",
@@ -78,6 +79,18 @@
 Verdict = Cleared | Suspected | Blamed
 
 
+class Clearing(NamedTuple):
+    """A part that an answer has cleared of crashes.
+
+    Attributes:
+        key: Key of the part.
+        last_crash: The incarnation of the last crash that it is cleared of.
+    """
+
+    key: str
+    last_crash: int
+
+
 class _Trial(NamedTuple):
     """A trial of a part by some host.
 
@@ -163,31 +176,24 @@
         self,
         features: request_features.RequestFeatures,
         begun_at: float,
-        now: float,
-    ) -> list[str]:
+    ) -> list[Clearing]:
         """Clears the parts of a request that a target has answered.
 
         Args:
             features: The features of the request.
             begun_at: When the target began to write the answer, seconds.
-            now: Current time, seconds.
 
         Returns:
-            The keys of the parts that were suspected.
+            The parts that were suspected and are cleared of crashes.
         """
         if not self.quarantine.has_part_evidence():
             return []
-        cleared = []
+        clearings = []
         for key in features.part_keys:
-            is_known = self.quarantine.is_unconfirmed(key)
-            crashed = self.quarantine.find_crashes_of_part(key)
-            if not is_known and not crashed:
-                continue
-            if begun_at < self._last_crash_at(crashed):
-                continue
-            self.quarantine.record_success(key, now)
-            cleared.append(key)
-        return cleared
+            last_crash = self.quarantine.disprove_crashes(key, begun_at)
+            if last_crash:
+                clearings.append(Clearing(key, last_crash))
+        return clearings
 
     def _blame(self, key: str, crashed: frozenset[int], now: float) -> Blamed:
         name = request_features.part_name(key)
--- a/hillthread/state/targets/quarantine.py
+++ b/hillthread/state/targets/quarantine.py
@@ -145,6 +145,18 @@
     is_reachable: bool = False
 
 
+class _Crash(NamedTuple):
+    """When a target crashed, as this host knows.
+
+    Attributes:
+        seen_at: When the host learned of it, seconds.
+        lost_at: When the crash ended its connections to the target, seconds.
+    """
+
+    seen_at: float
+    lost_at: float
+
+
 class Quarantine:
     """Tracks the requests under which targets crashed, as this host knows.
 
@@ -161,7 +173,7 @@
             collections.OrderedDict()
         )
         self._keys_of_parts: dict[str, set[str]] = {}
-        self._crash_seen_at: collections.OrderedDict[int, float] = (
+        self._crashes: collections.OrderedDict[int, _Crash] = (
             collections.OrderedDict()
         )
         self._expire_at = float("-inf")
@@ -228,9 +240,11 @@
             The requests that this host had open on it.
         """
         self._expire(now)
-        disconnects = self._disconnects.pop(incarnation, None)
+        disconnects = self._disconnects.get(incarnation)
         if disconnects is None:
             return []
+        self._note_crash(incarnation, now, 0.0)
+        del self._disconnects[incarnation]
         return [
             digest
             for digest in sorted(disconnects.digests)
@@ -252,7 +266,7 @@
             Whether the crash counts; it does not if the request succeeded
             recently.
         """
-        self._note_crash(incarnation, now - ago_s)
+        self._note_crash(incarnation, now, ago_s)
         if self._is_disproved(digest, incarnation, now):
             return False
         record = self._records.setdefault(digest, _SuspectRecord())
@@ -269,10 +283,16 @@
         self._drop_oldest()
         return True
 
-    def _note_crash(self, incarnation: int, crashed_at: float) -> None:
-        self._crash_seen_at.setdefault(incarnation, crashed_at)
-        if len(self._crash_seen_at) > _MAX_CRASHES:
-            self._crash_seen_at.popitem(last=False)
+    def _note_crash(self, incarnation: int, now: float, ago_s: float) -> None:
+        if incarnation in self._crashes:
+            return
+        seen_at = lost_at = now - ago_s
+        disconnects = self._disconnects.get(incarnation)
+        if disconnects is not None and not disconnects.is_reachable:
+            lost_at = min(seen_at, disconnects.last_at)
+        self._crashes[incarnation] = _Crash(seen_at, lost_at)
+        if len(self._crashes) > _MAX_CRASHES:
+            self._crashes.popitem(last=False)
 
     def _is_disproved(self, key: str, incarnation: int, now: float) -> bool:
         """Returns whether a success shows that a feature was not the cause.
@@ -282,7 +302,7 @@
         """
         if not request_features.is_part_key(key):
             return self.has_succeeded_recently(key, now)
-        return self._crash_seen_at[incarnation] <= self._successes.get(
+        return self.connections_lost_at(incarnation) <= self._successes.get(
             key, float("-inf")
         )
 
@@ -294,13 +314,57 @@
         """
         self.revision += 1
         self._successes[digest] = now
-        self._successes.move_to_end(digest)
-        if len(self._successes) > _MAX_SUCCESSES:
-            self._successes.popitem(last=False)
+        self._drop_oldest_success(digest)
         for disconnects in self._disconnects.values():
             disconnects.digests.discard(digest)
         return self.clear(digest)
 
+    def disprove_crashes(self, key: str, until: float) -> int:
+        """Records that a part did not cause the crashes until some time.
+
+        Args:
+            key: Key of the part.
+            until: When a target began an answer to a prompt with the part,
+                seconds.
+
+        Returns:
+            The incarnation of the last of them that the part was suspected of;
+            0 if there was none.
+        """
+        self.revision += 1
+        lost_at = {
+            incarnation: self.connections_lost_at(incarnation)
+            for incarnation in self.find_crashes_of_part(key)
+        }
+        for incarnation, disconnects in self._disconnects.items():
+            if key in disconnects.digests:
+                lost_at[incarnation] = disconnects.last_at
+        disproved = [each for each, at in lost_at.items() if at <= until]
+        for incarnation in disproved:
+            if incarnation in self._disconnects:
+                self._disconnects[incarnation].digests.discard(key)
+            if incarnation in self.crashed_incarnations(key):
+                self._forget_crash(key, incarnation)
+        if key in self._records and not self._records[key].crashed:
+            self.clear(key)
+        self._successes[key] = max(
+            until, self._successes.get(key, float("-inf"))
+        )
+        self._drop_oldest_success(key)
+        return max(disproved, key=lost_at.__getitem__, default=0)
+
+    def _forget_crash(self, digest: str, incarnation: int) -> None:
+        self._records[digest].crashed.discard(incarnation)
+        others = self._open_on[incarnation]
+        others.discard(digest)
+        if not others:
+            del self._open_on[incarnation]
+
+    def _drop_oldest_success(self, latest: str) -> None:
+        self._successes.move_to_end(latest)
+        if len(self._successes) > _MAX_SUCCESSES:
+            self._successes.popitem(last=False)
+
     def has_succeeded_recently(self, digest: str, now: float) -> bool:
         """Returns whether a request succeeded recently."""
         return (
@@ -309,15 +373,13 @@
 
     def clear(self, digest: str) -> bool:
         """Removes a suspect; returns whether it was one."""
-        record = self._records.pop(digest, None)
+        record = self._records.get(digest)
         if record is None:
             return False
         self.revision += 1
-        for incarnation in record.crashed:
-            others = self._open_on[incarnation]
-            others.discard(digest)
-            if not others:
-                del self._open_on[incarnation]
+        for incarnation in list(record.crashed):
+            self._forget_crash(digest, incarnation)
+        del self._records[digest]
         if request_features.is_part_key(digest):
             name = request_features.part_name(digest)
             self._keys_of_parts[name].discard(digest)
@@ -358,7 +420,16 @@
 
     def crash_seen_at(self, incarnation: int) -> float:
         """Returns when this host learned of a crash, in seconds."""
-        return self._crash_seen_at.get(incarnation, float("-inf"))
+        crash = self._crashes.get(incarnation)
+        return crash.seen_at if crash else float("-inf")
+
+    def connections_lost_at(self, incarnation: int) -> float:
+        """Returns when a crash ended connections of this host, in seconds.
+
+        Without any it is when this host learned of the crash.
+        """
+        crash = self._crashes.get(incarnation)
+        return crash.lost_at if crash else float("-inf")
 
     def find_crashes_of_part(self, key: str) -> frozenset[int]:
         """Returns the targets that crashed while a part was open.
@@ -372,7 +443,8 @@
             incarnation
             for other in self._keys_of_parts.get(name, ())
             for incarnation in self._records[other].crashed
-            if other == key or self.crash_seen_at(incarnation) > cleared_at
+            if other == key
+            or self.connections_lost_at(incarnation) > cleared_at
         )
 
     def crashed_incarnations(self, digest: str) -> frozenset[int]:
--- a/tests/coordination/gateway/serving/test_deadly_parts.py
+++ b/tests/coordination/gateway/serving/test_deadly_parts.py
@@ -319,6 +319,27 @@
 
 
 class NoticeTest(unittest.TestCase):
+    # Guards against a success that is announced again and clears a part of a
+    # crash that came later.
+    def test_repeated_success_does_not_clear_a_later_crash(self):
+        async def scenario(scene):
+            keeper = scene.program.quarantine
+            key = request_features.encode_part_key(FIRST, "one")
+            crashed = work_notice.SuspectEvent.TARGET_CRASHED
+            succeeded = work_notice.SuspectEvent.SUCCEEDED
+            for incarnation, event in (
+                (1, crashed),
+                (1, succeeded),
+                (2, crashed),
+                (1, succeeded),
+            ):
+                notice = work_notice.SuspectNotice(key, incarnation, event)
+                keeper.apply_notice(notice)
+            records = keeper.site.quarantine
+            self.assertEqual(records.crashed_incarnations(key), {2})
+
+        scene_lib.run_scenario(scenario)
+
     # Guards against hosts that wait for the result of a trial which could not
     # be sent.
     def test_trial_that_cannot_be_sent_is_not_announced(self):
--- a/tests/state/targets/test_part_blame.py
+++ b/tests/state/targets/test_part_blame.py
@@ -36,10 +36,8 @@
     def answer(self, each, begun_ago_s=0.0):
         """Answers a prompt; returns the names of the cleared parts."""
         self.now += 0.1
-        cleared = self.blame.record_answer(
-            each, self.now - begun_ago_s, self.now
-        )
-        return [request_features.part_name(key) for key in cleared]
+        cleared = self.blame.record_answer(each, self.now - begun_ago_s)
+        return [request_features.part_name(each.key) for each in cleared]
 
     def judge(self, *parts, **fields):
         return self.blame.judge(prompt(*parts, **fields), self.now)
@@ -65,6 +63,35 @@
         self.assertEqual(self.answer(prompt("bad"), begun_ago_s=5.0), [])
         self.assertIsInstance(self.judge("bad"), part_blame.Suspected)
 
+    # Guards against holding a part that targets answer all the time, because
+    # each answer began before the last of several crashes.
+    def test_answer_clears_of_the_crashes_before_it_began(self):
+        for number in range(3):
+            self.crash(prompt("aa", digest=f"d{number}"))
+        cleared = self.blame.record_answer(prompt("aa"), self.now - 0.5)
+        (key,) = prompt("aa").part_keys
+        self.assertEqual(cleared, [part_blame.Clearing(key, 2)])
+        self.assertEqual(self.judge("aa"), part_blame.Suspected(("aa",), 0.0))
+        self.assertEqual(self.records.count_crashes(key), 1)
+
+    # Guards against an answer that counts as older than a crash because the
+    # crash is confirmed later than its connection is lost.
+    def test_answer_between_lost_connection_and_crash_clears(self):
+        (key,) = prompt("aa").part_keys
+        self.records.record_disconnect(key, 1, self.now)
+        self.records.record_crash(key, 1, self.now + 0.5)
+        self.now += 0.6
+        self.assertEqual(self.answer(prompt("aa"), begun_ago_s=0.4), ["aa"])
+        self.assertEqual(self.judge("aa"), CLEARED)
+
+    # Guards against an answer from before a lost connection that clears a part
+    # which is deadly since.
+    def test_answer_that_began_before_a_lost_connection_clears_nothing(self):
+        (key,) = prompt("bad").part_keys
+        self.records.record_disconnect(key, 1, self.now)
+        self.assertEqual(self.answer(prompt("bad"), begun_ago_s=1.0), [])
+        self.assertEqual(self.records.confirm_crash(1, self.now), [key])
+
     # Guards against holding what ran on many targets that were lost at once.
     def test_simultaneous_crashes_count_once(self):
         for number in range(4):
--- a/tests/state/targets/test_part_blame_at_size.py
+++ b/tests/state/targets/test_part_blame_at_size.py
@@ -143,13 +143,13 @@
         if self.names[engine] != name or number not in self.open[engine]:
             return
         host, features, _, _, begun = self.open[engine][number]
-        for key in host.blame.record_answer(features, begun, self.now):
-            self.notify(
-                host,
-                lambda other, key=key: other.records.record_success(
-                    key, self.now
-                ),
-            )
+        for clearing in host.blame.record_answer(features, begun):
+
+            def clear(other, clearing=clearing):
+                lost_at = other.records.connections_lost_at(clearing.last_crash)
+                other.records.disprove_crashes(clearing.key, lost_at)
+
+            self.notify(host, clear)
 
     def answer(self, engine, name, number):
         """An engine ends an answer."""
