Tests: wait for the refused read itself

test_refused_read_does_not_delay_other_topics timed out now and then beside load. It polled `lost_at`, which an answer to another topic clears within milliseconds, and interrupted a read that may not be held at that moment.

Evidence: polling every 0.5 s fails in 30 of 30 runs, and in 1 of 30 at 5 ms with repeated interrupts. The test now waits for the recorded failure and interrupts until there is one: 0 of 45 at 15 at a time. The check that follows is unchanged.

--- a/tests/coordination/gateway/peers/test_feed.py
+++ b/tests/coordination/gateway/peers/test_feed.py
@@ -168,10 +168,18 @@
             faults = scene.store.faults
             site = scene.site
             faults.busy_topic = "keyed.servers"
-            scene.program.followers["keyed.servers"].interrupt()
-            await scene.until(
-                lambda: scene.program.follower_context.watch.lost_at
-            )
+            follower = scene.program.followers["keyed.servers"]
+            watch = scene.program.follower_context.watch
+
+            # An answer to another topic soon clears `lost_at`.
+            with mock.patch.object(
+                watch, "record_failure", wraps=watch.record_failure
+            ) as record_failure:
+                while not record_failure.called:
+                    # Between two reads there is none to interrupt.
+                    follower.interrupt()
+                    with anyio.move_on_after(1.0):
+                        await scene.until(lambda: record_failure.called)
             faults.busy_topic = ""
             scene.store.remove("keyed.servers", "p0")
             await scene.until(lambda: "p0" not in site.targets.entries)
