Soak: a key that the store lost unread is new when it is written again

Trace: the store was restored 1.0 s after the version with the key was written; h1 had not read that version, and need not have for another second; it was written again 1.1 s later. Nobody could know the key in between.

The judge counted from the first writing. A restoration after that time excuses nothing, as before; a test covers both.

--- a/tests/bench/gateway_soak/test_verdict.py
+++ b/tests/bench/gateway_soak/test_verdict.py
@@ -109,6 +109,22 @@
         killed = ("host_killed", _HOST, 99.0)
         self.assertEqual(self.denied(killed, earlier), ["denied"])
 
+    # Guards against a host that is blamed for a key which the store lost before
+    # the host had to have read it.
+    def test_key_lost_before_it_had_to_be_known_is_new_when_written_again(self):
+        slack_s = self.evidence.bounds.configuration_s
+        restored = ("store_restored", "store", 99.9 - slack_s)
+        issued_at = 99.9 - 1.5 * slack_s
+        self.evidence.keys["key"] = evidence_lib.KeyLife(
+            "tenant", issued_at, float("inf")
+        )
+        self.assertEqual(self.denied(restored), [])
+        # A restoration after the time in which it had to be known.
+        self.evidence.keys["key"] = evidence_lib.KeyLife(
+            "tenant", issued_at - slack_s, float("inf")
+        )
+        self.assertEqual(self.denied(restored), ["denied"])
+
 
 class AnnouncementTest(VerdictTest):
     def setUp(self):
