Soak: split the judgement of denials and of crashing bodies off

verdict.py held 427 lines and, unlike the other judges, mixed checks of single requests with ones of keys over time and of bodies over all requests. No check has changed.

--- a/hillthread/bench/gateway_soak/evidence.py
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -21,6 +21,7 @@
     "QuotaLife",
     "Violation",
     "callers_of",
+    "make_violation",
     "targets_of",
 ]
 
@@ -317,3 +318,9 @@
             self.disturbed(subject, begin, end)
             for subject in (host, "store", OBSERVER)
         )
+
+
+def make_violation(exchange: Exchange, promise: str, detail: str) -> Violation:
+    """Returns a promise that was broken for a request."""
+    where = f"{exchange.route} at {exchange.host}: {detail}"
+    return Violation(promise, exchange.request_id, where)
--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -9,6 +9,8 @@
 from typing import NamedTuple
 
 from hillthread.bench.gateway_soak import announcement_verdict
+from hillthread.bench.gateway_soak import body_verdict
+from hillthread.bench.gateway_soak import denial_verdict
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import herd_verdict
 from hillthread.bench.gateway_soak import limit_verdict
@@ -33,12 +35,8 @@
 _MAX_RUNS = 2
 # These statuses say that a request has not run and never will.
 _NOT_RUN = frozenset([408, 421, 429, 503])
-_DENIED = frozenset([401, 403, 404])
 # A request from before a stop may be cut in the last sixth of its time.
 _GRACE_USED_SHARE = 5 / 6
-# Targets that end until a body is known, and trials of it that are allowed.
-_ENDS_TO_KNOW = 3
-_MOST_LATE_ENDS = 3
 # Of the holder's own margin; a stand-in sees orders a little later.
 _LEASE_SLACK_S = 0.1
 
@@ -78,7 +76,6 @@
         checks = [
             self._answers,
             self._refusals,
-            self._denials,
             self._repeats,
             self._requests,
             self._memory,
@@ -104,12 +101,13 @@
             Violation("unasked", request_id, self._unknown(request_id))
             for request_id in self.runs.keys() - known
         ]
+        found += list(denial_verdict.violations(self.evidence))
         found += list(self._orders())
         found += list(
             release_verdict.violations(self.evidence, self.strict_time)
         )
         if self.strict_time:
-            found += list(self._deadly())
+            found += list(body_verdict.violations(self.evidence))
             found += list(herd_verdict.violations(self.evidence))
             found += list(part_verdict.violations(self.evidence))
             found += list(retry_verdict.violations(self.evidence))
@@ -165,52 +163,6 @@
         if exchange.status in _NOT_RUN and self.runs[exchange.request_id]:
             yield self._of(exchange, "refused", f"{exchange.status}, and ran")
 
-    def _denials(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
-        """What the configuration allows is not denied."""
-        if exchange.status not in _DENIED:
-            return
-        life = self.evidence.keys[exchange.key]
-        slack_s = self.evidence.bounds.configuration_s
-        is_new = exchange.sent_at <= self._last_issued_at(life) + slack_s
-        is_over = exchange.ended_at >= life.withdrawn_at
-        is_excused = is_new or is_over or self._knows_a_copy_only(exchange)
-        if exchange.status == 404 or not is_excused:
-            yield self._of(exchange, "denied", str(exchange.status))
-
-    def _last_issued_at(self, life: evidence_lib.KeyLife) -> float:
-        """Returns when a key was written, or written again after a loss.
-
-        The store may lose a key before hosts must have read it.
-        """
-        issued_at = life.issued_at
-        slack_s = self.evidence.bounds.configuration_s
-        for each in self.evidence.disturbances:
-            is_lost_unread = (
-                each.kind == "store_restored"
-                and each.ended_at >= issued_at
-                and each.began_at <= issued_at + slack_s
-            )
-            if is_lost_unread:
-                issued_at = each.ended_at
-        return issued_at
-
-    def _knows_a_copy_only(self, exchange: evidence_lib.Exchange) -> bool:
-        """Returns whether a host may know no more than a restored store.
-
-        A process that has just started cannot know of a key that the copy
-        lacks, until the operator's record is written again.
-        """
-        begin = exchange.sent_at - self.evidence.bounds.contact_s
-        is_restored = any(
-            each.kind == "store_restored"
-            and each.began_at <= exchange.ended_at
-            and each.ended_at >= begin
-            for each in self.evidence.disturbances
-        )
-        return is_restored and self.evidence.disturbed(
-            exchange.host, begin, exchange.ended_at
-        )
-
     def _repeats(self, exchange: evidence_lib.Exchange) -> Iterator[Violation]:
         """A request runs as often as its route allows."""
         most = _MAX_RUNS if exchange.route in REPEATABLE else 1
@@ -382,46 +334,7 @@
                 if self.strict_time and pause_s < self.evidence.bounds.lease_s:
                     yield Violation("one", target.name, f"turns: {pause_s:.2f}")
 
-    def _deadly(self) -> Iterator[Violation]:
-        """A body under which targets end reaches few more after the third."""
-        hosts = {each.request_id: each.host for each in self.evidence.exchanges}
-        for body in sorted(self.evidence.deadly):
-            runs = sorted(
-                (run for each in self.runs.values() for _, run in each),
-                key=lambda run: run.at,
-            )
-            ends = [run for run in runs if run.request.body == body]
-            if len(ends) < _ENDS_TO_KNOW:
-                continue
-            known_at = ends[_ENDS_TO_KNOW - 1].at
-            known_at += self.evidence.bounds.contact_s
-            late = [
-                run
-                for run in ends
-                if run.at > known_at
-                and self._hears(hosts[run.request_id], run.at)
-            ]
-            if len(late) > _MOST_LATE_ENDS:
-                yield Violation(
-                    "budget",
-                    body.decode(),
-                    f"sent {len(late)} times more after {len(ends)} ends",
-                )
-
-    def _hears(self, host: str, at: float) -> bool:
-        """Returns whether a host has been able to hear of what others saw.
-
-        That this process stands still for a moment excuses no host: it delays
-        what they hear by less than the time they have for it.
-        """
-        begin = at - self.evidence.bounds.contact_s
-        return not any(
-            self.evidence.disturbed(subject, begin, at)
-            for subject in (host, "store")
-        )
-
     def _of(
         self, exchange: evidence_lib.Exchange, promise: str, detail: str
     ) -> Violation:
-        where = f"{exchange.route} at {exchange.host}: {detail}"
-        return Violation(promise, exchange.request_id, where)
+        return evidence_lib.make_violation(exchange, promise, detail)
