Soak: judge the host that sent a forwarded request to a leaving target

Trace: h2 knew of its leaving for 1.69 s and had no links to targets; it forwarded the request to h1, which had started 1.92 s before and whose reads of the store timed out until 0.09 s later.

The rule: "A request that was taken from the requester and sent on by machines in touch". h1 was not in touch.

--- a/hillthread/bench/gateway_soak/evidence.py
+++ b/hillthread/bench/gateway_soak/evidence.py
@@ -248,6 +248,8 @@
         stops: Planned stops of processes: who, and when they were asked.
         isolated: Tenants that share nothing.
         refusal_lines: Request ids that the hosts' logs tell as refused.
+        forwarded: The other host that sent a request to a target, by request
+            id, as far as the hosts' logs tell.
         unheard: Lives of processes whose logs may lack their last lines.
         preferences: Hosts to which most new connections went, and when.
         deadly: Bodies under which targets end.
@@ -268,6 +270,7 @@
     stops: list[Disturbance] = dataclasses.field(default_factory=list)
     isolated: frozenset[str] = frozenset()
     refusal_lines: set[str] = dataclasses.field(default_factory=set)
+    forwarded: dict[str, str] = dataclasses.field(default_factory=dict)
     unheard: set[tuple[str, int]] = dataclasses.field(default_factory=set)
     preferences: list[Disturbance] = dataclasses.field(default_factory=list)
     deadly: set[bytes] = dataclasses.field(default_factory=set)
--- a/hillthread/bench/gateway_soak/stage.py
+++ b/hillthread/bench/gateway_soak/stage.py
@@ -472,12 +472,15 @@
             self._note(host, f"ended by itself with {code}")
 
     def read_logs(self) -> None:
-        """Collects what the hosts' logs tell of refusals."""
+        """Collects what the hosts' logs tell of refusals and forwarding."""
         for process in self.group.processes:
             for event in process.events():
-                if event.get("event") in ("refused", "deadline_passed"):
-                    request = event.get("request", "")
-                    self.evidence.refusal_lines.add(request)
+                request = event.get("request", "")
+                match event.get("event"):
+                    case "refused" | "deadline_passed":
+                        self.evidence.refusal_lines.add(request)
+                    case "forwarded":
+                        self.evidence.forwarded[request] = event["peer"]
 
     def _note(self, host: SoakHost, detail: str) -> None:
         self.trouble.append(
--- a/tests/bench/gateway_soak/test_verdict.py
+++ b/tests/bench/gateway_soak/test_verdict.py
@@ -78,6 +78,23 @@
         self.assertEqual(self.broken_off(101.0, 103.0), [])
 
 
+class LeavingTest(VerdictTest):
+    def setUp(self):
+        super().setUp()
+        self.evidence.leaving[self.target.name] = 90.0
+
+    def test_request_must_not_reach_a_target_that_left(self):
+        self.assertIn("drain", self.broken_off(100.0, 100.1))
+
+    # Guards against a host that is blamed for a request which another one, just
+    # started, sent for it.
+    def test_request_forwarded_to_a_host_out_of_touch_is_excused(self):
+        self.evidence.forwarded["request"] = "h1"
+        self.assertIn("drain", self.broken_off(100.0, 100.1))
+        self.disturb("h1", 99.0)
+        self.assertNotIn("drain", self.broken_off(100.0, 100.1))
+
+
 class AnnouncementTest(VerdictTest):
     def setUp(self):
         super().setUp()
