Clear a part also where the crash that a notice names is not known

A host that clears a part names the last crash it is cleared of. A receiver that had missed the notice of that crash took the clearing for nothing and would have held the part on.

A crash that is not known came before now: the receiver notes it as seen when the notice first arrives, and what it saw before is cleared. Sent again, the notice clears no later crash. Both tests are new; the first fails if unknown crashes are passed over.

--- a/hillthread/coordination/gateway/serving/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -345,8 +345,7 @@
         records = self.site.quarantine
         match notice.event:
             case work_notice.SuspectEvent.SUCCEEDED if notice.engine:
-                lost_at = records.connections_lost_at(notice.engine)
-                records.disprove_crashes(notice.digest, lost_at)
+                records.apply_disproof(notice.digest, notice.engine, now)
             case work_notice.SuspectEvent.SUCCEEDED:
                 records.record_success(notice.digest, now)
             case work_notice.SuspectEvent.TRIAL_STARTED:
--- a/hillthread/state/targets/quarantine.py
+++ b/hillthread/state/targets/quarantine.py
@@ -353,6 +353,18 @@
         self._drop_oldest_success(key)
         return max(disproved, key=lost_at.__getitem__, default=0)
 
+    def apply_disproof(self, key: str, incarnation: int, now: float) -> None:
+        """Applies that another host has cleared a part of crashes.
+
+        Args:
+            key: Key of the part.
+            incarnation: The last of them. If this host does not know it, it
+                came before now.
+            now: Current time, seconds.
+        """
+        self._note_crash(incarnation, now, 0.0)
+        self.disprove_crashes(key, self.connections_lost_at(incarnation))
+
     def _forget_crash(self, digest: str, incarnation: int) -> None:
         self._records[digest].crashed.discard(incarnation)
         others = self._open_on[incarnation]
--- a/tests/state/targets/test_part_blame_at_size.py
+++ b/tests/state/targets/test_part_blame_at_size.py
@@ -146,8 +146,8 @@
         for clearing in host.blame.record_answer(features, begun):
 
             def clear(other, clearing=clearing):
-                lost_at = other.records.connections_lost_at(clearing.last_crash)
-                other.records.disprove_crashes(clearing.key, lost_at)
+                key, last_crash = clearing
+                other.records.apply_disproof(key, last_crash, self.now)
 
             self.notify(host, clear)
 
--- a/tests/state/targets/test_quarantine.py
+++ b/tests/state/targets/test_quarantine.py
@@ -97,6 +97,24 @@
         self.assertEqual(suspects[0].digest, CULPRIT)
 
 
+class DisproofTest(unittest.TestCase):
+    PART = "part:aa@0123"
+
+    # Guards against a host that goes on suspecting a part because it does not
+    # know the crash which another host names.
+    def test_unknown_crash_disproves_what_was_seen_before_it(self):
+        state = make_quarantine([self.PART], [self.PART])
+        state.apply_disproof(self.PART, 99, START_S + 1.5)
+        self.assertEqual(state.count_crashes(self.PART), 0)
+
+    def test_disproof_that_is_sent_again_keeps_a_later_crash(self):
+        state = make_quarantine([self.PART])
+        state.apply_disproof(self.PART, 99, START_S + 0.5)
+        state.record_crash(self.PART, 7, START_S + 1.0)
+        state.apply_disproof(self.PART, 99, START_S + 1.5)
+        self.assertEqual(state.crashed_incarnations(self.PART), {7})
+
+
 class AttributionTest(unittest.TestCase):
     def test_request_open_at_every_crash_explains_the_crashes(self):
         state = make_quarantine(
