--- a/hillthread/coordination/gateway/host.py
+++ b/hillthread/coordination/gateway/host.py
@@ -17,6 +17,7 @@
 from hillthread.coordination.gateway.orders import order_lease
 from hillthread.coordination.gateway.orders import rollout_keeper
 from hillthread.coordination.gateway.peers import feed_server
+from hillthread.coordination.gateway.peers import journal_writer
 from hillthread.coordination.gateway.peers import work_feed
 from hillthread.coordination.gateway.serving import gateway as gateway_lib
 from hillthread.coordination.gateway.serving import limit_keeper
@@ -28,6 +29,7 @@
 from hillthread.coordination.gateway.store import host_registry
 from hillthread.coordination.gateway.store import store_follower
 from hillthread.coordination.gateway.store import store_watch
+from hillthread.coordination.gateway.store import stream_journal
 from hillthread.coordination.gateway.store import topic_plan
 from hillthread.platform import configuration
 from hillthread.platform import store as store_lib
@@ -142,7 +144,13 @@
         )
         peer_pool = connection_pool.ConnectionPool(_CONNECT_TIMEOUT_S)
         self.streams = stream_keeper.StreamKeeper(
-            self.site, self.work, peer_pool
+            self.site,
+            self.work,
+            peer_pool,
+            stream_journal.StreamJournal(self.site, self.store, tasks),
+            journal_writer.JournalWriter(
+                self.site, self.source, self.store, peer_pool
+            ),
         )
         self.gateway = gateway_lib.Gateway(
             self.site,
@@ -240,6 +248,7 @@
             functools.partial(self.work.run, self.feed_server.address),
             self.quotas.run,
             self.streams.run,
+            self.streams.journal_writer.run,
             self.hosts.register,
             self.gateway.dispatcher.chooser.cache_planner.watch.run,
             self.gateway.dispatcher.monitor.run,
--- a/hillthread/coordination/gateway/metrics.py
+++ b/hillthread/coordination/gateway/metrics.py
@@ -85,6 +85,14 @@
         self.stream_records = self.gauge(
             "stream_records", "Records of streams that this host keeps."
         )
+        self.journal_records = self.counter(
+            "journal_records",
+            "Records of streams for the journal, written or dropped.",
+            ["result"],
+        )
+        self.journal_reads = self.counter(
+            "journal_reads", "Reads of the journal of streams.", ["result"]
+        )
         self.stream_lookups = self.histogram(
             "stream_lookup_seconds",
             "Duration of lookups of streams at other hosts, by result.",
--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -80,7 +80,10 @@
         request_id = caller.get(names.REQUEST_ID)
         if request_id:
             answer.added_headers = [(names.REQUEST_ID, request_id)]
-        if caller.path == stream_query.STREAMS_PATH:
+        if caller.path in (
+            stream_query.STREAMS_PATH,
+            stream_query.JOURNAL_PATH,
+        ):
             await self._answer_streams(caller, answer)
         elif caller.path == feed.QUARANTINE_PATH:
             await self._answer_operator(answer, self._handle_quarantine(caller))
@@ -104,13 +107,18 @@
         """Answers a lookup of a stream, or accepts records of streams."""
         reply = b""
         try:
-            if caller.method == b"PUT":
+            if caller.path == stream_query.JOURNAL_PATH:
+                self.streams.journal_writer.apply_batch(caller.body)
+            elif caller.method == b"PUT":
                 self.streams.apply_handoff(caller.body)
             else:
-                reply = self.streams.answer_query(caller.body)
+                reply = await self.streams.answer_query(caller.body)
         except errors.PeerError:
             await answer.send_whole(400, [], b"")
             return
+        except errors.LogError:
+            await answer.send_whole(503, [], b"")
+            return
         await answer.send_whole(200, _CBOR_HEADERS, reply)
 
     def _handle_quarantine(self, caller: http1_server.CallerRequest) -> object:
--- a/hillthread/coordination/gateway/peers/stream_lookup.py
+++ b/hillthread/coordination/gateway/peers/stream_lookup.py
@@ -102,6 +102,23 @@
             CallError: The host does not answer.
         """
         query = stream_query.StreamQuery(key.tenant, key.digest)
+        answer = await self.call(host, query)
+        # Earlier releases have no records and answer with an error.
+        if answer.head.status != 200:
+            return None
+        try:
+            return stream_query.decode_reply(answer.body)
+        except errors.PeerError:
+            return None
+
+    async def call(
+        self, host: feed_source.HostEntry, query: stream_query.StreamQuery
+    ) -> http1_client.WholeAnswer:
+        """Returns the answer of a host to a query.
+
+        Raises:
+            CallError: The host does not answer.
+        """
         request = call_ids.make_host_request(
             host.feed,
             b"POST",
@@ -109,7 +126,7 @@
             stream_query.encode_query(query),
         )
         try:
-            answer = await connection_pool.call(
+            return await connection_pool.call(
                 self.pool,
                 host.feed,
                 request,
@@ -119,13 +136,6 @@
         except http1_client.CallError:
             self._avoided_until[host.name] = clock.now() + _AVOID_S
             raise
-        # Earlier releases have no records and answer with an error.
-        if answer.head.status != 200:
-            return None
-        try:
-            return stream_query.decode_reply(answer.body)
-        except errors.PeerError:
-            return None
 
 
 class _Search:
--- a/hillthread/coordination/gateway/serving/stream_keeper.py
+++ b/hillthread/coordination/gateway/serving/stream_keeper.py
@@ -2,7 +2,8 @@
 
 A host records each stream that it begins and sends the record to its replicas
 before it relays the first event, so that the caller can reconnect at once, to
-any host. A stream of which no host has a record is never continued.
+any host. The journal in the store has the records that all hosts have lost. A
+stream without a record is never continued.
 """
 
 from __future__ import annotations
@@ -14,9 +15,13 @@
 from hillthread import clock
 from hillthread import errors
 from hillthread.coordination.gateway import site as site_lib
+from hillthread.coordination.gateway.peers import journal_lookup
+from hillthread.coordination.gateway.peers import journal_writer
+from hillthread.coordination.gateway.peers import origin_lookup
 from hillthread.coordination.gateway.peers import stream_lookup
 from hillthread.coordination.gateway.peers import work_feed
 from hillthread.coordination.gateway.serving import intake
+from hillthread.coordination.gateway.store import stream_journal
 from hillthread.platform import call_ids
 from hillthread.platform import resumption as resumption_lib
 from hillthread.protocol import stream_query
@@ -54,6 +59,9 @@
         source: Lists the other hosts.
         placement: Selects the hosts that hold a record.
         lookup: Asks other hosts.
+        journal: The journal as read by this host.
+        origins: Looks up what this host has no record of.
+        journal_writer: Writes records to the journal.
         records: The records that this host holds.
     """
 
@@ -62,6 +70,8 @@
         site: site_lib.Site,
         work: work_feed.WorkFeed,
         pool: connection_pool.ConnectionPool,
+        journal: stream_journal.StreamJournal,
+        writer: journal_writer.JournalWriter,
     ):
         self.site = site
         self.work = work
@@ -72,6 +82,12 @@
         self.lookup = stream_lookup.StreamLookup(
             self.source, self.placement, pool
         )
+        self.journal = journal
+        self.origins = origin_lookup.OriginLookup(
+            self.lookup,
+            journal_lookup.JournalLookup(self.source, self.lookup, journal),
+        )
+        self.journal_writer = writer
         self.records = stream_records.StreamRecords(_MAX_RECORDS)
         work.apply_stream = self.apply_notice
 
@@ -125,16 +141,19 @@
             successor = self._successor(key)
             self.work.notify_stream(notice, [successor] if successor else [])
 
-    def answer_query(self, raw: bytes) -> bytes:
+    async def answer_query(self, raw: bytes) -> bytes:
         """Returns the encoded reply to another host's query.
 
         Raises:
             PeerError: The query is not valid.
+            LogError: The journal, which is to be read, cannot be read now.
         """
-        key = stream_records.StreamKey(*stream_query.decode_query(raw))
-        now = clock.now()
-        record = self.records.get(key, now)
-        notice = _make_notice(key, record, now) if record else None
+        query = stream_query.decode_query(raw)
+        key = stream_records.StreamKey(query.tenant, query.digest)
+        record = self.records.get(key, clock.now())
+        if record is None and query.reads_journal:
+            record = await self.journal.find(key)
+        notice = _make_notice(key, record, clock.now()) if record else None
         return stream_query.encode_reply(notice)
 
     def apply_handoff(self, raw: bytes) -> None:
@@ -181,27 +200,27 @@
         request: intake.GatewayRequest,
         resumption: resumption_lib.Resumption,
     ) -> stream_origin.StreamOrigin:
-        """Returns the origin that another host has recorded.
+        """Returns the origin that another host or the journal has recorded.
 
         Raises:
-            RefusalError: No host that answers has a record.
+            RefusalError: None that answers has a record.
         """
-        result = await self.lookup.find(key)
-        notice = result.notice
+        result = await self.origins.find(key)
         self.site.metrics.observe_stream_lookup(
-            "found" if notice else "unknown", result.seconds
+            "found" if result.origin else "unknown", result.seconds
+        )
+        _log_reconnect(
+            request,
+            resumption,
+            result.origin,
+            asked=result.asked,
+            unanswered=result.unanswered,
+            journal_read=result.is_journal_read,
+            seconds=round(result.seconds, 4),
         )
-        fields = {
-            "asked": result.asked,
-            "unanswered": result.unanswered,
-            "seconds": round(result.seconds, 4),
-        }
-        if notice is None:
-            _log_reconnect(request, resumption, None, **fields)
+        if result.origin is None:
             raise _make_unknown_error(result)
-        origin = stream_origin.StreamOrigin(notice.pool, notice.release)
-        _log_reconnect(request, resumption, origin, **fields)
-        return origin
+        return result.origin
 
     def _record_and_notify(
         self,
@@ -215,7 +234,9 @@
         replicas = self.placement.replicas(
             key.digest, self.source.hosts.values()
         )
-        self.work.notify_stream(_make_notice(key, record, now), replicas)
+        notice = _make_notice(key, record, now)
+        self.work.notify_stream(notice, replicas)
+        self.journal_writer.add(notice)
 
     def _successor(
         self, key: stream_records.StreamKey
@@ -271,7 +292,7 @@
     request: intake.GatewayRequest,
     resumption: resumption_lib.Resumption,
     origin: stream_origin.StreamOrigin | None,
-    **fields: float,
+    **fields: float | None,
 ) -> None:
     request.log.warn(
         "reconnect",
@@ -308,11 +329,12 @@
 
 
 def _make_unknown_error(
-    result: stream_lookup.LookupResult,
+    result: origin_lookup.OriginResult,
 ) -> errors.RefusalError:
-    """Returns the refusal of a stream of which no host has a record.
+    """Returns the refusal of a stream of which there is no record.
 
-    Another try may succeed only if some hosts have not answered.
+    Another try may succeed only if some hosts have not answered, or if the
+    journal was not read.
     """
     return errors.RefusalError(
         STREAM_UNKNOWN,
@@ -320,7 +342,7 @@
         f"None of {result.asked} other hosts knows which software began the "
         f"stream; {result.unanswered} have not answered.",
         _BEGIN_ANEW,
-        retry_after_s=_UNKNOWN_RETRY_S if result.unanswered else None,
+        retry_after_s=None if result.is_final else _UNKNOWN_RETRY_S,
     )
 
 
--- a/hillthread/platform/store.py
+++ b/hillthread/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 from collections.abc import Callable
+from collections.abc import Sequence
 from urllib import parse
 
 import msgspec
@@ -254,6 +255,44 @@
             case status:
                 raise _make_status_error(status)
 
+    async def append_all(
+        self, topic: str, payloads: Sequence[bytes]
+    ) -> position_lib.Position:
+        """Appends records wherever the topic ends: all of them or none.
+
+        Returns:
+            The position of the first record.
+
+        Raises:
+            LogError: The records were not appended.
+            UnknownOutcomeError: The records may have been appended, or may
+                still be.
+        """
+        query = {"topic": topic, "part": _PARTITION}
+        body = b"".join(
+            log_pages.LENGTH_PREFIX.pack(len(payload)) + payload
+            for payload in payloads
+        )
+        answer = await self._call(b"POST", "log-append", query, body, 0.0)
+        if answer.head.status != 200:
+            raise _make_status_error(answer.head.status)
+        offset = _decode_answer(answer.body, _AppendAnswer).offset
+        return position_lib.Position(self.current_era, offset)
+
+    async def trim(self, topic: str, before: position_lib.Position) -> None:
+        """Removes the records of a topic before a position.
+
+        Raises:
+            RestoredError: The store's era differs from that of `before`;
+                nothing was removed.
+            LogError: The records may still be there.
+        """
+        self._check_position(before)
+        query = {"topic": topic, "part": _PARTITION, "before": before.offset}
+        answer = await self._call(b"POST", "log-trim", query, b"", 0.0)
+        if answer.head.status != 200:
+            raise _make_status_error(answer.head.status)
+
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Writes a value under a key of a keyed topic; idempotent.
 
--- a/hillthread/protocol/stream_query.py
+++ b/hillthread/protocol/stream_query.py
@@ -11,6 +11,7 @@
 from hillthread import errors
 
 __all__ = [
+    "JOURNAL_PATH",
     "MAX_REPLY_BYTES",
     "STREAMS_PATH",
     "StreamNotice",
@@ -25,6 +26,8 @@
 
 # POST looks up a record; PUT hands off the records of a host that stops.
 STREAMS_PATH = "/streams"
+# PUT sends records to the host that writes them to the journal.
+JOURNAL_PATH = "/streams/journal"
 MAX_REPLY_BYTES = 4_096
 
 
@@ -34,10 +37,13 @@
     Attributes:
         tenant: As in `stream_records.StreamKey`.
         digest: As in `stream_records.StreamKey`.
+        reads_journal: Whether the receiver also looks into the journal. Hosts
+            of earlier releases refuse such queries.
     """
 
     tenant: int
     digest: bytes
+    reads_journal: bool = False
 
 
 class StreamNotice(NamedTuple):
@@ -60,7 +66,8 @@
 
 def encode_query(query: StreamQuery) -> bytes:
     """Returns a query as CBOR."""
-    return cbor2.dumps(list(query))
+    fields = list(query) if query.reads_journal else [*query[:2]]
+    return cbor2.dumps(fields)
 
 
 def decode_query(raw: bytes) -> StreamQuery:
--- a/hillthread/standin/platform_store.py
+++ b/hillthread/standin/platform_store.py
@@ -97,7 +97,13 @@
 
     def drop(self, before: float) -> None:
         """Drops the records written before a time."""
-        count = bisect.bisect_left(self.written_at, before)
+        self._drop_first(bisect.bisect_left(self.written_at, before))
+
+    def drop_before(self, offset: int) -> None:
+        """Drops the records before an offset."""
+        self._drop_first(max(0, min(offset, self.end) - self.first))
+
+    def _drop_first(self, count: int) -> None:
         self.first += count
         del self.records[:count]
         del self.written_at[:count]
@@ -232,6 +238,8 @@
                 await self._handle_read(query, answer)
             case "log-append":
                 await self._handle_append(query, request.body, answer)
+            case "log-trim":
+                await self._handle_trim(query, answer)
             case _:
                 await answer.send_whole(404, self._era_header(), b"")
 
@@ -321,6 +329,13 @@
         done = msgspec.json.encode({"offset": offset, "end": topic.end})
         await answer.send_whole(200, self._json_headers(), done)
 
+    async def _handle_trim(
+        self, query: dict[str, str], answer: http1_server.CallerAnswer
+    ) -> None:
+        topic = self._topic(query["topic"])
+        topic.drop_before(int(query["before"]))
+        await answer.send_whole(200, self._json_headers(), b"{}")
+
 
 def _ignore_unreadable_request(status: int, reason: str) -> None:
     """Ignores requests that cannot be parsed."""
--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -14,6 +14,7 @@
 from hillthread.coordination.gateway.peers import forwarding
 from hillthread.coordination.gateway.peers import stream_lookup
 from hillthread.coordination.gateway.serving import stream_keeper
+from hillthread.coordination.gateway.store import stream_journal
 from hillthread.programs import ctl
 from hillthread.protocol import stream_query
 from hillthread.standin import platform_target as standin
@@ -334,12 +335,20 @@
             programs = await start_hosts(scene, 2, "v1", "v2")
             first, body = await begin_stream(scene, programs[0])
             hosts = dict(programs[1].source.hosts)
-            programs[1].source.hosts.clear()
+            for name in hosts:
+                programs[1].source.remove(name)
             programs[1].streams.records.expire(float("inf"))
+            scene.store.faults.busy_topic = stream_journal.JOURNAL_TOPIC
             answer = await reconnect(scene, programs[1], first, body)
             self.assertEqual(answer.head.status, 503)
             self.assertTrue(answer.head.get(b"retry-after"))
-            programs[1].source.hosts.update(hosts)
+            unknown = prompt(scene, resumes="r-unknown", last_event_id="1")
+            scene.store.faults.busy_topic = ""
+            answer = await test_quota.ask(scene, programs[1], unknown)
+            self.assertEqual(answer.head.status, 503)
+            self.assertTrue(answer.head.get(b"retry-after"))
+            for entry in hosts.values():
+                programs[1].source.put(entry)
             answer = await reconnect(scene, programs[1], first, body)
             self.assertEqual(answer.head.status, 200)
 
