Bench: kill all gateways while streams are open and judge how they go on

gateway-stream-return runs real processes: engines of two releases, streams that are open when all gateways are killed, callers who reconnect at any gateway.

Clients of callers skip the loading of certificates, which took 60 of them more than a second of the loop's time: streams began too late to break off.

--- a/hillthread/bench/gateway_soak/callers.py
+++ b/hillthread/bench/gateway_soak/callers.py
@@ -78,6 +78,7 @@
         async with httpx.AsyncClient(
             base_url=f"http://{host.address}",
             trust_env=False,
+            verify=False,
             timeout=_TIMEOUT_S,
             limits=limits,
         ) as client:
@@ -113,11 +114,18 @@
             pause_s = self.reconnect_random.choice(_RECONNECT_PAUSES_S)
             await anyio.sleep(pause_s)
             host = self.reconnect_random.choice(ready)
-            exchange = await self._ask_to_continue(host, first, after)
+            exchange = await self.resume(host, first, after)
 
-    async def _ask_to_continue(
+    async def resume(
         self, host: stage_lib.SoakHost, first: evidence_lib.Exchange, after: int
     ) -> evidence_lib.Exchange:
+        """Asks a host for the rest of a stream and records the answer.
+
+        Args:
+            host: The host that gets the request.
+            first: The attempt that received the first event.
+            after: Id of the last event received.
+        """
         release = b"".join(release_verdict.releases_in(first.body)).decode()
         exchange = evidence_lib.Exchange(
             uuid.UUID(int=self.reconnect_random.getrandbits(128)).hex[:16],
@@ -134,6 +142,7 @@
         async with httpx.AsyncClient(
             base_url=f"http://{host.address}",
             trust_env=False,
+            verify=False,
             timeout=_TIMEOUT_S,
         ) as client:
             await self._exchange(client, exchange)
--- a/hillthread/bench/gateway_soak/fleet_return.py
+++ b/hillthread/bench/gateway_soak/fleet_return.py
@@ -22,7 +22,13 @@
 from hillthread.bench.gateway_soak import evidence as evidence_lib
 from hillthread.bench.gateway_soak import stage as stage_lib
 
-__all__ = ["ReturnPlan", "ReturnReport", "run_return"]
+__all__ = [
+    "ReturnPlan",
+    "ReturnReport",
+    "keep_addresses",
+    "kill_all",
+    "run_return",
+]
 
 _MIN_SERVED_SHARE = 0.25
 _CALLER_TIMEOUT_S = 3.0
@@ -91,6 +97,31 @@
         return anyio.run(_FleetReturn(group, plan).run)
 
 
+def keep_addresses(stage: stage_lib.Stage) -> None:
+    """Makes each gateway return at the addresses that it has now."""
+    for host in stage.hosts:
+        assert host.process is not None
+        start = next(
+            event
+            for event in host.process.events()
+            if event.get("event") == "start"
+        )
+        host.settings["listen"] = start["listen"]
+        host.settings["ready_listen"] = start["ready_listen"]
+        for name in ("feed", "metrics"):
+            port = start[f"{name}_listen"].rpartition(":")[2]
+            host.settings[f"{name}_port"] = int(port)
+
+
+def kill_all(stage: stage_lib.Stage) -> None:
+    """Kills all gateways at one moment."""
+    for host in stage.hosts:
+        assert host.process is not None
+        host.process.popen.kill()
+    for host in stage.hosts:
+        stage.kill(host)
+
+
 class _FleetReturn:
     """One run."""
 
@@ -115,7 +146,7 @@
             )
             with self._on_gateway_cores():
                 await stage.start(self.plan.engines)
-            self._keep_addresses(stage)
+            keep_addresses(stage)
             tasks.start_soon(self._send_requests, stage)
             for _ in range(self.plan.rounds):
                 await anyio.sleep(self.plan.calm_s)
@@ -136,27 +167,8 @@
         finally:
             os.sched_setaffinity(0, self.own_cores - self.gateway_cores)
 
-    def _keep_addresses(self, stage: stage_lib.Stage) -> None:
-        """Makes each gateway return at the addresses that it has now."""
-        for host in stage.hosts:
-            assert host.process is not None
-            start = next(
-                event
-                for event in host.process.events()
-                if event.get("event") == "start"
-            )
-            host.settings["listen"] = start["listen"]
-            host.settings["ready_listen"] = start["ready_listen"]
-            for name in ("feed", "metrics"):
-                port = start[f"{name}_listen"].rpartition(":")[2]
-                host.settings[f"{name}_port"] = int(port)
-
     async def _end_and_return(self, stage: stage_lib.Stage) -> ReturnReport:
-        for host in stage.hosts:
-            assert host.process is not None
-            host.process.popen.kill()
-        for host in stage.hosts:
-            stage.kill(host)
+        kill_all(stage)
         await anyio.sleep(self.plan.down_s)
         with self._on_gateway_cores():
             for host in stage.hosts:
@@ -206,6 +218,7 @@
         async with httpx.AsyncClient(
             base_url=f"http://{host.address}",
             trust_env=False,
+            verify=False,
             timeout=_CALLER_TIMEOUT_S,
         ) as client:
             await callers.ask(client, host, host.lives, callers.choose_route())
--- a/hillthread/programs/bench.py
+++ b/hillthread/programs/bench.py
@@ -22,6 +22,7 @@
 from hillthread.bench.gateway_soak import regressions
 from hillthread.bench.gateway_soak import runner as gateway_soak_lib
 from hillthread.bench.gateway_soak import series
+from hillthread.bench.gateway_soak import stream_return
 from hillthread.transport import command
 
 __all__ = ["main"]
@@ -235,6 +236,42 @@
         )
 
 
+def gateway_stream_return(
+    seed: int = 1,
+    hosts: int = 8,
+    rounds: int = 1,
+    release_leaves_s: float | None = None,
+    store_away_s: float = 0.0,
+) -> None:
+    """Kills all gateways while streams are open and judges how these go on.
+
+    Args:
+        seed: Seed of the load.
+        hosts: Number of gateways.
+        rounds: Number of times that all gateways are killed.
+        release_leaves_s: From the kill until the engines of one of two releases
+            leave, in seconds; not given if they stay.
+        store_away_s: Time for which the store is away after the kill, seconds.
+    """
+    reports = stream_return.run_stream_return(
+        stream_return.StreamReturnPlan(
+            seed,
+            hosts,
+            rounds=rounds,
+            release_leaves_s=release_leaves_s,
+            store_away_s=store_away_s,
+        )
+    )
+    for report in reports:
+        _print_json(report._asdict())
+    bad = sum(report.is_joined or report.is_lost for report in reports)
+    if bad:
+        raise errors.HillthreadError(
+            f"Streams were joined or lost in {bad} of {rounds} returns.",
+            "Read the `reconnect` lines in the gateways' logs.",
+        )
+
+
 def slopes(json: bool = True, seconds: float = 10.0) -> None:
     """Measures the cost of one more object, target, record, message and so on.
 
@@ -287,6 +324,7 @@
             "faults": faults,
             "gateway-demo": gateway_demo,
             "gateway-return": gateway_return,
+            "gateway-stream-return": gateway_stream_return,
             "gateway-soak": gateway_soak,
             "gateway-soak-again": gateway_soak_again,
             "limits": limits,
