Give cache scopes of isolated tenants names of their own

A line break in a name would have ended the header.

Nobody has seen it: names of the users' deployments have none of this.

Fix: `tenant:` and the quoted name; the digest is of the encoded list of names. Scopes of deployments without isolated tenants stay as they are; elsewhere prefixes are read once more after the roll-out, and while hosts of both builds run their prompts do not share prefixes.

Evidence: the four new tests of test_decoders fail on the former code and pass. Two assertions there, two in test_work_feed and the soak's check of walls named the former spelling; they name the new one and are as strict.

--- a/hillthread/bench/gateway_soak/verdict.py
+++ b/hillthread/bench/gateway_soak/verdict.py
@@ -198,7 +198,7 @@
                 yield self._of(
                     exchange, "stale", f"{salt} with weights {run.weights}"
                 )
-            is_alone = salt.startswith(f"{tenant}/")
+            is_alone = salt.startswith(f"tenant:{tenant}/")
             if is_alone != (tenant in self.evidence.isolated):
                 yield self._of(exchange, "wall", f"{salt} for {tenant}")
 
--- a/hillthread/platform/configuration.py
+++ b/hillthread/platform/configuration.py
@@ -7,6 +7,7 @@
 import logging
 from typing import Any
 from typing import NamedTuple
+from urllib import parse
 
 import msgspec
 
@@ -37,6 +38,7 @@
 # Begin of the name of the organisation of all tenants that are not isolated;
 # they share cached prefixes.
 _SHARED_PREFIX = "shared"
+_ISOLATED_PREFIX = "tenant:"
 _SHARED_DIGITS = 12
 
 _BYTES_PER_MEGABIT = 1_000_000 / 8
@@ -257,14 +259,25 @@
     isolated = sorted(each.name for each in tenants if each.isolated)
     if not isolated:
         return _SHARED_PREFIX
-    digest = hashlib.sha256("\n".join(isolated).encode()).hexdigest()
+    digest = hashlib.sha256(msgspec.json.encode(isolated)).hexdigest()
     return f"{_SHARED_PREFIX}-{digest[:_SHARED_DIGITS]}"
 
 
+def _isolated_organisation(tenant: str) -> str:
+    """Returns the organisation of an isolated tenant.
+
+    It equals none of the shared ones, and its part of a cache scope cannot be
+    confused with another one, whatever the name of the tenant is.
+    """
+    return _ISOLATED_PREFIX + parse.quote(tenant, safe="")
+
+
 def _make_tenant(wire: _Tenant, shared: str) -> objects.Tenant:
     return objects.Tenant(
         name=wire.name,
-        organisation=wire.name if wire.isolated else shared,
+        organisation=_isolated_organisation(wire.name)
+        if wire.isolated
+        else shared,
         key_digests=[
             hashlib.sha256(key.encode()).hexdigest() for key in wire.api_keys
         ],
--- a/tests/coordination/gateway/peers/test_work_feed.py
+++ b/tests/coordination/gateway/peers/test_work_feed.py
@@ -34,6 +34,11 @@
     return gatherer.GathererSelector(source).pick(0.0).name
 
 
+def make_scope(engine):
+    """Returns the checksum of the cache scope of `tenant-one` at an engine."""
+    return work_notice.checksum(f"tenant:tenant-one/m/{engine.weights}")
+
+
 class WorkFeedTest(unittest.TestCase):
     def test_other_host_learns_of_prompts_sent_to_an_engine(self):
         async def story(scene):
@@ -48,7 +53,9 @@
             await scene.until(lambda: other.work.received_packets == 1)
             engine = next(e for e in scene.engines if e.runs)
             state = other.site.state(engine.name)
-            scope = work_notice.checksum(f"tenant-one/m/{engine.weights}")
+            scope = work_notice.checksum(
+                f"tenant:tenant-one/m/{engine.weights}"
+            )
             shared = [("aa", 300), ("bb", 500)]
             self.assertEqual(state.warm.count_cached_tokens(scope, shared), 800)
             # Plain requests and short prompts are not reported.
@@ -129,7 +136,9 @@
             await scene.until(lambda: not program.work._local_work)
             for engine in scene.engines:
                 state = other.site.state(engine.name)
-                scope = work_notice.checksum(f"tenant-one/m/{engine.weights}")
+                scope = work_notice.checksum(
+                    f"tenant:tenant-one/m/{engine.weights}"
+                )
                 cached_tokens.append(
                     state.warm.count_cached_tokens(scope, [("aa", 300)])
                 )
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -87,29 +87,26 @@
             [(part.pool.name, part.weight) for part in parts],
             [("x", 90), ("y", 10)],
         )
-        self.assertEqual(table.find_tenant_by_key("a").organisation, "t")
+        self.assertEqual(table.find_tenant_by_key("a").organisation, "tenant:t")
         self.assertEqual(table.cache_stores[0].address, "10.0.0.1:1")
         self.assertEqual(table.cache_stores[0].link_bytes_per_s, 1e6)
         self.assertEqual(parts[0].pool.cache_token_bytes, 9)
         self.assertEqual([p.name for p in table.pools_serving("m")], ["x"])
 
-    def decode_organisations(self, *isolated):
-        """Returns the organisations of three tenants."""
+    def decode_organisations(self, *isolated, names=("a", "b", "c")):
+        """Returns the organisations of tenants."""
         raw = {
             "version": 1,
             "routes": [],
             "services": [],
             "tenants": [
                 {"name": name, "apiKeys": [name], "isolated": name in isolated}
-                for name in ("a", "b", "c")
+                for name in names
             ],
         }
         decoded = configuration.decode_configuration(msgspec.json.encode(raw))
         table = decoded.build_routing_table()
-        return [
-            table.find_tenant_by_key(name).organisation
-            for name in ("a", "b", "c")
-        ]
+        return [table.find_tenant_by_key(name).organisation for name in names]
 
     # Guards against the use of what a tenant has sent before it became
     # isolated.
@@ -117,12 +114,43 @@
         first, second, third = self.decode_organisations()
         self.assertTrue(first == second == third)
         alone, *others = self.decode_organisations("a")
-        self.assertEqual(alone, "a")
+        self.assertEqual(alone, "tenant:a")
         self.assertEqual(others[0], others[1])
         self.assertNotEqual(others[0], first)
         self.assertEqual(others, self.decode_organisations("a")[1:])
         self.assertNotIn(self.decode_organisations("b")[0], (first, others[0]))
 
+    # Guards against an isolated tenant whose name is that of a shared scope.
+    def test_name_of_an_isolated_tenant_opens_no_shared_scope(self):
+        shared = self.decode_organisations(names=("a", "b"))[0]
+        for name in ("public", shared):
+            alone, other = self.decode_organisations(name, names=(name, "b"))
+            self.assertNotIn(alone, ("public", shared, other))
+
+    # Guards against scopes of two tenants that are spelt alike.
+    def test_names_and_models_with_separators_have_scopes_of_their_own(self):
+        first, second = self.decode_organisations(
+            "a", "a/m", names=("a", "a/m")
+        )
+        self.assertNotEqual(
+            attempt_plan.cache_scope(first, "m/n", 1),
+            attempt_plan.cache_scope(second, "n", 1),
+        )
+
+    # Guards against a header of several lines.
+    def test_scope_of_any_name_is_one_line_of_ascii(self):
+        (scope,) = self.decode_organisations(
+            "a\nb \u00e9", names=["a\nb \u00e9"]
+        )
+        self.assertTrue(scope.isascii() and scope.isprintable())
+
+    # Guards against isolated tenants whose names join to the same text.
+    def test_names_with_line_breaks_change_the_shared_scope(self):
+        names = ("a\nb", "a", "b", "c")
+        first = self.decode_organisations("a\nb", names=names)[-1]
+        second = self.decode_organisations("a", "b", names=names)[-1]
+        self.assertNotEqual(first, second)
+
     def decode_quota(self, **fields):
         """Returns the quota decoded from a tenant with these fields."""
         tenant = {"name": "t", "apiKeys": ["a"], **fields}
