Resume and retry with the cache scope of the newest configuration

The resumed run, up to the route's timeout later, used the scope that the tenant had shared with all others, so that it read what they had computed and left its own prompt to them (WALL).

Cause: each further attempt checks the key again, but kept the tenant found at admission, and with it the organisation and the priority. An attempt that is first planned after a wait was not checked again at all.

Ruled out: the salt's digest of isolated tenants, which is right for requests that are admitted after the change.

Fix: the tenant found by that check replaces the former one, and the check is also made when the configuration has changed since the last one. Charges and refunds of an attempt happen between two checks, for the same tenant.

Evidence: test_resumed_run_uses_the_scope_of_the_newest_configuration failed before (both runs in `shared/m/1`) and passes; test_dispatcher, test_quota, test_retry_charges, test_stream_releases and test_broken_streams pass.

--- a/hillthread/coordination/gateway/serving/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -75,6 +75,8 @@
             be in time.
         stream_origin: The software that began the stream, and that alone may
             continue it; None before the first event.
+        configuration_version: Version of the configuration by which its route
+            and tenant were last checked.
         tried_parts: Names of the parts that it is sent to try.
         forwarded: What the host that forwarded the request has done with it;
             None if its caller sent it to this host.
@@ -91,6 +93,7 @@
     is_deferred: bool = False
     stream_origin: stream_origin_lib.StreamOrigin | None = None
     forwarded: forwarding.ForwardOrigin | None = None
+    configuration_version: int = 0
     tried_parts: tuple[str, ...] = ()
 
     @property
@@ -196,6 +199,7 @@
         log,
         stream_origin=origin.stream_origin if origin else None,
         forwarded=origin,
+        configuration_version=site.configuration_version,
     )
 
 
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -156,7 +156,8 @@
         """Returns the next attempt; None if `last_answer` is to be relayed."""
         request = self.request
         try:
-            if self.attempts_made:
+            version = self.site.configuration_version
+            if self.attempts_made or request.configuration_version != version:
                 self._recheck_request()
             intake.check_deadline(request)
             # The other host checks the quarantine: a trial that this host
@@ -296,9 +297,15 @@
         )
 
     def _recheck_request(self) -> None:
-        """Checks the request against the current configuration on a retry."""
+        """Checks the request against the current configuration.
+
+        Its tenant may have become isolated since, so that it shares nothing.
+        """
         request = self.request
-        intake.authenticate(self.site, request.caller, request.route)
+        request.tenant = intake.authenticate(
+            self.site, request.caller, request.route
+        )
+        request.configuration_version = self.site.configuration_version
         route = intake.current_route(self.site, request.caller)
         request.route = route or request.route
         if self.possible_runs and not request.repeatable:
--- a/hillthread/standin/platform_target.py
+++ b/hillthread/standin/platform_target.py
@@ -83,9 +83,11 @@
 
     Attributes:
         released: Event that releases the answer.
+        then: Behaviour from then on.
     """
 
     released: anyio.Event
+    then: Any = Serve()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -699,7 +701,7 @@
         try:
             if isinstance(behaviour, HoldAnswer):
                 await behaviour.released.wait()
-                behaviour = Serve()
+                behaviour = behaviour.then
             await self._run(request, answer, behaviour)
         except (anyio.get_cancelled_exc_class(), http1.ConnectionLostError):
             self.disconnected_requests.append(request_id)
--- a/tests/coordination/gateway/serving/test_dispatcher.py
+++ b/tests/coordination/gateway/serving/test_dispatcher.py
@@ -513,3 +513,41 @@
                 self.assertEqual(each.get(b"x-expect-version"), b"1")
 
         scene_lib.run_scenario(story)
+
+    # Guards against a run that is resumed with the memory of others after its
+    # tenant has become isolated.
+    def test_resumed_run_uses_the_scope_of_the_newest_configuration(self):
+        async def story(scene):
+            first, second = scene.configuration["tenants"]
+            scene.configure(tenants=[first | {"isolated": False}, second])
+            await scene.until(
+                lambda: scene.site.configuration.version == scene.version
+            )
+            released = anyio.Event()
+            behaviours = collections.deque(
+                [standin.HoldAnswer(released, standin.TruncateStream(2))]
+            )
+            for engine in scene.engines:
+                engine.behaviours = behaviours
+            answers = []
+
+            async def ask():
+                answers.append(await scene.call(scene.prompt("/resume/x")))
+
+            scene.tasks.start_soon(ask)
+            await scene.until(scene.runs)
+            scene.configure(tenants=[first | {"isolated": True}, second])
+            await scene.until(
+                lambda: scene.site.configuration.version == scene.version
+            )
+            released.set()
+            await scene.until(lambda: answers)
+            self.assertEqual(answers[0].head.status, 200)
+            runs = [run for e in scene.engines for run in e.runs]
+            runs.sort(key=lambda run: run.at)
+            salts = [run.request.get(b"x-cache-salt") for run in runs]
+            self.assertEqual(len(salts), 2)
+            self.assertTrue(salts[0].startswith(b"shared/"), salts)
+            self.assertTrue(salts[1].startswith(b"tenant:tenant-one/"), salts)
+
+        scene_lib.run_scenario(story)
