Let a caller that has all events of a stream get its end

What callers saw: a stream breaks off after its last event but before its end. Each reconnect gets 502 target_failed, at every host and for good, and each try runs at as many engines as the route allows.

Cause: a run without events counts as broken unless this answer has begun. A caller that reconnects continues a stream in a new answer. For the same reason events that an engine repeated reached such a caller twice.

Fix: the relay of a reconnect starts at the caller's last event id, if that is a number. A run that ends without further events then ends the stream, once its release is confirmed, and only if it is an event stream by its head. An orderly close of an unframed answer still counts as broken, as within an answer.

Evidence: test_caller_that_lacks_only_the_end_gets_it failed (502) and passes; test_events_that_the_caller_has_are_not_relayed_again covers the repetition. test_stream_releases, test_streams_after_restart, test_broken_streams, test_lost_links and test_dispatcher pass.

--- a/hillthread/coordination/gateway/serving/event_relay.py
+++ b/hillthread/coordination/gateway/serving/event_relay.py
@@ -29,7 +29,9 @@
 
     Attributes:
         answer: The answer to the caller.
-        last_event_id: Id of the last event relayed, or None.
+        last_event_id: Id of the last event that the caller has, or None.
+        is_continued: Whether the caller has an earlier part of the stream, so
+            that a run may have nothing to add.
         event_count: Number of events relayed.
         first_sent_at: Clock time in seconds of the first event, or None.
         longest_gap_s: Longest pause between two events.
@@ -41,9 +43,14 @@
         on_received: Called when any part of a run's answer arrives.
     """
 
-    def __init__(self, answer: http1_server.CallerAnswer):
+    def __init__(
+        self,
+        answer: http1_server.CallerAnswer,
+        last_event_id: int | None = None,
+    ):
         self.answer = answer
-        self.last_event_id: int | None = None
+        self.last_event_id = last_event_id
+        self.is_continued = last_event_id is not None
         self.event_count = 0
         self.first_sent_at: float | None = None
         self.longest_gap_s = 0.0
@@ -73,9 +80,12 @@
         finally:
             self._hold(0)
         end: stream_end.StreamEnd = stream_end.Complete()
-        if attempts.is_event_stream(head):
+        is_event_stream = attempts.is_event_stream(head)
+        if is_event_stream:
             end = stream_end.judge(
-                connection.framing, splitter, self.answer.started
+                connection.framing,
+                splitter,
+                self.answer.started or self.is_continued,
             )
         match end:
             case stream_end.BrokenOff(reason):
@@ -84,10 +94,14 @@
                 connection.must_close = True
                 raise http1_client.CallError(True, reason)
         await self._forward(head, splitter.rest)
-        if not self.answer.started:
+        may_be_empty = is_event_stream and self.is_continued
+        if not self.answer.started and not may_be_empty:
             raise http1_client.CallError(True, "stream without events")
         # The end of a stream continues it, too.
         self._begin_run()
+        if not self.answer.started:
+            headers = attempts.filter_relayed_headers(head)
+            await self.answer.begin(head.status, headers)
         await self.answer.end()
 
     async def _relay_events(
--- a/hillthread/coordination/gateway/serving/job.py
+++ b/hillthread/coordination/gateway/serving/job.py
@@ -71,7 +71,10 @@
         self.metrics = context.metrics
         self.request = request
         self.answer = answer
-        self.relay = event_relay.EventRelay(answer)
+        resumption = request.resumption
+        self.relay = event_relay.EventRelay(
+            answer, resumption.last_event_number if resumption else None
+        )
         binding = stream_binding.StreamBinding(request, context.streams.record)
         self.charges = retry_charges.RetryCharges(self.site, request)
         self.sender = sender_lib.Sender(
--- a/hillthread/platform/resumption.py
+++ b/hillthread/platform/resumption.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from hillthread.platform import attempts
 from hillthread.platform import names
 from hillthread.transport import http1
 
@@ -29,6 +30,13 @@
     last_event_id: str = ""
     fault: str = ""
 
+    @property
+    def last_event_number(self) -> int | None:
+        """The id of the last event as a number; None if it is not one."""
+        text = self.last_event_id
+        number = attempts.parse_whole_number(text.encode())
+        return number if str(number) == text else None
+
 
 def decode_resumption(headers: http1.Headers) -> Resumption | None:
     """Returns how the stream continues, or None if a new one is requested.
--- a/tests/coordination/gateway/serving/test_event_relay.py
+++ b/tests/coordination/gateway/serving/test_event_relay.py
@@ -20,7 +20,7 @@
         self.ended = False
         self.body = b""
 
-    async def begin(self, status, headers, data):
+    async def begin(self, status, headers, data=b""):
         self.started = True
         self.body += data
 
@@ -114,5 +114,35 @@
         self.assertEqual(self.answer.body, _event(1) + _event(2))
 
 
+class ContinuedStreamTest(unittest.TestCase):
+    def setUp(self):
+        self.answer = _Answer()
+        self.relay = event_relay.EventRelay(self.answer, 2)
+
+    # Guards against a caller that has all events and never gets the end.
+    def test_run_without_events_ends_a_stream_that_goes_on(self):
+        anyio.run(self.relay.run, _Connection(is_whole=True), _HEAD)
+        self.assertTrue(self.answer.started)
+        self.assertTrue(self.answer.ended)
+
+    def test_rejected_run_without_events_ends_no_stream(self):
+        self.relay.on_first_event = _reject
+        with self.assertRaises(http1_client.CallError):
+            anyio.run(self.relay.run, _Connection(is_whole=True), _HEAD)
+        self.assertFalse(self.answer.started)
+
+    # Guards against events that a caller gets again when it reconnects.
+    def test_events_that_the_caller_has_are_not_relayed_again(self):
+        last = _Connection(_event(1) + _event(2), _event(3), is_whole=True)
+        anyio.run(self.relay.run, last, _HEAD)
+        self.assertEqual(self.answer.body, _event(3))
+
+    def test_new_stream_without_events_is_broken(self):
+        relay = event_relay.EventRelay(self.answer)
+        with self.assertRaises(http1_client.CallError):
+            anyio.run(relay.run, _Connection(is_whole=True), _HEAD)
+        self.assertFalse(self.answer.started)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -261,6 +261,24 @@
 
         scene_lib.run_scenario(scenario, engines=4)
 
+    # Guards against a caller that has all events and never gets the end.
+    def test_caller_that_lacks_only_the_end_gets_it(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 2, "v1", "v2")
+            break_all_streams(scene, EVENTS)
+            first = prompt(scene, 0, SINGLE_ATTEMPT)
+            body = await receive_part(scene, programs[0], first)
+            serve_all_streams(scene)
+            reset_health(programs, scene)
+            self.assertEqual(event_ids(body), list(range(EVENTS)))
+            for program in programs:
+                answer = await reconnect(scene, program, first, body)
+                self.assertEqual(answer.head.status, 200)
+                self.assertEqual(answer.body, b"")
+                self.assertTrue(answer.head.get(b"x-response-stamp"))
+
+        scene_lib.run_scenario(scenario, engines=4)
+
     # Guards against losing the origin of a stream at the second and third try.
     def test_caller_resumes_again_and_again_at_different_hosts(self):
         async def scenario(scene):
--- a/tests/platform/test_resumption.py
+++ b/tests/platform/test_resumption.py
@@ -30,6 +30,12 @@
             decode(("resumes", "a1")), resumption.Resumption("a1", "")
         )
 
+    def test_position_is_a_number_if_its_spelling_is_kept(self):
+        for text, number in (("7", 7), ("0", 0), ("07", None), ("a", None)):
+            found = decode(("resumes", "a1"), ("last-event-id", text))
+            self.assertEqual(found.last_event_number, number)
+        self.assertIsNone(decode(("resumes", "a1")).last_event_number)
+
     def test_equal_values_count_as_one(self):
         found = decode(("resumes", "a1"), ("resumes", "a1"))
         self.assertEqual(found, resumption.Resumption("a1"))
