--- a/tests/coordination/gateway/serving/test_stream_releases.py
+++ b/tests/coordination/gateway/serving/test_stream_releases.py
@@ -279,6 +279,46 @@
 
         scene_lib.run_scenario(scenario, engines=4)
 
+    # Guards against a complete stream that lacks an event after a run that was
+    # rejected before anything of it was relayed.
+    def test_rejected_first_run_of_a_reconnect_skips_nothing(self):
+        async def scenario(scene):
+            programs = await start_hosts(scene, 2, "v1")
+            first, body = await begin_stream(scene, programs[0])
+            may_answer = anyio.Event()
+            behaviours = collections.deque([standin.HoldAnswer(may_answer)])
+            for engine in scene.engines:
+                engine.behaviours = behaviours
+                engine.runs.clear()
+            answers = []
+
+            async def ask():
+                request = prompt(
+                    scene,
+                    99,
+                    resumes=id_of(first),
+                    last_event_id=str(event_ids(body)[-1]),
+                )
+                answers.append(
+                    await test_quota.ask(scene, programs[1], request)
+                )
+
+            scene.tasks.start_soon(ask)
+            await scene.until(lambda: any(e.runs for e in scene.engines))
+            (restarted,) = [e for e in scene.engines if e.runs]
+            restarted.born_ms += 1
+            scene.list_target(restarted)
+            targets = programs[1].site.targets
+            key = targets.key_of(restarted.name)
+            await scene.until(lambda: targets.key_of(restarted.name) != key)
+            may_answer.set()
+            await scene.until(lambda: answers)
+            self.assertEqual(answers[0].head.status, 200)
+            whole = body + answers[0].body
+            self.assertEqual(event_ids(whole), list(range(EVENTS)))
+
+        scene_lib.run_scenario(scenario, engines=3)
+
     # Guards against losing the origin of a stream at the second and third try.
     def test_caller_resumes_again_and_again_at_different_hosts(self):
         async def scenario(scene):
