Name the host that a call between hosts is for

Calls that leave a host: requests, orders, reports and probes name the target's instance; reads of cache events and calls to the store have no id, so that targets refuse them. Calls between hosts had an id and named nobody. Where a target takes over the address of a host that is gone but still listed, it ran them (UNASKED): reads of topics, lookups and hand-offs of streams, and, worst, forwarded requests, which count as declined without an answer of a host and are then sent elsewhere (TWICE for those that are not idempotent).

Fix: X-Expect-Instance has the name of the host. Targets answer 421 and run nothing. A host answers 421 as well to what is meant for the former host at its address; earlier builds ignore the header.

--- a/hillthread/coordination/gateway/peers/feed_server.py
+++ b/hillthread/coordination/gateway/peers/feed_server.py
@@ -71,6 +71,11 @@
         answer: http1_server.CallerAnswer,
     ) -> None:
         """Answers one request; its path selects what is asked for."""
+        expected = caller.get(names.EXPECT_INCARNATION)
+        if expected and expected != self.site.settings.host.encode():
+            # The host for which it is meant had this address before.
+            await answer.send_whole(421, [(names.NOT_RUN, b"1")], b"")
+            return
         if caller.path in (
             forwarding.FORWARD_PATH,
             forwarding.FORWARD_BOUND_PATH,
--- a/hillthread/coordination/gateway/peers/forwarding.py
+++ b/hillthread/coordination/gateway/peers/forwarding.py
@@ -112,6 +112,7 @@
 
 def encode_request(
     origin: ForwardOrigin,
+    host: str,
     caller: http1_server.CallerRequest,
     seconds_left: float,
     last_event_id: int | None,
@@ -120,6 +121,7 @@
 
     Args:
         origin: What this host has done with the request.
+        host: Name of the other host.
         caller: The caller's request.
         seconds_left: Time until the caller gives up.
         last_event_id: Id of the last event that the caller has; None for the
@@ -127,6 +129,7 @@
     """
     headers = attempts.encode_forwarded(
         [pair for pair in caller.headers if not pair[0].startswith(_PREFIX)],
+        host,
         seconds_left,
         last_event_id,
     )
@@ -172,7 +175,8 @@
     headers = [
         pair
         for pair in raw.headers
-        if not pair[0].startswith(_PREFIX) and pair[0] != b"content-length"
+        if not pair[0].startswith(_PREFIX)
+        and pair[0] not in (b"content-length", names.EXPECT_INCARNATION)
     ]
     origin = ForwardOrigin(
         raw.get(_FROM).decode("latin-1"), sends, runs, stream_origin, version
--- a/hillthread/coordination/gateway/peers/journal_writer.py
+++ b/hillthread/coordination/gateway/peers/journal_writer.py
@@ -142,7 +142,7 @@
     ) -> bool:
         """Sends a batch; returns whether the writer has accepted it."""
         request = call_ids.make_host_request(
-            writer.feed, b"PUT", stream_query.JOURNAL_PATH.encode(), raw
+            writer, b"PUT", stream_query.JOURNAL_PATH.encode(), raw
         )
         try:
             answer = await connection_pool.call(
--- a/hillthread/coordination/gateway/peers/stream_lookup.py
+++ b/hillthread/coordination/gateway/peers/stream_lookup.py
@@ -120,7 +120,7 @@
             CallError: The host does not answer.
         """
         request = call_ids.make_host_request(
-            host.feed,
+            host,
             b"POST",
             stream_query.STREAMS_PATH.encode(),
             stream_query.encode_query(query),
--- a/hillthread/coordination/gateway/serving/peer_forwarder.py
+++ b/hillthread/coordination/gateway/serving/peer_forwarder.py
@@ -149,6 +149,7 @@
     ) -> outcome_lib.ForwardOutcome:
         sent = forwarding.encode_request(
             origin,
+            self.planned.peer.name,
             self.request.caller,
             self.request.seconds_left(),
             self.relay.last_event_id,
--- a/hillthread/coordination/gateway/serving/stream_keeper.py
+++ b/hillthread/coordination/gateway/serving/stream_keeper.py
@@ -168,15 +168,17 @@
     async def hand_off(self) -> None:
         """Sends the records of this host to their next replicas."""
         now = clock.now()
-        notices: dict[str, list[stream_query.StreamNotice]] = {}
+        notices: dict[
+            feed_source.HostEntry, list[stream_query.StreamNotice]
+        ] = {}
         for key, record in self.records.items():
             host = self._successor(key)
             if host is not None and record.expires_at > now:
                 notice = _make_notice(key, record, now)
-                notices.setdefault(host.feed, []).append(notice)
+                notices.setdefault(host, []).append(notice)
         async with anyio.create_task_group() as tasks:
-            for address, pending in notices.items():
-                tasks.start_soon(self._send_records, address, pending)
+            for host, pending in notices.items():
+                tasks.start_soon(self._send_records, host, pending)
         _logger.info(
             "records of streams handed off",
             extra={
@@ -244,12 +246,14 @@
         return self.placement.successor(key.digest, self.source.hosts.values())
 
     async def _send_records(
-        self, address: str, notices: list[stream_query.StreamNotice]
+        self,
+        host: feed_source.HostEntry,
+        notices: list[stream_query.StreamNotice],
     ) -> None:
         for start in range(0, len(notices), _MAX_NOTICES_PER_CALL):
             page = notices[start : start + _MAX_NOTICES_PER_CALL]
             request = call_ids.make_host_request(
-                address,
+                host,
                 b"PUT",
                 stream_query.STREAMS_PATH.encode(),
                 stream_query.encode_notices(page),
@@ -257,7 +261,7 @@
             try:
                 await connection_pool.call(
                     self.lookup.pool,
-                    address,
+                    host.feed,
                     request,
                     _HANDOFF_TIMEOUT_S,
                     stream_query.MAX_REPLY_BYTES,
--- a/hillthread/coordination/gateway/store/store_follower.py
+++ b/hillthread/coordination/gateway/store/store_follower.py
@@ -237,7 +237,7 @@
         start = self.copy.position or _START_POSITION
         query = feed.FeedQuery(self.plan.topic, start, hold_s, is_confirmation)
         request = call_ids.make_host_request(
-            peer.feed, b"GET", feed.encode_query(query)
+            peer, b"GET", feed.encode_query(query)
         )
         answer = await connection_pool.call(
             self.context.peer_pool,
--- a/hillthread/platform/attempts.py
+++ b/hillthread/platform/attempts.py
@@ -187,21 +187,29 @@
 
 
 def encode_forwarded(
-    headers: http1.Headers, seconds_left: float, last_event_id: int | None
+    headers: http1.Headers,
+    host: str,
+    seconds_left: float,
+    last_event_id: int | None,
 ) -> http1.Headers:
     """Returns the headers with which another host gets a caller's request.
 
-    That host authenticates the request, so the key stays in it.
+    That host authenticates the request, so the key stays in it. A target that
+    has taken over its address refuses the request.
 
     Args:
         headers: The caller's headers.
+        host: Name of the other host.
         seconds_left: Time until the caller gives up.
         last_event_id: Id of the last event that the caller has; None for the
             one in `headers`, if any.
     """
-    replaced = {names.DEADLINE_MS}
+    replaced = {names.DEADLINE_MS, names.EXPECT_INCARNATION}
     deadline_ms = max(_MIN_DEADLINE_MS, int(seconds_left * 1000))
-    added = [(names.DEADLINE_MS, b"%d" % deadline_ms)]
+    added = [
+        (names.DEADLINE_MS, b"%d" % deadline_ms),
+        (names.EXPECT_INCARNATION, host.encode()),
+    ]
     if last_event_id is not None:
         replaced.add(names.LAST_EVENT_ID)
         added.append((names.LAST_EVENT_ID, b"%d" % last_event_id))
--- a/hillthread/platform/call_ids.py
+++ b/hillthread/platform/call_ids.py
@@ -9,6 +9,7 @@
 import secrets
 
 from hillthread.platform import names
+from hillthread.state.cluster import feed_source
 from hillthread.transport import http1_client
 
 __all__ = ["make_call_id", "make_host_request"]
@@ -29,18 +30,27 @@
 
 
 def make_host_request(
-    address: str, method: bytes, target: bytes, body: bytes = b""
+    host: feed_source.HostEntry,
+    method: bytes,
+    target: bytes,
+    body: bytes = b"",
 ) -> http1_client.ClientRequest:
     """Returns a request to another host, which repeats its id.
 
-    Hosts of earlier releases do not repeat it.
+    Hosts of earlier releases do not repeat it. A target that has taken over the
+    address would run a request with an id, but refuses one for another
+    instance.
 
     Args:
-        address: `IP:port` of the other host.
+        host: The other host.
         method: Upper-case method name.
         target: Path and query.
         body: The body.
     """
     call_id = make_call_id(is_always_repeated=False)
-    headers = [(b"host", address.encode()), (call_id.header, call_id.value)]
+    headers = [
+        (b"host", host.feed.encode()),
+        (names.EXPECT_INCARNATION, host.name.encode()),
+        (call_id.header, call_id.value),
+    ]
     return http1_client.ClientRequest(method, target, headers, body, call_id)
--- a/tests/coordination/gateway/peers/test_forwarding.py
+++ b/tests/coordination/gateway/peers/test_forwarding.py
@@ -28,7 +28,7 @@
 class RequestTest(unittest.TestCase):
     def encode(self, *headers, last_event_id=None):
         return forwarding.encode_request(
-            ORIGIN, make_request(*headers), 1.25, last_event_id
+            ORIGIN, "h2", make_request(*headers), 1.25, last_event_id
         )
 
     def test_request_arrives_unchanged_but_for_its_deadline(self):
--- a/tests/coordination/gateway/serving/test_peer_forwarder.py
+++ b/tests/coordination/gateway/serving/test_peer_forwarder.py
@@ -83,7 +83,7 @@
                 b"POST", request.target, request.headers, b"", 0.0
             )
             sent = forwarding.encode_request(
-                forwarding.ForwardOrigin("h1", 0, 0), caller, 2.0, None
+                forwarding.ForwardOrigin("h2", 0, 0), "h1", caller, 2.0, None
             )
             before = len(scene.runs())
             answer = await connection_pool.call(
--- a/tests/coordination/gateway/store/test_store_restored.py
+++ b/tests/coordination/gateway/store/test_store_restored.py
@@ -342,7 +342,7 @@
                     "keyed.op", position.Position(0, 0), 0.0, is_confirmation
                 )
                 request = call_ids.make_host_request(
-                    scene.program.feed_server.address,
+                    scene.program.source.hosts["h1"],
                     b"GET",
                     feed.encode_query(query),
                 )
--- a/tests/platform/test_call_ids.py
+++ b/tests/platform/test_call_ids.py
@@ -4,6 +4,7 @@
 
 from hillthread.platform import call_ids
 from hillthread.protocol import feed
+from hillthread.state.cluster import feed_source
 from hillthread.transport import connection_pool
 from tests.coordination.gateway import scene as scene_lib
 
@@ -17,9 +18,10 @@
     def test_hosts_repeat_the_ids_of_each_other(self):
         async def scenario(scene):
             address = scene.program.feed_server.address
+            host = feed_source.HostEntry("h1", "here", address)
             for path in (feed.LIMITS_PATH, "/no/such/path"):
                 request = call_ids.make_host_request(
-                    address, b"GET", path.encode()
+                    host, b"GET", path.encode()
                 )
                 answer = await connection_pool.call(
                     scene.pool, address, request, 1.0, 100_000
