Notify other hosts of trials that end without a result

What callers saw: after crashes with a prompt part in common, one host tries the part and all others refuse prompts with it (503 quarantined) until they hear of the result, for 2 s at most. A trial that a target refuses, or whose caller leaves, has none: they refused for the whole 2 s although nothing was tried.

Fix: the host tells the others once when a trial that it had announced ends; not after an answer that the target's side has cut, which may be a crash. A list of its own at the end of a packet, sent alone, as for brittle targets: earlier releases log it and wait as before.

Evidence: test_trial_without_a_result_ends_at_other_hosts failed (503) and passes; test_deadly_parts (13), test_deadly_requests (10), test_quarantine_store and test_work_feed pass. What is left: trials whose answer was cut.

--- a/hillthread/coordination/gateway/peers/work_feed.py
+++ b/hillthread/coordination/gateway/peers/work_feed.py
@@ -97,6 +97,7 @@
         apply_suspect: Applies what another host observed of a request under
             which targets crash.
         apply_stream: Applies the record of a stream that has begun.
+        apply_trial_end: Applies the end of a trial without a result.
         usage: Totals of usage that hosts exchange; None until the keeper of
             quotas sets it.
         apply_usage: Applies usage by other hosts; called with amounts by the
@@ -124,6 +125,9 @@
             _ignore
         )
         self.apply_stream: Callable[[stream_query.StreamNotice], None] = _ignore
+        self.apply_trial_end: Callable[[work_notice.TrialEndNotice], None] = (
+            _ignore
+        )
         self.usage: usage_exchange.UsageExchange | None = None
         self.apply_usage: Callable[[dict[int, float]], None] = _ignore
         self._origin = work_notice.checksum(source.name)
@@ -232,6 +236,12 @@
         ):
             self._notify_directly(suspects=page)
 
+    def notify_trial_ends(
+        self, notices: list[work_notice.TrialEndNotice]
+    ) -> None:
+        """Notifies all hosts of trials without a result, without delay."""
+        self._notify_directly(ended_trials=notices)
+
     def notify_brittle(self, notice: work_notice.BrittleNotice) -> None:
         """Notifies all hosts of a brittle target, without delay."""
         self._notify_directly(brittle=[notice])
@@ -345,6 +355,7 @@
         limits: Sequence[work_notice.LimitNotice] = (),
         departures: Sequence[work_notice.DepartureNotice] = (),
         brittle: Sequence[work_notice.BrittleNotice] = (),
+        ended_trials: Sequence[work_notice.TrialEndNotice] = (),
     ) -> None:
         """Notifies all hosts.
 
@@ -372,6 +383,7 @@
                 limits=limits,
                 departures=departures,
                 brittle=brittle,
+                ended_trials=ended_trials,
             )
             self._send(packet, hosts)
 
@@ -577,6 +589,8 @@
             self.site.apply_weights_notice(notice, now)
         for suspect in packet.suspects:
             self.apply_suspect(suspect)
+        for trial in packet.ended_trials:
+            self.apply_trial_end(trial)
         self._apply_target_notices(packet)
         for stream in packet.streams:
             self.apply_stream(stream)
--- a/hillthread/coordination/gateway/serving/intake.py
+++ b/hillthread/coordination/gateway/serving/intake.py
@@ -78,6 +78,7 @@
         configuration_version: Version of the configuration by which its route
             and tenant were last checked.
         tried_parts: Names of the parts that it is sent to try.
+        is_trial_announced: Whether other hosts wait for the result of that.
         forwarded: What the host that forwarded the request has done with it;
             None if its caller sent it to this host.
     """
@@ -95,6 +96,7 @@
     forwarded: forwarding.ForwardOrigin | None = None
     configuration_version: int = 0
     tried_parts: tuple[str, ...] = ()
+    is_trial_announced: bool = False
 
     @property
     def repeatable(self) -> bool:
--- a/hillthread/coordination/gateway/serving/quarantine_keeper.py
+++ b/hillthread/coordination/gateway/serving/quarantine_keeper.py
@@ -91,6 +91,7 @@
         self._cut_incarnations: dict[str, int] = {}
         self._open_attempts: dict[attempt_lib.Attempt, _OpenAttempt] = {}
         work.apply_suspect = self.apply_notice
+        work.apply_trial_end = self.apply_trial_end
 
     # Attempts.
 
@@ -178,6 +179,7 @@
         """
         if not request.tried_parts:
             return
+        request.is_trial_announced = True
         event = work_notice.SuspectEvent.TRIAL_STARTED
         self._notify(
             [
@@ -193,9 +195,21 @@
         return TargetIncarnation(target, self.site.targets.key_of(target))
 
     def end_trial(self, request: intake.GatewayRequest) -> None:
-        """Ends the trial of parts that a request has begun, if any."""
+        """Ends the trial of parts that a request has begun, if any.
+
+        Other hosts that wait for its result may try the parts themselves. They
+        are notified once: a repetition could end a trial of their own.
+        """
         self.site.part_blame.end_trial(request.tried_parts)
+        if request.is_trial_announced:
+            self.work.notify_trial_ends(
+                [work_notice.TrialEndNotice(n) for n in request.tried_parts]
+            )
+        self._forget_trial(request)
+
+    def _forget_trial(self, request: intake.GatewayRequest) -> None:
         request.tried_parts = ()
+        request.is_trial_announced = False
 
     def begin_attempt(self, attempt: attempt_lib.Attempt) -> None:
         """Records that an attempt is about to be sent."""
@@ -251,7 +265,7 @@
                 self._record_cut(opened, sent, now)
         if is_cut:
             # The trial goes on until it is known whether the target crashed.
-            request.tried_parts = ()
+            self._forget_trial(request)
         else:
             self.end_trial(request)
 
@@ -359,6 +373,10 @@
                 if request_features.is_part_key(notice.digest):
                     self._abort_blamed()
 
+    def apply_trial_end(self, notice: work_notice.TrialEndNotice) -> None:
+        """Applies the end of another host's trial without a result."""
+        self.site.part_blame.end_trial((notice.part,))
+
     # Operators.
 
     def suspects(self) -> list[quarantine.Suspect]:
--- a/hillthread/protocol/work_notice.py
+++ b/hillthread/protocol/work_notice.py
@@ -37,6 +37,7 @@
     "SpeedNotice",
     "SuspectEvent",
     "SuspectNotice",
+    "TrialEndNotice",
     "WeightsNotice",
     "WorkNotice",
     "checksum",
@@ -146,6 +147,16 @@
     event: SuspectEvent
 
 
+class TrialEndNotice(NamedTuple):
+    """A notice on the end of a trial that neither succeeded nor crashed.
+
+    Attributes:
+        part: Name of the part of prompts that was tried.
+    """
+
+    part: str
+
+
 class LimitNotice(NamedTuple):
     """A notice on a target that has stated a limit or removed it.
 
@@ -220,6 +231,8 @@
             in packets of their own.
         streams: Records of streams that have begun; also sent in packets of
             their own.
+        ended_trials: Trials that have ended without a result; also sent in
+            packets of their own.
     """
 
     action: PacketAction
@@ -232,6 +245,7 @@
     speeds: Sequence[SpeedNotice] = ()
     brittle: Sequence[BrittleNotice] = ()
     streams: Sequence[stream_query.StreamNotice] = ()
+    ended_trials: Sequence[TrialEndNotice] = ()
 
 
 def checksum(name: str) -> int:
@@ -252,6 +266,7 @@
         packet.speeds,
         packet.brittle,
         packet.streams,
+        packet.ended_trials,
     ]
     # Earlier releases know fewer lists; they can decode a packet if the empty
     # lists at its end are left out.
--- a/tests/coordination/gateway/serving/test_deadly_parts.py
+++ b/tests/coordination/gateway/serving/test_deadly_parts.py
@@ -340,6 +340,33 @@
 
         scene_lib.run_scenario(scenario)
 
+    # Guards against hosts that wait for the result of a trial which has ended
+    # without one.
+    def test_trial_without_a_result_ends_at_other_hosts(self):
+        async def scenario(scene):
+            hosts = await test_deadly_requests.start_hosts(scene, 2)
+            key = request_features.encode_part_key(FIRST, "one")
+            event = work_notice.SuspectEvent.TARGET_CRASHED
+            for host in hosts:
+                host.quarantine.apply_notice(
+                    work_notice.SuspectNotice(key, 1, event)
+                )
+            for engine in scene.engines:
+                engine.default_behaviour = platform_target.Refuse()
+            prefix = f"{FIRST}:9,cc:9"
+            request = scene.prompt("/resume/x", x_prompt_prefix=prefix)
+            answer = await scene.call(request)
+            self.assertEqual(answer.head.status, 503)
+            for engine in scene.engines:
+                engine.default_behaviour = platform_target.Serve()
+            request = scene.prompt("/resume/x", x_prompt_prefix=prefix)
+            answer = await connection_pool.call(
+                scene.pool, hosts[1].server.address, request, 4.0, 1 << 20
+            )
+            self.assertEqual(answer.head.status, 200, answer.body)
+
+        scene_lib.run_scenario(scenario, engines=2)
+
     # Guards against hosts that wait for the result of a trial which could not
     # be sent.
     def test_trial_that_cannot_be_sent_is_not_announced(self):
--- a/tests/protocol/test_work_notice.py
+++ b/tests/protocol/test_work_notice.py
@@ -25,6 +25,17 @@
             raw = work_notice.encode_packet(packet)
             self.assertEqual(work_notice.decode_packet(raw), packet)
 
+    def test_ended_trials_are_sent(self):
+        packet = work_notice.Packet(
+            work_notice.PacketAction.APPLY,
+            [],
+            [],
+            ended_trials=[work_notice.TrialEndNotice("aa01")],
+        )
+        raw = work_notice.encode_packet(packet)
+        decoded = work_notice.decode_packet(raw)
+        self.assertEqual(list(decoded.ended_trials), packet.ended_trials)
+
     def test_default_urgency_is_not_sent(self):
         """Guards against packets that an earlier release cannot decode.
 
