--- a/hillthread/coordination/gateway/peers/journal_writer.py
+++ b/hillthread/coordination/gateway/peers/journal_writer.py
@@ -101,12 +101,12 @@
         """Adds the records of another host.
 
         Raises:
-            PeerError: The batch is not valid, or this host is stopping.
+            PeerError: The batch is not valid, or this host cannot write it.
         """
-        if self.site.is_draining:
+        if self.site.is_draining or self.site.is_store_lost:
             raise errors.PeerError(
-                "This host is stopping and writes no more records.",
-                "Another host writes them.",
+                "This host is stopping or has lost the store.",
+                "Another host writes the records.",
             )
         self._add_unwritten(stream_batch.decode_batch(raw))
 
@@ -167,8 +167,9 @@
             )
         for host in self._ranked[:_MAX_WRITERS]:
             if host.name == self.source.name:
-                return None
-            if now >= self._avoided_until.get(host.name, 0.0):
+                if not self.site.is_store_lost:
+                    return None
+            elif now >= self._avoided_until.get(host.name, 0.0):
                 return host
         return None
 
--- a/tests/coordination/gateway/serving/test_streams_after_restart.py
+++ b/tests/coordination/gateway/serving/test_streams_after_restart.py
@@ -271,6 +271,25 @@
 
         scene_lib.run_scenario(scenario, engines=2)
 
+    # Guards against records that wait at a writer which is cut off from the
+    # store until it fails.
+    def test_records_are_written_while_the_writer_has_lost_the_store(self):
+        async def scenario(scene):
+            configure(scene)
+            async with fleet(scene) as programs:
+                writer = programs[0].streams.journal_writer
+                chosen = writer._choose_writer() or programs[0].source
+                for program in [scene.program, *programs]:
+                    if program.source.name == chosen.name:
+                        program.site.is_store_lost = True
+                begun = await begin_streams(scene, programs)
+                await anyio.sleep(DURABLE_AFTER_S)
+            async with fleet(scene) as programs:
+                answers = await reconnect_all(scene, programs, begun)
+            self.assertEqual({a.head.status for a in answers}, {200})
+
+        scene_lib.run_scenario(scenario, engines=4)
+
     # Guards against records that are lost with the host that was to write them.
     def test_records_are_written_without_the_chosen_writer(self):
         async def scenario(scene):
