--- a/hillthread/coordination/gateway/serving/stream_keeper.py
+++ b/hillthread/coordination/gateway/serving/stream_keeper.py
@@ -13,7 +13,6 @@
 import anyio
 
 from hillthread import clock
-from hillthread import errors
 from hillthread.coordination.gateway import site as site_lib
 from hillthread.coordination.gateway.peers import journal_lookup
 from hillthread.coordination.gateway.peers import journal_writer
@@ -21,6 +20,7 @@
 from hillthread.coordination.gateway.peers import stream_lookup
 from hillthread.coordination.gateway.peers import work_feed
 from hillthread.coordination.gateway.serving import intake
+from hillthread.coordination.gateway.serving import stream_refusals
 from hillthread.coordination.gateway.store import stream_journal
 from hillthread.platform import call_ids
 from hillthread.platform import resumption as resumption_lib
@@ -32,11 +32,8 @@
 from hillthread.transport import connection_pool
 from hillthread.transport import http1_client
 
-__all__ = ["INVALID_RESUMPTION", "STREAM_UNKNOWN", "StreamKeeper"]
+__all__ = ["StreamKeeper"]
 
-# Error codes of reconnects.
-INVALID_RESUMPTION = "invalid_resumption"
-STREAM_UNKNOWN = "stream_unknown"
 # Records take about 7 MB of memory at this number.
 _MAX_RECORDS = 20_000
 # Callers reconnect within this time after the timeout of the route.
@@ -44,8 +41,6 @@
 _EXPIRY_INTERVAL_S = 5.0
 _MAX_NOTICES_PER_CALL = 200
 _HANDOFF_TIMEOUT_S = 1.0
-_UNKNOWN_RETRY_S = 0.3
-_BEGIN_ANEW = "Begin the stream anew, without Last-Event-Id and Resumes."
 
 _logger = logging.getLogger("hillthread.streams")
 
@@ -110,9 +105,9 @@
         if resumption is None or request.stream_origin is not None:
             return
         if resumption.fault:
-            raise _make_invalid_error(resumption.fault)
+            raise stream_refusals.make_invalid_error(resumption.fault)
         if not resumption.stream_id:
-            raise _make_unnamed_error()
+            raise stream_refusals.make_unnamed_error()
         key = stream_records.make_key(request.tenant_name, resumption.stream_id)
         record = self.records.get(key, clock.now())
         if record is not None:
@@ -121,7 +116,7 @@
         else:
             origin = await self._look_up(key, request, resumption)
         if not origin.release:
-            raise _make_doubtful_error(origin)
+            raise stream_refusals.make_doubtful_error(origin)
         request.stream_origin = origin
         self._record_and_notify(key, origin, _compute_ttl_s(request))
 
@@ -194,6 +189,7 @@
         while True:
             await anyio.sleep(_EXPIRY_INTERVAL_S)
             self.records.expire(clock.now())
+            self.journal.records.expire(clock.now())
             self.site.metrics.stream_records.set(len(self.records))
 
     async def _look_up(
@@ -221,7 +217,7 @@
             seconds=round(result.seconds, 4),
         )
         if result.origin is None:
-            raise _make_unknown_error(result)
+            raise stream_refusals.make_unknown_error(result)
         return result.origin
 
     def _record_and_notify(
@@ -311,51 +307,3 @@
 def _compute_ttl_s(request: intake.GatewayRequest) -> float:
     """Returns the time for which the record of a stream is needed."""
     return request.route.timeout_s + _RETURN_S
-
-
-def _make_invalid_error(fault: str) -> errors.RefusalError:
-    return errors.RefusalError(
-        INVALID_RESUMPTION,
-        400,
-        f"It is not clear which stream continues: {fault}.",
-        "Send one id in Resumes and one in Last-Event-Id.",
-    )
-
-
-def _make_unnamed_error() -> errors.RefusalError:
-    return errors.RefusalError(
-        STREAM_UNKNOWN,
-        503,
-        "The request continues a stream but does not name it.",
-        "Send, in Resumes, the id of the request that received its first "
-        f"event. Otherwise: {_BEGIN_ANEW}",
-    )
-
-
-def _make_unknown_error(
-    result: origin_lookup.OriginResult,
-) -> errors.RefusalError:
-    """Returns the refusal of a stream of which there is no record.
-
-    Another try may succeed only if some hosts have not answered, or if the
-    journal was not read.
-    """
-    return errors.RefusalError(
-        STREAM_UNKNOWN,
-        503,
-        f"None of {result.asked} other hosts knows which software began the "
-        f"stream; {result.unanswered} have not answered.",
-        _BEGIN_ANEW,
-        retry_after_s=None if result.is_final else _UNKNOWN_RETRY_S,
-    )
-
-
-def _make_doubtful_error(
-    origin: stream_origin.StreamOrigin,
-) -> errors.RefusalError:
-    return errors.RefusalError(
-        STREAM_UNKNOWN,
-        503,
-        f"Hosts disagree on which software of {origin.pool} began the stream.",
-        _BEGIN_ANEW,
-    )
--- a/hillthread/coordination/gateway/store/stream_journal.py
+++ b/hillthread/coordination/gateway/store/stream_journal.py
@@ -94,7 +94,6 @@
         """Reads what was added since the last read."""
         began_at = clock.now()
         known = len(self.records)
-        self.records.expire(began_at)
         try:
             await self._read_pages()
         except errors.LogError as error:
--- a/tests/bench/mutant_gateway.py
+++ b/tests/bench/mutant_gateway.py
@@ -11,6 +11,7 @@
 from hillthread.coordination.gateway.serving import request_forwarding
 from hillthread.coordination.gateway.serving import stream_binding
 from hillthread.coordination.gateway.serving import stream_keeper
+from hillthread.coordination.gateway.serving import stream_refusals
 from hillthread.platform import store
 from hillthread.programs import gateway
 from hillthread.programs import soak_gateway
@@ -169,7 +170,7 @@
 
     async def refuse(self, request):
         if request.resumption is not None:
-            raise stream_keeper._make_unnamed_error()
+            raise stream_refusals.make_unnamed_error()
 
     stream_keeper.StreamKeeper.resolve = refuse
 
