Probe avoided hosts with requests again

What callers saw: at a host without links to targets all requests got 503 no_target for up to 2 s after the only other host had come back.

Cause: while all other hosts are avoided, one request each 0.25 s is to be forwarded to one of them. Whether a request will be forwarded is checked before its quota, by planning the forward, which used up the probe each time; the request itself then found none due.

Ruled out: the stage (clients of callers no longer block it) and the address of the host, which its link keeps.

Fix: the check asks whether a host can be chosen and chooses none.

Evidence: test_avoided_host_is_probed_by_a_request failed (503) and passes; test_check_chooses_no_host is new.

--- a/hillthread/coordination/gateway/serving/dispatcher.py
+++ b/hillthread/coordination/gateway/serving/dispatcher.py
@@ -120,8 +120,7 @@
         if request.forwarded is not None:
             return False
         pool = self.chooser.find_unreachable_pool(request)
-        forwarder = self.context.forwarder
-        return pool is not None and forwarder.plan(pool) is not None
+        return pool is not None and self.context.forwarder.can_plan(pool)
 
     def create_job(
         self,
--- a/hillthread/coordination/gateway/serving/peer_forwarder.py
+++ b/hillthread/coordination/gateway/serving/peer_forwarder.py
@@ -248,6 +248,12 @@
         )
         return ForwardPlan(peer, pool) if peer else None
 
+    def can_plan(self, pool: objects.Pool) -> bool:
+        """Returns whether `plan` would return a host for a new request."""
+        return self.choice.can_choose(
+            self.source.hosts.values(), pool.name, clock.now()
+        )
+
     async def reaches_other_host(self) -> bool:
         """Returns whether a connection to some other host can be opened."""
         others = [
--- a/hillthread/state/cluster/peer_choice.py
+++ b/hillthread/state/cluster/peer_choice.py
@@ -81,6 +81,24 @@
             return second
         return first
 
+    def can_choose(
+        self,
+        hosts: Collection[feed_source.HostEntry],
+        pool: str,
+        now: float,
+    ) -> bool:
+        """Returns whether `choose` would return a host; chooses none.
+
+        Args:
+            hosts: All listed hosts.
+            pool: Pool that is to serve the request.
+            now: Current time, seconds.
+        """
+        others = [host for host in hosts if host.name != self.name]
+        return any(
+            not self._is_avoided(host.name, pool, now) for host in others
+        ) or bool(self._list_due_probes(others, now))
+
     def _choose_probe(
         self, avoided: Sequence[feed_source.HostEntry], now: float
     ) -> feed_source.HostEntry | None:
@@ -90,20 +108,25 @@
         out once. Without a probe, all requests would be refused for as long as
         it is avoided.
         """
-        never = -_PROBE_INTERVAL_S
-        due = [
-            host
-            for host in avoided
-            if now - self._probed_at.get(host.name, never) >= _PROBE_INTERVAL_S
-        ]
+        due = self._list_due_probes(avoided, now)
         if not due:
             return None
-        probed = min(
-            due, key=lambda host: self._probed_at.get(host.name, never)
-        )
+        probed = min(due, key=lambda host: self._get_probed_at(host.name))
         self._probed_at[probed.name] = now
         return probed
 
+    def _list_due_probes(
+        self, avoided: Sequence[feed_source.HostEntry], now: float
+    ) -> list[feed_source.HostEntry]:
+        return [
+            host
+            for host in avoided
+            if now - self._get_probed_at(host.name) >= _PROBE_INTERVAL_S
+        ]
+
+    def _get_probed_at(self, host: str) -> float:
+        return self._probed_at.get(host, -_PROBE_INTERVAL_S)
+
     def avoid(self, host: str, pool: str, until: float) -> None:
         """Avoids a host for a pool until a point in time, seconds.
 
--- a/tests/coordination/gateway/serving/test_peer_forwarder.py
+++ b/tests/coordination/gateway/serving/test_peer_forwarder.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from hillthread import clock
 from hillthread.coordination.gateway.peers import forwarding
 from hillthread.coordination.gateway.serving import gateway as gateway_lib
 from hillthread.coordination.gateway.serving import quota_keeper
@@ -146,6 +147,18 @@
         scene_lib.run_scenario(scenario)
 
     # Guards against hosts that pass a request round while none can serve it.
+    # Guards against refusing all callers while the only other host, which has
+    # come back, is avoided.
+    def test_avoided_host_is_probed_by_a_request(self):
+        async def scenario(scene):
+            programs, _ = await start_cut_host(scene)
+            forwarder = programs[0].gateway.dispatcher.context.forwarder
+            forwarder.choice.avoid("h2", "", clock.now() + 30.0)
+            answer = await ask(scene, programs[0], "/again/x")
+            self.assertEqual(answer.head.status, 200)
+
+        scene_lib.run_scenario(scenario)
+
     def test_request_is_refused_at_once_when_no_host_reaches_a_target(self):
         async def scenario(scene):
             programs, links = await start_cut_host(scene, 3)
--- a/tests/state/cluster/test_peer_choice.py
+++ b/tests/state/cluster/test_peer_choice.py
@@ -43,6 +43,17 @@
         """Returns the hosts that many requests are sent to."""
         return {self.choose(hosts, now=now, pool=pool) for _ in range(50)}
 
+    # Guards against a check before the choice that uses up the only probe.
+    def test_check_chooses_no_host(self):
+        hosts = make_hosts(2)
+        self.choice.avoid("h1", "", 9.0)
+        for _ in range(3):
+            self.assertTrue(self.choice.can_choose(hosts, "p", 5.0))
+        self.assertEqual(self.choose(hosts, now=5.0), "h1")
+        self.assertFalse(self.choice.can_choose(hosts, "p", 5.1))
+        self.assertTrue(self.choice.can_choose(hosts, "p", 9.0))
+        self.assertFalse(self.choice.can_choose(hosts[:1], "p", 9.0))
+
     # Guards against refusing all requests while the only other host, which
     # declined for a moment, serves again.
     def test_avoided_hosts_are_probed_when_no_other_is_left(self):
